--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# VENV may name an environment that is shared by several work trees.
+VENV ?= .venv
+PY := $(VENV)/bin/python
+MINUTES ?= 5
+
+.PHONY: setup test lint format types demo bench capacity soak count binary
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.txt requirements-dev.txt
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet -r requirements-dev.txt
+	touch $@
+
+test: setup
+	HYPOTHESIS_PROFILE=ci $(PY) -m pytest -n 6 --dist loadfile tests
+
+lint: setup
+	$(PY) -m ruff format --check .
+	$(PY) -m flake8 walnutport standins bench tests tools
+
+format: setup
+	$(PY) -m tools.sort_imports
+	$(PY) -m ruff format .
+
+types: setup
+	$(PY) -m mypy
+
+demo: setup
+	$(PY) -m bench.demo
+
+bench: setup
+	$(PY) -m bench.run
+
+capacity: setup
+	$(PY) -m bench.capacity
+
+soak: setup
+	$(PY) -m bench.soak --minutes $(MINUTES)
+
+count: setup
+	$(PY) -m bench.count
+
+binary: setup
+	$(PY) -m packaging.build
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, bench and measurements."""
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,101 @@
+"""Demo: three hosts, the stand-ins and a caller with 200 requests.
+
+One host is stopped gracefully and one target is killed during the run. The
+last line sums up; the exit status is 0 only if every request is accounted
+for and no promise was broken.
+"""
+
+import sys
+import time
+
+from standins import caller
+from standins import checker
+from standins import fleet
+from standins import ledger
+from standins import processes
+
+__all__ = ['main']
+
+_REQUESTS = 200
+_SHARES = (
+    # entry, keyed, streamed, count
+    ('summaries', False, False, 90),
+    ('summaries', False, True, 60),
+    ('payments', True, False, 50),
+)
+_RATE_PER_S = 20.0
+_LIMIT_S = 50.0
+
+
+def main() -> int:
+    """Run the demo and return the exit status."""
+    assert sum(share[-1] for share in _SHARES) == _REQUESTS
+    with fleet.Fleet(fleet.FleetPlan()) as running:
+        _print(f'{len(running.hosts_by_id)} hosts ready')
+        sender = running.start_caller(_loads())
+        _wait_answers(running, sender, _REQUESTS // 4)
+        _print('stopping host-3 gracefully')
+        code = running.hosts_by_id['host-3'].terminate()
+        _print(f'host-3 exited with {code}')
+        _wait_answers(running, sender, _REQUESTS // 2)
+        _print('killing target encoder-1')
+        running.targets_by_id['encoder-1'].kill()
+        _wait_answers(running, sender, _REQUESTS)
+        report = running.check()
+    for finding in report.findings:
+        _print(finding)
+    _print(
+        f'demo: sent={report.sent} complete={report.complete} '
+        f'refused={report.not_run} unknown={report.unknown + report.failed} '
+        f'lost={report.lost} doubled={report.doubled} '
+        f'misdelivered={report.misdelivered}'
+    )
+    return 0 if code == 0 and _adds_up(report) else 1
+
+
+def _loads() -> tuple[caller.Load, ...]:
+    return tuple(
+        caller.Load(
+            member_id='north',
+            token=fleet.TOKENS_BY_MEMBER['north'],
+            entry_id=entry_id,
+            rate_per_s=_RATE_PER_S * count / _REQUESTS,
+            count=count,
+            keyed=keyed,
+            stream=streamed,
+        )
+        for entry_id, keyed, streamed, count in _SHARES
+    )
+
+
+def _wait_answers(
+    running: fleet.Fleet, sender: processes.ManagedProcess, count: int
+) -> None:
+    started = time.monotonic()
+    answered = 0
+    while answered < count and time.monotonic() - started < _LIMIT_S:
+        time.sleep(0.2)
+        answered = sum(
+            event.kind is ledger.EventKind.ANSWERED
+            and event.outcome != 'disconnected'
+            for event in ledger.read_ledger(running.ledger_folder)
+        )
+        if not sender.is_running():
+            break
+    _print(f'{answered} of {_REQUESTS} answered')
+
+
+def _adds_up(report: checker.Report) -> bool:
+    accounted = (
+        report.complete + report.not_run + report.unknown + report.failed
+    )
+    return report.is_clean and accounted == report.sent == _REQUESTS
+
+
+def _print(text: str) -> None:
+    sys.stdout.write(f'{text}\n')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/standins/__main__.py
@@ -0,0 +1,81 @@
+"""Runs one stand-in: ``python -m standins KIND JSON_SETTINGS``."""
+
+import signal
+import sys
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.web import server
+
+from standins import caller
+from standins import ledger
+from standins import list_server
+from standins import log_server
+from standins import target_server
+
+__all__ = ['main']
+
+
+def main() -> None:
+    """Serve until SIGTERM."""
+    kind, text = sys.argv[1:3]
+    if kind not in _STARTERS_BY_KIND:
+        sys.exit(f'unknown stand-in {kind!r}')
+    _STARTERS_BY_KIND[kind](text)
+
+
+def _start_log(text: str) -> None:
+    settings = msgspec.json.decode(text, type=log_server.LogServerSettings)
+    _serve(settings.ip, settings.port, log_server.LogServer(settings))
+
+
+def _start_list(text: str) -> None:
+    settings = msgspec.json.decode(text, type=list_server.ListServerSettings)
+    _serve(settings.ip, settings.port, list_server.ListServer(settings))
+
+
+def _start_target(text: str) -> None:
+    settings = msgspec.json.decode(
+        text, type=target_server.TargetServerSettings
+    )
+    with ledger.Ledger(settings.ledger_folder, settings.target_id) as book:
+        standin = target_server.TargetServer(settings, book)
+        _serve(settings.ip, settings.port, standin)
+
+
+def _start_caller(text: str) -> None:
+    settings = msgspec.json.decode(text, type=caller.CallerSettings)
+    with ledger.Ledger(settings.ledger_folder, settings.source) as book:
+        _run(caller.Caller(settings, book))
+
+
+_STARTERS_BY_KIND = {
+    'log': _start_log,
+    'list': _start_list,
+    'target': _start_target,
+    'caller': _start_caller,
+}
+
+
+def _run(sender: caller.Caller) -> None:
+    def start() -> None:
+        running = defer.Deferred.fromCoroutine(sender.run())
+        running.addErrback(lambda failure: failure.printTraceback())
+        running.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+
+
+def _serve(ip: str, port: int, standin) -> None:
+    site = server.Site(standin.app.resource())
+    reactor.listenTCP(port, site, interface=ip)
+    signal.signal(
+        signal.SIGTERM, lambda *_: reactor.callFromThread(reactor.stop)
+    )
+    reactor.run()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/caller.py
@@ -0,0 +1,237 @@
+"""Stand-in of the members: sends requests and records the answers."""
+
+from collections.abc import Sequence
+import dataclasses
+import random
+import secrets
+import time
+
+import msgspec
+import treq
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.internet import task
+from twisted.web import client
+
+from standins import ledger
+
+__all__ = ['Caller', 'CallerSettings', 'Load']
+
+_MAX_SENDS = 4
+_RESEND_S = 0.05
+_GRACE_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """Requests of one member to one entry.
+
+    :param rate_per_s: mean rate of a Poisson process.
+    :param count: requests in all.
+    :param resend: whether a broken connection is answered by sending the
+        request again, to another host, under the same key.
+    """
+
+    member_id: str
+    token: str
+    entry_id: str
+    rate_per_s: float
+    count: int
+    start_s: float = 0.0
+    deadline_ms: int = 4_000
+    keyed: bool = False
+    stream: bool = False
+    resend: bool = True
+    body: dict = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerSettings:
+    """Settings of a caller.
+
+    :param hosts: addresses ``ip:port`` of the hosts' caller listeners.
+    :param host_weights: relative share of the requests of each host.
+    """
+
+    hosts: tuple[str, ...]
+    ledger_folder: str
+    loads: tuple[Load, ...]
+    source: str = 'caller'
+    seed: int = 1
+    host_weights: tuple[float, ...] = ()
+
+
+@dataclasses.dataclass(slots=True)
+class _Received:
+    outcome: str = 'disconnected'
+    reason: str = ''
+    nonce: str = ''
+    trace: tuple[str, ...] = ()
+    tokens: tuple[int, ...] = ()
+
+
+class Caller:
+    """Sends the configured loads and records every answer."""
+
+    def __init__(self, settings: CallerSettings, book: ledger.Ledger) -> None:
+        self._settings = settings
+        self._book = book
+        self._rng = random.Random(settings.seed)
+        pool = client.HTTPConnectionPool(reactor, persistent=False)
+        self._client = treq.client.HTTPClient(
+            client.Agent(reactor, connectTimeout=2.0, pool=pool)
+        )
+
+    async def run(self) -> None:
+        """Send every load and wait for the last answer."""
+        await defer.gatherResults(
+            [
+                defer.Deferred.fromCoroutine(self._run_load(load))
+                for load in self._settings.loads
+            ]
+        )
+
+    async def _run_load(self, load: Load) -> None:
+        if load.start_s > 0:
+            await task.deferLater(reactor, load.start_s)
+        running = []
+        due = time.monotonic()
+        for _ in range(load.count):
+            due += self._rng.expovariate(load.rate_per_s)
+            wait_s = due - time.monotonic()
+            if wait_s > 0:
+                await task.deferLater(reactor, wait_s)
+            running.append(defer.Deferred.fromCoroutine(self.send(load)))
+        await defer.gatherResults(running)
+
+    async def send(self, load: Load) -> str:
+        """Send one request until it has an answer and return its outcome."""
+        nonce = secrets.token_hex(8)
+        key = f'{int(time.time())}-{nonce}' if load.keyed else ''
+        started = time.monotonic()
+        received = _Received()
+        hosts = self._choose_hosts()
+        for turn in range(_MAX_SENDS):
+            request_id = f'{nonce}-{turn}'
+            self._record(ledger.EventKind.SENT, load, nonce, request_id, key)
+            received = await self._send_once(
+                hosts[turn % len(hosts)], load, nonce, key, request_id
+            )
+            elapsed_s = time.monotonic() - started
+            self._book.record(
+                ledger.EventKind.ANSWERED,
+                nonce=nonce,
+                member_id=load.member_id,
+                entry_id=load.entry_id,
+                request_id=request_id,
+                key=key,
+                outcome=received.outcome,
+                reason=received.reason,
+                answered_nonce=received.nonce,
+                trace=received.trace,
+                tokens=received.tokens,
+                late=elapsed_s > load.deadline_ms / 1000,
+                latency_s=elapsed_s,
+            )
+            if received.outcome != 'disconnected' or not load.resend:
+                break
+            await task.deferLater(reactor, _RESEND_S)
+        return received.outcome
+
+    def _choose_hosts(self) -> Sequence[str]:
+        """Return the hosts in the order of the tries.
+
+        The order is a weighted sample without replacement.
+        """
+        hosts = self._settings.hosts
+        weights = self._settings.host_weights or (1.0,) * len(hosts)
+        draws = [
+            (self._rng.random() ** (1 / weight), host)
+            for host, weight in zip(hosts, weights)
+        ]
+        return [host for _, host in sorted(draws, reverse=True)]
+
+    async def _send_once(
+        self, host: str, load: Load, nonce: str, key: str, request_id: str
+    ) -> _Received:
+        headers = {
+            'authorization': f'Bearer {load.token}',
+            'content-type': 'application/json',
+            'walnutport-deadline-ms': str(load.deadline_ms),
+            'walnutport-request-id': request_id,
+        }
+        if key:
+            headers['idempotency-key'] = key
+        if load.stream:
+            headers['accept'] = 'text/event-stream'
+        sending = defer.Deferred.fromCoroutine(
+            self._exchange(
+                f'http://{host}/v1/entries/{load.entry_id}',
+                msgspec.json.encode({**load.body, 'nonce': nonce}),
+                headers,
+            )
+        )
+        sending.addTimeout(load.deadline_ms / 1000 + _GRACE_S, reactor)
+        try:
+            return await sending
+        except Exception:  # noqa: BLE001 - any broken connection
+            return _Received()
+
+    async def _exchange(
+        self, url: str, body: bytes, headers: dict[str, str]
+    ) -> _Received:
+        response = await self._client.post(url, data=body, headers=headers)
+        content = await response.content()
+        types = response.headers.getRawHeaders('content-type') or ['']
+        if types[-1].startswith('text/event-stream'):
+            return parse_stream(content)
+        return _parse_answer(msgspec.json.decode(content))
+
+    def _record(self, kind, load: Load, nonce, request_id, key) -> None:
+        self._book.record(
+            kind,
+            nonce=nonce,
+            member_id=load.member_id,
+            entry_id=load.entry_id,
+            request_id=request_id,
+            key=key,
+        )
+
+
+def _parse_answer(answer: dict) -> _Received:
+    output = answer.get('output') or {}
+    return _Received(
+        outcome=answer.get('outcome', ''),
+        reason=answer.get('reason', ''),
+        nonce=output.get('nonce', ''),
+        trace=tuple(output.get('trace', ())),
+    )
+
+
+def parse_stream(content: bytes) -> _Received:
+    """Return what a whole event stream says."""
+    received = _Received()
+    tokens = []
+    for event in content.split(b'\n\n'):
+        fields = dict(
+            line.split(b': ', 1)
+            for line in event.split(b'\n')
+            if b': ' in line
+        )
+        data = msgspec.json.decode(fields.get(b'data', b'{}'))
+        kind = fields.get(b'event', b'')
+        if kind == b'answer':
+            answer = _parse_answer(data)
+            received.outcome = answer.outcome
+            received.reason = answer.reason
+            if answer.nonce:
+                received.nonce = answer.nonce
+                received.trace = answer.trace
+        elif kind == b'done':
+            output = data.get('output', {})
+            received.nonce = output.get('nonce', '')
+            received.trace = tuple(output.get('trace', ()))
+        elif 'token' in data:
+            tokens.append(data['token'])
+    received.tokens = tuple(tokens)
+    return received
--- /dev/null
+++ b/standins/checker.py
@@ -0,0 +1,157 @@
+"""Checks a ledger for broken promises.
+
+=================  ======================================================
+Count              Broken promise
+=================  ======================================================
+``lost``           a request without a final answer, or a complete answer
+                   that lacks a stage or an event
+``doubled``        a stage that may not be repeated started twice for one
+                   nonce, or an event that arrived twice
+``misdelivered``   an answer or event of another request
+``false_not_run``  "not run" was said of a request that a target started
+=================  ======================================================
+"""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+
+from standins import ledger
+
+__all__ = ['Report', 'check']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """Counts of requests by outcome and of broken promises.
+
+    :param findings: one line for each broken promise.
+    """
+
+    sent: int
+    complete: int
+    not_run: int
+    unknown: int
+    failed: int
+    lost: int
+    doubled: int
+    misdelivered: int
+    false_not_run: int
+    in_time: int
+    findings: tuple[str, ...] = ()
+
+    @property
+    def is_clean(self) -> bool:
+        """Return whether no promise was broken."""
+        return not self.findings
+
+    @property
+    def attainment(self) -> float:
+        """Return the share of requests completed within their deadline."""
+        return self.in_time / self.sent if self.sent else 1.0
+
+
+def check(
+    events: Iterable[ledger.LedgerEvent],
+    stages_by_entry: Mapping[str, tuple[str, ...]],
+) -> Report:
+    """Check the events of a run.
+
+    :param stages_by_entry: names of the stages of each entry, in order.
+    """
+    by_kind: dict[str, list[ledger.LedgerEvent]] = collections.defaultdict(
+        list
+    )
+    for event in events:
+        by_kind[event.kind].append(event)
+    sent = {event.nonce for event in by_kind[ledger.EventKind.SENT]}
+    answered = by_kind[ledger.EventKind.ANSWERED]
+    final_by_nonce = {
+        event.nonce: event
+        for event in answered
+        if event.outcome != 'disconnected'
+    }
+    started = by_kind[ledger.EventKind.STARTED]
+    lost = _find_lost(sent, final_by_nonce, stages_by_entry)
+    doubled = _find_doubled(started, answered)
+    misdelivered = _find_misdelivered(answered)
+    false_not_run = _find_false_not_run(started, answered)
+    outcomes = collections.Counter(
+        event.outcome for event in final_by_nonce.values()
+    )
+    return Report(
+        sent=len(sent),
+        complete=outcomes['complete'],
+        not_run=outcomes['not_run'],
+        unknown=outcomes['unknown'],
+        failed=outcomes['failed'],
+        lost=len(lost),
+        doubled=len(doubled),
+        misdelivered=len(misdelivered),
+        false_not_run=len(false_not_run),
+        in_time=sum(
+            event.outcome == 'complete' and not event.late
+            for event in final_by_nonce.values()
+        ),
+        findings=(*lost, *doubled, *misdelivered, *false_not_run),
+    )
+
+
+def _find_lost(
+    sent: set[str],
+    final_by_nonce: Mapping[str, ledger.LedgerEvent],
+    stages_by_entry: Mapping[str, tuple[str, ...]],
+) -> list[str]:
+    found = [
+        f'lost: {nonce} has no answer'
+        for nonce in sorted(sent - set(final_by_nonce))
+    ]
+    for nonce, event in final_by_nonce.items():
+        if event.outcome != 'complete':
+            continue
+        wanted = stages_by_entry.get(event.entry_id)
+        if wanted is not None and event.trace != wanted:
+            found.append(f'lost: {nonce} lacks a stage: {event.trace}')
+        unique = sorted(set(event.tokens))
+        if unique != list(range(len(unique))):
+            found.append(f'lost: {nonce} lacks events: {event.tokens}')
+    return found
+
+
+def _find_doubled(
+    started: list[ledger.LedgerEvent], answered: list[ledger.LedgerEvent]
+) -> list[str]:
+    runs = collections.Counter(
+        (event.nonce, event.stage) for event in started if not event.repeatable
+    )
+    found = [
+        f'doubled: {nonce} ran {stage} {count} times'
+        for (nonce, stage), count in runs.items()
+        if count > 1
+    ]
+    found += [
+        f'doubled: {event.nonce} got an event twice'
+        for event in answered
+        if len(set(event.tokens)) != len(event.tokens)
+    ]
+    return found
+
+
+def _find_misdelivered(answered: list[ledger.LedgerEvent]) -> list[str]:
+    return [
+        f'misdelivered: {event.nonce} got {event.answered_nonce}'
+        for event in answered
+        if event.outcome == 'complete' and event.answered_nonce != event.nonce
+    ]
+
+
+def _find_false_not_run(
+    started: list[ledger.LedgerEvent], answered: list[ledger.LedgerEvent]
+) -> list[str]:
+    ran = {event.request_id for event in started}
+    return [
+        f'false not_run: {event.nonce} ({event.reason})'
+        for event in answered
+        if event.outcome == 'not_run' and event.request_id in ran
+    ]
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,404 @@
+"""A fleet of real host processes beside the stand-ins."""
+
+import contextlib
+import dataclasses
+import hashlib
+import json
+import pathlib
+import tempfile
+
+import msgspec
+
+from standins import caller
+from standins import checker
+from standins import ledger
+from standins import list_server
+from standins import log_server
+from standins import processes
+from standins import target_server
+
+__all__ = ['Fleet', 'FleetPlan', 'PoolPlan', 'TOKENS_BY_MEMBER']
+
+TOKENS_BY_MEMBER = {
+    'north': 'token-north',
+    'south': 'token-south',
+    'kiosk': 'token-kiosk',
+}
+_ENGINE = 'engine'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolPlan:
+    """Targets of one service."""
+
+    service: str
+    targets: int
+    slots: int = 4
+    service_ms: float = 10.0
+    repeatable: bool = True
+    events: int = 16
+    event_ms: float = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """What a fleet consists of.
+
+    :param settings: settings of every host, merged over the defaults.
+    """
+
+    hosts: int = 3
+    pools: tuple[PoolPlan, ...] = (
+        PoolPlan('encoder', 2),
+        PoolPlan('retriever', 2),
+        PoolPlan('reranker', 2),
+        PoolPlan(_ENGINE, 3, slots=8, service_ms=20.0),
+        PoolPlan('payments', 2, repeatable=False),
+    )
+    data_centres: int = 2
+    list_lag_s: float = 0.0
+    retention_s: float = 0.0
+    settings: dict = dataclasses.field(default_factory=dict)
+    contracts: tuple[dict, ...] = ()
+
+
+def example_catalogue(extra: tuple[dict, ...] = ()) -> list[dict]:
+    """Return change records of the example catalogue.
+
+    :param extra: definitions of further contracts.
+    """
+    stages = [
+        {'name': name, 'service': name}
+        for name in ('encoder', 'retriever', 'reranker')
+    ]
+    generate = {
+        'name': 'generate',
+        'service': _ENGINE,
+        'streams': True,
+        'model': 'small',
+    }
+    confirm = {'name': 'confirm', 'service': 'payments', 'repeatable': False}
+    definitions: list[tuple[str, str, dict]] = [
+        ('class', 'standard', {'class_id': 'standard', 'weight': 1.0}),
+        ('class', 'urgent', {'class_id': 'urgent', 'weight': 4.0}),
+        (
+            'pipeline',
+            'answers',
+            {'pipeline_id': 'answers', 'stages': [*stages, generate]},
+        ),
+        (
+            'pipeline',
+            'confirmations',
+            {
+                'pipeline_id': 'confirmations',
+                'stages': [*stages, confirm],
+            },
+        ),
+        (
+            'contract',
+            'summaries',
+            {
+                'entry_id': 'summaries',
+                'owner': 'north',
+                'class_id': 'standard',
+                'pipeline_id': 'answers',
+            },
+        ),
+        (
+            'contract',
+            'payments',
+            {
+                'entry_id': 'payments',
+                'owner': 'north',
+                'class_id': 'urgent',
+                'pipeline_id': 'confirmations',
+            },
+        ),
+    ]
+    definitions += [('contract', item['entry_id'], item) for item in extra]
+    definitions += [
+        (
+            'member',
+            member_id,
+            {
+                'member_id': member_id,
+                'token_digests': [hashlib.sha256(token.encode()).hexdigest()],
+            },
+        )
+        for member_id, token in TOKENS_BY_MEMBER.items()
+    ]
+    return [
+        {
+            'change_id': f'example-{kind}-{name}',
+            'kind': kind,
+            'name': name,
+            'expected_version': 0,
+            'operator': 'example',
+            'body': json.dumps(body),
+        }
+        for kind, name, body in definitions
+    ]
+
+
+STAGES_BY_ENTRY = {
+    'summaries': ('encoder', 'retriever', 'reranker', 'generate'),
+    'payments': ('encoder', 'retriever', 'reranker', 'confirm'),
+}
+
+
+class Fleet:
+    """Processes of a plan; a context manager that ends all of them."""
+
+    def __init__(self, plan: FleetPlan) -> None:
+        self.plan = plan
+        self._stack = contextlib.ExitStack()
+        self.folder = pathlib.Path()
+        self.hosts_by_id: dict[str, processes.ManagedProcess] = {}
+        self.targets_by_id: dict[str, processes.ManagedProcess] = {}
+        self.caller_addresses_by_host: dict[str, str] = {}
+        self.control_addresses_by_host: dict[str, str] = {}
+        self.peer_ports_by_host: dict[str, int] = {}
+        self.listed_targets_by_id: dict[str, list_server.ListedTarget] = {}
+        self.log_address = ''
+        self.list_address = ''
+        self.log: processes.ManagedProcess
+        self.list: processes.ManagedProcess
+
+    def __enter__(self) -> 'Fleet':
+        with contextlib.ExitStack() as stack:
+            self.folder = pathlib.Path(
+                stack.enter_context(
+                    tempfile.TemporaryDirectory(prefix='walnutport-')
+                )
+            )
+            self._stack = stack
+            self._start_log()
+            self._start_targets()
+            self._start_list()
+            self.publish(example_catalogue(self.plan.contracts))
+            for number in range(self.plan.hosts):
+                self.start_host(f'host-{number + 1}')
+            for host_id in self.hosts_by_id:
+                self.wait_ready(host_id)
+            self._stack = stack.pop_all()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._stack.close()
+
+    @property
+    def ledger_folder(self) -> str:
+        """Return the folder of the ledger."""
+        return str(self.folder)
+
+    def publish(self, records: list[dict]) -> None:
+        """Append catalogue records to the log."""
+        for record in records:
+            processes.http_json(
+                f'http://{self.log_address}/v1/streams/catalogue/records',
+                record,
+            )
+
+    def start_host(self, host_id: str) -> None:
+        """Start a host, or start it again with its first addresses."""
+        if host_id not in self.caller_addresses_by_host:
+            self._assign_host(host_id)
+        path = self.folder / f'{host_id}.json'
+        path.write_text(json.dumps(self._host_settings(host_id)))
+        self.hosts_by_id[host_id] = self._start(
+            ['walnutport', 'host', f'--settings={path}'], host_id
+        )
+
+    def wait_ready(self, host_id: str) -> float:
+        """Wait until a host takes calls and return the time in seconds."""
+        address = self.caller_addresses_by_host[host_id]
+        return processes.wait_http(f'http://{address}/readyz')
+
+    def start_target(self, target_id: str) -> None:
+        """Start a target, or start it again at its address."""
+        listed = self.listed_targets_by_id[target_id]
+        pool = next(
+            pool for pool in self.plan.pools if pool.service == listed.service
+        )
+        settings = target_server.TargetServerSettings(
+            port=listed.port,
+            target_id=target_id,
+            ledger_folder=self.ledger_folder,
+            slots=pool.slots,
+            service_ms=pool.service_ms,
+            repeatable=pool.repeatable,
+            events=pool.events,
+            event_ms=pool.event_ms,
+        )
+        self.targets_by_id[target_id] = self._start_standin(
+            'target', settings, target_id
+        )
+
+    def control_target(self, target_id: str, **control) -> None:
+        """Change the behaviour of a target."""
+        listed = self.listed_targets_by_id[target_id]
+        processes.http_json(
+            f'http://{listed.ip}:{listed.port}/control', control
+        )
+
+    def control_log(self, **faults) -> None:
+        """Set the faults of the log service."""
+        processes.http_json(f'http://{self.log_address}/control', faults)
+
+    def control_list(self, **change) -> None:
+        """Change the host list."""
+        processes.http_json(f'http://{self.list_address}/control', change)
+
+    def start_caller(
+        self,
+        loads: tuple[caller.Load, ...],
+        source: str = 'caller',
+        seed: int = 1,
+        hosts: tuple[str, ...] = (),
+        host_weights: tuple[float, ...] = (),
+    ) -> processes.ManagedProcess:
+        """Start a caller process that sends the loads and ends."""
+        names = hosts or tuple(self.caller_addresses_by_host)
+        settings = caller.CallerSettings(
+            hosts=tuple(self.caller_addresses_by_host[name] for name in names),
+            ledger_folder=self.ledger_folder,
+            loads=loads,
+            source=source,
+            seed=seed,
+            host_weights=host_weights,
+        )
+        return self._start_standin('caller', settings, source)
+
+    def check(self) -> checker.Report:
+        """Check the ledger of everything that ran so far."""
+        stages = dict(STAGES_BY_ENTRY)
+        for item in self.plan.contracts:
+            pipeline = item['pipeline_id']
+            entry = 'summaries' if pipeline == 'answers' else 'payments'
+            stages[item['entry_id']] = STAGES_BY_ENTRY[entry]
+        return checker.check(ledger.read_ledger(self.ledger_folder), stages)
+
+    def output(self, name: str) -> str:
+        """Return what a process printed."""
+        return (self.folder / f'{name}.log').read_text()
+
+    def _start_log(self) -> None:
+        port = processes.free_port()
+        self.log_address = f'127.0.0.1:{port}'
+        self.log = self._start_standin(
+            'log',
+            log_server.LogServerSettings(
+                port, retention_s=self.plan.retention_s
+            ),
+            'log',
+        )
+        processes.wait_http(f'http://{self.log_address}/stats')
+
+    def _start_targets(self) -> None:
+        for pool in self.plan.pools:
+            for number in range(pool.targets):
+                target_id = f'{pool.service}-{number + 1}'
+                self.listed_targets_by_id[target_id] = (
+                    list_server.ListedTarget(
+                        target_id,
+                        pool.service,
+                        self._data_centre(number),
+                        '127.0.0.1',
+                        processes.free_port(),
+                        pool.slots,
+                    )
+                )
+                self.start_target(target_id)
+        for listed in self.listed_targets_by_id.values():
+            processes.wait_http(f'http://{listed.ip}:{listed.port}/v1/load')
+
+    def _start_list(self) -> None:
+        for number in range(self.plan.hosts):
+            self._assign_host(f'host-{number + 1}')
+        port = processes.free_port()
+        self.list_address = f'127.0.0.1:{port}'
+        settings = list_server.ListServerSettings(
+            port,
+            lag_s=self.plan.list_lag_s,
+            hosts=tuple(
+                list_server.ListedHost(
+                    host_id,
+                    self._data_centre(index),
+                    '127.0.0.1',
+                    peer_port,
+                )
+                for index, (host_id, peer_port) in enumerate(
+                    self.peer_ports_by_host.items()
+                )
+            ),
+            targets=tuple(self.listed_targets_by_id.values()),
+        )
+        self.list = self._start_standin('list', settings, 'list')
+        processes.wait_http(f'http://{self.list_address}/v1/list')
+
+    def _assign_host(self, host_id: str) -> None:
+        self.caller_addresses_by_host[host_id] = (
+            f'127.0.0.1:{processes.free_port()}'
+        )
+        self.control_addresses_by_host[host_id] = (
+            f'127.0.0.1:{processes.free_port()}'
+        )
+        self.peer_ports_by_host[host_id] = processes.free_port()
+
+    def _host_settings(self, host_id: str) -> dict:
+        index = list(self.caller_addresses_by_host).index(host_id)
+        key_path = self.folder / 'peer.key'
+        if not key_path.exists():
+            key_path.write_text('a shared key of the stand-in fleet')
+        base = {
+            'host_id': host_id,
+            'data_centre': self._data_centre(index),
+            'callers': {
+                'listen': _listen(self.caller_addresses_by_host[host_id])
+            },
+            'peers': {
+                'listen': _listen(
+                    f'127.0.0.1:{self.peer_ports_by_host[host_id]}'
+                ),
+                'keys': [{'key_id': 'k1', 'file': str(key_path)}],
+            },
+            'platform': {
+                'log': _listen(self.log_address),
+                'host_list': _listen(self.list_address),
+            },
+            'control': {
+                'listen': _listen(self.control_addresses_by_host[host_id])
+            },
+        }
+        return _merge(base, self.plan.settings)
+
+    def _data_centre(self, index: int) -> str:
+        return f'dc-{index % self.plan.data_centres + 1}'
+
+    def _start_standin(
+        self, kind: str, settings: object, name: str
+    ) -> processes.ManagedProcess:
+        text = msgspec.json.encode(settings).decode()
+        return self._start(['standins', kind, text], name)
+
+    def _start(
+        self, arguments: list[str], name: str
+    ) -> processes.ManagedProcess:
+        return self._stack.enter_context(
+            processes.ManagedProcess(arguments, self.folder / f'{name}.log')
+        )
+
+
+def _listen(address: str) -> dict:
+    ip, _, port = address.partition(':')
+    return {'ip': ip, 'port': int(port)}
+
+
+def _merge(base: dict, changes: dict) -> dict:
+    merged = dict(base)
+    for key, value in changes.items():
+        if isinstance(value, dict) and isinstance(merged.get(key), dict):
+            merged[key] = _merge(merged[key], value)
+        else:
+            merged[key] = value
+    return merged
--- /dev/null
+++ b/standins/list_server.py
@@ -0,0 +1,93 @@
+"""Stand-in of the platform's lagging list of hosts and targets."""
+
+import dataclasses
+
+import klein
+import msgspec
+from twisted.internet import reactor
+
+__all__ = ['ListServer', 'ListServerSettings', 'ListedHost', 'ListedTarget']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedHost:
+    """A host of the list."""
+
+    host_id: str
+    data_centre: str
+    ip: str
+    peer_port: int
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedTarget:
+    """A target of the list."""
+
+    target_id: str
+    service: str
+    data_centre: str
+    ip: str
+    port: int
+    slots: int
+    state: str = 'live'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListServerSettings:
+    """Settings of the list server.
+
+    :param lag_s: time after which a change shows in the list.
+    """
+
+    port: int
+    ip: str = '127.0.0.1'
+    lag_s: float = 0.0
+    hosts: tuple[ListedHost, ...] = ()
+    targets: tuple[ListedTarget, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Change:
+    hosts: tuple[ListedHost, ...] = ()
+    targets: tuple[ListedTarget, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+class ListServer:
+    """Serves the list and takes changes of it."""
+
+    app = klein.Klein()
+
+    def __init__(self, settings: ListServerSettings) -> None:
+        self._lag_s = settings.lag_s
+        self._hosts_by_id = {item.host_id: item for item in settings.hosts}
+        self._targets_by_id = {
+            item.target_id: item for item in settings.targets
+        }
+
+    @app.route('/v1/list')
+    def listed(self, request) -> bytes:
+        """Return the list."""
+        return msgspec.json.encode(
+            {
+                'hosts': list(self._hosts_by_id.values()),
+                'targets': list(self._targets_by_id.values()),
+            }
+        )
+
+    @app.route('/control', methods=['POST'])
+    def control(self, request) -> bytes:
+        """Add, replace or remove items after the lag."""
+        change = msgspec.json.decode(request.content.read(), type=_Change)
+        reactor.callLater(self._lag_s, self._apply, change)
+        return b'{}'
+
+    def _apply(self, change: _Change) -> None:
+        for host in change.hosts:
+            self._hosts_by_id[host.host_id] = host
+        for target in change.targets:
+            self._targets_by_id[target.target_id] = target
+        for name in change.removed:
+            self._hosts_by_id.pop(name, None)
+            self._targets_by_id.pop(name, None)
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,107 @@
+"""Starts, signals and ends the processes of a test, demo or bench run."""
+
+import dataclasses
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+import msgspec
+
+__all__ = ['ManagedProcess', 'free_port', 'http_json', 'wait_http']
+
+_STOP_LIMIT_S = 40.0
+_POLL_S = 0.02
+
+
+def free_port(ip: str = '127.0.0.1') -> int:
+    """Return a TCP port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()[1]
+
+
+def http_json(url: str, body: object = None, timeout_s: float = 5.0) -> bytes:
+    """Send a GET, or a POST with a JSON body, and return the answer."""
+    data = None if body is None else msgspec.json.encode(body)
+    request = urllib.request.Request(url, data=data)
+    with urllib.request.urlopen(request, timeout=timeout_s) as reply:
+        return reply.read()
+
+
+def wait_http(url: str, limit_s: float = 20.0) -> float:
+    """Wait until a GET succeeds and return the time it took in seconds.
+
+    :raises TimeoutError: after ``limit_s``.
+    """
+    started = time.monotonic()
+    while time.monotonic() - started < limit_s:
+        try:
+            http_json(url, timeout_s=1.0)
+            return time.monotonic() - started
+        except (urllib.error.URLError, OSError):
+            time.sleep(_POLL_S)
+    raise TimeoutError(f'{url} does not answer after {limit_s} s')
+
+
+@dataclasses.dataclass
+class ManagedProcess:
+    """A child process that is ended when the context closes.
+
+    :param arguments: arguments after ``python -m``.
+    :param output: file that takes standard output and error.
+    """
+
+    arguments: list[str]
+    output: pathlib.Path
+    process: subprocess.Popen | None = None
+
+    def __enter__(self) -> 'ManagedProcess':
+        self.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.kill()
+
+    def start(self) -> None:
+        """Start the process."""
+        with self.output.open('ab') as output:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', *self.arguments],
+                stdout=output,
+                stderr=output,
+                cwd=pathlib.Path(__file__).parent.parent,
+                env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+            )
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        assert self.process is not None
+        return self.process.pid
+
+    def is_running(self) -> bool:
+        """Return whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, signum: int) -> None:
+        """Send a signal."""
+        os.kill(self.pid, signum)
+
+    def terminate(self) -> int:
+        """Send SIGTERM and return the exit code."""
+        assert self.process is not None
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(_STOP_LIMIT_S)
+
+    def kill(self) -> None:
+        """End the process at once if it still runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+            self.process.wait(_STOP_LIMIT_S)
--- /dev/null
+++ b/tests/integration/test_whole_path.py
@@ -0,0 +1,28 @@
+"""The whole path with real processes."""
+
+from standins import caller
+from standins import fleet
+
+
+def test_requests_are_answered_whole() -> None:
+    """Guards against lost, doubled or crossed answers without any fault."""
+    plan = fleet.FleetPlan(hosts=2)
+    with fleet.Fleet(plan) as running:
+        sender = running.start_caller(
+            tuple(
+                caller.Load(
+                    member_id=member_id,
+                    token=token,
+                    entry_id='summaries',
+                    rate_per_s=20.0,
+                    count=15,
+                    deadline_ms=20_000,
+                )
+                for member_id, token in fleet.TOKENS_BY_MEMBER.items()
+            )
+        )
+        assert sender.process is not None
+        assert sender.process.wait(60) == 0
+        report = running.check()
+    assert report.findings == ()
+    assert report.complete == report.sent == 45
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools."""
--- /dev/null
+++ b/walnutport/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the outside systems."""
--- /dev/null
+++ b/walnutport/adapters/log.py
@@ -0,0 +1,148 @@
+"""Client of the log service over HTTP."""
+
+from collections.abc import Mapping
+import dataclasses
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+from twisted.internet import defer
+
+from walnutport.adapters import http
+from walnutport import exceptions
+from walnutport import interfaces
+from walnutport import world
+
+__all__ = ['HttpLogService']
+
+_MAX_PAGE_RECORDS = 2_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _AppendReply:
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Page:
+    records: list[tuple[int, int, bytes]]
+    first: int
+    next: int
+    end: int
+    expired: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ReadReply:
+    streams: dict[str, _Page]
+
+
+class HttpLogService:
+    """Log service behind its HTTP interface (see docs/interfaces.md).
+
+    :param timeout_s: longest wait for an answer in seconds, on top of the
+        wait that a read asks for.
+    """
+
+    def __init__(
+        self,
+        client: http.HttpClient,
+        address: world.Address,
+        reactor,
+        timeout_s: float,
+    ) -> None:
+        self._client = client
+        self._base = f'http://{address}/v1'
+        self._reactor = reactor
+        self._timeout_s = timeout_s
+
+    def append(
+        self, stream: str, payload: bytes
+    ) -> defer.Deferred[Result[int, exceptions.LogServiceError]]:
+        """Append one record; see ``interfaces.LogService``."""
+        return defer.Deferred.fromCoroutine(self._append(stream, payload))
+
+    def read(
+        self, offsets: Mapping[str, int], wait_s: float
+    ) -> defer.Deferred[
+        Result[Mapping[str, interfaces.StreamPage], exceptions.LogServiceError]
+    ]:
+        """Read streams; see ``interfaces.LogService``."""
+        return defer.Deferred.fromCoroutine(self._read(offsets, wait_s))
+
+    async def _append(
+        self, stream: str, payload: bytes
+    ) -> Result[int, exceptions.LogServiceError]:
+        sent = False
+
+        def on_sent() -> None:
+            nonlocal sent
+            sent = True
+
+        url = f'{self._base}/streams/{stream}/records'
+        try:
+            reply = await self._bounded(
+                self._client.call('POST', url, payload, on_sent=on_sent),
+                self._timeout_s,
+            )
+        except Exception as error:  # noqa: BLE001 - library errors vary
+            if sent:
+                return Error(exceptions.AppendAmbiguous(repr(error)))
+            return Error(exceptions.LogUnavailable(repr(error)))
+        if reply.status == 503:
+            return Error(exceptions.LogUnavailable('status 503'))
+        if reply.status != 201:
+            return Error(exceptions.AppendAmbiguous(f'status {reply.status}'))
+        try:
+            return Ok(
+                msgspec.json.decode(reply.body, type=_AppendReply).offset
+            )
+        except (msgspec.MsgspecError, ValueError) as error:
+            return Error(exceptions.AppendAmbiguous(str(error)))
+
+    async def _read(
+        self, offsets: Mapping[str, int], wait_s: float
+    ) -> Result[
+        Mapping[str, interfaces.StreamPage], exceptions.LogServiceError
+    ]:
+        body = msgspec.json.encode(
+            {
+                'offsets': dict(offsets),
+                'wait_ms': int(wait_s * 1000),
+                'max': _MAX_PAGE_RECORDS,
+            }
+        )
+        try:
+            reply = await self._bounded(
+                self._client.call('POST', f'{self._base}/read', body),
+                self._timeout_s + wait_s,
+            )
+        except Exception as error:  # noqa: BLE001 - library errors vary
+            return Error(exceptions.LogUnavailable(repr(error)))
+        if reply.status != 200:
+            return Error(exceptions.LogUnavailable(f'status {reply.status}'))
+        try:
+            decoded = msgspec.json.decode(reply.body, type=_ReadReply)
+        except (msgspec.MsgspecError, ValueError) as error:
+            return Error(exceptions.LogUnavailable(f'bad answer: {error}'))
+        return Ok(
+            {name: _to_page(page) for name, page in decoded.streams.items()}
+        )
+
+    def _bounded(self, coroutine, timeout_s: float) -> defer.Deferred:
+        deferred = defer.Deferred.fromCoroutine(coroutine)
+        return deferred.addTimeout(timeout_s, self._reactor)
+
+
+def _to_page(page: _Page) -> interfaces.StreamPage:
+    return interfaces.StreamPage(
+        records=tuple(
+            interfaces.LogRecord(offset, time_ms, payload)
+            for offset, time_ms, payload in page.records
+        ),
+        first_offset=page.first,
+        next_offset=page.next,
+        end_offset=page.end,
+        expired=page.expired,
+    )
--- /dev/null
+++ b/walnutport/adapters/stage.py
@@ -0,0 +1,190 @@
+"""Client of stage services and of engines that answer in one piece."""
+
+from collections.abc import Callable
+import dataclasses
+
+import msgspec
+from twisted.internet import error as twisted_error
+from twisted.web import client as web_client
+from twisted.web import iweb
+
+from walnutport.adapters import http
+from walnutport import exceptions
+from walnutport import world
+
+__all__ = [
+    'HEADER_ATTEMPT',
+    'HEADER_LOAD',
+    'HEADER_TOKENS',
+    'StageCall',
+    'StageClient',
+    'StageReply',
+    'call_headers',
+    'parse_load',
+]
+
+HEADER_ATTEMPT = 'walnutport-attempt-id'
+HEADER_LOAD = 'walnutport-load'
+HEADER_TOKENS = 'walnutport-tokens'
+
+_NOT_SENT_ERRORS = (
+    twisted_error.ConnectError,
+    web_client.RequestNotSent,
+    twisted_error.DNSLookupError,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageCall:
+    """One attempt to run a stage.
+
+    :param input_json: JSON text of the stage's input.
+    :param resume_from: index of the first event that is still missing.
+    """
+
+    attempt_id: str
+    request_id: str
+    entry_id: str
+    stage: str
+    remaining_s: float
+    input_json: bytes
+    priority: float = 1.0
+    repeatable: bool = True
+    model: str = ''
+    resume_from: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageReply:
+    """Output of a stage."""
+
+    output_json: bytes
+    tokens: int
+    load: world.LoadReport | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RunReply:
+    output: msgspec.Raw
+
+
+class StageClient:
+    """Runs attempts on targets (see docs/interfaces.md)."""
+
+    def __init__(self, kept: http.HttpClient, fresh: http.HttpClient) -> None:
+        self._kept = kept
+        self._fresh = fresh
+
+    async def run(
+        self,
+        target: world.Target,
+        call: StageCall,
+        on_sent: Callable[[], None],
+    ) -> StageReply:
+        """Run an attempt and return the output of the stage.
+
+        :param on_sent: called before the first byte goes to a connection.
+        :raises NotSent: if no byte was handed to a connection.
+        :raises AttemptLost: if the outcome is unknown.
+        :raises TargetRefused: if the target answered with an error status.
+        """
+        client = self._kept if call.repeatable else self._fresh
+        try:
+            reply = await client.call(
+                'POST',
+                f'http://{target.address}/v1/run',
+                encode_input(call),
+                call_headers(call),
+                on_sent=on_sent,
+            )
+        except exceptions.CodecError as error:
+            raise exceptions.AttemptLost(str(error)) from error
+        except _NOT_SENT_ERRORS as error:
+            raise exceptions.NotSent(str(error)) from error
+        except (
+            twisted_error.ConnectionClosed,
+            web_client.ResponseFailed,
+            web_client.RequestTransmissionFailed,
+        ) as error:
+            raise exceptions.AttemptLost(str(error)) from error
+        return _decode_reply(call, reply)
+
+
+def encode_input(call: StageCall) -> bytes:
+    """Return the body of a call without parsing the input again."""
+    return b'{"stage":%b,"model":%b,"resume_from":%d,"input":%b}' % (
+        msgspec.json.encode(call.stage),
+        msgspec.json.encode(call.model),
+        call.resume_from,
+        call.input_json,
+    )
+
+
+def call_headers(call: StageCall) -> dict[str, str]:
+    """Return the headers of a call."""
+    return {
+        'content-type': 'application/json',
+        HEADER_ATTEMPT: call.attempt_id,
+        'walnutport-request-id': call.request_id,
+        'walnutport-entry': call.entry_id,
+        'walnutport-deadline-ms': str(max(0, int(call.remaining_s * 1000))),
+        'walnutport-priority': f'{call.priority:g}',
+    }
+
+
+def parse_load(value: str) -> world.LoadReport:
+    """Parse the load header ``running=1;queued=0;slots=4;...``.
+
+    :raises CodecError: if a field is missing or malformed.
+    """
+    try:
+        fields = dict(item.split('=', 1) for item in value.split(';') if item)
+        return world.LoadReport(
+            running=int(fields['running']),
+            queued=int(fields['queued']),
+            slots=int(fields['slots']),
+            incarnation=fields.get('incarnation', ''),
+            state=world.TargetState(fields.get('state', 'live')),
+        )
+    except (KeyError, ValueError) as error:
+        raise exceptions.CodecError(f'load header: {error!r}') from None
+
+
+def load_of(headers: dict[str, str]) -> world.LoadReport | None:
+    """Return the load in the headers, or None if there is no valid one."""
+    value = headers.get(HEADER_LOAD)
+    if value is None:
+        return None
+    try:
+        return parse_load(value)
+    except exceptions.CodecError:
+        return None
+
+
+def check_attempt(call: StageCall, headers: dict[str, str]) -> None:
+    """Check that an answer belongs to the attempt.
+
+    :raises AttemptLost: if it names another attempt.
+    """
+    echoed = headers.get(HEADER_ATTEMPT)
+    if echoed != call.attempt_id:
+        raise exceptions.AttemptLost(f'answer of attempt {echoed!r}')
+
+
+def _decode_reply(call: StageCall, reply: http.HttpReply) -> StageReply:
+    check_attempt(call, reply.headers)
+    if reply.status != 200:
+        raise exceptions.TargetRefused(
+            reply.body[:200].decode('utf-8', 'replace'), reply.status
+        )
+    try:
+        output = msgspec.json.decode(reply.body, type=_RunReply).output
+        tokens = int(reply.headers.get(HEADER_TOKENS, '0'))
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise exceptions.AttemptLost(f'malformed answer: {error}') from None
+    return StageReply(bytes(output), tokens, load_of(reply.headers))
+
+
+def response_head(response: iweb.IResponse) -> dict[str, str]:
+    """Return the headers of a response that is still being read."""
+    return http.flatten_headers(response)
--- /dev/null
+++ b/walnutport/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, limits, queues and deadlines."""
--- /dev/null
+++ b/walnutport/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""Catalogue entries, their versions and their fold from the log."""
--- /dev/null
+++ b/walnutport/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims on idempotency keys: at most one run of a request."""
--- /dev/null
+++ b/walnutport/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of the program, one module a subcommand."""
--- /dev/null
+++ b/walnutport/config/__init__.py
@@ -0,0 +1,1 @@
+"""Typed settings."""
--- /dev/null
+++ b/walnutport/config/settings.py
@@ -0,0 +1,207 @@
+"""Typed settings of a host and their JSON form."""
+
+import dataclasses
+import ipaddress
+import json
+import pathlib
+from typing import Annotated, Any
+
+import pydantic
+
+from walnutport import exceptions
+
+__all__ = [
+    'CallerSettings',
+    'ControlSettings',
+    'HostSettings',
+    'ListenAddress',
+    'LogSettings',
+    'PeerKeySettings',
+    'PeerSettings',
+    'PolicySettings',
+    'default_settings',
+    'dump_settings',
+    'load_settings',
+    'parse_settings',
+]
+
+_STRICT = pydantic.ConfigDict(extra='forbid')
+
+
+def _check_ip(value: str) -> str:
+    ipaddress.ip_address(value)
+    return value
+
+
+IpNumber = Annotated[str, pydantic.AfterValidator(_check_ip)]
+Port = Annotated[int, pydantic.Field(ge=0, le=65_535)]
+PositiveInt = Annotated[int, pydantic.Field(gt=0)]
+PositiveFloat = Annotated[float, pydantic.Field(gt=0)]
+Share = Annotated[float, pydantic.Field(ge=0, le=1)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListenAddress:
+    """Address of a listener; port 0 takes a free port."""
+
+    __pydantic_config__ = _STRICT
+    ip: IpNumber = '127.0.0.1'
+    port: Port = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerSettings:
+    """Listener and bounds towards callers."""
+
+    __pydantic_config__ = _STRICT
+    listen: ListenAddress = ListenAddress('127.0.0.1', 8080)
+    max_connections: PositiveInt = 4_096
+    max_body_bytes: PositiveInt = 1_048_576
+    max_header_bytes: PositiveInt = 16_384
+    max_deadline_ms: PositiveInt = 60_000
+    default_deadline_ms: PositiveInt = 4_000
+    stream_buffer_bytes: PositiveInt = 262_144
+    answer_store_bytes: PositiveInt = 67_108_864
+    drain_limit_s: PositiveFloat = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerKeySettings:
+    """A shared key that authenticates messages between hosts.
+
+    :param file: file that holds the key, at least 16 bytes.
+    """
+
+    __pydantic_config__ = _STRICT
+    key_id: str = 'k1'
+    file: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerSettings:
+    """Listener for other hosts, keys and the size of the mesh.
+
+    The first key signs; every key in the list verifies.
+    """
+
+    __pydantic_config__ = _STRICT
+    listen: ListenAddress = ListenAddress('127.0.0.1', 8081)
+    seeds: tuple[ListenAddress, ...] = ()
+    keys: tuple[PeerKeySettings, ...] = ()
+    heartbeat_s: PositiveFloat = 1.0
+    fanout: PositiveInt = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogSettings:
+    """Log service and host list of the platform."""
+
+    __pydantic_config__ = _STRICT
+    log: ListenAddress = ListenAddress('127.0.0.1', 9000)
+    host_list: ListenAddress = ListenAddress('127.0.0.1', 9001)
+    weight_store: ListenAddress = ListenAddress('127.0.0.1', 9002)
+    retention_s: PositiveFloat = 3_600.0
+    claim_memory_s: PositiveFloat = 600.0
+    clock_skew_s: PositiveFloat = 30.0
+    claim_timeout_s: PositiveFloat = 1.5
+    poll_wait_s: PositiveFloat = 5.0
+    timeout_s: PositiveFloat = 2.0
+    max_appends_per_s: PositiveFloat = 20.0
+    host_list_poll_s: PositiveFloat = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PolicySettings:
+    """Choice and tuning of the decision parts."""
+
+    __pydantic_config__ = _STRICT
+    policy: Annotated[str, pydantic.Field(pattern='^(standard|naive)$')] = (
+        'standard'
+    )
+    random_seed: int = 0
+    retry_budget_share: Share = 0.1
+    max_ejected_share: Share = 0.3
+    subset_size: PositiveInt = 64
+    max_queued: PositiveInt = 2_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlSettings:
+    """Listener for operators and logging."""
+
+    __pydantic_config__ = _STRICT
+    listen: ListenAddress = ListenAddress('127.0.0.1', 8082)
+    log_format: Annotated[str, pydantic.Field(pattern='^(text|json)$')] = (
+        'text'
+    )
+    log_level: Annotated[
+        str, pydantic.Field(pattern='^(DEBUG|INFO|WARNING|ERROR)$')
+    ] = 'INFO'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostSettings:
+    """All settings of an entry host."""
+
+    __pydantic_config__ = _STRICT
+    host_id: Annotated[str, pydantic.Field(min_length=1, max_length=64)] = (
+        'host-1'
+    )
+    data_centre: Annotated[
+        str, pydantic.Field(min_length=1, max_length=64)
+    ] = 'dc-1'
+    callers: CallerSettings = CallerSettings()
+    peers: PeerSettings = PeerSettings()
+    platform: LogSettings = LogSettings()
+    policies: PolicySettings = PolicySettings()
+    control: ControlSettings = ControlSettings()
+
+
+_ADAPTER = pydantic.TypeAdapter(HostSettings)
+
+
+def default_settings() -> HostSettings:
+    """Return the settings that an empty JSON object stands for."""
+    return HostSettings()
+
+
+def parse_settings(data: bytes | str) -> HostSettings:
+    """Parse and validate JSON settings.
+
+    :param data: JSON text.
+    :returns: the settings.
+    :raises SettingsError: with the JSON path and reason of each error.
+
+    >>> parse_settings('{"host_id": "a"}').host_id
+    'a'
+    """
+    try:
+        return _ADAPTER.validate_json(data)
+    except pydantic.ValidationError as error:
+        raise exceptions.SettingsError(_describe(error)) from None
+
+
+def load_settings(path: str) -> HostSettings:
+    """Load settings from a JSON file.
+
+    :raises SettingsError: if the file cannot be read or is invalid.
+    """
+    try:
+        data = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise exceptions.SettingsError(f'{path}: {error.strerror}') from error
+    return parse_settings(data)
+
+
+def dump_settings(settings: HostSettings) -> str:
+    """Return settings as JSON that ``parse_settings`` accepts."""
+    plain: Any = _ADAPTER.dump_python(settings, mode='json')
+    return json.dumps(plain, indent=2)
+
+
+def _describe(error: pydantic.ValidationError) -> str:
+    lines = []
+    for item in error.errors():
+        path = '.'.join(str(part) for part in item['loc'])
+        lines.append(f'$.{path}: {item["msg"]}' if path else item['msg'])
+    return '; '.join(lines)
--- /dev/null
+++ b/walnutport/cost/__init__.py
@@ -0,0 +1,1 @@
+"""Cost by stage and owner."""
--- /dev/null
+++ b/walnutport/interfaces.py
@@ -0,0 +1,433 @@
+"""Protocol types for outside systems and for replaceable policies.
+
+Policies hold no I/O: each call takes the current time ``now`` in seconds of
+a monotonic clock and returns a decision. Outside systems return Deferreds.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import enum
+from typing import Any, Protocol
+
+from expression import Result
+from twisted.internet.defer import Deferred
+
+from walnutport import exceptions
+from walnutport.lifecycle import answers
+from walnutport.peer import messages
+from walnutport import world
+
+__all__ = [
+    'AdmissionQueue',
+    'AttemptResult',
+    'AttemptStatus',
+    'ClaimGate',
+    'ClaimGrant',
+    'ClaimIdentity',
+    'ClaimRefusal',
+    'Clock',
+    'CostSink',
+    'Decision',
+    'DecisionKind',
+    'HostList',
+    'HostListPage',
+    'LogFollower',
+    'LogRecord',
+    'LogService',
+    'PeerBus',
+    'PermitGate',
+    'PermitRefusal',
+    'Quarantine',
+    'RetryDecision',
+    'RetryPolicy',
+    'RouteQuery',
+    'Router',
+    'StreamPage',
+    'SuspicionState',
+    'Ticket',
+]
+
+
+class Clock(Protocol):
+    """Source of time."""
+
+    def monotonic(self) -> float:
+        """Return seconds of a clock that never goes back."""
+
+    def wall(self) -> float:
+        """Return Unix time in seconds."""
+
+
+# Outside systems
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogRecord:
+    """A record of a log stream.
+
+    :param time_ms: Unix time in ms at which the log took the record.
+    """
+
+    offset: int
+    time_ms: int
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamPage:
+    """Records of one stream from a requested offset on.
+
+    :param first_offset: oldest retained offset.
+    :param next_offset: offset to read from next.
+    :param end_offset: offset that the next append will get.
+    """
+
+    records: tuple[LogRecord, ...]
+    first_offset: int
+    next_offset: int
+    end_offset: int
+    expired: bool = False
+
+
+class LogService(Protocol):
+    """Append-only streams with offsets, kept by the platform."""
+
+    def append(
+        self, stream: str, payload: bytes
+    ) -> Deferred[Result[int, exceptions.LogServiceError]]:
+        """Append one record; the result is its offset.
+
+        The error is ``LogUnavailable`` (no effect) or ``AppendAmbiguous``.
+        """
+
+    def read(
+        self, offsets: Mapping[str, int], wait_s: float
+    ) -> Deferred[
+        Result[Mapping[str, StreamPage], exceptions.LogServiceError]
+    ]:
+        """Read streams from offsets, waiting for news up to ``wait_s``.
+
+        A page with ``expired`` set tells that the requested offset is no
+        longer retained.
+        """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostListPage:
+    """Hosts and targets as the platform's lagging list gives them."""
+
+    hosts_by_id: Mapping[str, world.Host]
+    targets_by_id: Mapping[str, world.Target]
+
+
+class HostList(Protocol):
+    """The platform's lagging list of hosts and targets."""
+
+    def read(
+        self,
+    ) -> Deferred[Result[HostListPage, exceptions.HostListError]]:
+        """Read the list."""
+
+
+# Policies
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """A request that asks a queue for leave to go on.
+
+    :param cost: slots that the request takes.
+    :param deadline: monotonic time in seconds.
+    """
+
+    ticket_id: str
+    entry_id: str
+    member_id: str
+    class_id: str
+    deadline: float
+    cost: int = 1
+
+
+class DecisionKind(enum.StrEnum):
+    """What a queue decided about a ticket."""
+
+    GRANTED = 'granted'
+    QUEUED = 'queued'
+    REFUSED = 'refused'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """Decision of a queue about one ticket."""
+
+    ticket_id: str
+    kind: DecisionKind
+    reason: str = ''
+    retry_after_s: float = 0.0
+
+
+class AdmissionQueue(Protocol):
+    """Bounds the work in one place: an entry of the catalogue or a pool."""
+
+    def offer(self, ticket: Ticket, now: float) -> Decision:
+        """Ask for leave; a queued ticket is granted or refused later."""
+
+    def release(self, ticket_id: str, now: float) -> Sequence[Decision]:
+        """End a granted ticket or withdraw a queued one.
+
+        :returns: decisions about other tickets that follow from it.
+        """
+
+    def advance(self, now: float) -> Sequence[Decision]:
+        """Return decisions that follow from the passing of time."""
+
+
+class AttemptStatus(enum.StrEnum):
+    """How an attempt on a target ended."""
+
+    OK = 'ok'
+    NOT_SENT = 'not_sent'
+    REFUSED = 'refused'
+    FAILED = 'failed'
+    LOST = 'lost'
+    TIMED_OUT = 'timed_out'
+    CANCELLED = 'cancelled'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """End of an attempt.
+
+    :param latency_s: time from the start of the attempt in seconds.
+    :param target_died: whether the connection was lost and the target then
+        refused a connection or came back with another incarnation.
+    """
+
+    attempt_id: str
+    target_id: str
+    service: str
+    status: AttemptStatus
+    latency_s: float
+    tokens: int = 0
+    load: world.LoadReport | None = None
+    target_died: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteQuery:
+    """What a router needs to know of an attempt.
+
+    :param prefix_digests: digests of growing prompt prefixes, shortest
+        first, for prefix-cache affinity.
+    :param excluded: targets that this request has tried already.
+    :param isolated: whether the attempt must be the only suspect there.
+    """
+
+    service: str
+    deadline: float
+    model: str = ''
+    prefix_digests: tuple[bytes, ...] = ()
+    excluded: frozenset[str] = frozenset()
+    isolated: bool = False
+
+
+class Router(Protocol):
+    """Chooses the target of an attempt and learns from its end."""
+
+    def route(self, query: RouteQuery, now: float) -> world.Target | None:
+        """Return a target, or None if no target can take the attempt."""
+
+    def attempt_started(
+        self, target_id: str, attempt_id: str, query: RouteQuery, now: float
+    ) -> None:
+        """Count an attempt as in flight."""
+
+    def attempt_finished(self, result: AttemptResult, now: float) -> None:
+        """Take an attempt out of the in-flight count."""
+
+    def load_reported(
+        self, target_id: str, load: world.LoadReport, now: float
+    ) -> None:
+        """Take note of a load report."""
+
+    def targets_changed(
+        self, targets_by_id: Mapping[str, world.Target], now: float
+    ) -> None:
+        """Replace the set of known targets."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryDecision:
+    """Whether and when to try again.
+
+    :param delay_s: time to wait before the next attempt in seconds.
+    """
+
+    retry: bool
+    delay_s: float = 0.0
+    reason: str = ''
+
+
+class RetryPolicy(Protocol):
+    """Decides on retries within a budget."""
+
+    def request_started(self, service: str, now: float) -> None:
+        """Count a first attempt, which adds to the budget."""
+
+    def after_failure(
+        self,
+        result: AttemptResult,
+        *,
+        attempts: int,
+        repeatable: bool,
+        suspect: bool,
+        deadline: float,
+        now: float,
+    ) -> RetryDecision:
+        """Decide what follows a failed attempt."""
+
+    def hedge_delay_s(
+        self, service: str, *, repeatable: bool, suspect: bool, now: float
+    ) -> float | None:
+        """Return the time after which a hedge may start, or None."""
+
+    def take_hedge(self, service: str, now: float) -> bool:
+        """Take one hedge out of the budget."""
+
+
+class SuspicionState(enum.StrEnum):
+    """Standing of a content digest."""
+
+    CLEAR = 'clear'
+    SUSPECT = 'suspect'
+    QUARANTINED = 'quarantined'
+
+
+class Quarantine(Protocol):
+    """Finds requests that crash the targets that run them."""
+
+    def state(self, digest: bytes, now: float) -> SuspicionState:
+        """Return the standing of a digest."""
+
+    def attempt_started(
+        self, digest: bytes, target_id: str, attempt_id: str, now: float
+    ) -> None:
+        """Take note of an attempt in flight."""
+
+    def attempt_finished(self, attempt_id: str, ok: bool, now: float) -> None:
+        """Take note of the end of an attempt; success clears a suspect."""
+
+    def target_died(self, target_id: str, now: float) -> None:
+        """Mark every request in flight on the target as a suspect."""
+
+
+class CostSink(Protocol):
+    """Books the cost of attempts."""
+
+    def book(
+        self,
+        *,
+        member_id: str,
+        owner: str,
+        entry_id: str,
+        stage: str,
+        result: AttemptResult,
+    ) -> None:
+        """Book one attempt, whatever its end."""
+
+
+# Shells that other parts build on
+
+
+class PeerBus(Protocol):
+    """Sends typed messages to other hosts and hands out received ones."""
+
+    def send(self, host_id: str, message: messages.PeerMessage) -> bool:
+        """Send to one host; False if it is unknown or its queue is full."""
+
+    def broadcast(self, message: messages.PeerMessage) -> int:
+        """Send to every live peer and return their count."""
+
+    def subscribe(
+        self,
+        message_type: type[messages.PeerMessage],
+        handler: Callable[[messages.PeerOrigin, Any], None],
+    ) -> None:
+        """Call ``handler`` with each received message of a type."""
+
+
+class LogFollower(Protocol):
+    """Applies the records of one stream in log order."""
+
+    stream: str
+
+    def start_offset(self) -> int:
+        """Return the offset to read from next."""
+
+    def apply(self, page: StreamPage, now: float) -> None:
+        """Apply the records of a page, which may be empty.
+
+        ``page.expired`` tells that records before it are gone.
+        """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimIdentity:
+    """Identity of a request that must run at most once."""
+
+    member_id: str
+    entry_id: str
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimGrant:
+    """The caller of the gate owns the run of the request."""
+
+    claim_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimRefusal:
+    """The request may not run here; ``answer`` is what to tell the caller."""
+
+    answer: answers.Answer
+
+
+class ClaimGate(Protocol):
+    """Grants the sole run of a request that must run at most once."""
+
+    def claim(
+        self, identity: ClaimIdentity, body_digest: bytes, deadline: float
+    ) -> Deferred[Result[ClaimGrant, ClaimRefusal]]:
+        """Claim the run, or join the run that owns the identity."""
+
+    def finish(self, claim_id: str, answer: answers.Answer) -> None:
+        """Store the final answer of a granted run.
+
+        An answer with outcome ``not_run`` releases the claim.
+        """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitRefusal:
+    """The suspect may not run now.
+
+    :param retry_after_s: when the caller may try again in seconds.
+    """
+
+    retry_after_s: float
+
+
+class PermitGate(Protocol):
+    """Grants the sole run of a suspect content over the fleet."""
+
+    def acquire(
+        self, digest: bytes, deadline: float
+    ) -> Deferred[Result[str, PermitRefusal]]:
+        """Ask for a permit; the result is its id."""
+
+    def release(self, permit_id: str, digest: bytes) -> None:
+        """End the run under a permit."""
--- /dev/null
+++ b/walnutport/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Life cycle of a request and its answers."""
--- /dev/null
+++ b/walnutport/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts and targets that are live or leaving."""
--- /dev/null
+++ b/walnutport/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Histograms and their exposition."""
--- /dev/null
+++ b/walnutport/naive/__init__.py
@@ -0,0 +1,1 @@
+"""Naive policies, the baseline for tests and the bench."""
--- /dev/null
+++ b/walnutport/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to model engines under a lease."""
--- /dev/null
+++ b/walnutport/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between hosts."""
--- /dev/null
+++ b/walnutport/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests suspected of crashing targets."""
--- /dev/null
+++ b/walnutport/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relay of event streams from targets to callers."""
--- /dev/null
+++ b/walnutport/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retries, hedges and their budget."""
--- /dev/null
+++ b/walnutport/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a target for an attempt."""
--- /dev/null
+++ b/walnutport/service/__init__.py
@@ -0,0 +1,1 @@
+"""Twisted shells that drive the decision parts."""
--- /dev/null
+++ b/walnutport/service/log_reader.py
@@ -0,0 +1,82 @@
+"""Follows streams of the log service with one long poll."""
+
+from collections.abc import Sequence
+import logging
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from walnutport import interfaces
+
+__all__ = ['LogReader']
+
+LOG = logging.getLogger(__name__)
+PREFIX = 'log:'
+
+_RETRY_S = 0.25
+
+
+class LogReader:
+    """Reads every followed stream and hands pages to the followers.
+
+    A context manager: it reads between enter and exit.
+
+    :param poll_wait_s: longest wait of one poll in seconds.
+    """
+
+    def __init__(
+        self,
+        log: interfaces.LogService,
+        followers: Sequence[interfaces.LogFollower],
+        clock: interfaces.Clock,
+        reactor,
+        poll_wait_s: float,
+    ) -> None:
+        self._log = log
+        self._followers_by_stream = {
+            follower.stream: follower for follower in followers
+        }
+        self._clock = clock
+        self._reactor = reactor
+        self._poll_wait_s = poll_wait_s
+        self._loop: defer.Deferred[None] | None = None
+        self.last_success: float | None = None
+        self.available = False
+
+    def __enter__(self) -> 'LogReader':
+        self._loop = defer.Deferred.fromCoroutine(self._run())
+        self._loop.addErrback(
+            lambda failure: failure.trap(defer.CancelledError)
+        )
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        if self._loop is not None:
+            self._loop.cancel()
+            self._loop = None
+
+    async def _run(self) -> None:
+        while True:
+            if not await self._poll():
+                await task.deferLater(self._reactor, _RETRY_S)
+
+    async def _poll(self) -> bool:
+        offsets = {
+            stream: follower.start_offset()
+            for stream, follower in self._followers_by_stream.items()
+        }
+        wait_s = self._poll_wait_s if self.available else 0.0
+        result = await self._log.read(offsets, wait_s)
+        if result.is_error():
+            if self.available or self.last_success is None:
+                LOG.warning('%s read failed: %s', PREFIX, result.error)
+            self.available = False
+            return False
+        now = self._clock.monotonic()
+        if not self.available:
+            LOG.info('%s reading', PREFIX)
+        self.available = True
+        self.last_success = now
+        for stream, page in result.ok.items():
+            self._followers_by_stream[stream].apply(page, now)
+        return True
--- /dev/null
+++ b/walnutport/service/pipeline.py
@@ -0,0 +1,137 @@
+"""Runs one request through admission, claim and every stage."""
+
+import logging
+
+from twisted.internet import defer
+
+from walnutport import interfaces
+from walnutport.lifecycle import answers
+from walnutport.lifecycle import machine
+from walnutport.service import attempt
+from walnutport.service import attempts
+from walnutport.service import calls
+from walnutport.service import policies as host_policies
+from walnutport.service import waiting
+
+__all__ = ['PipelineRunner']
+
+LOG = logging.getLogger(__name__)
+PREFIX = 'pipeline:'
+
+
+class PipelineRunner:
+    """Runs requests and returns exactly one answer for each.
+
+    :param claims: grants runs of requests that must run at most once; None
+        runs them without a claim, as the naive policy does.
+    :param permits: grants runs of suspects; None refuses none.
+    """
+
+    def __init__(
+        self,
+        policies: host_policies.Policies,
+        stages: attempts.StageRunner,
+        clock: interfaces.Clock,
+        claims: interfaces.ClaimGate | None = None,
+        permits: interfaces.PermitGate | None = None,
+    ) -> None:
+        self._policies = policies
+        self._stages = stages
+        self._clock = clock
+        self._claims = claims
+        self._permits = permits
+        self._entry_waiter = waiting.QueueWaiter(policies.entry_queue, clock)
+
+    def advance(self) -> None:
+        """Deliver decisions that follow from the passing of time."""
+        self._entry_waiter.advance()
+        self._stages.advance()
+
+    async def run(self, call: calls.Call) -> answers.Answer:
+        """Run a request and return its final answer."""
+        if call.pipeline.first_unrepeatable() is None or not self._claims:
+            return await self._run_permitted(call)
+        return await self._run_claimed(call, self._claims)
+
+    async def _run_claimed(
+        self, call: calls.Call, claims: interfaces.ClaimGate
+    ) -> answers.Answer:
+        identity = interfaces.ClaimIdentity(
+            call.member.member_id, call.contract.entry_id, call.key
+        )
+        claimed = await claims.claim(identity, call.digest(), call.deadline)
+        if claimed.is_error():
+            return claimed.error.answer
+        claim_id = claimed.ok.claim_id
+        answer = answers.Answer(
+            answers.Outcome.UNKNOWN, answers.Reason.INTERNAL
+        )
+        try:
+            answer = await self._run_permitted(call)
+            return answer
+        finally:
+            claims.finish(claim_id, answer)
+
+    async def _run_permitted(self, call: calls.Call) -> answers.Answer:
+        life = machine.new_lifecycle(call.request_id)
+        digest = call.digest()
+        state = self._policies.quarantine.state(
+            digest, self._clock.monotonic()
+        )
+        if state is interfaces.SuspicionState.QUARANTINED:
+            return life.give_up(answers.Reason.QUARANTINED, '', 0.0)
+        if state is interfaces.SuspicionState.CLEAR or not self._permits:
+            return await self._run_admitted(call, life)
+        permit = await self._permits.acquire(digest, call.deadline)
+        if permit.is_error():
+            return life.give_up(
+                answers.Reason.SUSPECT_BUSY, '', permit.error.retry_after_s
+            )
+        try:
+            return await self._run_admitted(call, life)
+        finally:
+            self._permits.release(permit.ok, digest)
+
+    async def _run_admitted(
+        self, call: calls.Call, life: machine.RequestMachine
+    ) -> answers.Answer:
+        ticket = interfaces.Ticket(
+            call.request_id,
+            call.contract.entry_id,
+            call.member.member_id,
+            call.class_id,
+            call.deadline,
+        )
+        decision = await self._entry_waiter.acquire(ticket)
+        if decision.kind is interfaces.DecisionKind.REFUSED:
+            return life.give_up(
+                answers.Reason(decision.reason), '', decision.retry_after_s
+            )
+        try:
+            return await self._run_stages(call, life)
+        finally:
+            self._entry_waiter.release(ticket.ticket_id)
+
+    async def _run_stages(
+        self, call: calls.Call, life: machine.RequestMachine
+    ) -> answers.Answer:
+        data = call.body
+        try:
+            for stage in call.pipeline.stages:
+                outcome = await self._stages.run(
+                    call, stage, data, life.attempt_sent
+                )
+                if isinstance(outcome, attempt.StageFailure):
+                    return _close(life, outcome)
+                data = outcome.output_json
+        except defer.CancelledError:
+            return life.give_up(answers.Reason.CALLER_GONE, '', 0.0)
+        return life.complete(data)
+
+
+def _close(
+    life: machine.RequestMachine, failure: attempt.StageFailure
+) -> answers.Answer:
+    if failure.definite:
+        return life.fail(failure.reason, failure.detail)
+    return life.give_up(failure.reason, failure.detail, failure.retry_after_s)
--- /dev/null
+++ b/walnutport/world/__init__.py
@@ -0,0 +1,31 @@
+"""Frozen objects that mirror hosts, targets, members and contracts."""
+
+from walnutport.world.contracts import Contract
+from walnutport.world.contracts import Limits
+from walnutport.world.contracts import Member
+from walnutport.world.contracts import Pipeline
+from walnutport.world.contracts import ServiceClass
+from walnutport.world.contracts import Stage
+from walnutport.world.machines import Address
+from walnutport.world.machines import DataCentre
+from walnutport.world.machines import Host
+from walnutport.world.machines import Link
+from walnutport.world.machines import LoadReport
+from walnutport.world.machines import Target
+from walnutport.world.machines import TargetState
+
+__all__ = [
+    'Address',
+    'Contract',
+    'DataCentre',
+    'Host',
+    'Limits',
+    'Link',
+    'LoadReport',
+    'Member',
+    'Pipeline',
+    'ServiceClass',
+    'Stage',
+    'Target',
+    'TargetState',
+]
