--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -9,6 +9,7 @@
 from twisted.web import server
 
 from standins import caller
+from standins import fault_proxy
 from standins import ledger
 from standins import list_server
 from standins import log_server
@@ -44,6 +45,11 @@
         _serve(settings.ip, settings.port, standin)
 
 
+def _start_proxy(text: str) -> None:
+    settings = msgspec.json.decode(text, type=fault_proxy.FaultProxySettings)
+    _serve(settings.ip, settings.port, fault_proxy.FaultProxy(settings))
+
+
 def _start_caller(text: str) -> None:
     settings = msgspec.json.decode(text, type=caller.CallerSettings)
     with ledger.Ledger(settings.ledger_folder, settings.source) as book:
@@ -55,6 +61,7 @@
     'list': _start_list,
     'target': _start_target,
     'caller': _start_caller,
+    'proxy': _start_proxy,
 }
 
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -11,6 +11,7 @@
 
 from standins import caller
 from standins import checker
+from standins import fault_proxy
 from standins import ledger
 from standins import list_server
 from standins import log_server
@@ -45,6 +46,8 @@
     """What a fleet consists of.
 
     :param settings: settings of every host, merged over the defaults.
+    :param proxied: whether the fault proxy stands before the log, the list
+        and every target; ``Fleet.set_faults`` then sets its faults.
     """
 
     hosts: int = 3
@@ -58,6 +61,7 @@
     data_centres: int = 2
     list_lag_s: float = 0.0
     retention_s: float = 0.0
+    proxied: bool = False
     settings: dict = dataclasses.field(default_factory=dict)
     contracts: tuple[dict, ...] = ()
 
@@ -161,6 +165,8 @@
         self.listed_targets_by_id: dict[str, list_server.ListedTarget] = {}
         self.log_address = ''
         self.list_address = ''
+        self._proxy_address = ''
+        self._proxy_ports_by_name: dict[str, int] = {}
         self.log: processes.ManagedProcess
         self.list: processes.ManagedProcess
 
@@ -174,6 +180,8 @@
             self._stack = stack
             self._start_log()
             self._start_targets()
+            if self.plan.proxied:
+                self._start_proxy()
             self._start_list()
             self.publish(example_catalogue(self.plan.contracts))
             for number in range(self.plan.hosts):
@@ -278,6 +286,13 @@
             stages[item['entry_id']] = STAGES_BY_ENTRY[entry]
         return checker.check(ledger.read_ledger(self.ledger_folder), stages)
 
+    def set_faults(self, name: str, **faults) -> None:
+        """Set the faults on the way to ``log``, ``list`` or a target."""
+        port = self._proxy_ports_by_name[name]
+        processes.http_json(
+            f'http://{self._proxy_address}/control/{port}', faults
+        )
+
     def output(self, name: str) -> str:
         """Return what a process printed."""
         return (self.folder / f'{name}.log').read_text()
@@ -315,8 +330,9 @@
     def _start_list(self) -> None:
         for number in range(self.plan.hosts):
             self._assign_host(f'host-{number + 1}')
-        port = processes.free_port()
-        self.list_address = f'127.0.0.1:{port}'
+        if not self.list_address:
+            self.list_address = f'127.0.0.1:{processes.free_port()}'
+        port = int(self.list_address.partition(':')[2])
         settings = list_server.ListServerSettings(
             port,
             lag_s=self.plan.list_lag_s,
@@ -331,11 +347,51 @@
                     self.peer_ports_by_host.items()
                 )
             ),
-            targets=tuple(self.listed_targets_by_id.values()),
+            targets=tuple(
+                self._proxied_target(listed)
+                for listed in self.listed_targets_by_id.values()
+            ),
         )
         self.list = self._start_standin('list', settings, 'list')
         processes.wait_http(f'http://{self.list_address}/v1/list')
 
+    def _start_proxy(self) -> None:
+        list_port = processes.free_port()
+        self.list_address = f'127.0.0.1:{list_port}'
+        addresses_by_name = {
+            'log': self.log_address,
+            'list': self.list_address,
+            **{
+                target_id: f'{listed.ip}:{listed.port}'
+                for target_id, listed in self.listed_targets_by_id.items()
+            },
+        }
+        self._proxy_ports_by_name = {
+            name: processes.free_port() for name in addresses_by_name
+        }
+        control_port = processes.free_port()
+        self._proxy_address = f'127.0.0.1:{control_port}'
+        settings = fault_proxy.FaultProxySettings(
+            control_port,
+            {
+                self._proxy_ports_by_name[name]: address
+                for name, address in addresses_by_name.items()
+            },
+        )
+        self._start_standin('proxy', settings, 'proxy')
+        processes.wait_http(f'http://{self._proxy_address}/stats')
+
+    def _proxied(self, name: str, address: str) -> str:
+        port = self._proxy_ports_by_name.get(name)
+        return address if port is None else f'127.0.0.1:{port}'
+
+    def _proxied_target(
+        self, listed: list_server.ListedTarget
+    ) -> list_server.ListedTarget:
+        address = self._proxied(listed.target_id, f'{listed.ip}:{listed.port}')
+        port = int(address.partition(':')[2])
+        return dataclasses.replace(listed, port=port)
+
     def _assign_host(self, host_id: str) -> None:
         self.caller_addresses_by_host[host_id] = (
             f'127.0.0.1:{processes.free_port()}'
@@ -363,8 +419,8 @@
                 'keys': [{'key_id': 'k1', 'file': str(key_path)}],
             },
             'platform': {
-                'log': _listen(self.log_address),
-                'host_list': _listen(self.list_address),
+                'log': _listen(self._proxied('log', self.log_address)),
+                'host_list': _listen(self._proxied('list', self.list_address)),
             },
             'control': {
                 'listen': _listen(self.control_addresses_by_host[host_id])
--- a/walnutport/cli/main.py
+++ b/walnutport/cli/main.py
@@ -13,6 +13,8 @@
 
 COMMANDS = {
     'host': 'run an entry host',
+    'status': "show a host's own view",
+    'report': 'report latency and cost over hosts',
 }
 
 _USAGE = 'usage: walnutport COMMAND [flags]\n\ncommands:\n'
--- a/walnutport/service/callers.py
+++ b/walnutport/service/callers.py
@@ -16,6 +16,7 @@
 from walnutport import exceptions
 from walnutport import interfaces
 from walnutport.lifecycle import answers
+from walnutport.metrics import histograms
 from walnutport.service import calls
 from walnutport.service import pipeline
 from walnutport import world
@@ -65,7 +66,9 @@
         is_ready: Callable[[], bool],
         runner: pipeline.PipelineRunner,
         clock: interfaces.Clock,
+        latencies: histograms.LatencyHistograms,
     ) -> None:
+        self._latencies = latencies
         self._settings = settings
         self._view = view
         self._is_ready = is_ready
@@ -113,10 +116,17 @@
         key = f'{call.request_id}/{secrets.token_hex(4)}'
         self.in_flight_by_id[key] = running
         request.notifyFinish().addErrback(lambda _: running.cancel())
+        started = self._clock.monotonic()
         try:
-            return await running
+            answer = await running
         finally:
             del self.in_flight_by_id[key]
+        self._latencies.record(
+            histograms.MetricKey(call.member.member_id, call.class_id),
+            answer,
+            self._clock.monotonic() - started,
+        )
+        return answer
 
     def _validate(self, request, entry_id: str, request_id: str) -> calls.Call:
         if not self._is_ready():
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -16,9 +16,12 @@
 from walnutport import clock as system_clock
 from walnutport.config import settings as config
 from walnutport.cost import ledger
+from walnutport.metrics import exposition
+from walnutport.metrics import histograms
 from walnutport.service import attempts
 from walnutport.service import callers
 from walnutport.service import log_reader
+from walnutport.service import operators
 from walnutport.service import pipeline
 from walnutport.service import policies as host_policies
 from walnutport import world
@@ -46,6 +49,7 @@
         self._list_loaded = False
         self.policies = host_policies.build_policies(settings)
         self.cost = ledger.CostLedger()
+        self.latencies = histograms.LatencyHistograms()
         platform = settings.platform
         self._platform_client = http.HttpClient(reactor)
         self.catalogue = follower.CatalogueFollower(lambda: None)
@@ -85,6 +89,13 @@
             self.is_ready,
             self.runner,
             self._clock,
+            self.latencies,
+        )
+        collector = exposition.HostCollector(
+            self.latencies, self.cost, self._gauges, self._counters
+        )
+        self.operators = operators.OperatorApi(
+            collector, self.latencies, self.cost, self.status
         )
 
     def is_ready(self) -> bool:
@@ -93,6 +104,34 @@
             not self.stopping and self.catalogue.synced and self._list_loaded
         )
 
+    def status(self) -> dict[str, object]:
+        """Return the host's own view as plain JSON values."""
+        last_read = self.log_reader.last_success
+        lag_s = None
+        if last_read is not None:
+            lag_s = round(self._clock.monotonic() - last_read, 3)
+        return {
+            'host_id': self.settings.host_id,
+            'data_centre': self.settings.data_centre,
+            'ready': self.is_ready(),
+            'stopping': self.stopping,
+            'calls_in_flight': len(self.callers.in_flight_by_id),
+            'catalogue_offset': self.catalogue.start_offset(),
+            'log_available': self.log_reader.available,
+            'log_last_read_s_ago': lag_s,
+        }
+
+    def _gauges(self) -> dict[str, float]:
+        return {
+            'ready': float(self.is_ready()),
+            'calls_in_flight': len(self.callers.in_flight_by_id),
+            'catalogue_offset': self.catalogue.start_offset(),
+            'log_available': float(self.log_reader.available),
+        }
+
+    def _counters(self) -> dict[str, float]:
+        return {}
+
     async def start(self) -> None:
         """Open the listeners and start to follow the platform."""
         self._stack.enter_context(self.log_reader)
@@ -103,6 +142,9 @@
         await self._listen(
             self.settings.callers.listen, self.callers.app.resource()
         )
+        await self._listen(
+            self.settings.control.listen, self.operators.app.resource()
+        )
         LOG.info('%s started as %s', PREFIX, self.settings.host_id)
 
     async def drain(self) -> bool:
