Add the bench: scenarios as data, probes, naive beside standard

Change: load scenarios on real processes with a standard and a naive run on the same load, single probes for poison, catalogue, leaving, limit, decision time, added latency and start, a table, results.json and plots.

--- /dev/null
+++ b/bench/probes.py
@@ -0,0 +1,277 @@
+"""Single measurements of the bench that are no load scenario."""
+
+from collections.abc import Callable
+import http.client
+import itertools
+import json
+import statistics
+import time
+
+import msgspec
+
+from standins import caller
+from standins import fleet
+from standins import ledger
+from standins import processes
+from walnutport.config import settings as config
+from walnutport import interfaces
+from walnutport.service import policies
+from walnutport import world
+
+__all__ = ['PROBES']
+
+_SEED = 20_261_203
+_HOSTS = 9
+_CANDIDATES = 64
+_LIMIT = 20
+_SMALL_POOLS = (
+    fleet.PoolPlan('encoder', 2, service_ms=5.0),
+    fleet.PoolPlan('retriever', 2, service_ms=5.0),
+    fleet.PoolPlan('reranker', 2, service_ms=5.0),
+    fleet.PoolPlan('engine', 2, slots=8, service_ms=5.0, event_ms=0.0),
+    fleet.PoolPlan('payments', 1, service_ms=5.0, repeatable=False),
+)
+
+
+def measure_poison() -> dict[str, float]:
+    """Resend one request that crashes its target over all hosts."""
+    with fleet.Fleet(fleet.FleetPlan(pools=_SMALL_POOLS)) as running:
+        body = {'crash': True, 'nonce': 'poison'}
+        for turn, host_id in zip(
+            range(20), itertools.cycle(running.caller_addresses_by_host)
+        ):
+            _post(running.caller_addresses_by_host[host_id], body)
+            time.sleep(0.1)
+            if turn % 5 == 4:
+                _restart_dead(running)
+        crashes = sum(
+            event.kind is ledger.EventKind.CRASHED
+            for event in ledger.read_ledger(running.ledger_folder)
+        )
+    return {'poison_target_deaths': crashes}
+
+
+def measure_catalogue() -> dict[str, float]:
+    """Time from an accepted change to its being in force on nine hosts."""
+    with fleet.Fleet(
+        fleet.FleetPlan(hosts=_HOSTS, pools=_SMALL_POOLS)
+    ) as running:
+        worst_ms = 0.0
+        for version in range(1, 6):
+            body = {'class_id': 'standard', 'weight': 1.0 + version}
+            started = time.monotonic()
+            running.publish([_change(version, body)])
+            offset = len(fleet.example_catalogue()) + version
+            for address in running.control_addresses_by_host.values():
+                while _status(address)['catalogue_offset'] < offset:
+                    time.sleep(0.005)
+            worst_ms = max(worst_ms, (time.monotonic() - started) * 1000)
+    return {'catalogue_in_force_ms_max': round(worst_ms, 1)}
+
+
+def measure_leaving() -> dict[str, float]:
+    """Time from a target's notice of leaving to its last new request."""
+    plan = fleet.FleetPlan(pools=_SMALL_POOLS, list_lag_s=1.0)
+    with fleet.Fleet(plan) as running:
+        sender = running.start_caller((_load(60.0, 420),), seed=_SEED)
+        time.sleep(2.5)
+        noticed = time.monotonic()
+        listed = running.listed_targets_by_id['encoder-1']
+        running.control_target('encoder-1', leaving=True)
+        running.control_list(
+            targets=[{**msgspec.to_builtins(listed), 'state': 'leaving'}]
+        )
+        _wait(sender)
+        last = max(
+            (
+                event.time_s
+                for event in ledger.read_ledger(running.ledger_folder)
+                if event.kind is ledger.EventKind.STARTED
+                and event.source == 'encoder-1'
+            ),
+            default=noticed,
+        )
+    return {
+        'leaving_last_request_ms': round(max(0.0, last - noticed) * 1000, 1)
+    }
+
+
+def measure_limit() -> dict[str, float]:
+    """Highest count of requests in flight under a limit over nine hosts."""
+    contract = {
+        'entry_id': 'limited',
+        'owner': 'north',
+        'class_id': 'standard',
+        'pipeline_id': 'answers',
+        'limits': {'max_in_flight': _LIMIT},
+    }
+    pools = tuple(
+        fleet.PoolPlan(pool.service, 2, slots=32, service_ms=100.0)
+        for pool in _SMALL_POOLS
+    )
+    plan = fleet.FleetPlan(hosts=_HOSTS, pools=pools, contracts=(contract,))
+    with fleet.Fleet(plan) as running:
+        time.sleep(2.0)
+        weights = tuple(1.0 / (number + 1) for number in range(_HOSTS))
+        sender = running.start_caller(
+            (_load(100.0, 1_000, 'limited'),), seed=_SEED, host_weights=weights
+        )
+        _wait(sender)
+        events = ledger.read_ledger(running.ledger_folder)
+    highest = current = 0
+    for event in events:
+        if event.entry_id != 'limited':
+            continue
+        current += event.kind is ledger.EventKind.STARTED
+        current -= event.kind is ledger.EventKind.FINISHED
+        highest = max(highest, current)
+    return {'limit_overshoot_ratio': round(highest / _LIMIT, 3)}
+
+
+def measure_decision() -> dict[str, float]:
+    """Time of admission and routing of one request with 64 candidates."""
+    parts = policies.build_policies(config.default_settings())
+    now = 1_000.0
+    targets = {
+        f'engine-{number}': world.Target(
+            f'engine-{number}',
+            'engine',
+            f'dc-{number % 4}',
+            world.Address('127.0.0.1', 20_000 + number),
+            slots=8,
+        )
+        for number in range(_CANDIDATES)
+    }
+    parts.router.targets_changed(targets, now)
+    pool_queue = parts.new_pool_queue('engine')
+    query = interfaces.RouteQuery('engine', now + 1_000)
+    samples = []
+    for number in range(5_000):
+        now += 0.001
+        ticket = interfaces.Ticket(
+            f't{number}', 'summaries', 'north', 'standard', now + 4
+        )
+        started = time.perf_counter()
+        parts.entry_queue.offer(ticket, now)
+        pool_queue.offer(ticket, now)
+        target = parts.router.route(query, now)
+        samples.append((time.perf_counter() - started) * 1e6)
+        pool_queue.release(ticket.ticket_id, now)
+        parts.entry_queue.release(ticket.ticket_id, now)
+        assert target is not None
+    return {
+        'decision_us_p99': round(statistics.quantiles(samples, n=100)[-1], 1)
+    }
+
+
+def measure_added_latency() -> dict[str, float]:
+    """Median time that the host adds to four sequential stage calls."""
+    plan = fleet.FleetPlan(hosts=1, pools=_SMALL_POOLS)
+    with fleet.Fleet(plan) as running:
+        address = next(iter(running.caller_addresses_by_host.values()))
+        stages = fleet.STAGES_BY_ENTRY['summaries']
+        services = ('encoder', 'retriever', 'reranker', 'engine')
+        direct = [
+            (running.listed_targets_by_id[f'{service}-1'], stage)
+            for service, stage in zip(services, stages)
+        ]
+        direct_ms, through_ms = [], []
+        for number in range(150):
+            body = {'nonce': str(number)}
+            direct_ms.append(_timed(lambda: _call_direct(direct, body)))
+            through_ms.append(_timed(lambda: _post(address, body)))
+    added = statistics.median(through_ms) - statistics.median(direct_ms)
+    return {'added_latency_ms_p50': round(added, 2)}
+
+
+def measure_start() -> dict[str, float]:
+    """Time from the start of a host process until it is ready."""
+    with fleet.Fleet(fleet.FleetPlan(hosts=2, pools=_SMALL_POOLS)) as running:
+        running.hosts_by_id['host-1'].kill()
+        started = time.monotonic()
+        running.start_host('host-1')
+        running.wait_ready('host-1')
+        elapsed_ms = (time.monotonic() - started) * 1000
+    return {'start_to_ready_ms': round(elapsed_ms, 1)}
+
+
+PROBES: dict[str, Callable[[], dict[str, float]]] = {
+    'poison_target_deaths': measure_poison,
+    'catalogue_in_force_ms_max': measure_catalogue,
+    'leaving_last_request_ms': measure_leaving,
+    'limit_overshoot_ratio': measure_limit,
+    'decision_us_p99': measure_decision,
+    'added_latency_ms_p50': measure_added_latency,
+    'start_to_ready_ms': measure_start,
+}
+
+
+def _load(rate: float, count: int, entry_id: str = 'summaries') -> caller.Load:
+    return caller.Load(
+        'north', fleet.TOKENS_BY_MEMBER['north'], entry_id, rate, count
+    )
+
+
+def _wait(sender: processes.ManagedProcess) -> None:
+    assert sender.process is not None
+    sender.process.wait(60)
+
+
+def _restart_dead(running: fleet.Fleet) -> None:
+    for target_id, process in running.targets_by_id.items():
+        if not process.is_running():
+            running.start_target(target_id)
+
+
+def _change(version: int, body: dict) -> dict:
+    return {
+        'change_id': f'bench-{version}',
+        'kind': 'class',
+        'name': 'standard',
+        'expected_version': version,
+        'operator': 'bench',
+        'body': json.dumps(body),
+    }
+
+
+def _status(address: str) -> dict:
+    return msgspec.json.decode(
+        processes.http_json(f'http://{address}/v1/status')
+    )
+
+
+def _timed(action: Callable[[], object]) -> float:
+    started = time.perf_counter()
+    action()
+    return (time.perf_counter() - started) * 1000
+
+
+def _call_direct(direct, body: dict) -> None:
+    data: object = body
+    for listed, stage in direct:
+        reply = _exchange(
+            f'{listed.ip}:{listed.port}',
+            '/v1/run',
+            {'stage': stage, 'input': data},
+            {},
+        )
+        data = reply['output']
+
+
+def _post(address: str, body: dict) -> dict:
+    token = fleet.TOKENS_BY_MEMBER['north']
+    return _exchange(
+        address,
+        '/v1/entries/summaries',
+        body,
+        {'authorization': f'Bearer {token}'},
+    )
+
+
+def _exchange(address: str, path: str, body: object, headers: dict) -> dict:
+    connection = http.client.HTTPConnection(address, timeout=10)
+    try:
+        connection.request('POST', path, msgspec.json.encode(body), headers)
+        return msgspec.json.decode(connection.getresponse().read())
+    finally:
+        connection.close()
--- a/walnutport/cli/plots.py
+++ b/walnutport/cli/plots.py
@@ -49,8 +49,8 @@
 
 
 def _draw_cost(axes, report: fleet_report.FleetReport) -> None:
-    seconds_by_stage: dict[str, collections.Counter[str]] = (
-        collections.defaultdict(collections.Counter)
+    seconds_by_stage: dict[str, dict[str, float]] = collections.defaultdict(
+        lambda: collections.defaultdict(float)
     )
     owners: dict[str, None] = {}
     for key, line in sorted(report.cost_by_key.items()):
