--- a/Makefile
+++ b/Makefile
@@ -42,4 +42,4 @@
 	$(PY) -m bench.count
 
 binary: setup
-	$(PY) -m packaging.build
+	$(PY) -m release.build
--- a/bench/count.py
+++ b/bench/count.py
@@ -9,7 +9,7 @@
 
 __all__ = ['count_lines', 'main']
 
-_FOLDERS = ('walnutport', 'standins', 'bench', 'tools', 'packaging', 'tests')
+_FOLDERS = ('walnutport', 'standins', 'bench', 'tools', 'release', 'tests')
 _DECISION_PACKAGES = (
     'admission',
     'catalogue',
--- a/bench/run.py
+++ b/bench/run.py
@@ -15,8 +15,7 @@
 import threading
 import time
 
-import matplotlib
-from matplotlib import figure
+import leather
 
 from bench import probes
 from bench import scenarios
@@ -203,26 +202,17 @@
 
 
 def _plot(runs: list[Run]) -> None:
-    matplotlib.use('Agg')
-    for scenario in {run.scenario.figure: run.scenario for run in runs}:
-        shown = [run for run in runs if run.scenario.figure == scenario]
-        if len(shown) < 2:
+    """Draw attainment over time where both policies ran."""
+    for name in {run.scenario.figure: None for run in runs}:
+        shown = [run for run in runs if run.scenario.figure == name]
+        if len(shown) < len(_POLICIES):
             continue
-        drawing = figure.Figure(figsize=(8, 4), layout='constrained')
-        axes = drawing.subplots()
+        chart = leather.Chart(f'{name}: share answered in time')
+        chart.add_x_axis(name='second in which the request was sent')
+        chart.add_y_scale(0, 1)
         for run in shown:
-            points = run.attainment_by_second()
-            axes.plot(
-                [second for second, _ in points],
-                [share for _, share in points],
-                label=run.policy,
-            )
-        axes.set_ylim(-0.02, 1.02)
-        axes.set_xlabel('second in which the request was sent')
-        axes.set_ylabel('share answered in time')
-        axes.set_title(scenario)
-        axes.legend()
-        drawing.savefig(_FOLDER / f'{scenario}.png', dpi=80)
+            chart.add_line(run.attainment_by_second(), name=run.policy)
+        chart.to_svg(str(_FOLDER / f'{name}.svg'))
 
 
 def _write(results: dict[str, float], elapsed_s: float, partial: bool) -> int:
--- /dev/null
+++ b/release/__init__.py
@@ -0,0 +1,1 @@
+"""Build of the one-file program."""
--- a/tools/sort_imports.py
+++ b/tools/sort_imports.py
@@ -12,7 +12,7 @@
 __all__ = ['main', 'sort_text']
 
 _IMPORT = re.compile(r'^(?:from (?P<module>\S+) import|import) (?P<name>\S+)')
-_FOLDERS = ('walnutport', 'standins', 'bench', 'tests', 'tools', 'packaging')
+_FOLDERS = ('walnutport', 'standins', 'bench', 'tests', 'tools', 'release')
 
 
 def sort_text(text: str) -> str:
--- a/walnutport/cli/report.py
+++ b/walnutport/cli/report.py
@@ -1,7 +1,7 @@
 """Report latency by member and class, and cost by stage, over hosts.
 
 Reads the operators' listener of each --host, merges the histograms and adds
-up the cost. --plot FILE draws both.
+up the cost. --plot FILE draws both as SVG.
 
 Exit codes: 0 done, 2 wrong usage, 5 a host does not answer.
 """
@@ -26,7 +26,7 @@
     'host', ['127.0.0.1:8082'], "address ip:port of an operators' listener"
 )
 _JSON = flags.DEFINE_bool('json', False, 'print JSON')
-_PLOT = flags.DEFINE_string('plot', '', 'file to draw the report into')
+_PLOT = flags.DEFINE_string('plot', '', 'SVG file to draw the report into')
 
 _PERCENTILES = (50, 95, 99)
 
