Add membership of hosts and targets

Cause: hosts must know which peers are live and which targets are leaving, while the platform's list lags.

The host list is read with an entity tag, so an unchanged list costs no body.

Conclusion: the decision parts are tested; the host does not use them yet.

--- a/standins/list_server.py
+++ b/standins/list_server.py
@@ -5,6 +5,7 @@
 import klein
 import msgspec
 from twisted.internet import reactor
+from twisted.web import http
 
 __all__ = ['ListServer', 'ListServerSettings', 'ListedHost', 'ListedTarget']
 
@@ -61,6 +62,7 @@
 
     def __init__(self, settings: ListServerSettings) -> None:
         self._lag_s = settings.lag_s
+        self._version = 1
         self._hosts_by_id = {item.host_id: item for item in settings.hosts}
         self._targets_by_id = {
             item.target_id: item for item in settings.targets
@@ -68,7 +70,9 @@
 
     @app.route('/v1/list')
     def listed(self, request) -> bytes:
-        """Return the list."""
+        """Return the list, or status 304 if the reader has this one."""
+        if request.setETag(b'"%d"' % self._version) is http.CACHED:
+            return b''
         return msgspec.json.encode(
             {
                 'hosts': list(self._hosts_by_id.values()),
@@ -84,6 +88,7 @@
         return b'{}'
 
     def _apply(self, change: _Change) -> None:
+        self._version += 1
         for host in change.hosts:
             self._hosts_by_id[host.host_id] = host
         for target in change.targets:
--- /dev/null
+++ b/tests/membership/test_targets.py
@@ -0,0 +1,150 @@
+"""State machine test of the membership of targets."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from walnutport.membership import targets
+from walnutport.peer import messages
+from walnutport import world
+
+LIVE = world.TargetState.LIVE
+LEAVING = world.TargetState.LEAVING
+
+
+def listed(state: world.TargetState) -> dict[str, world.Target]:
+    """Return a list with one target."""
+    address = world.Address('127.0.0.1', 1)
+    return {'t': world.Target('t', 'pool', 'dc-1', address, 4, state)}
+
+
+class TargetsMachine(stateful.RuleBasedStateMachine):
+    """A target that leaves and restarts; messages are late or repeated.
+
+    Guards against new work for a target after any source said that its
+    present incarnation is leaving, and against a target that stays shut out
+    after its new incarnation reported live.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.members = targets.TargetMembership(5.0)
+        self.now = 0.0
+        self.incarnation = 1
+        self.leaving = False
+        self.reports: list[world.LoadReport] = []
+        self.words: list[messages.LeavingTarget] = []
+        self.list_state = LIVE
+        self.told = False
+        self.members.list_read(listed(LIVE), 0.0)
+
+    def report(self) -> world.LoadReport:
+        state = LEAVING if self.leaving else LIVE
+        return world.LoadReport(0, 0, 4, str(self.incarnation), state)
+
+    @stateful.rule()
+    def make_report(self) -> None:
+        self.reports.append(self.report())
+
+    @stateful.rule()
+    def target_leaves(self) -> None:
+        self.leaving = True
+
+    @stateful.rule()
+    def peer_hears_it(self) -> None:
+        if self.leaving:
+            word = messages.LeavingTarget('t', str(self.incarnation))
+            self.words.append(word)
+
+    @stateful.rule()
+    def target_restarts(self) -> None:
+        """Restart; reports under way are lost with their connections."""
+        self.incarnation += 1
+        self.leaving = False
+        self.told = False
+
+    @stateful.precondition(lambda self: self.reports)
+    @stateful.rule(index=st.integers(0, 5), repeat=st.booleans())
+    def deliver_report(self, index: int, repeat: bool) -> None:
+        index %= len(self.reports)
+        report = self.reports[index]
+        if not repeat:
+            del self.reports[index]
+        self.hear(report)
+
+    def hear(self, report: world.LoadReport) -> None:
+        self.members.load_heard('t', report, self.now)
+        if report.incarnation == str(self.incarnation):
+            self.told = self.told or report.state is LEAVING
+
+    @stateful.precondition(lambda self: self.words)
+    @stateful.rule(index=st.integers(0, 5))
+    def deliver_word(self, index: int) -> None:
+        word = self.words[index % len(self.words)]
+        self.members.peer_says_leaving(word, self.now)
+        if word.incarnation == str(self.incarnation):
+            self.told = True
+            # Reports of an earlier incarnation cannot arrive later than the
+            # time to confirm.
+            self.reports = [
+                item
+                for item in self.reports
+                if item.incarnation == word.incarnation
+            ]
+
+    @stateful.rule(state=st.sampled_from([LIVE, LEAVING]))
+    def read_list(self, state: world.TargetState) -> None:
+        self.list_state = state
+        self.members.list_read(listed(state), self.now)
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 1.0, 3.0]))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @stateful.invariant()
+    def nothing_new_once_told(self) -> None:
+        if self.told:
+            assert not self.members.usable(self.now)
+
+    @stateful.rule()
+    def new_incarnation_is_used_in_the_end(self) -> None:
+        """Let everything that is under way arrive, then report live."""
+        self.target_restarts()
+        self.reports.clear()
+        for word in self.words:
+            self.members.peer_says_leaving(word, self.now)
+        self.read_list(LIVE)
+        self.hear(self.report())
+        self.now += 2.0
+        self.hear(self.report())
+        assert self.members.usable(self.now)
+
+
+TestTargets = TargetsMachine.TestCase
+TestTargets.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=40
+)
+
+
+def test_a_list_that_lags_does_not_shut_out_a_restarted_target() -> None:
+    """Guards against the list going before the target's own report."""
+    members = targets.TargetMembership(5.0)
+    members.list_read(listed(LIVE), 0.0)
+    members.load_heard('t', world.LoadReport(0, 0, 4, 'a'), 0.0)
+    members.list_read(listed(LEAVING), 1.0)
+    assert not members.usable(1.0)
+    members.load_heard('t', world.LoadReport(0, 0, 4, 'a'), 2.0)
+    assert not members.usable(2.0)
+    members.load_heard('t', world.LoadReport(0, 0, 4, 'b'), 3.0)
+    assert members.usable(3.0)
+
+
+def test_only_silent_targets_are_polled() -> None:
+    """Guards against polls of targets whose answers carry their load."""
+    members = targets.TargetMembership(5.0)
+    members.list_read(listed(LIVE), 0.0)
+    assert len(members.due_polls(0.0, 8)) == 1
+    assert not members.due_polls(4.9, 8)
+    members.load_heard('t', world.LoadReport(0, 0, 4), 4.0)
+    assert not members.due_polls(8.9, 8)
+    assert len(members.due_polls(9.0, 8)) == 1
--- a/walnutport/adapters/host_list.py
+++ b/walnutport/adapters/host_list.py
@@ -43,7 +43,11 @@
 
 
 class HttpHostList:
-    """Host list behind its HTTP interface (see docs/interfaces.md)."""
+    """Host list behind its HTTP interface (see docs/interfaces.md).
+
+    A list that has not changed since the last read is answered with status
+    304 and no body, and the same page object is returned again.
+    """
 
     def __init__(
         self,
@@ -56,6 +60,8 @@
         self._url = f'http://{address}/v1/list'
         self._reactor = reactor
         self._timeout_s = timeout_s
+        self._etag = ''
+        self._page = interfaces.HostListPage({}, {})
 
     def read(
         self,
@@ -68,19 +74,24 @@
     async def _read(
         self,
     ) -> Result[interfaces.HostListPage, exceptions.HostListError]:
+        headers = {'if-none-match': self._etag} if self._etag else {}
         call = defer.Deferred.fromCoroutine(
-            self._client.call('GET', self._url)
+            self._client.call('GET', self._url, headers=headers)
         )
         try:
             reply = await call.addTimeout(self._timeout_s, self._reactor)
         except Exception as error:  # noqa: BLE001 - library errors vary
             return Error(exceptions.HostListError(repr(error)))
+        if reply.status == 304 and self._etag:
+            return Ok(self._page)
         if reply.status != 200:
             return Error(exceptions.HostListError(f'status {reply.status}'))
         try:
-            return Ok(decode_list(reply.body))
+            self._page = decode_list(reply.body)
         except exceptions.CodecError as error:
             return Error(exceptions.HostListError(str(error)))
+        self._etag = reply.headers.get('etag', '')
+        return Ok(self._page)
 
 
 def decode_list(body: bytes) -> interfaces.HostListPage:
--- a/walnutport/config/settings.py
+++ b/walnutport/config/settings.py
@@ -63,6 +63,7 @@
     stream_buffer_bytes: PositiveInt = 262_144
     answer_store_bytes: PositiveInt = 67_108_864
     drain_limit_s: PositiveFloat = 30.0
+    drain_grace_s: Annotated[float, pydantic.Field(ge=0)] = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +91,7 @@
     keys: tuple[PeerKeySettings, ...] = ()
     heartbeat_s: PositiveFloat = 1.0
     fanout: PositiveInt = 8
+    target_poll_s: PositiveFloat = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/walnutport/peer/messages.py
+++ b/walnutport/peer/messages.py
@@ -95,6 +95,8 @@
     :param catalogue_offset: offset up to which the catalogue is folded.
     :param demands: demands that changed since the last heartbeat, or all of
         them if ``full`` is set.
+    :param address: ``ip:port`` of the sender's peer listener in a full
+        heartbeat, for peers whose list does not show the sender yet.
     """
 
     data_centre: str
@@ -104,6 +106,7 @@
     full: bool
     demands: tuple[LimitDemand, ...] = ()
     leaving_targets: tuple[LeavingTarget, ...] = ()
+    address: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/walnutport/peer/replay.py
+++ b/walnutport/peer/replay.py
@@ -11,7 +11,13 @@
 
 from walnutport.peer import messages
 
-__all__ = ['SILENCE_S', 'ReplayGuard', 'Verdict', 'new_incarnation']
+__all__ = [
+    'SILENCE_S',
+    'IncarnationGate',
+    'ReplayGuard',
+    'Verdict',
+    'new_incarnation',
+]
 
 SILENCE_S = 10.0
 _WINDOW = 256
@@ -29,17 +35,42 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Sender:
-    """Sequence numbers seen; bit ``i`` stands for ``highest - i``."""
+class IncarnationGate:
+    """Knows the current incarnation of one host.
 
-    incarnation: int
+    :param heard: time of the last message of the current incarnation.
+    """
+
+    current: int
     heard: float
-    highest: int = -1
-    seen: int = 0
     retired: collections.deque[int] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=_MAX_RETIRED)
     )
 
+    def admit(self, incarnation: int, now: float) -> bool:
+        """Return whether messages of an incarnation are valid now."""
+        if incarnation == self.current:
+            return True
+        if incarnation in self.retired:
+            return False
+        if incarnation > self.current:
+            self.retired.append(self.current)
+        elif now - self.heard < SILENCE_S:
+            return False
+        # A higher incarnation that a lower one replaced stays admissible:
+        # it may be the true one, resumed after a pause.
+        self.current = incarnation
+        return True
+
+
+@dataclasses.dataclass(slots=True)
+class _Sender:
+    """Sequence numbers seen; bit ``i`` stands for ``highest - i``."""
+
+    gate: IncarnationGate
+    highest: int = -1
+    seen: int = 0
+
 
 class ReplayGuard:
     """Keeps a window of sequence numbers for each sender.
@@ -59,20 +90,19 @@
         """Return whether a message is new, and remember it."""
         sender = self._senders_by_host.get(origin.host_id)
         if sender is None:
-            sender = _Sender(origin.incarnation, now)
+            sender = _Sender(IncarnationGate(origin.incarnation, now))
             self._senders_by_host[origin.host_id] = sender
             if len(self._senders_by_host) > _MAX_SENDERS:
                 self._senders_by_host.popitem(last=False)
-        elif origin.incarnation != sender.incarnation:
-            if not _replaces(sender, origin.incarnation, now):
-                return Verdict.OLD_INCARNATION
-            sender.retired.append(sender.incarnation)
-            sender.incarnation = origin.incarnation
+        known = sender.gate.current
+        if not sender.gate.admit(origin.incarnation, now):
+            return Verdict.OLD_INCARNATION
+        if known != origin.incarnation:
             sender.highest, sender.seen = -1, 0
         self._senders_by_host.move_to_end(origin.host_id)
         if not _mark(sender, sequence):
             return Verdict.REPEATED
-        sender.heard = now
+        sender.gate.heard = now
         return Verdict.FRESH
 
 
@@ -87,12 +117,6 @@
     return (int(wall_s * 1000) << _RANDOM_BITS) | low
 
 
-def _replaces(sender: _Sender, incarnation: int, now: float) -> bool:
-    if incarnation in sender.retired:
-        return False
-    return incarnation > sender.incarnation or now - sender.heard >= SILENCE_S
-
-
 def _mark(sender: _Sender, sequence: int) -> bool:
     if sequence > sender.highest:
         shift = min(sequence - sender.highest, _WINDOW)
