Follow the catalogue over its whole life and stop without cutting calls

Cause: a host could only fold the catalogue from offset 0, so expired records, a log that is down at the start and an edit with a lost answer had no handling. A stop closed the listener only at the end and refused calls from the moment of the signal.

On SIGTERM the host tells its peers, runs calls for drain_grace_s, takes the connections that wait in the listener, closes it, and closes a connection only when no request has begun on it.

--- /dev/null
+++ b/tests/catalogue/test_follower.py
@@ -0,0 +1,259 @@
+"""State machine test of the catalogue over its whole life."""
+
+import json
+import zlib
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from tests.catalogue import fakes
+from walnutport.catalogue import editor
+from walnutport.catalogue import follower
+from walnutport.catalogue import records
+from walnutport.catalogue import snapshot
+from walnutport import exceptions
+
+NAMES = st.sampled_from(['gold', 'iron'])
+BODIES = st.sampled_from(
+    ['', '{"class_id": "a"}', '{"class_id": "b", "weight": 2}', '{"x": 1}']
+)
+HOST = st.integers(0, 2)
+OPERATOR = st.integers(0, 1)
+
+
+class CatalogueMachine(stateful.RuleBasedStateMachine):
+    """Three hosts and two operators against a naive fold of all records.
+
+    Guards against hosts that fold differently, entries that go back to an
+    older version, and an edit that is reported other than the log decided.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.log = fakes.FakeLog()
+        self.hosts = [self.new_host() for _ in range(3)]
+        self.editors = [self.new_editor() for _ in range(2)]
+        self.versions: list[dict] = [{}, {}, {}]
+        self.pages: list = []
+        self.count = 0
+        self.reported: dict[str, bool] = {}
+
+    def new_host(self) -> follower.CatalogueFollower:
+        return follower.CatalogueFollower(lambda: None)
+
+    def new_editor(self) -> editor.CatalogueEditor:
+        return editor.CatalogueEditor(
+            self.log, fakes.StepClock(), 3.0, fakes.sleep
+        )
+
+    def next_change(self, name: str, expected: int, body: str):
+        self.count += 1
+        change_id = f'c{self.count}'
+        return fakes.change_record(change_id, name, expected, body)
+
+    @stateful.rule(
+        operator=OPERATOR,
+        name=NAMES,
+        body=BODIES,
+        stale=st.integers(0, 1),
+        other=st.booleans(),
+        lost=st.sampled_from(['', 'answer', 'record', 'down']),
+    )
+    def edit(self, operator, name, body, stale, other, lost) -> None:
+        """Edit; another operator may come between the read and append."""
+        version = self.truth()[0].get(('class', name), (0,))[0]
+        expected = max(0, version - stale)
+        change = self.next_change(name, expected, body)
+        if other:
+            rival = self.next_change(name, expected, '{"class_id": "r"}')
+            self.log.before_append = lambda: self.put_once(rival)
+        self.log.lose_answers = int(lost == 'answer')
+        self.log.lose_records = int(lost == 'record')
+        self.log.down = lost == 'down'
+        result = fakes.run(self.editors[operator].edit(change))
+        self.log.lose_answers = self.log.lose_records = 0
+        self.log.down = False
+        self.log.before_append = lambda: None
+        accepted = change.change_id in self.truth()[1]
+        if result.is_error():
+            assert isinstance(
+                result.error,
+                (exceptions.LogUnavailable, exceptions.AppendAmbiguous),
+            )
+            assert not accepted
+        else:
+            ended = result.ok
+            assert (ended.status is editor.EditStatus.ACCEPTED) == accepted
+            self.reported[change.change_id] = accepted
+
+    def put_once(self, rival: records.ChangeRecord) -> None:
+        self.log.before_append = lambda: None
+        self.log.put(records.encode_change(rival))
+
+    @stateful.precondition(lambda self: self.log.records)
+    @stateful.rule(index=st.integers(0, 20))
+    def append_again(self, index: int) -> None:
+        """A record that the network repeats."""
+        found = self.log.records[index % len(self.log.records)]
+        self.log.put(found.payload)
+
+    @stateful.rule(host=HOST, limit=st.integers(1, 6))
+    def read(self, host: int, limit: int) -> None:
+        page = self.log.page(self.hosts[host].start_offset(), limit)
+        self.pages.append((host, self.hosts[host], page))
+        self.hosts[host].apply(page, 0.0)
+
+    @stateful.rule(host=HOST, limit=st.integers(1, 6))
+    def read_slowly(self, host: int, limit: int) -> None:
+        """Read now and apply later, after other reads."""
+        page = self.log.page(self.hosts[host].start_offset(), limit)
+        self.pages.append((host, self.hosts[host], page))
+
+    @stateful.precondition(lambda self: self.pages)
+    @stateful.rule(index=st.integers(0, 9), repeat=st.booleans())
+    def apply_page(self, index: int, repeat: bool) -> None:
+        index %= len(self.pages)
+        host, reader, page = self.pages[index]
+        if not repeat:
+            del self.pages[index]
+        if reader is self.hosts[host]:
+            reader.apply(page, 0.0)
+
+    @stateful.rule(host=HOST)
+    def write_snapshot(self, host: int) -> None:
+        found = self.hosts[host].take_snapshot()
+        if found is not None:
+            self.log.put(snapshot.encode_snapshot(found))
+
+    @stateful.rule(count=st.integers(1, 8))
+    def expire(self, count: int) -> None:
+        self.log.first = min(self.log.first + count, len(self.log.records))
+
+    @stateful.rule(host=HOST)
+    def restart(self, host: int) -> None:
+        self.hosts[host] = self.new_host()
+        self.versions[host] = {}
+
+    @stateful.rule(operator=OPERATOR)
+    def restart_editor(self, operator: int) -> None:
+        self.editors[operator] = self.new_editor()
+
+    @stateful.rule(source=HOST, host=HOST)
+    def take_from_peer(self, source: int, host: int) -> None:
+        found = self.hosts[source].take_snapshot()
+        if found is not None:
+            payload = snapshot.encode_snapshot(found)
+            parts = snapshot.split_parts(payload)
+            self.hosts[host].adopt(
+                snapshot.decode_snapshot(snapshot.join_parts(parts)), 0
+            )
+
+    @stateful.rule(host=HOST)
+    def catches_up(self, host: int) -> None:
+        """A usable snapshot in the log is enough for any host."""
+        bases = [
+            snapshot.decode_snapshot(record.payload).base_offset
+            for record in self.log.records[self.log.first :]
+            if snapshot.is_snapshot(record.payload)
+        ]
+        reader = self.hosts[host]
+        reader.apply(self.log.page(reader.start_offset()), 0.0)
+        usable = self.log.first == 0 or any(
+            base >= self.log.first for base in bases
+        )
+        if usable and reader is not None:
+            fresh = self.new_host()
+            fresh.apply(self.log.page(0), 0.0)
+            assert fresh.synced
+            assert self.entries(fresh) == self.truth()[0]
+
+    def truth(self, end: int | None = None):
+        return fakes.naive_fold(self.log.records[:end])
+
+    def entries(self, host: follower.CatalogueFollower) -> dict:
+        return {
+            (str(entry.kind), entry.name): (
+                entry.version,
+                entry.change_id,
+                entry.body,
+            )
+            for entry in host.fold.entries()
+        }
+
+    @stateful.invariant()
+    def hosts_agree_with_the_log(self) -> None:
+        for index, host in enumerate(self.hosts):
+            entries = self.entries(host)
+            if host.synced and not host.has_gap:
+                assert entries == self.truth(host.offset)[0]
+            for key, (version, _, _) in entries.items():
+                assert version >= self.versions[index].get(key, 0)
+                self.versions[index][key] = version
+
+    @stateful.invariant()
+    def what_was_reported_stays(self) -> None:
+        accepted = self.truth()[1]
+        for change_id, was_accepted in self.reported.items():
+            assert (change_id in accepted) == was_accepted
+
+
+TestCatalogue = CatalogueMachine.TestCase
+TestCatalogue.settings = hypothesis.settings(
+    max_examples=80, stateful_step_count=40
+)
+
+
+@hypothesis.settings(max_examples=3_000)
+@hypothesis.given(
+    payload=st.binary(max_size=120)
+    | st.binary(max_size=80).map(lambda data: snapshot._MAGIC + data)
+    | st.binary(max_size=80).map(
+        lambda data: snapshot._MAGIC + zlib.compress(data)
+    )
+    | st.recursive(
+        st.none() | st.integers() | st.text(max_size=8),
+        lambda item: (
+            st.lists(item, max_size=3)
+            | st.dictionaries(
+                st.sampled_from(
+                    ['change_id', 'kind', 'name', 'expected_version', 'body']
+                )
+                | st.text(max_size=5),
+                item | st.sampled_from(['class', 'member', '{}', '[[']),
+                max_size=6,
+            )
+        ),
+        max_leaves=8,
+    ).map(lambda item: json.dumps(item).encode())
+)
+def test_foreign_records_are_passed_over(payload: bytes) -> None:
+    """Guards against a record of the stream that stops a host."""
+    log = fakes.FakeLog()
+    log.put(payload)
+    change = fakes.change_record('c1', 'gold', 0, '{"class_id": "gold"}')
+    log.put(records.encode_change(change))
+    host = follower.CatalogueFollower(lambda: None)
+    host.apply(log.page(0), 0.0)
+    assert host.synced
+    assert 'gold' in host.fold.view().classes_by_id
+
+
+def test_the_oldest_needed_record_moves_with_the_snapshot() -> None:
+    """Guards against needed records that expire without a snapshot."""
+    log = fakes.FakeLog()
+    host = follower.CatalogueFollower(lambda: None)
+    host.apply(log.page(0), 0.0)
+    assert host.oldest_needed_ms is None
+    change = fakes.change_record('c1', 'gold', 0, '{"class_id": "gold"}')
+    log.put(records.encode_change(change))
+    host.apply(log.page(0), 0.0)
+    assert host.oldest_needed_ms == 0
+    for _ in range(2):
+        found = host.take_snapshot()
+        assert found is not None
+        log.put(snapshot.encode_snapshot(found))
+        host.apply(log.page(0), 0.0)
+    assert host.oldest_needed_ms == 2
+    age = snapshot.rewrite_age_s('host-1', 2, 100.0)
+    assert 50.0 <= age <= 70.0
--- a/walnutport/service/callers.py
+++ b/walnutport/service/callers.py
@@ -53,7 +53,9 @@
     """Validates calls, runs them and writes their answers.
 
     :param view: returns the catalogue in force.
-    :param is_ready: returns whether the host takes new calls.
+    :param is_ready: returns what the balancer is told.
+    :param takes_calls: returns whether calls can be run, which holds for a
+        while after readiness went false.
     """
 
     app = klein.Klein()
@@ -63,16 +65,23 @@
         settings: config.CallerSettings,
         view: Callable[[], fold.CatalogueView],
         is_ready: Callable[[], bool],
+        takes_calls: Callable[[], bool],
         runner: pipeline.PipelineRunner,
         clock: interfaces.Clock,
     ) -> None:
         self._settings = settings
         self._view = view
         self._is_ready = is_ready
+        self._takes_calls = takes_calls
+        self._stopping = False
         self._runner = runner
         self._clock = clock
         self.in_flight_by_id: dict[str, defer.Deferred] = {}
 
+    def stop(self) -> None:
+        """Refuse calls from now on; those in flight go on."""
+        self._stopping = True
+
     @app.route('/healthz')
     def healthz(self, request) -> bytes:
         """Tell that the process runs."""
@@ -91,6 +100,10 @@
         """Run a request through the pipeline of an entry."""
         request_id = _request_id(request)
         request.setHeader('walnutport-request-id', request_id)
+        if not self._is_ready():
+            # The caller sends its next request to another host.
+            request.setHeader('connection', 'close')
+            request.channel.persistent = False
         try:
             call = self._validate(request, entry_id, request_id)
         except exceptions.RequestError as error:
@@ -119,7 +132,11 @@
             del self.in_flight_by_id[key]
 
     def _validate(self, request, entry_id: str, request_id: str) -> calls.Call:
-        if not self._is_ready():
+        if self._stopping:
+            raise exceptions.RequestError(
+                'host is stopping', 503, answers.Reason.STOPPING
+            )
+        if not self._takes_calls():
             raise exceptions.RequestError(
                 'host is not ready', 503, answers.Reason.HOST_NOT_READY
             )
--- /dev/null
+++ b/walnutport/service/coordination.py
@@ -0,0 +1,111 @@
+"""Owns what a host shares with its peers: messages, membership, state."""
+
+import contextlib
+import secrets
+
+from walnutport.adapters import http
+from walnutport.catalogue import follower
+from walnutport.config import settings as config
+from walnutport import interfaces
+from walnutport.peer import codec
+from walnutport.peer import messages
+from walnutport.peer import replay
+from walnutport.service import catalogue_keeper
+from walnutport.service import heartbeats
+from walnutport.service import log_reader
+from walnutport.service import peers
+from walnutport.service import target_watch
+from walnutport import world
+
+__all__ = ['Coordination']
+
+
+class Coordination:
+    """Peer network, heartbeats, target watch and catalogue keeper.
+
+    A context manager that owns the sockets between hosts.
+
+    :raises PeerError: if a key file is missing or too short.
+    """
+
+    def __init__(
+        self,
+        settings: config.HostSettings,
+        watch: target_watch.TargetWatch,
+        catalogue: follower.CatalogueFollower,
+        reader: log_reader.LogReader,
+        log: interfaces.LogService,
+        is_ready,
+        clock: interfaces.Clock,
+        reactor,
+    ) -> None:
+        origin = messages.PeerOrigin(
+            settings.host_id,
+            replay.new_incarnation(clock.wall(), secrets.randbits(16)),
+        )
+        keys = settings.peers.keys
+        self.watch = watch
+        self.network = peers.PeerNetwork(
+            world.Address(
+                settings.peers.listen.ip, settings.peers.listen.port
+            ),
+            origin,
+            codec.load_keyring(keys) if keys else None,
+            clock,
+            reactor,
+        )
+        self.heartbeats = heartbeats.Heartbeats(
+            settings,
+            self.network,
+            watch,
+            lambda: catalogue.offset,
+            is_ready,
+            clock,
+            reactor,
+        )
+        self.keeper = catalogue_keeper.CatalogueKeeper(
+            settings,
+            catalogue,
+            reader,
+            self.heartbeats.membership,
+            self.network,
+            clock,
+        )
+        self.writer = catalogue_keeper.SnapshotWriter(
+            settings, catalogue, log, clock
+        )
+        self._stack = contextlib.ExitStack()
+
+    def __enter__(self) -> 'Coordination':
+        self._stack.enter_context(self.network)
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._stack.close()
+
+    def list_read(self, page: interfaces.HostListPage) -> None:
+        """Take note of the platform's list."""
+        self.heartbeats.list_read(page)
+        self.watch.list_read(page.targets_by_id)
+
+    def advance(self) -> None:
+        """Do what is due a few times a second."""
+        self.watch.advance()
+        self.keeper.advance()
+        self.writer.advance()
+
+
+def new_target_watch(
+    router: interfaces.Router,
+    clock: interfaces.Clock,
+    reactor,
+    settings: config.PeerSettings,
+) -> target_watch.TargetWatch:
+    """Return a target watch with a client of its own."""
+    return target_watch.TargetWatch(
+        router,
+        http.HttpClient(reactor),
+        clock,
+        reactor,
+        settings.target_poll_s,
+    )
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -1,12 +1,12 @@
 """An entry host: owns every part and runs until it is drained."""
 
 import contextlib
+import dataclasses
 import logging
 
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import task
-from twisted.web import server
 
 from walnutport.adapters import host_list
 from walnutport.adapters import http
@@ -18,9 +18,12 @@
 from walnutport.cost import ledger
 from walnutport.service import attempts
 from walnutport.service import callers
+from walnutport.service import coordination
+from walnutport.service import drain
 from walnutport.service import log_reader
 from walnutport.service import pipeline
 from walnutport.service import policies as host_policies
+from walnutport.service import target_watch
 from walnutport import world
 
 __all__ = ['EntryHost']
@@ -29,6 +32,7 @@
 PREFIX = 'host:'
 
 _TICK_S = 0.05
+_COORDINATION_TICK_S = 0.25
 
 
 class EntryHost:
@@ -45,6 +49,15 @@
         self.stopping = False
         self._list_loaded = False
         self.policies = host_policies.build_policies(settings)
+        self._watch = coordination.new_target_watch(
+            self.policies.router, self._clock, reactor, settings.peers
+        )
+        self.policies = dataclasses.replace(
+            self.policies,
+            router=target_watch.ObservingRouter(
+                self.policies.router, self._watch.load_heard
+            ),
+        )
         self.cost = ledger.CostLedger()
         platform = settings.platform
         self._platform_client = http.HttpClient(reactor)
@@ -68,6 +81,16 @@
             reactor,
             platform.poll_wait_s,
         )
+        self.coordination = coordination.Coordination(
+            settings,
+            self._watch,
+            self.catalogue,
+            self.log_reader,
+            self._log,
+            self.is_ready,
+            self._clock,
+            reactor,
+        )
         stage_client = stage.StageClient(
             http.HttpClient(reactor),
             http.HttpClient(reactor, persistent=False),
@@ -83,64 +106,96 @@
             settings.callers,
             lambda: self.catalogue.fold.view(),
             self.is_ready,
+            self.takes_calls,
             self.runner,
             self._clock,
         )
+        self._caller_connections = drain.tracked_site(
+            self.callers.app.resource()
+        )
+        self._caller_port = None
+
+    def takes_calls(self) -> bool:
+        """Return whether the host can run calls, even if it is stopping."""
+        return self.catalogue.synced and self._list_loaded
 
     def is_ready(self) -> bool:
-        """Return whether the host takes new calls."""
-        return (
-            not self.stopping and self.catalogue.synced and self._list_loaded
-        )
+        """Return whether the balancer should send new calls."""
+        return not self.stopping and self.takes_calls()
 
     async def start(self) -> None:
         """Open the listeners and start to follow the platform."""
+        self._stack.enter_context(self.coordination)
         self._stack.enter_context(self.log_reader)
         self._start_loop(
             self._read_list, self.settings.platform.host_list_poll_s
         )
+        self._start_loop(
+            self.coordination.heartbeats.advance,
+            self.settings.peers.heartbeat_s,
+        )
+        self._start_loop(self.coordination.advance, _COORDINATION_TICK_S)
         self._start_loop(self.runner.advance, _TICK_S)
-        await self._listen(
-            self.settings.callers.listen, self.callers.app.resource()
+        self._caller_port = await self._listen(
+            self.settings.callers.listen, self._caller_connections
         )
         LOG.info('%s started as %s', PREFIX, self.settings.host_id)
 
     async def drain(self) -> bool:
         """Stop taking calls and wait for those in flight.
 
+        Calls that arrive before the listener is closed are run; those that
+        arrive later, on connections still open, are refused as not run.
+
         :returns: whether every call in flight was finished.
         """
         self.stopping = True
         LOG.info('%s draining', PREFIX)
-        deadline = (
-            self._clock.monotonic() + self.settings.callers.drain_limit_s
-        )
-        while self.callers.in_flight_by_id:
-            if self._clock.monotonic() > deadline:
-                LOG.error(
-                    '%s drain limit reached with %d calls in flight',
-                    PREFIX,
-                    len(self.callers.in_flight_by_id),
-                )
-                return False
-            await task.deferLater(self._reactor, _TICK_S)
+        limits = self.settings.callers
+        deadline = self._clock.monotonic() + limits.drain_limit_s
+        self.coordination.heartbeats.leave()
+        await task.deferLater(
+            self._reactor, min(limits.drain_grace_s, limits.drain_limit_s)
+        )
+        if self._caller_port is not None:
+            await drain.stop_listening(self._caller_port)
+        self.callers.stop()
+        drained = await drain.close_quiet_connections(
+            self._caller_connections, deadline, self._reactor
+        )
+        if not drained:
+            LOG.error(
+                '%s drain limit reached: %d calls in flight, %d connections',
+                PREFIX,
+                len(self.callers.in_flight_by_id),
+                len(self._caller_connections.protocols),
+            )
+            return False
         self._stack.close()
         LOG.info('%s drained', PREFIX)
         return True
 
-    async def _listen(self, listen: config.ListenAddress, resource) -> None:
+    async def _listen(self, listen: config.ListenAddress, factory):
         endpoint = endpoints.TCP4ServerEndpoint(
             self._reactor, listen.port, interface=listen.ip
         )
-        port = await endpoint.listen(server.Site(resource))
+        port = await endpoint.listen(factory)
         self._stack.callback(port.stopListening)
+        return port
 
     def _start_loop(self, function, interval_s: float) -> None:
-        loop = task.LoopingCall(function)
+        def run_once() -> defer.Deferred:
+            # A failure must not end the loop: without heartbeats, for one,
+            # the peers would take this host for dead.
+            return defer.maybeDeferred(function).addErrback(
+                lambda failure: LOG.error(
+                    '%s loop: %s', PREFIX, failure.getTraceback()
+                )
+            )
+
+        loop = task.LoopingCall(run_once)
         loop.clock = self._reactor
-        loop.start(interval_s).addErrback(
-            lambda failure: LOG.error('%s loop failed: %s', PREFIX, failure)
-        )
+        loop.start(interval_s)
         self._stack.callback(loop.stop)
 
     def _read_list(self) -> defer.Deferred[None]:
@@ -151,9 +206,7 @@
         if result.is_error():
             LOG.warning('%s host list: %s', PREFIX, result.error)
             return
-        self.policies.router.targets_changed(
-            result.ok.targets_by_id, self._clock.monotonic()
-        )
+        self.coordination.list_read(result.ok)
         self._list_loaded = True
 
 
--- a/walnutport/service/log_reader.py
+++ b/walnutport/service/log_reader.py
@@ -42,6 +42,7 @@
         self._loop: defer.Deferred[None] | None = None
         self.last_success: float | None = None
         self.available = False
+        self.failures = 0
 
     def __enter__(self) -> 'LogReader':
         self._loop = defer.Deferred.fromCoroutine(self._run())
@@ -71,6 +72,7 @@
             if self.available or self.last_success is None:
                 LOG.warning('%s read failed: %s', PREFIX, result.error)
             self.available = False
+            self.failures += 1
             return False
         now = self._clock.monotonic()
         if not self.available:
--- a/walnutport/service/peers.py
+++ b/walnutport/service/peers.py
@@ -31,6 +31,8 @@
     are more than ``_MAX_SOCKETS``.
 
     :param origin: this host and its incarnation.
+    :param keyring: None opens no listener and sends nothing, as messages
+        that no key protects must not be trusted.
     :param live_peers: returns the ids of the hosts a broadcast goes to.
     """
 
@@ -38,7 +40,7 @@
         self,
         listen: world.Address,
         origin: messages.PeerOrigin,
-        keyring: codec.Keyring,
+        keyring: codec.Keyring | None,
         clock: interfaces.Clock,
         reactor,
         live_peers: Callable[[], Iterable[str]] = tuple,
@@ -46,7 +48,7 @@
         self.origin = origin
         self.live_peers = live_peers
         self.counts: collections.Counter[str] = collections.Counter()
-        self._codec = codec.Codec(keyring)
+        self._codec = codec.Codec(keyring) if keyring else None
         self._clock = clock
         self._guard = replay.ReplayGuard()
         self._pull = peer_socket.PullSocket(listen, self.receive, reactor)
@@ -60,7 +62,10 @@
         self._sequence = 0
 
     def __enter__(self) -> 'PeerNetwork':
-        self._pull.__enter__()
+        if self._codec is None:
+            LOG.warning('%s no peers.keys: messages to hosts are off', PREFIX)
+        else:
+            self._pull.__enter__()
         return self
 
     def __exit__(self, *exc_info: object) -> None:
@@ -116,6 +121,8 @@
         """Hand a frame to the subscribers, or count and drop it."""
         self.counts['received'] += 1
         self.counts['received_bytes'] += len(frame)
+        if self._codec is None:
+            return
         try:
             received = self._codec.decode(frame)
         except exceptions.CodecError:
@@ -144,6 +151,8 @@
                 LOG.exception('%s handler failed', PREFIX)
 
     def _frame(self, message: messages.PeerMessage) -> bytes | None:
+        if self._codec is None:
+            return None
         self._sequence += 1
         try:
             return self._codec.encode(self.origin, self._sequence, message)
