Add the operators' commands and greet new peers at once

Cause: operators had no command to read or edit the catalogue.

Change: 'walnutport catalogue' and 'walnutport check'; a host sends a full heartbeat with its address as soon as it learns of a new peer.

--- a/walnutport/cli/main.py
+++ b/walnutport/cli/main.py
@@ -13,6 +13,8 @@
 
 COMMANDS = {
     'host': 'run an entry host',
+    'catalogue': 'read and edit the catalogue',
+    'check': 'check settings and catalogue files',
 }
 
 _USAGE = 'usage: walnutport COMMAND [flags]\n\ncommands:\n'
--- a/walnutport/service/catalogue_keeper.py
+++ b/walnutport/service/catalogue_keeper.py
@@ -43,9 +43,11 @@
         self,
         settings: config.HostSettings,
         catalogue: follower.CatalogueFollower,
+        reader: log_reader.LogReader,
         log: interfaces.LogService,
         clock: interfaces.Clock,
     ) -> None:
+        self._reader = reader
         self._host_id = settings.host_id
         self._retention_s = settings.platform.retention_s
         self._catalogue = catalogue
@@ -58,7 +60,9 @@
         """Write a snapshot if it is the turn of this host."""
         now = self._clock.monotonic()
         oldest_ms = self._catalogue.oldest_needed_ms
-        if oldest_ms is None or now < self._next_try:
+        if not self._reader.available or now < self._next_try:
+            return
+        if oldest_ms is None:
             return
         age_s = self._clock.wall() - oldest_ms / 1000
         if age_s < snapshot.rewrite_age_s(
--- a/walnutport/service/coordination.py
+++ b/walnutport/service/coordination.py
@@ -72,7 +72,7 @@
             clock,
         )
         self.writer = catalogue_keeper.SnapshotWriter(
-            settings, catalogue, log, clock
+            settings, catalogue, reader, log, clock
         )
         self._stack = contextlib.ExitStack()
 
--- a/walnutport/service/heartbeats.py
+++ b/walnutport/service/heartbeats.py
@@ -89,8 +89,11 @@
 
     def list_read(self, page: interfaces.HostListPage) -> None:
         """Take note of the list."""
+        known = self.membership.peers()
         self.membership.list_read(page.hosts_by_id, self._clock.monotonic())
         self._update_addresses()
+        if set(self.membership.peers()) - set(known):
+            self._greet()
 
     def leave(self) -> None:
         """Tell the peers at once that this host is leaving."""
@@ -122,6 +125,11 @@
         for message in self._messages(full):
             self._network.send_to_addresses(self._destinations(), message)
 
+    def _greet(self) -> None:
+        """Tell new peers all they need, without waiting for the second."""
+        self._full_next = True
+        self.beat_early()
+
     def _beat_early(self) -> None:
         self._early = None
         self.beat()
@@ -194,8 +202,8 @@
         known = self.membership.known_count()
         if self.membership.heartbeat(origin, message, now):
             LOG.info('%s first heartbeat of %s', PREFIX, origin.host_id)
-            self._full_next = True
             self._heard_by_host.pop(origin.host_id, None)
+            self._greet()
         if message.address or known != self.membership.known_count():
             self._update_addresses()
         self._watch.words_heard(message.leaving_targets)
--- a/walnutport/service/log_reader.py
+++ b/walnutport/service/log_reader.py
@@ -69,7 +69,7 @@
         wait_s = self._poll_wait_s if self.available else 0.0
         result = await self._log.read(offsets, wait_s)
         if result.is_error():
-            if self.available or self.last_success is None:
+            if self.available or self.failures == 0:
                 LOG.warning('%s read failed: %s', PREFIX, result.error)
             self.available = False
             self.failures += 1
--- a/walnutport/service/target_watch.py
+++ b/walnutport/service/target_watch.py
@@ -143,6 +143,8 @@
         leaving = frozenset(self._listed) - frozenset(usable)
         for target_id in sorted(leaving - self._leaving):
             LOG.info('%s %s is leaving', PREFIX, target_id)
+        for target_id in sorted(self._leaving & frozenset(usable)):
+            LOG.info('%s %s is usable again', PREFIX, target_id)
         is_news = bool(leaving - self._leaving)
         self._leaving = leaving
         self._router.targets_changed(usable, now)
