--- a/tests/catalogue/test_follower.py
+++ b/tests/catalogue/test_follower.py
@@ -204,13 +204,19 @@
 )
 
 
+def signed_snapshot(body: bytes) -> bytes:
+    """Return a snapshot record with a valid digest around any body."""
+    return b'%b0 %b\n%b' % (snapshot._MAGIC, snapshot._digest(body), body)
+
+
 @hypothesis.settings(max_examples=3_000)
 @hypothesis.given(
     payload=st.binary(max_size=120)
     | st.binary(max_size=80).map(lambda data: snapshot._MAGIC + data)
     | st.binary(max_size=80).map(
-        lambda data: snapshot._MAGIC + zlib.compress(data)
+        lambda data: signed_snapshot(zlib.compress(data))
     )
+    | st.binary(max_size=80).map(lambda data: signed_snapshot(data))
     | st.recursive(
         st.none() | st.integers() | st.text(max_size=8),
         lambda item: (
@@ -237,6 +243,11 @@
     host.apply(log.page(0), 0.0)
     assert host.synced
     assert 'gold' in host.fold.view().classes_by_id
+    if snapshot.is_snapshot(payload):
+        try:
+            snapshot.decode_snapshot(payload)
+        except exceptions.CodecError:
+            pass
 
 
 def test_the_oldest_needed_record_moves_with_the_snapshot() -> None:
--- a/walnutport/catalogue/follower.py
+++ b/walnutport/catalogue/follower.py
@@ -164,23 +164,23 @@
         return result.accepted
 
     def _take_snapshot(self, record: interfaces.LogRecord) -> bool:
+        changed = False
         try:
-            found = snapshot.decode_snapshot(record.payload)
+            base_offset = snapshot.decode_base(record.payload)
+            if base_offset > record.offset:
+                raise exceptions.CodecError('base is ahead of the record')
+            if self._held is not None:
+                if base_offset < self._held_from:
+                    return False
+                found = snapshot.decode_snapshot(record.payload)
+                changed = self._close_gap(found)
         except exceptions.CodecError as error:
             LOG.warning('%s record %d: %s', PREFIX, record.offset, error)
             return False
-        if found.base_offset > record.offset:
-            LOG.warning('%s record %d: base ahead', PREFIX, record.offset)
-            return False
-        changed = False
-        if self._held is not None:
-            if found.base_offset < self._held_from:
-                return False
-            changed = self._close_gap(found)
-        if found.base_offset >= self._snapshot_base:
-            self._snapshot_base = found.base_offset
+        if base_offset >= self._snapshot_base:
+            self._snapshot_base = base_offset
             self._needed_since_ms = record.time_ms
-            while self._needed and self._needed[0][0] < found.base_offset:
+            while self._needed and self._needed[0][0] < base_offset:
                 self._needed.popleft()
         return changed
 
--- a/walnutport/catalogue/snapshot.py
+++ b/walnutport/catalogue/snapshot.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     'Snapshot',
+    'decode_base',
     'decode_snapshot',
     'encode_snapshot',
     'is_snapshot',
@@ -29,6 +30,8 @@
 _MAGIC = b'walnutport-snapshot-1\n'
 _MAX_BYTES = 64 * 1024 * 1024
 _PART_BYTES = 48 * 1024
+_MAX_DIGITS = 18
+_LEVEL = 6
 _REWRITE_SHARE = 0.5
 _SPREAD_SHARE = 0.2
 
@@ -47,8 +50,26 @@
 
 
 def encode_snapshot(snapshot: Snapshot) -> bytes:
-    """Encode a snapshot for the log or for a peer."""
-    return _MAGIC + zlib.compress(msgspec.json.encode(snapshot))
+    """Encode a snapshot for the log or for a peer.
+
+    The base offset and a digest stand before the compressed entries, so that
+    a host that needs only the base does not decode thousands of entries.
+    """
+    body = zlib.compress(msgspec.json.encode(snapshot.entries), _LEVEL)
+    return b'%b%d %b\n%b' % (
+        _MAGIC,
+        snapshot.base_offset,
+        _digest(body),
+        body,
+    )
+
+
+def decode_base(payload: bytes) -> int:
+    """Return the base offset of a snapshot that arrived undamaged.
+
+    :raises CodecError: if the payload is not a snapshot.
+    """
+    return _split_head(payload)[0]
 
 
 def decode_snapshot(payload: bytes) -> Snapshot:
@@ -56,14 +77,13 @@
 
     :raises CodecError: if the payload is not a snapshot that can be used.
     """
-    if not is_snapshot(payload):
-        raise exceptions.CodecError('not a snapshot')
+    base_offset, body = _split_head(payload)
     unpacker = zlib.decompressobj()
     try:
-        text = unpacker.decompress(payload[len(_MAGIC) :], _MAX_BYTES)
+        text = unpacker.decompress(body, _MAX_BYTES)
         if not unpacker.eof:
             raise exceptions.CodecError('snapshot is cut off or too large')
-        snapshot = msgspec.json.decode(text, type=Snapshot)
+        entries = msgspec.json.decode(text, type=tuple[fold.Entry, ...])
     except (
         zlib.error,
         msgspec.MsgspecError,
@@ -71,8 +91,9 @@
         RecursionError,
     ) as error:
         raise exceptions.CodecError(f'snapshot: {error}') from None
-    _check(snapshot)
-    return snapshot
+    found = Snapshot(base_offset, entries)
+    _check(found)
+    return found
 
 
 def split_parts(payload: bytes) -> tuple[bytes, ...]:
@@ -103,9 +124,25 @@
     return retention_s * (_REWRITE_SHARE + _SPREAD_SHARE * turn)
 
 
+def _split_head(payload: bytes) -> tuple[int, bytes]:
+    if not is_snapshot(payload):
+        raise exceptions.CodecError('not a snapshot')
+    head, _, body = payload[len(_MAGIC) :].partition(b'\n')
+    base, _, digest = head.partition(b' ')
+    if not base.isdigit() or len(base) > _MAX_DIGITS:
+        raise exceptions.CodecError('snapshot without a base offset')
+    if digest != _digest(body):
+        raise exceptions.CodecError('snapshot is damaged')
+    return int(base), body
+
+
+def _digest(body: bytes) -> bytes:
+    return hashlib.blake2b(body, digest_size=16).hexdigest().encode()
+
+
 def _check(snapshot: Snapshot) -> None:
     keys = {(entry.kind, entry.name) for entry in snapshot.entries}
-    if len(keys) != len(snapshot.entries) or snapshot.base_offset < 0:
+    if len(keys) != len(snapshot.entries):
         raise exceptions.CodecError('snapshot is inconsistent')
     for entry in snapshot.entries:
         if entry.version <= 0:
