--- /dev/null
+++ b/walnutport/catalogue/snapshot.py
@@ -0,0 +1,156 @@
+"""Snapshots of the catalogue: all entries up to a base offset.
+
+A snapshot is a record of the catalogue stream and also what a host sends to
+a peer that cannot read the log. It holds tombstones too, so that a merge
+never brings back a deleted entry.
+"""
+
+from collections.abc import Sequence
+import dataclasses
+import hashlib
+import zlib
+
+import msgspec
+
+from walnutport.catalogue import fold
+from walnutport.catalogue import records
+from walnutport import exceptions
+
+__all__ = [
+    'Snapshot',
+    'decode_base',
+    'decode_snapshot',
+    'encode_snapshot',
+    'is_snapshot',
+    'join_parts',
+    'rewrite_age_s',
+    'split_parts',
+]
+
+_MAGIC = b'walnutport-snapshot-1\n'
+_MAX_BYTES = 64 * 1024 * 1024
+_PART_BYTES = 48 * 1024
+_MAX_DIGITS = 18
+_LEVEL = 6
+_REWRITE_SHARE = 0.5
+_SPREAD_SHARE = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Entries and tombstones after every record below ``base_offset``."""
+
+    base_offset: int
+    entries: tuple[fold.Entry, ...]
+
+
+def is_snapshot(payload: bytes) -> bool:
+    """Return whether a record of the stream is a snapshot."""
+    return payload.startswith(_MAGIC)
+
+
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    """Encode a snapshot for the log or for a peer.
+
+    The base offset and a digest stand before the compressed entries, so that
+    a host that needs only the base does not decode thousands of entries.
+    """
+    body = zlib.compress(msgspec.json.encode(snapshot.entries), _LEVEL)
+    return b'%b%d %b\n%b' % (
+        _MAGIC,
+        snapshot.base_offset,
+        _digest(body),
+        body,
+    )
+
+
+def decode_base(payload: bytes) -> int:
+    """Return the base offset of a snapshot that arrived undamaged.
+
+    :raises CodecError: if the payload is not a snapshot.
+    """
+    return _split_head(payload)[0]
+
+
+def decode_snapshot(payload: bytes) -> Snapshot:
+    """Decode a snapshot and check every entry.
+
+    :raises CodecError: if the payload is not a snapshot that can be used.
+    """
+    base_offset, body = _split_head(payload)
+    unpacker = zlib.decompressobj()
+    try:
+        text = unpacker.decompress(body, _MAX_BYTES)
+        if not unpacker.eof:
+            raise exceptions.CodecError('snapshot is cut off or too large')
+        entries = msgspec.json.decode(text, type=tuple[fold.Entry, ...])
+    except (
+        zlib.error,
+        msgspec.MsgspecError,
+        ValueError,
+        RecursionError,
+    ) as error:
+        raise exceptions.CodecError(f'snapshot: {error}') from None
+    found = Snapshot(base_offset, entries)
+    _check(found)
+    return found
+
+
+def split_parts(payload: bytes) -> tuple[bytes, ...]:
+    """Cut a snapshot into parts that fit into a message each."""
+    return tuple(
+        payload[start : start + _PART_BYTES]
+        for start in range(0, len(payload), _PART_BYTES)
+    )
+
+
+def join_parts(parts: Sequence[bytes]) -> bytes:
+    """Undo ``split_parts``."""
+    return b''.join(parts)
+
+
+def rewrite_age_s(host_id: str, oldest_ms: int, retention_s: float) -> float:
+    """Return the age of the oldest needed record to write a snapshot at.
+
+    The ages of the hosts are spread, so that the first one writes and the
+    others read its snapshot before their turn comes.
+
+    :param oldest_ms: time of that record, which changes the order of turns.
+    """
+    digest = hashlib.blake2b(
+        f'{host_id}/{oldest_ms}'.encode(), digest_size=4
+    ).digest()
+    turn = int.from_bytes(digest, 'big') / (1 << 32)
+    return retention_s * (_REWRITE_SHARE + _SPREAD_SHARE * turn)
+
+
+def _split_head(payload: bytes) -> tuple[int, bytes]:
+    if not is_snapshot(payload):
+        raise exceptions.CodecError('not a snapshot')
+    head, _, body = payload[len(_MAGIC) :].partition(b'\n')
+    base, _, digest = head.partition(b' ')
+    if not base.isdigit() or len(base) > _MAX_DIGITS:
+        raise exceptions.CodecError('snapshot without a base offset')
+    if digest != _digest(body):
+        raise exceptions.CodecError('snapshot is damaged')
+    return int(base), body
+
+
+def _digest(body: bytes) -> bytes:
+    return hashlib.blake2b(body, digest_size=16).hexdigest().encode()
+
+
+def _check(snapshot: Snapshot) -> None:
+    keys = {(entry.kind, entry.name) for entry in snapshot.entries}
+    if len(keys) != len(snapshot.entries):
+        raise exceptions.CodecError('snapshot is inconsistent')
+    for entry in snapshot.entries:
+        if entry.version <= 0:
+            raise exceptions.CodecError(f'version of {entry.name!r}')
+        if not entry.is_tombstone:
+            try:
+                records.parse_definition(entry.kind, entry.body)
+            except exceptions.CatalogueError as error:
+                raise exceptions.CodecError(
+                    f'entry {entry.name!r}: {error}'
+                ) from None
--- a/walnutport/cli/main.py
+++ b/walnutport/cli/main.py
@@ -15,6 +15,8 @@
     'host': 'run an entry host',
     'status': "show a host's own view",
     'report': 'report latency and cost over hosts',
+    'catalogue': 'read and edit the catalogue',
+    'check': 'check settings and catalogue files',
 }
 
 _USAGE = 'usage: walnutport COMMAND [flags]\n\ncommands:\n'
--- a/walnutport/service/log_reader.py
+++ b/walnutport/service/log_reader.py
@@ -42,6 +42,7 @@
         self._loop: defer.Deferred[None] | None = None
         self.last_success: float | None = None
         self.available = False
+        self.failures = 0
 
     def __enter__(self) -> 'LogReader':
         self._loop = defer.Deferred.fromCoroutine(self._run())
@@ -68,9 +69,10 @@
         wait_s = self._poll_wait_s if self.available else 0.0
         result = await self._log.read(offsets, wait_s)
         if result.is_error():
-            if self.available or self.last_success is None:
+            if self.available or self.failures == 0:
                 LOG.warning('%s read failed: %s', PREFIX, result.error)
             self.available = False
+            self.failures += 1
             return False
         now = self._clock.monotonic()
         if not self.available:
