--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -218,9 +218,15 @@
         )
 
     def wait_ready(self, host_id: str) -> float:
-        """Wait until a host takes calls and return the time in seconds."""
+        """Wait until a host takes calls and return the time in seconds.
+
+        :raises TimeoutError: with what the host printed.
+        """
         address = self.caller_addresses_by_host[host_id]
-        return processes.wait_http(f'http://{address}/readyz')
+        try:
+            return processes.wait_http(f'http://{address}/readyz')
+        except TimeoutError as error:
+            raise TimeoutError(f'{error}\n{self.output(host_id)}') from None
 
     def start_target(self, target_id: str) -> None:
         """Start a target, or start it again at its address."""
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -7,6 +7,7 @@
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import task
+from twisted.web import server
 
 from walnutport.adapters import host_list
 from walnutport.adapters import http
@@ -179,7 +180,8 @@
             self.settings.callers.listen, self._caller_connections
         )
         await self._listen(
-            self.settings.control.listen, self.operators.app.resource()
+            self.settings.control.listen,
+            server.Site(self.operators.app.resource()),
         )
         LOG.info('%s started as %s', PREFIX, self.settings.host_id)
 
