--- a/bench/probes.py
+++ b/bench/probes.py
@@ -1,7 +1,6 @@
 """Single measurements of the bench that are no load scenario."""
 
 from collections.abc import Callable
-import http.client
 import itertools
 import json
 import statistics
@@ -10,6 +9,7 @@
 import msgspec
 
 from standins import caller
+from standins import client
 from standins import fleet
 from standins import ledger
 from standins import processes
@@ -63,7 +63,7 @@
             running.publish([_change(version, body)])
             offset = len(fleet.example_catalogue()) + version
             for address in running.control_addresses_by_host.values():
-                while _status(address)['catalogue_offset'] < offset:
+                while _offset(address) < offset:
                     time.sleep(0.005)
             worst_ms = max(worst_ms, (time.monotonic() - started) * 1000)
     return {'catalogue_in_force_ms_max': round(worst_ms, 1)}
@@ -234,10 +234,8 @@
     }
 
 
-def _status(address: str) -> dict:
-    return msgspec.json.decode(
-        processes.http_json(f'http://{address}/v1/status')
-    )
+def _offset(address: str) -> int:
+    return client.get_json(address, '/v1/status')['catalogue_offset']
 
 
 def _timed(action: Callable[[], object]) -> float:
@@ -249,29 +247,8 @@
 def _call_direct(direct, body: dict) -> None:
     data: object = body
     for listed, stage in direct:
-        reply = _exchange(
-            f'{listed.ip}:{listed.port}',
-            '/v1/run',
-            {'stage': stage, 'input': data},
-            {},
-        )
-        data = reply['output']
-
-
-def _post(address: str, body: dict) -> dict:
-    token = fleet.TOKENS_BY_MEMBER['north']
-    return _exchange(
-        address,
-        '/v1/entries/summaries',
-        body,
-        {'authorization': f'Bearer {token}'},
-    )
+        data = client.run_stage(f'{listed.ip}:{listed.port}', stage, data)
 
 
-def _exchange(address: str, path: str, body: object, headers: dict) -> dict:
-    connection = http.client.HTTPConnection(address, timeout=10)
-    try:
-        connection.request('POST', path, msgspec.json.encode(body), headers)
-        return msgspec.json.decode(connection.getresponse().read())
-    finally:
-        connection.close()
+def _post(address: str, body: dict) -> None:
+    client.post_entry(address, fleet.TOKENS_BY_MEMBER['north'], body)
