Keep a leaving target latched when its reports arrive swapped

The strengthened machine for targets then found a fault: a host that resumes after a pause may read the report of an old incarnation after that of its successor; it then retired the true incarnation for good and forgot that this one was leaving.

The machines have fewer hosts and rules for the orders that matter; repeated edits and states of a peer that is behind have tests of their own.

--- a/tests/catalogue/test_follower.py
+++ b/tests/catalogue/test_follower.py
@@ -16,14 +16,14 @@
 
 NAMES = st.sampled_from(['gold', 'iron'])
 BODIES = st.sampled_from(
-    ['', '{"class_id": "a"}', '{"class_id": "b", "weight": 2}', '{"x": 1}']
+    ['{"class_id": "a"}', '{"class_id": "b"}', '', '{"x": 1}']
 )
-HOST = st.integers(0, 2)
+HOST = st.integers(0, 1)
 OPERATOR = st.integers(0, 1)
 
 
 class CatalogueMachine(stateful.RuleBasedStateMachine):
-    """Three hosts and two operators against a naive fold of all records.
+    """Two hosts and two operators against a naive fold of all records.
 
     Guards against hosts that fold differently, entries that go back to an
     older version, and an edit that is reported other than the log decided.
@@ -32,12 +32,13 @@
     def __init__(self) -> None:
         super().__init__()
         self.log = fakes.FakeLog()
-        self.hosts = [self.new_host() for _ in range(3)]
+        self.hosts = [self.new_host() for _ in range(2)]
         self.editors = [self.new_editor() for _ in range(2)]
-        self.versions: list[dict] = [{}, {}, {}]
+        self.versions: list[dict] = [{}, {}]
         self.pages: list = []
         self.count = 0
         self.reported: dict[str, bool] = {}
+        self.changes: list[records.ChangeRecord] = []
 
     def new_host(self) -> follower.CatalogueFollower:
         return follower.CatalogueFollower(lambda: None)
@@ -65,6 +66,7 @@
         version = self.truth()[0].get(('class', name), (0,))[0]
         expected = max(0, version - stale)
         change = self.next_change(name, expected, body)
+        self.changes.append(change)
         if other:
             rival = self.next_change(name, expected, '{"class_id": "r"}')
             self.log.before_append = lambda: self.put_once(rival)
@@ -91,6 +93,20 @@
         self.log.before_append = lambda: None
         self.log.put(records.encode_change(rival))
 
+    @stateful.precondition(lambda self: self.changes)
+    @stateful.rule(operator=OPERATOR, index=st.integers(0, 20))
+    def repeat_edit(self, operator: int, index: int) -> None:
+        """An operator repeats a command that may have taken effect."""
+        change = self.changes[index % len(self.changes)]
+        if self.log.first > 0:
+            # What an expired record did is known of the newest edit only.
+            return
+        result = fakes.run(self.editors[operator].edit(change))
+        assert result.is_ok()
+        accepted = change.change_id in self.truth()[1]
+        assert (result.ok.status is editor.EditStatus.ACCEPTED) == accepted
+        self.reported[change.change_id] = accepted
+
     @stateful.precondition(lambda self: self.log.records)
     @stateful.rule(index=st.integers(0, 20))
     def append_again(self, index: int) -> None:
@@ -130,6 +146,41 @@
     def expire(self, count: int) -> None:
         self.log.first = min(self.log.first + count, len(self.log.records))
 
+    @stateful.rule(
+        host=HOST, behind=st.integers(1, 3), kept=st.integers(-3, 1)
+    )
+    def snapshot_of_a_host_that_lags(self, host, behind, kept) -> None:
+        """Changes come between the base of a snapshot and its record.
+
+        Then expire up to near the base and start a host with nothing else.
+        """
+        found = self.hosts[host].take_snapshot()
+        if found is None:
+            return
+        for turn in range(behind):
+            version = self.truth()[0].get(('class', 'gold'), (0,))[0]
+            body = f'{{"class_id": "lag{turn}"}}'
+            change = self.next_change('gold', version, body)
+            self.log.put(records.encode_change(change))
+        self.log.put(snapshot.encode_snapshot(found))
+        end = len(self.log.records)
+        first = min(end - 1, found.base_offset + 1 - kept)
+        self.log.first = max(self.log.first, first)
+        fresh = self.new_host()
+        fresh.apply(self.log.page(0), 0.0)
+        if fresh.synced:
+            assert self.entries(fresh) == self.truth(fresh.offset)[0]
+
+    @stateful.rule(host=HOST)
+    def old_page_comes_last(self, host: int) -> None:
+        """A page that was read first is applied after a later one."""
+        reader = self.hosts[host]
+        old = self.log.page(reader.start_offset(), 1)
+        reader.apply(self.log.page(reader.start_offset()), 0.0)
+        after = (reader.start_offset(), reader.offset)
+        reader.apply(old, 0.0)
+        assert (reader.start_offset(), reader.offset) == after
+
     @stateful.rule(host=HOST)
     def restart(self, host: int) -> None:
         self.hosts[host] = self.new_host()
@@ -200,7 +251,7 @@
 
 TestCatalogue = CatalogueMachine.TestCase
 TestCatalogue.settings = hypothesis.settings(
-    max_examples=80, stateful_step_count=40
+    max_examples=100, stateful_step_count=40
 )
 
 
@@ -268,3 +319,19 @@
     assert host.oldest_needed_ms == 2
     age = snapshot.rewrite_age_s('host-1', 2, 100.0)
     assert 50.0 <= age <= 70.0
+
+
+def test_the_state_of_a_peer_that_is_behind_leaves_the_gap() -> None:
+    """Guards against a gap closed by a state from before it."""
+    log = fakes.FakeLog()
+    behind, host = (follower.CatalogueFollower(lambda: None) for _ in '12')
+    behind.apply(log.page(0), 0.0)
+    for number in range(3):
+        change = fakes.change_record(f'c{number}', 'gold', number, '')
+        log.put(records.encode_change(change))
+    log.first = 2
+    host.apply(log.page(0), 0.0)
+    old = behind.take_snapshot()
+    assert old is not None
+    assert not host.adopt(old, 0)
+    assert host.has_gap and not host.synced
--- a/tests/membership/test_hosts.py
+++ b/tests/membership/test_hosts.py
@@ -8,7 +8,8 @@
 from walnutport.peer import messages
 from walnutport import world
 
-PEERS = ('host-2', 'host-3')
+# One peer: with several, orders of events that matter are rarely drawn.
+PEERS = ('host-2',)
 ME = 'host-1'
 
 
@@ -49,7 +50,7 @@
         self.sent.append((origin, message))
 
     @stateful.precondition(lambda self: self.sent)
-    @stateful.rule(index=st.integers(0, 5), repeat=st.booleans())
+    @stateful.rule(index=st.integers(0, 2), repeat=st.booleans())
     def deliver(self, index: int, repeat: bool) -> None:
         """Deliver in any order, perhaps again, perhaps never."""
         index %= len(self.sent)
@@ -108,6 +109,24 @@
             return hosts.HostState.DEAD
         return hosts.HostState.SUSPECT
 
+    @stateful.rule(host_id=st.sampled_from(PEERS))
+    def leave_and_be_overtaken(self, host_id: str) -> None:
+        """A heartbeat from before the signal arrives after one from after."""
+        if not self.leaving[host_id]:
+            self.send(host_id)
+            self.leave(host_id)
+            self.send(host_id)
+            self.deliver(len(self.sent) - 1, False)
+            self.deliver(len(self.sent) - 1, False)
+
+    @stateful.rule(host_id=st.sampled_from(PEERS))
+    def come_back(self, host_id: str) -> None:
+        """A new incarnation of a host that left is heard."""
+        self.leave_and_be_overtaken(host_id)
+        self.restart(host_id)
+        self.send(host_id)
+        self.deliver(len(self.sent) - 1, False)
+
     @stateful.invariant()
     def agrees_with_the_reference(self) -> None:
         for host_id in PEERS:
@@ -144,5 +163,5 @@
 
 TestHosts = HostsMachine.TestCase
 TestHosts.settings = hypothesis.settings(
-    max_examples=60, stateful_step_count=40
+    max_examples=300, stateful_step_count=30
 )
--- a/tests/membership/test_targets.py
+++ b/tests/membership/test_targets.py
@@ -32,7 +32,8 @@
         self.now = 0.0
         self.incarnation = 1
         self.leaving = False
-        self.reports: list[world.LoadReport] = []
+        self.reports: list[tuple[float, world.LoadReport]] = []
+        self.news: float | None = None
         self.words: list[messages.LeavingTarget] = []
         self.list_state = LIVE
         self.told = False
@@ -44,7 +45,7 @@
 
     @stateful.rule()
     def make_report(self) -> None:
-        self.reports.append(self.report())
+        self.reports.append((self.now, self.report()))
 
     @stateful.rule()
     def target_leaves(self) -> None:
@@ -58,24 +59,31 @@
 
     @stateful.rule()
     def target_restarts(self) -> None:
-        """Restart; reports under way are lost with their connections."""
+        """Restart; reports under way may still arrive."""
+        self.now += 0.25
         self.incarnation += 1
         self.leaving = False
         self.told = False
+        self.news = None
 
     @stateful.precondition(lambda self: self.reports)
     @stateful.rule(index=st.integers(0, 5), repeat=st.booleans())
     def deliver_report(self, index: int, repeat: bool) -> None:
         index %= len(self.reports)
-        report = self.reports[index]
+        made, report = self.reports[index]
         if not repeat:
             del self.reports[index]
-        self.hear(report)
+        # A report takes less than the time to confirm, or the host was
+        # paused and reads it together with news of the later incarnation.
+        news = self.now if self.news is None else self.news
+        if self.now - made <= 1.5 or self.now - news <= 1.5:
+            self.hear(report)
 
     def hear(self, report: world.LoadReport) -> None:
         self.members.load_heard('t', report, self.now)
         if report.incarnation == str(self.incarnation):
             self.told = self.told or report.state is LEAVING
+            self.news = self.now if self.news is None else self.news
 
     @stateful.precondition(lambda self: self.words)
     @stateful.rule(index=st.integers(0, 5))
@@ -84,20 +92,29 @@
         self.members.peer_says_leaving(word, self.now)
         if word.incarnation == str(self.incarnation):
             self.told = True
-            # Reports of an earlier incarnation cannot arrive later than the
-            # time to confirm.
-            self.reports = [
-                item
-                for item in self.reports
-                if item.incarnation == word.incarnation
-            ]
+            self.news = self.now if self.news is None else self.news
+
+    @stateful.rule()
+    def late_report_after_restart(self) -> None:
+        """A report of the old incarnation comes after news of the new one."""
+        self.leaving = False
+        self.make_report()
+        self.target_restarts()
+        self.leaving = True
+        if self.incarnation % 2:
+            self.make_report()
+            self.deliver_report(len(self.reports) - 1, False)
+        else:
+            self.peer_hears_it()
+            self.deliver_word(len(self.words) - 1)
+        self.deliver_report(len(self.reports) - 1, False)
 
     @stateful.rule(state=st.sampled_from([LIVE, LEAVING]))
     def read_list(self, state: world.TargetState) -> None:
         self.list_state = state
         self.members.list_read(listed(state), self.now)
 
-    @stateful.rule(seconds=st.sampled_from([0.1, 1.0, 3.0]))
+    @stateful.rule(seconds=st.sampled_from([0.125, 1.0, 3.0]))
     def wait(self, seconds: float) -> None:
         self.now += seconds
 
@@ -106,6 +123,37 @@
         if self.told:
             assert not self.members.usable(self.now)
 
+    @stateful.rule()
+    def pause_that_swaps_two_reports(self) -> None:
+        """The resumed host reads the later incarnation's report first."""
+        self.target_restarts()
+        old = self.report()
+        self.target_restarts()
+        self.leaving = True
+        self.now += 3.0
+        self.hear(self.report())
+        self.hear(old)
+
+    @stateful.rule()
+    def incarnation_retired_by_mistake_comes_back(self) -> None:
+        """Guards against a live target shut out by swapped reports."""
+        self.target_restarts()
+        old = self.report()
+        self.target_restarts()
+        self.hear(self.report())
+        self.hear(old)
+        self.read_list(LIVE)
+        for _ in range(2):
+            self.now += 5.0
+            self.hear(self.report())
+        assert self.members.usable(self.now)
+        known = self.members.leaving_words(0.0)
+        assert str(self.incarnation) not in {
+            item.incarnation for item in known
+        }
+        self.leaving = True
+        self.hear(self.report())
+
     @stateful.rule()
     def new_incarnation_is_used_in_the_end(self) -> None:
         """Let everything that is under way arrive, then report live."""
@@ -122,7 +170,7 @@
 
 TestTargets = TargetsMachine.TestCase
 TestTargets.settings = hypothesis.settings(
-    max_examples=60, stateful_step_count=40
+    max_examples=150, stateful_step_count=30
 )
 
 
@@ -148,3 +196,16 @@
     members.load_heard('t', world.LoadReport(0, 0, 4), 4.0)
     assert not members.due_polls(8.9, 8)
     assert len(members.due_polls(9.0, 8)) == 1
+
+
+def test_a_word_about_a_replaced_incarnation_is_dropped() -> None:
+    """Guards against old words that shut a target out, or a late "live"."""
+    members = targets.TargetMembership(5.0)
+    members.list_read(listed(LIVE), 0.0)
+    word = messages.LeavingTarget('t', 'a')
+    members.peer_says_leaving(word, 0.0)
+    members.load_heard('t', world.LoadReport(0, 0, 4, 'a'), 4.0)
+    assert not members.usable(4.0)
+    members.load_heard('t', world.LoadReport(0, 0, 4, 'b'), 5.0)
+    members.peer_says_leaving(word, 6.0)
+    assert members.usable(6.0)
--- a/walnutport/membership/targets.py
+++ b/walnutport/membership/targets.py
@@ -3,9 +3,10 @@
 A target is leaving if the list, the target itself or a peer says so. What a
 target said of one incarnation holds for that incarnation: a late report that
 it is live takes nothing back, and a new incarnation that reports live clears
-it. Incarnations of targets have no order, so those that were replaced are
-remembered for some time, and reports and words of peers about them are
-dropped.
+it. Incarnations of targets have no order, and a host that resumes after a
+pause may read the reports of two of them in the wrong order. So a word about
+an incarnation is dropped only once the target has reported live under another
+one ``_CONFIRM_S`` after it; later words about it are then out of date.
 """
 
 import collections
@@ -85,13 +86,10 @@
     ) -> None:
         """Take note of a report of the target itself."""
         known = self._known_by_id.get(target_id)
-        if known is None or load.incarnation in known.retired:
+        if known is None:
             return
         known.heard = now
         if known.current != load.incarnation:
-            if known.current is not None:
-                known.retired.append(known.current)
-                known.leaving.pop(known.current, None)
             known.current = load.incarnation
             # The list may have meant the incarnation that is first heard.
             if known.list_incarnation == '':
