Relay event streams from engines to callers

Streams were answered by /v1/run in one piece. The last stage of a streaming call now goes to /v1/generate on a connection of its own: httptools parses head and chunks, and whole events go to the caller in order. A broken stream is resumed from the next missing event on another target; gaps end an attempt, repeats are dropped, events of abandoned attempts are counted. A caller that does not read pauses its engine, and is cut at its deadline. Abandoned attempts are cancelled at the engine.

--- a/standins/target_server.py
+++ b/standins/target_server.py
@@ -72,6 +72,7 @@
         self._running = 0
         self._queued = 0
         self._cancelled: set[str] = set()
+        self._stages_by_attempt: dict[str, str] = {}
 
     @app.route('/v1/run', methods=['POST'])
     async def run(self, request) -> bytes:
@@ -98,7 +99,13 @@
     def cancel(self, request) -> bytes:
         """Cancel an attempt."""
         wanted = msgspec.json.decode(request.content.read(), type=dict)
-        self._cancelled.add(wanted.get('attempt_id', ''))
+        attempt_id = wanted.get('attempt_id', '')
+        self._cancelled.add(attempt_id)
+        stage = self._stages_by_attempt.pop(attempt_id, '')
+        if stage:
+            self._book.record(
+                ledger.EventKind.CANCELLED, stage=stage, attempt_id=attempt_id
+            )
         return b'{}'
 
     @app.route('/v1/load')
@@ -117,6 +124,8 @@
     def _accept(self, request) -> _RunRequest:
         wanted = msgspec.json.decode(request.content.read(), type=_RunRequest)
         self._record(ledger.EventKind.STARTED, request, wanted)
+        attempt_id = request.getHeader('walnutport-attempt-id') or ''
+        self._stages_by_attempt[attempt_id] = wanted.stage
         return wanted
 
     async def _with_slot(
@@ -139,16 +148,25 @@
             if then is not None:
                 await then(request, wanted)
             self._record(ledger.EventKind.FINISHED, request, wanted)
+            attempt_id = request.getHeader('walnutport-attempt-id') or ''
+            self._stages_by_attempt.pop(attempt_id, None)
         finally:
             self._running -= 1
             self._slots.release()
 
     async def _stream(self, request, wanted: _RunRequest) -> None:
         nonce = wanted.input.get('nonce', '')
+        pad_bytes = wanted.input.get('pad_bytes', 0)
+        padding = {'pad': 'x' * pad_bytes} if pad_bytes else {}
         for index in range(wanted.resume_from, self._settings.events):
+            attempt_id = request.getHeader('walnutport-attempt-id') or ''
+            if attempt_id in self._cancelled:
+                return
             if request._disconnected:
                 return
-            data = msgspec.json.encode({'token': index, 'nonce': nonce})
+            data = msgspec.json.encode(
+                {'token': index, 'nonce': nonce, **padding}
+            )
             request.write(b'id: %d\ndata: %b\n\n' % (index, data))
             delay_s = self._settings.event_ms * self._control.slowdown / 1000
             await task.deferLater(reactor, delay_s)
--- /dev/null
+++ b/tests/relay/test_stream.py
@@ -0,0 +1,147 @@
+"""Tests of the stream relay against a naive parser."""
+
+import functools
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from walnutport.relay import framing
+from walnutport.relay import stream
+
+_EVENTS = 12
+_DONE = b'event: done\ndata: {"output": {"a": "\\n"}, "tokens": 12}\n\n'
+
+
+def _event(number: int) -> bytes:
+    return b'id: %d\ndata: {"token": %d, "t": "%b"}\n\n' % (
+        number,
+        number,
+        b'x' * (number % 5),
+    )
+
+
+@functools.cache
+def _whole(start: int) -> bytes:
+    return b''.join(_event(n) for n in range(start, _EVENTS)) + _DONE
+
+
+def naive_relay(data: bytes, next_event: int) -> tuple[bytes, bool]:
+    """Return what goes to the caller and whether the stream is whole."""
+    passed = b''
+    for text in data.split(b'\n\n')[:-1]:
+        fields = dict(line.split(b': ', 1) for line in text.split(b'\n'))
+        if fields.get(b'event') == b'done':
+            return passed + text + b'\n\n', True
+        number = int(fields[b'id'])
+        if number > next_event:
+            break
+        if number == next_event:
+            passed += text + b'\n\n'
+            next_event += 1
+    return passed, False
+
+
+@hypothesis.settings(max_examples=1_500)
+@hypothesis.given(
+    numbers=st.lists(st.integers(0, 6), max_size=14),
+    end=st.sampled_from([b'', _DONE]),
+    cut=st.integers(0, 400),
+    splits=st.lists(st.integers(0, 400), max_size=20),
+)
+def test_any_split_gives_the_naive_result(numbers, end, cut, splits) -> None:
+    """Guards against events lost or repeated at the edges of reads."""
+    data = (b''.join(_event(number) for number in numbers) + end)[:cut]
+    session = stream.StreamSession()
+    attempt = session.open_attempt()
+    edges = sorted({0, len(data), *(min(at, len(data)) for at in splits)})
+    passed = b''.join(
+        attempt.feed(data[start:stop])
+        for start, stop in zip(edges, edges[1:], strict=False)
+    )
+    assert (passed, attempt.done is not None) == naive_relay(data, 0)
+
+
+class StreamMachine(stateful.RuleBasedStateMachine):
+    """Guards against gaps and repeats over broken and concurrent attempts.
+
+    Attempts start at or before the next missing event, break at any byte
+    and may go on sending after another attempt took their place.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.session = stream.StreamSession()
+        self.passed = b''
+        self.attempts: list[list] = []
+
+    @stateful.rule(back=st.integers(0, 3), ahead=st.integers(0, 1))
+    def open(self, back: int, ahead: int) -> None:
+        start = max(0, self.session.next_event - back) + ahead
+        self.attempts.append([self.session.open_attempt(), _whole(start)])
+
+    @stateful.precondition(lambda self: self.attempts)
+    @stateful.rule(index=st.integers(0, 20), size=st.integers(1, 120))
+    def feed(self, index: int, size: int) -> None:
+        entry = self.attempts[index % len(self.attempts)]
+        attempt, data = entry
+        entry[1] = data[size:]
+        self.passed += attempt.feed(data[:size])
+
+    @stateful.precondition(lambda self: self.attempts)
+    @stateful.rule(index=st.integers(0, 20))
+    def break_off(self, index: int) -> None:
+        self.attempts[index % len(self.attempts)][0].close()
+
+    @stateful.precondition(lambda self: self.attempts)
+    @stateful.rule(junk=st.binary(max_size=30))
+    def send_junk(self, junk: bytes) -> None:
+        attempt, rest = self.attempts[-1]
+        if not rest.startswith((b'id: ', b'event: ')):
+            return  # inside an event, whose data the relay does not parse
+        self.passed += attempt.feed(b'\x00' + junk + b'\n\n')
+
+    @stateful.invariant()
+    def caller_has_a_prefix(self) -> None:
+        whole = _whole(0)
+        assert whole.startswith(self.passed)
+        assert (self.passed == whole) == (self.session.done is not None)
+        got = self.passed.count(framing.EVENT_END)
+        done = self.session.done is not None
+        assert self.session.next_event == got - done
+
+
+TestStream = StreamMachine.TestCase
+TestStream.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40
+)
+
+
+def test_events_of_an_abandoned_attempt_are_counted() -> None:
+    """Guards against silent drops of events that still arrive late."""
+    session = stream.StreamSession()
+    first = session.open_attempt()
+    assert first.feed(_event(0)) == _event(0)
+    first.close()
+    second = session.open_attempt()
+    assert second.feed(_event(1)) == _event(1)
+    assert first.feed(_event(1) + _event(2)) == b''
+    assert session.abandoned_events == 2
+
+
+def test_a_partial_event_is_bounded() -> None:
+    """Guards against a target that never ends an event."""
+    attempt = stream.StreamSession().open_attempt()
+    for _ in range(18):
+        attempt.feed(b'x' * 65_536)
+    assert 'exceeds' in attempt.fault
+
+
+@hypothesis.settings(max_examples=2_000)
+@hypothesis.given(st.binary(max_size=200))
+def test_any_bytes_end_in_a_fault_or_a_wait(data: bytes) -> None:
+    """Guards against errors of other layers for malformed streams."""
+    attempt = stream.StreamSession().open_attempt()
+    attempt.feed(b'id: ' + data)
+    attempt.feed(b'event: done\ndata: ' + data + b'\n\n')
+    assert attempt.is_over()
--- /dev/null
+++ b/walnutport/adapters/engine.py
@@ -0,0 +1,256 @@
+"""Client of model engines that answer with an event stream.
+
+A stream has a connection of its own without treq in between: the C parser of
+httptools takes the head and the chunks, and events go straight to the sink.
+"""
+
+from collections.abc import Callable
+import logging
+from typing import Protocol
+
+import httptools
+import msgspec
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import error as twisted_error
+from twisted.internet import protocol
+
+from walnutport.adapters import http
+from walnutport.adapters import stage
+from walnutport import exceptions
+from walnutport.relay import stream as relay
+from walnutport import world
+
+__all__ = ['EngineClient', 'FlowSource', 'StreamTarget']
+
+LOG = logging.getLogger(__name__)
+PREFIX = 'engine:'
+
+_CONNECT_TIMEOUT_S = 1.0
+_CANCEL_TIMEOUT_S = 2.0
+_MAX_ERROR_BYTES = 200
+
+
+class FlowSource(Protocol):
+    """Something that can stop and go on sending."""
+
+    def pauseProducing(self) -> None:  # noqa: N802 - name set by Twisted
+        """Send no more for now."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Go on sending."""
+
+
+class StreamTarget(Protocol):
+    """Takes whole events and controls the flow of their source."""
+
+    def write(self, data: bytes) -> None:
+        """Pass on whole events."""
+
+    def attach(self, source: FlowSource) -> None:
+        """Let the caller's transport control the flow of a source."""
+
+    def detach(self, source: FlowSource) -> None:
+        """End the control of a source."""
+
+
+class EngineClient:
+    """Streams attempts from engines and cancels them there.
+
+    :param client: used for cancel calls.
+    """
+
+    def __init__(self, client: http.HttpClient, reactor) -> None:
+        self._client = client
+        self._reactor = reactor
+
+    async def stream(
+        self,
+        target: world.Target,
+        call: stage.StageCall,
+        events: relay.AttemptStream,
+        sink: StreamTarget,
+        on_sent: Callable[[], None],
+    ) -> stage.StageReply:
+        """Relay the events of an attempt and return its output.
+
+        :param on_sent: called before the first byte goes to a connection.
+        :raises NotSent: if no byte was handed to a connection.
+        :raises AttemptLost: if the stream broke before its last event.
+        :raises TargetRefused: if the target answered with an error status.
+        """
+        connection = await self._connect(target, call, events, sink, on_sent)
+        sink.attach(connection)
+        try:
+            return await connection.finished
+        except (defer.CancelledError, exceptions.AttemptLost):
+            # The engine may still run an attempt that nobody reads.
+            self.cancel(target, call.attempt_id)
+            raise
+        finally:
+            sink.detach(connection)
+            connection.close()
+
+    def cancel(self, target: world.Target, attempt_id: str) -> None:
+        """Ask an engine to stop an attempt, without waiting for it."""
+        calling = defer.Deferred.fromCoroutine(
+            self._client.call(
+                'POST',
+                f'http://{target.address}/v1/cancel',
+                msgspec.json.encode({'attempt_id': attempt_id}),
+                {'content-type': 'application/json'},
+            )
+        )
+        calling.addTimeout(_CANCEL_TIMEOUT_S, self._reactor)
+        calling.addErrback(
+            lambda failure: LOG.info(
+                '%s cancel of %s at %s: %s',
+                PREFIX,
+                attempt_id,
+                target.target_id,
+                failure.getErrorMessage(),
+            )
+        )
+
+    async def _connect(
+        self,
+        target: world.Target,
+        call: stage.StageCall,
+        events: relay.AttemptStream,
+        sink: StreamTarget,
+        on_sent: Callable[[], None],
+    ) -> '_EngineConnection':
+        endpoint = endpoints.TCP4ClientEndpoint(
+            self._reactor,
+            target.address.ip,
+            target.address.port,
+            timeout=_CONNECT_TIMEOUT_S,
+        )
+        connection = _EngineConnection(target, call, events, sink, on_sent)
+        try:
+            await endpoints.connectProtocol(endpoint, connection)
+        except twisted_error.ConnectError as error:
+            raise exceptions.NotSent(str(error)) from error
+        return connection
+
+
+class _EngineConnection(protocol.Protocol):
+    """One attempt on one connection."""
+
+    def __init__(
+        self,
+        target: world.Target,
+        call: stage.StageCall,
+        events: relay.AttemptStream,
+        sink: StreamTarget,
+        on_sent: Callable[[], None],
+    ) -> None:
+        self._target = target
+        self._call = call
+        self._events = events
+        self._sink = sink
+        self._on_sent = on_sent
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: dict[str, str] = {}
+        self._body = b''
+        self._streaming = False
+        self.finished: defer.Deferred[stage.StageReply] = defer.Deferred()
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Send the request."""
+        self.transport.setTcpNoDelay(True)
+        body = stage.encode_input(self._call)
+        lines = [
+            'POST /v1/generate HTTP/1.1',
+            f'host: {self._target.address}',
+            'connection: close',
+            f'content-length: {len(body)}',
+        ]
+        headers = stage.call_headers(self._call)
+        lines += [f'{name}: {value}' for name, value in headers.items()]
+        head = '\r\n'.join(lines).encode() + b'\r\n\r\n'
+        self._on_sent()
+        self.transport.write(head + body)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse bytes of the answer and relay the whole events."""
+        if self.finished.called:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(exceptions.AttemptLost(f'malformed answer: {error}'))
+            return
+        if self._body and self._streaming:
+            body, self._body = self._body, b''
+            self._relay(body)
+
+    def connectionLost(self, reason) -> None:  # noqa: N802
+        """Fail the attempt unless it is finished."""
+        self._fail(exceptions.AttemptLost(reason.getErrorMessage()))
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Stop reading from the target."""
+        if not self.finished.called:
+            self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Go on reading from the target."""
+        if not self.finished.called:
+            self.transport.resumeProducing()
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self.transport.abortConnection()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header of the answer."""
+        self._headers[name.decode('latin-1').lower()] = value.decode('latin-1')
+
+    def on_headers_complete(self) -> None:
+        """Check that the answer belongs to the attempt."""
+        try:
+            stage.check_attempt(self._call, self._headers)
+        except exceptions.AttemptLost as error:
+            self._fail(error)
+            return
+        self._streaming = self._parser.get_status_code() == 200
+
+    def on_body(self, body: bytes) -> None:
+        """Collect the bytes of one read."""
+        self._body = self._body + body if self._body else body
+
+    def on_message_complete(self) -> None:
+        """Fail the attempt if the answer ends without its last event."""
+        if self._streaming:
+            body, self._body = self._body, b''
+            self._relay(body)
+            self._fail(exceptions.AttemptLost('stream ended early'))
+            return
+        detail = self._body[:_MAX_ERROR_BYTES].decode('utf-8', 'replace')
+        status = self._parser.get_status_code()
+        self._fail(exceptions.TargetRefused(detail, status))
+
+    def _relay(self, body: bytes) -> None:
+        if self.finished.called:
+            return
+        events = self._events
+        whole = events.feed(body)
+        if whole:
+            self._sink.write(whole)
+        if events.is_over():
+            self._end()
+
+    def _end(self) -> None:
+        done = self._events.done
+        if done is None:
+            self._fail(exceptions.AttemptLost(self._events.fault))
+            return
+        load = stage.load_of(self._headers)
+        self.finished.callback(
+            stage.StageReply(bytes(done.output), done.tokens, load)
+        )
+
+    def _fail(self, error: exceptions.TargetError) -> None:
+        if not self.finished.called:
+            self.finished.errback(error)
--- a/walnutport/service/attempt.py
+++ b/walnutport/service/attempt.py
@@ -13,6 +13,7 @@
 from walnutport.lifecycle import answers
 from walnutport.service import calls
 from walnutport.service import policies as host_policies
+from walnutport.service import streams
 from walnutport import world
 
 __all__ = [
@@ -51,7 +52,7 @@
     target: world.Target
     query: interfaces.RouteQuery
     input_json: bytes
-    resume_from: int = 0
+    stream: streams.StreamedStage | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,7 +134,7 @@
             job.stage.service,
             status,
             now - started,
-            tokens=reply.tokens if reply else 0,
+            tokens=_tokens(job, attempt_id, reply),
             load=reply.load if reply else None,
         )
         self._policies.router.attempt_finished(result, now)
@@ -150,6 +151,14 @@
         return result
 
 
+def _tokens(
+    job: AttemptJob, attempt_id: str, reply: stage_adapter.StageReply | None
+) -> int:
+    if job.stream is not None:
+        return job.stream.tokens_of(attempt_id)
+    return reply.tokens if reply else 0
+
+
 def _stage_call(
     job: AttemptJob, attempt_id: str, now: float
 ) -> stage_adapter.StageCall:
@@ -162,7 +171,6 @@
         input_json=job.input_json,
         repeatable=job.stage.repeatable,
         model=job.stage.model,
-        resume_from=job.resume_from,
     )
 
 
--- a/walnutport/service/attempts.py
+++ b/walnutport/service/attempts.py
@@ -5,12 +5,14 @@
 
 from twisted.internet import task
 
+from walnutport.adapters import engine
 from walnutport.adapters import stage as stage_adapter
 from walnutport import interfaces
 from walnutport.lifecycle import answers
 from walnutport.service import attempt
 from walnutport.service import calls
 from walnutport.service import policies as host_policies
+from walnutport.service import streams
 from walnutport.service import waiting
 from walnutport import world
 
@@ -33,12 +35,14 @@
         self,
         policies: host_policies.Policies,
         client: stage_adapter.StageClient,
+        engines: engine.EngineClient,
         cost: interfaces.CostSink,
         clock: interfaces.Clock,
         reactor,
     ) -> None:
         self._policies = policies
         self._client = client
+        self._engines = engines
         self._clock = clock
         self._reactor = reactor
         self._runner = attempt.AttemptRunner(policies, cost, clock, reactor)
@@ -99,20 +103,23 @@
         self._policies.retries.request_started(
             stage.service, self._clock.monotonic()
         )
+        stream = streams.open_stream(self._engines, call, stage)
+        perform = stream.perform if stream else self._client.run
         excluded: frozenset[str] = frozenset()
         tries = 0
         while True:
             job = self._next_job(call, stage, input_json, excluded)
             if isinstance(job, attempt.StageFailure):
-                return job
+                return _final_failure(job, stream)
+            job = dataclasses.replace(job, stream=stream)
             tries += 1
-            ended = await self._runner.run(job, self._client.run, on_sent)
+            ended = await self._runner.run(job, perform, on_sent)
             if ended.reply is not None:
                 return StageSuccess(ended.reply.output_json)
             excluded |= {job.target.target_id}
             decision = self._decide_retry(call, stage, ended.result, tries)
             if not decision.retry:
-                return ended.failure
+                return _final_failure(ended.failure, stream)
             if decision.delay_s > 0:
                 await task.deferLater(self._reactor, decision.delay_s)
 
@@ -159,3 +166,11 @@
             deadline=call.deadline,
             now=self._clock.monotonic(),
         )
+
+
+def _final_failure(
+    failure: attempt.StageFailure, stream: streams.StreamedStage | None
+) -> attempt.StageFailure:
+    if stream is None:
+        return failure
+    return dataclasses.replace(failure, reason=stream.reason(failure.reason))
--- a/walnutport/service/callers.py
+++ b/walnutport/service/callers.py
@@ -1,6 +1,7 @@
 """HTTP interface for callers."""
 
 from collections.abc import Callable
+import dataclasses
 import hashlib
 import hmac
 import logging
@@ -18,6 +19,7 @@
 from walnutport.lifecycle import answers
 from walnutport.service import calls
 from walnutport.service import pipeline
+from walnutport.service import sinks
 from walnutport import world
 
 __all__ = ['CallerApi', 'encode_answer']
@@ -29,26 +31,6 @@
 _MAX_ID_CHARS = 128
 
 
-class EventSink:
-    """Writes events to a caller."""
-
-    def __init__(self, request) -> None:
-        self._request = request
-        self.started = False
-
-    def start(self) -> None:
-        """Send the head of the answer, before the first event."""
-        if not self.started:
-            self.started = True
-            self._request.setHeader('content-type', _EVENT_STREAM)
-            self._request.setHeader('cache-control', 'no-store')
-
-    def write(self, data: bytes) -> None:
-        """Pass on whole events."""
-        self.start()
-        self._request.write(data)
-
-
 class CallerApi:
     """Validates calls, runs them and writes their answers.
 
@@ -103,8 +85,11 @@
             return _write(request, request_id, answer)
         answer = await self._run(request, call)
         if call.sink is not None and call.sink.started:
+            call.sink.finish(cut=self._clock.monotonic() >= call.deadline)
+            # The done event has carried the output already.
+            brief = dataclasses.replace(answer, output=b'')
             return b'event: answer\ndata: %b\n\n' % encode_answer(
-                request_id, answer
+                request_id, brief
             )
         return _write(request, request_id, answer)
 
@@ -160,9 +145,12 @@
             body=body,
             deadline=self._deadline(request, contract),
             key=key,
-            sink=EventSink(request) if _EVENT_STREAM in accept else None,
+            sink=self._sink(request) if _EVENT_STREAM in accept else None,
         )
 
+    def _sink(self, request) -> sinks.CallerSink:
+        return sinks.CallerSink(request, self._settings.stream_buffer_bytes)
+
     def _body(self, request, contract: world.Contract) -> bytes:
         limit = min(
             self._settings.max_body_bytes, contract.limits.max_body_bytes
--- a/walnutport/service/calls.py
+++ b/walnutport/service/calls.py
@@ -4,6 +4,7 @@
 import hashlib
 from typing import Protocol
 
+from walnutport.adapters import engine
 from walnutport import world
 
 __all__ = ['Call', 'StreamSink']
@@ -23,6 +24,15 @@
     def write(self, data: bytes) -> None:
         """Pass on whole events."""
 
+    def attach(self, source: engine.FlowSource) -> None:
+        """Let the caller's transport control the flow of a source."""
+
+    def detach(self, source: engine.FlowSource) -> None:
+        """End the control of a source."""
+
+    def finish(self, *, cut: bool) -> None:
+        """End the flow control before the final event is written."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -8,6 +8,7 @@
 from twisted.internet import task
 from twisted.web import server
 
+from walnutport.adapters import engine
 from walnutport.adapters import host_list
 from walnutport.adapters import http
 from walnutport.adapters import log
@@ -75,7 +76,12 @@
         self.runner = pipeline.PipelineRunner(
             self.policies,
             attempts.StageRunner(
-                self.policies, stage_client, self.cost, self._clock, reactor
+                self.policies,
+                stage_client,
+                engine.EngineClient(self._platform_client, reactor),
+                self.cost,
+                self._clock,
+                reactor,
             ),
             self._clock,
         )
--- /dev/null
+++ b/walnutport/service/sinks.py
@@ -0,0 +1,84 @@
+"""Writes the events of a stream to a caller's connection."""
+
+from twisted.internet import interfaces as twisted_interfaces
+from zope.interface import implementer
+
+from walnutport.adapters import engine
+
+__all__ = ['CallerSink']
+
+_EVENT_STREAM = 'text/event-stream'
+
+
+@implementer(twisted_interfaces.IPushProducer)
+class CallerSink:
+    """Stream towards one caller, with flow control of its source.
+
+    :param request: klein's request of the call.
+    :param buffer_bytes: unsent bytes from which on the source is paused.
+    """
+
+    def __init__(self, request, buffer_bytes: int) -> None:
+        self._request = request
+        self._buffer_bytes = buffer_bytes
+        self._source: engine.FlowSource | None = None
+        self.started = False
+        self.paused = False
+        self._lost = False
+        request.notifyFinish().addErrback(self._on_lost)
+
+    def start(self) -> None:
+        """Send the head of the answer, before the first event."""
+        if self.started:
+            return
+        self.started = True
+        self._request.setHeader('content-type', _EVENT_STREAM)
+        self._request.setHeader('cache-control', 'no-store')
+        self._request.transport.bufferSize = self._buffer_bytes
+        self._request.registerProducer(self, True)
+
+    def write(self, data: bytes) -> None:
+        """Pass on whole events."""
+        self.start()
+        self._request.write(data)
+
+    def attach(self, source: engine.FlowSource) -> None:
+        """Let the caller's transport control the flow of a source."""
+        self._source = source
+        if self.paused:
+            source.pauseProducing()
+
+    def detach(self, source: engine.FlowSource) -> None:
+        """End the control of a source."""
+        if self._source is source:
+            self._source = None
+
+    def finish(self, *, cut: bool) -> None:
+        """End the flow control before the final event is written.
+
+        :param cut: whether to abort the connection of a caller that does
+            not read.
+        """
+        if not self.started or self._lost:
+            return
+        self._request.unregisterProducer()
+        if cut and self.paused:
+            self._request.transport.abortConnection()
+
+    def pauseProducing(self) -> None:  # noqa: N802 - name set by Twisted
+        """Stop the source, as the caller does not keep up."""
+        self.paused = True
+        if self._source is not None:
+            self._source.pauseProducing()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Let the source go on."""
+        self.paused = False
+        if self._source is not None:
+            self._source.resumeProducing()
+
+    def _on_lost(self, failure) -> None:
+        self._lost = True
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: a lost caller cancels the run of its call."""
--- /dev/null
+++ b/walnutport/service/streams.py
@@ -0,0 +1,68 @@
+"""Runs a streaming stage: one session over all attempts."""
+
+from collections.abc import Callable
+import dataclasses
+
+from walnutport.adapters import engine
+from walnutport.adapters import stage as stage_adapter
+from walnutport.lifecycle import answers
+from walnutport.relay import stream
+from walnutport.service import calls
+from walnutport import world
+
+__all__ = ['StreamedStage', 'open_stream']
+
+
+class StreamedStage:
+    """The attempts of one streaming stage of one call.
+
+    ``session.started`` tells whether an event was passed on; from then on
+    the stage must not be hedged.
+    """
+
+    def __init__(
+        self, client: engine.EngineClient, sink: calls.StreamSink
+    ) -> None:
+        self._client = client
+        self._sink = sink
+        self._events_by_attempt: dict[str, int] = {}
+        self.session = stream.StreamSession()
+
+    async def perform(
+        self,
+        target: world.Target,
+        call: stage_adapter.StageCall,
+        on_sent: Callable[[], None],
+    ) -> stage_adapter.StageReply:
+        """Run an attempt from the next missing event on."""
+        resumed = dataclasses.replace(
+            call, resume_from=self.session.next_event
+        )
+        events = self.session.open_attempt()
+        try:
+            return await self._client.stream(
+                target, resumed, events, self._sink, on_sent
+            )
+        finally:
+            self._events_by_attempt[call.attempt_id] = events.events
+            events.close()
+
+    def tokens_of(self, attempt_id: str) -> int:
+        """Return the events that an attempt sent, whatever its end."""
+        return self._events_by_attempt.get(attempt_id, 0)
+
+    def reason(self, reason: answers.Reason) -> answers.Reason:
+        """Return the reason of a final failure as the caller sees it."""
+        if self.session.started:
+            return answers.Reason.STREAM_INCOMPLETE
+        return reason
+
+
+def open_stream(
+    client: engine.EngineClient, call: calls.Call, stage: world.Stage
+) -> StreamedStage | None:
+    """Return the stream of a stage, or None if it answers in one piece."""
+    last = call.pipeline.stages[-1]
+    if call.sink is None or not call.streams or stage is not last:
+        return None
+    return StreamedStage(client, call.sink)
