--- a/walnutport/adapters/engine.py
+++ b/walnutport/adapters/engine.py
@@ -63,6 +63,7 @@
     def __init__(self, client: http.HttpClient, reactor) -> None:
         self._client = client
         self._reactor = reactor
+        self.counters = relay.StreamCounters()
 
     async def stream(
         self,
@@ -218,7 +219,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect the bytes of one read."""
-        self._body = self._body + body if self._body else body
+        if self._streaming or len(self._body) < _MAX_ERROR_BYTES:
+            self._body = self._body + body if self._body else body
 
     def on_message_complete(self) -> None:
         """Fail the attempt if the answer ends without its last event."""
--- a/walnutport/config/settings.py
+++ b/walnutport/config/settings.py
@@ -108,6 +108,8 @@
     timeout_s: PositiveFloat = 2.0
     max_appends_per_s: PositiveFloat = 20.0
     host_list_poll_s: PositiveFloat = 1.0
+    cost_flush_s: PositiveFloat = 5.0
+    cost_final_flush_s: PositiveFloat = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/walnutport/cost/ledger.py
+++ b/walnutport/cost/ledger.py
@@ -1,47 +1,44 @@
-"""Counters of cost by member, entry and stage."""
+"""Books the attempts of a host and hands them out in numbered batches.
 
-import dataclasses
+A batch is in one of three states: open counters, one pending batch, or in
+the log. Only a pending batch whose append may have taken effect must keep its
+number and its content; any other goes back into the counters, so an outage
+of the log costs no more memory than the counters.
+"""
 
+from walnutport.cost import records
 from walnutport import interfaces
 
-__all__ = ['CostKey', 'CostLedger', 'CostLine']
+__all__ = ['CostLedger']
 
+_US_PER_S = 1_000_000
+_OTHER = '*'
 
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
-class CostKey:
-    """What a cost is booked to."""
 
-    owner: str
-    member_id: str
-    entry_id: str
-    stage: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CostLine:
-    """Sums for one key.
+class CostLedger:
+    """Books attempts of this host.
 
-    :param target_s: time that attempts took on targets in seconds.
+    :param incarnation: number drawn at the start of the process.
+    :param max_keys: open keys from which on new keys of an owner and stage
+        are booked together under member and entry ``*``.
+    :param max_rows: rows of one batch; 200 stay below 64 KiB.
     """
 
-    attempts: int = 0
-    target_s: float = 0.0
-    tokens: int = 0
-
-    def plus(self, other: 'CostLine') -> 'CostLine':
-        """Return the sum of two lines."""
-        return CostLine(
-            self.attempts + other.attempts,
-            self.target_s + other.target_s,
-            self.tokens + other.tokens,
-        )
-
-
-class CostLedger:
-    """Books attempts of this host."""
-
-    def __init__(self) -> None:
-        self.lines_by_key: dict[CostKey, CostLine] = {}
+    def __init__(
+        self,
+        host_id: str = '',
+        incarnation: int = 0,
+        max_keys: int = 10_000,
+        max_rows: int = 200,
+    ) -> None:
+        self._host_id = host_id
+        self._incarnation = incarnation
+        self._max_keys = max_keys
+        self._max_rows = max_rows
+        self._sequence = 0
+        self._pending: records.CostBatch | None = None
+        self._ambiguous = False
+        self.lines_by_key: dict[records.CostKey, records.CostLine] = {}
 
     def book(
         self,
@@ -55,8 +52,53 @@
         """Book one attempt, whatever its end."""
         if result.status is interfaces.AttemptStatus.NOT_SENT:
             return
-        key = CostKey(owner, member_id, entry_id, stage)
-        line = CostLine(1, result.latency_s, result.tokens)
-        self.lines_by_key[key] = self.lines_by_key.get(key, CostLine()).plus(
-            line
+        line = records.CostLine(
+            attempts=1,
+            failed=int(result.status is not interfaces.AttemptStatus.OK),
+            target_us=round(result.latency_s * _US_PER_S),
+            tokens=result.tokens,
         )
+        self._add(records.CostKey(owner, member_id, entry_id, stage), line)
+
+    def next_batch(self) -> records.CostBatch | None:
+        """Return the batch to append next, or None if there is none."""
+        if self._pending is None and self.lines_by_key:
+            keys = sorted(self.lines_by_key)[: self._max_rows]
+            self._sequence += 1
+            self._pending = records.CostBatch(
+                self._host_id,
+                self._incarnation,
+                self._sequence,
+                tuple(
+                    records.CostRow(key, self.lines_by_key.pop(key))
+                    for key in keys
+                ),
+            )
+        return self._pending
+
+    def appended(self) -> None:
+        """Forget the pending batch: it is in the log."""
+        self._pending = None
+        self._ambiguous = False
+
+    def append_ambiguous(self) -> None:
+        """Keep the pending batch: it may be in the log."""
+        self._ambiguous = True
+
+    def append_refused(self) -> None:
+        """Take the pending batch back, unless it may be in the log.
+
+        The last append had no effect, but one before it may have had.
+        """
+        if self._pending is None or self._ambiguous:
+            return
+        for row in self._pending.rows:
+            self._add(row.key, row.line)
+        self._pending = None
+
+    def _add(self, key: records.CostKey, line: records.CostLine) -> None:
+        known = self.lines_by_key.get(key)
+        if known is None and len(self.lines_by_key) >= self._max_keys:
+            key = records.CostKey(key.owner, _OTHER, _OTHER, key.stage)
+            known = self.lines_by_key.get(key)
+        self.lines_by_key[key] = known.plus(line) if known else line
--- a/walnutport/relay/stream.py
+++ b/walnutport/relay/stream.py
@@ -7,14 +7,32 @@
 byte searches and no JSON.
 """
 
+import dataclasses
+
 from walnutport import exceptions
 from walnutport.relay import framing
 
-__all__ = ['AttemptStream', 'StreamSession']
+__all__ = ['AttemptStream', 'StreamCounters', 'StreamSession']
 
 _MAX_EVENT_BYTES = 1_048_576
 
 
+@dataclasses.dataclass(slots=True)
+class StreamCounters:
+    """Sums over the streams of a host.
+
+    :param resumed: attempts that went on after events were passed on.
+    :param abandoned_events: events dropped as their attempt was over.
+    :param repeated_events: events dropped as the caller had them already.
+    """
+
+    attempts: int = 0
+    resumed: int = 0
+    events: int = 0
+    abandoned_events: int = 0
+    repeated_events: int = 0
+
+
 class StreamSession:
     """State of one stream towards a caller over all its attempts.
 
@@ -25,8 +43,6 @@
     def __init__(self) -> None:
         self.next_event = 0
         self.done: framing.DoneEvent | None = None
-        self.repeated_events = 0
-        self.abandoned_events = 0
         self._owner: AttemptStream | None = None
 
     @property
@@ -72,6 +88,8 @@
         self._held = b''
         self._closed = False
         self.fault = ''
+        self.repeated_events = 0
+        self.abandoned_events = 0
         self.done: framing.DoneEvent | None = None
         self.events = 0
 
@@ -132,7 +150,7 @@
         if number > session.next_event and not self._is_late():
             self.fault = f'event {number} instead of {session.next_event}'
         elif number < session.next_event:
-            session.repeated_events += 1
+            self.repeated_events += 1
         elif self._take():
             session.next_event += 1
             return True
@@ -153,7 +171,7 @@
     def _take(self) -> bool:
         if self._session.take(self):
             return True
-        self._session.abandoned_events += 1
+        self.abandoned_events += 1
         self.fault = 'another attempt delivers the stream'
         return False
 
@@ -164,4 +182,4 @@
         self._held = data
 
     def _drop(self, data: bytes, start: int) -> None:
-        self._session.abandoned_events += data.count(framing.EVENT_END, start)
+        self.abandoned_events += data.count(framing.EVENT_END, start)
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import secrets
 
 from twisted.internet import defer
 from twisted.internet import endpoints
@@ -19,6 +20,7 @@
 from walnutport.cost import ledger
 from walnutport.service import attempts
 from walnutport.service import callers
+from walnutport.service import cost
 from walnutport.service import log_reader
 from walnutport.service import pipeline
 from walnutport.service import policies as host_policies
@@ -46,7 +48,8 @@
         self.stopping = False
         self._list_loaded = False
         self.policies = host_policies.build_policies(settings)
-        self.cost = ledger.CostLedger()
+        self.incarnation = secrets.randbits(48)
+        self.cost = ledger.CostLedger(settings.host_id, self.incarnation)
         platform = settings.platform
         self._platform_client = http.HttpClient(reactor)
         self.catalogue = follower.CatalogueFollower(lambda: None)
@@ -56,6 +59,9 @@
             reactor,
             platform.timeout_s,
         )
+        self.cost_flusher = cost.CostFlusher(
+            self.cost, self._log.append, reactor, platform.cost_flush_s
+        )
         self._host_list = host_list.HttpHostList(
             self._platform_client,
             _address(platform.host_list),
@@ -102,6 +108,7 @@
     async def start(self) -> None:
         """Open the listeners and start to follow the platform."""
         self._stack.enter_context(self.log_reader)
+        self._stack.enter_context(self.cost_flusher)
         self._start_loop(
             self._read_list, self.settings.platform.host_list_poll_s
         )
@@ -130,6 +137,9 @@
                 )
                 return False
             await task.deferLater(self._reactor, _TICK_S)
+        await self.cost_flusher.finish(
+            self.settings.platform.cost_final_flush_s
+        )
         self._stack.close()
         LOG.info('%s drained', PREFIX)
         return True
--- a/walnutport/service/streams.py
+++ b/walnutport/service/streams.py
@@ -38,6 +38,9 @@
         resumed = dataclasses.replace(
             call, resume_from=self.session.next_event
         )
+        counters = self._client.counters
+        counters.attempts += 1
+        counters.resumed += self.session.started
         events = self.session.open_attempt()
         try:
             return await self._client.stream(
@@ -46,6 +49,9 @@
         finally:
             self._events_by_attempt[call.attempt_id] = events.events
             events.close()
+            counters.events += events.events
+            counters.abandoned_events += events.abandoned_events
+            counters.repeated_events += events.repeated_events
 
     def tokens_of(self, attempt_id: str) -> int:
         """Return the events that an attempt sent, whatever its end."""
