Order models to engines under a lease in the log

Nothing told the engines which models to load. One host now holds a lease in stream orders: each record names the offset of the record before it that took effect, so the first in log order wins and that offset is the fencing number. The holder plans placement by demand with hysteresis, compares it with the reports of the engines and sends complete descriptions of the wanted state, paced by the rate of the weight store, after it has read the stream to its end. Engines that ignore fencing are corrected by comparison. Stand-ins: an engine with orders, cache events and cache export, and a weight store.

A state machine drives three hosts with pauses, lost and late appends and restarts against a naive fold; with real processes a holder that was stopped by SIGSTOP sends no order after SIGCONT although the engines ignore fencing. orders.enabled is false by default.

--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -9,10 +9,12 @@
 from twisted.web import server
 
 from standins import caller
+from standins import engine_server
 from standins import ledger
 from standins import list_server
 from standins import log_server
 from standins import target_server
+from standins import weight_server
 
 __all__ = ['main']
 
@@ -44,6 +46,23 @@
         _serve(settings.ip, settings.port, standin)
 
 
+def _start_engine(text: str) -> None:
+    settings = msgspec.json.decode(
+        text, type=engine_server.EngineServerSettings
+    )
+    target = settings.target
+    with ledger.Ledger(target.ledger_folder, target.target_id) as book:
+        standin = engine_server.EngineServer(settings, book)
+        _serve(target.ip, target.port, standin)
+
+
+def _start_weights(text: str) -> None:
+    settings = msgspec.json.decode(
+        text, type=weight_server.WeightServerSettings
+    )
+    _serve(settings.ip, settings.port, weight_server.WeightServer(settings))
+
+
 def _start_caller(text: str) -> None:
     settings = msgspec.json.decode(text, type=caller.CallerSettings)
     with ledger.Ledger(settings.ledger_folder, settings.source) as book:
@@ -54,6 +73,8 @@
     'log': _start_log,
     'list': _start_list,
     'target': _start_target,
+    'engine': _start_engine,
+    'weights': _start_weights,
     'caller': _start_caller,
 }
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -11,11 +11,13 @@
 
 from standins import caller
 from standins import checker
+from standins import engine_server
 from standins import ledger
 from standins import list_server
 from standins import log_server
 from standins import processes
 from standins import target_server
+from standins import weight_server
 
 __all__ = ['Fleet', 'FleetPlan', 'PoolPlan', 'TOKENS_BY_MEMBER']
 
@@ -38,6 +40,8 @@
     repeatable: bool = True
     events: int = 16
     event_ms: float = 5.0
+    engine: bool = False
+    checks_fencing: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +49,8 @@
     """What a fleet consists of.
 
     :param settings: settings of every host, merged over the defaults.
+    :param models: models of the weight store, which is started if there
+        are any.
     """
 
     hosts: int = 3
@@ -60,6 +66,7 @@
     retention_s: float = 0.0
     settings: dict = dataclasses.field(default_factory=dict)
     contracts: tuple[dict, ...] = ()
+    models: tuple[weight_server.StoredModel, ...] = ()
 
 
 def example_catalogue(extra: tuple[dict, ...] = ()) -> list[dict]:
@@ -161,6 +168,7 @@
         self.listed_targets_by_id: dict[str, list_server.ListedTarget] = {}
         self.log_address = ''
         self.list_address = ''
+        self.weights_address = ''
         self.log: processes.ManagedProcess
         self.list: processes.ManagedProcess
 
@@ -173,6 +181,7 @@
             )
             self._stack = stack
             self._start_log()
+            self._start_weights()
             self._start_targets()
             self._start_list()
             self.publish(example_catalogue(self.plan.contracts))
@@ -230,6 +239,17 @@
             events=pool.events,
             event_ms=pool.event_ms,
         )
+        if pool.engine:
+            self.targets_by_id[target_id] = self._start_standin(
+                'engine',
+                engine_server.EngineServerSettings(
+                    settings,
+                    self.weights_address,
+                    checks_fencing=pool.checks_fencing,
+                ),
+                target_id,
+            )
+            return
         self.targets_by_id[target_id] = self._start_standin(
             'target', settings, target_id
         )
@@ -294,6 +314,17 @@
         )
         processes.wait_http(f'http://{self.log_address}/stats')
 
+    def _start_weights(self) -> None:
+        if not self.plan.models:
+            return
+        port = processes.free_port()
+        self.weights_address = f'127.0.0.1:{port}'
+        settings = weight_server.WeightServerSettings(
+            port, models=self.plan.models
+        )
+        self._start_standin('weights', settings, 'weights')
+        processes.wait_http(f'http://{self.weights_address}/stats')
+
     def _start_targets(self) -> None:
         for pool in self.plan.pools:
             for number in range(pool.targets):
@@ -350,7 +381,7 @@
         key_path = self.folder / 'peer.key'
         if not key_path.exists():
             key_path.write_text('a shared key of the stand-in fleet')
-        base = {
+        base: dict = {
             'host_id': host_id,
             'data_centre': self._data_centre(index),
             'callers': {
@@ -370,6 +401,8 @@
                 'listen': _listen(self.control_addresses_by_host[host_id])
             },
         }
+        if self.weights_address:
+            base['platform']['weight_store'] = _listen(self.weights_address)
         return _merge(base, self.plan.settings)
 
     def _data_centre(self, index: int) -> str:
--- a/walnutport/config/settings.py
+++ b/walnutport/config/settings.py
@@ -16,6 +16,7 @@
     'HostSettings',
     'ListenAddress',
     'LogSettings',
+    'OrderSettings',
     'PeerKeySettings',
     'PeerSettings',
     'PolicySettings',
@@ -127,6 +128,26 @@
     max_queued: PositiveInt = 2_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderSettings:
+    """Orders to model engines.
+
+    :param enabled: whether this host may hold the order lease.
+    :param engine_service: service whose targets take orders.
+    :param hold_s: time that demand must be off before a model moves.
+    """
+
+    __pydantic_config__ = _STRICT
+    enabled: bool = False
+    engine_service: str = 'engine'
+    group: str = 'all'
+    lease_s: PositiveFloat = 15.0
+    tick_s: PositiveFloat = 1.0
+    resend_s: PositiveFloat = 10.0
+    hold_s: PositiveFloat = 30.0
+    margin: Share = 0.25
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ControlSettings:
     """Listener for operators and logging."""
@@ -156,6 +177,7 @@
     peers: PeerSettings = PeerSettings()
     platform: LogSettings = LogSettings()
     policies: PolicySettings = PolicySettings()
+    orders: OrderSettings = OrderSettings()
     control: ControlSettings = ControlSettings()
 
 
--- a/walnutport/exceptions.py
+++ b/walnutport/exceptions.py
@@ -20,6 +20,7 @@
     'RequestError',
     'PeerError',
     'OrderError',
+    'WeightStoreError',
 ]
 
 
@@ -106,5 +107,9 @@
     """A message between hosts was rejected or could not be sent."""
 
 
+class WeightStoreError(WalnutportError):
+    """The weight store could not be read."""
+
+
 class OrderError(WalnutportError):
     """An order to a model engine was refused or could not be confirmed."""
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -14,14 +14,17 @@
 from walnutport.adapters import http
 from walnutport.adapters import log
 from walnutport.adapters import stage
+from walnutport.catalogue import fold
 from walnutport.catalogue import follower
 from walnutport import clock as system_clock
 from walnutport.config import settings as config
 from walnutport.cost import ledger
+from walnutport import interfaces
 from walnutport.service import attempts
 from walnutport.service import callers
 from walnutport.service import cost
 from walnutport.service import log_reader
+from walnutport.service import orders
 from walnutport.service import pipeline
 from walnutport.service import policies as host_policies
 from walnutport import world
@@ -68,9 +71,11 @@
             reactor,
             platform.timeout_s,
         )
+        self._engines_by_id: dict[str, world.Target] = {}
+        self.orders = self._build_orders() if settings.orders.enabled else None
         self.log_reader = log_reader.LogReader(
             self._log,
-            [self.catalogue],
+            self._followers(),
             self._clock,
             reactor,
             platform.poll_wait_s,
@@ -112,6 +117,8 @@
         self._start_loop(
             self._read_list, self.settings.platform.host_list_poll_s
         )
+        if self.orders is not None:
+            self._stack.enter_context(self.orders)
         self._start_loop(self.runner.advance, _TICK_S)
         await self._listen(
             self.settings.callers.listen, self.callers.app.resource()
@@ -159,6 +166,23 @@
         )
         self._stack.callback(loop.stop)
 
+    def _followers(self) -> list[interfaces.LogFollower]:
+        if self.orders is None:
+            return [self.catalogue]
+        return [self.catalogue, self.orders.keeper]
+
+    def _build_orders(self) -> orders.OrderService:
+        return orders.build(
+            self.settings,
+            self.incarnation,
+            self._platform_client,
+            self._log,
+            self._clock,
+            self._reactor,
+            engines=lambda: self._engines_by_id,
+            models=lambda: _models(self.catalogue.fold.view()),
+        )
+
     def _read_list(self) -> defer.Deferred[None]:
         return defer.Deferred.fromCoroutine(self._apply_list())
 
@@ -170,8 +194,23 @@
         self.policies.router.targets_changed(
             result.ok.targets_by_id, self._clock.monotonic()
         )
+        self._engines_by_id = {
+            target.target_id: target
+            for target in result.ok.targets_by_id.values()
+            if target.service == self.settings.orders.engine_service
+            and target.state is world.TargetState.LIVE
+        }
         self._list_loaded = True
 
 
+def _models(view: fold.CatalogueView) -> frozenset[str]:
+    return frozenset(
+        step.model
+        for pipeline_ in view.pipelines_by_id.values()
+        for step in pipeline_.stages
+        if step.model
+    )
+
+
 def _address(listen: config.ListenAddress) -> world.Address:
     return world.Address(listen.ip, listen.port)
