Let the tests tell mixed attempts and missed resends

The state machines now mark the events by their attempt, feed whole events, append stray renewals and check that no append follows an unread one; a test covers resends.

--- a/tests/orders/test_lease.py
+++ b/tests/orders/test_lease.py
@@ -137,6 +137,14 @@
         elif outcome == 'late':
             self.delayed.append(payload)
         host.keeper.append_finished(self.now + host.skew_s)
+        assert host.keeper.next_record(self.now + host.skew_s) is None
+
+    @stateful.rule(host_id=st.sampled_from('abc'))
+    def renewal_of_an_old_incarnation(self, host_id: str) -> None:
+        expected = naive_fold(self.log).fencing
+        record = _record(host_id, expected, lease.RecordKind.RENEW)
+        record = dataclasses.replace(record, incarnation=-1)
+        self.log.append(lease.encode_record(record))
 
     @stateful.precondition(lambda self: self.delayed)
     @stateful.rule()
--- a/tests/orders/test_planner.py
+++ b/tests/orders/test_planner.py
@@ -88,3 +88,18 @@
                 order.engine_id, 'i', 'mixed', 1, models
             )
     assert [now for _, now in sent] == [0, 10, 20, 30]
+
+
+def test_an_engine_that_restarted_gets_its_order_at_once() -> None:
+    """Guards against waiting for the resend time after a restart."""
+    reconciler = reconcile.Reconciler('h', reconcile.LoadPacer(1e9), 60.0)
+    wanted = {
+        'e': reconcile.WantedState('mixed', (reconcile.ModelState('a'),))
+    }
+    old = {'e': reconcile.EngineReport('e', 'i1', 'mixed', 1, fencing=7)}
+    new = {'e': reconcile.EngineReport('e', 'i2', 'mixed', 1)}
+    assert reconciler.orders(wanted, old, {}, 6, 0.0) == []
+    assert len(reconciler.orders(wanted, old, {}, 7, 0.0)) == 1
+    assert reconciler.orders(wanted, old, {}, 7, 1.0) == []
+    assert len(reconciler.orders(wanted, new, {}, 7, 1.0)) == 1
+    assert len(reconciler.orders(wanted, new, {}, 7, 62.0)) == 1
--- a/tests/relay/test_stream.py
+++ b/tests/relay/test_stream.py
@@ -13,17 +13,19 @@
 _DONE = b'event: done\ndata: {"output": {"a": "\\n"}, "tokens": 12}\n\n'
 
 
-def _event(number: int) -> bytes:
-    return b'id: %d\ndata: {"token": %d, "t": "%b"}\n\n' % (
+def _event(number: int, source: int = 0) -> bytes:
+    return b'id: %d\ndata: {"token": %d, "s": %d, "t": "%b"}\n\n' % (
         number,
         number,
+        source,
         b'x' * (number % 5),
     )
 
 
 @functools.cache
-def _whole(start: int) -> bytes:
-    return b''.join(_event(n) for n in range(start, _EVENTS)) + _DONE
+def _whole(start: int, source: int) -> bytes:
+    events = (_event(n, source) for n in range(start, _EVENTS))
+    return b''.join(events) + _DONE
 
 
 def naive_relay(data: bytes, next_event: int) -> tuple[bytes, bool]:
@@ -74,11 +76,20 @@
         self.session = stream.StreamSession()
         self.passed = b''
         self.attempts: list[list] = []
+        self.deliverer: stream.AttemptStream | None = None
 
     @stateful.rule(back=st.integers(0, 3), ahead=st.integers(0, 1))
     def open(self, back: int, ahead: int) -> None:
         start = max(0, self.session.next_event - back) + ahead
-        self.attempts.append([self.session.open_attempt(), _whole(start)])
+        data = _whole(start, len(self.attempts))
+        self.attempts.append([self.session.open_attempt(), data])
+
+    def take(self, attempt: stream.AttemptStream, chunk: bytes) -> None:
+        passed = attempt.feed(chunk)
+        if passed and attempt is not self.deliverer:
+            before, self.deliverer = self.deliverer, attempt
+            assert before is None or before.is_over(), 'attempts are mixed'
+        self.passed += passed
 
     @stateful.precondition(lambda self: self.attempts)
     @stateful.rule(index=st.integers(0, 20), size=st.integers(1, 120))
@@ -86,7 +97,17 @@
         entry = self.attempts[index % len(self.attempts)]
         attempt, data = entry
         entry[1] = data[size:]
-        self.passed += attempt.feed(data[:size])
+        self.take(attempt, data[:size])
+
+    @stateful.precondition(lambda self: self.attempts)
+    @stateful.rule(index=st.integers(0, 20), count=st.integers(1, 3))
+    def feed_whole_events(self, index: int, count: int) -> None:
+        entry = self.attempts[index % len(self.attempts)]
+        attempt, data = entry
+        parts = data.split(framing.EVENT_END)
+        chunk = data[: len(framing.EVENT_END.join(parts[:count])) + 2]
+        entry[1] = data[len(chunk) :]
+        self.take(attempt, chunk)
 
     @stateful.precondition(lambda self: self.attempts)
     @stateful.rule(index=st.integers(0, 20))
@@ -99,16 +120,20 @@
         attempt, rest = self.attempts[-1]
         if not rest.startswith((b'id: ', b'event: ')):
             return  # inside an event, whose data the relay does not parse
-        self.passed += attempt.feed(b'\x00' + junk + b'\n\n')
+        self.take(attempt, b'\x00' + junk + b'\n\n')
 
     @stateful.invariant()
     def caller_has_a_prefix(self) -> None:
-        whole = _whole(0)
-        assert whole.startswith(self.passed)
-        assert (self.passed == whole) == (self.session.done is not None)
-        got = self.passed.count(framing.EVENT_END)
+        events = self.passed.split(framing.EVENT_END)
+        assert events.pop() == b''
         done = self.session.done is not None
-        assert self.session.next_event == got - done
+        if done:
+            assert events.pop() + framing.EVENT_END == _DONE
+            assert len(events) == _EVENTS
+        for number, event in enumerate(events):
+            assert event.startswith(b'id: %d\ndata: {"token"' % number)
+            assert event.endswith(b'}')
+        assert self.session.next_event == len(events)
 
 
 TestStream = StreamMachine.TestCase
