Keep models where they are when a report or the store is missing

A host that took the lease while the weight store was down would have planned without models and emptied every engine, and one lost report would have moved the models of that engine. The holder now plans only with models and the catalogue known, waits orders.hold_s for the first report of every listed engine, and keeps an engine in the plan for that time after its last report. Reports count under the listed id.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -136,8 +136,8 @@
 
 
 def _begin_stream(connection: socket.socket) -> bool:
-    head = connection.recv(65_536)
-    if not head.startswith(b'POST /v1/generate'):
+    head = connection.recv(65_536).lower()
+    if not head.startswith(b'post /v1/generate'):
         connection.sendall(b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n')
         connection.close()
         return False
--- a/standins/engine_server.py
+++ b/standins/engine_server.py
@@ -160,7 +160,7 @@
             return b''
         return entry
 
-    @app.route('/v1/kv/<string:digest>', methods=['PUT'])
+    @app.route('/v1/kv/<string:digest>', methods=['POST'])
     def import_cache(self, request, digest: str) -> bytes:
         """Import a cache entry."""
         self._store(digest, request.content.read())
--- a/tests/integration/test_orders.py
+++ b/tests/integration/test_orders.py
@@ -147,3 +147,7 @@
         assert [event['sequence'] for event in events] == list(
             range(1, len(events) + 1)
         )
+        digest = events[-1]['digest']
+        entry = processes.http_json(f'{base}/kv/{digest}')
+        processes.http_json(f'{base}/kv/moved', entry.decode())
+        assert processes.http_json(f'{base}/kv/moved')
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -166,6 +166,11 @@
         )
         self._stack.callback(loop.stop)
 
+    def _models(self) -> frozenset[str]:
+        if not self.catalogue.synced:
+            return frozenset()
+        return _models(self.catalogue.fold.view())
+
     def _followers(self) -> list[interfaces.LogFollower]:
         if self.orders is None:
             return [self.catalogue]
@@ -180,7 +185,7 @@
             self._clock,
             self._reactor,
             engines=lambda: self._engines_by_id,
-            models=lambda: _models(self.catalogue.fold.view()),
+            models=self._models,
         )
 
     def _read_list(self) -> defer.Deferred[None]:
--- a/walnutport/service/orders.py
+++ b/walnutport/service/orders.py
@@ -30,10 +30,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _View:
-    """What a round of the holder knows."""
+    """What a round of the holder knows.
+
+    :param reports_by_id: reports of this round.
+    :param known_by_id: reports to plan with, also of engines that missed a
+        few rounds, as a lost report must not move their models.
+    """
 
     targets_by_id: Mapping[str, world.Target]
     reports_by_id: Mapping[str, reconcile.EngineReport]
+    known_by_id: Mapping[str, reconcile.EngineReport]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Heard:
+    report: reconcile.EngineReport
+    at: float
 
 
 class OrderService:
@@ -44,7 +56,10 @@
     know when a read was started.
 
     :param engines: returns the known engines by id.
-    :param models: returns the models that must be loaded somewhere.
+    :param models: returns the models that must be loaded somewhere; none
+        as long as the catalogue is not known.
+    :param grace_s: time for which an engine without a report keeps its part
+        in the plan.
     """
 
     def __init__(
@@ -62,6 +77,7 @@
         models: Callable[[], frozenset[str]],
         tick_s: float,
         resend_s: float,
+        grace_s: float,
     ) -> None:
         self.keeper = keeper
         self._planner = plan
@@ -72,11 +88,14 @@
         self._engines = engines
         self._models = models
         self._tick_s = tick_s
+        self._grace_s = grace_s
         self._pacer = reconcile.LoadPacer(1.0)
         self._reconciler = reconcile.Reconciler(issuer, self._pacer, resend_s)
         self._weights_by_name: dict[str, weights.Weights] = {}
         self._weights_at = float('-inf')
         self._held = False
+        self._held_since = float('-inf')
+        self._heard_by_id: dict[str, _Heard] = {}
         self._loop = task.LoopingCall(self._tick_deferred)
         self._loop.clock = reactor
         self._running: defer.Deferred[None] | None = None
@@ -150,6 +169,8 @@
         if self.keeper.is_holder == self._held:
             return
         self._held = self.keeper.is_holder
+        self._held_since = self._clock.monotonic()
+        self._heard_by_id.clear()
         self.lease_changes += 1
         self._planner.reset()
         LOG.info(
@@ -178,35 +199,56 @@
             for target in targets.values()
         ]
         results = await defer.DeferredList(reading, consumeErrors=True)
+        now = self._clock.monotonic()
         reports = {}
         for target_id, (ok, value) in zip(targets, results, strict=True):
             if ok:
-                reports[target_id] = value
+                # The listed id counts, whatever the engine calls itself.
+                report = dataclasses.replace(value, engine_id=target_id)
+                reports[target_id] = report
+                self._heard_by_id[target_id] = _Heard(report, now)
             else:
                 LOG.debug('%s %s: %s', PREFIX, target_id, value.value)
-        return _View(targets, reports)
+        self._heard_by_id = {
+            target_id: heard
+            for target_id, heard in self._heard_by_id.items()
+            if target_id in targets and now - heard.at <= self._grace_s
+        }
+        known = {
+            target_id: heard.report
+            for target_id, heard in self._heard_by_id.items()
+        }
+        return _View(targets, reports, known)
 
     def _plan(self, view: _View) -> dict[str, reconcile.WantedState]:
-        known = self._weights_by_name
+        now = self._clock.monotonic()
+        models = self._models() & self._weights_by_name.keys()
+        complete = view.known_by_id.keys() == view.targets_by_id.keys()
+        # Without models a plan would empty every engine, and without all
+        # reports it would load models a second time.
+        if not models or (
+            not complete and now - self._held_since < self._grace_s
+        ):
+            return {}
         demand: dict[str, float] = {}
-        for report in view.reports_by_id.values():
+        for report in view.known_by_id.values():
             for name, count in report.demand_by_model.items():
                 demand[name] = demand.get(name, 0.0) + count
         placed = self._planner.plan(
             [
                 planner.EngineCapacity(
                     target_id,
-                    report.places,
+                    max(0, report.places),
                     frozenset(model.name for model in report.models),
                 )
-                for target_id, report in view.reports_by_id.items()
+                for target_id, report in view.known_by_id.items()
             ],
-            sorted(self._models() & known.keys()),
+            sorted(models),
             demand,
-            self._clock.monotonic(),
+            now,
         )
         return {
-            target_id: self._wanted(names, view.reports_by_id[target_id].role)
+            target_id: self._wanted(names, view.known_by_id[target_id].role)
             for target_id, names in placed.items()
         }
 
@@ -305,5 +347,6 @@
         engines=engines,
         models=models,
         tick_s=wanted.tick_s,
+        grace_s=wanted.hold_s,
         resend_s=wanted.resend_s,
     )
