--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -11,12 +11,14 @@
 
 from standins import caller
 from standins import checker
+from standins import engine_server
 from standins import fault_proxy
 from standins import ledger
 from standins import list_server
 from standins import log_server
 from standins import processes
 from standins import target_server
+from standins import weight_server
 
 __all__ = ['Fleet', 'FleetPlan', 'PoolPlan', 'TOKENS_BY_MEMBER']
 
@@ -39,6 +41,8 @@
     repeatable: bool = True
     events: int = 16
     event_ms: float = 5.0
+    engine: bool = False
+    checks_fencing: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +52,8 @@
     :param settings: settings of every host, merged over the defaults.
     :param proxied: whether the fault proxy stands before the log, the list
         and every target; ``Fleet.set_faults`` then sets its faults.
+    :param models: models of the weight store, which is started if there
+        are any.
     """
 
     hosts: int = 3
@@ -64,6 +70,7 @@
     proxied: bool = False
     settings: dict = dataclasses.field(default_factory=dict)
     contracts: tuple[dict, ...] = ()
+    models: tuple[weight_server.StoredModel, ...] = ()
 
 
 def example_catalogue(extra: tuple[dict, ...] = ()) -> list[dict]:
@@ -167,6 +174,7 @@
         self.list_address = ''
         self._proxy_address = ''
         self._proxy_ports_by_name: dict[str, int] = {}
+        self.weights_address = ''
         self.log: processes.ManagedProcess
         self.list: processes.ManagedProcess
 
@@ -179,6 +187,7 @@
             )
             self._stack = stack
             self._start_log()
+            self._start_weights()
             self._start_targets()
             if self.plan.proxied:
                 self._start_proxy()
@@ -244,6 +253,17 @@
             events=pool.events,
             event_ms=pool.event_ms,
         )
+        if pool.engine:
+            self.targets_by_id[target_id] = self._start_standin(
+                'engine',
+                engine_server.EngineServerSettings(
+                    settings,
+                    self.weights_address,
+                    checks_fencing=pool.checks_fencing,
+                ),
+                target_id,
+            )
+            return
         self.targets_by_id[target_id] = self._start_standin(
             'target', settings, target_id
         )
@@ -315,6 +335,17 @@
         )
         processes.wait_http(f'http://{self.log_address}/stats')
 
+    def _start_weights(self) -> None:
+        if not self.plan.models:
+            return
+        port = processes.free_port()
+        self.weights_address = f'127.0.0.1:{port}'
+        settings = weight_server.WeightServerSettings(
+            port, models=self.plan.models
+        )
+        self._start_standin('weights', settings, 'weights')
+        processes.wait_http(f'http://{self.weights_address}/stats')
+
     def _start_targets(self) -> None:
         for pool in self.plan.pools:
             for number in range(pool.targets):
@@ -412,7 +443,7 @@
         key_path = self.folder / 'peer.key'
         if not key_path.exists():
             key_path.write_text('a shared key of the stand-in fleet')
-        base = {
+        base: dict = {
             'host_id': host_id,
             'data_centre': self._data_centre(index),
             'callers': {
@@ -432,6 +463,8 @@
                 'listen': _listen(self.control_addresses_by_host[host_id])
             },
         }
+        if self.weights_address:
+            base['platform']['weight_store'] = _listen(self.weights_address)
         return _merge(base, self.plan.settings)
 
     def _data_centre(self, index: int) -> str:
--- a/walnutport/service/coordination.py
+++ b/walnutport/service/coordination.py
@@ -1,7 +1,6 @@
 """Owns what a host shares with its peers: messages, membership, state."""
 
 import contextlib
-import secrets
 
 from walnutport.adapters import http
 from walnutport.catalogue import follower
@@ -9,7 +8,6 @@
 from walnutport import interfaces
 from walnutport.peer import codec
 from walnutport.peer import messages
-from walnutport.peer import replay
 from walnutport.service import catalogue_keeper
 from walnutport.service import heartbeats
 from walnutport.service import log_reader
@@ -31,6 +29,7 @@
     def __init__(
         self,
         settings: config.HostSettings,
+        incarnation: int,
         watch: target_watch.TargetWatch,
         catalogue: follower.CatalogueFollower,
         reader: log_reader.LogReader,
@@ -39,10 +38,7 @@
         clock: interfaces.Clock,
         reactor,
     ) -> None:
-        origin = messages.PeerOrigin(
-            settings.host_id,
-            replay.new_incarnation(clock.wall(), secrets.randbits(16)),
-        )
+        origin = messages.PeerOrigin(settings.host_id, incarnation)
         keys = settings.peers.keys
         self.watch = watch
         self.network = peers.PeerNetwork(
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -3,28 +3,35 @@
 import contextlib
 import dataclasses
 import logging
+import secrets
 
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import task
 from twisted.web import server
 
+from walnutport.adapters import engine
 from walnutport.adapters import host_list
 from walnutport.adapters import http
 from walnutport.adapters import log
 from walnutport.adapters import stage
+from walnutport.catalogue import fold
 from walnutport.catalogue import follower
 from walnutport import clock as system_clock
 from walnutport.config import settings as config
 from walnutport.cost import ledger
+from walnutport import interfaces
 from walnutport.metrics import exposition
 from walnutport.metrics import histograms
+from walnutport.peer import replay
 from walnutport.service import attempts
 from walnutport.service import callers
 from walnutport.service import coordination
+from walnutport.service import cost
 from walnutport.service import drain
 from walnutport.service import log_reader
 from walnutport.service import operators
+from walnutport.service import orders
 from walnutport.service import pipeline
 from walnutport.service import policies as host_policies
 from walnutport.service import target_watch
@@ -62,8 +69,11 @@
                 self.policies.router, self._watch.load_heard
             ),
         )
-        self.cost = ledger.CostLedger()
         self.latencies = histograms.LatencyHistograms()
+        self.incarnation = replay.new_incarnation(
+            self._clock.wall(), secrets.randbits(16)
+        )
+        self.cost = ledger.CostLedger(settings.host_id, self.incarnation)
         platform = settings.platform
         self._platform_client = http.HttpClient(reactor)
         self.catalogue = follower.CatalogueFollower(lambda: None)
@@ -73,21 +83,27 @@
             reactor,
             platform.timeout_s,
         )
+        self.cost_flusher = cost.CostFlusher(
+            self.cost, self._log.append, reactor, platform.cost_flush_s
+        )
         self._host_list = host_list.HttpHostList(
             self._platform_client,
             _address(platform.host_list),
             reactor,
             platform.timeout_s,
         )
+        self._engines_by_id: dict[str, world.Target] = {}
+        self.orders = self._build_orders() if settings.orders.enabled else None
         self.log_reader = log_reader.LogReader(
             self._log,
-            [self.catalogue],
+            self._followers(),
             self._clock,
             reactor,
             platform.poll_wait_s,
         )
         self.coordination = coordination.Coordination(
             settings,
+            self.incarnation,
             self._watch,
             self.catalogue,
             self.log_reader,
@@ -103,7 +119,12 @@
         self.runner = pipeline.PipelineRunner(
             self.policies,
             attempts.StageRunner(
-                self.policies, stage_client, self.cost, self._clock, reactor
+                self.policies,
+                stage_client,
+                engine.EngineClient(self._platform_client, reactor),
+                self.cost,
+                self._clock,
+                reactor,
             ),
             self._clock,
         )
@@ -167,6 +188,7 @@
         """Open the listeners and start to follow the platform."""
         self._stack.enter_context(self.coordination)
         self._stack.enter_context(self.log_reader)
+        self._stack.enter_context(self.cost_flusher)
         self._start_loop(
             self._read_list, self.settings.platform.host_list_poll_s
         )
@@ -175,6 +197,8 @@
             self.settings.peers.heartbeat_s,
         )
         self._start_loop(self.coordination.advance, _COORDINATION_TICK_S)
+        if self.orders is not None:
+            self._stack.enter_context(self.orders)
         self._start_loop(self.runner.advance, _TICK_S)
         self._caller_port = await self._listen(
             self.settings.callers.listen, self._caller_connections
@@ -215,6 +239,9 @@
                 len(self._caller_connections.protocols),
             )
             return False
+        await self.cost_flusher.finish(
+            self.settings.platform.cost_final_flush_s
+        )
         self._stack.close()
         LOG.info('%s drained', PREFIX)
         return True
@@ -242,6 +269,28 @@
         loop.start(interval_s)
         self._stack.callback(loop.stop)
 
+    def _models(self) -> frozenset[str]:
+        if not self.catalogue.synced:
+            return frozenset()
+        return _models(self.catalogue.fold.view())
+
+    def _followers(self) -> list[interfaces.LogFollower]:
+        if self.orders is None:
+            return [self.catalogue]
+        return [self.catalogue, self.orders.keeper]
+
+    def _build_orders(self) -> orders.OrderService:
+        return orders.build(
+            self.settings,
+            self.incarnation,
+            self._platform_client,
+            self._log,
+            self._clock,
+            self._reactor,
+            engines=lambda: self._engines_by_id,
+            models=self._models,
+        )
+
     def _read_list(self) -> defer.Deferred[None]:
         return defer.Deferred.fromCoroutine(self._apply_list())
 
@@ -251,8 +300,23 @@
             LOG.warning('%s host list: %s', PREFIX, result.error)
             return
         self.coordination.list_read(result.ok)
+        self._engines_by_id = {
+            target.target_id: target
+            for target in result.ok.targets_by_id.values()
+            if target.service == self.settings.orders.engine_service
+            and target.state is world.TargetState.LIVE
+        }
         self._list_loaded = True
 
 
+def _models(view: fold.CatalogueView) -> frozenset[str]:
+    return frozenset(
+        step.model
+        for pipeline_ in view.pipelines_by_id.values()
+        for step in pipeline_.stages
+        if step.model
+    )
+
+
 def _address(listen: config.ListenAddress) -> world.Address:
     return world.Address(listen.ip, listen.port)
