Claim non-repeatable requests in the log before they run

Cause: nothing kept a request whose stage may not be repeated from running on two hosts, or twice on one host after a lost connection. A claimed run goes on when its caller leaves, and a non-repeatable stage is never sent twice, whatever the retry policy says; the naive policy keeps neither.

--- /dev/null
+++ b/walnutport/claims/claimant.py
@@ -0,0 +1,343 @@
+"""Claims of one host: from the request to the end of the run.
+
+=========  ============================================================
+Phase      Meaning
+=========  ============================================================
+pending    appended or about to be; not read back yet
+running    read back as the winner and granted to one request
+finished   the run ended; the claim stays until its key has expired
+releasing  the run will never start; the release was not read back yet
+=========  ============================================================
+
+A pending claim outlives the requests that wait for it: it may still win, and
+then it is released, or granted to a repeat that came in the meantime.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import enum
+import math
+
+from walnutport.claims import actions
+from walnutport.claims import fold
+from walnutport.claims import records
+from walnutport import exceptions
+from walnutport.lifecycle import answers
+
+__all__ = ['Claimant', 'Phase']
+
+
+_RELEASE_RETRY_S = 0.25
+
+
+class Phase(enum.StrEnum):
+    """Phase of a claim of this host."""
+
+    PENDING = 'pending'
+    RUNNING = 'running'
+    FINISHED = 'finished'
+    RELEASING = 'releasing'
+
+
+@dataclasses.dataclass(slots=True)
+class _OwnClaim:
+    claim: records.Claim
+    phase: Phase = Phase.PENDING
+    # Requests by waiter id in order of arrival, with their give-up times.
+    waiting: dict[int, tuple[actions.Request, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    resubmit_at: float = math.inf
+
+
+class Claimant:
+    """Decides about the claims of one host process.
+
+    :param owner: this process.
+    :param claims: fold of the claims stream, fed through ``apply``.
+    :param timeout_s: longest wait for a claim to be read back in seconds.
+    :param new_claim_id: returns a new random id.
+    """
+
+    def __init__(
+        self,
+        owner: records.Owner,
+        claims: fold.ClaimFold,
+        timeout_s: float,
+        new_claim_id: Callable[[], str],
+    ) -> None:
+        self._owner = owner
+        self._fold = claims
+        self._timeout_s = timeout_s
+        self._new_claim_id = new_claim_id
+        self._own_by_claim: dict[str, _OwnClaim] = {}
+        self._unsettled_by_claim: dict[str, _OwnClaim] = {}
+        self._pending_by_identity: dict[bytes, _OwnClaim] = {}
+        self._claim_by_waiter: dict[int, str] = {}
+        self._blind_before_s = -math.inf
+        self._pruned_s = -math.inf
+        self.synced = False
+        self.log_available = False
+
+    @property
+    def unsettled(self) -> int:
+        """Return the count of claims that are pending or in release."""
+        return len(self._unsettled_by_claim)
+
+    def phase(self, claim_id: str) -> Phase | None:
+        """Return the phase of a claim of this host, or None."""
+        own = self._own_by_claim.get(claim_id)
+        return own.phase if own else None
+
+    def is_wanted(self, item: records.Item) -> bool:
+        """Return whether an item that was not sent yet is still needed."""
+        own = self._own_by_claim.get(item.claim_id)
+        if own is None:
+            return False
+        if isinstance(item, records.Release):
+            return own.phase is Phase.RELEASING
+        return bool(own.waiting)
+
+    def distrust_before(self, issue_s: float) -> None:
+        """Refuse keys whose claims may be among records that were missed.
+
+        :param issue_s: newest issue time of such a key in Unix seconds.
+        """
+        self._blind_before_s = max(self._blind_before_s, issue_s)
+
+    def request(
+        self, request: actions.Request, now: float
+    ) -> list[actions.Action]:
+        """Take a request and decide who runs it."""
+        waiter_id = request.waiter_id
+        if now >= request.deadline:
+            return [actions.Refuse(waiter_id, answers.Reason.DEADLINE_PAST)]
+        held = self._fold.holder(request.identity)
+        if held is not None:
+            return [self._join(request, held)]
+        if request.issued_s < max(
+            self._blind_before_s, self._fold.oldest_issue_s
+        ):
+            return [actions.Refuse(waiter_id, answers.Reason.KEY_EXPIRED)]
+        if not (self.synced and self.log_available):
+            return [
+                actions.Refuse(waiter_id, answers.Reason.CLAIM_UNAVAILABLE)
+            ]
+        return self._claim(request, now)
+
+    def append_answered(
+        self,
+        item: records.Item,
+        error: exceptions.LogServiceError | None,
+        now: float,
+    ) -> list[actions.Action]:
+        """Take the outcome of an append.
+
+        ``LogUnavailable`` counts as not appended. After every other outcome
+        the stream decides, as the item may be in it.
+        """
+        own = self._unsettled_by_claim.get(item.claim_id)
+        if own is None or not isinstance(error, exceptions.LogUnavailable):
+            return []
+        if isinstance(item, records.Release):
+            own.resubmit_at = now + _RELEASE_RETRY_S
+            return []
+        if own.phase is not Phase.PENDING:
+            return []
+        return self._refuse_all(
+            self._drop(own), answers.Reason.CLAIM_UNAVAILABLE
+        )
+
+    def apply(
+        self, batch: records.Batch, log_time_s: float, now: float
+    ) -> list[actions.Action]:
+        """Apply the next record of the claims stream."""
+        steps: list[actions.Action] = []
+        for event in self._fold.apply(batch, log_time_s):
+            if event.verdict is fold.Verdict.RELEASED:
+                self._released(event)
+                steps.append(actions.Freed(event.item.claim_id))
+            elif event.owner == self._owner:
+                steps += self._decided(event, now)
+        return steps
+
+    def advance(self, now: float) -> list[actions.Action]:
+        """Return what follows from the passing of time."""
+        steps: list[actions.Action] = []
+        for own in list(self._unsettled_by_claim.values()):
+            if own.phase is Phase.PENDING:
+                steps += self._time_out(own, now)
+            elif now >= own.resubmit_at and self.log_available:
+                steps.append(self._append_release(own, now))
+        self._prune()
+        return steps
+
+    def withdraw(self, waiter_id: int) -> None:
+        """Forget a request whose caller is gone."""
+        claim_id = self._claim_by_waiter.pop(waiter_id, None)
+        if claim_id is not None:
+            self._own_by_claim[claim_id].waiting.pop(waiter_id, None)
+
+    def finish(
+        self, claim_id: str, ran: bool, now: float
+    ) -> list[actions.Action]:
+        """End a granted run; a run that sent no byte releases the claim."""
+        own = self._own_by_claim.get(claim_id)
+        if own is None or own.phase is not Phase.RUNNING:
+            return []
+        if ran:
+            own.phase = Phase.FINISHED
+            return []
+        return [self._start_release(own, now)]
+
+    def _join(
+        self, request: actions.Request, held: fold.Holder
+    ) -> actions.Action:
+        if held.body_digest != request.body_digest:
+            return actions.Refuse(request.waiter_id, answers.Reason.KEY_REUSED)
+        if held.owner != self._owner:
+            return actions.Ask(request.waiter_id, held)
+        if self.phase(held.claim_id) in (Phase.RUNNING, Phase.FINISHED):
+            return actions.Join(request.waiter_id, held.claim_id)
+        return actions.Refuse(
+            request.waiter_id, answers.Reason.CLAIM_UNAVAILABLE
+        )
+
+    def _claim(
+        self, request: actions.Request, now: float
+    ) -> list[actions.Action]:
+        own = self._pending_by_identity.get(request.identity)
+        if own is None:
+            own = self._open(request)
+            steps: list[actions.Action] = [actions.Append(own.claim)]
+        elif own.claim.body_digest != request.body_digest:
+            return [
+                actions.Refuse(request.waiter_id, answers.Reason.KEY_REUSED)
+            ]
+        else:
+            steps = []
+        give_up_at = min(now + self._timeout_s, request.deadline)
+        own.waiting[request.waiter_id] = (request, give_up_at)
+        self._claim_by_waiter[request.waiter_id] = own.claim.claim_id
+        return steps
+
+    def _open(self, request: actions.Request) -> _OwnClaim:
+        claim = records.Claim(
+            self._new_claim_id(),
+            request.identity,
+            request.body_digest,
+            request.issued_s,
+        )
+        own = _OwnClaim(claim)
+        self._own_by_claim[claim.claim_id] = own
+        self._unsettled_by_claim[claim.claim_id] = own
+        self._pending_by_identity[claim.identity] = own
+        return own
+
+    def _decided(self, event: fold.Event, now: float) -> list[actions.Action]:
+        own = self._unsettled_by_claim.get(event.item.claim_id)
+        if own is None or own.phase is not Phase.PENDING:
+            # A claim that was taken as not appended is in the log after all.
+            return self._release_stray(event, now)
+        if event.verdict is fold.Verdict.WON:
+            return self._won(own, now)
+        waiting = self._drop(own)
+        if event.verdict is fold.Verdict.EXPIRED:
+            return self._refuse_all(waiting, answers.Reason.KEY_EXPIRED)
+        assert event.holder is not None
+        return [self._join(request, event.holder) for request in waiting]
+
+    def _won(self, own: _OwnClaim, now: float) -> list[actions.Action]:
+        """Grant the run to the first request that can still use it.
+
+        The host may have been paused since the request arrived, so its
+        deadline is checked here again.
+        """
+        late = self._time_out(own, now)
+        waiting = self._settle(own)
+        if own.claim.issued_s < self._blind_before_s:
+            # An earlier claim may be among the records that were missed.
+            late += self._refuse_all(waiting, answers.Reason.KEY_EXPIRED)
+            waiting = []
+        if not waiting:
+            return [*late, self._start_release(own, now)]
+        own.phase = Phase.RUNNING
+        claim_id = own.claim.claim_id
+        joined = [
+            actions.Join(item.waiter_id, claim_id) for item in waiting[1:]
+        ]
+        return [*late, actions.Grant(waiting[0].waiter_id, claim_id), *joined]
+
+    def _release_stray(
+        self, event: fold.Event, now: float
+    ) -> list[actions.Action]:
+        if event.verdict is not fold.Verdict.WON:
+            return []
+        assert isinstance(event.item, records.Claim)
+        own = _OwnClaim(event.item)
+        self._own_by_claim[event.item.claim_id] = own
+        return [self._start_release(own, now)]
+
+    def _start_release(self, own: _OwnClaim, now: float) -> actions.Action:
+        own.phase = Phase.RELEASING
+        self._unsettled_by_claim[own.claim.claim_id] = own
+        return self._append_release(own, now)
+
+    def _append_release(self, own: _OwnClaim, now: float) -> actions.Action:
+        own.resubmit_at = now + self._timeout_s
+        return actions.Append(
+            records.Release(own.claim.claim_id, own.claim.identity)
+        )
+
+    def _released(self, event: fold.Event) -> None:
+        if event.owner == self._owner:
+            self._unsettled_by_claim.pop(event.item.claim_id, None)
+            self._own_by_claim.pop(event.item.claim_id, None)
+
+    def _time_out(self, own: _OwnClaim, now: float) -> list[actions.Action]:
+        steps: list[actions.Action] = []
+        for request, give_up_at in list(own.waiting.values()):
+            if now >= give_up_at:
+                self.withdraw(request.waiter_id)
+                reason = answers.Reason.CLAIM_UNAVAILABLE
+                if now >= request.deadline:
+                    reason = answers.Reason.DEADLINE_EXCEEDED
+                steps.append(actions.Refuse(request.waiter_id, reason))
+        return steps
+
+    def _refuse_all(
+        self, waiting: Iterable[actions.Request], reason: answers.Reason
+    ) -> list[actions.Action]:
+        return [
+            actions.Refuse(request.waiter_id, reason) for request in waiting
+        ]
+
+    def _settle(self, own: _OwnClaim) -> list[actions.Request]:
+        """End the pending phase and return the requests that wait."""
+        self._unsettled_by_claim.pop(own.claim.claim_id, None)
+        if self._pending_by_identity.get(own.claim.identity) is own:
+            del self._pending_by_identity[own.claim.identity]
+        waiting = [request for request, _ in own.waiting.values()]
+        for request in waiting:
+            self.withdraw(request.waiter_id)
+        return waiting
+
+    def _drop(self, own: _OwnClaim) -> list[actions.Request]:
+        waiting = self._settle(own)
+        del self._own_by_claim[own.claim.claim_id]
+        return waiting
+
+    def _prune(self) -> None:
+        """Drop claims whose keys are so old that no claim of them wins."""
+        oldest_s = self._fold.oldest_issue_s
+        if oldest_s < self._pruned_s + 1.0:
+            return
+        self._pruned_s = oldest_s
+        for own in list(self._own_by_claim.values()):
+            if own.claim.issued_s >= oldest_s:
+                continue
+            if own.phase is Phase.FINISHED:
+                del self._own_by_claim[own.claim.claim_id]
+            elif own.phase is not Phase.RUNNING and not own.waiting:
+                self._drop(own)
--- /dev/null
+++ b/walnutport/claims/fold.py
@@ -0,0 +1,140 @@
+"""Fold of the ``claims`` stream: which host owns the run of an identity.
+
+The first claim in log order wins. Every decision depends only on the records
+and on the times at which the log took them, so all hosts agree. A claim whose
+key is older than memory plus skew at that time never wins, which makes it
+safe to forget the owner of such a key.
+"""
+
+from collections.abc import Iterator
+import dataclasses
+import enum
+import math
+
+from walnutport.claims import records
+
+__all__ = ['ClaimFold', 'Event', 'Holder', 'Verdict']
+
+
+class Verdict(enum.StrEnum):
+    """What the fold decided about one item of the log."""
+
+    WON = 'won'
+    LOST = 'lost'
+    REUSED = 'reused'
+    EXPIRED = 'expired'
+    RELEASED = 'released'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holder:
+    """The claim that owns an identity."""
+
+    claim_id: str
+    owner: records.Owner
+    body_digest: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """Decision about one item.
+
+    :param owner: host that appended the item.
+    :param holder: the claim that owns the identity, for won, lost and reused.
+    """
+
+    verdict: Verdict
+    item: records.Item
+    owner: records.Owner
+    holder: Holder | None = None
+
+
+class ClaimFold:
+    """State of the claims after the records applied so far.
+
+    Applying an item takes constant time; memory is bounded by the rate of
+    claims times memory plus skew.
+
+    :param memory_s: age up to which hosts accept keys.
+    :param skew_s: largest difference of a host's clock from the log's clock.
+    """
+
+    def __init__(self, memory_s: float, skew_s: float) -> None:
+        self._kept_s = memory_s + skew_s
+        self._holder_by_identity: dict[bytes, Holder] = {}
+        self._identities_by_issue_s: dict[int, list[bytes]] = {}
+        # Hosts repeat in many claims, so one object stands for each.
+        self._owners: dict[records.Owner, records.Owner] = {}
+        self._log_time_s = -math.inf
+        self._pruned_s = -math.inf
+
+    def __len__(self) -> int:
+        return len(self._holder_by_identity)
+
+    @property
+    def oldest_issue_s(self) -> float:
+        """Return the issue time below which no claim wins any more."""
+        return self._log_time_s - self._kept_s
+
+    def holder(self, identity: bytes) -> Holder | None:
+        """Return the claim that owns an identity, or None."""
+        return self._holder_by_identity.get(identity)
+
+    def apply(
+        self, batch: records.Batch, log_time_s: float
+    ) -> Iterator[Event]:
+        """Apply the next record of the log, item by item.
+
+        :param log_time_s: Unix time at which the log took the record; a
+            clock of the log that was set back counts as standing still.
+        """
+        self._log_time_s = max(self._log_time_s, log_time_s)
+        self._forget()
+        owner = self._owners.setdefault(batch.owner, batch.owner)
+        for item in batch.items:
+            if isinstance(item, records.Claim):
+                yield from self._apply_claim(item, owner)
+            else:
+                yield from self._apply_release(item, owner)
+
+    def _apply_claim(
+        self, claim: records.Claim, owner: records.Owner
+    ) -> Iterator[Event]:
+        held = self._holder_by_identity.get(claim.identity)
+        if claim.issued_s < self.oldest_issue_s:
+            verdict = Verdict.EXPIRED
+        elif held is None:
+            verdict = Verdict.WON
+            held = Holder(claim.claim_id, owner, claim.body_digest)
+            self._holder_by_identity[claim.identity] = held
+            self._identities_by_issue_s.setdefault(claim.issued_s, []).append(
+                claim.identity
+            )
+        elif held.claim_id == claim.claim_id:
+            return
+        elif held.body_digest != claim.body_digest:
+            verdict = Verdict.REUSED
+        else:
+            verdict = Verdict.LOST
+        yield Event(verdict, claim, owner, held)
+
+    def _apply_release(
+        self, release: records.Release, owner: records.Owner
+    ) -> Iterator[Event]:
+        held = self._holder_by_identity.get(release.identity)
+        if (
+            held is not None
+            and held.claim_id == release.claim_id
+            and held.owner == owner
+        ):
+            del self._holder_by_identity[release.identity]
+            yield Event(Verdict.RELEASED, release, owner)
+
+    def _forget(self) -> None:
+        if self.oldest_issue_s < self._pruned_s + 1.0:
+            return
+        self._pruned_s = self.oldest_issue_s
+        for issue_s in list(self._identities_by_issue_s):
+            if issue_s < self.oldest_issue_s:
+                for identity in self._identities_by_issue_s.pop(issue_s):
+                    self._holder_by_identity.pop(identity, None)
--- a/walnutport/service/attempts.py
+++ b/walnutport/service/attempts.py
@@ -151,6 +151,8 @@
         tries: int,
     ) -> interfaces.RetryDecision:
         not_sent = result.status is interfaces.AttemptStatus.NOT_SENT
+        if self._policies.at_most_once and not (stage.repeatable or not_sent):
+            return interfaces.RetryDecision(False)
         return self._policies.retries.after_failure(
             result,
             attempts=tries,
--- /dev/null
+++ b/walnutport/service/claims.py
@@ -0,0 +1,385 @@
+"""Grants the sole run of requests that must run at most once."""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+import itertools
+import logging
+import secrets
+
+from expression import Error
+from expression import Ok
+from expression import Result
+from twisted.internet import defer
+
+from walnutport.claims import actions
+from walnutport.claims import claimant
+from walnutport.claims import fold
+from walnutport.claims import keys
+from walnutport.claims import records
+from walnutport.claims import store
+from walnutport.config import settings as config
+from walnutport import exceptions
+from walnutport import interfaces
+from walnutport.lifecycle import answers
+from walnutport.peer import messages
+from walnutport.service import claim_peers
+from walnutport.service import log_writer
+
+__all__ = ['ClaimService']
+
+LOG = logging.getLogger(__name__)
+PREFIX = 'claims:'
+
+_RETRY_S = 1.0
+_STATUS_BY_REASON = {
+    answers.Reason.KEY_INVALID: 400,
+    answers.Reason.KEY_EXPIRED: 410,
+    answers.Reason.KEY_REUSED: 422,
+}
+
+ClaimOutcome = Result[interfaces.ClaimGrant, interfaces.ClaimRefusal]
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiter:
+    """A request that waits for a grant or for the answer of a run.
+
+    :param source: claim whose answer it waits for, empty before that.
+    """
+
+    request: actions.Request
+    done: defer.Deferred[ClaimOutcome]
+    source: str = ''
+    asking: defer.Deferred[None] | None = None
+
+
+class ClaimService:
+    """Claim gate and follower of the stream ``claims``.
+
+    :param owner: this process.
+    :param store_bytes: bound of the stored answers in bytes.
+    :param is_log_available: returns whether the log can be read now.
+    :param bus: sends messages to other hosts; None answers requests that
+        are claimed elsewhere with ``unknown`` at once.
+    """
+
+    stream = records.CLAIMS_STREAM
+
+    def __init__(
+        self,
+        owner: records.Owner,
+        settings: config.LogSettings,
+        store_bytes: int,
+        writer: log_writer.LogWriter,
+        clock: interfaces.Clock,
+        reactor,
+        is_log_available: Callable[[], bool],
+        bus: interfaces.PeerBus | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._is_log_available = is_log_available
+        self._rules = keys.KeyRules(
+            settings.claim_memory_s, settings.clock_skew_s
+        )
+        self.fold = fold.ClaimFold(
+            settings.claim_memory_s, settings.clock_skew_s
+        )
+        self._claimant = claimant.Claimant(
+            owner,
+            self.fold,
+            settings.claim_timeout_s,
+            lambda: secrets.token_hex(8),
+        )
+        self.store = store.AnswerStore(store_bytes)
+        self._batcher: log_writer.Batcher[records.Item] = log_writer.Batcher(
+            writer,
+            self.stream,
+            lambda items: _encode(owner, items),
+            clock,
+            reactor,
+            is_wanted=self._claimant.is_wanted,
+        )
+        self._peers = (
+            claim_peers.ClaimPeers(bus, self._lookup, clock, reactor)
+            if bus is not None
+            else None
+        )
+        self._waiter_ids = itertools.count(1)
+        self._waiter_by_id: dict[int, _Waiter] = {}
+        self._waiter_ids_by_source: dict[str, set[int]] = {}
+        self._offset = 0
+        self._read_at = clock.monotonic()
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    @property
+    def unsettled(self) -> int:
+        """Return the count of claims that are pending or in release."""
+        return self._claimant.unsettled
+
+    def claim(
+        self,
+        identity: interfaces.ClaimIdentity,
+        body_digest: bytes,
+        deadline: float,
+    ) -> defer.Deferred[ClaimOutcome]:
+        """Claim a run; see ``interfaces.ClaimGate``.
+
+        Cancelling the Deferred withdraws the request.
+        """
+        checked = self._rules.check(identity.key, self._clock.wall())
+        if checked.is_error():
+            self.counts[checked.error.value] += 1
+            return defer.succeed(_refusal(_refuse(checked.error)))
+        waiter_id = next(self._waiter_ids)
+        request = actions.Request(
+            waiter_id,
+            keys.identity_digest(
+                identity.member_id, identity.entry_id, identity.key
+            ),
+            body_digest,
+            checked.ok,
+            deadline,
+        )
+        waiter = _Waiter(
+            request, defer.Deferred(lambda _: self._withdraw(waiter_id))
+        )
+        self._waiter_by_id[waiter_id] = waiter
+        self._request(request)
+        return waiter.done
+
+    def finish(self, claim_id: str, answer: answers.Answer) -> None:
+        """End a granted run; see ``interfaces.ClaimGate``."""
+        ran = answer.outcome is not answers.Outcome.NOT_RUN
+        if ran:
+            self.store.put(claim_id, answer)
+        steps = self._claimant.finish(claim_id, ran, self._clock.monotonic())
+        for waiter_id in self._unwatch_all(claim_id):
+            self._resolve(waiter_id, _refusal(answer))
+        self._perform(steps)
+        if self._peers is not None:
+            self._peers.finished(claim_id)
+
+    def start_offset(self) -> int:
+        """Return the offset to read from next."""
+        return self._offset
+
+    def apply(self, page: interfaces.StreamPage, now: float) -> None:
+        """Apply a page of the stream."""
+        if page.expired:
+            self._note_gap(page, now)
+        self._read_at = now
+        self._claimant.log_available = True
+        for record in page.records:
+            self._apply_record(record, now)
+        self._offset = page.next_offset
+        if page.next_offset >= page.end_offset and not self._claimant.synced:
+            self._claimant.synced = True
+            LOG.info('%s read to offset %d', PREFIX, self._offset)
+
+    def advance(self) -> None:
+        """Do what follows from the passing of time."""
+        now = self._clock.monotonic()
+        self._claimant.log_available = self._is_log_available()
+        self._perform(self._claimant.advance(now))
+        for waiter_id, waiter in list(self._waiter_by_id.items()):
+            if waiter.source and now >= waiter.request.deadline:
+                self._resolve(
+                    waiter_id,
+                    _refusal(_unknown(answers.Reason.DEADLINE_EXCEEDED)),
+                )
+
+    def _request(self, request: actions.Request) -> None:
+        self._claimant.log_available = self._is_log_available()
+        self._perform(self._claimant.request(request, self._clock.monotonic()))
+
+    def _apply_record(self, record: interfaces.LogRecord, now: float) -> None:
+        try:
+            batch = records.decode_batch(record.payload)
+        except exceptions.CodecError as error:
+            self.counts['malformed'] += 1
+            LOG.warning('%s record %d: %s', PREFIX, record.offset, error)
+            return
+        log_time_s = record.time_ms / 1000
+        self._perform(self._claimant.apply(batch, log_time_s, now))
+
+    def _note_gap(self, page: interfaces.StreamPage, now: float) -> None:
+        """Refuse old keys if records were lost before their retention.
+
+        Records that are older than the retention hold no claim of a key that
+        is still accepted, so their loss does not matter.
+        """
+        since_s = now - self._read_at
+        if not self._claimant.synced or since_s >= self._settings.retention_s:
+            return
+        skew_s = self._settings.clock_skew_s
+        newest_lost_s = self._clock.wall() + skew_s
+        if page.records:
+            newest_lost_s = page.records[0].time_ms / 1000
+        self._claimant.distrust_before(newest_lost_s + 2 * skew_s)
+        LOG.error(
+            '%s records from offset %d on expired unread; '
+            'keys issued before now are refused',
+            PREFIX,
+            self._offset,
+        )
+
+    def _perform(self, steps: Sequence[actions.Action]) -> None:
+        for step in steps:
+            match step:
+                case actions.Append(item):
+                    self._append(item)
+                case actions.Grant(waiter_id, claim_id):
+                    self._grant(waiter_id, claim_id)
+                case actions.Join(waiter_id, claim_id):
+                    self._join(waiter_id, claim_id)
+                case actions.Ask(waiter_id, holder):
+                    self._ask(waiter_id, holder)
+                case actions.Refuse(waiter_id, reason):
+                    self.counts[reason.value] += 1
+                    self._resolve(waiter_id, _refusal(_refuse(reason)))
+                case actions.Freed(claim_id):
+                    self._restart(claim_id)
+
+    def _append(self, item: records.Item) -> None:
+        def answered(result: log_writer.AppendResult) -> None:
+            error = result.error if result.is_error() else None
+            now = self._clock.monotonic()
+            self._perform(self._claimant.append_answered(item, error, now))
+
+        self._batcher.add(item).addCallback(answered)
+
+    def _grant(self, waiter_id: int, claim_id: str) -> None:
+        if waiter_id not in self._waiter_by_id:
+            now = self._clock.monotonic()
+            self._perform(self._claimant.finish(claim_id, False, now))
+            return
+        self.counts['granted'] += 1
+        self._resolve(waiter_id, Ok(interfaces.ClaimGrant(claim_id)))
+
+    def _join(self, waiter_id: int, claim_id: str) -> None:
+        waiter = self._waiter_by_id.get(waiter_id)
+        if waiter is None:
+            return
+        self.counts['joined'] += 1
+        state, answer = self._lookup(claim_id)
+        if answer is not None:
+            self._resolve(waiter_id, _refusal(answer))
+        elif state is messages.AnswerState.RUNNING:
+            self._watch(waiter, claim_id)
+        else:
+            unknown = _unknown(answers.Reason.CLAIMED_ELSEWHERE)
+            self._resolve(waiter_id, _refusal(unknown))
+
+    def _ask(self, waiter_id: int, holder: fold.Holder) -> None:
+        waiter = self._waiter_by_id.get(waiter_id)
+        if waiter is None:
+            return
+        self.counts['claimed_elsewhere'] += 1
+        self._watch(waiter, holder.claim_id)
+        waiter.asking = defer.Deferred.fromCoroutine(
+            self._fetch(waiter_id, holder, waiter.request.deadline)
+        )
+        waiter.asking.addErrback(
+            lambda failure: failure.trap(defer.CancelledError)
+        )
+
+    async def _fetch(
+        self, waiter_id: int, holder: fold.Holder, deadline: float
+    ) -> None:
+        answer = None
+        if self._peers is not None:
+            answer = await self._peers.ask(
+                holder.owner.host_id, holder.claim_id, deadline
+            )
+        unknown = _unknown(answers.Reason.CLAIMED_ELSEWHERE)
+        self._waiter_by_id[waiter_id].asking = None
+        self._resolve(waiter_id, _refusal(answer or unknown))
+
+    def _restart(self, claim_id: str) -> None:
+        """Claim anew for the requests that asked for a released claim."""
+        for waiter_id in self._unwatch_all(claim_id):
+            waiter = self._waiter_by_id[waiter_id]
+            asking, waiter.asking = waiter.asking, None
+            if asking is not None:
+                asking.cancel()
+            self._request(waiter.request)
+
+    def _lookup(
+        self, claim_id: str
+    ) -> tuple[messages.AnswerState, answers.Answer | None]:
+        answer = self.store.get(claim_id)
+        if answer is not None:
+            return messages.AnswerState.FINISHED, answer
+        phase = self._claimant.phase(claim_id)
+        if phase is None or phase is claimant.Phase.FINISHED:
+            return messages.AnswerState.UNKNOWN, None
+        return messages.AnswerState.RUNNING, None
+
+    def _watch(self, waiter: _Waiter, claim_id: str) -> None:
+        """Let a request wait for the end of a claim."""
+        waiter.source = claim_id
+        self._waiter_ids_by_source.setdefault(claim_id, set()).add(
+            waiter.request.waiter_id
+        )
+
+    def _unwatch_all(self, claim_id: str) -> list[int]:
+        """Return the requests that waited for a claim, in their order."""
+        waiter_ids = sorted(self._waiter_ids_by_source.pop(claim_id, ()))
+        for waiter_id in waiter_ids:
+            self._waiter_by_id[waiter_id].source = ''
+        return waiter_ids
+
+    def _remove(self, waiter_id: int) -> _Waiter | None:
+        waiter = self._waiter_by_id.pop(waiter_id, None)
+        if waiter is not None and waiter.source:
+            waiter_ids = self._waiter_ids_by_source[waiter.source]
+            waiter_ids.discard(waiter_id)
+            if not waiter_ids:
+                del self._waiter_ids_by_source[waiter.source]
+        return waiter
+
+    def _withdraw(self, waiter_id: int) -> None:
+        waiter = self._remove(waiter_id)
+        self._claimant.withdraw(waiter_id)
+        if waiter is not None and waiter.asking is not None:
+            waiter.asking.cancel()
+
+    def _resolve(self, waiter_id: int, outcome: ClaimOutcome) -> None:
+        waiter = self._remove(waiter_id)
+        if waiter is None:
+            return
+        asking, waiter.asking = waiter.asking, None
+        waiter.done.callback(outcome)
+        if asking is not None:
+            asking.cancel()
+
+
+def _encode(owner: records.Owner, items: Sequence[records.Item]) -> bytes:
+    return records.encode_batch(records.Batch(owner, tuple(items)))
+
+
+def _refusal(answer: answers.Answer) -> ClaimOutcome:
+    return Error(interfaces.ClaimRefusal(answer))
+
+
+def _unknown(reason: answers.Reason) -> answers.Answer:
+    return answers.Answer(answers.Outcome.UNKNOWN, reason)
+
+
+def _refuse(reason: answers.Reason) -> answers.Answer:
+    """Return the answer to a request that this host does not run.
+
+    A run under an expired key may have ended before the host can remember,
+    so only ``unknown`` is true of it.
+    """
+    expired = reason is answers.Reason.KEY_EXPIRED
+    unavailable = reason is answers.Reason.CLAIM_UNAVAILABLE
+    return answers.Answer(
+        answers.Outcome.UNKNOWN if expired else answers.Outcome.NOT_RUN,
+        reason,
+        retry_after_s=_RETRY_S if unavailable else 0.0,
+        status=_STATUS_BY_REASON.get(reason, 0),
+    )
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import secrets
 
 from twisted.internet import defer
 from twisted.internet import endpoints
@@ -13,12 +14,15 @@
 from walnutport.adapters import log
 from walnutport.adapters import stage
 from walnutport.catalogue import follower
+from walnutport.claims import records
 from walnutport import clock as system_clock
 from walnutport.config import settings as config
 from walnutport.cost import ledger
 from walnutport.service import attempts
 from walnutport.service import callers
+from walnutport.service import claims
 from walnutport.service import log_reader
+from walnutport.service import log_writer
 from walnutport.service import pipeline
 from walnutport.service import policies as host_policies
 from walnutport import world
@@ -61,9 +65,22 @@
             reactor,
             platform.timeout_s,
         )
+        self.log_writer = log_writer.LogWriter(
+            self._log, self._clock, reactor, platform.max_appends_per_s
+        )
+        self.incarnation = secrets.randbits(63)
+        self.claims = claims.ClaimService(
+            records.Owner(settings.host_id, self.incarnation),
+            platform,
+            settings.callers.answer_store_bytes,
+            self.log_writer,
+            self._clock,
+            reactor,
+            lambda: self.log_reader.available,
+        )
         self.log_reader = log_reader.LogReader(
             self._log,
-            [self.catalogue],
+            [self.catalogue, self.claims],
             self._clock,
             reactor,
             platform.poll_wait_s,
@@ -78,6 +95,7 @@
                 self.policies, stage_client, self.cost, self._clock, reactor
             ),
             self._clock,
+            claims=self.claims if self.policies.at_most_once else None,
         )
         self.callers = callers.CallerApi(
             settings.callers,
@@ -100,6 +118,7 @@
             self._read_list, self.settings.platform.host_list_poll_s
         )
         self._start_loop(self.runner.advance, _TICK_S)
+        self._start_loop(self.claims.advance, _TICK_S)
         await self._listen(
             self.settings.callers.listen, self.callers.app.resource()
         )
@@ -115,19 +134,29 @@
         deadline = (
             self._clock.monotonic() + self.settings.callers.drain_limit_s
         )
-        while self.callers.in_flight_by_id:
+        while self.callers.in_flight_by_id or self.runner.owned_runs:
             if self._clock.monotonic() > deadline:
                 LOG.error(
                     '%s drain limit reached with %d calls in flight',
                     PREFIX,
-                    len(self.callers.in_flight_by_id),
+                    max(
+                        len(self.callers.in_flight_by_id),
+                        self.runner.owned_runs,
+                    ),
                 )
                 return False
             await task.deferLater(self._reactor, _TICK_S)
+        await self._settle_claims()
         self._stack.close()
         LOG.info('%s drained', PREFIX)
         return True
 
+    async def _settle_claims(self) -> None:
+        """Release the claims that never ran, as far as the log takes it."""
+        limit = self._clock.monotonic() + self.settings.platform.timeout_s
+        while self.claims.unsettled and self._clock.monotonic() < limit:
+            await task.deferLater(self._reactor, _TICK_S)
+
     async def _listen(self, listen: config.ListenAddress, resource) -> None:
         endpoint = endpoints.TCP4ServerEndpoint(
             self._reactor, listen.port, interface=listen.ip
--- a/walnutport/service/pipeline.py
+++ b/walnutport/service/pipeline.py
@@ -25,6 +25,9 @@
     :param claims: grants runs of requests that must run at most once; None
         runs them without a claim, as the naive policy does.
     :param permits: grants runs of suspects; None refuses none.
+
+    ``owned_runs`` counts the claimed runs in flight, which outlive their
+    callers.
     """
 
     def __init__(
@@ -40,6 +43,7 @@
         self._clock = clock
         self._claims = claims
         self._permits = permits
+        self.owned_runs = 0
         self._entry_waiter = waiting.QueueWaiter(policies.entry_queue, clock)
 
     def advance(self) -> None:
@@ -51,7 +55,12 @@
         """Run a request and return its final answer."""
         if call.pipeline.first_unrepeatable() is None or not self._claims:
             return await self._run_permitted(call)
-        return await self._run_claimed(call, self._claims)
+        try:
+            return await self._run_claimed(call, self._claims)
+        except defer.CancelledError:
+            return answers.Answer(
+                answers.Outcome.UNKNOWN, answers.Reason.CALLER_GONE
+            )
 
     async def _run_claimed(
         self, call: calls.Call, claims: interfaces.ClaimGate
@@ -62,18 +71,43 @@
         claimed = await claims.claim(identity, call.digest(), call.deadline)
         if claimed.is_error():
             return claimed.error.answer
-        claim_id = claimed.ok.claim_id
+        # The run goes on if the caller leaves, as a repeat may want its
+        # answer and a stage may have been sent that cannot be repeated.
+        owned = defer.Deferred.fromCoroutine(
+            self._run_owned(call, claims, claimed.ok.claim_id)
+        )
+        waiting: defer.Deferred[answers.Answer] = defer.Deferred()
+        owned.addBoth(
+            lambda result: waiting.called or waiting.callback(result)
+        )
+        return await waiting
+
+    async def _run_owned(
+        self, call: calls.Call, claims: interfaces.ClaimGate, claim_id: str
+    ) -> answers.Answer:
         answer = answers.Answer(
             answers.Outcome.UNKNOWN, answers.Reason.INTERNAL
         )
+        self.owned_runs += 1
         try:
             answer = await self._run_permitted(call)
-            return answer
+        except Exception:  # noqa: BLE001 - the claim must be finished
+            LOG.exception('%s %s failed', PREFIX, call.request_id)
         finally:
+            self.owned_runs -= 1
             claims.finish(claim_id, answer)
+        return answer
 
     async def _run_permitted(self, call: calls.Call) -> answers.Answer:
         life = machine.new_lifecycle(call.request_id)
+        try:
+            return await self._run_checked(call, life)
+        except defer.CancelledError:
+            return life.give_up(answers.Reason.CALLER_GONE, '', 0.0)
+
+    async def _run_checked(
+        self, call: calls.Call, life: machine.RequestMachine
+    ) -> answers.Answer:
         digest = call.digest()
         state = self._policies.quarantine.state(
             digest, self._clock.monotonic()
@@ -116,16 +150,13 @@
         self, call: calls.Call, life: machine.RequestMachine
     ) -> answers.Answer:
         data = call.body
-        try:
-            for stage in call.pipeline.stages:
-                outcome = await self._stages.run(
-                    call, stage, data, life.attempt_sent
-                )
-                if isinstance(outcome, attempt.StageFailure):
-                    return _close(life, outcome)
-                data = outcome.output_json
-        except defer.CancelledError:
-            return life.give_up(answers.Reason.CALLER_GONE, '', 0.0)
+        for stage in call.pipeline.stages:
+            outcome = await self._stages.run(
+                call, stage, data, life.attempt_sent
+            )
+            if isinstance(outcome, attempt.StageFailure):
+                return _close(life, outcome)
+            data = outcome.output_json
         return life.complete(data)
 
 
--- a/walnutport/service/policies.py
+++ b/walnutport/service/policies.py
@@ -16,6 +16,8 @@
     """The replaceable decision parts of one host.
 
     :param new_pool_queue: makes the queue in front of a pool of targets.
+    :param at_most_once: whether stages that may not be repeated are sent
+        once at most, whatever the retry policy says.
     """
 
     entry_queue: interfaces.AdmissionQueue
@@ -23,6 +25,7 @@
     router: interfaces.Router
     retries: interfaces.RetryPolicy
     quarantine: interfaces.Quarantine
+    at_most_once: bool = True
 
 
 def build_policies(settings: config.HostSettings) -> Policies:
@@ -34,4 +37,5 @@
         router=naive.RandomRouter(rng),
         retries=naive.BlindRetry(),
         quarantine=naive.NoQuarantine(),
+        at_most_once=settings.policies.policy != 'naive',
     )
