--- /dev/null
+++ b/tests/integration/test_claims.py
@@ -0,0 +1,241 @@
+"""At-most-once execution with real processes."""
+
+import signal
+import time
+import urllib.error
+import urllib.request
+
+import msgspec
+
+from standins import caller
+from standins import fleet
+from standins import ledger
+from standins import processes
+
+_LIMIT_S = 30.0
+_POOLS = (
+    fleet.PoolPlan('encoder', 1),
+    fleet.PoolPlan('retriever', 1),
+    fleet.PoolPlan('reranker', 1),
+    fleet.PoolPlan('engine', 1),
+    fleet.PoolPlan('payments', 2, service_ms=1_500.0, repeatable=False),
+)
+
+
+# A claim that waits longer than this ends the test; no verdict needs it.
+_SETTINGS = {'platform': {'claim_timeout_s': 6.0}}
+
+
+def plan(**changes) -> fleet.FleetPlan:
+    fields = {'hosts': 2, 'pools': _POOLS, 'settings': _SETTINGS, **changes}
+    return fleet.FleetPlan(**fields)
+
+
+def payments(count: int = 1, **changes) -> tuple[caller.Load, ...]:
+    fields = {'rate_per_s': 20.0, 'deadline_ms': 8_000, **changes}
+    return (
+        caller.Load(
+            'north',
+            fleet.TOKENS_BY_MEMBER['north'],
+            'payments',
+            count=count,
+            keyed=True,
+            **fields,
+        ),
+    )
+
+
+def finish(sender: processes.ManagedProcess) -> None:
+    assert sender.process is not None
+    assert sender.process.wait(_LIMIT_S) == 0
+
+
+def wait_started(
+    running: fleet.Fleet, count: int, stage: str
+) -> list[ledger.LedgerEvent]:
+    """Wait until a count of runs of a stage has started."""
+    limit = time.monotonic() + _LIMIT_S
+    while time.monotonic() < limit:
+        events = ledger.read_ledger(running.ledger_folder)
+        started = [
+            event
+            for event in events
+            if event.kind == ledger.EventKind.STARTED and event.stage == stage
+        ]
+        if len(started) >= count:
+            return started
+        time.sleep(0.02)
+    raise TimeoutError(f'{stage} did not start {count} times')
+
+
+def kill_busy_target(running: fleet.Fleet) -> None:
+    """Kill the payment target that started a run last, and start it again."""
+    busy = wait_started(running, 4, 'confirm')[-1].source
+    running.targets_by_id[busy].kill()
+    running.start_target(busy)
+
+
+def call(
+    running: fleet.Fleet, host_id: str, key: str, nonce: str, **headers
+) -> tuple[dict, str]:
+    """Send one request and record it and its answer in the ledger."""
+    address = running.caller_addresses_by_host[host_id]
+    request_id = f'{nonce}-{host_id}-{time.monotonic()}'
+    request = urllib.request.Request(
+        f'http://{address}/v1/entries/payments',
+        data=msgspec.json.encode({'nonce': nonce}),
+        headers={
+            'Authorization': 'Bearer token-north',
+            'Idempotency-Key': key,
+            'Walnutport-Request-Id': request_id,
+            'Walnutport-Deadline-Ms': '6000',
+            **headers,
+        },
+    )
+    with ledger.Ledger(running.ledger_folder, 'test') as book:
+        fields = {
+            'nonce': nonce,
+            'request_id': request_id,
+            'entry_id': 'payments',
+        }
+        book.record(ledger.EventKind.SENT, **fields)
+        try:
+            with urllib.request.urlopen(request, timeout=20) as reply:
+                kind, body = reply.headers['content-type'], reply.read()
+        except urllib.error.HTTPError as error:
+            kind, body = error.headers['content-type'], error.read()
+        answer = msgspec.json.decode(body)
+        output = answer.get('output', {})
+        book.record(
+            ledger.EventKind.ANSWERED,
+            outcome=answer['outcome'],
+            reason=answer['reason'],
+            answered_nonce=output.get('nonce', ''),
+            trace=tuple(output.get('trace', ())),
+            **fields,
+        )
+    return answer, kind
+
+
+def new_key(name: str) -> str:
+    return f'{int(time.time())}-{name}'
+
+
+def assert_truthful(running: fleet.Fleet) -> None:
+    report = running.check()
+    assert (report.doubled, report.false_not_run) == (0, 0), report.findings
+    assert report.misdelivered == 0
+
+
+def test_paused_holder_and_repeat_elsewhere() -> None:
+    """Guards against a second run while the holder of a claim is paused."""
+    with fleet.Fleet(plan()) as running:
+        sender = running.start_caller(payments(), hosts=('host-1',))
+        wait_started(running, 1, 'confirm')
+        host = running.hosts_by_id['host-1']
+        host.signal(signal.SIGSTOP)
+        sent = ledger.read_ledger(running.ledger_folder)
+        first = next(e for e in sent if e.kind == ledger.EventKind.SENT)
+        answer, kind = call(running, 'host-2', first.key, first.nonce)
+        streamed = call(
+            running,
+            'host-2',
+            first.key,
+            first.nonce,
+            Accept='text/event-stream',
+        )
+        host.signal(signal.SIGCONT)
+        finish(sender)
+        repeated, _ = call(running, 'host-1', first.key, first.nonce)
+        assert_truthful(running)
+    assert answer['outcome'] == 'unknown'
+    assert answer['reason'] == 'claimed_elsewhere'
+    # A stream that never starts is answered in one piece.
+    assert streamed[0]['outcome'] == 'unknown'
+    assert kind == streamed[1] == 'application/json'
+    assert repeated['outcome'] == 'complete'
+
+
+def test_repeats_join_when_the_first_caller_leaves() -> None:
+    """Guards against a run that ends with its caller, before its repeats."""
+    with fleet.Fleet(plan(hosts=1)) as running:
+        sender = running.start_caller(payments())
+        wait_started(running, 1, 'encoder')
+        events = ledger.read_ledger(running.ledger_folder)
+        first = next(e for e in events if e.kind == ledger.EventKind.SENT)
+        sender.kill()
+        answer, _ = call(running, 'host-1', first.key, first.nonce)
+        again, _ = call(running, 'host-1', first.key, first.nonce)
+        reused, _ = call(running, 'host-1', first.key, 'another body')
+        assert_truthful(running)
+    assert answer['outcome'] == again['outcome'] == 'complete'
+    assert answer['output'] == again['output']
+    assert reused['reason'] == 'key_reused'
+
+
+def test_killed_host_in_mid_run() -> None:
+    """Guards against a second run after the death of the holder."""
+    with fleet.Fleet(plan(hosts=3)) as running:
+        sender = running.start_caller(payments(count=12))
+        wait_started(running, 4, 'confirm')
+        running.hosts_by_id['host-1'].kill()
+        time.sleep(0.2)
+        running.start_host('host-1')
+        finish(sender)
+        assert_truthful(running)
+        assert running.check().sent == 12
+
+
+def test_log_down_and_back() -> None:
+    """Guards against runs without a claim while the log is down."""
+    with fleet.Fleet(plan()) as running:
+        running.control_log(down=True)
+        summaries = caller.Load(
+            'south', 'token-south', 'summaries', 50.0, 10, deadline_ms=8_000
+        )
+        sender = running.start_caller((*payments(count=5), summaries))
+        finish(sender)
+        down = running.check()
+        key = new_key('down')
+        refused, _ = call(running, 'host-1', key, 'after-outage')
+        running.control_log(down=False)
+        limit = time.monotonic() + _LIMIT_S
+        answer = refused
+        while answer['reason'] == 'claim_unavailable':
+            assert time.monotonic() < limit
+            answer, _ = call(running, 'host-1', key, 'after-outage')
+        assert_truthful(running)
+    assert (down.complete, down.not_run) == (10, 5)
+    assert refused['outcome'] == 'not_run'
+    assert refused['retry_after_ms'] > 0
+    assert answer['outcome'] == 'complete'
+
+
+def test_lost_append_answers() -> None:
+    """Guards against lost claims and second runs after ambiguous appends."""
+    with fleet.Fleet(plan()) as running:
+        running.control_log(lose_appends=3)
+        sender = running.start_caller(payments(count=6, rate_per_s=5.0))
+        finish(sender)
+        assert_truthful(running)
+        assert running.check().complete == 6
+
+
+def test_checker_catches_the_naive_policy() -> None:
+    """Guards against a checker that does not see doubled runs."""
+    naive = plan(settings={'policies': {'policy': 'naive'}})
+    with fleet.Fleet(naive) as running:
+        sender = running.start_caller(payments(count=4, rate_per_s=100.0))
+        kill_busy_target(running)
+        finish(sender)
+        assert running.check().doubled > 0
+
+
+def test_standard_policy_where_the_naive_one_doubles() -> None:
+    """Guards against a retry of a payment whose target died."""
+    with fleet.Fleet(plan()) as running:
+        sender = running.start_caller(payments(count=4, rate_per_s=100.0))
+        kill_busy_target(running)
+        finish(sender)
+        assert_truthful(running)
+        assert running.check().unknown > 0
--- a/walnutport/claims/claimant.py
+++ b/walnutport/claims/claimant.py
@@ -99,23 +99,36 @@
             return own.phase is Phase.RELEASING
         return bool(own.waiting)
 
-    def distrust_before(self, issue_s: float) -> None:
+    def records_skipped(self, now: float) -> list[actions.Action]:
+        """Release the pending claims, as theirs may be a missed record."""
+        steps: list[actions.Action] = []
+        for own in list(self._pending_by_identity.values()):
+            steps += self._refuse_all(
+                self._settle(own), answers.Reason.CLAIM_UNAVAILABLE
+            )
+            steps.append(self._start_release(own, now))
+        return steps
+
+    def distrust_before(self, newest_lost_s: float) -> None:
         """Refuse keys whose claims may be among records that were missed.
 
-        :param issue_s: newest issue time of such a key in Unix seconds.
+        :param newest_lost_s: log time of the newest of them in Unix seconds.
         """
-        self._blind_before_s = max(self._blind_before_s, issue_s)
+        # A host takes keys up to one skew ahead of its clock, which itself
+        # may be one skew ahead of the log's clock.
+        blind_before_s = newest_lost_s + 2 * self._fold.skew_s
+        self._blind_before_s = max(self._blind_before_s, blind_before_s)
 
     def request(
         self, request: actions.Request, now: float
     ) -> list[actions.Action]:
         """Take a request and decide who runs it."""
         waiter_id = request.waiter_id
-        if now >= request.deadline:
-            return [actions.Refuse(waiter_id, answers.Reason.DEADLINE_PAST)]
         held = self._fold.holder(request.identity)
         if held is not None:
             return [self._join(request, held)]
+        if now >= request.deadline:
+            return [actions.Refuse(waiter_id, answers.Reason.DEADLINE_PAST)]
         if request.issued_s < max(
             self._blind_before_s, self._fold.oldest_issue_s
         ):
@@ -156,10 +169,13 @@
         steps: list[actions.Action] = []
         for event in self._fold.apply(batch, log_time_s):
             if event.verdict is fold.Verdict.RELEASED:
-                self._released(event)
                 steps.append(actions.Freed(event.item.claim_id))
             elif event.owner == self._owner:
                 steps += self._decided(event, now)
+            elif event.verdict is fold.Verdict.WON:
+                steps += self._lost_to(event)
+        if batch.owner == self._owner:
+            self._settle_releases(batch)
         return steps
 
     def advance(self, now: float) -> list[actions.Action]:
@@ -248,26 +264,45 @@
         assert event.holder is not None
         return [self._join(request, event.holder) for request in waiting]
 
+    def _lost_to(self, event: fold.Event) -> list[actions.Action]:
+        """Answer the requests whose claim comes after that of another host.
+
+        The claim stays pending, as it wins if the other one is released.
+        """
+        own = self._pending_by_identity.get(event.item.identity)
+        if own is None or event.holder is None:
+            return []
+        waiting = self._take_waiting(own)
+        return [self._join(request, event.holder) for request in waiting]
+
     def _won(self, own: _OwnClaim, now: float) -> list[actions.Action]:
         """Grant the run to the first request that can still use it.
 
         The host may have been paused since the request arrived, so its
-        deadline is checked here again.
+        deadline is checked here again. A request past its deadline joins the
+        run of a repeat, as "not run" would no longer be true of its key.
         """
-        late = self._time_out(own, now)
         waiting = self._settle(own)
         if own.claim.issued_s < self._blind_before_s:
             # An earlier claim may be among the records that were missed.
-            late += self._refuse_all(waiting, answers.Reason.KEY_EXPIRED)
-            waiting = []
-        if not waiting:
-            return [*late, self._start_release(own, now)]
+            refused = self._refuse_all(waiting, answers.Reason.KEY_EXPIRED)
+            return [*refused, self._start_release(own, now)]
+        runner = next((item for item in waiting if now < item.deadline), None)
+        if runner is None:
+            refused = self._refuse_all(
+                waiting, answers.Reason.DEADLINE_EXCEEDED
+            )
+            return [*refused, self._start_release(own, now)]
         own.phase = Phase.RUNNING
         claim_id = own.claim.claim_id
-        joined = [
-            actions.Join(item.waiter_id, claim_id) for item in waiting[1:]
+        return [
+            actions.Grant(runner.waiter_id, claim_id),
+            *(
+                actions.Join(item.waiter_id, claim_id)
+                for item in waiting
+                if item is not runner
+            ),
         ]
-        return [*late, actions.Grant(waiting[0].waiter_id, claim_id), *joined]
 
     def _release_stray(
         self, event: fold.Event, now: float
@@ -290,10 +325,11 @@
             records.Release(own.claim.claim_id, own.claim.identity)
         )
 
-    def _released(self, event: fold.Event) -> None:
-        if event.owner == self._owner:
-            self._unsettled_by_claim.pop(event.item.claim_id, None)
-            self._own_by_claim.pop(event.item.claim_id, None)
+    def _settle_releases(self, batch: records.Batch) -> None:
+        for item in batch.items:
+            if isinstance(item, records.Release):
+                self._unsettled_by_claim.pop(item.claim_id, None)
+                self._own_by_claim.pop(item.claim_id, None)
 
     def _time_out(self, own: _OwnClaim, now: float) -> list[actions.Action]:
         steps: list[actions.Action] = []
@@ -318,6 +354,9 @@
         self._unsettled_by_claim.pop(own.claim.claim_id, None)
         if self._pending_by_identity.get(own.claim.identity) is own:
             del self._pending_by_identity[own.claim.identity]
+        return self._take_waiting(own)
+
+    def _take_waiting(self, own: _OwnClaim) -> list[actions.Request]:
         waiting = [request for request, _ in own.waiting.values()]
         for request in waiting:
             self.withdraw(request.waiter_id)
--- a/walnutport/claims/fold.py
+++ b/walnutport/claims/fold.py
@@ -60,6 +60,7 @@
     """
 
     def __init__(self, memory_s: float, skew_s: float) -> None:
+        self.skew_s = skew_s
         self._kept_s = memory_s + skew_s
         self._holder_by_identity: dict[bytes, Holder] = {}
         self._identities_by_issue_s: dict[int, list[bytes]] = {}
--- a/walnutport/service/claims.py
+++ b/walnutport/service/claims.py
@@ -111,7 +111,6 @@
         self._waiter_by_id: dict[int, _Waiter] = {}
         self._waiter_ids_by_source: dict[str, set[int]] = {}
         self._offset = 0
-        self._read_at = clock.monotonic()
         self.counts: collections.Counter[str] = collections.Counter()
 
     @property
@@ -170,7 +169,6 @@
         """Apply a page of the stream."""
         if page.expired:
             self._note_gap(page, now)
-        self._read_at = now
         self._claimant.log_available = True
         for record in page.records:
             self._apply_record(record, now)
@@ -206,19 +204,18 @@
         self._perform(self._claimant.apply(batch, log_time_s, now))
 
     def _note_gap(self, page: interfaces.StreamPage, now: float) -> None:
-        """Refuse old keys if records were lost before their retention.
+        """Refuse old keys if records expired before they were read.
 
-        Records that are older than the retention hold no claim of a key that
-        is still accepted, so their loss does not matter.
+        At the start the stream may have lost its oldest records: they are
+        older than the retention time and so hold no key that is accepted.
         """
-        since_s = now - self._read_at
-        if not self._claimant.synced or since_s >= self._settings.retention_s:
+        if not self._claimant.synced:
             return
-        skew_s = self._settings.clock_skew_s
-        newest_lost_s = self._clock.wall() + skew_s
+        newest_lost_s = self._clock.wall() + self._settings.clock_skew_s
         if page.records:
             newest_lost_s = page.records[0].time_ms / 1000
-        self._claimant.distrust_before(newest_lost_s + 2 * skew_s)
+        self._claimant.distrust_before(newest_lost_s)
+        self._perform(self._claimant.records_skipped(now))
         LOG.error(
             '%s records from offset %d on expired unread; '
             'keys issued before now are refused',
