--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -17,6 +17,7 @@
 from walnutport.adapters import stage
 from walnutport.catalogue import fold
 from walnutport.catalogue import follower
+from walnutport.claims import records
 from walnutport import clock as system_clock
 from walnutport.config import settings as config
 from walnutport.cost import ledger
@@ -32,6 +33,9 @@
 from walnutport.service import log_reader
 from walnutport.service import operators
 from walnutport.service import orders
+from walnutport.service import claims
+from walnutport.service import log_reader
+from walnutport.service import log_writer
 from walnutport.service import pipeline
 from walnutport.service import policies as host_policies
 from walnutport.service import target_watch
@@ -97,6 +101,22 @@
         self.log_reader = log_reader.LogReader(
             self._log,
             self._followers(),
+        self.log_writer = log_writer.LogWriter(
+            self._log, self._clock, reactor, platform.max_appends_per_s
+        )
+        self.incarnation = secrets.randbits(63)
+        self.claims = claims.ClaimService(
+            records.Owner(settings.host_id, self.incarnation),
+            platform,
+            settings.callers.answer_store_bytes,
+            self.log_writer,
+            self._clock,
+            reactor,
+            lambda: self.log_reader.available,
+        )
+        self.log_reader = log_reader.LogReader(
+            self._log,
+            [self.catalogue, self.claims],
             self._clock,
             reactor,
             platform.poll_wait_s,
@@ -127,6 +147,7 @@
                 reactor,
             ),
             self._clock,
+            claims=self.claims if self.policies.at_most_once else None,
         )
         self.callers = callers.CallerApi(
             settings.callers,
@@ -203,6 +224,7 @@
         self._caller_port = await self._listen(
             self.settings.callers.listen, self._caller_connections
         )
+        self._start_loop(self.claims.advance, _TICK_S)
         await self._listen(
             self.settings.control.listen,
             server.Site(self.operators.app.resource()),
@@ -242,11 +264,31 @@
         await self.cost_flusher.finish(
             self.settings.platform.cost_final_flush_s
         )
+        while self.callers.in_flight_by_id or self.runner.owned_runs:
+            if self._clock.monotonic() > deadline:
+                LOG.error(
+                    '%s drain limit reached with %d calls in flight',
+                    PREFIX,
+                    max(
+                        len(self.callers.in_flight_by_id),
+                        self.runner.owned_runs,
+                    ),
+                )
+                return False
+            await task.deferLater(self._reactor, _TICK_S)
+        await self._settle_claims()
         self._stack.close()
         LOG.info('%s drained', PREFIX)
         return True
 
     async def _listen(self, listen: config.ListenAddress, factory):
+    async def _settle_claims(self) -> None:
+        """Release the claims that never ran, as far as the log takes it."""
+        limit = self._clock.monotonic() + self.settings.platform.timeout_s
+        while self.claims.unsettled and self._clock.monotonic() < limit:
+            await task.deferLater(self._reactor, _TICK_S)
+
+    async def _listen(self, listen: config.ListenAddress, resource) -> None:
         endpoint = endpoints.TCP4ServerEndpoint(
             self._reactor, listen.port, interface=listen.ip
         )
