Add standard routing, retries, quarantine and permits

Cause: a host ran only the naive policies: random target, blind retry, no quarantine. Change: subset, choice, prefix affinity and health form StandardRouter; token bucket, back-off and hedging form StandardRetry; SuspectBook and PermitTable with their shells find and isolate requests that crash targets.

--- a/walnutport/interfaces.py
+++ b/walnutport/interfaces.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
@@ -223,6 +224,8 @@
         first, for prefix-cache affinity.
     :param excluded: targets that this request has tried already.
     :param isolated: whether the attempt must be the only suspect there.
+    :param content: digest of the request's content; equal contents prefer
+        the same target, so that copies of a crashing request meet there.
     """
 
     service: str
@@ -231,6 +234,7 @@
     prefix_digests: tuple[bytes, ...] = ()
     excluded: frozenset[str] = frozenset()
     isolated: bool = False
+    content: bytes = b''
 
 
 class Router(Protocol):
@@ -252,6 +256,9 @@
     ) -> None:
         """Take note of a load report."""
 
+    def hosts_changed(self, host_ids: Collection[str], now: float) -> None:
+        """Replace the set of hosts, among which targets are divided."""
+
     def targets_changed(
         self, targets_by_id: Mapping[str, world.Target], now: float
     ) -> None:
@@ -288,6 +295,9 @@
     ) -> RetryDecision:
         """Decide what follows a failed attempt."""
 
+    def attempt_finished(self, result: AttemptResult, now: float) -> None:
+        """Learn the latency of an attempt."""
+
     def hedge_delay_s(
         self, service: str, *, repeatable: bool, suspect: bool, now: float
     ) -> float | None:
--- a/walnutport/naive/policies.py
+++ b/walnutport/naive/policies.py
@@ -1,5 +1,6 @@
 """Naive policies: random target, no limits, blind retry, no quarantine."""
 
+from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
 import random
@@ -72,6 +73,9 @@
     ) -> None:
         return None
 
+    def hosts_changed(self, host_ids: Collection[str], now: float) -> None:
+        return None
+
     def targets_changed(
         self, targets_by_id: Mapping[str, world.Target], now: float
     ) -> None:
@@ -97,6 +101,11 @@
         retry = attempts < _MAX_ATTEMPTS and now < deadline
         return interfaces.RetryDecision(retry)
 
+    def attempt_finished(
+        self, result: interfaces.AttemptResult, now: float
+    ) -> None:
+        return None
+
     def hedge_delay_s(
         self, service: str, *, repeatable: bool, suspect: bool, now: float
     ) -> float | None:
--- /dev/null
+++ b/walnutport/quarantine/suspects.py
@@ -0,0 +1,165 @@
+"""Finds requests that crash the targets that run them.
+
+What is known of a content is two sets of death ids: deaths at which it was in
+flight, and deaths that a later success cleared. Both only grow until the entry
+expires, so records may arrive late, twice or in any order. The content is a
+suspect after one death that is not cleared and quarantined after two.
+"""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+
+from walnutport import interfaces
+from walnutport.peer import messages
+
+__all__ = ['MAX_ENTRIES', 'SuspectBook', 'death_id']
+
+MAX_ENTRIES = 10_000
+ENTRY_LIFE_S = 3_600.0
+QUARANTINE_DEATHS = 2
+# A content in flight at more deaths than this is long since decided.
+MAX_DEATHS = 32
+
+
+def death_id(target_id: str, incarnation: str) -> str:
+    """Return the id of a death, the same on every host that saw it."""
+    return f'{target_id}/{incarnation}'
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    updated_at: float
+    deaths: dict[str, None] = dataclasses.field(default_factory=dict)
+    cleared: dict[str, None] = dataclasses.field(default_factory=dict)
+
+    def open_deaths(self) -> tuple[str, ...]:
+        return tuple(sorted(self.deaths.keys() - self.cleared.keys()))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Flight:
+    digest: bytes
+    target_id: str
+    incarnation: str
+
+
+class SuspectBook:
+    """Standing of contents; see ``interfaces.Quarantine``.
+
+    :param publish: called with each message that other hosts need.
+    """
+
+    def __init__(
+        self,
+        publish: Callable[[messages.Suspect], None] = lambda message: None,
+    ) -> None:
+        self.publish = publish
+        self._entries: collections.OrderedDict[bytes, _Entry] = (
+            collections.OrderedDict()
+        )
+        self._flights_by_attempt: dict[str, _Flight] = {}
+        self._incarnations_by_target: dict[str, str] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def state(self, digest: bytes, now: float) -> interfaces.SuspicionState:
+        """Return the standing of a digest."""
+        entry = self._find(digest, now)
+        deaths = len(entry.open_deaths()) if entry else 0
+        if deaths >= QUARANTINE_DEATHS:
+            return interfaces.SuspicionState.QUARANTINED
+        if deaths:
+            return interfaces.SuspicionState.SUSPECT
+        return interfaces.SuspicionState.CLEAR
+
+    def attempt_started(
+        self, digest: bytes, target_id: str, attempt_id: str, now: float
+    ) -> None:
+        """Take note of an attempt in flight."""
+        self._flights_by_attempt[attempt_id] = _Flight(
+            digest, target_id, self.incarnation_of(target_id)
+        )
+
+    def attempt_finished(self, attempt_id: str, ok: bool, now: float) -> None:
+        """Take note of the end of an attempt; success clears a suspect."""
+        flight = self._flights_by_attempt.pop(attempt_id, None)
+        if flight is None or not ok:
+            return
+        entry = self._find(flight.digest, now)
+        if entry is None or not entry.open_deaths():
+            return
+        message = messages.Suspect(
+            flight.digest, entry.open_deaths(), cleared=True
+        )
+        self.merge(message, now)
+        self.publish(message)
+
+    def incarnation_seen(self, target_id: str, incarnation: str) -> None:
+        """Take note of the incarnation that a target reports."""
+        if incarnation:
+            self._incarnations_by_target[target_id] = incarnation
+
+    def incarnation_of(self, target_id: str) -> str:
+        """Return the last incarnation of a target, empty if unknown."""
+        return self._incarnations_by_target.get(target_id, '')
+
+    def target_died(
+        self, target_id: str, now: float, incarnation: str | None = None
+    ) -> None:
+        """Mark every request in flight on the target as a suspect.
+
+        :param incarnation: the one that died; None stands for the last one
+            known.
+        """
+        if incarnation is None:
+            incarnation = self.incarnation_of(target_id)
+        death = death_id(target_id, incarnation)
+        digests = {
+            flight.digest
+            for flight in self._flights_by_attempt.values()
+            if flight.target_id == target_id
+            and flight.incarnation == incarnation
+        }
+        for digest in sorted(digests):
+            entry = self._find(digest, now)
+            if entry is None or death not in entry.deaths:
+                message = messages.Suspect(digest, (death,))
+                self.merge(message, now)
+                self.publish(message)
+
+    def merge(self, message: messages.Suspect, now: float) -> None:
+        """Take over what another host or the log tells."""
+        entry = self._find(message.digest, now)
+        if entry is None:
+            entry = _Entry(now)
+            self._entries[message.digest] = entry
+            if len(self._entries) > MAX_ENTRIES:
+                self._entries.popitem(last=False)
+        known = len(entry.deaths) + len(entry.cleared)
+        for death in message.deaths:
+            entry.deaths[death] = None
+            if message.cleared:
+                entry.cleared[death] = None
+        if len(entry.deaths) + len(entry.cleared) > known:
+            entry.updated_at = now
+        _bound(entry)
+
+    def _find(self, digest: bytes, now: float) -> _Entry | None:
+        entry = self._entries.get(digest)
+        if entry is None:
+            return None
+        if now - entry.updated_at >= ENTRY_LIFE_S:
+            del self._entries[digest]
+            return None
+        self._entries.move_to_end(digest)
+        return entry
+
+
+def _bound(entry: _Entry) -> None:
+    while len(entry.deaths) > MAX_DEATHS:
+        # Cleared deaths go first, as open ones decide the standing.
+        oldest = next(iter(entry.cleared), None) or next(iter(entry.deaths))
+        entry.deaths.pop(oldest, None)
+        entry.cleared.pop(oldest, None)
--- /dev/null
+++ b/walnutport/routing/affinity.py
@@ -0,0 +1,88 @@
+"""Index of the prompt prefixes that engines hold in their caches."""
+
+import collections
+from collections.abc import Sequence
+import dataclasses
+
+__all__ = ['CacheEvent', 'PrefixIndex']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """Change of the prefix cache of an engine.
+
+    :param sequence: grows by one with each event of an incarnation.
+    """
+
+    target_id: str
+    incarnation: str
+    sequence: int
+    stored: tuple[bytes, ...] = ()
+    evicted: tuple[bytes, ...] = ()
+
+
+class _TargetIndex:
+    def __init__(self, event: CacheEvent) -> None:
+        self.incarnation = event.incarnation
+        self.sequence = event.sequence - 1
+        self.prefixes: collections.OrderedDict[bytes, None] = (
+            collections.OrderedDict()
+        )
+
+
+class PrefixIndex:
+    """Prefixes by target, from events that come late and with gaps.
+
+    :param max_prefixes: bound for each target; the oldest are dropped.
+    """
+
+    def __init__(self, max_prefixes: int = 4_096) -> None:
+        self._max_prefixes = max_prefixes
+        self._indexes_by_target: dict[str, _TargetIndex] = {}
+        self.gaps = 0
+
+    def apply(self, event: CacheEvent) -> None:
+        """Apply an event; a gap drops the index of its target.
+
+        After a gap an eviction may have been missed, so only what the target
+        stores from then on is known.
+        """
+        index = self._indexes_by_target.get(event.target_id)
+        if index is None or index.incarnation != event.incarnation:
+            index = _TargetIndex(event)
+            self._indexes_by_target[event.target_id] = index
+        if event.sequence <= index.sequence:
+            return
+        if event.sequence != index.sequence + 1:
+            self.gaps += 1
+            index.prefixes.clear()
+        index.sequence = event.sequence
+        for prefix in event.evicted:
+            index.prefixes.pop(prefix, None)
+        for prefix in event.stored:
+            index.prefixes[prefix] = None
+            index.prefixes.move_to_end(prefix)
+        while len(index.prefixes) > self._max_prefixes:
+            index.prefixes.popitem(last=False)
+
+    def forget(self, target_id: str) -> None:
+        """Drop the index of a target that restarted or is gone."""
+        self._indexes_by_target.pop(target_id, None)
+
+    def match(self, target_id: str, prefixes: Sequence[bytes]) -> int:
+        """Return how many of the growing prefixes a target holds."""
+        index = self._indexes_by_target.get(target_id)
+        if index is None:
+            return 0
+        for length in range(len(prefixes), 0, -1):
+            if prefixes[length - 1] in index.prefixes:
+                return length
+        return 0
+
+    def holders(self, prefixes: Sequence[bytes]) -> list[tuple[int, str]]:
+        """Return length of match and id of the targets that match."""
+        found = [
+            (self.match(target_id, prefixes), target_id)
+            for target_id in self._indexes_by_target
+        ]
+        return sorted((item for item in found if item[0] > 0), reverse=True)
--- /dev/null
+++ b/walnutport/routing/choice.py
@@ -0,0 +1,114 @@
+"""Choice among the targets of one pool by load.
+
+The load of a target is what others run there, as its last report tells,
+plus the attempts of this host that are in flight now. The reported part ages,
+because a report says less the older it is.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+import dataclasses
+
+from walnutport import interfaces
+from walnutport.routing import health as target_health
+from walnutport import world
+
+__all__ = ['Candidate', 'best_of', 'sample', 'score']
+
+REPORT_LIFE_S = 2.0
+SAMPLE_ALL_BELOW = 9
+SAMPLE_SIZE = 6
+# Local targets win until they are this much of their slots more loaded.
+REMOTE_PENALTY = 0.25
+FULL_PENALTY = 1_000.0
+
+
+@dataclasses.dataclass(slots=True)
+class Candidate:
+    """A target with what this host knows of its load.
+
+    :param others_load: requests of other hosts at the last report.
+    :param started_by_attempt: start times of own attempts in flight,
+        oldest first.
+    """
+
+    target: world.Target
+    health: target_health.TargetHealth
+    local: bool
+    slots: int
+    others_load: float = 0.0
+    reported_at: float = 0.0
+    started_by_attempt: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    isolated_attempts: set[str] = dataclasses.field(default_factory=set)
+    overdue_attempts: set[str] = dataclasses.field(default_factory=set)
+    leaving: bool = False
+
+    def load(self, now: float) -> float:
+        """Return the requests that are estimated to be at the target."""
+        own = len(self.started_by_attempt)
+        age = (now - self.reported_at) / REPORT_LIFE_S
+        if age >= 1.0 or self.others_load == 0:
+            return own
+        return own + self.others_load * (1.0 - age)
+
+    def report(self, load: world.LoadReport, now: float) -> None:
+        """Take note of a load report."""
+        total = load.running + load.queued
+        self.others_load = max(0, total - len(self.started_by_attempt))
+        self.reported_at = now
+        self.slots = max(1, load.slots)
+        self.leaving = load.state is world.TargetState.LEAVING
+
+    def admits(self, query: interfaces.RouteQuery) -> bool:
+        """Return whether the target may take the attempt at all."""
+        return (
+            not self.leaving
+            and self.target.target_id not in query.excluded
+            and not (query.isolated and self.isolated_attempts)
+            and self.health.state is not target_health.HealthState.DOWN
+        )
+
+
+def score(candidate: Candidate, now: float) -> float:
+    """Return the load relative to the slots; less is better."""
+    load = candidate.load(now)
+    value = (load + 1) / (candidate.slots * candidate.health.weight(now))
+    if not candidate.local:
+        value += REMOTE_PENALTY
+    if load >= candidate.slots:
+        value += FULL_PENALTY
+    return value
+
+
+def sample(candidates: Sequence[Candidate], seed: int) -> Sequence[Candidate]:
+    """Return the candidates to compare, in an order that the seed gives.
+
+    :param seed: the same for the same content on every host, so that equal
+        requests prefer the same target.
+    """
+    count = len(candidates)
+    start = seed % count
+    if count < SAMPLE_ALL_BELOW:
+        return [*candidates[start:], *candidates[:start]]
+    chosen = []
+    for _ in range(SAMPLE_SIZE):
+        chosen.append(candidates[seed % count])
+        seed = (seed * 6364136223846793005 + 1442695040888963407) >> 7
+        seed &= (1 << 64) - 1
+    return chosen
+
+
+def best_of(
+    candidates: Iterable[Candidate], query: interfaces.RouteQuery, now: float
+) -> tuple[Candidate | None, float]:
+    """Return the best candidate that admits the query, and its score."""
+    best = None
+    best_score = float('inf')
+    for candidate in candidates:
+        if candidate.admits(query):
+            value = score(candidate, now)
+            if value < best_score:
+                best, best_score = candidate, value
+    return best, best_score
--- /dev/null
+++ b/walnutport/routing/router.py
@@ -0,0 +1,304 @@
+"""The standard router: subset, choice, affinity and health together."""
+
+from collections.abc import Collection
+from collections.abc import Mapping
+import random
+
+from walnutport import interfaces
+from walnutport.routing import affinity
+from walnutport.routing import choice
+from walnutport.routing import health
+from walnutport.routing import subset
+from walnutport import world
+
+__all__ = ['StandardRouter']
+
+SWEEP_S = 0.05
+# Affinity ends when the holder's score exceeds the best by this much.
+AFFINITY_MARGIN = 0.5
+# Work goes to a slow target only if this many of its runs fit the deadline.
+SLOW_DEADLINE_RATIO = 4.0
+
+_USABLE = (health.HealthState.HEALTHY, health.HealthState.RETURNING)
+_BAD = (interfaces.AttemptStatus.FAILED, interfaces.AttemptStatus.LOST)
+_CUT_OFF = (
+    interfaces.AttemptStatus.CANCELLED,
+    interfaces.AttemptStatus.TIMED_OUT,
+)
+# A run that was cut off may have taken this many times longer; without it,
+# a target whose attempts all lose against their hedges would seem fast.
+CUT_OFF_RATIO = 2.0
+
+
+class _Pool:
+    def __init__(self, max_ejected_share: float) -> None:
+        self.health = health.PoolHealth(max_ejected_share)
+        self.candidates: list[choice.Candidate] = []
+        self.swept_at = 0.0
+
+
+class StandardRouter:
+    """Routes attempts; see ``interfaces.Router``.
+
+    :param subset_size: mean count of targets of a large pool to know.
+    :param rng: random source for queries without content.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        data_centre: str,
+        *,
+        subset_size: int,
+        max_ejected_share: float,
+        rng: random.Random,
+    ) -> None:
+        self._host_id = host_id
+        self._data_centre = data_centre
+        self._subset_size = subset_size
+        self._max_ejected_share = max_ejected_share
+        self._rng = rng
+        self._host_ids: frozenset[str] = frozenset()
+        self._targets_by_id: dict[str, world.Target] = {}
+        self._pools_by_service: dict[str, _Pool] = {}
+        self._candidates_by_id: dict[str, choice.Candidate] = {}
+        self.prefixes = affinity.PrefixIndex()
+
+    def route(
+        self, query: interfaces.RouteQuery, now: float
+    ) -> world.Target | None:
+        """Return a target, or None if none can take the attempt."""
+        pool = self._pools_by_service.get(query.service)
+        if pool is None or not pool.candidates:
+            return None
+        if now - pool.swept_at >= SWEEP_S:
+            self._sweep(pool, now)
+        found = self._probe(pool, query, now)
+        if found is None:
+            found = self._best(pool, query, now)
+        return found.target if found else None
+
+    def attempt_started(
+        self,
+        target_id: str,
+        attempt_id: str,
+        query: interfaces.RouteQuery,
+        now: float,
+    ) -> None:
+        """Count an attempt as in flight."""
+        candidate = self._candidates_by_id.get(target_id)
+        if candidate is not None:
+            candidate.started_by_attempt[attempt_id] = now
+            if query.isolated:
+                candidate.isolated_attempts.add(attempt_id)
+
+    def attempt_finished(
+        self, result: interfaces.AttemptResult, now: float
+    ) -> None:
+        """Take an attempt out of the count and judge the target by it."""
+        candidate = self._candidates_by_id.get(result.target_id)
+        if candidate is None:
+            return
+        candidate.started_by_attempt.pop(result.attempt_id, None)
+        candidate.isolated_attempts.discard(result.attempt_id)
+        overdue = result.attempt_id in candidate.overdue_attempts
+        candidate.overdue_attempts.discard(result.attempt_id)
+        pool = self._pools_by_service[candidate.target.service]
+        status = result.status
+        if result.target_died or status is interfaces.AttemptStatus.NOT_SENT:
+            self.target_down(result.target_id)
+        elif status in _BAD or not overdue:
+            _observe(pool.health, result, now)
+        if result.load is not None:
+            candidate.report(result.load, now)
+
+    def load_reported(
+        self, target_id: str, load: world.LoadReport, now: float
+    ) -> None:
+        """Take note of a load report; a target that was down returns."""
+        candidate = self._candidates_by_id.get(target_id)
+        if candidate is not None:
+            candidate.report(load, now)
+            pool = self._pools_by_service[candidate.target.service]
+            pool.health.connected(target_id, now)
+
+    def target_down(self, target_id: str) -> None:
+        """Send nothing to a target until a load report of it arrives."""
+        candidate = self._candidates_by_id.get(target_id)
+        if candidate is not None:
+            candidate.others_load = 0.0
+            self.prefixes.forget(target_id)
+            pool = self._pools_by_service[candidate.target.service]
+            pool.health.went_down(target_id)
+
+    def down_targets(self) -> list[world.Target]:
+        """Return the targets that wait for a sign of life."""
+        return [
+            candidate.target
+            for candidate in self._candidates_by_id.values()
+            if candidate.health.state is health.HealthState.DOWN
+        ]
+
+    def known_targets(self) -> list[world.Target]:
+        """Return the targets of the subset of this host."""
+        return [item.target for item in self._candidates_by_id.values()]
+
+    def hosts_changed(self, host_ids: Collection[str], now: float) -> None:
+        """Replace the set of hosts, which the subset depends on."""
+        if frozenset(host_ids) != self._host_ids:
+            self._host_ids = frozenset(host_ids)
+            self._rebuild()
+
+    def targets_changed(
+        self, targets_by_id: Mapping[str, world.Target], now: float
+    ) -> None:
+        """Replace the set of known targets."""
+        if targets_by_id != self._targets_by_id:
+            self._targets_by_id = dict(targets_by_id)
+            self._rebuild()
+
+    def health_states(self) -> dict[str, health.HealthState]:
+        """Return the health of each known target."""
+        return {
+            target_id: candidate.health.state
+            for target_id, candidate in self._candidates_by_id.items()
+        }
+
+    def _rebuild(self) -> None:
+        known = self._candidates_by_id
+        self._candidates_by_id = {}
+        by_service: dict[str, list[str]] = {}
+        for target in self._targets_by_id.values():
+            by_service.setdefault(target.service, []).append(target.target_id)
+        for service, target_ids in by_service.items():
+            pool = self._pools_by_service.setdefault(
+                service, _Pool(self._max_ejected_share)
+            )
+            chosen = sorted(
+                subset.choose_subset(
+                    self._host_id,
+                    self._host_ids,
+                    target_ids,
+                    self._subset_size,
+                )
+            )
+            pool.health.replace(chosen)
+            pool.candidates = [
+                self._candidate(pool, known.get(target_id), target_id)
+                for target_id in chosen
+            ]
+            for candidate in pool.candidates:
+                target_id = candidate.target.target_id
+                self._candidates_by_id[target_id] = candidate
+        for service in set(self._pools_by_service) - set(by_service):
+            del self._pools_by_service[service]
+
+    def _candidate(
+        self, pool: _Pool, known: choice.Candidate | None, target_id: str
+    ) -> choice.Candidate:
+        target = self._targets_by_id[target_id]
+        leaving = target.state is world.TargetState.LEAVING
+        if known is not None and known.target.service == target.service:
+            known.target = target
+            known.leaving = leaving
+            return known
+        return choice.Candidate(
+            target,
+            pool.health.targets_by_id[target_id],
+            target.data_centre == self._data_centre,
+            max(1, target.slots),
+            leaving=leaving,
+        )
+
+    def _sweep(self, pool: _Pool, now: float) -> None:
+        """Count attempts that are overdue as slow before they end."""
+        pool.swept_at = now
+        for candidate in pool.candidates:
+            started = candidate.started_by_attempt
+            if not started:
+                continue
+            target_id = candidate.target.target_id
+            limit_s = pool.health.overdue_s(target_id)
+            for attempt_id, start in started.items():
+                if now - start < limit_s:
+                    break
+                if attempt_id not in candidate.overdue_attempts:
+                    candidate.overdue_attempts.add(attempt_id)
+                    pool.health.observe(target_id, now - start, True, now)
+
+    def _probe(
+        self, pool: _Pool, query: interfaces.RouteQuery, now: float
+    ) -> choice.Candidate | None:
+        if query.isolated or query.excluded:
+            return None
+        target_id = pool.health.take_probe(now)
+        if target_id is None:
+            return None
+        found = self._candidates_by_id[target_id]
+        fits = found.admits(query) and _fits(found, query, now)
+        return found if fits else None
+
+    def _best(
+        self, pool: _Pool, query: interfaces.RouteQuery, now: float
+    ) -> choice.Candidate | None:
+        usable = [
+            item for item in pool.candidates if item.health.state in _USABLE
+        ]
+        found, value = None, float('inf')
+        if usable:
+            sampled = choice.sample(usable, self._seed(query))
+            found, value = choice.best_of(sampled, query, now)
+            if value >= choice.FULL_PENALTY and len(sampled) < len(usable):
+                found, value = choice.best_of(usable, query, now)
+        if value < choice.FULL_PENALTY:
+            return self._holder(query, value, now) or found
+        if len(usable) == len(pool.candidates):
+            return found
+        slow = [
+            item
+            for item in pool.candidates
+            if item.health.state is health.HealthState.EJECTED
+            and (found is None or _fits(item, query, now))
+        ]
+        other, other_value = choice.best_of(slow, query, now)
+        return other if other_value < value else found
+
+    def _holder(
+        self, query: interfaces.RouteQuery, best: float, now: float
+    ) -> choice.Candidate | None:
+        """Return the target with the longest cached prefix, if not loaded."""
+        if not query.prefix_digests:
+            return None
+        for _, target_id in self.prefixes.holders(query.prefix_digests):
+            found = self._candidates_by_id.get(target_id)
+            if (
+                found is not None
+                and found.target.service == query.service
+                and found.health.state in _USABLE
+                and found.admits(query)
+                and choice.score(found, now) <= best + AFFINITY_MARGIN
+            ):
+                return found
+        return None
+
+    def _seed(self, query: interfaces.RouteQuery) -> int:
+        if query.content:
+            return int.from_bytes(query.content[:8])
+        return self._rng.getrandbits(64)
+
+
+def _fits(
+    candidate: choice.Candidate, query: interfaces.RouteQuery, now: float
+) -> bool:
+    wanted_s = candidate.health.latency_s * SLOW_DEADLINE_RATIO
+    return query.deadline - now >= wanted_s
+
+
+def _observe(
+    pool: health.PoolHealth, result: interfaces.AttemptResult, now: float
+) -> None:
+    target_id, latency_s = result.target_id, result.latency_s
+    if result.status not in _CUT_OFF:
+        pool.observe(target_id, latency_s, result.status not in _BAD, now)
+    elif latency_s > pool.median_of_others(target_id) > 0:
+        pool.observe(target_id, latency_s * CUT_OFF_RATIO, True, now)
--- /dev/null
+++ b/walnutport/routing/subset.py
@@ -0,0 +1,96 @@
+"""Which targets of a large pool a host knows.
+
+Each target draws its hosts by rendezvous hashing: the ``r`` hosts with the
+highest score of (host, target) know it, where ``r`` is the count of hosts
+that gives each host ``size`` targets on average. Every target is then known
+by exactly ``r`` hosts. If instead each host drew its targets, the count of
+hosts for each target would follow a Poisson distribution and some targets
+would be known by none.
+
+A target that comes or goes changes nothing for other targets; a host that
+comes or goes changes at most one host of each target.
+"""
+
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Sequence
+import hashlib
+
+__all__ = ['choose_subset', 'hosts_for_each_target', 'rendezvous_owner']
+
+_MASK = (1 << 64) - 1
+
+
+def hosts_for_each_target(hosts: int, targets: int, size: int) -> int:
+    """Return how many hosts know each target of a pool.
+
+    >>> hosts_for_each_target(hosts=730, targets=5200, size=64)
+    9
+    """
+    if targets <= size:
+        return hosts
+    return min(hosts, max(1, -(-size * hosts // targets)))
+
+
+def choose_subset(
+    host_id: str,
+    host_ids: Collection[str],
+    target_ids: Iterable[str],
+    size: int,
+) -> frozenset[str]:
+    """Return the targets that a host knows.
+
+    The search of a target ends once enough hosts with a higher score were
+    found, so the mean cost is far below hosts times targets.
+
+    :param host_ids: all hosts; the host itself is added.
+    :param size: mean count of targets for each host.
+    """
+    targets = sorted(set(target_ids))
+    others = [number_of(other) for other in host_ids if other != host_id]
+    wanted = hosts_for_each_target(len(others) + 1, len(targets), size)
+    if wanted > len(others):
+        return frozenset(targets)
+    own = number_of(host_id)
+    return frozenset(
+        target_id
+        for target_id in targets
+        if _is_among(own, others, number_of(target_id), wanted)
+    )
+
+
+def rendezvous_owner(key: bytes, host_ids: Iterable[str]) -> str:
+    """Return the host that owns a key."""
+    number = _digest_number(key)
+    return max(
+        host_ids, key=lambda host: (_mix(number_of(host), number), host)
+    )
+
+
+def number_of(name: str) -> int:
+    """Return a 64-bit number that stands for a name."""
+    return _digest_number(name.encode())
+
+
+def _digest_number(data: bytes) -> int:
+    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest())
+
+
+def _mix(first: int, second: int) -> int:
+    mixed = ((first ^ second) * 0x9E3779B97F4A7C15) & _MASK
+    mixed ^= mixed >> 32
+    mixed = (mixed * 0xD6E8FEB86659FD93) & _MASK
+    return mixed ^ (mixed >> 32)
+
+
+def _is_among(
+    own: int, others: Sequence[int], target: int, wanted: int
+) -> bool:
+    score = _mix(own, target)
+    better = 0
+    for other in others:
+        if _mix(other, target) > score:
+            better += 1
+            if better == wanted:
+                return False
+    return True
--- a/walnutport/service/attempt.py
+++ b/walnutport/service/attempt.py
@@ -8,11 +8,13 @@
 from twisted.internet import defer
 
 from walnutport.adapters import stage as stage_adapter
+from walnutport.adapters import target_control
 from walnutport import exceptions
 from walnutport import interfaces
 from walnutport.lifecycle import answers
 from walnutport.service import calls
 from walnutport.service import policies as host_policies
+from walnutport.service import suspects
 from walnutport import world
 
 __all__ = [
@@ -28,6 +30,11 @@
     Awaitable[stage_adapter.StageReply],
 ]
 
+_ABANDONED = (
+    interfaces.AttemptStatus.CANCELLED,
+    interfaces.AttemptStatus.TIMED_OUT,
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StageFailure:
@@ -64,7 +71,11 @@
 
 
 class AttemptRunner:
-    """Runs attempts and tells router, quarantine and cost about each."""
+    """Runs attempts and tells router, quarantine and cost about each.
+
+    :param watch: finds out whether a target died; None takes no interest.
+    :param control: cancels abandoned attempts at their targets.
+    """
 
     def __init__(
         self,
@@ -72,11 +83,15 @@
         cost: interfaces.CostSink,
         clock: interfaces.Clock,
         reactor,
+        watch: suspects.DeathWatch | None = None,
+        control: target_control.TargetControl | None = None,
     ) -> None:
         self._policies = policies
         self._cost = cost
         self._clock = clock
         self._reactor = reactor
+        self._watch = watch
+        self._control = control
 
     async def run(
         self, job: AttemptJob, perform: Perform, on_sent: Callable[[], None]
@@ -88,14 +103,23 @@
         """
         attempt_id = secrets.token_hex(8)
         started = self._clock.monotonic()
-        self._open(job, attempt_id, started)
+        incarnation = self._open(job, attempt_id, started)
         reply = None
+        died = sent = False
+
+        def note_sent() -> None:
+            nonlocal sent
+            sent = True
+            on_sent()
+
         status = interfaces.AttemptStatus.CANCELLED
         failure = StageFailure(answers.Reason.CALLER_GONE, job.stage.name)
         try:
             running = defer.Deferred.fromCoroutine(
                 perform(
-                    job.target, _stage_call(job, attempt_id, started), on_sent
+                    job.target,
+                    _stage_call(job, attempt_id, started),
+                    note_sent,
                 )
             )
             running.addTimeout(
@@ -105,11 +129,18 @@
             status = interfaces.AttemptStatus.OK
         except (exceptions.TargetError, defer.TimeoutError) as error:
             status, failure = _classify(error, job)
+            if self._watch and status is interfaces.AttemptStatus.LOST:
+                died = await self._watch.confirm(job.target, incarnation)
         finally:
-            result = self._close(job, attempt_id, started, status, reply)
+            if sent and status in _ABANDONED and self._control:
+                defer.Deferred.fromCoroutine(
+                    self._control.cancel(job.target, attempt_id)
+                )
+            result = self._close(job, attempt_id, started, status, reply, died)
         return AttemptEnd(result, reply, failure)
 
-    def _open(self, job: AttemptJob, attempt_id: str, now: float) -> None:
+    def _open(self, job: AttemptJob, attempt_id: str, now: float) -> str:
+        """Return the incarnation of the target that is known now."""
         target_id = job.target.target_id
         self._policies.router.attempt_started(
             target_id, attempt_id, job.query, now
@@ -117,6 +148,9 @@
         self._policies.quarantine.attempt_started(
             job.call.digest(), target_id, attempt_id, now
         )
+        if self._watch is None:
+            return ''
+        return self._watch.book.incarnation_of(target_id)
 
     def _close(
         self,
@@ -125,6 +159,7 @@
         started: float,
         status: interfaces.AttemptStatus,
         reply: stage_adapter.StageReply | None,
+        died: bool,
     ) -> interfaces.AttemptResult:
         now = self._clock.monotonic()
         result = interfaces.AttemptResult(
@@ -135,8 +170,12 @@
             now - started,
             tokens=reply.tokens if reply else 0,
             load=reply.load if reply else None,
+            target_died=died,
         )
+        if self._watch is not None and result.load is not None:
+            self._watch.load_seen(result.target_id, result.load)
         self._policies.router.attempt_finished(result, now)
+        self._policies.retries.attempt_finished(result, now)
         self._policies.quarantine.attempt_finished(
             attempt_id, status is interfaces.AttemptStatus.OK, now
         )
--- a/walnutport/service/attempts.py
+++ b/walnutport/service/attempts.py
@@ -6,17 +6,27 @@
 from twisted.internet import task
 
 from walnutport.adapters import stage as stage_adapter
+from walnutport.adapters import target_control
 from walnutport import interfaces
 from walnutport.lifecycle import answers
 from walnutport.service import attempt
 from walnutport.service import calls
+from walnutport.service import hedging
 from walnutport.service import policies as host_policies
+from walnutport.service import suspect_runs
+from walnutport.service import suspects
 from walnutport.service import waiting
 from walnutport import world
 
 __all__ = ['StageRunner', 'StageSuccess']
 
 _NO_TARGET_RETRY_S = 1.0
+# A suspect waits this long for a target on which no other suspect runs.
+_ISOLATION_WAIT_S = 2.0
+_ISOLATION_TURN_S = 0.01
+# Copies of a crashing request on several hosts end several targets at about
+# the same time. Their hosts learn of each other's deaths before a re-run.
+_RERUN_DELAY_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,12 +46,25 @@
         cost: interfaces.CostSink,
         clock: interfaces.Clock,
         reactor,
+        *,
+        watch: suspects.DeathWatch | None = None,
+        permits: interfaces.PermitGate | None = None,
+        control: target_control.TargetControl | None = None,
     ) -> None:
         self._policies = policies
         self._client = client
         self._clock = clock
         self._reactor = reactor
-        self._runner = attempt.AttemptRunner(policies, cost, clock, reactor)
+        self._runner = attempt.AttemptRunner(
+            policies, cost, clock, reactor, watch, control
+        )
+        self._watch = watch
+        self.hedges = hedging.HedgedRunner(
+            self._runner, policies, clock, reactor
+        )
+        self.guard = suspect_runs.SuspectGuard(
+            policies, permits, clock, reactor
+        )
         self._waiters_by_service: dict[str, waiting.QueueWaiter] = {}
 
     def waiter(self, service: str) -> waiting.QueueWaiter:
@@ -57,6 +80,8 @@
         """Deliver decisions that follow from the passing of time."""
         for waiter in self._waiters_by_service.values():
             waiter.advance()
+        if self._watch is not None:
+            self._watch.advance()
 
     async def run(
         self,
@@ -99,22 +124,59 @@
         self._policies.retries.request_started(
             stage.service, self._clock.monotonic()
         )
+        held = call
         excluded: frozenset[str] = frozenset()
         tries = 0
+        reruns = 0
+        failure: attempt.StageFailure | None = None
+        try:
+            while True:
+                entered = await self.guard.enter(held, wait=True)
+                if isinstance(entered, attempt.StageFailure):
+                    return entered
+                held = entered
+                job = await self._wait_job(held, stage, input_json, excluded)
+                if isinstance(job, attempt.StageFailure):
+                    return failure or job
+                tries += 1
+                race = await self.hedges.run(job, self._client.run, on_sent)
+                ended = race.ended
+                if ended.reply is not None:
+                    return StageSuccess(ended.reply.output_json)
+                excluded |= race.tried
+                failure = ended.failure
+                if ended.result.target_died and stage.repeatable:
+                    # The one re-run of a suspect needs no retry budget: the
+                    # guard above lets it run only under a permit.
+                    reruns += 1
+                    if reruns > 1:
+                        return failure
+                    await task.deferLater(self._reactor, _RERUN_DELAY_S)
+                    continue
+                decision = self._decide_retry(held, stage, ended.result, tries)
+                if not decision.retry:
+                    return failure
+                if decision.delay_s > 0:
+                    await task.deferLater(self._reactor, decision.delay_s)
+        finally:
+            self.guard.leave(held, call)
+
+    async def _wait_job(
+        self,
+        call: calls.Call,
+        stage: world.Stage,
+        input_json: bytes,
+        excluded: frozenset[str],
+    ) -> attempt.AttemptJob | attempt.StageFailure:
+        """Return the next job; a suspect waits for a target of its own."""
+        until = self._clock.monotonic() + _ISOLATION_WAIT_S
         while True:
             job = self._next_job(call, stage, input_json, excluded)
-            if isinstance(job, attempt.StageFailure):
+            if isinstance(job, attempt.AttemptJob) or not call.permit_id:
+                return job
+            if self._clock.monotonic() >= min(until, call.deadline):
                 return job
-            tries += 1
-            ended = await self._runner.run(job, self._client.run, on_sent)
-            if ended.reply is not None:
-                return StageSuccess(ended.reply.output_json)
-            excluded |= {job.target.target_id}
-            decision = self._decide_retry(call, stage, ended.result, tries)
-            if not decision.retry:
-                return ended.failure
-            if decision.delay_s > 0:
-                await task.deferLater(self._reactor, decision.delay_s)
+            await task.deferLater(self._reactor, _ISOLATION_TURN_S)
 
     def _next_job(
         self,
@@ -133,6 +195,8 @@
             call.deadline,
             model=stage.model,
             excluded=excluded,
+            isolated=bool(call.permit_id),
+            content=call.digest(),
         )
         target = self._policies.router.route(query, now)
         if target is None:
@@ -155,7 +219,7 @@
             result,
             attempts=tries,
             repeatable=stage.repeatable or not_sent,
-            suspect=False,
+            suspect=bool(call.permit_id),
             deadline=call.deadline,
             now=self._clock.monotonic(),
         )
--- a/walnutport/service/calls.py
+++ b/walnutport/service/calls.py
@@ -31,6 +31,7 @@
     :param body: JSON text of the input.
     :param deadline: monotonic time in seconds.
     :param key: idempotency key, empty if none was given.
+    :param permit_id: permit of a crash suspect, empty if none is held.
     :param sink: set if the caller asked for a stream.
     """
 
@@ -43,6 +44,7 @@
     deadline: float
     key: str = ''
     sink: StreamSink | None = None
+    permit_id: str = ''
 
     @property
     def streams(self) -> bool:
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -12,6 +12,7 @@
 from walnutport.adapters import http
 from walnutport.adapters import log
 from walnutport.adapters import stage
+from walnutport.adapters import target_control
 from walnutport.catalogue import follower
 from walnutport import clock as system_clock
 from walnutport.config import settings as config
@@ -21,6 +22,7 @@
 from walnutport.service import log_reader
 from walnutport.service import pipeline
 from walnutport.service import policies as host_policies
+from walnutport.service import suspect_parts
 from walnutport import world
 
 __all__ = ['EntryHost']
@@ -61,9 +63,20 @@
             reactor,
             platform.timeout_s,
         )
+        control = target_control.TargetControl(
+            http.HttpClient(reactor, persistent=False), reactor
+        )
+        self.suspects = suspect_parts.build_suspect_parts(
+            self.policies,
+            settings.host_id,
+            control,
+            self._clock,
+            reactor,
+            append=self._log.append,
+        )
         self.log_reader = log_reader.LogReader(
             self._log,
-            [self.catalogue],
+            [self.catalogue, *self.suspects.followers],
             self._clock,
             reactor,
             platform.poll_wait_s,
@@ -75,7 +88,14 @@
         self.runner = pipeline.PipelineRunner(
             self.policies,
             attempts.StageRunner(
-                self.policies, stage_client, self.cost, self._clock, reactor
+                self.policies,
+                stage_client,
+                self.cost,
+                self._clock,
+                reactor,
+                watch=self.suspects.watch,
+                permits=self.suspects.permits,
+                control=control,
             ),
             self._clock,
         )
@@ -151,9 +171,9 @@
         if result.is_error():
             LOG.warning('%s host list: %s', PREFIX, result.error)
             return
-        self.policies.router.targets_changed(
-            result.ok.targets_by_id, self._clock.monotonic()
-        )
+        now = self._clock.monotonic()
+        self.policies.router.hosts_changed(result.ok.hosts_by_id, now)
+        self.policies.router.targets_changed(result.ok.targets_by_id, now)
         self._list_loaded = True
 
 
--- a/walnutport/service/pipeline.py
+++ b/walnutport/service/pipeline.py
@@ -24,7 +24,6 @@
 
     :param claims: grants runs of requests that must run at most once; None
         runs them without a claim, as the naive policy does.
-    :param permits: grants runs of suspects; None refuses none.
     """
 
     def __init__(
@@ -33,13 +32,11 @@
         stages: attempts.StageRunner,
         clock: interfaces.Clock,
         claims: interfaces.ClaimGate | None = None,
-        permits: interfaces.PermitGate | None = None,
     ) -> None:
         self._policies = policies
         self._stages = stages
         self._clock = clock
         self._claims = claims
-        self._permits = permits
         self._entry_waiter = waiting.QueueWaiter(policies.entry_queue, clock)
 
     def advance(self) -> None:
@@ -74,23 +71,13 @@
 
     async def _run_permitted(self, call: calls.Call) -> answers.Answer:
         life = machine.new_lifecycle(call.request_id)
-        digest = call.digest()
-        state = self._policies.quarantine.state(
-            digest, self._clock.monotonic()
-        )
-        if state is interfaces.SuspicionState.QUARANTINED:
-            return life.give_up(answers.Reason.QUARANTINED, '', 0.0)
-        if state is interfaces.SuspicionState.CLEAR or not self._permits:
-            return await self._run_admitted(call, life)
-        permit = await self._permits.acquire(digest, call.deadline)
-        if permit.is_error():
-            return life.give_up(
-                answers.Reason.SUSPECT_BUSY, '', permit.error.retry_after_s
-            )
+        entered = await self._stages.guard.enter(call, wait=False)
+        if isinstance(entered, attempt.StageFailure):
+            return _close(life, entered)
         try:
-            return await self._run_admitted(call, life)
+            return await self._run_admitted(entered, life)
         finally:
-            self._permits.release(permit.ok, digest)
+            self._stages.guard.leave(entered, call)
 
     async def _run_admitted(
         self, call: calls.Call, life: machine.RequestMachine
--- a/walnutport/service/policies.py
+++ b/walnutport/service/policies.py
@@ -7,6 +7,9 @@
 from walnutport.config import settings as config
 from walnutport import interfaces
 from walnutport.naive import policies as naive
+from walnutport.quarantine import suspects
+from walnutport.retries import policy as retry_policy
+from walnutport.routing import router
 
 __all__ = ['Policies', 'build_policies']
 
@@ -27,7 +30,22 @@
 
 def build_policies(settings: config.HostSettings) -> Policies:
     """Return the decision parts that the settings ask for."""
-    rng = random.Random(f'{settings.policies.random_seed}/{settings.host_id}')
+    chosen = settings.policies
+    rng = random.Random(f'{chosen.random_seed}/{settings.host_id}')
+    if chosen.policy == 'standard':
+        return Policies(
+            entry_queue=naive.UnboundedQueue(),
+            new_pool_queue=lambda service: naive.UnboundedQueue(),
+            router=router.StandardRouter(
+                settings.host_id,
+                settings.data_centre,
+                subset_size=chosen.subset_size,
+                max_ejected_share=chosen.max_ejected_share,
+                rng=rng,
+            ),
+            retries=retry_policy.StandardRetry(chosen.retry_budget_share, rng),
+            quarantine=suspects.SuspectBook(),
+        )
     return Policies(
         entry_queue=naive.UnboundedQueue(),
         new_pool_queue=lambda service: naive.UnboundedQueue(),
