Hold back copies of unproven content and report refusals at once

Cause: 20 copies of a crashing request sent together ended 6 targets, and a refused connection was reported only after 0.3 s, because the HTTP agent tries names and several addresses. Change: at most one open run of a content that never completed on each host; a suspect waits 50 ms before it asks for a permit; the HTTP client connects to IP numbers directly.

--- a/walnutport/adapters/http.py
+++ b/walnutport/adapters/http.py
@@ -5,6 +5,7 @@
 
 import treq
 from twisted.internet import defer
+from twisted.internet import endpoints
 from twisted.internet import interfaces as twisted_interfaces
 from twisted.web import client
 from twisted.web import iweb
@@ -57,6 +58,31 @@
         """Do nothing: the body is written in one piece."""
 
 
+@implementer(iweb.IAgentEndpointFactory)
+class _IpEndpoints:
+    """Makes endpoints for IP numbers.
+
+    The agent's own endpoint looks names up and tries several addresses; it
+    reports a refused connection only after 0.3 s.
+    """
+
+    def __init__(self, reactor, timeout_s: float) -> None:
+        self._reactor = reactor
+        self._timeout_s = timeout_s
+
+    def endpointForURI(  # noqa: N802 - name set by the interface
+        self, uri: client.URI
+    ) -> twisted_interfaces.IStreamClientEndpoint:
+        """Return the endpoint of a URI whose host is an IP number."""
+        host = uri.host.decode('ascii').strip('[]')
+        kind = (
+            endpoints.TCP6ClientEndpoint
+            if ':' in host
+            else endpoints.TCP4ClientEndpoint
+        )
+        return kind(self._reactor, host, uri.port, timeout=self._timeout_s)
+
+
 class HttpClient:
     """Client for one outside system.
 
@@ -78,8 +104,8 @@
         self._pool.retryAutomatically = False
         self._pool.maxPersistentPerHost = max_connections_per_target
         self._pool.cachedConnectionTimeout = 60
-        agent = client.Agent(
-            reactor, connectTimeout=connect_timeout_s, pool=self._pool
+        agent = client.Agent.usingEndpointFactory(
+            reactor, _IpEndpoints(reactor, connect_timeout_s), self._pool
         )
         self._client = treq.client.HTTPClient(agent)
 
--- a/walnutport/service/attempts.py
+++ b/walnutport/service/attempts.py
@@ -24,9 +24,6 @@
 # A suspect waits this long for a target on which no other suspect runs.
 _ISOLATION_WAIT_S = 2.0
 _ISOLATION_TURN_S = 0.01
-# Copies of a crashing request on several hosts end several targets at about
-# the same time. Their hosts learn of each other's deaths before a re-run.
-_RERUN_DELAY_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,16 +128,25 @@
         failure: attempt.StageFailure | None = None
         try:
             while True:
-                entered = await self.guard.enter(held, wait=True)
+                entered = await self.guard.begin(held, stage.name)
                 if isinstance(entered, attempt.StageFailure):
                     return entered
                 held = entered
-                job = await self._wait_job(held, stage, input_json, excluded)
-                if isinstance(job, attempt.StageFailure):
-                    return failure or job
+                ok = False
+                try:
+                    job = await self._wait_job(
+                        held, stage, input_json, excluded
+                    )
+                    if isinstance(job, attempt.StageFailure):
+                        return failure or job
+                    race = await self.hedges.run(
+                        job, self._client.run, on_sent
+                    )
+                    ended = race.ended
+                    ok = ended.reply is not None
+                finally:
+                    self.guard.end(held, stage.name, ok)
                 tries += 1
-                race = await self.hedges.run(job, self._client.run, on_sent)
-                ended = race.ended
                 if ended.reply is not None:
                     return StageSuccess(ended.reply.output_json)
                 excluded |= race.tried
@@ -151,7 +157,6 @@
                     reruns += 1
                     if reruns > 1:
                         return failure
-                    await task.deferLater(self._reactor, _RERUN_DELAY_S)
                     continue
                 decision = self._decide_retry(held, stage, ended.result, tries)
                 if not decision.retry:
--- a/walnutport/service/suspect_runs.py
+++ b/walnutport/service/suspect_runs.py
@@ -6,6 +6,7 @@
 
 from walnutport import interfaces
 from walnutport.lifecycle import answers
+from walnutport.quarantine import first_runs
 from walnutport.service import attempt
 from walnutport.service import calls
 from walnutport.service import permits as permit_service
@@ -17,7 +18,14 @@
 # fresh one is refused at once.
 LONGEST_WAIT_S = 2.0
 TURN_S = 0.05
-NO_PERMITS_RETRY_S = 1.0
+FIRST_RUN_TURN_S = 0.005
+# Copies of a crashing request on several hosts end several targets at about
+# the same time. Their hosts learn of each other's deaths before a re-run.
+SETTLE_S = 0.05
+# A copy waits this long for the first run of its content. It must not cost
+# the deadline of an innocent copy whose first run takes long.
+FIRST_RUN_WAIT_S = 1.0
+FIRST_RUN_DEADLINE_SHARE = 0.25
 
 
 class SuspectGuard:
@@ -37,6 +45,7 @@
         self._permits = permits
         self._clock = clock
         self._reactor = reactor
+        self._first_runs = first_runs.FirstRuns()
 
     def state(self, call: calls.Call) -> interfaces.SuspicionState:
         """Return the standing of a request."""
@@ -55,6 +64,7 @@
         give_up_at = min(
             call.deadline, self._clock.monotonic() + LONGEST_WAIT_S
         )
+        settle = True
         while True:
             state = self.state(call)
             if state is interfaces.SuspicionState.QUARANTINED:
@@ -63,6 +73,10 @@
                 return call
             if self._permits is None:
                 return call
+            if settle:
+                settle = False
+                await task.deferLater(self._reactor, SETTLE_S)
+                continue
             entered = await self._acquire(call, self._permits)
             if isinstance(entered, calls.Call):
                 return entered
@@ -71,6 +85,35 @@
                 return entered
             await task.deferLater(self._reactor, TURN_S)
 
+    async def begin(
+        self, call: calls.Call, stage: str
+    ) -> calls.Call | attempt.StageFailure:
+        """Return the call once an attempt of a stage may start.
+
+        Every begin that returns a call needs an ``end``.
+        """
+        key = (call.digest(), stage)
+        now = self._clock.monotonic()
+        share_s = (call.deadline - now) * FIRST_RUN_DEADLINE_SHARE
+        wait_until = now + min(FIRST_RUN_WAIT_S, share_s)
+        while True:
+            entered = await self.enter(call, wait=True)
+            if isinstance(entered, attempt.StageFailure):
+                return entered
+            if (
+                entered.permit_id
+                or self._permits is None
+                or self._first_runs.may_begin(key)
+                or self._clock.monotonic() >= wait_until
+            ):
+                self._first_runs.begin(key)
+                return entered
+            await task.deferLater(self._reactor, FIRST_RUN_TURN_S)
+
+    def end(self, call: calls.Call, stage: str, ok: bool) -> None:
+        """End an attempt of a stage."""
+        self._first_runs.end((call.digest(), stage), ok)
+
     def leave(self, call: calls.Call, outer: calls.Call) -> None:
         """Release the permit of a call unless ``outer`` holds it already."""
         if self._permits and call.permit_id != outer.permit_id:
