--- a/walnutport/retries/policy.py
+++ b/walnutport/retries/policy.py
@@ -10,6 +10,9 @@
 __all__ = ['StandardRetry']
 
 MAX_ATTEMPTS = 4
+# A copy of this request may be what ended the target; the delay lets a verdict
+# about it arrive first.
+NOT_SENT_DELAY_S = 0.03
 
 _RETRIED = (
     interfaces.AttemptStatus.FAILED,
@@ -55,7 +58,7 @@
         if now >= deadline:
             return interfaces.RetryDecision(False, reason='deadline')
         if result.status is interfaces.AttemptStatus.NOT_SENT:
-            return interfaces.RetryDecision(True, reason='not_sent')
+            return interfaces.RetryDecision(True, NOT_SENT_DELAY_S, 'not_sent')
         if not repeatable or suspect or result.target_died:
             return _NO_RETRY
         if result.status not in _RETRIED or attempts >= MAX_ATTEMPTS:
--- a/walnutport/routing/choice.py
+++ b/walnutport/routing/choice.py
@@ -75,7 +75,8 @@
     """Return the load relative to the slots; less is better."""
     load = candidate.load(now)
     value = (load + 1) / (candidate.slots * candidate.health.weight(now))
-    if not candidate.local:
+    # A slow local target stands out only beside others that were measured.
+    if not candidate.local and candidate.health.is_measured():
         value += REMOTE_PENALTY
     if load >= candidate.slots:
         value += FULL_PENALTY
--- a/walnutport/routing/health.py
+++ b/walnutport/routing/health.py
@@ -65,6 +65,12 @@
     first_weight: float = 1.0
     ramp_s: float = RAMP_S
 
+    def is_measured(self) -> bool:
+        """Return whether its latency may be compared with others."""
+        return (
+            self.samples >= MIN_SAMPLES and self.state is not HealthState.DOWN
+        )
+
     def weight(self, now: float) -> float:
         """Return the share of its slots that may be counted on."""
         if self.state is HealthState.HEALTHY:
@@ -144,9 +150,7 @@
         known = [
             health.latency_s
             for other, health in self.targets_by_id.items()
-            if other != target_id
-            and health.samples >= MIN_SAMPLES
-            and health.state is not HealthState.DOWN
+            if other != target_id and health.is_measured()
         ]
         return statistics.median_low(known) if known else 0.0
 
@@ -167,7 +171,7 @@
         others = [
             other.failures
             for other_id, other in self.targets_by_id.items()
-            if other_id != target_id
+            if other_id != target_id and other.is_measured()
         ]
         # A pool in which every target fails has another cause.
         return (
--- a/walnutport/service/suspect_parts.py
+++ b/walnutport/service/suspect_parts.py
@@ -55,6 +55,8 @@
     if not isinstance(router, standard_router.StandardRouter):
         return SuspectParts()
     return SuspectParts(
-        suspects.DeathWatch(book, router, control, clock, bus, append),
+        suspects.DeathWatch(
+            book, router, control, clock, reactor, bus, append
+        ),
         permit_service.PermitService(host_id, clock, reactor, bus, live_hosts),
     )
--- a/walnutport/service/suspects.py
+++ b/walnutport/service/suspects.py
@@ -7,6 +7,7 @@
 
 import msgspec
 from twisted.internet import defer
+from twisted.internet import task
 
 from walnutport import exceptions
 from walnutport import interfaces
@@ -31,6 +32,10 @@
 MAX_UNSENT = 1_000
 MAX_BATCH = 200
 MAX_PROBES = 8
+# A process that ends may take connections for a moment and reset them, so a
+# probe without an answer is repeated.
+PROBE_GAP_S = 0.02
+PROBE_LIMIT_S = 0.6
 _MAX_DIGEST_BYTES = 64
 _MAX_DEATH_CHARS = 256
 
@@ -61,6 +66,7 @@
         router: standard_router.StandardRouter,
         loads: LoadSource,
         clock: interfaces.Clock,
+        reactor,
         bus: interfaces.PeerBus | None = None,
         append: Callable[[str, bytes], Any] | None = None,
     ) -> None:
@@ -68,6 +74,7 @@
         self._router = router
         self._loads = loads
         self._clock = clock
+        self._reactor = reactor
         self._bus = bus
         self._append = append
         self._offset = 0
@@ -174,16 +181,25 @@
 
     async def _ask(self, target: world.Target) -> None:
         outcome: object = None
+        give_up_at = self._clock.monotonic() + PROBE_LIMIT_S
         try:
-            outcome = await self._loads.load(target)
-        except exceptions.NotSent:
-            outcome = _REFUSED
-        except exceptions.AttemptLost as error:
-            LOG.info('%s target %s: %s', PREFIX, target.target_id, error)
+            while outcome is None and self._clock.monotonic() < give_up_at:
+                outcome = await self._ask_once(target)
+                if outcome is None:
+                    await task.deferLater(self._reactor, PROBE_GAP_S)
         finally:
             for waiting in self._waiting_by_target.pop(target.target_id):
                 waiting.callback(outcome)
 
+    async def _ask_once(self, target: world.Target) -> object:
+        try:
+            return await self._loads.load(target)
+        except exceptions.NotSent:
+            return _REFUSED
+        except exceptions.AttemptLost as error:
+            LOG.info('%s target %s: %s', PREFIX, target.target_id, error)
+            return None
+
     def _publish(self, message: messages.Suspect) -> None:
         if self._bus is not None:
             self._bus.broadcast(message)
