Report attempts that this host cancelled as such

Change: the stage client tells its own cancels apart; large pools share one median; scores are computed without repeated look-ups.

--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -114,7 +114,10 @@
         target = found.route(QUERY, 1.0)
         assert target is not None
         found.attempt_started(target.target_id, f'a{number}', QUERY, 1.0)
-    loads = [item.load(1.0) for item in found._candidates_by_id.values()]
+    loads = [
+        len(item.started_by_attempt)
+        for item in found._candidates_by_id.values()
+    ]
     assert loads == [2] * 24
 
 
--- a/walnutport/adapters/stage.py
+++ b/walnutport/adapters/stage.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 import msgspec
+from twisted.internet import defer
 from twisted.internet import error as twisted_error
 from twisted.web import client as web_client
 from twisted.web import iweb
@@ -99,6 +100,8 @@
             )
         except exceptions.CodecError as error:
             raise exceptions.AttemptLost(str(error)) from error
+        except twisted_error.ConnectingCancelledError as error:
+            raise defer.CancelledError from error
         except _NOT_SENT_ERRORS as error:
             raise exceptions.NotSent(str(error)) from error
         except (
@@ -106,10 +109,21 @@
             web_client.ResponseFailed,
             web_client.RequestTransmissionFailed,
         ) as error:
+            if _is_cancelled(error):
+                raise defer.CancelledError from error
             raise exceptions.AttemptLost(str(error)) from error
         return _decode_reply(call, reply)
 
 
+def _is_cancelled(error: Exception) -> bool:
+    """Return whether this side ended the attempt.
+
+    The HTTP client reports a cancelled request as a failed response.
+    """
+    reasons = getattr(error, 'reasons', ())
+    return any(reason.check(defer.CancelledError) for reason in reasons)
+
+
 def encode_input(call: StageCall) -> bytes:
     """Return the body of a call without parsing the input again."""
     return b'{"stage":%b,"model":%b,"resume_from":%d,"input":%b}' % (
--- a/walnutport/routing/choice.py
+++ b/walnutport/routing/choice.py
@@ -22,6 +22,9 @@
 REMOTE_PENALTY = 0.25
 FULL_PENALTY = 1_000.0
 
+_DOWN = target_health.HealthState.DOWN
+_HEALTHY = target_health.HealthState.HEALTHY
+
 
 @dataclasses.dataclass(slots=True)
 class Candidate:
@@ -45,14 +48,6 @@
     overdue_attempts: set[str] = dataclasses.field(default_factory=set)
     leaving: bool = False
 
-    def load(self, now: float) -> float:
-        """Return the requests that are estimated to be at the target."""
-        own = len(self.started_by_attempt)
-        age = (now - self.reported_at) / REPORT_LIFE_S
-        if age >= 1.0 or self.others_load == 0:
-            return own
-        return own + self.others_load * (1.0 - age)
-
     def report(self, load: world.LoadReport, now: float) -> None:
         """Take note of a load report."""
         total = load.running + load.queued
@@ -73,12 +68,21 @@
 
 def score(candidate: Candidate, now: float) -> float:
     """Return the load relative to the slots; less is better."""
-    load = candidate.load(now)
-    value = (load + 1) / (candidate.slots * candidate.health.weight(now))
+    load: float = len(candidate.started_by_attempt)
+    if candidate.others_load:
+        age = (now - candidate.reported_at) / REPORT_LIFE_S
+        if age < 1.0:
+            load += candidate.others_load * (1.0 - age)
+    slots = candidate.slots
+    health = candidate.health
+    if health.state is _HEALTHY:
+        value = (load + 1) / slots
+    else:
+        value = (load + 1) / (slots * health.weight(now))
     # A slow local target stands out only beside others that were measured.
-    if not candidate.local and candidate.health.is_measured():
+    if not candidate.local and health.is_measured():
         value += REMOTE_PENALTY
-    if load >= candidate.slots:
+    if load >= slots:
         value += FULL_PENALTY
     return value
 
@@ -107,9 +111,14 @@
     """Return the best candidate that admits the query, and its score."""
     best = None
     best_score = float('inf')
+    plain = not query.isolated and not query.excluded
     for candidate in candidates:
-        if candidate.admits(query):
-            value = score(candidate, now)
-            if value < best_score:
-                best, best_score = candidate, value
+        if plain:
+            if candidate.leaving or candidate.health.state is _DOWN:
+                continue
+        elif not candidate.admits(query):
+            continue
+        value = score(candidate, now)
+        if value < best_score:
+            best, best_score = candidate, value
     return best, best_score
--- a/walnutport/routing/health.py
+++ b/walnutport/routing/health.py
@@ -28,6 +28,10 @@
 OVERDUE_MARGIN_S = 0.05
 FAILING_SHARE = 0.5
 MIN_SAMPLES = 3
+# In a pool larger than this, one target hardly moves the median, so that one
+# median serves for all of them for a count of observations.
+EXACT_MEDIAN_SIZE = 8
+MEDIAN_LIFE = 16
 PROBE_FIRST_S = 1.0
 PROBE_LONGEST_S = 16.0
 PROBES_TO_RETURN = 2
@@ -90,6 +94,8 @@
         self._share = max_ejected_share
         self.targets_by_id: dict[str, TargetHealth] = {}
         self.ejections = 0
+        self._median_s = 0.0
+        self._median_left = 0
 
     def replace(self, target_ids: Iterable[str]) -> None:
         """Set the targets of the pool and keep what is known of them."""
@@ -109,6 +115,7 @@
         if health.samples == 0:
             health.latency_s = latency_s
         health.samples += 1
+        self._median_left -= 1
         health.latency_s += SMOOTHING * (latency_s - health.latency_s)
         health.failures += SMOOTHING * ((not ok) - health.failures)
         median_s = self.median_of_others(target_id)
@@ -147,6 +154,14 @@
 
         In a pool of two, a median over both would contain the slow target.
         """
+        if len(self.targets_by_id) <= EXACT_MEDIAN_SIZE:
+            return self._median_without(target_id)
+        if self._median_left <= 0:
+            self._median_left = MEDIAN_LIFE
+            self._median_s = self._median_without('')
+        return self._median_s
+
+    def _median_without(self, target_id: str) -> float:
         known = [
             health.latency_s
             for other, health in self.targets_by_id.items()
--- a/walnutport/routing/router.py
+++ b/walnutport/routing/router.py
@@ -213,12 +213,14 @@
     def _sweep(self, pool: _Pool, now: float) -> None:
         """Count attempts that are overdue as slow before they end."""
         pool.swept_at = now
+        exact = len(pool.candidates) <= health.EXACT_MEDIAN_SIZE
+        shared_s = pool.health.overdue_s('')
         for candidate in pool.candidates:
             started = candidate.started_by_attempt
             if not started:
                 continue
             target_id = candidate.target.target_id
-            limit_s = pool.health.overdue_s(target_id)
+            limit_s = pool.health.overdue_s(target_id) if exact else shared_s
             for attempt_id, start in started.items():
                 if now - start < limit_s:
                     break
--- a/walnutport/service/attempts.py
+++ b/walnutport/service/attempts.py
@@ -21,8 +21,8 @@
 __all__ = ['StageRunner', 'StageSuccess']
 
 _NO_TARGET_RETRY_S = 1.0
-# A suspect waits this long for a target on which no other suspect runs.
-_ISOLATION_WAIT_S = 2.0
+# A suspect waits this share of its time for a target without other suspects.
+_ISOLATION_WAIT_SHARE = 0.75
 _ISOLATION_TURN_S = 0.01
 
 
@@ -174,12 +174,13 @@
         excluded: frozenset[str],
     ) -> attempt.AttemptJob | attempt.StageFailure:
         """Return the next job; a suspect waits for a target of its own."""
-        until = self._clock.monotonic() + _ISOLATION_WAIT_S
+        now = self._clock.monotonic()
+        until = now + _ISOLATION_WAIT_SHARE * (call.deadline - now)
         while True:
             job = self._next_job(call, stage, input_json, excluded)
             if isinstance(job, attempt.AttemptJob) or not call.permit_id:
                 return job
-            if self._clock.monotonic() >= min(until, call.deadline):
+            if self._clock.monotonic() >= until:
                 return job
             await task.deferLater(self._reactor, _ISOLATION_TURN_S)
 
