--- a/walnutport/service/attempts.py
+++ b/walnutport/service/attempts.py
@@ -21,9 +21,11 @@
 __all__ = ['StageRunner', 'StageSuccess']
 
 _NO_TARGET_RETRY_S = 1.0
-# A suspect waits this share of its time for a target without other suspects.
-_ISOLATION_WAIT_SHARE = 0.75
-_ISOLATION_TURN_S = 0.01
+# Share of its time that a request waits for a target: a suspect for one that
+# runs no other suspect, any other request while all targets are down.
+_SUSPECT_WAIT_SHARE = 0.75
+_WAIT_SHARE = 0.25
+_TURN_S = 0.01
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -173,16 +175,17 @@
         input_json: bytes,
         excluded: frozenset[str],
     ) -> attempt.AttemptJob | attempt.StageFailure:
-        """Return the next job; a suspect waits for a target of its own."""
+        """Return the next job, after a wait if no target is free for it."""
         now = self._clock.monotonic()
-        until = now + _ISOLATION_WAIT_SHARE * (call.deadline - now)
+        share = _SUSPECT_WAIT_SHARE if call.permit_id else _WAIT_SHARE
+        until = now + share * (call.deadline - now)
         while True:
             job = self._next_job(call, stage, input_json, excluded)
-            if isinstance(job, attempt.AttemptJob) or not call.permit_id:
+            if isinstance(job, attempt.AttemptJob):
                 return job
             if self._clock.monotonic() >= until:
                 return job
-            await task.deferLater(self._reactor, _ISOLATION_TURN_S)
+            await task.deferLater(self._reactor, _TURN_S)
 
     def _next_job(
         self,
