--- a/walnutport/service/attempts.py
+++ b/walnutport/service/attempts.py
@@ -7,18 +7,27 @@
 
 from walnutport.adapters import engine
 from walnutport.adapters import stage as stage_adapter
+from walnutport.adapters import target_control
 from walnutport import interfaces
 from walnutport.lifecycle import answers
 from walnutport.service import attempt
 from walnutport.service import calls
+from walnutport.service import hedging
 from walnutport.service import policies as host_policies
 from walnutport.service import streams
+from walnutport.service import suspect_runs
+from walnutport.service import suspects
 from walnutport.service import waiting
 from walnutport import world
 
 __all__ = ['StageRunner', 'StageSuccess']
 
 _NO_TARGET_RETRY_S = 1.0
+# Share of its time that a request waits for a target: a suspect for one that
+# runs no other suspect, any other request while all targets are down.
+_SUSPECT_WAIT_SHARE = 0.75
+_WAIT_SHARE = 0.25
+_TURN_S = 0.01
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,13 +48,26 @@
         cost: interfaces.CostSink,
         clock: interfaces.Clock,
         reactor,
+        *,
+        watch: suspects.DeathWatch | None = None,
+        permits: interfaces.PermitGate | None = None,
+        control: target_control.TargetControl | None = None,
     ) -> None:
         self._policies = policies
         self._client = client
         self._engines = engines
         self._clock = clock
         self._reactor = reactor
-        self._runner = attempt.AttemptRunner(policies, cost, clock, reactor)
+        self._runner = attempt.AttemptRunner(
+            policies, cost, clock, reactor, watch, control
+        )
+        self._watch = watch
+        self.hedges = hedging.HedgedRunner(
+            self._runner, policies, clock, reactor
+        )
+        self.guard = suspect_runs.SuspectGuard(
+            policies, permits, clock, reactor
+        )
         self._waiters_by_service: dict[str, waiting.QueueWaiter] = {}
 
     def waiter(self, service: str) -> waiting.QueueWaiter:
@@ -61,6 +83,8 @@
         """Deliver decisions that follow from the passing of time."""
         for waiter in self._waiters_by_service.values():
             waiter.advance()
+        if self._watch is not None:
+            self._watch.advance()
 
     async def run(
         self,
@@ -105,23 +129,68 @@
         )
         stream = streams.open_stream(self._engines, call, stage)
         perform = stream.perform if stream else self._client.run
+        held = call
         excluded: frozenset[str] = frozenset()
         tries = 0
+        reruns = 0
+        failure: attempt.StageFailure | None = None
+        try:
+            while True:
+                entered = await self.guard.begin(held, stage.name)
+                if isinstance(entered, attempt.StageFailure):
+                    return entered
+                held = entered
+                ok = False
+                try:
+                    job = await self._wait_job(
+                        held, stage, input_json, excluded
+                    )
+                    if isinstance(job, attempt.StageFailure):
+                        return _final_failure(failure or job, stream)
+                    job = dataclasses.replace(job, stream=stream)
+                    race = await self.hedges.run(job, perform, on_sent)
+                    ended = race.ended
+                    ok = ended.reply is not None
+                finally:
+                    self.guard.end(held, stage.name, ok)
+                tries += 1
+                if ended.reply is not None:
+                    return StageSuccess(ended.reply.output_json)
+                excluded |= race.tried
+                failure = ended.failure
+                if ended.result.target_died and stage.repeatable:
+                    # The one re-run of a suspect needs no retry budget: the
+                    # guard above lets it run only under a permit.
+                    reruns += 1
+                    if reruns > 1:
+                        return _final_failure(failure, stream)
+                    continue
+                decision = self._decide_retry(held, stage, ended.result, tries)
+                if not decision.retry:
+                    return _final_failure(failure, stream)
+                if decision.delay_s > 0:
+                    await task.deferLater(self._reactor, decision.delay_s)
+        finally:
+            self.guard.leave(held, call)
+
+    async def _wait_job(
+        self,
+        call: calls.Call,
+        stage: world.Stage,
+        input_json: bytes,
+        excluded: frozenset[str],
+    ) -> attempt.AttemptJob | attempt.StageFailure:
+        """Return the next job, after a wait if no target is free for it."""
+        now = self._clock.monotonic()
+        share = _SUSPECT_WAIT_SHARE if call.permit_id else _WAIT_SHARE
+        until = now + share * (call.deadline - now)
         while True:
             job = self._next_job(call, stage, input_json, excluded)
-            if isinstance(job, attempt.StageFailure):
-                return _final_failure(job, stream)
-            job = dataclasses.replace(job, stream=stream)
-            tries += 1
-            ended = await self._runner.run(job, perform, on_sent)
-            if ended.reply is not None:
-                return StageSuccess(ended.reply.output_json)
-            excluded |= {job.target.target_id}
-            decision = self._decide_retry(call, stage, ended.result, tries)
-            if not decision.retry:
-                return _final_failure(ended.failure, stream)
-            if decision.delay_s > 0:
-                await task.deferLater(self._reactor, decision.delay_s)
+            if isinstance(job, attempt.AttemptJob):
+                return job
+            if self._clock.monotonic() >= until:
+                return job
+            await task.deferLater(self._reactor, _TURN_S)
 
     def _next_job(
         self,
@@ -140,6 +209,8 @@
             call.deadline,
             model=stage.model,
             excluded=excluded,
+            isolated=bool(call.permit_id),
+            content=call.digest(),
         )
         target = self._policies.router.route(query, now)
         if target is None:
@@ -164,7 +235,7 @@
             result,
             attempts=tries,
             repeatable=stage.repeatable or not_sent,
-            suspect=False,
+            suspect=bool(call.permit_id),
             deadline=call.deadline,
             now=self._clock.monotonic(),
         )
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -16,6 +16,7 @@
 from walnutport.adapters import log
 from walnutport.adapters import stage
 from walnutport.catalogue import fold
+from walnutport.adapters import target_control
 from walnutport.catalogue import follower
 from walnutport.claims import records
 from walnutport import clock as system_clock
@@ -39,6 +40,7 @@
 from walnutport.service import pipeline
 from walnutport.service import policies as host_policies
 from walnutport.service import target_watch
+from walnutport.service import suspect_parts
 from walnutport import world
 
 __all__ = ['EntryHost']
@@ -117,6 +119,20 @@
         self.log_reader = log_reader.LogReader(
             self._log,
             [self.catalogue, self.claims],
+        control = target_control.TargetControl(
+            http.HttpClient(reactor, persistent=False), reactor
+        )
+        self.suspects = suspect_parts.build_suspect_parts(
+            self.policies,
+            settings.host_id,
+            control,
+            self._clock,
+            reactor,
+            append=self._log.append,
+        )
+        self.log_reader = log_reader.LogReader(
+            self._log,
+            [self.catalogue, *self.suspects.followers],
             self._clock,
             reactor,
             platform.poll_wait_s,
@@ -145,6 +161,12 @@
                 self.cost,
                 self._clock,
                 reactor,
+                self.cost,
+                self._clock,
+                reactor,
+                watch=self.suspects.watch,
+                permits=self.suspects.permits,
+                control=control,
             ),
             self._clock,
             claims=self.claims if self.policies.at_most_once else None,
@@ -348,6 +370,9 @@
             if target.service == self.settings.orders.engine_service
             and target.state is world.TargetState.LIVE
         }
+        now = self._clock.monotonic()
+        self.policies.router.hosts_changed(result.ok.hosts_by_id, now)
+        self.policies.router.targets_changed(result.ok.targets_by_id, now)
         self._list_loaded = True
 
 
