Put requests through fair queues and bounded windows

Cause: every request was sent on at once, so overload filled the queues of the targets and one member could take all of them.

--- /dev/null
+++ b/walnutport/admission/control.py
@@ -0,0 +1,275 @@
+"""Admission control of one host: queues, fleet limits and deadlines.
+
+The entry queue holds requests before their first stage. A request is
+granted when the contract has room, and when the window of every pool of its
+pipeline has; it gives a window back as soon as it has passed that pool. Each
+pool has a queue for this host's share of its slots.
+
+============================  ===========================================
+Key of a resource             Units
+============================  ===========================================
+``entry/<entry>``             share of ``max_in_flight`` of the contract
+``window/<service>``          requests on their way to or in the pool
+``pool/<service>``            share of the slots of the pool
+============================  ===========================================
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import math
+
+from walnutport.admission import budget
+from walnutport.admission import fair_queue
+from walnutport.admission import gate
+from walnutport.admission import limits
+from walnutport import interfaces
+from walnutport.peer import messages
+from walnutport import world
+
+__all__ = ['AdmissionControl', 'POOL_FACTOR']
+
+# Requests that a target may hold beyond its slots, so that a slot does not
+# stand empty between two requests.
+POOL_FACTOR = 1.25
+_ADJUST_S = 0.25
+
+
+class AdmissionControl:
+    """Owns the queues of a host and keeps their capacities up to date.
+
+    :param max_queued: bound on the waiting tickets of each queue.
+    """
+
+    def __init__(self, host_id: str, max_queued: int) -> None:
+        self.limits = limits.FleetLimits(host_id)
+        self._book = budget.LatencyBook()
+        self._gate = gate.DeadlineGate(self._book)
+        self._max_queued = max_queued
+        self._contracts_by_id: Mapping[str, world.Contract] = {}
+        self._pipelines_by_id: Mapping[str, world.Pipeline] = {}
+        self._classes_by_id: Mapping[str, world.ServiceClass] = {}
+        self._members_by_id: Mapping[str, world.Member] = {}
+        self._targets_by_id: Mapping[str, world.Target] = {}
+        self._slots_by_target: dict[str, int] = {}
+        self._leaving: set[str] = set()
+        self._slots_by_service: dict[str, int] = {}
+        self._pool_queues_by_service: dict[str, fair_queue.FairQueue] = {}
+        self._adjust_at = -math.inf
+        self._now = 0.0
+        self.entry_queue = fair_queue.FairQueue(
+            max_queued=max_queued, rules=self._rules(self._entry_units)
+        )
+
+    def pool_queue(self, service: str) -> fair_queue.FairQueue:
+        """Return the queue in front of a pool."""
+        found = self._pool_queues_by_service.get(service)
+        if found is None:
+            key = f'pool/{service}'
+            found = fair_queue.FairQueue(
+                max_queued=self._max_queued,
+                rules=self._rules(lambda _: (key,)),
+            )
+            self._pool_queues_by_service[service] = found
+            self._adjust_at = -math.inf
+            self.advance(self._now)
+        return found
+
+    def catalogue_changed(
+        self,
+        contracts_by_id: Mapping[str, world.Contract],
+        pipelines_by_id: Mapping[str, world.Pipeline],
+        classes_by_id: Mapping[str, world.ServiceClass],
+        members_by_id: Mapping[str, world.Member],
+    ) -> None:
+        """Take the entries in force."""
+        for entry_id in set(self._contracts_by_id) - set(contracts_by_id):
+            self.limits.drop_limit(f'entry/{entry_id}')
+        self._contracts_by_id = contracts_by_id
+        self._pipelines_by_id = pipelines_by_id
+        self._classes_by_id = classes_by_id
+        self._members_by_id = members_by_id
+        self._book.forget(set(contracts_by_id))
+        for contract in contracts_by_id.values():
+            self.limits.set_limit(
+                f'entry/{contract.entry_id}', contract.limits.max_in_flight
+            )
+        self._adjust_at = -math.inf
+
+    def targets_changed(
+        self, targets_by_id: Mapping[str, world.Target], now: float
+    ) -> None:
+        """Take the targets of the platform's list."""
+        self._targets_by_id = dict(targets_by_id)
+        self._leaving &= set(targets_by_id)
+        for target_id in set(self._slots_by_target) - set(targets_by_id):
+            del self._slots_by_target[target_id]
+        self._count_slots()
+
+    def load_reported(
+        self, target_id: str, load: world.LoadReport, now: float
+    ) -> None:
+        """Take the slots and the state that a target reports of itself."""
+        if target_id not in self._targets_by_id:
+            return
+        leaving = load.state is world.TargetState.LEAVING
+        known = self._slots_by_target.get(target_id)
+        if known == load.slots and leaving == (target_id in self._leaving):
+            return
+        self._slots_by_target[target_id] = load.slots
+        (self._leaving.add if leaving else self._leaving.discard)(target_id)
+        self._count_slots()
+
+    def stage_passed(
+        self, ticket_id: str, service: str, now: float
+    ) -> Sequence[interfaces.Decision]:
+        """Give back the window of a pool that a request has passed."""
+        return self.entry_queue.release_units(
+            ticket_id, f'window/{service}', now
+        )
+
+    def stage_held(
+        self, entry_id: str, stage: str, held_s: float, now: float
+    ) -> None:
+        """Count how long a stage held its slot."""
+        self._book.record(budget.StageKey(entry_id, stage), held_s, now)
+
+    def advance(self, now: float) -> None:
+        """Bring capacities up to date with shares and latencies."""
+        self._now = now
+        if now < self._adjust_at:
+            return
+        self._adjust_at = now + _ADJUST_S
+        self._report_use()
+        for entry_id in self._contracts_by_id:
+            key = f'entry/{entry_id}'
+            self.entry_queue.set_capacity(key, self.limits.share(key, now))
+        slots_by_service = {}
+        for service in self._slots_by_service:
+            key = f'pool/{service}'
+            if not self._slots_by_service[service]:
+                # Requests pass and are told that there is no target.
+                self.pool_queue(service).set_capacity(key, math.inf)
+                self.entry_queue.set_capacity(f'window/{service}', math.inf)
+                continue
+            # A target with one request too many is better than a host that
+            # cannot reach a small pool at all.
+            slots_by_service[service] = max(1, self.limits.share(key, now))
+            self.pool_queue(service).set_capacity(
+                key, slots_by_service[service]
+            )
+        windows = self._gate.windows(self._entries(), slots_by_service, now)
+        for service, units in windows.items():
+            self.entry_queue.set_capacity(f'window/{service}', units)
+
+    def demands(self, now: float) -> tuple[messages.LimitDemand, ...]:
+        """Return demands and loans for the next heartbeat."""
+        self._report_use()
+        return self.limits.demands(now)
+
+    def on_demands(
+        self,
+        host_id: str,
+        demands: Sequence[messages.LimitDemand],
+        now: float,
+    ) -> None:
+        """Take the demands and loans of a peer's heartbeat."""
+        self.limits.on_demands(host_id, demands, now)
+        self._adjust_at = -math.inf
+
+    def hosts_changed(
+        self, live: Iterable[str], known: Iterable[str], now: float
+    ) -> None:
+        """Take the hosts heard lately and all that exist."""
+        self.limits.hosts_changed(live, known, now)
+        self._adjust_at = -math.inf
+
+    def _report_use(self) -> None:
+        for entry_id in self._contracts_by_id:
+            key = f'entry/{entry_id}'
+            self.limits.use(
+                key,
+                self.entry_queue.in_use(key),
+                self.entry_queue.waiting(key),
+            )
+        for service in self._slots_by_service:
+            key = f'pool/{service}'
+            queue = self.pool_queue(service)
+            # What waits at the entry wants the pool as well.
+            waiting = queue.waiting(key) + self.entry_queue.waiting(
+                f'window/{service}'
+            )
+            self.limits.use(key, queue.in_use(key), waiting)
+
+    def _count_slots(self) -> None:
+        slots_by_service: dict[str, int] = {}
+        for target in self._targets_by_id.values():
+            gone = (
+                target.state is world.TargetState.LEAVING
+                or target.target_id in self._leaving
+            )
+            slots = self._slots_by_target.get(target.target_id, target.slots)
+            slots_by_service[target.service] = slots_by_service.get(
+                target.service, 0
+            ) + (0 if gone else slots)
+        # A pool that lost its last target keeps a capacity of zero.
+        for service in self._slots_by_service:
+            slots_by_service.setdefault(service, 0)
+        self._slots_by_service = slots_by_service
+        for service, slots in slots_by_service.items():
+            self.limits.set_limit(
+                f'pool/{service}', math.ceil(slots * POOL_FACTOR)
+            )
+        self._adjust_at = -math.inf
+
+    def _entries(self) -> list[tuple[world.Contract, world.Pipeline]]:
+        return [
+            (contract, self._pipelines_by_id[contract.pipeline_id])
+            for contract in self._contracts_by_id.values()
+            if contract.pipeline_id in self._pipelines_by_id
+        ]
+
+    def _rules(self, units_of) -> fair_queue.QueueRules:
+        return fair_queue.QueueRules(
+            units_of=units_of,
+            time_needed=self._time_needed,
+            class_weight=self._class_weight,
+            member_weight=self._member_weight,
+            is_limit=lambda key: key.startswith('entry/'),
+        )
+
+    def _entry_units(self, ticket: interfaces.Ticket) -> tuple[str, ...]:
+        pipeline = self._pipeline(ticket.entry_id)
+        # A pool that runs two stages is passed with the later one.
+        services = dict.fromkeys(
+            stage.service for stage in (pipeline.stages if pipeline else ())
+        )
+        return (
+            f'entry/{ticket.entry_id}',
+            *(f'window/{service}' for service in services),
+        )
+
+    def _pipeline(self, entry_id: str) -> world.Pipeline | None:
+        contract = self._contracts_by_id.get(entry_id)
+        if contract is None:
+            return None
+        return self._pipelines_by_id.get(contract.pipeline_id)
+
+    def _time_needed(self, ticket: interfaces.Ticket) -> fair_queue.TimeNeeded:
+        pipeline = self._pipeline(ticket.entry_id)
+        if pipeline is None:
+            return fair_queue.TimeNeeded()
+        return self._gate.time_needed(
+            self._contracts_by_id[ticket.entry_id],
+            pipeline,
+            ticket.stages_passed,
+            self._now,
+        )
+
+    def _class_weight(self, class_id: str) -> float:
+        found = self._classes_by_id.get(class_id)
+        return found.weight if found and found.weight > 0 else 1.0
+
+    def _member_weight(self, member_id: str) -> float:
+        found = self._members_by_id.get(member_id)
+        return found.weight if found and found.weight > 0 else 1.0
--- /dev/null
+++ b/walnutport/admission/flows.py
@@ -0,0 +1,264 @@
+"""Order of waiting tickets: class, then member, then deadline.
+
+Both levels use start-time fair queueing: a flow has a start tag, the flow
+with the lowest tag is served, and a service of cost c moves its tag by
+c / weight. A flow that becomes active starts at the virtual time of its
+parent, so idle time earns no credit (Goyal, Vin, Cheng: Start-time Fair
+Queuing, SIGCOMM 1996). Within a member the earliest deadline goes first.
+"""
+
+import bisect
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+import heapq
+import math
+
+from walnutport import interfaces
+
+__all__ = ['ClassFlow', 'FlowTree', 'MemberFlow', 'Units', 'Waiting']
+
+
+@dataclasses.dataclass(slots=True)
+class Units:
+    """Units of one resource that tickets take.
+
+    :param capacity: units that may be in use; infinite if unbounded.
+    """
+
+    key: str
+    capacity: float = math.inf
+    in_use: int = 0
+    waiting: int = 0
+
+    def has_room(self, cost: int) -> bool:
+        """Return whether a ticket of a cost can be granted."""
+        return self.in_use + cost <= self.capacity
+
+
+@dataclasses.dataclass(slots=True)
+class Waiting:
+    """A queued ticket, the units it needs and its place in the queue."""
+
+    ticket: interfaces.Ticket
+    units: tuple[Units, ...]
+    sequence: int
+    flow: 'MemberFlow'
+
+    def sort_key(self) -> tuple[float, int]:
+        """Return the order within a member."""
+        return (self.ticket.deadline, self.sequence)
+
+    def has_room(self) -> bool:
+        """Return whether every unit that the ticket needs is free."""
+        return all(item.has_room(self.ticket.cost) for item in self.units)
+
+
+@dataclasses.dataclass(slots=True)
+class MemberFlow:
+    """Waiting tickets of one member in one class.
+
+    :param tag: virtual start time of its next service.
+    :param waiting_by_entry: tickets of each entry in order of deadline.
+    """
+
+    member_id: str
+    parent: 'ClassFlow'
+    weight: float
+    tag: float = 0.0
+    count: int = 0
+    heap_item: tuple[float, str, int, 'MemberFlow'] | None = None
+    waiting_by_entry: dict[str, list[Waiting]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def first_with_room(self) -> Waiting | None:
+        """Return the earliest deadline among entries that have room."""
+        heads = [
+            waiting[0]
+            for waiting in self.waiting_by_entry.values()
+            if waiting and waiting[0].has_room()
+        ]
+        return min(heads, key=Waiting.sort_key, default=None)
+
+    def ahead_of(self, deadline: float) -> int:
+        """Return the count of tickets with an earlier or equal deadline."""
+        return sum(
+            bisect.bisect_right(
+                waiting, deadline, key=lambda item: item.ticket.deadline
+            )
+            for waiting in self.waiting_by_entry.values()
+        )
+
+    def in_order(self) -> list[Waiting]:
+        """Return the tickets in order of deadline."""
+        merged = heapq.merge(
+            *self.waiting_by_entry.values(), key=Waiting.sort_key
+        )
+        return list(merged)
+
+
+@dataclasses.dataclass(slots=True)
+class ClassFlow:
+    """Members of one class that have tickets waiting."""
+
+    class_id: str
+    weight: float
+    tag: float = 0.0
+    virtual: float = 0.0
+    active_weight: float = 0.0
+    active: int = 0
+    pushed: int = 0
+    heap: list[tuple[float, str, int, MemberFlow]] = dataclasses.field(
+        default_factory=list
+    )
+    members_by_id: dict[str, MemberFlow] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def activate(self, flow: MemberFlow, weight: float) -> None:
+        """Let a member that had nothing waiting take part."""
+        flow.weight = weight
+        flow.tag = max(flow.tag, self.virtual)
+        self.active += 1
+        self.active_weight += weight
+        self.push(flow)
+
+    def push(self, flow: MemberFlow) -> None:
+        """Put a member in the heap under its present tag."""
+        self.pushed += 1
+        flow.heap_item = (flow.tag, flow.member_id, self.pushed, flow)
+        heapq.heappush(self.heap, flow.heap_item)
+
+    def deactivate(self, flow: MemberFlow) -> None:
+        """Take out a member that has nothing left waiting."""
+        flow.heap_item = None
+        flow.waiting_by_entry.clear()
+        self.active -= 1
+        # The sum starts afresh when it can, so that it does not drift.
+        self.active_weight = (
+            self.active_weight - flow.weight if self.active else 0.0
+        )
+
+    def first_with_room(self) -> Waiting | None:
+        """Return the ticket that is next in this class, or None."""
+        skipped = []
+        found = None
+        while self.heap and found is None:
+            item = self.heap[0]
+            flow = item[3]
+            if flow.heap_item is not item:
+                heapq.heappop(self.heap)
+                continue
+            found = flow.first_with_room()
+            if found is None:
+                skipped.append(heapq.heappop(self.heap))
+        for item in skipped:
+            heapq.heappush(self.heap, item)
+        return found
+
+    def forget_idle(self) -> None:
+        """Drop members without tickets that have no service to make up."""
+        for member_id, flow in list(self.members_by_id.items()):
+            if not flow.count and flow.tag <= self.virtual:
+                del self.members_by_id[member_id]
+
+
+class FlowTree:
+    """Waiting tickets in the order in which they are to be granted."""
+
+    def __init__(
+        self,
+        class_weight: Callable[[str], float],
+        member_weight: Callable[[str], float],
+    ) -> None:
+        self._class_weight = class_weight
+        self._member_weight = member_weight
+        self._virtual = 0.0
+        self._classes_by_id: dict[str, ClassFlow] = {}
+
+    def flow_of(self, ticket: interfaces.Ticket) -> MemberFlow:
+        """Return the flow that a ticket belongs to."""
+        parent = self._classes_by_id.get(ticket.class_id)
+        if parent is None:
+            weight = self._class_weight(ticket.class_id)
+            parent = ClassFlow(ticket.class_id, weight)
+            self._classes_by_id[ticket.class_id] = parent
+        flow = parent.members_by_id.get(ticket.member_id)
+        if flow is None:
+            weight = self._member_weight(ticket.member_id)
+            flow = MemberFlow(ticket.member_id, parent, weight)
+            parent.members_by_id[ticket.member_id] = flow
+        return flow
+
+    def add(self, item: Waiting) -> None:
+        """Add a waiting ticket."""
+        flow, parent = item.flow, item.flow.parent
+        if not parent.active:
+            parent.weight = self._class_weight(parent.class_id)
+            parent.tag = max(parent.tag, self._virtual)
+        if not flow.count:
+            parent.activate(flow, self._member_weight(flow.member_id))
+        waiting = flow.waiting_by_entry.setdefault(item.ticket.entry_id, [])
+        bisect.insort(waiting, item, key=Waiting.sort_key)
+        flow.count += 1
+
+    def remove(self, item: Waiting) -> None:
+        """Take out a waiting ticket that is not served."""
+        flow = item.flow
+        waiting = flow.waiting_by_entry[item.ticket.entry_id]
+        index = bisect.bisect_left(
+            waiting, item.sort_key(), key=Waiting.sort_key
+        )
+        del waiting[index]
+        if not waiting:
+            del flow.waiting_by_entry[item.ticket.entry_id]
+        flow.count -= 1
+        if not flow.count:
+            flow.parent.deactivate(flow)
+
+    def serve(self, item: Waiting) -> None:
+        """Take out a ticket and charge its flows with its cost."""
+        flow, parent = item.flow, item.flow.parent
+        self._virtual = max(self._virtual, parent.tag)
+        parent.tag += item.ticket.cost / parent.weight
+        parent.virtual = max(parent.virtual, flow.tag)
+        flow.tag += item.ticket.cost / flow.weight
+        self.remove(item)
+        if flow.count:
+            parent.push(flow)
+
+    def first_with_room(self) -> Waiting | None:
+        """Return the ticket to grant next, or None if none has room."""
+        active = [item for item in self._classes_by_id.values() if item.active]
+        for parent in sorted(active, key=lambda c: (c.tag, c.class_id)):
+            found = parent.first_with_room()
+            if found is not None:
+                return found
+        return None
+
+    def share_of(self, flow: MemberFlow) -> float:
+        """Return the share of all service that a flow may expect."""
+        class_weight = sum(
+            item.weight
+            for item in self._classes_by_id.values()
+            if item.active or item is flow.parent
+        )
+        member_weight = flow.parent.active_weight
+        if not flow.count:
+            member_weight += flow.weight
+        return flow.parent.weight / class_weight * flow.weight / member_weight
+
+    def active_flows(self) -> Iterator[MemberFlow]:
+        """Return the members with tickets, class by class."""
+        for parent in self._classes_by_id.values():
+            for flow in parent.members_by_id.values():
+                if flow.count:
+                    yield flow
+
+    def forget_idle(self) -> None:
+        """Drop flows that carry no state worth keeping."""
+        for class_id, parent in list(self._classes_by_id.items()):
+            parent.forget_idle()
+            if not parent.members_by_id and parent.tag <= self._virtual:
+                del self._classes_by_id[class_id]
--- /dev/null
+++ b/walnutport/admission/gate.py
@@ -0,0 +1,106 @@
+"""Admission windows and the check whether work can finish in time.
+
+The window of a pool bounds the requests that were admitted and have not yet
+passed the pool. By Little's law a pool with ``slots`` slots and a mean
+service time S is kept busy by slots x (U + S) / S requests, where U is the
+time that the stages before it take. What is admitted beyond that waits in
+the pool queue and does not raise the throughput; so the slowest stage of
+each pipeline sets the pace at the entry, no other stage runs work that the
+slowest one cannot take, and the wait happens in the one queue that refuses
+what will be late.
+"""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import math
+
+from walnutport.admission import budget
+from walnutport.admission import fair_queue
+from walnutport import world
+
+__all__ = ['DeadlineGate', 'window_units']
+
+# Service times vary, so a pool that is kept only just busy on average runs
+# dry at times; the surplus also bounds the wait in front of the pool to
+# about half of the time that the stages up to it take.
+_WINDOW_FACTOR = 1.5
+_MIN_EXTRA_UNITS = 2
+_LEAST_QUANTILE = 0.1
+_LIKELY_QUANTILE = 0.9
+
+
+def window_units(
+    slots: int, service_s: float | None, upstream_s: float | None, depth: int
+) -> int:
+    """Return how many requests may be on their way to or in a pool.
+
+    :param slots: the host's share of the slots of the pool.
+    :param service_s: mean time in the pool, None if unknown.
+    :param upstream_s: mean time in the stages before it, None if unknown.
+    :param depth: stages before it, each taken to be as long as this one
+        when the times are unknown.
+
+    >>> window_units(8, 0.02, 0.06, depth=3)
+    50
+    """
+    if not service_s or upstream_s is None:
+        stages = depth + 1.0
+    else:
+        stages = (upstream_s + service_s) / service_s
+    return math.ceil(slots * stages * _WINDOW_FACTOR) + _MIN_EXTRA_UNITS
+
+
+class DeadlineGate:
+    """Tells how long the rest of a pipeline takes.
+
+    Without any wait only a low quantile counts: work that could finish on
+    an idle fleet is not refused. Work that has to wait is held against a
+    high quantile.
+    """
+
+    def __init__(self, book: budget.LatencyBook) -> None:
+        self._book = book
+
+    def time_needed(
+        self,
+        contract: world.Contract,
+        pipeline: world.Pipeline,
+        stages_passed: int,
+        now: float,
+    ) -> fair_queue.TimeNeeded:
+        """Return the time needed by the stages that are left."""
+        names = [stage.name for stage in pipeline.stages[stages_passed:]]
+        least_s, likely_s = (
+            self._book.remaining_s(contract.entry_id, names, quantile, now)
+            for quantile in (_LEAST_QUANTILE, _LIKELY_QUANTILE)
+        )
+        return fair_queue.TimeNeeded(least_s, likely_s)
+
+    def windows(
+        self,
+        contracts: Sequence[tuple[world.Contract, world.Pipeline]],
+        slots_by_service: Mapping[str, int],
+        now: float,
+    ) -> dict[str, int]:
+        """Return the window of each pool that the contracts use.
+
+        A pool at several depths gets the widest of its windows.
+        """
+        units_by_service: dict[str, int] = {}
+        for contract, pipeline in contracts:
+            upstream_s: float | None = 0.0
+            for depth, stage in enumerate(pipeline.stages):
+                service_s = self._book.mean_s(
+                    budget.StageKey(contract.entry_id, stage.name), now
+                )
+                slots = slots_by_service.get(stage.service)
+                if slots is not None:
+                    units = window_units(slots, service_s, upstream_s, depth)
+                    units_by_service[stage.service] = max(
+                        units, units_by_service.get(stage.service, 0)
+                    )
+                if service_s is None or upstream_s is None:
+                    upstream_s = None
+                else:
+                    upstream_s += service_s
+        return units_by_service
--- /dev/null
+++ b/walnutport/admission/shares.py
@@ -0,0 +1,95 @@
+"""Division of a limit among hosts and the loans that lead to it.
+
+All functions are deterministic, so hosts with the same view compute the
+same division. They work on whole units.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import hashlib
+
+__all__ = ['base_shares', 'plan_loans', 'water_fill']
+
+_FLOOR_DIVISOR = 5
+
+
+def base_shares(
+    limit_key: str, limit: int, hosts: Iterable[str]
+) -> dict[str, int]:
+    """Return equal whole shares that add up to the limit.
+
+    The hosts that get one unit more differ from key to key, so that no host
+    is first for every limit.
+
+    >>> sum(base_shares('e', 10, ['a', 'b', 'c']).values())
+    10
+    """
+    ordered = sorted(
+        hosts,
+        key=lambda host_id: hashlib.blake2b(
+            f'{limit_key}\0{host_id}'.encode(), digest_size=8
+        ).digest(),
+    )
+    if not ordered:
+        return {}
+    each, more = divmod(max(0, limit), len(ordered))
+    return {
+        host_id: each + (index < more) for index, host_id in enumerate(ordered)
+    }
+
+
+def floor_of(base: int) -> int:
+    """Return what a host keeps of its share so that a burst can start."""
+    return max(base // _FLOOR_DIVISOR, min(base // 2, 1))
+
+
+def water_fill(
+    limit: int, demands: Mapping[str, int], bases: Mapping[str, int]
+) -> dict[str, int]:
+    """Return the max-min fair division of a limit.
+
+    No host gets more than its demand while another host with less has a
+    demand that is not met. Every host gets at least the floor of its base.
+
+    >>> bases = {'a': 4, 'b': 4, 'c': 4}
+    >>> water_fill(12, {'a': 20, 'b': 1, 'c': 3}, bases)
+    {'b': 1, 'c': 3, 'a': 8}
+    """
+    wanted = {
+        host_id: max(demands.get(host_id, 0), floor_of(base))
+        for host_id, base in bases.items()
+    }
+    left = max(0, limit)
+    shares = {}
+    ordered = sorted(wanted, key=lambda host_id: (wanted[host_id], host_id))
+    for index, host_id in enumerate(ordered):
+        shares[host_id] = min(wanted[host_id], left // (len(ordered) - index))
+        left -= shares[host_id]
+    return shares
+
+
+def plan_loans(
+    limit: int, demands: Mapping[str, int], bases: Mapping[str, int]
+) -> dict[tuple[str, str], int]:
+    """Return the units that each host lends to each other host.
+
+    With all loans in force every host has its max-min share, or its base if
+    that is more and nobody needs the rest.
+
+    >>> plan_loans(8, {'a': 9}, {'a': 4, 'b': 4})
+    {('b', 'a'): 3}
+    """
+    shares = water_fill(limit, demands, bases)
+    spare = {key: max(0, bases[key] - shares[key]) for key in bases}
+    loans: dict[tuple[str, str], int] = {}
+    borrowers = sorted(key for key in bases if shares[key] > bases[key])
+    for borrower in borrowers:
+        missing = shares[borrower] - bases[borrower]
+        # The largest spare share first keeps the count of loans small.
+        for lender in sorted(spare, key=lambda key: (-spare[key], key)):
+            units = min(missing, spare[lender])
+            if units > 0:
+                loans[lender, borrower] = units
+                spare[lender] -= units
+                missing -= units
+    return loans
--- a/walnutport/interfaces.py
+++ b/walnutport/interfaces.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
@@ -20,6 +21,7 @@
 from walnutport import world
 
 __all__ = [
+    'Admission',
     'AdmissionQueue',
     'AttemptResult',
     'AttemptStatus',
@@ -140,6 +142,7 @@
 
     :param cost: slots that the request takes.
     :param deadline: monotonic time in seconds.
+    :param stages_passed: finished stages; such work goes before new work.
     """
 
     ticket_id: str
@@ -148,6 +151,7 @@
     class_id: str
     deadline: float
     cost: int = 1
+    stages_passed: int = 0
 
 
 class DecisionKind(enum.StrEnum):
@@ -184,6 +188,65 @@
         """Return decisions that follow from the passing of time."""
 
 
+class Admission(Protocol):
+    """Queues of a host and what decides on their capacities."""
+
+    @property
+    def entry_queue(self) -> AdmissionQueue:
+        """Return the queue in front of the first stage."""
+
+    def pool_queue(self, service: str) -> AdmissionQueue:
+        """Return the queue in front of a pool."""
+
+    def catalogue_changed(
+        self,
+        contracts_by_id: Mapping[str, world.Contract],
+        pipelines_by_id: Mapping[str, world.Pipeline],
+        classes_by_id: Mapping[str, world.ServiceClass],
+        members_by_id: Mapping[str, world.Member],
+    ) -> None:
+        """Take the entries in force."""
+
+    def targets_changed(
+        self, targets_by_id: Mapping[str, world.Target], now: float
+    ) -> None:
+        """Take the targets of the platform's list."""
+
+    def hosts_changed(
+        self, live: Iterable[str], known: Iterable[str], now: float
+    ) -> None:
+        """Take the hosts heard lately and all that exist."""
+
+    def load_reported(
+        self, target_id: str, load: world.LoadReport, now: float
+    ) -> None:
+        """Take note of a load report."""
+
+    def stage_passed(
+        self, ticket_id: str, service: str, now: float
+    ) -> Sequence[Decision]:
+        """Record that a granted request passed a pool."""
+
+    def stage_held(
+        self, entry_id: str, stage: str, held_s: float, now: float
+    ) -> None:
+        """Record how long a stage held a slot of its pool."""
+
+    def demands(self, now: float) -> Sequence[messages.LimitDemand]:
+        """Return what the next heartbeat says about limits."""
+
+    def on_demands(
+        self,
+        host_id: str,
+        demands: Sequence[messages.LimitDemand],
+        now: float,
+    ) -> None:
+        """Take what the heartbeat of a peer says about limits."""
+
+    def advance(self, now: float) -> None:
+        """Bring capacities up to date."""
+
+
 class AttemptStatus(enum.StrEnum):
     """How an attempt on a target ended."""
 
--- a/walnutport/peer/messages.py
+++ b/walnutport/peer/messages.py
@@ -14,6 +14,7 @@
     'Heartbeat',
     'LeavingTarget',
     'LimitDemand',
+    'LimitLoan',
     'MessageKind',
     'PeerMessage',
     'PeerOrigin',
@@ -64,17 +65,34 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitLoan:
+    """Units of its own share that the sender lends to one host.
+
+    :param echo_ms: ``tick_ms`` of the borrower's demand that the loan
+        answers; the borrower counts the lease from it on its own clock.
+    """
+
+    host_id: str
+    units: int
+    echo_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LimitDemand:
     """Demand of one host for one fleet limit.
 
     :param in_use: units granted and not yet released.
     :param waiting: units asked for and not granted.
+    :param tick_ms: monotonic clock of the sender in milliseconds.
+    :param loans: complete list of what the sender lends.
     """
 
     limit_key: str
     in_use: int
     waiting: int
+    tick_ms: int = 0
+    loans: tuple[LimitLoan, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/walnutport/service/attempts.py
+++ b/walnutport/service/attempts.py
@@ -48,7 +48,7 @@
         """Return the queue in front of a pool."""
         found = self._waiters_by_service.get(service)
         if found is None:
-            queue = self._policies.new_pool_queue(service)
+            queue = self._policies.admission.pool_queue(service)
             found = waiting.QueueWaiter(queue, self._clock)
             self._waiters_by_service[service] = found
         return found
@@ -70,11 +70,12 @@
         :param on_sent: called before bytes of an attempt are sent.
         """
         ticket = interfaces.Ticket(
-            f'{call.request_id}/{stage.name}',
+            f'{call.run_id}/{stage.name}',
             call.contract.entry_id,
             call.member.member_id,
             call.class_id,
             call.deadline,
+            stages_passed=call.pipeline.stages.index(stage),
         )
         waiter = self.waiter(stage.service)
         decision = await waiter.acquire(ticket)
@@ -84,8 +85,15 @@
                 f'pool {stage.service}',
                 retry_after_s=decision.retry_after_s,
             )
+        granted_at = self._clock.monotonic()
         try:
-            return await self._attempts(call, stage, input_json, on_sent)
+            outcome = await self._attempts(call, stage, input_json, on_sent)
+            if _tells_latency(outcome):
+                now = self._clock.monotonic()
+                self._policies.admission.stage_held(
+                    call.contract.entry_id, stage.name, now - granted_at, now
+                )
+            return outcome
         finally:
             waiter.release(ticket.ticket_id)
 
@@ -107,6 +115,7 @@
                 return job
             tries += 1
             ended = await self._runner.run(job, self._client.run, on_sent)
+            self._note_load(ended.result)
             if ended.reply is not None:
                 return StageSuccess(ended.reply.output_json)
             excluded |= {job.target.target_id}
@@ -116,6 +125,12 @@
             if decision.delay_s > 0:
                 await task.deferLater(self._reactor, decision.delay_s)
 
+    def _note_load(self, result: interfaces.AttemptResult) -> None:
+        if result.load is not None:
+            self._policies.admission.load_reported(
+                result.target_id, result.load, self._clock.monotonic()
+            )
+
     def _next_job(
         self,
         call: calls.Call,
@@ -159,3 +174,11 @@
             deadline=call.deadline,
             now=self._clock.monotonic(),
         )
+
+
+def _tells_latency(outcome: StageSuccess | attempt.StageFailure) -> bool:
+    """Return whether a stage ran to its end or to the deadline."""
+    return (
+        isinstance(outcome, StageSuccess)
+        or outcome.reason is answers.Reason.DEADLINE_EXCEEDED
+    )
--- /dev/null
+++ b/walnutport/service/caller_checks.py
@@ -0,0 +1,173 @@
+"""Turns a caller's HTTP request into a validated call.
+
+Each check raises ``RequestError`` before anything is queued or sent.
+"""
+
+import hashlib
+import hmac
+
+import msgspec
+from twisted.web import http
+
+from walnutport.catalogue import fold
+from walnutport.config import settings as config
+from walnutport import exceptions
+from walnutport import interfaces
+from walnutport.lifecycle import answers
+from walnutport.service import calls
+from walnutport import world
+
+__all__ = ['EVENT_STREAM', 'CallerChecks']
+
+EVENT_STREAM = 'text/event-stream'
+
+
+class CallerChecks:
+    """Validates calls against the settings and the catalogue in force."""
+
+    def __init__(
+        self, settings: config.CallerSettings, clock: interfaces.Clock
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+
+    def call_of(
+        self,
+        request,
+        entry_id: str,
+        request_id: str,
+        view: fold.CatalogueView,
+        sink: calls.StreamSink,
+    ) -> calls.Call:
+        """Return the call that a request asks for.
+
+        :param sink: takes the events if the caller asks for a stream.
+        :raises RequestError: if the request is invalid or not allowed.
+        """
+        member = _authenticate(view, request)
+        contract, pipeline = _find_entry(view, entry_id, member)
+        body = self._body(request, contract)
+        key = request.getHeader('idempotency-key') or ''
+        if pipeline.first_unrepeatable() is not None and not key:
+            raise exceptions.RequestError(
+                'this entry needs an Idempotency-Key header',
+                400,
+                answers.Reason.KEY_MISSING,
+            )
+        accept = request.getHeader('accept') or ''
+        return calls.Call(
+            request_id=request_id,
+            member=member,
+            contract=contract,
+            pipeline=pipeline,
+            class_id=_class_of(view, request, contract),
+            body=body,
+            deadline=self._deadline(request, contract),
+            key=key,
+            sink=sink if EVENT_STREAM in accept else None,
+        )
+
+    def _body(self, request, contract: world.Contract) -> bytes:
+        limit = min(
+            self._settings.max_body_bytes, contract.limits.max_body_bytes
+        )
+        body = request.content.read(limit + 1)
+        if len(body) > limit:
+            raise exceptions.RequestError(
+                f'body exceeds {limit} bytes',
+                413,
+                answers.Reason.BODY_TOO_LARGE,
+            )
+        try:
+            msgspec.json.decode(body)
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+            raise exceptions.RequestError(
+                f'body is not JSON: {error}', 400, answers.Reason.BAD_REQUEST
+            ) from None
+        return body
+
+    def _deadline(self, request, contract: world.Contract) -> float:
+        value = request.getHeader('walnutport-deadline-ms')
+        if value is None:
+            deadline_ms = contract.limits.deadline_ms
+        else:
+            try:
+                deadline_ms = int(value)
+            except ValueError:
+                raise exceptions.RequestError(
+                    'Walnutport-Deadline-Ms is not a whole number',
+                    400,
+                    answers.Reason.BAD_REQUEST,
+                ) from None
+        if deadline_ms <= 0:
+            raise exceptions.RequestError(
+                'deadline is past', 400, answers.Reason.DEADLINE_PAST
+            )
+        deadline_ms = min(deadline_ms, self._settings.max_deadline_ms)
+        return self._clock.monotonic() + deadline_ms / 1000
+
+
+def _find_entry(
+    view: fold.CatalogueView, entry_id: str, member: world.Member
+) -> tuple[world.Contract, world.Pipeline]:
+    contract = view.contracts_by_id.get(entry_id)
+    pipeline = (
+        view.pipelines_by_id.get(contract.pipeline_id) if contract else None
+    )
+    if contract is None or pipeline is None:
+        raise exceptions.RequestError(
+            f'no entry {entry_id!r}', 404, answers.Reason.UNKNOWN_ENTRY
+        )
+    if contract.callers and member.member_id not in contract.callers:
+        raise exceptions.RequestError(
+            'entry is closed to this member', 403, answers.Reason.FORBIDDEN
+        )
+    return contract, pipeline
+
+
+def _class_of(
+    view: fold.CatalogueView, request, contract: world.Contract
+) -> str:
+    """Return the class of a call, at most the one that the contract buys."""
+    wanted = request.getHeader('walnutport-class')
+    if not wanted or wanted == contract.class_id:
+        return contract.class_id
+    found = view.classes_by_id.get(wanted)
+    if found is None:
+        raise exceptions.RequestError(
+            f'no class {wanted[:64]!r}', 400, answers.Reason.BAD_REQUEST
+        )
+    bought = view.classes_by_id.get(contract.class_id)
+    if found.weight > (bought.weight if bought else 1.0):
+        raise exceptions.RequestError(
+            f'class {wanted!r} is above the class of the entry',
+            403,
+            answers.Reason.FORBIDDEN,
+        )
+    return wanted
+
+
+def _authenticate(view: fold.CatalogueView, request) -> world.Member:
+    """Return the member that the bearer token belongs to.
+
+    Every digest is compared in constant time, so that the time of an answer
+    tells nothing about the digests.
+
+    :raises RequestError: if the token belongs to no member.
+    """
+    header = request.getHeader('authorization') or ''
+    scheme, _, token = header.partition(' ')
+    digest = hashlib.sha256(token.strip().encode()).hexdigest()
+    found = None
+    if scheme.lower() == 'bearer':
+        for member in view.members_by_id.values():
+            for known in member.token_digests:
+                if hmac.compare_digest(known, digest):
+                    found = member
+    if found is None:
+        raise exceptions.RequestError(
+            'unknown bearer token',
+            http.UNAUTHORIZED,
+            answers.Reason.UNAUTHORIZED,
+        )
+    return found
--- a/walnutport/service/calls.py
+++ b/walnutport/service/calls.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import secrets
 from typing import Protocol
 
 from walnutport import world
@@ -32,6 +33,7 @@
     :param deadline: monotonic time in seconds.
     :param key: idempotency key, empty if none was given.
     :param sink: set if the caller asked for a stream.
+    :param run_id: unique here, unlike the request id that a caller chooses.
     """
 
     request_id: str
@@ -43,6 +45,9 @@
     deadline: float
     key: str = ''
     sink: StreamSink | None = None
+    run_id: str = dataclasses.field(
+        default_factory=lambda: secrets.token_hex(8)
+    )
 
     @property
     def streams(self) -> bool:
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -6,7 +6,6 @@
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import task
-from twisted.web import server
 
 from walnutport.adapters import host_list
 from walnutport.adapters import http
@@ -17,6 +16,7 @@
 from walnutport.config import settings as config
 from walnutport.cost import ledger
 from walnutport.service import attempts
+from walnutport.service import caller_site
 from walnutport.service import callers
 from walnutport.service import log_reader
 from walnutport.service import pipeline
@@ -48,7 +48,7 @@
         self.cost = ledger.CostLedger()
         platform = settings.platform
         self._platform_client = http.HttpClient(reactor)
-        self.catalogue = follower.CatalogueFollower(lambda: None)
+        self.catalogue = follower.CatalogueFollower(self._catalogue_changed)
         self._log = log.HttpLogService(
             self._platform_client,
             _address(platform.log),
@@ -101,7 +101,12 @@
         )
         self._start_loop(self.runner.advance, _TICK_S)
         await self._listen(
-            self.settings.callers.listen, self.callers.app.resource()
+            self.settings.callers.listen,
+            caller_site.CallerSite(
+                self.callers.app.resource(),
+                self.settings.callers,
+                self._reactor,
+            ),
         )
         LOG.info('%s started as %s', PREFIX, self.settings.host_id)
 
@@ -128,11 +133,11 @@
         LOG.info('%s drained', PREFIX)
         return True
 
-    async def _listen(self, listen: config.ListenAddress, resource) -> None:
+    async def _listen(self, listen: config.ListenAddress, site) -> None:
         endpoint = endpoints.TCP4ServerEndpoint(
             self._reactor, listen.port, interface=listen.ip
         )
-        port = await endpoint.listen(server.Site(resource))
+        port = await endpoint.listen(site)
         self._stack.callback(port.stopListening)
 
     def _start_loop(self, function, interval_s: float) -> None:
@@ -154,8 +159,25 @@
         self.policies.router.targets_changed(
             result.ok.targets_by_id, self._clock.monotonic()
         )
+        self.policies.admission.targets_changed(
+            result.ok.targets_by_id, self._clock.monotonic()
+        )
+        # Until heartbeats tell who is live, every listed host counts.
+        known = set(result.ok.hosts_by_id) | {self.settings.host_id}
+        self.policies.admission.hosts_changed(
+            known, known, self._clock.monotonic()
+        )
         self._list_loaded = True
 
+    def _catalogue_changed(self) -> None:
+        view = self.catalogue.fold.view()
+        self.policies.admission.catalogue_changed(
+            view.contracts_by_id,
+            view.pipelines_by_id,
+            view.classes_by_id,
+            view.members_by_id,
+        )
+
 
 def _address(listen: config.ListenAddress) -> world.Address:
     return world.Address(listen.ip, listen.port)
--- a/walnutport/service/pipeline.py
+++ b/walnutport/service/pipeline.py
@@ -40,10 +40,13 @@
         self._clock = clock
         self._claims = claims
         self._permits = permits
-        self._entry_waiter = waiting.QueueWaiter(policies.entry_queue, clock)
+        self._entry_waiter = waiting.QueueWaiter(
+            policies.admission.entry_queue, clock
+        )
 
     def advance(self) -> None:
         """Deliver decisions that follow from the passing of time."""
+        self._policies.admission.advance(self._clock.monotonic())
         self._entry_waiter.advance()
         self._stages.advance()
 
@@ -96,7 +99,7 @@
         self, call: calls.Call, life: machine.RequestMachine
     ) -> answers.Answer:
         ticket = interfaces.Ticket(
-            call.request_id,
+            call.run_id,
             call.contract.entry_id,
             call.member.member_id,
             call.class_id,
@@ -117,17 +120,29 @@
     ) -> answers.Answer:
         data = call.body
         try:
-            for stage in call.pipeline.stages:
+            for index, stage in enumerate(call.pipeline.stages):
                 outcome = await self._stages.run(
                     call, stage, data, life.attempt_sent
                 )
                 if isinstance(outcome, attempt.StageFailure):
                     return _close(life, outcome)
                 data = outcome.output_json
+                self._leave_pool(call, index)
         except defer.CancelledError:
             return life.give_up(answers.Reason.CALLER_GONE, '', 0.0)
         return life.complete(data)
 
+    def _leave_pool(self, call: calls.Call, index: int) -> None:
+        """Make room for new work once no later stage uses the pool."""
+        service = call.pipeline.stages[index].service
+        later = call.pipeline.stages[index + 1 :]
+        if all(stage.service != service for stage in later):
+            self._entry_waiter.deliver(
+                self._policies.admission.stage_passed(
+                    call.run_id, service, self._clock.monotonic()
+                )
+            )
+
 
 def _close(
     life: machine.RequestMachine, failure: attempt.StageFailure
--- a/walnutport/service/policies.py
+++ b/walnutport/service/policies.py
@@ -1,11 +1,12 @@
 """Builds the decision parts that a host runs with."""
 
-from collections.abc import Callable
 import dataclasses
 import random
 
+from walnutport.admission import control
 from walnutport.config import settings as config
 from walnutport import interfaces
+from walnutport.naive import admission as naive_admission
 from walnutport.naive import policies as naive
 
 __all__ = ['Policies', 'build_policies']
@@ -13,13 +14,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Policies:
-    """The replaceable decision parts of one host.
+    """The replaceable decision parts of one host."""
 
-    :param new_pool_queue: makes the queue in front of a pool of targets.
-    """
-
-    entry_queue: interfaces.AdmissionQueue
-    new_pool_queue: Callable[[str], interfaces.AdmissionQueue]
+    admission: interfaces.Admission
     router: interfaces.Router
     retries: interfaces.RetryPolicy
     quarantine: interfaces.Quarantine
@@ -29,9 +26,16 @@
     """Return the decision parts that the settings ask for."""
     rng = random.Random(f'{settings.policies.random_seed}/{settings.host_id}')
     return Policies(
-        entry_queue=naive.UnboundedQueue(),
-        new_pool_queue=lambda service: naive.UnboundedQueue(),
+        admission=_build_admission(settings),
         router=naive.RandomRouter(rng),
         retries=naive.BlindRetry(),
         quarantine=naive.NoQuarantine(),
     )
+
+
+def _build_admission(settings: config.HostSettings) -> interfaces.Admission:
+    if settings.policies.policy == 'naive':
+        return naive_admission.NoAdmission()
+    return control.AdmissionControl(
+        settings.host_id, settings.policies.max_queued
+    )
--- a/walnutport/service/waiting.py
+++ b/walnutport/service/waiting.py
@@ -1,5 +1,7 @@
 """Waits for the decision of an admission queue."""
 
+from collections.abc import Sequence
+
 from twisted.internet import defer
 
 from walnutport import interfaces
@@ -39,17 +41,18 @@
 
     def release(self, ticket_id: str) -> None:
         """End a granted ticket."""
-        self._deliver(self.queue.release(ticket_id, self._clock.monotonic()))
+        self.deliver(self.queue.release(ticket_id, self._clock.monotonic()))
 
     def advance(self) -> None:
         """Deliver decisions that follow from the passing of time."""
-        self._deliver(self.queue.advance(self._clock.monotonic()))
+        self.deliver(self.queue.advance(self._clock.monotonic()))
 
     def _withdraw(self, ticket_id: str) -> None:
         self._waiting_by_ticket.pop(ticket_id, None)
         self.release(ticket_id)
 
-    def _deliver(self, decisions) -> None:
+    def deliver(self, decisions: Sequence[interfaces.Decision]) -> None:
+        """Wake those who wait for the decisions."""
         for decision in decisions:
             waiting = self._waiting_by_ticket.pop(decision.ticket_id, None)
             if waiting is not None:
