Count the wait for a slot in the likely time of a stage

Cause: requests were admitted with less time left than the queue in front of a pool takes; at 2 times capacity 5% of the answers were late or given up after a target had run them.

Change: the latency book keeps the time in a slot and the time with the wait for it; the gate uses the first for the least and the second for the likely time. The queue skips its search when the new ticket has no room itself.

--- a/walnutport/admission/budget.py
+++ b/walnutport/admission/budget.py
@@ -6,6 +6,7 @@
 makes every request look hopeless would never be measured again.
 """
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import math
@@ -104,64 +105,76 @@
 class LatencyBook:
     """Latencies by entry and stage.
 
-    A latency is the time for which the stage holds a slot of its pool, with
-    every retry; the wait for the slot is not part of it.
+    Two times are kept: for how long a stage holds a slot of its pool, with
+    every retry, and how long it takes with the wait for the slot.
     """
 
     def __init__(self) -> None:
-        self._latencies_by_key: dict[StageKey, DecayedLatencies] = {}
-        self._quantiles_by_key: dict[
-            tuple[StageKey, float], tuple[float, float | None]
-        ] = {}
-
-    def record(self, key: StageKey, latency_s: float, now: float) -> None:
-        """Count how long a stage held its slot."""
-        found = self._latencies_by_key.setdefault(key, DecayedLatencies())
-        found.add(latency_s, now)
-
-    def mean_s(self, key: StageKey, now: float) -> float | None:
-        """Return the mean latency of a stage, or None if unknown."""
-        found = self._latencies_by_key.get(key)
+        self._held_by_key: dict[StageKey, DecayedLatencies] = {}
+        self._taken_by_key: dict[StageKey, DecayedLatencies] = {}
+
+    def record(
+        self, key: StageKey, waited_s: float, held_s: float, now: float
+    ) -> None:
+        """Count one run of a stage."""
+        if key not in self._held_by_key:
+            self._held_by_key[key] = DecayedLatencies()
+            self._taken_by_key[key] = DecayedLatencies()
+        self._held_by_key[key].add(held_s, now)
+        self._taken_by_key[key].add(waited_s + held_s, now)
+
+    def mean_held_s(self, key: StageKey, now: float) -> float | None:
+        """Return the mean time in a slot, or None if unknown."""
+        found = self._held_by_key.get(key)
         return found.mean_s(now) if found else None
 
-    def remaining_s(
+    def remaining_held_s(
         self,
         entry_id: str,
         stages: Sequence[str],
         quantile: float,
         now: float,
     ) -> float:
-        """Return the time that the named stages take together in seconds.
+        """Return the time in slots of the named stages in seconds.
 
-        The sum of a quantile over stages is above the quantile of the sum
-        for a high quantile and below it for a low one, so both bounds of
-        the gate err on their safe side. Unknown stages count as zero.
+        The sum of a low quantile over stages is below the quantile of the
+        sum, so it does not overstate the least time. Unknown stages count
+        as zero.
         """
-        total = 0.0
-        for stage in stages:
-            found = self._quantile(StageKey(entry_id, stage), quantile, now)
-            total += found or 0.0
-        return total
+        return _sum(self._held_by_key, entry_id, stages, quantile, now)
+
+    def remaining_taken_s(
+        self,
+        entry_id: str,
+        stages: Sequence[str],
+        quantile: float,
+        now: float,
+    ) -> float:
+        """Return the time of the named stages with their waits in seconds.
+
+        The sum of a high quantile is above the quantile of the sum, so it
+        does not understate the likely time.
+        """
+        return _sum(self._taken_by_key, entry_id, stages, quantile, now)
 
     def forget(self, entry_ids: set[str]) -> None:
         """Drop what is known of entries that are not in the set."""
-        self._latencies_by_key = {
-            key: found
-            for key, found in self._latencies_by_key.items()
-            if key.entry_id in entry_ids
-        }
-        self._quantiles_by_key.clear()
-
-    def _quantile(
-        self, key: StageKey, quantile: float, now: float
-    ) -> float | None:
-        """Return a quantile that is computed anew a few times a second."""
-        valid_until, value = self._quantiles_by_key.get(
-            (key, quantile), (-math.inf, None)
-        )
-        if now < valid_until:
-            return value
-        found = self._latencies_by_key.get(key)
-        value = found.quantile_s(quantile, now) if found else None
-        self._quantiles_by_key[(key, quantile)] = (now + 0.1, value)
-        return value
+        for key in list(self._held_by_key):
+            if key.entry_id not in entry_ids:
+                del self._held_by_key[key]
+                del self._taken_by_key[key]
+
+
+def _sum(
+    latencies_by_key: Mapping[StageKey, DecayedLatencies],
+    entry_id: str,
+    stages: Sequence[str],
+    quantile: float,
+    now: float,
+) -> float:
+    total = 0.0
+    for stage in stages:
+        found = latencies_by_key.get(StageKey(entry_id, stage))
+        if found is not None:
+            total += found.quantile_s(quantile, now) or 0.0
+    return total
--- a/walnutport/admission/control.py
+++ b/walnutport/admission/control.py
@@ -55,6 +55,7 @@
         self._leaving: set[str] = set()
         self._slots_by_service: dict[str, int] = {}
         self._pool_queues_by_service: dict[str, fair_queue.FairQueue] = {}
+        self._needs_by_work: dict[tuple[str, int], fair_queue.TimeNeeded] = {}
         self._adjust_at = -math.inf
         self._now = 0.0
         self.entry_queue = fair_queue.FairQueue(
@@ -129,10 +130,16 @@
         )
 
     def stage_held(
-        self, entry_id: str, stage: str, held_s: float, now: float
+        self,
+        entry_id: str,
+        stage: str,
+        waited_s: float,
+        held_s: float,
+        now: float,
     ) -> None:
-        """Count how long a stage held its slot."""
-        self._book.record(budget.StageKey(entry_id, stage), held_s, now)
+        """Count how long a stage waited for its slot and held it."""
+        key = budget.StageKey(entry_id, stage)
+        self._book.record(key, waited_s, held_s, now)
 
     def advance(self, now: float) -> None:
         """Bring capacities up to date with shares and latencies."""
@@ -140,6 +147,7 @@
         if now < self._adjust_at:
             return
         self._adjust_at = now + _ADJUST_S
+        self._needs_by_work.clear()
         self._report_use()
         for entry_id in self._contracts_by_id:
             key = f'entry/{entry_id}'
@@ -256,15 +264,18 @@
         return self._pipelines_by_id.get(contract.pipeline_id)
 
     def _time_needed(self, ticket: interfaces.Ticket) -> fair_queue.TimeNeeded:
-        pipeline = self._pipeline(ticket.entry_id)
-        if pipeline is None:
-            return fair_queue.TimeNeeded()
-        return self._gate.time_needed(
-            self._contracts_by_id[ticket.entry_id],
-            pipeline,
-            ticket.stages_passed,
-            self._now,
-        )
+        work = (ticket.entry_id, ticket.stages_passed)
+        need = self._needs_by_work.get(work)
+        if need is None:
+            pipeline = self._pipeline(ticket.entry_id)
+            if pipeline is None:
+                return fair_queue.TimeNeeded()
+            contract = self._contracts_by_id[ticket.entry_id]
+            need = self._gate.time_needed(
+                contract, pipeline, ticket.stages_passed, self._now
+            )
+            self._needs_by_work[work] = need
+        return need
 
     def _class_weight(self, class_id: str) -> float:
         found = self._classes_by_id.get(class_id)
--- a/walnutport/admission/fair_queue.py
+++ b/walnutport/admission/fair_queue.py
@@ -339,10 +339,13 @@
         The check takes time by kinds of work instead of by members, and it
         is what every call in a full queue comes down to.
         """
-        return any(
-            all(resource.has_room(1) for resource in found.units)
-            for found in self._counts_by_units.values()
-        )
+        for found in self._counts_by_units.values():
+            for resource in found.units:
+                if resource.in_use >= resource.capacity:
+                    break
+            else:
+                return True
+        return False
 
     def _decide_offered(
         self, ticket: interfaces.Ticket, now: float
@@ -350,6 +353,9 @@
         decision = interfaces.Decision(
             ticket.ticket_id, interfaces.DecisionKind.QUEUED
         )
+        # Nothing that waited before has room, or it would not wait.
+        if not self._waiting_by_id[ticket.ticket_id].has_room():
+            return decision
         for made in self._grant(now):
             if made.ticket_id == ticket.ticket_id:
                 decision = made
@@ -367,7 +373,7 @@
     def _grant(self, now: float) -> Sequence[interfaces.Decision]:
         made, self._outbox = self._outbox, []
         for tree in (self._started, self._fresh):
-            while self._may_grant():
+            while tree.active and self._may_grant():
                 item = tree.first_with_room()
                 if item is None:
                     break
--- a/walnutport/admission/flows.py
+++ b/walnutport/admission/flows.py
@@ -51,7 +51,11 @@
 
     def has_room(self) -> bool:
         """Return whether every unit that the ticket needs is free."""
-        return all(item.has_room(self.ticket.cost) for item in self.units)
+        cost = self.ticket.cost
+        for item in self.units:
+            if item.in_use + cost > item.capacity:
+                return False
+        return True
 
 
 @dataclasses.dataclass(slots=True)
@@ -165,7 +169,10 @@
 
 
 class FlowTree:
-    """Waiting tickets in the order in which they are to be granted."""
+    """Waiting tickets in the order in which they are to be granted.
+
+    ``active`` is their count.
+    """
 
     def __init__(
         self,
@@ -175,6 +182,7 @@
         self._class_weight = class_weight
         self._member_weight = member_weight
         self._virtual = 0.0
+        self.active = 0
         self._classes_by_id: dict[str, ClassFlow] = {}
 
     def flow_of(self, ticket: interfaces.Ticket) -> MemberFlow:
@@ -202,6 +210,7 @@
         waiting = flow.waiting_by_entry.setdefault(item.ticket.entry_id, [])
         bisect.insort(waiting, item, key=Waiting.sort_key)
         flow.count += 1
+        self.active += 1
 
     def remove(self, item: Waiting) -> None:
         """Take out a waiting ticket that is not served."""
@@ -214,6 +223,7 @@
         if not waiting:
             del flow.waiting_by_entry[item.ticket.entry_id]
         flow.count -= 1
+        self.active -= 1
         if not flow.count:
             flow.parent.deactivate(flow)
 
--- a/walnutport/admission/gate.py
+++ b/walnutport/admission/gate.py
@@ -70,11 +70,13 @@
     ) -> fair_queue.TimeNeeded:
         """Return the time needed by the stages that are left."""
         names = [stage.name for stage in pipeline.stages[stages_passed:]]
-        least_s, likely_s = (
-            self._book.remaining_s(contract.entry_id, names, quantile, now)
-            for quantile in (_LEAST_QUANTILE, _LIKELY_QUANTILE)
+        entry_id = contract.entry_id
+        return fair_queue.TimeNeeded(
+            self._book.remaining_held_s(entry_id, names, _LEAST_QUANTILE, now),
+            self._book.remaining_taken_s(
+                entry_id, names, _LIKELY_QUANTILE, now
+            ),
         )
-        return fair_queue.TimeNeeded(least_s, likely_s)
 
     def windows(
         self,
@@ -90,7 +92,7 @@
         for contract, pipeline in contracts:
             upstream_s: float | None = 0.0
             for depth, stage in enumerate(pipeline.stages):
-                service_s = self._book.mean_s(
+                service_s = self._book.mean_held_s(
                     budget.StageKey(contract.entry_id, stage.name), now
                 )
                 slots = slots_by_service.get(stage.service)
--- a/walnutport/interfaces.py
+++ b/walnutport/interfaces.py
@@ -228,9 +228,14 @@
         """Record that a granted request passed a pool."""
 
     def stage_held(
-        self, entry_id: str, stage: str, held_s: float, now: float
+        self,
+        entry_id: str,
+        stage: str,
+        waited_s: float,
+        held_s: float,
+        now: float,
     ) -> None:
-        """Record how long a stage held a slot of its pool."""
+        """Record how long a stage waited for its slot and held it."""
 
     def demands(self, now: float) -> Sequence[messages.LimitDemand]:
         """Return what the next heartbeat says about limits."""
--- a/walnutport/naive/admission.py
+++ b/walnutport/naive/admission.py
@@ -51,7 +51,12 @@
         return ()
 
     def stage_held(
-        self, entry_id: str, stage: str, held_s: float, now: float
+        self,
+        entry_id: str,
+        stage: str,
+        waited_s: float,
+        held_s: float,
+        now: float,
     ) -> None:
         return None
 
--- a/walnutport/service/attempts.py
+++ b/walnutport/service/attempts.py
@@ -78,6 +78,7 @@
             stages_passed=call.pipeline.stages.index(stage),
         )
         waiter = self.waiter(stage.service)
+        offered_at = self._clock.monotonic()
         decision = await waiter.acquire(ticket)
         if decision.kind is interfaces.DecisionKind.REFUSED:
             return attempt.StageFailure(
@@ -91,7 +92,11 @@
             if _tells_latency(outcome):
                 now = self._clock.monotonic()
                 self._policies.admission.stage_held(
-                    call.contract.entry_id, stage.name, now - granted_at, now
+                    call.contract.entry_id,
+                    stage.name,
+                    granted_at - offered_at,
+                    now - granted_at,
+                    now,
                 )
             return outcome
         finally:
