Round the share of a pool on each host and not over the fleet

Cause: two hosts divided 5 units over a pool of 4 slots as 3 and 2, and the members on the smaller share waited longer.

Change: the slots are divided and each share is multiplied by the pool factor and rounded up on its host.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -19,8 +19,8 @@
 
 __all__ = ['main']
 
-_ENGINE_SLOTS = 2
-_ENGINE_TARGETS = 2
+_ENGINE_SLOTS = 4
+_ENGINE_TARGETS = 1
 _ENGINE_MS = 40.0
 _CAPACITY_PER_S = _ENGINE_SLOTS * _ENGINE_TARGETS * 1000 / _ENGINE_MS
 _DEADLINE_MS = 1_000
--- a/walnutport/admission/control.py
+++ b/walnutport/admission/control.py
@@ -29,8 +29,10 @@
 
 __all__ = ['AdmissionControl', 'POOL_FACTOR']
 
-# Requests that a target may hold beyond its slots, so that a slot does not
-# stand empty between two requests.
+# A target may hold some more requests than it has slots, so that no slot
+# stands empty between two requests. The factor is applied to the share of
+# each host and rounded up there: rounding the whole would give hosts uneven
+# shares of a small pool.
 POOL_FACTOR = 1.25
 _ADJUST_S = 0.25
 
@@ -162,9 +164,10 @@
                 continue
             # A target with one request too many is better than a host that
             # cannot reach a small pool at all.
-            slots_by_service[service] = max(1, self.limits.share(key, now))
+            share = max(1, self.limits.share(key, now))
+            slots_by_service[service] = share
             self.pool_queue(service).set_capacity(
-                key, slots_by_service[service]
+                key, math.ceil(share * POOL_FACTOR)
             )
         windows = self._gate.windows(self._entries(), slots_by_service, now)
         for service, units in windows.items():
@@ -207,7 +210,8 @@
             waiting = queue.waiting(key) + self.entry_queue.waiting(
                 f'window/{service}'
             )
-            self.limits.use(key, queue.in_use(key), waiting)
+            in_use = math.ceil(queue.in_use(key) / POOL_FACTOR)
+            self.limits.use(key, in_use, waiting)
 
     def _count_slots(self) -> None:
         slots_by_service: dict[str, int] = {}
@@ -225,9 +229,7 @@
             slots_by_service.setdefault(service, 0)
         self._slots_by_service = slots_by_service
         for service, slots in slots_by_service.items():
-            self.limits.set_limit(
-                f'pool/{service}', math.ceil(slots * POOL_FACTOR)
-            )
+            self.limits.set_limit(f'pool/{service}', slots)
         self._adjust_at = -math.inf
 
     def _entries(self) -> list[tuple[world.Contract, world.Pipeline]]:
