--- /dev/null
+++ b/tests/admission/slow_queue.py
@@ -0,0 +1,261 @@
+"""Naive fair queue: one list of tickets, full scans, no shortcuts."""
+
+import dataclasses
+import math
+
+from walnutport.admission import drain
+from walnutport.admission import fair_queue
+from walnutport import interfaces
+
+__all__ = ['SlowQueue']
+
+_GRANTED = interfaces.DecisionKind.GRANTED
+_QUEUED = interfaces.DecisionKind.QUEUED
+_REFUSED = interfaces.DecisionKind.REFUSED
+
+
+@dataclasses.dataclass
+class _Group:
+    """Tags of the two levels of start-time fair queueing."""
+
+    virtual: float = 0.0
+    tags_by_class: dict = dataclasses.field(default_factory=dict)
+    virtual_by_class: dict = dataclasses.field(default_factory=dict)
+    tags_by_member: dict = dataclasses.field(default_factory=dict)
+
+
+class SlowQueue:
+    """Reference for ``FairQueue`` in the same time and with the same rules.
+
+    It decides and reports like the fast queue; decisions carry no retry
+    time.
+    """
+
+    def __init__(self, max_queued: int, rules: fair_queue.QueueRules) -> None:
+        self.max_queued = max_queued
+        self.rules = rules
+        self.capacity_by_key: dict[str, float] = {}
+        self.meters: dict[str, drain.DrainMeter] = {}
+        self.held: dict[str, tuple[interfaces.Ticket, list[str]]] = {}
+        self.queue: list[interfaces.Ticket] = []
+        self.groups = {True: _Group(), False: _Group()}
+        self.outbox: list[tuple[str, interfaces.DecisionKind]] = []
+        self.review_at = -math.inf
+
+    def offer(self, ticket: interfaces.Ticket, now: float):
+        for key in self.rules.units_of(ticket):
+            self.meters.setdefault(key, drain.DrainMeter())
+        need = self.rules.time_needed(ticket)
+        left = ticket.deadline - now
+        if left <= need.least_s:
+            return (ticket.ticket_id, _REFUSED)
+        if not ticket.stages_passed:
+            same = self._same_flow(ticket)
+            ahead = [t for t in same if t.deadline <= ticket.deadline]
+            wait = self._wait(ticket, len(ahead))
+            if wait > 0 and wait * 1.25 + need.likely_s > left:
+                return (ticket.ticket_id, _REFUSED)
+        if len(self.queue) >= self.max_queued:
+            victim = self._victim(ticket)
+            if victim is None:
+                return (ticket.ticket_id, _REFUSED)
+            self.queue.remove(victim)
+            self.outbox.append((victim.ticket_id, _REFUSED))
+        self._activate(ticket)
+        self.queue.append(ticket)
+        if not self._has_room(ticket):
+            return (ticket.ticket_id, _QUEUED)
+        mine = (ticket.ticket_id, _QUEUED)
+        for made in self._grant(now):
+            if made[0] == ticket.ticket_id:
+                mine = made
+            else:
+                self.outbox.append(made)
+        return mine
+
+    def set_capacity(self, key: str, capacity: float) -> None:
+        self.meters.setdefault(key, drain.DrainMeter())
+        self.capacity_by_key[key] = capacity
+
+    def release(self, ticket_id: str, now: float):
+        if ticket_id in self.held:
+            for key in list(self.held[ticket_id][1]):
+                self._give_back(ticket_id, key, now)
+            del self.held[ticket_id]
+        self.queue = [t for t in self.queue if t.ticket_id != ticket_id]
+        return self._grant(now)
+
+    def release_units(self, ticket_id: str, key: str, now: float):
+        if ticket_id in self.held and key in self.held[ticket_id][1]:
+            self._give_back(ticket_id, key, now)
+            return self._grant(now)
+        return []
+
+    def advance(self, now: float):
+        if now >= self.review_at:
+            self.review_at = now + 0.1
+            self._observe(self.meters, now)
+            self._review(now)
+        return self._grant(now)
+
+    def in_use(self, key: str) -> int:
+        return sum(t.cost for t, keys in self.held.values() if key in keys)
+
+    def waiting(self, key: str) -> int:
+        return sum(t.cost for t in self.queue if key in self.rules.units_of(t))
+
+    def _room(self, key: str, cost: int) -> bool:
+        capacity = self.capacity_by_key.get(key, math.inf)
+        return self.in_use(key) + cost <= capacity
+
+    def _has_room(self, ticket: interfaces.Ticket) -> bool:
+        keys = self.rules.units_of(ticket)
+        return all(self._room(key, ticket.cost) for key in keys)
+
+    def _observe(self, keys, now: float) -> None:
+        for key in list(keys):
+            self.meters[key].observe(now, saturated=not self._room(key, 1))
+
+    def _give_back(self, ticket_id: str, key: str, now: float) -> None:
+        ticket, keys = self.held[ticket_id]
+        self._observe([key], now)
+        if not self._room(key, 1):
+            self.meters[key].release(ticket.cost)
+        keys.remove(key)
+
+    def _same_flow(self, ticket: interfaces.Ticket):
+        return [t for t in self.queue if _flow(t) == _flow(ticket)]
+
+    def _activate(self, ticket: interfaces.Ticket) -> None:
+        group = self.groups[bool(ticket.stages_passed)]
+        tier = [t for t in self.queue if _tier(t) == _tier(ticket)]
+        name, member = ticket.class_id, (ticket.class_id, ticket.member_id)
+        if not any(t.class_id == name for t in tier):
+            tag = group.tags_by_class.get(name, 0.0)
+            group.tags_by_class[name] = max(tag, group.virtual)
+        if not self._same_flow(ticket):
+            virtual = group.virtual_by_class.setdefault(name, 0.0)
+            tag = group.tags_by_member.get(member, 0.0)
+            group.tags_by_member[member] = max(tag, virtual)
+
+    def _grant(self, now: float):
+        made, self.outbox = self.outbox, []
+        while True:
+            ready = [t for t in self.queue if self._has_room(t)]
+            if not ready:
+                return made
+            ticket = min(ready, key=self._order)
+            self.queue.remove(ticket)
+            need = self.rules.time_needed(ticket)
+            if ticket.deadline - now <= need.least_s:
+                made.append((ticket.ticket_id, _REFUSED))
+                continue
+            self._charge(ticket)
+            keys = list(self.rules.units_of(ticket))
+            self._observe(keys, now)
+            self.held[ticket.ticket_id] = (ticket, keys)
+            made.append((ticket.ticket_id, _GRANTED))
+
+    def _order(self, ticket: interfaces.Ticket):
+        group = self.groups[bool(ticket.stages_passed)]
+        member = (ticket.class_id, ticket.member_id)
+        return (
+            not ticket.stages_passed,
+            group.tags_by_class[ticket.class_id],
+            ticket.class_id,
+            group.tags_by_member[member],
+            ticket.member_id,
+            ticket.deadline,
+            self.queue.index(ticket),
+        )
+
+    def _charge(self, ticket: interfaces.Ticket) -> None:
+        group = self.groups[bool(ticket.stages_passed)]
+        name, member = ticket.class_id, (ticket.class_id, ticket.member_id)
+        class_tag = group.tags_by_class[name]
+        group.virtual = max(group.virtual, class_tag)
+        weight = self.rules.class_weight(name)
+        group.tags_by_class[name] = class_tag + ticket.cost / weight
+        member_tag = group.tags_by_member[member]
+        group.virtual_by_class[name] = max(
+            group.virtual_by_class[name], member_tag
+        )
+        weight = self.rules.member_weight(ticket.member_id)
+        group.tags_by_member[member] = member_tag + ticket.cost / weight
+
+    def _wait(self, ticket: interfaces.Ticket, ahead: int) -> float:
+        longest = 0.0
+        for key in self.rules.units_of(ticket):
+            waiting = self.waiting(key)
+            if not waiting and self._room(key, ticket.cost):
+                continue
+            if self.capacity_by_key.get(key, math.inf) < ticket.cost:
+                longest = max(longest, 2.0)
+                continue
+            rate = self.meters[key].rate_per_s()
+            if rate is not None:
+                position = (ahead + 1) / self._share(ticket)
+                longest = max(longest, min(position, waiting + 1) / rate)
+        return longest
+
+    def _share(self, ticket: interfaces.Ticket) -> float:
+        tier = [t for t in self.queue if _tier(t) == _tier(ticket)]
+        classes = {t.class_id for t in tier} | {ticket.class_id}
+        members = {t.member_id for t in tier if t.class_id == ticket.class_id}
+        members |= {ticket.member_id}
+        class_weight = self.rules.class_weight
+        member_weight = self.rules.member_weight
+        return (
+            class_weight(ticket.class_id)
+            / sum(map(class_weight, classes))
+            * member_weight(ticket.member_id)
+            / sum(map(member_weight, members))
+        )
+
+    def _victim(self, newcomer: interfaces.Ticket):
+        def excess(ticket: interfaces.Ticket, more: int = 0) -> float:
+            count = len(self._same_flow(ticket)) + more
+            return count / self.rules.member_weight(ticket.member_id)
+
+        fresh = [t for t in self.queue if not t.stages_passed]
+        if not fresh:
+            return None
+        victim = max(
+            fresh,
+            key=lambda t: (
+                excess(t),
+                *_flow(t),
+                t.deadline,
+                self.queue.index(t),
+            ),
+        )
+        same = _flow(victim) == _flow(newcomer)
+        if same or excess(victim) <= excess(newcomer, 1):
+            return None
+        return victim
+
+    def _review(self, now: float) -> None:
+        flows = dict.fromkeys(_flow(t) for t in self.queue)
+        for flow in sorted(flows, key=lambda f: (not f[0], *f[1:])):
+            ahead = 0
+            mine = [t for t in self.queue if _flow(t) == flow]
+            for ticket in sorted(mine, key=lambda t: t.deadline):
+                need = self.rules.time_needed(ticket)
+                left = ticket.deadline - now
+                late = left <= need.least_s
+                if not ticket.stages_passed:
+                    wait = self._wait(ticket, ahead)
+                    late |= wait > 0 and wait + need.likely_s > left
+                if late:
+                    self.queue.remove(ticket)
+                    self.outbox.append((ticket.ticket_id, _REFUSED))
+                else:
+                    ahead += 1
+
+
+def _tier(ticket: interfaces.Ticket) -> bool:
+    return bool(ticket.stages_passed)
+
+
+def _flow(ticket: interfaces.Ticket) -> tuple[bool, str, str]:
+    return (_tier(ticket), ticket.class_id, ticket.member_id)
--- a/walnutport/admission/fair_queue.py
+++ b/walnutport/admission/fair_queue.py
@@ -300,7 +300,7 @@
         """
         longest = max(
             self._fresh.active_flows(),
-            key=lambda flow: flow.count / flow.weight,
+            key=lambda flow: (flow.count / flow.weight, *flow.name()),
             default=None,
         )
         if longest is None or longest is newcomer:
@@ -405,7 +405,8 @@
         for resource in self._resources_by_key.values():
             resource.meter.observe(now, saturated=not resource.has_room(1))
         for tree in (self._started, self._fresh):
-            for flow in list(tree.active_flows()):
+            flows_now = sorted(tree.active_flows(), key=flows.MemberFlow.name)
+            for flow in flows_now:
                 self._review_flow(flow, now)
             tree.forget_idle()
 
--- a/walnutport/admission/flows.py
+++ b/walnutport/admission/flows.py
@@ -76,6 +76,10 @@
         default_factory=dict
     )
 
+    def name(self) -> tuple[str, str]:
+        """Return class and member, which order flows that are equal."""
+        return (self.parent.class_id, self.member_id)
+
     def first_with_room(self) -> Waiting | None:
         """Return the earliest deadline among entries that have room."""
         heads = [
