--- a/walnutport/admission/limits.py
+++ b/walnutport/admission/limits.py
@@ -240,7 +240,14 @@
         if peer is None or now - peer.heard_at >= LEASE_S:
             return units
         base = self._bases(limit_key, found).get(borrower, 0)
-        return max(units, min(lent.last, peer.demand.in_use - base))
+        # What other hosts lend to the borrower covers its use as well.
+        covered = base + sum(
+            loan.units
+            for other in found.peers_by_id.values()
+            for loan in other.demand.loans
+            if loan.host_id == borrower
+        )
+        return max(units, min(lent.last, peer.demand.in_use - covered))
 
     def _renew_loans(
         self, limit_key: str, found: _Limit, now: float
