--- a/walnutport/service/attempt.py
+++ b/walnutport/service/attempt.py
@@ -137,6 +137,10 @@
             load=reply.load if reply else None,
         )
         self._policies.router.attempt_finished(result, now)
+        if result.load is not None:
+            self._policies.admission.load_reported(
+                result.target_id, result.load, now
+            )
         self._policies.quarantine.attempt_finished(
             attempt_id, status is interfaces.AttemptStatus.OK, now
         )
--- a/walnutport/service/attempts.py
+++ b/walnutport/service/attempts.py
@@ -120,7 +120,6 @@
                 return job
             tries += 1
             ended = await self._runner.run(job, self._client.run, on_sent)
-            self._note_load(ended.result)
             if ended.reply is not None:
                 return StageSuccess(ended.reply.output_json)
             excluded |= {job.target.target_id}
@@ -130,12 +129,6 @@
             if decision.delay_s > 0:
                 await task.deferLater(self._reactor, decision.delay_s)
 
-    def _note_load(self, result: interfaces.AttemptResult) -> None:
-        if result.load is not None:
-            self._policies.admission.load_reported(
-                result.target_id, result.load, self._clock.monotonic()
-            )
-
     def _next_job(
         self,
         call: calls.Call,
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -15,6 +15,7 @@
 from walnutport import clock as system_clock
 from walnutport.config import settings as config
 from walnutport.cost import ledger
+from walnutport import interfaces
 from walnutport.service import attempts
 from walnutport.service import caller_site
 from walnutport.service import callers
@@ -159,15 +160,15 @@
         self.policies.router.targets_changed(
             result.ok.targets_by_id, self._clock.monotonic()
         )
-        self.policies.admission.targets_changed(
-            result.ok.targets_by_id, self._clock.monotonic()
-        )
-        # Until heartbeats tell who is live, every listed host counts.
-        known = set(result.ok.hosts_by_id) | {self.settings.host_id}
-        self.policies.admission.hosts_changed(
-            known, known, self._clock.monotonic()
-        )
         self._list_loaded = True
+        self._tell_admission(result.ok)
+
+    def _tell_admission(self, page: interfaces.HostListPage) -> None:
+        now = self._clock.monotonic()
+        self.policies.admission.targets_changed(page.targets_by_id, now)
+        # Until heartbeats tell who is live, every listed host counts.
+        known = set(page.hosts_by_id) | {self.settings.host_id}
+        self.policies.admission.hosts_changed(known, known, now)
 
     def _catalogue_changed(self) -> None:
         view = self.catalogue.fold.view()
