Split the fair queue and keep small shares of a pool whole

Change: rules and estimates are modules of their own; the pool factor rounds half up, so that a share of one stays one.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -15,6 +15,7 @@
 from standins import fleet
 from standins import ledger
 from walnutport.admission import fair_queue
+from walnutport.admission import queue_rules
 from walnutport import interfaces
 
 __all__ = ['main']
@@ -52,9 +53,9 @@
 
 def _time_decisions(members: int, rounds: int = 20_000) -> dict:
     rng = random.Random(1)
-    rules = fair_queue.QueueRules(
+    rules = queue_rules.QueueRules(
         units_of=lambda ticket: (f'entry/{ticket.entry_id}', 'window/a'),
-        time_needed=lambda _: fair_queue.TimeNeeded(0.05, 0.2),
+        time_needed=lambda _: queue_rules.TimeNeeded(0.05, 0.2),
     )
     queue = fair_queue.FairQueue(max_queued=2_000, rules=rules)
     queue.set_capacity('window/a', 50)
--- a/tests/admission/slow_queue.py
+++ b/tests/admission/slow_queue.py
@@ -4,7 +4,7 @@
 import math
 
 from walnutport.admission import drain
-from walnutport.admission import fair_queue
+from walnutport.admission import queue_rules
 from walnutport import interfaces
 
 __all__ = ['SlowQueue']
@@ -31,7 +31,7 @@
     time.
     """
 
-    def __init__(self, max_queued: int, rules: fair_queue.QueueRules) -> None:
+    def __init__(self, max_queued: int, rules: queue_rules.QueueRules) -> None:
         self.max_queued = max_queued
         self.rules = rules
         self.capacity_by_key: dict[str, float] = {}
--- a/tests/admission/test_fair_queue.py
+++ b/tests/admission/test_fair_queue.py
@@ -6,14 +6,15 @@
 
 from tests.admission import slow_queue
 from walnutport.admission import fair_queue
+from walnutport.admission import queue_rules
 from walnutport import interfaces
 
 _KEYS = ('entry/e0', 'entry/e1', 'window/a')
 _CLASS_WEIGHTS = {'c0': 1.0, 'c1': 4.0}
 _MEMBER_WEIGHTS = {'m0': 1.0, 'm1': 2.0, 'm2': 1.0}
-_RULES = fair_queue.QueueRules(
+_RULES = queue_rules.QueueRules(
     units_of=lambda ticket: (f'entry/{ticket.entry_id}', 'window/a'),
-    time_needed=lambda ticket: fair_queue.TimeNeeded(0.05, 0.3),
+    time_needed=lambda ticket: queue_rules.TimeNeeded(0.05, 0.3),
     class_weight=_CLASS_WEIGHTS.__getitem__,
     member_weight=_MEMBER_WEIGHTS.__getitem__,
 )
@@ -139,7 +140,7 @@
     """Guards against a member that takes the queue by sending more."""
     queue = fair_queue.FairQueue(
         max_queued=1_000,
-        rules=fair_queue.QueueRules(member_weight=lambda _: 1.0),
+        rules=queue_rules.QueueRules(member_weight=lambda _: 1.0),
     )
     queue.set_capacity('', 1)
     queue.offer(_ticket('first', 'm0'), 0.0)
@@ -160,8 +161,8 @@
     queue = fair_queue.FairQueue(
         max_queued=10,
         capacity=1,
-        rules=fair_queue.QueueRules(
-            time_needed=lambda _: fair_queue.TimeNeeded(0.0, 100.0)
+        rules=queue_rules.QueueRules(
+            time_needed=lambda _: queue_rules.TimeNeeded(0.0, 100.0)
         ),
     )
     kinds = [
--- a/walnutport/admission/control.py
+++ b/walnutport/admission/control.py
@@ -23,6 +23,7 @@
 from walnutport.admission import fair_queue
 from walnutport.admission import gate
 from walnutport.admission import limits
+from walnutport.admission import queue_rules
 from walnutport import interfaces
 from walnutport.peer import messages
 from walnutport import world
@@ -31,8 +32,8 @@
 
 # A target may hold some more requests than it has slots, so that no slot
 # stands empty between two requests. The factor is applied to the share of
-# each host and rounded up there: rounding the whole would give hosts uneven
-# shares of a small pool.
+# each host, since rounding the whole would give hosts uneven shares of a
+# small pool.
 POOL_FACTOR = 1.25
 _ADJUST_S = 0.25
 
@@ -57,7 +58,7 @@
         self._leaving: set[str] = set()
         self._slots_by_service: dict[str, int] = {}
         self._pool_queues_by_service: dict[str, fair_queue.FairQueue] = {}
-        self._needs_by_work: dict[tuple[str, int], fair_queue.TimeNeeded] = {}
+        self._needs_by_work: dict[tuple[str, int], queue_rules.TimeNeeded] = {}
         self._adjust_at = -math.inf
         self._now = 0.0
         self.entry_queue = fair_queue.FairQueue(
@@ -167,7 +168,7 @@
             share = max(1, self.limits.share(key, now))
             slots_by_service[service] = share
             self.pool_queue(service).set_capacity(
-                key, math.ceil(share * POOL_FACTOR)
+                key, int(share * POOL_FACTOR + 0.5)
             )
         windows = self._gate.windows(self._entries(), slots_by_service, now)
         for service, units in windows.items():
@@ -239,8 +240,8 @@
             if contract.pipeline_id in self._pipelines_by_id
         ]
 
-    def _rules(self, units_of) -> fair_queue.QueueRules:
-        return fair_queue.QueueRules(
+    def _rules(self, units_of) -> queue_rules.QueueRules:
+        return queue_rules.QueueRules(
             units_of=units_of,
             time_needed=self._time_needed,
             class_weight=self._class_weight,
@@ -265,13 +266,15 @@
             return None
         return self._pipelines_by_id.get(contract.pipeline_id)
 
-    def _time_needed(self, ticket: interfaces.Ticket) -> fair_queue.TimeNeeded:
+    def _time_needed(
+        self, ticket: interfaces.Ticket
+    ) -> queue_rules.TimeNeeded:
         work = (ticket.entry_id, ticket.stages_passed)
         need = self._needs_by_work.get(work)
         if need is None:
             pipeline = self._pipeline(ticket.entry_id)
             if pipeline is None:
-                return fair_queue.TimeNeeded()
+                return queue_rules.TimeNeeded()
             contract = self._contracts_by_id[ticket.entry_id]
             need = self._gate.time_needed(
                 contract, pipeline, ticket.stages_passed, self._now
--- a/walnutport/admission/fair_queue.py
+++ b/walnutport/admission/fair_queue.py
@@ -15,17 +15,16 @@
 Without measurements nothing is refused on an estimate.
 """
 
-from collections.abc import Callable
 from collections.abc import Sequence
-import dataclasses
 import math
 
-from walnutport.admission import drain
 from walnutport.admission import flows
+from walnutport.admission import queue_rules
+from walnutport.admission import waits
 from walnutport import interfaces
 from walnutport.lifecycle import answers
 
-__all__ = ['FairQueue', 'QueueRules', 'TimeNeeded']
+__all__ = ['FairQueue']
 
 _REVIEW_S = 0.1
 # An arriving ticket is measured against more than the estimated wait and a
@@ -33,63 +32,6 @@
 # drain rate does not refuse what was accepted a moment before.
 _ARRIVAL_MARGIN = 1.25
 _DEFAULT_RETRY_S = 1.0
-# Time after which a share of zero can be expected to have grown by a loan.
-_LOAN_WAIT_S = 2.0
-_MIN_RETRY_S = 0.05
-_MAX_RETRY_S = 60.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TimeNeeded:
-    """Time that a ticket needs after its grant in seconds.
-
-    :param least_s: a low quantile; with less time left the work is hopeless.
-    :param likely_s: a high quantile.
-    """
-
-    least_s: float = 0.0
-    likely_s: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class QueueRules:
-    """What a queue needs to know of tickets, classes and members.
-
-    :param units_of: keys of the resources that a ticket needs.
-    :param limit_keys: whether a resource is a limit of a contract, which
-        decides between the reasons ``limit`` and ``overload``.
-    """
-
-    units_of: Callable[[interfaces.Ticket], tuple[str, ...]] = lambda _: ('',)
-    time_needed: Callable[[interfaces.Ticket], TimeNeeded] = lambda _: (
-        TimeNeeded()
-    )
-    class_weight: Callable[[str], float] = lambda _: 1.0
-    member_weight: Callable[[str], float] = lambda _: 1.0
-    is_limit: Callable[[str], bool] = lambda _: False
-
-
-@dataclasses.dataclass(slots=True)
-class _Resource(flows.Units):
-    meter: drain.DrainMeter = dataclasses.field(
-        default_factory=drain.DrainMeter
-    )
-
-
-@dataclasses.dataclass(slots=True)
-class _UnitSet:
-    """Count of waiting tickets that need the same resources."""
-
-    units: tuple[flows.Units, ...]
-    count: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Wait:
-    """Longest estimated wait and the resource that causes it."""
-
-    seconds: float = 0.0
-    key: str = ''
 
 
 class FairQueue:
@@ -113,15 +55,15 @@
         *,
         max_queued: int,
         capacity: float = math.inf,
-        rules: QueueRules = QueueRules(),
+        rules: queue_rules.QueueRules = queue_rules.QueueRules(),
     ) -> None:
         self._max_queued = max_queued
         self._default_capacity = capacity
         self._rules = rules
-        self._resources_by_key: dict[str, _Resource] = {}
-        self._granted_by_id: dict[str, tuple[int, list[_Resource]]] = {}
+        self._resources_by_key: dict[str, waits.Resource] = {}
+        self._granted_by_id: dict[str, tuple[int, list[waits.Resource]]] = {}
         self._waiting_by_id: dict[str, flows.Waiting] = {}
-        self._counts_by_units: dict[tuple[str, ...], _UnitSet] = {}
+        self._counts_by_units: dict[tuple[str, ...], waits.UnitSet] = {}
         self._started = self._new_tree()
         self._fresh = self._new_tree()
         self._outbox: list[interfaces.Decision] = []
@@ -174,8 +116,10 @@
         if len(self._waiting_by_id) >= self._max_queued:
             victim = self._longest_flow(flow)
             if victim is None:
-                return self._refuse(ticket, *self._full(item))
-            self._outbox.append(self._refuse(victim.ticket, *self._full(item)))
+                return queue_rules.refuse(ticket, *self._full(item))
+            self._outbox.append(
+                queue_rules.refuse(victim.ticket, *self._full(item))
+            )
             self._drop(victim)
         self._enqueue(item, tree)
         return self._decide_offered(ticket, now)
@@ -228,10 +172,10 @@
     def _tree(self, ticket: interfaces.Ticket) -> flows.FlowTree:
         return self._started if ticket.stages_passed else self._fresh
 
-    def _resource(self, key: str) -> _Resource:
+    def _resource(self, key: str) -> waits.Resource:
         found = self._resources_by_key.get(key)
         if found is None:
-            found = _Resource(key, self._default_capacity)
+            found = waits.Resource(key, self._default_capacity)
             self._resources_by_key[key] = found
         return found
 
@@ -242,7 +186,7 @@
         need = self._rules.time_needed(ticket)
         left_s = ticket.deadline - now
         if left_s <= need.least_s:
-            return self._refuse(
+            return queue_rules.refuse(
                 ticket, answers.Reason.DEADLINE_INFEASIBLE, 0.0
             )
         if ticket.stages_passed:
@@ -250,36 +194,13 @@
         wait = self._wait(item, item.flow.ahead_of(ticket.deadline))
         late_s = wait.seconds * _ARRIVAL_MARGIN + need.likely_s - left_s
         if wait.seconds > 0 and late_s > 0:
-            return self._refuse(ticket, self._reason(wait.key), late_s)
+            return queue_rules.refuse(ticket, self._reason(wait.key), late_s)
         return None
 
-    def _wait(self, item: flows.Waiting, ahead: int) -> _Wait:
-        """Estimate the wait behind ``ahead`` tickets of the same flow.
-
-        The flow drains at its fair share of the rate, or sooner if the
-        whole queue does.
-        """
-        longest = _Wait()
-        share = 0.0
-        for resource in item.units:
-            assert isinstance(resource, _Resource)
-            if not resource.waiting and resource.has_room(item.ticket.cost):
-                continue
-            rate = resource.meter.rate_per_s()
-            if resource.capacity < item.ticket.cost:
-                longest = max(
-                    longest,
-                    _Wait(_LOAN_WAIT_S, resource.key),
-                    key=lambda wait: wait.seconds,
-                )
-                continue
-            if rate is None:
-                continue
-            share = share or self._tree(item.ticket).share_of(item.flow)
-            position = min((ahead + 1) / share, resource.waiting + 1)
-            if position / rate > longest.seconds:
-                longest = _Wait(position / rate, resource.key)
-        return longest
+    def _wait(self, item: flows.Waiting, ahead: int) -> waits.Wait:
+        return waits.estimate(
+            item, ahead, lambda: self._tree(item.ticket).share_of(item.flow)
+        )
 
     def _reason(self, key: str) -> answers.Reason:
         if self._rules.is_limit(key):
@@ -317,7 +238,9 @@
         for resource in item.units:
             resource.waiting += item.ticket.cost
         keys = tuple(resource.key for resource in item.units)
-        self._counts_by_units.setdefault(keys, _UnitSet(item.units)).count += 1
+        self._counts_by_units.setdefault(
+            keys, waits.UnitSet(item.units)
+        ).count += 1
 
     def _drop(self, item: flows.Waiting) -> None:
         self._tree(item.ticket).remove(item)
@@ -363,7 +286,9 @@
                 self._outbox.append(made)
         return decision
 
-    def _give_back(self, resource: _Resource, cost: int, now: float) -> None:
+    def _give_back(
+        self, resource: waits.Resource, cost: int, now: float
+    ) -> None:
         saturated = not resource.has_room(1)
         resource.meter.observe(now, saturated=saturated)
         if saturated:
@@ -387,12 +312,12 @@
         left_s = ticket.deadline - now
         if left_s <= self._rules.time_needed(ticket).least_s:
             self._drop(item)
-            return self._refuse(ticket, answers.Reason.OVERLOAD, 0.0)
+            return queue_rules.refuse(ticket, answers.Reason.OVERLOAD, 0.0)
         tree.serve(item)
         self._forget(item)
         held = []
         for resource in item.units:
-            assert isinstance(resource, _Resource)
+            assert isinstance(resource, waits.Resource)
             resource.meter.observe(now, saturated=not resource.has_room(1))
             resource.in_use += ticket.cost
             held.append(resource)
@@ -426,18 +351,5 @@
                 continue
             self._drop(item)
             self._outbox.append(
-                self._refuse(ticket, answers.Reason.OVERLOAD, late_s)
+                queue_rules.refuse(ticket, answers.Reason.OVERLOAD, late_s)
             )
-
-    def _refuse(
-        self, ticket: interfaces.Ticket, reason: answers.Reason, wait_s: float
-    ) -> interfaces.Decision:
-        retry_after_s = wait_s
-        if reason is not answers.Reason.DEADLINE_INFEASIBLE:
-            retry_after_s = min(_MAX_RETRY_S, max(_MIN_RETRY_S, wait_s))
-        return interfaces.Decision(
-            ticket.ticket_id,
-            interfaces.DecisionKind.REFUSED,
-            reason.value,
-            retry_after_s,
-        )
--- a/walnutport/admission/gate.py
+++ b/walnutport/admission/gate.py
@@ -15,7 +15,7 @@
 import math
 
 from walnutport.admission import budget
-from walnutport.admission import fair_queue
+from walnutport.admission import queue_rules
 from walnutport import world
 
 __all__ = ['DeadlineGate', 'window_units']
@@ -67,11 +67,11 @@
         pipeline: world.Pipeline,
         stages_passed: int,
         now: float,
-    ) -> fair_queue.TimeNeeded:
+    ) -> queue_rules.TimeNeeded:
         """Return the time needed by the stages that are left."""
         names = [stage.name for stage in pipeline.stages[stages_passed:]]
         entry_id = contract.entry_id
-        return fair_queue.TimeNeeded(
+        return queue_rules.TimeNeeded(
             self._book.remaining_held_s(entry_id, names, _LEAST_QUANTILE, now),
             self._book.remaining_taken_s(
                 entry_id, names, _LIKELY_QUANTILE, now
--- /dev/null
+++ b/walnutport/admission/waits.py
@@ -0,0 +1,70 @@
+"""Resources in front of which tickets wait, and estimates of the wait."""
+
+from collections.abc import Callable
+import dataclasses
+
+from walnutport.admission import drain
+from walnutport.admission import flows
+
+__all__ = ['Resource', 'UnitSet', 'Wait', 'estimate']
+
+# Time after which a share of zero can be expected to have grown by a loan.
+_LOAN_WAIT_S = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class Resource(flows.Units):
+    """Units with a measured drain rate."""
+
+    meter: drain.DrainMeter = dataclasses.field(
+        default_factory=drain.DrainMeter
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class UnitSet:
+    """Count of waiting tickets that need the same resources."""
+
+    units: tuple[flows.Units, ...]
+    count: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """Longest estimated wait and the resource that causes it."""
+
+    seconds: float = 0.0
+    key: str = ''
+
+
+def estimate(
+    item: flows.Waiting, ahead: int, share_of: Callable[[], float]
+) -> Wait:
+    """Estimate the wait behind ``ahead`` tickets of the same flow.
+
+    The flow drains at its fair share of the rate, or sooner if the
+    whole queue does.
+
+    :param share_of: returns the fair share of the flow.
+    """
+    longest = Wait()
+    share = 0.0
+    for resource in item.units:
+        assert isinstance(resource, Resource)
+        if not resource.waiting and resource.has_room(item.ticket.cost):
+            continue
+        rate = resource.meter.rate_per_s()
+        if resource.capacity < item.ticket.cost:
+            longest = max(
+                longest,
+                Wait(_LOAN_WAIT_S, resource.key),
+                key=lambda wait: wait.seconds,
+            )
+            continue
+        if rate is None:
+            continue
+        share = share or share_of()
+        position = min((ahead + 1) / share, resource.waiting + 1)
+        if position / rate > longest.seconds:
+            longest = Wait(position / rate, resource.key)
+    return longest
