Apply a share before its loan is announced

Cause: a lender announced a loan up to 0.25 s before its own queue worked with the smaller share.

Change: demands() and on_demands() apply the shares at once; a borrower stops 0.5 s before the lender counts the lease as ended, so that late ticks and short requests fit in between.

--- a/tests/admission/test_limits.py
+++ b/tests/admission/test_limits.py
@@ -240,11 +240,11 @@
     borrower.use(_KEY, 5, 20)
     lender.on_demands('b', borrower.demands(100.0), now=0.0)
     loan = lender.demands(now=0.5)
-    borrower.on_demands('a', loan, now=102.9)
-    assert borrower.share(_KEY, 102.9) == 9
+    borrower.on_demands('a', loan, now=102.4)
+    assert borrower.share(_KEY, 102.4) == 9
     assert lender.share(_KEY, 2.9) == 1
-    borrower.on_demands('a', loan, now=103.0)
-    assert borrower.share(_KEY, 103.0) == 5
+    borrower.on_demands('a', loan, now=102.5)
+    assert borrower.share(_KEY, 102.5) == 5
 
 
 def test_a_reduced_loan_is_held_back_until_the_old_lease_ends() -> None:
@@ -259,7 +259,8 @@
     lender.use(_KEY, 1, 3)
     lost = lender.demands(1.0)
     assert lost[0].loans[0].units == 1
-    assert (lender.share(_KEY, 2.9), borrower.share(_KEY, 2.9)) == (1, 9)
+    assert (lender.share(_KEY, 2.4), borrower.share(_KEY, 2.4)) == (1, 9)
+    assert (lender.share(_KEY, 2.9), borrower.share(_KEY, 2.9)) == (1, 5)
     assert (lender.share(_KEY, 3.1), borrower.share(_KEY, 3.1)) == (5, 5)
 
 
--- a/walnutport/admission/control.py
+++ b/walnutport/admission/control.py
@@ -35,7 +35,7 @@
 # each host, since rounding the whole would give hosts uneven shares of a
 # small pool.
 POOL_FACTOR = 1.25
-_ADJUST_S = 0.25
+_ADJUST_S = 0.1
 
 
 class AdmissionControl:
@@ -147,8 +147,11 @@
     def advance(self, now: float) -> None:
         """Bring capacities up to date with shares and latencies."""
         self._now = now
-        if now < self._adjust_at:
-            return
+        if now >= self._adjust_at:
+            self._adjust(now)
+
+    def _adjust(self, now: float) -> None:
+        self._now = now
         self._adjust_at = now + _ADJUST_S
         self._needs_by_work.clear()
         self._report_use()
@@ -177,7 +180,10 @@
     def demands(self, now: float) -> tuple[messages.LimitDemand, ...]:
         """Return demands and loans for the next heartbeat."""
         self._report_use()
-        return self.limits.demands(now)
+        made = self.limits.demands(now)
+        # What is lent must be out of use here before a peer can hear of it.
+        self._adjust(now)
+        return made
 
     def on_demands(
         self,
@@ -187,7 +193,7 @@
     ) -> None:
         """Take the demands and loans of a peer's heartbeat."""
         self.limits.on_demands(host_id, demands, now)
-        self._adjust_at = -math.inf
+        self._adjust(now)
 
     def hosts_changed(
         self, live: Iterable[str], known: Iterable[str], now: float
--- a/walnutport/admission/limits.py
+++ b/walnutport/admission/limits.py
@@ -26,6 +26,9 @@
 __all__ = ['FleetLimits', 'LEASE_S']
 
 LEASE_S = 3.0
+# The borrower stops to grant from a loan this much earlier, so that shares
+# that are applied a little late and short requests end within the lease.
+_GRACE_S = 0.5
 # A host that just appeared in the view may not know its own base yet, and
 # its peers not theirs; the others give up their part at once and take up
 # the part of a lost host only after this time.
@@ -222,12 +225,11 @@
     ) -> None:
         found.borrowed_by_id.pop(lender, None)
         for loan in loans:
+            ends_at = loan.echo_ms / 1000 + LEASE_S - _GRACE_S
             # An echo from the future belongs to an earlier life of this
             # host, whose clock may have been ahead.
-            ends_at = loan.echo_ms / 1000 + LEASE_S
-            if loan.host_id == self._host_id and now < ends_at <= (
-                now + LEASE_S
-            ):
+            is_current = loan.echo_ms / 1000 <= now < ends_at
+            if loan.host_id == self._host_id and is_current:
                 found.borrowed_by_id[lender] = (ends_at, loan.units)
 
     def _held_back(
