--- a/walnutport/cli/plots.py
+++ b/walnutport/cli/plots.py
@@ -54,7 +54,7 @@
     for key, line in sorted(report.cost_by_key.items()):
         label = f'{key.owner} / {key.stage}'
         seconds_by_label[label] = (
-            seconds_by_label.get(label, 0.0) + line.target_s
+            seconds_by_label.get(label, 0.0) + line.target_us / 1e6
         )
     if not seconds_by_label:
         return None
--- a/walnutport/cli/report.py
+++ b/walnutport/cli/report.py
@@ -16,7 +16,7 @@
 
 from walnutport.cli import exit_codes
 from walnutport.cli import fetch
-from walnutport.cost import ledger
+from walnutport.cost import records as cost_records
 from walnutport import exceptions
 from walnutport.metrics import histograms
 
@@ -38,7 +38,7 @@
     entry: str
     stage: str
     attempts: int
-    target_s: float
+    target_us: int
     tokens: int
 
 
@@ -55,7 +55,9 @@
         self.histograms_by_key: dict[
             histograms.MetricKey, histogram.HdrHistogram
         ] = collections.defaultdict(histograms.new_histogram)
-        self.cost_by_key: dict[ledger.CostKey, ledger.CostLine] = {}
+        self.cost_by_key: dict[
+            cost_records.CostKey, cost_records.CostLine
+        ] = {}
 
     def add(self, report: _HostReport) -> None:
         """Add the report of one host.
@@ -70,11 +72,13 @@
                 self.histograms_by_key[key], item.get('encoded', '')
             )
         for cost in report.cost:
-            cost_key = ledger.CostKey(
+            cost_key = cost_records.CostKey(
                 cost.owner, cost.member, cost.entry, cost.stage
             )
-            line = ledger.CostLine(cost.attempts, cost.target_s, cost.tokens)
-            known = self.cost_by_key.get(cost_key, ledger.CostLine())
+            line = cost_records.CostLine(
+                cost.attempts, cost.target_us, cost.tokens
+            )
+            known = self.cost_by_key.get(cost_key, cost_records.CostLine())
             self.cost_by_key[cost_key] = known.plus(line)
 
     def latency_rows(self) -> list[dict[str, object]]:
@@ -100,7 +104,7 @@
             {
                 **dataclasses.asdict(key),
                 'attempts': line.attempts,
-                'target_s': round(line.target_s, 3),
+                'target_s': round(line.target_us / 1e6, 3),
                 'tokens': line.tokens,
             }
             for key, line in sorted(self.cost_by_key.items())
--- a/walnutport/membership/hosts.py
+++ b/walnutport/membership/hosts.py
@@ -159,6 +159,10 @@
             and not host.leaving
         )
 
+    def known_ids(self) -> tuple[str, ...]:
+        """Return every other host that the list or a heartbeat named."""
+        return tuple(self._hosts_by_id)
+
     def known_count(self) -> int:
         """Return the count of known hosts, this one included."""
         return 1 + len(self._hosts_by_id)
--- a/walnutport/metrics/exposition.py
+++ b/walnutport/metrics/exposition.py
@@ -94,7 +94,7 @@
         for key, line in sorted(self._cost.lines_by_key.items()):
             names = [key.owner, key.member_id, key.entry_id, key.stage]
             attempts.add_metric(names, line.attempts)
-            seconds.add_metric(names, line.target_s)
+            seconds.add_metric(names, line.target_us / 1e6)
             tokens.add_metric(names, line.tokens)
         return attempts, seconds, tokens
 
--- a/walnutport/service/attempt.py
+++ b/walnutport/service/attempt.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import secrets
 
@@ -22,6 +23,7 @@
     'AttemptEnd',
     'AttemptJob',
     'AttemptRunner',
+    'LoadListener',
     'Perform',
     'StageFailure',
 ]
@@ -31,6 +33,8 @@
     Awaitable[stage_adapter.StageReply],
 ]
 
+LoadListener = Callable[[str, world.LoadReport], None]
+
 _ABANDONED = (
     interfaces.AttemptStatus.CANCELLED,
     interfaces.AttemptStatus.TIMED_OUT,
@@ -76,6 +80,7 @@
 
     :param watch: finds out whether a target died; None takes no interest.
     :param control: cancels abandoned attempts at their targets.
+    :param load_listeners: called with each load report in an answer.
     """
 
     def __init__(
@@ -86,7 +91,9 @@
         reactor,
         watch: suspects.DeathWatch | None = None,
         control: target_control.TargetControl | None = None,
+        load_listeners: Sequence[LoadListener] = (),
     ) -> None:
+        self._load_listeners = load_listeners
         self._policies = policies
         self._cost = cost
         self._clock = clock
@@ -173,10 +180,11 @@
             load=reply.load if reply else None,
             target_died=died,
         )
-        if self._watch is not None and result.load is not None:
-            self._watch.load_seen(result.target_id, result.load)
         self._policies.router.attempt_finished(result, now)
         self._policies.retries.attempt_finished(result, now)
+        if result.load is not None:
+            for listener in self._load_listeners:
+                listener(result.target_id, result.load)
         self._policies.quarantine.attempt_finished(
             attempt_id, status is interfaces.AttemptStatus.OK, now
         )
--- a/walnutport/service/attempts.py
+++ b/walnutport/service/attempts.py
@@ -1,6 +1,7 @@
 """Runs one stage of one request: queue, route, attempt, retry."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 
 from twisted.internet import task
@@ -52,6 +53,7 @@
         watch: suspects.DeathWatch | None = None,
         permits: interfaces.PermitGate | None = None,
         control: target_control.TargetControl | None = None,
+        load_listeners: Sequence[attempt.LoadListener] = (),
     ) -> None:
         self._policies = policies
         self._client = client
@@ -59,7 +61,7 @@
         self._clock = clock
         self._reactor = reactor
         self._runner = attempt.AttemptRunner(
-            policies, cost, clock, reactor, watch, control
+            policies, cost, clock, reactor, watch, control, load_listeners
         )
         self._watch = watch
         self.hedges = hedging.HedgedRunner(
@@ -74,7 +76,7 @@
         """Return the queue in front of a pool."""
         found = self._waiters_by_service.get(service)
         if found is None:
-            queue = self._policies.new_pool_queue(service)
+            queue = self._policies.admission.pool_queue(service)
             found = waiting.QueueWaiter(queue, self._clock)
             self._waiters_by_service[service] = found
         return found
@@ -98,13 +100,15 @@
         :param on_sent: called before bytes of an attempt are sent.
         """
         ticket = interfaces.Ticket(
-            f'{call.request_id}/{stage.name}',
+            f'{call.run_id}/{stage.name}',
             call.contract.entry_id,
             call.member.member_id,
             call.class_id,
             call.deadline,
+            stages_passed=call.pipeline.stages.index(stage),
         )
         waiter = self.waiter(stage.service)
+        offered_at = self._clock.monotonic()
         decision = await waiter.acquire(ticket)
         if decision.kind is interfaces.DecisionKind.REFUSED:
             return attempt.StageFailure(
@@ -112,8 +116,19 @@
                 f'pool {stage.service}',
                 retry_after_s=decision.retry_after_s,
             )
+        granted_at = self._clock.monotonic()
         try:
-            return await self._attempts(call, stage, input_json, on_sent)
+            outcome = await self._attempts(call, stage, input_json, on_sent)
+            if _tells_latency(outcome):
+                now = self._clock.monotonic()
+                self._policies.admission.stage_held(
+                    call.contract.entry_id,
+                    stage.name,
+                    granted_at - offered_at,
+                    now - granted_at,
+                    now,
+                )
+            return outcome
         finally:
             waiter.release(ticket.ticket_id)
 
@@ -247,3 +262,11 @@
     if stream is None:
         return failure
     return dataclasses.replace(failure, reason=stream.reason(failure.reason))
+
+
+def _tells_latency(outcome: StageSuccess | attempt.StageFailure) -> bool:
+    """Return whether a stage ran to its end or to the deadline."""
+    return (
+        isinstance(outcome, StageSuccess)
+        or outcome.reason is answers.Reason.DEADLINE_EXCEEDED
+    )
--- a/walnutport/service/calls.py
+++ b/walnutport/service/calls.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import secrets
 from typing import Protocol
 
 from walnutport.adapters import engine
@@ -43,6 +44,7 @@
     :param key: idempotency key, empty if none was given.
     :param permit_id: permit of a crash suspect, empty if none is held.
     :param sink: set if the caller asked for a stream.
+    :param run_id: unique here, unlike the request id that a caller chooses.
     """
 
     request_id: str
@@ -55,6 +57,9 @@
     key: str = ''
     sink: StreamSink | None = None
     permit_id: str = ''
+    run_id: str = dataclasses.field(
+        default_factory=lambda: secrets.token_hex(8)
+    )
 
     @property
     def streams(self) -> bool:
--- a/walnutport/service/coordination.py
+++ b/walnutport/service/coordination.py
@@ -92,14 +92,14 @@
 
 
 def new_target_watch(
-    router: interfaces.Router,
+    listeners: target_watch.TargetFanOut,
     clock: interfaces.Clock,
     reactor,
     settings: config.PeerSettings,
 ) -> target_watch.TargetWatch:
     """Return a target watch with a client of its own."""
     return target_watch.TargetWatch(
-        router,
+        listeners,
         http.HttpClient(reactor),
         clock,
         reactor,
--- a/walnutport/service/drain.py
+++ b/walnutport/service/drain.py
@@ -13,14 +13,11 @@
 from twisted.internet import interfaces as twisted_interfaces
 from twisted.internet import task
 from twisted.protocols import policies
-from twisted.web import http
-from twisted.web import server
 
 __all__ = [
     'TrackedFactory',
     'close_quiet_connections',
     'stop_listening',
-    'tracked_site',
 ]
 
 _QUIET_S = 0.5
@@ -47,7 +44,9 @@
     def is_idle(self, now: float) -> bool:
         """Return whether no request has begun and none may be under way."""
         quiet = now - self.last_used >= _QUIET_S
-        return quiet and not self.wrappedProtocol.requests
+        # A connection that was refused over a bound holds no requests.
+        requests = getattr(self.wrappedProtocol, 'requests', ())
+        return quiet and not requests
 
 
 class TrackedFactory(policies.WrappingFactory):
@@ -87,12 +86,3 @@
                 connection.loseConnection()
         await task.deferLater(reactor, _TICK_S)
     return True
-
-
-def tracked_site(resource) -> TrackedFactory:
-    """Return a factory that serves a resource over HTTP/1.1."""
-    site = server.Site(resource)
-    # The channel itself, without the wrapper that negotiates HTTP/2, tells
-    # of the requests that are being received or answered.
-    site.protocol = http.HTTPChannel
-    return TrackedFactory(site)
--- a/walnutport/service/log_reader.py
+++ b/walnutport/service/log_reader.py
@@ -44,6 +44,10 @@
         self.available = False
         self.failures = 0
 
+    def add_follower(self, follower: interfaces.LogFollower) -> None:
+        """Follow one more stream."""
+        self._followers_by_stream[follower.stream] = follower
+
     def __enter__(self) -> 'LogReader':
         self._loop = defer.Deferred.fromCoroutine(self._run())
         self._loop.addErrback(
--- a/walnutport/service/operators.py
+++ b/walnutport/service/operators.py
@@ -66,7 +66,7 @@
                         'entry': key.entry_id,
                         'stage': key.stage,
                         'attempts': line.attempts,
-                        'target_s': line.target_s,
+                        'target_us': line.target_us,
                         'tokens': line.tokens,
                     }
                     for key, line in sorted(self._cost.lines_by_key.items())
--- /dev/null
+++ b/walnutport/service/parts.py
@@ -0,0 +1,247 @@
+"""Builds the parts of an entry host and connects them."""
+
+from collections.abc import Callable
+import secrets
+
+from walnutport.adapters import engine
+from walnutport.adapters import host_list
+from walnutport.adapters import http
+from walnutport.adapters import log
+from walnutport.adapters import stage
+from walnutport.adapters import target_control
+from walnutport.catalogue import follower
+from walnutport.claims import records as claim_records
+from walnutport import clock as system_clock
+from walnutport.config import settings as config
+from walnutport.cost import ledger
+from walnutport import interfaces
+from walnutport.metrics import histograms
+from walnutport.peer import replay
+from walnutport.service import attempts
+from walnutport.service import claims
+from walnutport.service import coordination
+from walnutport.service import cost
+from walnutport.service import log_reader
+from walnutport.service import log_writer
+from walnutport.service import orders
+from walnutport.service import pipeline
+from walnutport.service import policies as host_policies
+from walnutport.service import suspect_parts
+from walnutport.service import target_watch
+from walnutport import world
+
+__all__ = ['HostParts']
+
+
+class HostParts:
+    """Every part of a host but its listeners, connected to each other.
+
+    :param settings: validated settings.
+    :param is_ready: returns whether the host takes new calls.
+    """
+
+    def __init__(
+        self,
+        settings: config.HostSettings,
+        reactor,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self.settings = settings
+        self.reactor = reactor
+        self.clock = system_clock.SystemClock()
+        self.incarnation = replay.new_incarnation(
+            self.clock.wall(), secrets.randbits(16)
+        )
+        self.policies = host_policies.build_policies(settings)
+        self.latencies = histograms.LatencyHistograms()
+        self.cost = ledger.CostLedger(settings.host_id, self.incarnation)
+        self._engines_by_id: dict[str, world.Target] = {}
+        self._hosts: tuple[frozenset[str], frozenset[str]] | None = None
+        self._build_platform()
+        self._build_coordination(is_ready)
+        self._build_claims()
+        self._build_runner()
+
+    def _build_platform(self) -> None:
+        platform = self.settings.platform
+        self.platform_client = http.HttpClient(self.reactor)
+        self.log = log.HttpLogService(
+            self.platform_client,
+            _address(platform.log),
+            self.reactor,
+            platform.timeout_s,
+        )
+        self.log_writer = log_writer.LogWriter(
+            self.log, self.clock, self.reactor, platform.max_appends_per_s
+        )
+        self.host_list = host_list.HttpHostList(
+            self.platform_client,
+            _address(platform.host_list),
+            self.reactor,
+            platform.timeout_s,
+        )
+        self.catalogue = follower.CatalogueFollower(self._catalogue_changed)
+        self.log_reader = log_reader.LogReader(
+            self.log,
+            [self.catalogue],
+            self.clock,
+            self.reactor,
+            platform.poll_wait_s,
+        )
+        self.cost_flusher = cost.CostFlusher(
+            self.cost,
+            self.log_writer.submit,
+            self.reactor,
+            platform.cost_flush_s,
+        )
+        self.orders: orders.OrderService | None = None
+        if self.settings.orders.enabled:
+            self.orders = orders.build(
+                self.settings,
+                self.incarnation,
+                self.platform_client,
+                self.log,
+                self.clock,
+                self.reactor,
+                engines=lambda: self._engines_by_id,
+                models=self._models,
+            )
+            self.log_reader.add_follower(self.orders.keeper)
+
+    def _build_coordination(self, is_ready: Callable[[], bool]) -> None:
+        self.watch = coordination.new_target_watch(
+            target_watch.TargetFanOut(
+                self.policies.router, self.policies.admission
+            ),
+            self.clock,
+            self.reactor,
+            self.settings.peers,
+        )
+        self.coordination = coordination.Coordination(
+            self.settings,
+            self.incarnation,
+            self.watch,
+            self.catalogue,
+            self.log_reader,
+            self.log,
+            is_ready,
+            self.clock,
+            self.reactor,
+        )
+        admission = self.policies.admission
+        beats = self.coordination.heartbeats
+        beats.demands = lambda: admission.demands(self.clock.monotonic())
+        beats.on_demands = admission.on_demands
+
+    def _build_claims(self) -> None:
+        self.claims: claims.ClaimService | None = None
+        if not self.policies.at_most_once:
+            return
+        self.claims = claims.ClaimService(
+            claim_records.Owner(self.settings.host_id, self.incarnation),
+            self.settings.platform,
+            self.settings.callers.answer_store_bytes,
+            self.log_writer,
+            self.clock,
+            self.reactor,
+            lambda: self.log_reader.available,
+            self.coordination.network,
+        )
+        self.log_reader.add_follower(self.claims)
+
+    def _build_runner(self) -> None:
+        control = target_control.TargetControl(
+            http.HttpClient(self.reactor, persistent=False), self.reactor
+        )
+        self.suspects = suspect_parts.build_suspect_parts(
+            self.policies,
+            self.settings.host_id,
+            control,
+            self.clock,
+            self.reactor,
+            bus=self.coordination.network,
+            append=self.log_writer.submit,
+            live_hosts=self.coordination.heartbeats.live_peers,
+        )
+        for suspect_follower in self.suspects.followers:
+            self.log_reader.add_follower(suspect_follower)
+        self.engines = engine.EngineClient(self.platform_client, self.reactor)
+        self.stages = attempts.StageRunner(
+            self.policies,
+            stage.StageClient(
+                http.HttpClient(self.reactor),
+                http.HttpClient(self.reactor, persistent=False),
+            ),
+            self.engines,
+            self.cost,
+            self.clock,
+            self.reactor,
+            watch=self.suspects.watch,
+            permits=self.suspects.permits,
+            control=control,
+            load_listeners=self._load_listeners(),
+        )
+        self.runner = pipeline.PipelineRunner(
+            self.policies, self.stages, self.clock, claims=self.claims
+        )
+
+    def list_read(self, page: interfaces.HostListPage) -> None:
+        """Take note of the platform's list."""
+        self.coordination.list_read(page)
+        self.policies.router.hosts_changed(
+            {*page.hosts_by_id, self.settings.host_id}, self.clock.monotonic()
+        )
+        self._engines_by_id = {
+            target.target_id: target
+            for target in page.targets_by_id.values()
+            if target.service == self.settings.orders.engine_service
+            and target.state is world.TargetState.LIVE
+        }
+
+    def update_hosts(self) -> None:
+        """Tell admission which hosts share the fleet's limits."""
+        membership = self.coordination.heartbeats.membership
+        now = self.clock.monotonic()
+        own = self.settings.host_id
+        live = frozenset({own, *membership.heard_ids(now)})
+        known = frozenset({own, *membership.known_ids()})
+        if (live, known) != self._hosts:
+            self._hosts = (live, known)
+            self.policies.admission.hosts_changed(live, known, now)
+
+    def _load_listeners(
+        self,
+    ) -> list[Callable[[str, world.LoadReport], None]]:
+        admission = self.policies.admission
+        listeners: list[Callable[[str, world.LoadReport], None]] = [
+            self.watch.load_heard,
+            lambda target_id, load: admission.load_reported(
+                target_id, load, self.clock.monotonic()
+            ),
+        ]
+        if self.suspects.watch is not None:
+            listeners.append(self.suspects.watch.load_seen)
+        return listeners
+
+    def _catalogue_changed(self) -> None:
+        view = self.catalogue.fold.view()
+        self.policies.admission.catalogue_changed(
+            view.contracts_by_id,
+            view.pipelines_by_id,
+            view.classes_by_id,
+            view.members_by_id,
+        )
+
+    def _models(self) -> frozenset[str]:
+        if not self.catalogue.synced:
+            return frozenset()
+        return frozenset(
+            stage.model
+            for pipeline in self.catalogue.fold.view().pipelines_by_id.values()
+            for stage in pipeline.stages
+            if stage.model
+        )
+
+
+def _address(listen: config.ListenAddress) -> world.Address:
+    return world.Address(listen.ip, listen.port)
--- a/walnutport/service/policies.py
+++ b/walnutport/service/policies.py
@@ -1,11 +1,12 @@
 """Builds the decision parts that a host runs with."""
 
-from collections.abc import Callable
 import dataclasses
 import random
 
+from walnutport.admission import control
 from walnutport.config import settings as config
 from walnutport import interfaces
+from walnutport.naive import admission as naive_admission
 from walnutport.naive import policies as naive
 from walnutport.quarantine import suspects
 from walnutport.retries import policy as retry_policy
@@ -18,13 +19,11 @@
 class Policies:
     """The replaceable decision parts of one host.
 
-    :param new_pool_queue: makes the queue in front of a pool of targets.
     :param at_most_once: whether stages that may not be repeated are sent
         once at most, whatever the retry policy says.
     """
 
-    entry_queue: interfaces.AdmissionQueue
-    new_pool_queue: Callable[[str], interfaces.AdmissionQueue]
+    admission: interfaces.Admission
     router: interfaces.Router
     retries: interfaces.RetryPolicy
     quarantine: interfaces.Quarantine
@@ -35,25 +34,25 @@
     """Return the decision parts that the settings ask for."""
     chosen = settings.policies
     rng = random.Random(f'{chosen.random_seed}/{settings.host_id}')
-    if chosen.policy == 'standard':
+    if chosen.policy == 'naive':
         return Policies(
-            entry_queue=naive.UnboundedQueue(),
-            new_pool_queue=lambda service: naive.UnboundedQueue(),
-            router=router.StandardRouter(
-                settings.host_id,
-                settings.data_centre,
-                subset_size=chosen.subset_size,
-                max_ejected_share=chosen.max_ejected_share,
-                rng=rng,
-            ),
-            retries=retry_policy.StandardRetry(chosen.retry_budget_share, rng),
-            quarantine=suspects.SuspectBook(),
+            admission=naive_admission.NoAdmission(),
+            router=naive.RandomRouter(rng),
+            retries=naive.BlindRetry(),
+            quarantine=naive.NoQuarantine(),
+            at_most_once=False,
         )
     return Policies(
-        entry_queue=naive.UnboundedQueue(),
-        new_pool_queue=lambda service: naive.UnboundedQueue(),
-        router=naive.RandomRouter(rng),
-        retries=naive.BlindRetry(),
-        quarantine=naive.NoQuarantine(),
-        at_most_once=settings.policies.policy != 'naive',
+        admission=control.AdmissionControl(
+            settings.host_id, chosen.max_queued
+        ),
+        router=router.StandardRouter(
+            settings.host_id,
+            settings.data_centre,
+            subset_size=chosen.subset_size,
+            max_ejected_share=chosen.max_ejected_share,
+            rng=rng,
+        ),
+        retries=retry_policy.StandardRetry(chosen.retry_budget_share, rng),
+        quarantine=suspects.SuspectBook(),
     )
--- a/walnutport/service/sinks.py
+++ b/walnutport/service/sinks.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from twisted.internet import interfaces as twisted_interfaces
+from twisted.protocols import policies
 from zope.interface import implementer
 
 from walnutport.adapters import engine
@@ -38,10 +39,10 @@
         self.started = True
         self._request.setHeader('content-type', _EVENT_STREAM)
         self._request.setHeader('cache-control', 'no-store')
-        self._request.transport.bufferSize = self._buffer_bytes
+        self._transport = _socket_transport(self._request.transport)
+        self._transport.bufferSize = self._buffer_bytes
         self._request.registerProducer(self, True)
         self._request.write(b'')
-        self._transport = self._request.transport
         self._is_chunked = bool(self._request.chunked)
 
     def write(self, data: bytes) -> None:
@@ -108,3 +109,10 @@
 
     def stopProducing(self) -> None:  # noqa: N802
         """Do nothing: a lost caller cancels the run of its call."""
+
+
+def _socket_transport(transport) -> Any:
+    """Return the transport of the socket below any wrapper."""
+    while isinstance(transport, policies.ProtocolWrapper):
+        transport = transport.transport
+    return transport
--- a/walnutport/service/target_watch.py
+++ b/walnutport/service/target_watch.py
@@ -16,7 +16,7 @@
 from walnutport.peer import messages
 from walnutport import world
 
-__all__ = ['ObservingRouter', 'TargetWatch']
+__all__ = ['TargetFanOut', 'TargetWatch']
 
 LOG = logging.getLogger(__name__)
 PREFIX = 'targets:'
@@ -26,28 +26,28 @@
 _MAX_LOAD_BYTES = 4_096
 
 
-class ObservingRouter:
-    """Router that passes the load in answers on to an observer."""
+class TargetFanOut:
+    """Hands news of targets to the router and to admission."""
 
     def __init__(
-        self,
-        router: interfaces.Router,
-        on_load: Callable[[str, world.LoadReport], None],
+        self, router: interfaces.Router, admission: interfaces.Admission
     ) -> None:
         self._router = router
-        self._on_load = on_load
-        self.route = router.route
-        self.attempt_started = router.attempt_started
-        self.load_reported = router.load_reported
-        self.targets_changed = router.targets_changed
-
-    def attempt_finished(
-        self, result: interfaces.AttemptResult, now: float
+        self._admission = admission
+
+    def targets_changed(
+        self, targets_by_id: Mapping[str, world.Target], now: float
     ) -> None:
-        """Take an attempt out of the in-flight count."""
-        self._router.attempt_finished(result, now)
-        if result.load is not None:
-            self._on_load(result.target_id, result.load)
+        """Replace the set of targets that may get new work."""
+        self._router.targets_changed(targets_by_id, now)
+        self._admission.targets_changed(targets_by_id, now)
+
+    def load_reported(
+        self, target_id: str, load: world.LoadReport, now: float
+    ) -> None:
+        """Take note of a report that no answer carried."""
+        self._router.load_reported(target_id, load, now)
+        self._admission.load_reported(target_id, load, now)
 
 
 class TargetWatch:
@@ -58,7 +58,7 @@
 
     def __init__(
         self,
-        router: interfaces.Router,
+        listeners: TargetFanOut,
         client: http.HttpClient,
         clock: interfaces.Clock,
         reactor: twisted_interfaces.IReactorTime,
@@ -67,18 +67,18 @@
     ) -> None:
         self.membership = targets.TargetMembership(poll_s)
         self.on_leaving = on_leaving
-        self._router = router
+        self._listeners = listeners
         self._client = client
         self._clock = clock
         self._reactor = reactor
         self._usable: Mapping[str, world.Target] | None = None
         self._leaving: frozenset[str] = frozenset()
-        self._listed: Mapping[str, world.Target] = {}
+        self.listed_by_id: Mapping[str, world.Target] = {}
         self._polls = 0
 
     def list_read(self, targets_by_id: Mapping[str, world.Target]) -> None:
         """Take note of the list."""
-        self._listed = targets_by_id
+        self.listed_by_id = targets_by_id
         self.membership.list_read(targets_by_id, self._clock.monotonic())
         self._feed()
 
@@ -131,7 +131,7 @@
         finally:
             self._polls -= 1
         now = self._clock.monotonic()
-        self._router.load_reported(target.target_id, load, now)
+        self._listeners.load_reported(target.target_id, load, now)
         self.load_heard(target.target_id, load)
 
     def _feed(self) -> None:
@@ -140,13 +140,13 @@
         if usable == self._usable:
             return
         self._usable = usable
-        leaving = frozenset(self._listed) - frozenset(usable)
+        leaving = frozenset(self.listed_by_id) - frozenset(usable)
         for target_id in sorted(leaving - self._leaving):
             LOG.info('%s %s is leaving', PREFIX, target_id)
         for target_id in sorted(self._leaving & frozenset(usable)):
             LOG.info('%s %s is usable again', PREFIX, target_id)
         is_news = bool(leaving - self._leaving)
         self._leaving = leaving
-        self._router.targets_changed(usable, now)
+        self._listeners.targets_changed(usable, now)
         if is_news:
             self.on_leaving()
