--- a/tests/claims/model.py
+++ b/tests/claims/model.py
@@ -169,6 +169,9 @@
         if isinstance(item, records.Claim):
             self.world.body_by_claim[item.claim_id] = item.body_digest
         else:
+            done = self.world.answer_by_claim.get(item.claim_id)
+            assert done is not answers.Outcome.COMPLETE
+            assert item.claim_id not in self.running
             never_ran = item.claim_id not in self.world.answer_by_claim
             EVENTS['late_release'] += never_ran
 
--- a/tests/service/test_claims.py
+++ b/tests/service/test_claims.py
@@ -236,6 +236,39 @@
     assert repeat[0].is_ok()
 
 
+def test_release_is_repeated_until_it_is_read() -> None:
+    """Guards against keys that stay claimed after a refused release."""
+    hosts = Hosts()
+    claim_id = hosts.owned()
+    not_run = answers.Answer(answers.Outcome.NOT_RUN, answers.Reason.OVERLOAD)
+    hosts.log.error = exceptions.LogUnavailable('down')
+    hosts.gates[0].finish(claim_id, not_run)
+    hosts.step()
+    early = hosts.claim(0)
+    assert refusal(early).reason is answers.Reason.CLAIM_UNAVAILABLE
+    hosts.log.error = None
+    hosts.step(1.0)
+    hosts.step()
+    assert hosts.gates[0].unsettled == 0
+    repeat = hosts.claim(1)
+    hosts.step()
+    assert repeat[0].is_ok()
+
+
+def test_late_request_joins_the_run_of_its_repeat() -> None:
+    """Guards against "not run" of a key that is granted at that moment."""
+    hosts = Hosts()
+    identity = interfaces.ClaimIdentity('north', 'payments', KEY)
+    late: list = []
+    hosts.gates[0].claim(identity, b'x', 0.5).addCallback(late.append)
+    repeat = hosts.claim(0)
+    hosts.reactor.advance(0.6)
+    hosts.read()
+    assert repeat[0].is_ok()
+    hosts.step()
+    assert refusal(late).outcome is answers.Outcome.UNKNOWN
+
+
 def test_log_outage_is_answered_at_once() -> None:
     """Guards against waits for a log that is known to be down."""
     hosts = Hosts()
--- a/walnutport/claims/claimant.py
+++ b/walnutport/claims/claimant.py
@@ -358,7 +358,9 @@
     def _take_waiting(self, own: _OwnClaim) -> list[actions.Request]:
         waiting = [request for request, _ in own.waiting.values()]
         for request in waiting:
-            self.withdraw(request.waiter_id)
+            self._claim_by_waiter.pop(request.waiter_id, None)
+        # Unlike the removal of each key, this frees the table of the dict.
+        own.waiting.clear()
         return waiting
 
     def _drop(self, own: _OwnClaim) -> list[actions.Request]:
