Refuse settings under which the log forgets claims too early

Cause: with a retention below claim_memory_s plus three skews an accepted key could outlive its claim. Change: check this when settings are parsed. Conclusion: the rule that the claims rest on can no longer be misconfigured.

--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -29,3 +29,10 @@
     with pytest.raises(exceptions.SettingsError, match='.*') as caught:
         settings.parse_settings(text)
     assert path in str(caught.value)
+
+
+def test_claims_must_outlive_their_keys() -> None:
+    """Guards against a log that forgets a claim whose key still runs."""
+    with pytest.raises(exceptions.SettingsError, match='retention_s'):
+        settings.parse_settings('{"platform": {"retention_s": 689}}')
+    settings.parse_settings('{"platform": {"retention_s": 690}}')
--- a/walnutport/config/settings.py
+++ b/walnutport/config/settings.py
@@ -176,9 +176,11 @@
     'a'
     """
     try:
-        return _ADAPTER.validate_json(data)
+        settings = _ADAPTER.validate_json(data)
     except pydantic.ValidationError as error:
         raise exceptions.SettingsError(_describe(error)) from None
+    _check_retention(settings.platform)
+    return settings
 
 
 def load_settings(path: str) -> HostSettings:
@@ -199,6 +201,19 @@
     return json.dumps(plain, indent=2)
 
 
+def _check_retention(platform: LogSettings) -> None:
+    """Check that a claim is kept for as long as its key is accepted.
+
+    :raises SettingsError: if the log may drop it earlier.
+    """
+    needed_s = platform.claim_memory_s + 3 * platform.clock_skew_s
+    if platform.retention_s < needed_s:
+        raise exceptions.SettingsError(
+            '$.platform.retention_s: must be at least claim_memory_s plus '
+            f'3 times clock_skew_s, {needed_s:g} s'
+        )
+
+
 def _describe(error: pydantic.ValidationError) -> str:
     lines = []
     for item in error.errors():
