--- a/walnutport/service/permits.py
+++ b/walnutport/service/permits.py
@@ -15,8 +15,6 @@
 
 __all__ = ['LEASE_MARGIN_S', 'LONGEST_RUN_S', 'PermitService']
 
-PREFIX = 'permits:'
-
 REPLY_TIMEOUT_S = 0.5
 NO_REPLY_RETRY_S = 1.0
 # Time for a cancelled run to end on its target.
--- a/walnutport/service/suspects.py
+++ b/walnutport/service/suspects.py
@@ -84,6 +84,7 @@
         self._waiting_by_target: dict[str, list[defer.Deferred]] = {}
         self._probing: set[str] = set()
         self.deaths = 0
+        self._last_death = ''
         self.verdicts_dropped = 0
         book.publish = self._publish
         if bus is not None:
@@ -130,14 +131,20 @@
         )
         now = self._clock.monotonic()
         if died:
-            self.deaths += 1
-            LOG.warning('%s target %s died', PREFIX, target.target_id)
+            self._count(suspects.death_id(target.target_id, incarnation))
             self._router.target_down(target.target_id)
             self.book.target_died(target.target_id, now, incarnation)
             self._start_flush()
         self._take_load(target, load, now)
         return died
 
+    def _count(self, death: str) -> None:
+        """Count a death once, however many attempts it cut off."""
+        if death != self._last_death:
+            self._last_death = death
+            self.deaths += 1
+            LOG.warning('%s target died: %s', PREFIX, death)
+
     def advance(self) -> None:
         """Ask silent targets for a sign of life and write to the log."""
         wanted = self._router.down_targets()
