Cancel copies of a quarantined content in flight

Cause: copies of a crashing request that already ran on other targets when the second death became known could end a third one. Change: a verdict of two deaths cancels the open attempts of the content in repeatable stages, at the target too; they are booked and answered with reason quarantined.

--- a/tests/service/test_hedging.py
+++ b/tests/service/test_hedging.py
@@ -8,6 +8,8 @@
 from walnutport.adapters import stage as stage_adapter
 from walnutport.cost import ledger
 from walnutport import interfaces
+from walnutport.lifecycle import answers
+from walnutport.peer import messages
 from walnutport.quarantine import suspects
 from walnutport.retries import policy
 from walnutport.routing import router
@@ -75,13 +77,12 @@
         )
         self.control = FakeControl()
         self.cost = ledger.CostLedger()
+        attempts = attempt.AttemptRunner(
+            parts, self.cost, self.clock, self.reactor, None, self.control
+        )
+        self.book.on_quarantined = attempts.cancel_content
         self.runner = hedging.HedgedRunner(
-            attempt.AttemptRunner(
-                parts, self.cost, self.clock, self.reactor, None, self.control
-            ),
-            parts,
-            self.clock,
-            self.reactor,
+            attempts, parts, self.clock, self.reactor
         )
         self.open: dict[str, defer.Deferred] = {}
 
@@ -150,3 +151,18 @@
     assert not running.called
     bench.open['t2'].callback(stage_adapter.StageReply(b'{}', 0, None))
     assert running.result.ended.reply is not None
+
+
+def test_a_verdict_cancels_copies_in_flight() -> None:
+    """Guards against a third death by a copy that already runs."""
+    bench = Bench()
+    running = [bench.start(), bench.start()]
+    digest = next(iter(bench.book._flights_by_attempt.values())).digest
+    bench.book.merge(messages.Suspect(digest, ('t8/a',)), 0.0)
+    assert not bench.control.cancelled
+    bench.book.merge(messages.Suspect(digest, ('t9/b',)), 0.0)
+    assert bench.control.cancelled == ['t1', 't1']
+    for race in running:
+        ended = race.result.ended
+        assert ended.failure.reason is answers.Reason.QUARANTINED
+    assert bench.attempts_booked() == 2
--- a/walnutport/exceptions.py
+++ b/walnutport/exceptions.py
@@ -17,6 +17,7 @@
     'NotSent',
     'AttemptLost',
     'TargetRefused',
+    'ContentCancelled',
     'RequestError',
     'PeerError',
     'OrderError',
@@ -89,6 +90,10 @@
         self.status = status
 
 
+class ContentCancelled(TargetError):
+    """The attempt was cancelled because its content crashes targets."""
+
+
 class RequestError(WalnutportError):
     """A caller's request is invalid.
 
--- a/walnutport/quarantine/suspects.py
+++ b/walnutport/quarantine/suspects.py
@@ -55,6 +55,8 @@
         publish: Callable[[messages.Suspect], None] = lambda message: None,
     ) -> None:
         self.publish = publish
+        # Called with a digest when there is news of a quarantined content.
+        self.on_quarantined: Callable[[bytes], None] = lambda digest: None
         self._entries: collections.OrderedDict[bytes, _Entry] = (
             collections.OrderedDict()
         )
@@ -144,7 +146,9 @@
                 entry.cleared[death] = None
         if len(entry.deaths) + len(entry.cleared) > known:
             entry.updated_at = now
-        _bound(entry)
+            _bound(entry)
+            if len(entry.open_deaths()) >= QUARANTINE_DEATHS:
+                self.on_quarantined(message.digest)
 
     def _find(self, digest: bytes, now: float) -> _Entry | None:
         entry = self._entries.get(digest)
--- a/walnutport/service/attempt.py
+++ b/walnutport/service/attempt.py
@@ -92,6 +92,17 @@
         self._reactor = reactor
         self._watch = watch
         self._control = control
+        self._running_by_digest: dict[bytes, list[defer.Deferred]] = {}
+        if watch is not None:
+            watch.book.on_quarantined = self.cancel_content
+
+    def cancel_content(self, digest: bytes) -> None:
+        """Cancel the repeatable attempts of a content that crashes targets.
+
+        Copies that are still in flight would end further targets.
+        """
+        for running in list(self._running_by_digest.pop(digest, ())):
+            running.cancel()
 
     async def run(
         self, job: AttemptJob, perform: Perform, on_sent: Callable[[], None]
@@ -125,7 +136,7 @@
             running.addTimeout(
                 max(0.0, job.call.deadline - started), self._reactor
             )
-            reply = await running
+            reply = await self._tracked(job, running)
             status = interfaces.AttemptStatus.OK
         except (exceptions.TargetError, defer.TimeoutError) as error:
             status, failure = _classify(error, job)
@@ -139,6 +150,32 @@
             result = self._close(job, attempt_id, started, status, reply, died)
         return AttemptEnd(result, reply, failure)
 
+    async def _tracked(
+        self, job: AttemptJob, running: defer.Deferred
+    ) -> stage_adapter.StageReply:
+        """Wait for an attempt that ``cancel_content`` may end.
+
+        :raises ContentCancelled: if it did.
+        """
+        if not job.stage.repeatable:
+            return await running
+        digest = job.call.digest()
+        tracked = self._running_by_digest.setdefault(digest, [])
+        tracked.append(running)
+        try:
+            return await running
+        except defer.CancelledError:
+            if running not in self._running_by_digest.get(digest, ()):
+                raise exceptions.ContentCancelled(
+                    job.target.target_id
+                ) from None
+            raise
+        finally:
+            if running in tracked:
+                tracked.remove(running)
+            if not tracked and self._running_by_digest.get(digest) is tracked:
+                del self._running_by_digest[digest]
+
     def _open(self, job: AttemptJob, attempt_id: str, now: float) -> str:
         """Return the incarnation of the target that is known now."""
         target_id = job.target.target_id
@@ -209,6 +246,10 @@
     error: Exception, job: AttemptJob
 ) -> tuple[interfaces.AttemptStatus, StageFailure]:
     target_id = job.target.target_id
+    if isinstance(error, exceptions.ContentCancelled):
+        return interfaces.AttemptStatus.CANCELLED, StageFailure(
+            answers.Reason.QUARANTINED, target_id
+        )
     if isinstance(error, exceptions.NotSent):
         return interfaces.AttemptStatus.NOT_SENT, StageFailure(
             answers.Reason.NO_TARGET, f'{target_id}: {error}'
