--- a/bench/probes.py
+++ b/bench/probes.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from standins import caller
+from standins import checker
 from standins import client
 from standins import fleet
 from standins import ledger
@@ -118,13 +119,7 @@
         )
         _wait(sender)
         events = ledger.read_ledger(running.ledger_folder)
-    highest = current = 0
-    for event in events:
-        if event.entry_id != 'limited':
-            continue
-        current += event.kind is ledger.EventKind.STARTED
-        current -= event.kind is ledger.EventKind.FINISHED
-        highest = max(highest, current)
+    highest = checker.peak_running(events, 'limited')
     return {'limit_overshoot_ratio': round(highest / _LIMIT, 3)}
 
 
--- a/standins/checker.py
+++ b/standins/checker.py
@@ -19,7 +19,14 @@
 
 from standins import ledger
 
-__all__ = ['Report', 'check']
+__all__ = ['Report', 'check', 'peak_running']
+
+
+_ENDS = (
+    ledger.EventKind.FINISHED,
+    ledger.EventKind.CANCELLED,
+    ledger.EventKind.CRASHED,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +105,25 @@
     )
 
 
+def peak_running(
+    events: Iterable[ledger.LedgerEvent], entry_id: str
+) -> int:
+    """Return the most requests of an entry that ran at the same time.
+
+    A request with two attempts at once, one of them a hedge, counts once.
+    """
+    request_by_attempt: dict[str, str] = {}
+    peak = 0
+    for event in events:
+        if event.kind in _ENDS:
+            request_by_attempt.pop(event.attempt_id, None)
+        elif event.kind is ledger.EventKind.STARTED:
+            if event.entry_id == entry_id:
+                request_by_attempt[event.attempt_id] = event.request_id
+                peak = max(peak, len(set(request_by_attempt.values())))
+    return peak
+
+
 def _find_lost(
     sent: set[str],
     final_by_nonce: Mapping[str, ledger.LedgerEvent],
--- a/tests/integration/test_burst.py
+++ b/tests/integration/test_burst.py
@@ -1,6 +1,7 @@
 """A burst of one member on three real hosts."""
 
 from standins import caller
+from standins import checker
 from standins import fleet
 from standins import ledger
 
@@ -37,7 +38,8 @@
         events = ledger.read_ledger(running.ledger_folder)
     assert report.findings == ()
     assert report.complete == report.sent == _BURST + 2 * _OTHERS
-    assert _peak(events) <= _LIMIT
+    # A cancelled hedge ends without a FINISHED event.
+    assert checker.peak_running(events, 'limited') <= _LIMIT
     order = [
         event.member_id
         for event in events
@@ -62,11 +64,3 @@
         deadline_ms=60_000,
     )
 
-
-def _peak(events: list[ledger.LedgerEvent]) -> int:
-    peak = current = 0
-    for event in events:
-        current += event.kind is ledger.EventKind.STARTED
-        current -= event.kind is ledger.EventKind.FINISHED
-        peak = max(peak, current)
-    return peak
--- a/tests/service/test_hedging.py
+++ b/tests/service/test_hedging.py
@@ -72,9 +72,7 @@
             )
             self.retries.attempt_finished(done, 0.0)
         self.book = suspects.SuspectBook()
-        parts = policies.Policies(
-            None, None, self.router, self.retries, self.book
-        )
+        parts = policies.Policies(None, self.router, self.retries, self.book)
         self.control = FakeControl()
         self.cost = ledger.CostLedger()
         attempts = attempt.AttemptRunner(
--- a/walnutport/peer/messages.py
+++ b/walnutport/peer/messages.py
@@ -111,8 +111,8 @@
     """Sign of life of a host with the state that its peers need.
 
     :param catalogue_offset: offset up to which the catalogue is folded.
-    :param demands: demands that changed since the last heartbeat, or all of
-        them if ``full`` is set.
+    :param full: whether the address and all known leaving targets are in.
+    :param demands: demands and loans for limits that have any.
     :param address: ``ip:port`` of the sender's peer listener in a full
         heartbeat, for peers whose list does not show the sender yet.
     """
--- a/walnutport/service/heartbeats.py
+++ b/walnutport/service/heartbeats.py
@@ -27,7 +27,6 @@
 # Keeps each part of a heartbeat under the 64 KiB of a message.
 _PART_BYTES = 24_000
 _ITEM_BYTES = 24
-_MAX_KEYS_PER_HOST = 20_000
 
 
 class Heartbeats:
@@ -59,9 +58,10 @@
         self.membership = hosts.HostMembership(
             settings.host_id, settings.peers.fanout, settings.peers.heartbeat_s
         )
-        # Demands of this host for fleet limits.
+        # Demands and loans of this host, for limits that have any. Loans
+        # are leases, so every heartbeat renews them.
         self.demands: Callable[[], Iterable[messages.LimitDemand]] = tuple
-        # Takes all demands of a host that are not zero.
+        # Takes the demands of another host.
         self.on_demands: Callable[
             [str, Sequence[messages.LimitDemand], float], None
         ] = lambda host_id, demands, now: None
@@ -69,8 +69,6 @@
         self._beats = 0
         self._full_next = True
         self._early: twisted_interfaces.IDelayedCall | None = None
-        self._sent_by_key: dict[str, messages.LimitDemand] = {}
-        self._heard_by_host: dict[str, dict[str, messages.LimitDemand]] = {}
         network.live_peers = self.live_peers
         network.subscribe(messages.Heartbeat, self._heard)
         watch.on_leaving = self.beat_early
@@ -113,9 +111,6 @@
         now = self._clock.monotonic()
         for change in self.membership.advance(now):
             LOG.info('%s %s is %s', PREFIX, change.host_id, change.state)
-            if change.state is hosts.HostState.DEAD:
-                self._heard_by_host.pop(change.host_id, None)
-                self.on_demands(change.host_id, (), now)
         self.beat()
 
     def beat(self) -> None:
@@ -163,7 +158,7 @@
 
     def _messages(self, full: bool) -> list[messages.Heartbeat]:
         """Return the heartbeat, in several parts if there is much news."""
-        demands = self._changed_demands(full)
+        demands = tuple(self.demands())
         beat_s = self._settings.peers.heartbeat_s
         words = self._watch.membership.leaving_words(
             0.0 if full else self._clock.monotonic() - _ANNOUNCE_BEATS * beat_s
@@ -187,16 +182,6 @@
             for number, (demands_part, words_part) in enumerate(parts)
         ]
 
-    def _changed_demands(self, full: bool) -> tuple[messages.LimitDemand, ...]:
-        current = {item.limit_key: item for item in self.demands()}
-        known, self._sent_by_key = self._sent_by_key, current
-        if full:
-            return tuple(current.values())
-        gone = known.keys() - current.keys()
-        return tuple(
-            item for key, item in current.items() if known.get(key) != item
-        ) + tuple(messages.LimitDemand(key, 0, 0) for key in sorted(gone))
-
     def _heard(
         self, origin: messages.PeerOrigin, message: messages.Heartbeat
     ) -> None:
@@ -204,27 +189,12 @@
         known = self.membership.known_count()
         if self.membership.heartbeat(origin, message, now):
             LOG.info('%s first heartbeat of %s', PREFIX, origin.host_id)
-            self._heard_by_host.pop(origin.host_id, None)
             self._greet()
         if message.address or known != self.membership.known_count():
             self._update_addresses()
         self._watch.words_heard(message.leaving_targets)
-        if message.demands or message.full:
-            self._merge_demands(origin.host_id, message, now)
-
-    def _merge_demands(
-        self, host_id: str, message: messages.Heartbeat, now: float
-    ) -> None:
-        merged = (
-            {} if message.full else dict(self._heard_by_host.get(host_id, {}))
-        )
-        for item in message.demands:
-            if item.in_use <= 0 and item.waiting <= 0:
-                merged.pop(item.limit_key, None)
-            elif len(merged) < _MAX_KEYS_PER_HOST:
-                merged[item.limit_key] = item
-        self._heard_by_host[host_id] = merged
-        self.on_demands(host_id, tuple(merged.values()), now)
+        if message.demands:
+            self.on_demands(origin.host_id, message.demands, now)
 
 
 def _split(items: tuple, text_of: Callable) -> list[tuple]:
