Give test processes ports that outgoing connections cannot take

Two of the runs of the test of a killed engine failed on a busy machine; the one whose output was kept waited 20 s in vain for a host to become ready. free_port took ports of the range of outgoing connections, and a trial shows that a connection that got such a port keeps a listener from binding to it. Ports now come from below that range, in a slice for each test process.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,6 +1,7 @@
 """Starts, signals and ends the processes of a test, demo or bench run."""
 
 import dataclasses
+import itertools
 import os
 import pathlib
 import signal
@@ -17,13 +18,30 @@
 
 _STOP_LIMIT_S = 40.0
 _POLL_S = 0.02
+_FIRST_PORT = 10_000
+_PORT_SLICES = 110
+_SLICE_PORTS = 200
+_PORT_NUMBERS = itertools.count()
 
 
 def free_port(ip: str = '127.0.0.1') -> int:
-    """Return a TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    """Return a TCP port that is free now and not given out before.
+
+    The ports lie below the range of outgoing connections, one of which could
+    take the port before its process listens, and each test process has a
+    slice of its own.
+    """
+    base = _FIRST_PORT + os.getpid() % _PORT_SLICES * _SLICE_PORTS
+    for _ in range(_SLICE_PORTS):
+        port = base + next(_PORT_NUMBERS) % _SLICE_PORTS
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                continue
+            return port
+    raise OSError(f'no free port from {base} on')
 
 
 def http_json(url: str, body: object = None, timeout_s: float = 5.0) -> bytes:
