--- a/tests/service/test_claims.py
+++ b/tests/service/test_claims.py
@@ -280,6 +280,17 @@
     assert refusal(hosts.claim(0)) == DONE
 
 
+def test_unread_stream_refuses_keyed_work() -> None:
+    """Guards against runs before the claims of other hosts were read."""
+    hosts = Hosts()
+    hosts.gates[0] = hosts._gate('a', False)
+    early = hosts.claim(0)
+    assert refusal(early).reason is answers.Reason.CLAIM_UNAVAILABLE
+    behind = interfaces.StreamPage((), 0, 0, 7)
+    hosts.gates[0].apply(behind, 0.0)
+    assert refusal(hosts.claim(0)) == refusal(early)
+
+
 def test_bad_keys_and_bodies() -> None:
     """Guards against runs under keys that no claim can protect."""
     hosts = Hosts()
