--- a/standins/checker.py
+++ b/standins/checker.py
@@ -105,9 +105,7 @@
     )
 
 
-def peak_running(
-    events: Iterable[ledger.LedgerEvent], entry_id: str
-) -> int:
+def peak_running(events: Iterable[ledger.LedgerEvent], entry_id: str) -> int:
     """Return the most requests of an entry that ran at the same time.
 
     A request with two attempts at once, one of them a hedge, counts once.
--- a/tests/integration/test_burst.py
+++ b/tests/integration/test_burst.py
@@ -63,4 +63,3 @@
         start_s=start_s,
         deadline_ms=60_000,
     )
-
