Measure the cost of control and of the relay in the bench

Cause: control_core_percent, control_kb_per_s, control_rss_mb and relay_cpu_us_per_token_event were not measured by make bench.

Change: the fault proxy counts bytes; a probe of nine hosts at rest; the relay's own measurement is called.

--- a/bench/probes.py
+++ b/bench/probes.py
@@ -7,7 +7,9 @@
 import time
 
 import msgspec
+import psutil
 
+from bench import relay
 from standins import caller
 from standins import checker
 from standins import client
@@ -25,6 +27,13 @@
 _HOSTS = 9
 _CANDIDATES = 64
 _LIMIT = 20
+_REST_S = 15.0
+_STREAMS = 437
+_RELAY_S = 8.0
+_PEER_BYTES = (
+    'walnutport_peer_received_bytes_total',
+    'walnutport_peer_sent_bytes_total',
+)
 _SMALL_POOLS = (
     fleet.PoolPlan('encoder', 2, service_ms=5.0),
     fleet.PoolPlan('retriever', 2, service_ms=5.0),
@@ -191,6 +200,43 @@
     return {'start_to_ready_ms': round(elapsed_ms, 1)}
 
 
+def measure_control() -> dict[str, float]:
+    """Cost of a host beside eight peers at rest.
+
+    The bytes are those of HTTP to the log, the list and the targets, which
+    pass a proxy, and of the messages between hosts in both directions. The
+    memory is what the host holds beyond one without peers and with one
+    small pool.
+    """
+    single = fleet.FleetPlan(hosts=1, pools=_SMALL_POOLS[:1])
+    with fleet.Fleet(single) as running:
+        time.sleep(2.0)
+        idle_rss = _process(running, 'host-1').memory_info().rss
+    plan = fleet.FleetPlan(hosts=_HOSTS, pools=_SMALL_POOLS, proxied=True)
+    with fleet.Fleet(plan) as running:
+        time.sleep(5.0)
+        process = _process(running, 'host-1')
+        bytes_before = _control_bytes(running)
+        cpu_before = sum(process.cpu_times()[:2])
+        started = time.monotonic()
+        time.sleep(_REST_S)
+        elapsed_s = time.monotonic() - started
+        cpu_s = sum(process.cpu_times()[:2]) - cpu_before
+        sent = _control_bytes(running) - bytes_before
+        rss = process.memory_info().rss
+    return {
+        'control_core_percent': round(100 * cpu_s / elapsed_s, 2),
+        'control_kb_per_s': round(sent / elapsed_s / 1_000, 2),
+        'control_rss_mb': round((rss - idle_rss) / 1e6, 1),
+    }
+
+
+def measure_relay() -> dict[str, float]:
+    """CPU time of a host for each relayed token event."""
+    key = 'relay_cpu_us_per_token_event'
+    return {key: relay.measure(_STREAMS, _RELAY_S)[key]}
+
+
 PROBES: dict[str, Callable[[], dict[str, float]]] = {
     'poison_target_deaths': measure_poison,
     'catalogue_in_force_ms_max': measure_catalogue,
@@ -199,6 +245,8 @@
     'decision_us_p99': measure_decision,
     'added_latency_ms_p50': measure_added_latency,
     'start_to_ready_ms': measure_start,
+    'control_core_percent': measure_control,
+    'relay_cpu_us_per_token_event': measure_relay,
 }
 
 
@@ -219,6 +267,23 @@
             running.start_target(target_id)
 
 
+def _process(running: fleet.Fleet, host_id: str) -> psutil.Process:
+    return psutil.Process(running.hosts_by_id[host_id].pid)
+
+
+def _control_bytes(running: fleet.Fleet) -> float:
+    """Return the control bytes of a host so far, the mean over all hosts."""
+    total = float(running.passed_bytes())
+    for address in running.control_addresses_by_host.values():
+        text = processes.http_json(f'http://{address}/metrics').decode()
+        total += sum(
+            float(line.split()[-1])
+            for line in text.splitlines()
+            if line.startswith(_PEER_BYTES)
+        )
+    return total / len(running.control_addresses_by_host)
+
+
 def _change(version: int, body: dict) -> dict:
     return {
         'change_id': f'bench-{version}',
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -69,6 +69,7 @@
         self.port = int(port)
         self.faults = Faults()
         self.connections: set[_Client] = set()
+        self.passed_bytes = 0
 
     def set_faults(self, faults: Faults) -> None:
         self.faults = faults
@@ -93,6 +94,7 @@
             faults = Faults()
         if faults.black_hole or transport is None:
             return
+        self._route.passed_bytes += len(data)
         if not faults.drip_bytes:
             self._write_later(data, transport, faults.delay_s)
             return
@@ -203,10 +205,13 @@
 
     @app.route('/stats')
     def stats(self, request) -> bytes:
-        """Return the count of open connections by port."""
+        """Return open connections and bytes passed, by port."""
         return msgspec.json.encode(
             {
-                str(port): len(route.connections)
+                str(port): {
+                    'connections': len(route.connections),
+                    'passed_bytes': route.passed_bytes,
+                }
                 for port, route in self._routes_by_port.items()
             }
         )
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -319,6 +319,13 @@
             f'http://{self._proxy_address}/control/{port}', faults
         )
 
+    def passed_bytes(self) -> int:
+        """Return the bytes that passed the fault proxy in both directions."""
+        stats = msgspec.json.decode(
+            processes.http_json(f'http://{self._proxy_address}/stats')
+        )
+        return sum(route['passed_bytes'] for route in stats.values())
+
     def output(self, name: str) -> str:
         """Return what a process printed."""
         return (self.folder / f'{name}.log').read_text()
