Leave idle entries and unused targets out of periodic work

Ten times a second, and at each heartbeat with demands, a host reported and divided the limit of every entry, used or not, and kept the shares of all hosts for each of them. It also polled every listed target that was silent for 5 s, although it uses only its subset.

A limit now keeps the own share alone; the shares of all hosts are computed while loans need them. Entries without use are skipped until their next ticket, and the windows take one entry for each pipeline that has no latencies. Only targets of the subset are polled.

--- /dev/null
+++ b/tests/admission/test_control.py
@@ -0,0 +1,138 @@
+"""Differential test of admission with idle entries left out."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from walnutport.admission import control
+from walnutport import interfaces
+from walnutport.peer import messages
+from walnutport import world
+
+_ENTRIES = ('a', 'b', 'c', 'd')
+_HOSTS = ('me', 'peer', 'third')
+_PIPELINES = {
+    'p': world.Pipeline('p', (world.Stage('s', 'engine'),)),
+    'q': world.Pipeline(
+        'q', (world.Stage('r', 'encoder'), world.Stage('s', 'engine'))
+    ),
+}
+_LOAN = st.tuples(st.integers(0, 4), st.integers(0, 3))
+_STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just('offer'), st.sampled_from(_ENTRIES)),
+        st.tuples(st.just('release'), st.integers(0, 9)),
+        st.tuples(st.just('held'), st.sampled_from(_ENTRIES)),
+        st.tuples(st.just('advance'), st.sampled_from((0.05, 0.3, 2.0, 6.0))),
+        st.tuples(st.just('demands'), _LOAN),
+        st.tuples(st.just('hosts'), st.integers(1, 3)),
+        st.tuples(
+            st.just('catalogue'),
+            st.dictionaries(
+                st.sampled_from(_ENTRIES),
+                st.tuples(st.integers(0, 9), st.sampled_from('pq')),
+            ),
+        ),
+    ),
+    max_size=60,
+)
+
+
+class _EagerControl(control.AdmissionControl):
+    """Reports and adjusts every entry each time."""
+
+    def _report_use(self) -> None:
+        self._active = dict.fromkeys(self._contracts_by_id)
+        super()._report_use()
+        self._active = dict.fromkeys(self._contracts_by_id)
+
+    def _entries(self, now):
+        return [
+            (contract, self._pipelines_by_id[contract.pipeline_id])
+            for contract in self._contracts_by_id.values()
+        ]
+
+
+class _Run:
+    """Drives one control and notes what it does."""
+
+    def __init__(self, found: control.AdmissionControl) -> None:
+        self.found = found
+        self.now, self.serial = 1.0, 0
+        self.running: list[str] = []
+        self.seen: list = []
+        address = world.Address('127.0.0.1', 1)
+        found.targets_changed(
+            {
+                name: world.Target(name, name, 'dc', address, 3)
+                for name in ('engine', 'encoder')
+            },
+            self.now,
+        )
+        self.hosts(3)
+        self.catalogue(dict.fromkeys(_ENTRIES, (5, 'p')))
+
+    def offer(self, entry_id: str) -> None:
+        self.serial += 1
+        ticket = interfaces.Ticket(
+            f't{self.serial}', entry_id, 'm', 'c', self.now + 4.0
+        )
+        self._note([self.found.entry_queue.offer(ticket, self.now)])
+
+    def release(self, index: int) -> None:
+        if index < len(self.running):
+            ticket_id = self.running.pop(index)
+            self._note(self.found.entry_queue.release(ticket_id, self.now))
+
+    def held(self, entry_id: str) -> None:
+        for _ in range(8):
+            self.found.stage_held(
+                entry_id, 's', 0.0, 0.1 * ord(entry_id), self.now
+            )
+
+    def advance(self, step_s: float) -> None:
+        self.now += step_s
+        self.found.advance(self.now)
+        self._note(self.found.entry_queue.advance(self.now))
+        self.seen.append(self.found.demands(self.now))
+        for key in ('window/engine', 'window/encoder'):
+            self.seen.append(self.found.entry_queue.capacity(key))
+
+    def demands(self, loan: tuple[int, int]) -> None:
+        tick_ms = int(self.now * 1000)
+        units, in_use = loan
+        loans = (messages.LimitLoan('me', units, tick_ms),) if units else ()
+        demand = messages.LimitDemand('entry/a', in_use, 9, tick_ms, loans)
+        self.found.on_demands('peer', [demand], self.now)
+
+    def hosts(self, live: int) -> None:
+        self.found.hosts_changed(_HOSTS[:live], _HOSTS, self.now)
+        self.advance(0.0)
+
+    def catalogue(self, limits: dict[str, tuple[int, str]]) -> None:
+        contracts = {
+            entry_id: world.Contract(
+                entry_id, 'm', 'c', pipeline, world.Limits(max_in_flight=limit)
+            )
+            for entry_id, (limit, pipeline) in limits.items()
+        }
+        self.found.catalogue_changed(contracts, _PIPELINES, {}, {})
+        self.advance(0.0)
+
+    def _note(self, decisions) -> None:
+        self.seen += decisions
+        self.running += [
+            made.ticket_id
+            for made in decisions
+            if made.kind is interfaces.DecisionKind.GRANTED
+        ]
+
+
+@hypothesis.given(_STEPS)
+def test_idle_entries_make_no_difference(steps) -> None:
+    """Guards against an idle entry whose next ticket meets an old share."""
+    lazy = _Run(control.AdmissionControl('me', 20))
+    eager = _Run(_EagerControl('me', 20))
+    for name, value in steps:
+        for run in (lazy, eager):
+            getattr(run, name)(value)
+        assert lazy.seen == eager.seen, (name, value)
--- a/tests/membership/test_targets.py
+++ b/tests/membership/test_targets.py
@@ -198,6 +198,17 @@
     assert len(members.due_polls(9.0, 8)) == 1
 
 
+def test_targets_outside_the_subset_are_not_polled() -> None:
+    """Guards against polls of the whole fleet from every host."""
+    members = targets.TargetMembership(5.0)
+    members.list_read(listed(LIVE), 0.0)
+    assert not members.due_polls(0.0, 8, ())
+    assert not members.due_polls(0.0, 8, ('not listed yet',))
+    found = members.due_polls(0.0, 8, ('t', 'not listed yet'))
+    assert [target.target_id for target in found] == ['t']
+    assert not members.due_polls(4.9, 8, ('t',))
+
+
 def test_a_word_about_a_replaced_incarnation_is_dropped() -> None:
     """Guards against old words that shut a target out, or a late "live"."""
     members = targets.TargetMembership(5.0)
--- a/walnutport/admission/budget.py
+++ b/walnutport/admission/budget.py
@@ -11,14 +11,14 @@
 import dataclasses
 import math
 
-__all__ = ['DecayedLatencies', 'LatencyBook', 'StageKey']
+__all__ = ['STALE_S', 'DecayedLatencies', 'LatencyBook', 'StageKey']
 
 _BUCKET_RATIO = 1.1
 _MIN_LATENCY_S = 0.000_1
 _BUCKETS = 160
 _HALF_LIFE_S = 10.0
 _MIN_SAMPLES = 8.0
-_STALE_S = 5.0
+STALE_S = 5.0
 # Counts grow by this factor at most before they are scaled back, which keeps
 # them far from the range of a float.
 _MAX_GROWTH = 1e9
@@ -68,7 +68,7 @@
 
     def is_known(self, now: float) -> bool:
         """Return whether there are enough recent samples."""
-        if now - self._last > _STALE_S:
+        if now - self._last > STALE_S:
             return False
         weight = 2.0 ** ((self._last - self._origin) / _HALF_LIFE_S)
         return self._total / weight >= _MIN_SAMPLES
--- a/walnutport/admission/control.py
+++ b/walnutport/admission/control.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import itertools
 import math
 
 from walnutport.admission import budget
@@ -59,6 +60,11 @@
         self._slots_by_service: dict[str, int] = {}
         self._pool_queues_by_service: dict[str, fair_queue.FairQueue] = {}
         self._needs_by_work: dict[tuple[str, int], queue_rules.TimeNeeded] = {}
+        # Entries with use now or lately. The others cost nothing until their
+        # next ticket: a fleet may have thousands of entries.
+        self._active: dict[str, None] = {}
+        self._entries_by_pipeline: dict[str, list[str]] = {}
+        self._held_at_by_entry: dict[str, float] = {}
         self._adjust_at = -math.inf
         self._now = 0.0
         self.entry_queue = fair_queue.FairQueue(
@@ -89,12 +95,20 @@
         """Take the entries in force."""
         for entry_id in set(self._contracts_by_id) - set(contracts_by_id):
             self.limits.drop_limit(f'entry/{entry_id}')
+            self._active.pop(entry_id, None)
+        # Tickets of an entry that was deleted and put again may still be held.
+        for entry_id in set(contracts_by_id) - set(self._contracts_by_id):
+            self._active[entry_id] = None
         self._contracts_by_id = contracts_by_id
         self._pipelines_by_id = pipelines_by_id
         self._classes_by_id = classes_by_id
         self._members_by_id = members_by_id
         self._book.forget(set(contracts_by_id))
+        self._entries_by_pipeline = {}
         for contract in contracts_by_id.values():
+            self._entries_by_pipeline.setdefault(
+                contract.pipeline_id, []
+            ).append(contract.entry_id)
             self.limits.set_limit(
                 f'entry/{contract.entry_id}', contract.limits.max_in_flight
             )
@@ -142,6 +156,7 @@
     ) -> None:
         """Count how long a stage waited for its slot and held it."""
         key = budget.StageKey(entry_id, stage)
+        self._held_at_by_entry[entry_id] = now
         self._book.record(key, waited_s, held_s, now)
 
     def advance(self, now: float) -> None:
@@ -155,7 +170,7 @@
         self._adjust_at = now + _ADJUST_S
         self._needs_by_work.clear()
         self._report_use()
-        for entry_id in self._contracts_by_id:
+        for entry_id in self._active:
             key = f'entry/{entry_id}'
             self.entry_queue.set_capacity(key, self.limits.share(key, now))
         slots_by_service = {}
@@ -173,7 +188,7 @@
             self.pool_queue(service).set_capacity(
                 key, int(share * POOL_FACTOR + 0.5)
             )
-        windows = self._gate.windows(self._entries(), slots_by_service, now)
+        windows = self._gate.windows(self._entries(now), slots_by_service, now)
         for service, units in windows.items():
             self.entry_queue.set_capacity(f'window/{service}', units)
 
@@ -203,13 +218,15 @@
         self._adjust_at = -math.inf
 
     def _report_use(self) -> None:
-        for entry_id in self._contracts_by_id:
+        for entry_id in list(self._active):
             key = f'entry/{entry_id}'
             self.limits.use(
                 key,
                 self.entry_queue.in_use(key),
                 self.entry_queue.waiting(key),
             )
+            if self.limits.is_idle(key):
+                del self._active[entry_id]
         for service in self._slots_by_service:
             key = f'pool/{service}'
             queue = self.pool_queue(service)
@@ -239,10 +256,30 @@
             self.limits.set_limit(f'pool/{service}', slots)
         self._adjust_at = -math.inf
 
-    def _entries(self) -> list[tuple[world.Contract, world.Pipeline]]:
+    def _entries(
+        self, now: float
+    ) -> list[tuple[world.Contract, world.Pipeline]]:
+        """Return the entries with latencies and one for each pipeline.
+
+        Entries without latencies differ only in their pipelines.
+        """
+        self._held_at_by_entry = {
+            entry_id: at
+            for entry_id, at in self._held_at_by_entry.items()
+            if now - at <= budget.STALE_S and entry_id in self._contracts_by_id
+        }
+        entry_ids = list(self._held_at_by_entry)
+        for siblings in self._entries_by_pipeline.values():
+            unmeasured = (
+                entry_id
+                for entry_id in siblings
+                if entry_id not in self._held_at_by_entry
+            )
+            entry_ids += itertools.islice(unmeasured, 1)
+        contracts = [self._contracts_by_id[key] for key in entry_ids]
         return [
             (contract, self._pipelines_by_id[contract.pipeline_id])
-            for contract in self._contracts_by_id.values()
+            for contract in contracts
             if contract.pipeline_id in self._pipelines_by_id
         ]
 
@@ -256,13 +293,19 @@
         )
 
     def _entry_units(self, ticket: interfaces.Ticket) -> tuple[str, ...]:
-        pipeline = self._pipeline(ticket.entry_id)
+        entry_id = ticket.entry_id
+        if entry_id not in self._active and entry_id in self._contracts_by_id:
+            self._active[entry_id] = None
+            key = f'entry/{entry_id}'
+            share = self.limits.share(key, self._now)
+            self.entry_queue.set_capacity(key, share)
+        pipeline = self._pipeline(entry_id)
         # A pool that runs two stages is passed with the later one.
         services = dict.fromkeys(
             stage.service for stage in (pipeline.stages if pipeline else ())
         )
         return (
-            f'entry/{ticket.entry_id}',
+            f'entry/{entry_id}',
             *(f'window/{service}' for service in services),
         )
 
--- a/walnutport/admission/limits.py
+++ b/walnutport/admission/limits.py
@@ -33,6 +33,8 @@
 # at one moment says little, and it takes seconds to take a loan back. With
 # ten reports a second the mean follows within about two seconds.
 _MEAN_STEP = 0.05
+# A lower mean makes no difference to the loans; the limit then counts as idle.
+_IDLE_MEAN = 0.01
 # A host that just appeared in the view may not know its own base yet, and
 # its peers not theirs; the others give up their part at once and take up
 # the part of a lost host only after this time.
@@ -69,7 +71,14 @@
 
 @dataclasses.dataclass(slots=True)
 class _Limit:
+    """A limit and what is known of its use.
+
+    The shares of all hosts are kept only while loans need them: with 730
+    hosts they take 26 kB for each limit.
+    """
+
     limit: int
+    own_base: int | None = None
     in_use: int = 0
     waiting: int = 0
     reported: int = 0
@@ -109,7 +118,7 @@
             self._limits_by_key[limit_key] = _Limit(limit)
         elif found.limit != limit:
             found.limit = limit
-            found.bases = None
+            found.own_base = found.bases = None
 
     def drop_limit(self, limit_key: str) -> None:
         """Forget a limit."""
@@ -120,6 +129,13 @@
         found = self._limits_by_key[limit_key]
         found.in_use, found.waiting = in_use, waiting
         found.mean_in_use += (in_use - found.mean_in_use) * _MEAN_STEP
+        if not in_use and found.mean_in_use < _IDLE_MEAN:
+            found.mean_in_use = 0.0
+
+    def is_idle(self, limit_key: str) -> bool:
+        """Return whether further reports of no use would change nothing."""
+        found = self._limits_by_key[limit_key]
+        return not (found.in_use or found.waiting or found.mean_in_use)
 
     def hosts_changed(
         self, live: Iterable[str], known: Iterable[str], now: float
@@ -190,7 +206,7 @@
         """Return the units that this host may have in use now."""
         self._settle(now)
         found = self._limits_by_key[limit_key]
-        base = self._bases(limit_key, found)[self._host_id]
+        base = self._own_base(limit_key, found)
         lent = sum(
             self._held_back(limit_key, found, host_id, now)
             for host_id in found.lent_by_id
@@ -206,7 +222,14 @@
         if divisors != self._divisors:
             self._divisors = divisors
             for found in self._limits_by_key.values():
-                found.bases = None
+                found.own_base = found.bases = None
+
+    def _own_base(self, limit_key: str, found: _Limit) -> int:
+        if found.own_base is None:
+            found.own_base = shares.base_share(
+                limit_key, found.limit, self._divisors, self._host_id
+            )
+        return found.own_base
 
     def _bases(self, limit_key: str, found: _Limit) -> Mapping[str, int]:
         if found.bases is None:
@@ -260,6 +283,9 @@
     def _renew_loans(
         self, limit_key: str, found: _Limit, now: float
     ) -> tuple[messages.LimitLoan, ...]:
+        if not found.peers_by_id and not found.lent_by_id:
+            found.bases = None
+            return ()
         bases = self._bases(limit_key, found)
         own = max(found.in_use + found.waiting, round(found.mean_in_use))
         demands = {self._host_id: own}
@@ -285,7 +311,7 @@
         now: float,
     ) -> tuple[messages.LimitLoan, ...]:
         loans = []
-        base = self._bases(limit_key, found)[self._host_id]
+        base = self._own_base(limit_key, found)
         for host_id, peer in found.peers_by_id.items():
             units = wanted.get((self._host_id, host_id), 0)
             lent = found.lent_by_id.setdefault(host_id, _Lent())
--- a/walnutport/admission/shares.py
+++ b/walnutport/admission/shares.py
@@ -4,11 +4,12 @@
 same division. They work on whole units.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 import hashlib
 
-__all__ = ['base_shares', 'plan_loans', 'water_fill']
+__all__ = ['base_share', 'base_shares', 'plan_loans', 'water_fill']
 
 _FLOOR_DIVISOR = 5
 
@@ -24,12 +25,7 @@
     >>> sum(base_shares('e', 10, ['a', 'b', 'c']).values())
     10
     """
-    ordered = sorted(
-        hosts,
-        key=lambda host_id: hashlib.blake2b(
-            f'{limit_key}\0{host_id}'.encode(), digest_size=8
-        ).digest(),
-    )
+    ordered = sorted(hosts, key=lambda host_id: _rank(limit_key, host_id))
     if not ordered:
         return {}
     each, more = divmod(max(0, limit), len(ordered))
@@ -38,6 +34,32 @@
     }
 
 
+def base_share(
+    limit_key: str, limit: int, hosts: Collection[str], host_id: str
+) -> int:
+    """Return the share of one host without those of the others.
+
+    >>> hosts = frozenset('abc')
+    >>> all(
+    ...     base_share('e', 10, hosts, host) == share
+    ...     for host, share in base_shares('e', 10, hosts).items()
+    ... )
+    True
+    """
+    each, more = divmod(max(0, limit), len(hosts))
+    if not more:
+        return each
+    own = _rank(limit_key, host_id)
+    before = sum(_rank(limit_key, other) < own for other in hosts)
+    return each + (before < more)
+
+
+def _rank(limit_key: str, host_id: str) -> bytes:
+    return hashlib.blake2b(
+        f'{limit_key}\0{host_id}'.encode(), digest_size=8
+    ).digest()
+
+
 def floor_of(base: int) -> int:
     """Return what a host keeps of its share so that a burst can start."""
     return max(base // _FLOOR_DIVISOR, min(base // 2, 1))
--- a/walnutport/membership/targets.py
+++ b/walnutport/membership/targets.py
@@ -10,6 +10,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 
@@ -146,13 +147,21 @@
             if learned >= learned_after
         )
 
-    def due_polls(self, now: float, most: int) -> tuple[world.Target, ...]:
-        """Return up to ``most`` targets to poll and count them as polled."""
+    def due_polls(
+        self, now: float, most: int, used_ids: Iterable[str] | None = None
+    ) -> tuple[world.Target, ...]:
+        """Return up to ``most`` targets to poll and count them as polled.
+
+        :param used_ids: targets that this host may use; None stands for all.
+            In a large fleet a host uses a small part of the targets, and the
+            polls of the others would take more than its control budget.
+        """
         due: list[world.Target] = []
-        for known in self._known_by_id.values():
+        for target_id in self._known_by_id if used_ids is None else used_ids:
             if len(due) >= most:
                 break
-            if known.target is None:
+            known = self._known_by_id.get(target_id)
+            if known is None or known.target is None:
                 continue
             last = max(
                 (at for at in (known.heard, known.polled) if at is not None),
--- a/walnutport/routing/router.py
+++ b/walnutport/routing/router.py
@@ -1,6 +1,7 @@
 """The standard router: subset, choice, affinity and health together."""
 
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Mapping
 import random
 
@@ -143,6 +144,10 @@
         """Return the targets of the subset of this host."""
         return [item.target for item in self._candidates_by_id.values()]
 
+    def known_ids(self) -> Iterable[str]:
+        """Return the ids of the targets of the subset of this host."""
+        return self._candidates_by_id.keys()
+
     def hosts_changed(self, host_ids: Collection[str], now: float) -> None:
         """Replace the set of hosts, which the subset depends on."""
         if frozenset(host_ids) != self._host_ids:
--- a/walnutport/service/parts.py
+++ b/walnutport/service/parts.py
@@ -17,6 +17,7 @@
 from walnutport import interfaces
 from walnutport.metrics import histograms
 from walnutport.peer import replay
+from walnutport.routing import router
 from walnutport.service import attempts
 from walnutport.service import claims
 from walnutport.service import coordination
@@ -117,6 +118,8 @@
             self.reactor,
             self.settings.peers,
         )
+        if isinstance(self.policies.router, router.StandardRouter):
+            self.watch.used_ids = self.policies.router.known_ids
         self.coordination = coordination.Coordination(
             self.settings,
             self.incarnation,
--- a/walnutport/service/target_watch.py
+++ b/walnutport/service/target_watch.py
@@ -75,6 +75,8 @@
         self._leaving: frozenset[str] = frozenset()
         self.listed_by_id: Mapping[str, world.Target] = {}
         self._polls = 0
+        # Returns the targets that this host may use; None stands for all.
+        self.used_ids: Callable[[], Iterable[str]] | None = None
 
     def list_read(self, targets_by_id: Mapping[str, world.Target]) -> None:
         """Take note of the list."""
@@ -102,7 +104,10 @@
     def advance(self) -> None:
         """Poll silent targets and apply what the passing of time changes."""
         now = self._clock.monotonic()
-        for target in self.membership.due_polls(now, _MAX_POLLS - self._polls):
+        used_ids = None if self.used_ids is None else self.used_ids()
+        for target in self.membership.due_polls(
+            now, _MAX_POLLS - self._polls, used_ids
+        ):
             self._polls += 1
             polling = defer.Deferred.fromCoroutine(self._poll(target))
             polling.addErrback(
