--- a/bench/relay.py
+++ b/bench/relay.py
@@ -166,8 +166,8 @@
 def _run_reader(address: str, pid: str, streams: str, seconds: str) -> None:
     """Open the streams, count events over the window and print the sums."""
     selector = selectors.DefaultSelector()
-    for _ in range(int(streams)):
-        selector.register(_open_stream(address), selectors.EVENT_READ)
+    for number in range(int(streams)):
+        selector.register(_open_stream(address, number), selectors.EVENT_READ)
     host = psutil.Process(int(pid))
     _count_events(selector, _WARM_UP_S)
     before = host.cpu_times()
@@ -186,10 +186,11 @@
     sys.stdout.write(json.dumps(result) + '\n')
 
 
-def _open_stream(address: str) -> socket.socket:
+def _open_stream(address: str, number: int) -> socket.socket:
     ip, _, port = address.partition(':')
     connection = socket.create_connection((ip, int(port)))
-    body = b'{"nonce": "0123456789abcdef"}'
+    # Copies of a content that never completed wait for each other.
+    body = b'{"nonce": "%016x"}' % number
     connection.sendall(
         b'POST /v1/entries/%b HTTP/1.1\r\nhost: bench\r\n'
         b'accept: text/event-stream\r\nauthorization: Bearer %b\r\n'
