Poll leaving targets as well as those of the subset

A leaving target is not in the subset, so since polls were limited to the subset its restart was never heard while the list lagged. The integration test test_a_leaving_target_gets_nothing_new timed out after 30 s in three of three runs and passes with the change.

--- a/walnutport/service/target_watch.py
+++ b/walnutport/service/target_watch.py
@@ -104,7 +104,13 @@
     def advance(self) -> None:
         """Poll silent targets and apply what the passing of time changes."""
         now = self._clock.monotonic()
-        used_ids = None if self.used_ids is None else self.used_ids()
+        # Leaving targets are polled too: only their own report shows that
+        # they are back, and the list may lag.
+        used_ids = (
+            None
+            if self.used_ids is None
+            else {*self.used_ids(), *self._leaving}
+        )
         for target in self.membership.due_polls(
             now, _MAX_POLLS - self._polls, used_ids
         ):
