--- a/walnutport/routing/router.py
+++ b/walnutport/routing/router.py
@@ -1,6 +1,7 @@
 """The standard router: subset, choice, affinity and health together."""
 
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Mapping
 import random
 
@@ -31,7 +32,10 @@
 
 
 class _Pool:
-    def __init__(self, max_ejected_share: float) -> None:
+    def __init__(
+        self, max_ejected_share: float, chosen: subset.SubsetMemory
+    ) -> None:
+        self.subset = chosen
         self.health = health.PoolHealth(max_ejected_share)
         self.candidates: list[choice.Candidate] = []
         self.swept_at = 0.0
@@ -143,6 +147,10 @@
         """Return the targets of the subset of this host."""
         return [item.target for item in self._candidates_by_id.values()]
 
+    def known_ids(self) -> Iterable[str]:
+        """Return the ids of the targets of the subset of this host."""
+        return self._candidates_by_id.keys()
+
     def hosts_changed(self, host_ids: Collection[str], now: float) -> None:
         """Replace the set of hosts, which the subset depends on."""
         if frozenset(host_ids) != self._host_ids:
@@ -171,17 +179,8 @@
         for target in self._targets_by_id.values():
             by_service.setdefault(target.service, []).append(target.target_id)
         for service, target_ids in by_service.items():
-            pool = self._pools_by_service.setdefault(
-                service, _Pool(self._max_ejected_share)
-            )
-            chosen = sorted(
-                subset.choose_subset(
-                    self._host_id,
-                    self._host_ids,
-                    target_ids,
-                    self._subset_size,
-                )
-            )
+            pool = self._pools_by_service.setdefault(service, self._new_pool())
+            chosen = sorted(pool.subset.choose(self._host_ids, target_ids))
             pool.health.replace(chosen)
             pool.candidates = [
                 self._candidate(pool, known.get(target_id), target_id)
@@ -193,6 +192,12 @@
         for service in set(self._pools_by_service) - set(by_service):
             del self._pools_by_service[service]
 
+    def _new_pool(self) -> _Pool:
+        return _Pool(
+            self._max_ejected_share,
+            subset.SubsetMemory(self._host_id, self._subset_size),
+        )
+
     def _candidate(
         self, pool: _Pool, known: choice.Candidate | None, target_id: str
     ) -> choice.Candidate:
