Expose every counter of a host; report cost from the log

The cost counters that /metrics and /v1/report gave came from the ledger's open batches and fell to zero at each flush, and the report took the target time of a host for its count of failed attempts, since CostLine had gained a field. 'status' shows health and attempts in flight of targets, queues, log writer and quarantine. '--help' lists the flags and exits with 0, an unknown flag exits with 2. 'make fleet' keeps a small fleet running. 'make test' runs the docstring examples.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 PY := $(VENV)/bin/python
 MINUTES ?= 5
 
-.PHONY: setup test lint format types demo bench capacity soak count binary
+.PHONY: setup test lint format types demo fleet bench capacity soak count \
+	binary
 
 setup: $(VENV)/.ready
 
@@ -13,7 +14,8 @@
 	touch $@
 
 test: setup
-	HYPOTHESIS_PROFILE=ci PYTHONHASHSEED=0 $(PY) -m pytest -n 6 --dist loadfile tests
+	HYPOTHESIS_PROFILE=ci PYTHONHASHSEED=0 $(PY) -m pytest -n 6 --dist loadfile \
+		--doctest-modules tests walnutport
 
 lint: setup
 	$(PY) -m ruff format --check .
@@ -43,3 +45,6 @@
 
 binary: setup
 	$(PY) -m release.build
+
+fleet: setup
+	$(PY) -m bench.fleet
--- a/walnutport/admission/control.py
+++ b/walnutport/admission/control.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 import math
 
 from walnutport.admission import budget
@@ -28,7 +29,7 @@
 from walnutport.peer import messages
 from walnutport import world
 
-__all__ = ['AdmissionControl', 'POOL_FACTOR']
+__all__ = ['AdmissionControl', 'POOL_FACTOR', 'QueueState']
 
 # A target may hold some more requests than it has slots, so that no slot
 # stands empty between two requests. The factor is applied to the share of
@@ -38,6 +39,16 @@
 _ADJUST_S = 0.1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueState:
+    """Use of a resource that requests wait for."""
+
+    key: str
+    capacity: float
+    in_use: int
+    waiting: int
+
+
 class AdmissionControl:
     """Owns the queues of a host and keeps their capacities up to date.
 
@@ -202,6 +213,23 @@
         self.limits.hosts_changed(live, known, now)
         self._adjust_at = -math.inf
 
+    def queue_states(self) -> list[QueueState]:
+        """Return the use of each resource, in the order of its key."""
+        queues = [self.entry_queue, *self._pool_queues_by_service.values()]
+        return sorted(
+            (
+                QueueState(
+                    key,
+                    queue.capacity(key),
+                    queue.in_use(key),
+                    queue.waiting(key),
+                )
+                for queue in queues
+                for key in queue.keys()
+            ),
+            key=lambda state: state.key,
+        )
+
     def _report_use(self) -> None:
         for entry_id in self._contracts_by_id:
             key = f'entry/{entry_id}'
--- a/walnutport/admission/fair_queue.py
+++ b/walnutport/admission/fair_queue.py
@@ -81,6 +81,10 @@
         """Return the units of a resource."""
         return self._resource(key).capacity
 
+    def keys(self) -> list[str]:
+        """Return the keys of the resources that are known."""
+        return list(self._resources_by_key)
+
     def in_use(self, key: str) -> int:
         """Return the units of a resource that are granted."""
         found = self._resources_by_key.get(key)
--- a/walnutport/cli/catalogue.py
+++ b/walnutport/cli/catalogue.py
@@ -7,9 +7,6 @@
 walnutport catalogue watch                  changes as they are made
 walnutport catalogue history [KIND [NAME]]  changes that the log retains
 
-Flags: --log=IP:PORT, --file=PATH (default stdin), --expected_version=N,
---operator=NAME, --change_id=ID, --json, --timeout_s=S, --count=N (watch).
-
 KIND is contract, member, pipeline or class. --expected_version is the
 version of the entry that the operator saw, 0 for an entry that never
 existed; the edit is refused if the entry has changed since. An edit is
@@ -52,7 +49,7 @@
 __all__ = ['run']
 
 _LOG = flags.DEFINE_string(
-    'log', '127.0.0.1:9000', 'address of the log service'
+    'log', '127.0.0.1:9000', 'address of the log service', allow_override=True
 )
 _FILE = flags.DEFINE_string(
     'file', '-', 'file with the definition; - is stdin'
@@ -64,7 +61,9 @@
 _CHANGE_ID = flags.DEFINE_string(
     'change_id', '', 'id of an edit whose outcome is unknown'
 )
-_JSON = flags.DEFINE_bool('json', False, 'print JSON, one object a line')
+_JSON = flags.DEFINE_bool(
+    'json', False, 'print JSON, one object a line', allow_override=True
+)
 _TIMEOUT_S = flags.DEFINE_float(
     'timeout_s', 5.0, 'longest wait for the log service', lower_bound=0.1
 )
--- a/walnutport/cli/fetch.py
+++ b/walnutport/cli/fetch.py
@@ -1,5 +1,6 @@
-"""Blocking reads of hosts' operator listeners for the command line."""
+"""Blocking HTTP calls of the command line."""
 
+from http import client
 import urllib.error
 import urllib.request
 
@@ -14,22 +15,25 @@
 
 
 class FetchError(exceptions.WalnutportError):
-    """A host did not answer an operator's request."""
+    """A host or the log service did not answer."""
 
 
-def fetch_json(address: str, path: str, answer_type: type):
-    """Read a JSON document from a host.
+def fetch_json(
+    address: str, path: str, answer_type: type, body: object = None
+):
+    """Read a JSON document with GET, or with POST if there is a body.
 
-    :param address: ``ip:port`` of the operators' listener.
+    :param address: ``ip:port`` of the listener.
     :param answer_type: data class that the document must fit.
-    :raises FetchError: if the host does not answer or answers otherwise.
+    :raises FetchError: if there is no answer or another one.
     """
     url = f'http://{address}{path}'
     try:
-        with urllib.request.urlopen(url, timeout=_TIMEOUT_S) as reply:
-            body = reply.read(_MAX_BYTES)
-        return msgspec.json.decode(body, type=answer_type)
-    except (urllib.error.URLError, OSError) as error:
+        data = None if body is None else msgspec.json.encode(body)
+        with urllib.request.urlopen(url, data, _TIMEOUT_S) as reply:
+            text = reply.read(_MAX_BYTES)
+        return msgspec.json.decode(text, type=answer_type)
+    except (urllib.error.URLError, OSError, client.HTTPException) as error:
         raise FetchError(f'{address}: {error}') from error
     except (msgspec.MsgspecError, ValueError) as error:
         raise FetchError(f'{address}: {error}') from error
--- a/walnutport/cli/host.py
+++ b/walnutport/cli/host.py
@@ -1,8 +1,17 @@
 """Run an entry host until SIGTERM or SIGINT.
 
+walnutport host --settings=FILE
+walnutport host --print_defaults
+
 The first signal starts a graceful stop: readiness goes false, calls in
 flight are finished, then the process exits with 0. A second signal, or the
 drain limit, ends the process at once with exit code 1.
+
+Exit codes:
+  0  stopped gracefully, or the defaults were printed
+  1  failed to start, the drain limit was reached, or a second signal came
+  2  wrong use of the command
+  3  the settings are invalid
 """
 
 import logging
--- a/walnutport/cli/main.py
+++ b/walnutport/cli/main.py
@@ -4,12 +4,14 @@
 from collections.abc import Sequence
 import importlib
 import sys
+import types
 
 from absl import app
+from absl import flags
 
 from walnutport.cli import exit_codes
 
-__all__ = ['COMMANDS', 'main']
+__all__ = ['COMMANDS', 'help_text', 'main', 'usage']
 
 COMMANDS = {
     'host': 'run an entry host',
@@ -19,13 +21,22 @@
     'check': 'check settings and catalogue files',
 }
 
+_HELP = {'-h', '-help', '--help'}
 _USAGE = 'usage: walnutport COMMAND [flags]\n\ncommands:\n'
+_EXIT_CODES = (
+    (exit_codes.OK, 'done'),
+    (exit_codes.FAILED, 'failed for another reason'),
+    (exit_codes.USAGE, 'wrong use of the command'),
+    (exit_codes.INVALID, 'settings or a definition are invalid'),
+    (exit_codes.CONFLICT, 'the catalogue entry has another version'),
+    (exit_codes.UNAVAILABLE, 'a host or the log service does not answer'),
+)
 
 
 def main(argv: Sequence[str] | None = None) -> None:
     """Run the program with the process arguments."""
     arguments = list(sys.argv if argv is None else argv)
-    if len(arguments) < 2 or arguments[1] in ('-h', '--help', 'help'):
+    if len(arguments) < 2 or arguments[1] in {*_HELP, 'help'}:
         sys.stdout.write(usage())
         sys.exit(exit_codes.OK if len(arguments) > 1 else exit_codes.USAGE)
     name = arguments[1]
@@ -33,13 +44,35 @@
         sys.stderr.write(f'unknown command {name!r}\n{usage()}')
         sys.exit(exit_codes.USAGE)
     module = importlib.import_module(f'walnutport.cli.{name}')
+    if _HELP & set(arguments[2:]):
+        sys.stdout.write(help_text(module))
+        sys.exit(exit_codes.OK)
     run: Callable[[list[str]], int] = module.run
-    # absl prints the docstring of the main module as the help text.
-    sys.modules['__main__'].__doc__ = module.__doc__
-    app.run(run, argv=[f'walnutport {name}', *arguments[2:]])
+    try:
+        # absl itself would leave with 1, which means something else here.
+        rest = flags.FLAGS([f'walnutport {name}', *arguments[2:]])
+    except flags.Error as error:
+        sys.stderr.write(f'{error}\nwalnutport {name} --help\n')
+        sys.exit(exit_codes.USAGE)
+    app.run(run, argv=rest, flags_parser=lambda parsed: parsed)
+
+
+def help_text(module: types.ModuleType) -> str:
+    """Return the description and the flags of a subcommand."""
+    own_flags = flags.FLAGS.get_flags_for_module(module.__name__)
+    lines = [
+        f'  --{flag.name}: {flag.help} (default {flag.default})\n'
+        for flag in own_flags
+    ]
+    text = f'{(module.__doc__ or "").rstrip()}\n'
+    return f'{text}\nFlags:\n{"".join(lines)}' if lines else text
 
 
 def usage() -> str:
-    """Return the list of commands."""
-    lines = [f'  {name:<10} {text}\n' for name, text in COMMANDS.items()]
-    return _USAGE + ''.join(lines) + '\nwalnutport COMMAND --help\n'
+    """Return the lists of commands and exit codes."""
+    commands = [f'  {name:<10} {text}\n' for name, text in COMMANDS.items()]
+    codes = [f'  {code}  {text}\n' for code, text in _EXIT_CODES]
+    return (
+        f'{_USAGE}{"".join(commands)}\nexit codes:\n{"".join(codes)}\n'
+        'walnutport COMMAND --help shows flags and exit codes of a command\n'
+    )
--- a/walnutport/cli/report.py
+++ b/walnutport/cli/report.py
@@ -1,9 +1,17 @@
 """Report latency by member and class, and cost by stage, over hosts.
 
-Reads the operators' listener of each --host, merges the histograms and adds
-up the cost. --plot FILE draws both as SVG.
+walnutport report [--host=IP:PORT ...] [--log=IP:PORT] [--json] [--plot=FILE]
 
-Exit codes: 0 done, 2 wrong usage, 5 a host does not answer.
+Reads the operators' listener of each --host, merges the histograms and adds
+up the cost since the start of each host. With --log the cost comes from the
+log stream "cost" instead, which includes hosts that are gone and leaves out
+what a running host has not flushed yet (platform.cost_flush_s); hosts are
+then read only if --host names them. --plot draws latency and cost as SVG.
+
+Exit codes:
+  0  done
+  2  wrong use of the command
+  5  a host or the log service does not answer, or answers otherwise
 """
 
 import collections
@@ -14,6 +22,7 @@
 from hdrh import histogram
 import msgspec
 
+from walnutport.cli import cost_log
 from walnutport.cli import exit_codes
 from walnutport.cli import fetch
 from walnutport.cost import records as cost_records
@@ -23,9 +32,18 @@
 __all__ = ['FleetReport', 'run']
 
 _HOSTS = flags.DEFINE_multi_string(
-    'host', ['127.0.0.1:8082'], "address ip:port of an operators' listener"
+    'host',
+    ['127.0.0.1:8082'],
+    "address ip:port of an operators' listener",
+    allow_override=True,
+)
+_LOG = flags.DEFINE_string(
+    'log',
+    '',
+    'ip:port of the log service to read the cost from',
+    allow_override=True,
 )
-_JSON = flags.DEFINE_bool('json', False, 'print JSON')
+_JSON = flags.DEFINE_bool('json', False, 'print JSON', allow_override=True)
 _PLOT = flags.DEFINE_string('plot', '', 'SVG file to draw the report into')
 
 _PERCENTILES = (50, 95, 99)
@@ -38,6 +56,7 @@
     entry: str
     stage: str
     attempts: int
+    failed: int
     target_us: int
     tokens: int
 
@@ -76,7 +95,7 @@
                 cost.owner, cost.member, cost.entry, cost.stage
             )
             line = cost_records.CostLine(
-                cost.attempts, cost.target_us, cost.tokens
+                cost.attempts, cost.failed, cost.target_us, cost.tokens
             )
             known = self.cost_by_key.get(cost_key, cost_records.CostLine())
             self.cost_by_key[cost_key] = known.plus(line)
@@ -104,6 +123,7 @@
             {
                 **dataclasses.asdict(key),
                 'attempts': line.attempts,
+                'failed': line.failed,
                 'target_s': round(line.target_us / 1e6, 3),
                 'tokens': line.tokens,
             }
@@ -116,13 +136,11 @@
     if len(argv) > 1:
         sys.stderr.write(f'unexpected argument {argv[1]!r}\n')
         return exit_codes.USAGE
-    report = FleetReport()
-    for address in _HOSTS.value:
-        try:
-            report.add(fetch.fetch_json(address, '/v1/report', _HostReport))
-        except (fetch.FetchError, exceptions.CodecError) as error:
-            sys.stderr.write(f'{error}\n')
-            return exit_codes.UNAVAILABLE
+    try:
+        report = _read_report()
+    except (fetch.FetchError, exceptions.CodecError) as error:
+        sys.stderr.write(f'{error}\n')
+        return exit_codes.UNAVAILABLE
     if _JSON.value:
         rows = {'latency': report.latency_rows(), 'cost': report.cost_rows()}
         sys.stdout.write(msgspec.json.encode(rows).decode() + '\n')
@@ -137,6 +155,22 @@
     return exit_codes.OK
 
 
+def _read_report() -> FleetReport:
+    report = FleetReport()
+    if not _LOG.value or flags.FLAGS['host'].present:
+        for address in _HOSTS.value:
+            report.add(fetch.fetch_json(address, '/v1/report', _HostReport))
+    if _LOG.value:
+        totals = cost_log.read_totals(_LOG.value)
+        report.cost_by_key = totals.lines_by_key
+        if totals.lost_records:
+            sys.stderr.write(
+                f'{totals.lost_records} records of stream cost have expired '
+                'and are not counted\n'
+            )
+    return report
+
+
 def format_rows(title: str, rows: list[dict[str, object]]) -> str:
     """Return rows as a table of text with aligned columns."""
     if not rows:
--- a/walnutport/cli/status.py
+++ b/walnutport/cli/status.py
@@ -1,7 +1,16 @@
-"""Show a host's own view: targets, queues, catalogue offset, log lag.
+"""Show a host's own view of itself and the fleet.
 
-Exit codes: 0 the host is ready, 1 it is not ready, 2 wrong usage,
-5 the host does not answer.
+walnutport status [--host=IP:PORT] [--json]
+
+Prints readiness, calls in flight, catalogue offset, age of the last read of
+the log, hosts, targets with state, health and attempts in flight of this
+host, the busiest queues, and the latest digests in quarantine.
+
+Exit codes:
+  0  the host is ready
+  1  the host is not ready
+  2  wrong use of the command
+  5  the host does not answer
 """
 
 import sys
@@ -15,9 +24,12 @@
 __all__ = ['run']
 
 _HOST = flags.DEFINE_string(
-    'host', '127.0.0.1:8082', "address ip:port of the operators' listener"
+    'host',
+    '127.0.0.1:8082',
+    "address ip:port of the operators' listener",
+    allow_override=True,
 )
-_JSON = flags.DEFINE_bool('json', False, 'print JSON')
+_JSON = flags.DEFINE_bool('json', False, 'print JSON', allow_override=True)
 
 
 def run(argv: list[str]) -> int:
@@ -47,8 +59,19 @@
 def _append(lines: list[str], values: dict, depth: int) -> None:
     for name, value in values.items():
         indent = '  ' * depth
-        if isinstance(value, dict):
+        if isinstance(value, dict) and _is_flat(value):
+            # A target or queue takes one line.
+            fields = ' '.join(f'{key}={item}' for key, item in value.items())
+            lines.append(f'{indent}{name}: {fields}')
+        elif isinstance(value, dict):
             lines.append(f'{indent}{name}:')
             _append(lines, value, depth + 1)
         else:
             lines.append(f'{indent}{name}: {value}')
+
+
+def _is_flat(values: dict) -> bool:
+    return all(
+        isinstance(value, str | int | float | None)
+        for value in values.values()
+    )
--- a/walnutport/cost/ledger.py
+++ b/walnutport/cost/ledger.py
@@ -7,6 +7,7 @@
 """
 
 from walnutport.cost import records
+from walnutport.cost import sums
 from walnutport import interfaces
 
 __all__ = ['CostLedger']
@@ -39,6 +40,8 @@
         self._pending: records.CostBatch | None = None
         self._ambiguous = False
         self.lines_by_key: dict[records.CostKey, records.CostLine] = {}
+        # Counters of the open batches fall at each flush; these only rise.
+        self.since_start = sums.CostSums()
 
     def book(
         self,
@@ -58,7 +61,9 @@
             target_us=round(result.latency_s * _US_PER_S),
             tokens=result.tokens,
         )
-        self._add(records.CostKey(owner, member_id, entry_id, stage), line)
+        key = records.CostKey(owner, member_id, entry_id, stage)
+        self._add(key, line)
+        self.since_start.add(key, line)
 
     def next_batch(self) -> records.CostBatch | None:
         """Return the batch to append next, or None if there is none."""
--- a/walnutport/metrics/exposition.py
+++ b/walnutport/metrics/exposition.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
 
 from hdrh import histogram
 import prometheus_client
@@ -10,6 +9,7 @@
 from prometheus_client import registry
 
 from walnutport.cost import ledger
+from walnutport.metrics import families
 from walnutport.metrics import histograms
 
 __all__ = ['HostCollector', 'render']
@@ -21,82 +21,89 @@
 class HostCollector(registry.Collector):
     """Collects the metrics of one host.
 
-    :param gauges: returns values of gauges by name.
-    :param counters: returns values of counters by name.
+    Every family of ``metrics.families`` is exposed, one without labels with
+    0 until it has a value.
+
+    :param samples: returns the values that come from the parts of the host.
     """
 
     def __init__(
         self,
         latencies: histograms.LatencyHistograms,
         cost: ledger.CostLedger,
-        gauges: Callable[[], Mapping[str, float]],
-        counters: Callable[[], Mapping[str, float]],
+        samples: Callable[[], Iterable[families.Sample]],
     ) -> None:
         self._latencies = latencies
         self._cost = cost
-        self._gauges = gauges
-        self._counters = counters
+        self._samples = samples
 
     def collect(self) -> Iterable[core.Metric]:
         """Return every metric family."""
-        yield self._latency_family()
-        yield self._outcome_family()
-        yield from self._cost_families()
-        for name, value in self._gauges().items():
-            yield core.GaugeMetricFamily(
-                f'walnutport_{name}', name.replace('_', ' '), value=value
-            )
-        for name, value in self._counters().items():
-            yield core.CounterMetricFamily(
-                f'walnutport_{name}', name.replace('_', ' '), value=value
-            )
-
-    def _latency_family(self) -> core.Metric:
-        family = core.HistogramMetricFamily(
-            'walnutport_request_latency_seconds',
-            'time from acceptance to a complete answer',
-            labels=['member', 'class'],
+        samples_by_name: dict[str, list[families.Sample]] = {}
+        for sample in (
+            *self._samples(),
+            *self._outcomes(),
+            *self._cost_samples(),
+        ):
+            samples_by_name.setdefault(sample.name, []).append(sample)
+        for family in families.FAMILIES:
+            if family.kind is families.Kind.HISTOGRAM:
+                yield self._latency_metric(family)
+            else:
+                yield _metric(family, samples_by_name.get(family.name, []))
+
+    def _latency_metric(self, family: families.Family) -> core.Metric:
+        metric = core.HistogramMetricFamily(
+            f'walnutport_{family.name}', family.help_text, labels=family.labels
         )
         for key, item in self._latencies.histograms():
             total = item.get_total_count()
-            family.add_metric(
-                [key.member_id, key.class_id],
+            metric.add_metric(
+                [
+                    families.bounded_label(key.member_id),
+                    families.bounded_label(key.class_id),
+                ],
                 buckets=_buckets(item),
                 sum_value=item.get_mean_value() * total / 1000,
             )
-        return family
+        return metric
 
-    def _outcome_family(self) -> core.Metric:
-        family = core.CounterMetricFamily(
-            'walnutport_answers',
-            'answers by outcome and reason',
-            labels=['member', 'class', 'outcome', 'reason'],
-        )
+    def _outcomes(self) -> Iterable[families.Sample]:
         counts = self._latencies.outcomes_by_key
         for (key, outcome, reason), count in sorted(counts.items()):
-            family.add_metric(
-                [key.member_id, key.class_id, outcome.value, reason.value],
-                count,
+            labels = key.member_id, key.class_id, outcome.value, reason.value
+            yield families.Sample('answers', count, labels)
+
+    def _cost_samples(self) -> Iterable[families.Sample]:
+        lines = self._cost.since_start.lines_by_key
+        for key, line in sorted(lines.items()):
+            labels = key.owner, key.member_id, key.entry_id, key.stage
+            yield families.Sample('attempts', line.attempts, labels)
+            yield families.Sample('failed_attempts', line.failed, labels)
+            yield families.Sample(
+                'target_seconds', line.target_us / 1e6, labels
             )
-        return family
-
-    def _cost_families(self) -> Iterable[core.Metric]:
-        labels = ['owner', 'member', 'entry', 'stage']
-        attempts = core.CounterMetricFamily(
-            'walnutport_attempts', 'attempts on targets', labels=labels
-        )
-        seconds = core.CounterMetricFamily(
-            'walnutport_target_seconds', 'time on targets', labels=labels
-        )
-        tokens = core.CounterMetricFamily(
-            'walnutport_tokens', 'tokens', labels=labels
+            yield families.Sample('tokens', line.tokens, labels)
+
+
+def _metric(
+    family: families.Family, samples: list[families.Sample]
+) -> core.Metric:
+    kinds = {
+        families.Kind.GAUGE: core.GaugeMetricFamily,
+        families.Kind.COUNTER: core.CounterMetricFamily,
+    }
+    metric = kinds[family.kind](
+        f'walnutport_{family.name}', family.help_text, labels=family.labels
+    )
+    if not samples and not family.labels:
+        metric.add_metric([], 0.0)
+    for sample in samples:
+        metric.add_metric(
+            [families.bounded_label(label) for label in sample.labels],
+            sample.value,
         )
-        for key, line in sorted(self._cost.lines_by_key.items()):
-            names = [key.owner, key.member_id, key.entry_id, key.stage]
-            attempts.add_metric(names, line.attempts)
-            seconds.add_metric(names, line.target_us / 1e6)
-            tokens.add_metric(names, line.tokens)
-        return attempts, seconds, tokens
+    return metric
 
 
 def render(collector: HostCollector) -> bytes:
--- a/walnutport/quarantine/suspects.py
+++ b/walnutport/quarantine/suspects.py
@@ -76,6 +76,27 @@
             return interfaces.SuspicionState.SUSPECT
         return interfaces.SuspicionState.CLEAR
 
+    def digests_by_state(
+        self, now: float
+    ) -> dict[interfaces.SuspicionState, list[bytes]]:
+        """Return the contents that are not clear, newest news first.
+
+        This looks at every entry, of which there are at most 10,000.
+        """
+        found: dict[interfaces.SuspicionState, list[bytes]] = {
+            interfaces.SuspicionState.SUSPECT: [],
+            interfaces.SuspicionState.QUARANTINED: [],
+        }
+        for digest, entry in reversed(self._entries.items()):
+            deaths = len(entry.open_deaths())
+            if not deaths or now - entry.updated_at >= ENTRY_LIFE_S:
+                continue
+            if deaths >= QUARANTINE_DEATHS:
+                found[interfaces.SuspicionState.QUARANTINED].append(digest)
+            else:
+                found[interfaces.SuspicionState.SUSPECT].append(digest)
+        return found
+
     def attempt_started(
         self, digest: bytes, target_id: str, attempt_id: str, now: float
     ) -> None:
--- a/walnutport/routing/router.py
+++ b/walnutport/routing/router.py
@@ -164,6 +164,20 @@
             for target_id, candidate in self._candidates_by_id.items()
         }
 
+    def in_flight_counts(self) -> dict[str, int]:
+        """Return the own attempts in flight on each known target."""
+        return {
+            target_id: len(candidate.started_by_attempt)
+            for target_id, candidate in self._candidates_by_id.items()
+        }
+
+    def ejections_by_service(self) -> dict[str, int]:
+        """Return how many ejections there were in each pool."""
+        return {
+            service: pool.health.ejections
+            for service, pool in self._pools_by_service.items()
+        }
+
     def _rebuild(self) -> None:
         known = self._candidates_by_id
         self._candidates_by_id = {}
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -15,6 +15,7 @@
 from walnutport.service import drain
 from walnutport.service import operators
 from walnutport.service import parts as host_parts
+from walnutport.service import samples
 from walnutport.service import views
 
 __all__ = ['EntryHost']
@@ -53,8 +54,7 @@
         collector = exposition.HostCollector(
             self.parts.latencies,
             self.parts.cost,
-            self.view.gauges,
-            self.view.counters,
+            samples.HostSamples(self).collect,
         )
         self.operators = operators.OperatorApi(
             collector,
--- a/walnutport/service/operators.py
+++ b/walnutport/service/operators.py
@@ -66,10 +66,13 @@
                         'entry': key.entry_id,
                         'stage': key.stage,
                         'attempts': line.attempts,
+                        'failed': line.failed,
                         'target_us': line.target_us,
                         'tokens': line.tokens,
                     }
-                    for key, line in sorted(self._cost.lines_by_key.items())
+                    for key, line in sorted(
+                        self._cost.since_start.lines_by_key.items()
+                    )
                 ],
             }
         )
--- /dev/null
+++ b/walnutport/service/samples.py
@@ -0,0 +1,219 @@
+"""Values of the metrics that come from the parts of a host."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+from walnutport.admission import control
+from walnutport.metrics import families
+from walnutport.quarantine import suspects
+from walnutport.routing import router
+from walnutport import world
+
+if TYPE_CHECKING:
+    from walnutport.service import host
+
+__all__ = ['HostSamples', 'QUEUES_SHOWN', 'target_states']
+
+# A catalogue may have thousands of entries; the queues of the others are
+# added up, so that a scrape stays small.
+QUEUES_SHOWN = 200
+_MAX_SERVICES = 100
+_OTHER = '*'
+
+_Sample = families.Sample
+
+
+class HostSamples:
+    """Reads counters and gauges of a host; see ``metrics.families``.
+
+    :param entry_host: the host whose state is shown.
+    """
+
+    def __init__(self, entry_host: 'host.EntryHost') -> None:
+        self._host = entry_host
+        self._parts = entry_host.parts
+
+    def collect(self) -> Iterator[families.Sample]:
+        """Yield the present values."""
+        yield from self._own()
+        yield from self._queues()
+        yield from self._targets()
+        yield from self._attempts()
+        yield from self._suspects()
+        yield from self._log()
+        yield from self._records()
+        yield from self._peers()
+
+    def _own(self) -> Iterator[families.Sample]:
+        parts, site = self._parts, self._host.caller_site
+        yield _Sample('ready', float(self._host.is_ready()))
+        yield _Sample(
+            'calls_in_flight', len(self._host.callers.in_flight_by_id)
+        )
+        yield _Sample('live_hosts', parts.coordination.heartbeats.live_count())
+        yield _Sample('catalogue_offset', parts.catalogue.offset)
+        yield _Sample('caller_connections', site.connections)
+        yield _Sample('refused_connections', site.refused_connections)
+
+    def _queues(self) -> Iterator[families.Sample]:
+        admission = self._parts.policies.admission
+        if not isinstance(admission, control.AdmissionControl):
+            return
+        yield _Sample('queued_requests', len(admission.entry_queue))
+        for state in _bound_queues(admission.queue_states()):
+            labels = (families.bounded_label(state.key),)
+            yield _Sample('queue_capacity', state.capacity, labels)
+            yield _Sample('queue_in_use', state.in_use, labels)
+            yield _Sample('queue_waiting', state.waiting, labels)
+
+    def _targets(self) -> Iterator[families.Sample]:
+        chosen = self._parts.policies.router
+        if not isinstance(chosen, router.StandardRouter):
+            return
+        services_by_id = {
+            target.target_id: target.service
+            for target in chosen.known_targets()
+        }
+        counts: dict[tuple[str, ...], float] = {}
+        for target_id, state in chosen.health_states().items():
+            key = services_by_id[target_id], state.value
+            counts[key] = counts.get(key, 0) + 1
+        in_flight: dict[str, float] = {}
+        for target_id, count in chosen.in_flight_counts().items():
+            service = services_by_id[target_id]
+            in_flight[service] = in_flight.get(service, 0) + count
+        named = _Services(services_by_id.values())
+        yield from named.sum('targets', counts)
+        yield from named.sum(
+            'target_attempts_in_flight',
+            {(service,): count for service, count in in_flight.items()},
+        )
+        yield from named.sum(
+            'target_ejections',
+            {
+                (service,): count
+                for service, count in chosen.ejections_by_service().items()
+            },
+        )
+        yield _Sample('prefix_index_gaps', chosen.prefixes.gaps)
+
+    def _attempts(self) -> Iterator[families.Sample]:
+        hedges = self._parts.stages.hedges.counts
+        yield _Sample('hedges_started', hedges.started)
+        yield _Sample('hedges_won', hedges.won)
+        yield _Sample('hedges_cancelled', hedges.cancelled)
+        yield _Sample('hedges_late_dropped', hedges.late_dropped)
+        streams = self._parts.engines.counters
+        yield _Sample('stream_attempts', streams.attempts)
+        yield _Sample('stream_attempts_resumed', streams.resumed)
+        yield _Sample('stream_events', streams.events)
+        yield _Sample('stream_events_abandoned', streams.abandoned_events)
+        yield _Sample('stream_events_repeated', streams.repeated_events)
+
+    def _suspects(self) -> Iterator[families.Sample]:
+        parts = self._parts.suspects
+        if parts.watch is not None:
+            yield _Sample('target_deaths', parts.watch.deaths)
+            yield _Sample('verdicts_dropped', parts.watch.verdicts_dropped)
+        if parts.permits is not None:
+            yield _Sample('permit_late_replies', parts.permits.late_replies)
+        book = self._parts.policies.quarantine
+        if isinstance(book, suspects.SuspectBook):
+            now = self._parts.clock.monotonic()
+            for state, digests in book.digests_by_state(now).items():
+                yield _Sample('suspects', len(digests), (state.value,))
+
+    def _log(self) -> Iterator[families.Sample]:
+        reader, writer = self._parts.log_reader, self._parts.log_writer
+        last = reader.last_success
+        age_s = -1.0 if last is None else self._parts.clock.monotonic() - last
+        yield _Sample('log_available', float(reader.available))
+        yield _Sample('log_last_read_seconds', age_s)
+        yield _Sample('log_read_failures', reader.failures)
+        yield _Sample('log_appends', writer.appends)
+        yield _Sample('log_append_failures', writer.failures)
+        yield _Sample('log_appends_queued', writer.queued)
+
+    def _records(self) -> Iterator[families.Sample]:
+        parts = self._parts
+        if parts.claims is not None:
+            yield _Sample('claims_unsettled', parts.claims.unsettled)
+            for result, count in sorted(parts.claims.counts.items()):
+                yield _Sample('claims', count, (result,))
+        flusher = parts.cost_flusher
+        yield _Sample('cost_batches_appended', flusher.appended_batches)
+        yield _Sample('cost_appends_failed', flusher.failed_appends)
+        yield _Sample('snapshots_written', parts.coordination.writer.written)
+        yield _Sample(
+            'catalogue_states_taken', parts.coordination.keeper.taken
+        )
+        if parts.orders is not None:
+            orders = parts.orders
+            yield _Sample('orders_lease_held', float(orders.keeper.is_holder))
+            yield _Sample('orders_sent', orders.orders_sent)
+            yield _Sample('orders_refused', orders.orders_refused)
+            yield _Sample('order_lease_changes', orders.lease_changes)
+
+    def _peers(self) -> Iterator[families.Sample]:
+        for name, count in self._parts.coordination.network.counts.items():
+            yield _Sample(f'peer_{name}', count)
+
+
+class _Services:
+    """Names of pools for labels; those beyond the bound share one."""
+
+    def __init__(self, services: Iterable[str]) -> None:
+        self._shown = set(sorted(set(services))[:_MAX_SERVICES])
+
+    def sum(
+        self, name: str, values_by_labels: Mapping[tuple[str, ...], float]
+    ) -> Iterator[families.Sample]:
+        """Yield samples whose first label is a service."""
+        sums: dict[tuple[str, ...], float] = {}
+        for (service, *rest), value in values_by_labels.items():
+            shown = service if service in self._shown else _OTHER
+            key = (families.bounded_label(shown), *rest)
+            sums[key] = sums.get(key, 0) + value
+        for labels, value in sorted(sums.items()):
+            yield _Sample(name, value, labels)
+
+
+def _bound_queues(
+    states: list[control.QueueState],
+) -> Iterator[control.QueueState]:
+    yield from states[:QUEUES_SHOWN]
+    rest = states[QUEUES_SHOWN:]
+    if rest:
+        yield control.QueueState(
+            _OTHER,
+            sum(state.capacity for state in rest),
+            sum(state.in_use for state in rest),
+            sum(state.waiting for state in rest),
+        )
+
+
+def target_states(
+    targets: Mapping[str, world.Target],
+    usable: Mapping[str, world.Target],
+    chosen: object,
+) -> dict[str, dict[str, object]]:
+    """Return state, health and own attempts in flight of each target.
+
+    A target outside the subset of this host has health ``not_used``.
+    """
+    health, in_flight = {}, {}
+    if isinstance(chosen, router.StandardRouter):
+        health = chosen.health_states()
+        in_flight = chosen.in_flight_counts()
+    return {
+        target_id: {
+            'service': target.service,
+            'data_centre': target.data_centre,
+            'state': 'live' if target_id in usable else 'leaving',
+            'health': str(health.get(target_id, 'not_used')),
+            'in_flight': in_flight.get(target_id, 0),
+        }
+        for target_id, target in sorted(targets.items())
+    }
--- a/walnutport/service/views.py
+++ b/walnutport/service/views.py
@@ -1,12 +1,21 @@
-"""Operators' views of a host: status, gauges and counters."""
+"""Operators' view of a host: what ``walnutport status`` shows."""
 
+import math
 from typing import TYPE_CHECKING
 
+from walnutport.admission import control
+from walnutport import interfaces
+from walnutport.quarantine import suspects
+from walnutport.service import samples
+
 if TYPE_CHECKING:
     from walnutport.service import host
 
 __all__ = ['HostView']
 
+_DIGESTS_SHOWN = 20
+_DIGEST_BYTES = 8
+
 
 class HostView:
     """Reads the state of a host for operators.
@@ -22,8 +31,6 @@
         """Return the host's own view as plain JSON values."""
         parts = self._parts
         now = parts.clock.monotonic()
-        last_read = parts.log_reader.last_success
-        lag_s = None if last_read is None else round(now - last_read, 3)
         membership = parts.coordination.heartbeats.membership
         return {
             'host_id': self._host.settings.host_id,
@@ -32,64 +39,66 @@
             'ready': self._host.is_ready(),
             'stopping': self._host.stopping,
             'calls_in_flight': len(self._host.callers.in_flight_by_id),
+            'claimed_runs': parts.runner.owned_runs,
             'catalogue_offset': parts.catalogue.start_offset(),
-            'log': {
-                'available': parts.log_reader.available,
-                'last_read_s_ago': lag_s,
-            },
+            'log': self._log(now),
             'hosts': {
                 host_id: str(membership.state(host_id, now))
                 for host_id in sorted(membership.known_ids())
             },
-            'targets': self._targets(),
+            'targets': samples.target_states(
+                parts.watch.listed_by_id,
+                parts.watch.membership.usable(now),
+                parts.policies.router,
+            ),
+            'queues': self._queues(),
+            'suspects': self._suspects(now),
         }
 
-    def gauges(self) -> dict[str, float]:
-        """Return the values that rise and fall."""
-        parts = self._parts
+    def _log(self, now: float) -> dict[str, object]:
+        reader, writer = self._parts.log_reader, self._parts.log_writer
+        last = reader.last_success
         return {
-            'ready': float(self._host.is_ready()),
-            'calls_in_flight': len(self._host.callers.in_flight_by_id),
-            'catalogue_offset': parts.catalogue.start_offset(),
-            'log_available': float(parts.log_reader.available),
-            'live_hosts': parts.coordination.heartbeats.live_count(),
-            'caller_connections': self._host.caller_site.connections,
+            'available': reader.available,
+            'last_read_s_ago': None if last is None else round(now - last, 3),
+            'read_failures': reader.failures,
+            'appends': writer.appends,
+            'append_failures': writer.failures,
+            'appends_queued': writer.queued,
         }
 
-    def counters(self) -> dict[str, float]:
-        """Return the values that only rise."""
-        parts = self._parts
-        hedges = parts.stages.hedges.counts
-        stream = parts.engines.counters
-        counters: dict[str, float] = {
-            'refused_connections': self._host.caller_site.refused_connections,
-            'hedges_started': hedges.started,
-            'hedges_won': hedges.won,
-            'hedges_late_dropped': hedges.late_dropped,
-            'stream_events': stream.events,
-            'stream_attempts_resumed': stream.resumed,
-            'stream_events_abandoned': stream.abandoned_events,
-            'stream_events_repeated': stream.repeated_events,
-            'cost_batches_appended': parts.cost_flusher.appended_batches,
-            'cost_appends_failed': parts.cost_flusher.failed_appends,
+    def _queues(self) -> dict[str, object]:
+        """Return the busiest queues; ``capacity`` is None if unbounded."""
+        admission = self._parts.policies.admission
+        if not isinstance(admission, control.AdmissionControl):
+            return {}
+        states = sorted(
+            admission.queue_states(),
+            key=lambda state: (-state.waiting, -state.in_use, state.key),
+        )
+        return {
+            state.key: {
+                'capacity': (
+                    state.capacity if math.isfinite(state.capacity) else None
+                ),
+                'in_use': state.in_use,
+                'waiting': state.waiting,
+            }
+            for state in states[: samples.QUEUES_SHOWN]
         }
-        for name, count in parts.coordination.network.counts.items():
-            counters[f'peer_{name}'] = count
-        if parts.suspects.watch is not None:
-            counters['target_deaths'] = parts.suspects.watch.deaths
-        return counters
 
-    def _targets(self) -> dict[str, object]:
-        membership = self._parts.watch.membership
-        now = self._parts.clock.monotonic()
-        usable = membership.usable(now)
+    def _suspects(self, now: float) -> dict[str, object]:
+        """Return counts, and the latest digests in hexadecimal form."""
+        book = self._parts.policies.quarantine
+        if not isinstance(book, suspects.SuspectBook):
+            return {}
+        digests = book.digests_by_state(now)
+        quarantined = digests[interfaces.SuspicionState.QUARANTINED]
         return {
-            target_id: {
-                'service': target.service,
-                'data_centre': target.data_centre,
-                'state': 'live' if target_id in usable else 'leaving',
-            }
-            for target_id, target in sorted(
-                self._parts.watch.listed_by_id.items()
-            )
+            'suspect': len(digests[interfaces.SuspicionState.SUSPECT]),
+            'quarantined': len(quarantined),
+            'quarantined_digests': [
+                digest[:_DIGEST_BYTES].hex()
+                for digest in quarantined[:_DIGESTS_SHOWN]
+            ],
         }
