--- a/tests/integration/test_fleet_command.py
+++ b/tests/integration/test_fleet_command.py
@@ -1,17 +1,47 @@
 """The fleet that ``make fleet`` starts for a first request."""
 
 import json
+import pathlib
 import shlex
 import signal
 import subprocess
 import sys
+import time
+import urllib.error
 import urllib.request
 
 _LIMIT_S = 60.0
+_README = pathlib.Path(__file__).parents[2] / 'README.md'
 
 
-def test_the_printed_request_is_answered() -> None:
-    """Guards against a README whose first request fails."""
+def _outcome(request: urllib.request.Request) -> str:
+    try:
+        with urllib.request.urlopen(request, timeout=_LIMIT_S) as reply:
+            return json.load(reply)['outcome']
+    except urllib.error.HTTPError as error:
+        return json.load(error)['outcome']
+
+
+def _put_entry(log_address: str) -> None:
+    """Put the contract that the README shows."""
+    text = _README.read_text().split('```json\n')[1].split('```')[0]
+    done = subprocess.run(
+        [
+            *(sys.executable, '-m', 'walnutport', 'catalogue', 'put'),
+            *('contract', 'drafts', '--expected_version=0'),
+            f'--log={log_address}',
+        ],
+        input=text,
+        text=True,
+        capture_output=True,
+        timeout=_LIMIT_S,
+    )
+    assert done.returncode == 0, done.stderr
+    assert 'status=accepted' in done.stdout
+
+
+def test_first_request_and_first_entry_are_answered() -> None:
+    """Guards against a README whose first steps fail."""
     with subprocess.Popen(
         [sys.executable, '-m', 'bench.fleet'],
         stdout=subprocess.PIPE,
@@ -33,9 +63,14 @@
                 command[command.index('-d') + 1].encode(),
                 dict([header.split(': ')]),
             )
-            with urllib.request.urlopen(request, timeout=_LIMIT_S) as reply:
-                answer = json.load(reply)
-            assert answer['outcome'] == 'complete'
+            assert _outcome(request) == 'complete'
+            _put_entry(lines['log'])
+            request.full_url = command[2].replace('summaries', 'drafts')
+            limit = time.monotonic() + _LIMIT_S
+            while (found := _outcome(request)) == 'not_run':
+                # The hosts read the edit a moment after the operator.
+                assert time.monotonic() < limit
+            assert found == 'complete'
             process.send_signal(signal.SIGINT)
             assert process.wait(_LIMIT_S) == 0
         finally:
--- a/walnutport/cli/main.py
+++ b/walnutport/cli/main.py
@@ -36,9 +36,12 @@
 def main(argv: Sequence[str] | None = None) -> None:
     """Run the program with the process arguments."""
     arguments = list(sys.argv if argv is None else argv)
-    if len(arguments) < 2 or arguments[1] in {*_HELP, 'help'}:
+    if len(arguments) < 2:
+        sys.stderr.write(usage())
+        sys.exit(exit_codes.USAGE)
+    if arguments[1] in {*_HELP, 'help'}:
         sys.stdout.write(usage())
-        sys.exit(exit_codes.OK if len(arguments) > 1 else exit_codes.USAGE)
+        sys.exit(exit_codes.OK)
     name = arguments[1]
     if name not in COMMANDS:
         sys.stderr.write(f'unknown command {name!r}\n{usage()}')
--- a/walnutport/interfaces.py
+++ b/walnutport/interfaces.py
@@ -4,6 +4,8 @@
 a monotonic clock and returns a decision. Outside systems return Deferreds.
 """
 
+from __future__ import annotations
+
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
@@ -11,16 +13,19 @@
 from collections.abc import Sequence
 import dataclasses
 import enum
-from typing import Any, Protocol
+from typing import Any, Protocol, TYPE_CHECKING
 
 from expression import Result
-from twisted.internet.defer import Deferred
 
 from walnutport import exceptions
 from walnutport.lifecycle import answers
 from walnutport.peer import messages
 from walnutport import world
 
+if TYPE_CHECKING:
+    # The decision parts run without Twisted.
+    from twisted.internet.defer import Deferred
+
 __all__ = [
     'Admission',
     'AdmissionQueue',
--- a/walnutport/metrics/families.py
+++ b/walnutport/metrics/families.py
@@ -105,7 +105,7 @@
 _HOST = (
     _gauge('ready', '1 if the host takes new calls'),
     _gauge('calls_in_flight', 'calls that are not answered yet'),
-    _gauge('live_hosts', 'peers that were heard lately'),
+    _gauge('live_hosts', 'hosts heard lately, this one included'),
     _gauge('catalogue_offset', 'log offset up to which edits are in force'),
     _gauge('caller_connections', 'open connections of callers'),
     _counter('refused_connections', 'connections over max_connections'),
