Bound the time of a scrape and the depth of new pools

Cause: a test with 3,000 members, pools and suspects on one host showed two faults. Each scrape counted the buckets of each histogram by walking it once for each bound: 25.2 s for 1,000 pairs of member and class, during which the host answers nothing. And a host list with about 300 new pools ended in a RecursionError, as each new pool queue adjusted all capacities, which made the next one. Change: bucket counts are kept beside the histograms; pool queues are made without an adjustment in between. Conclusion: series and label lengths are bounded, tests/service/test_samples.py.

--- /dev/null
+++ b/tests/service/test_samples.py
@@ -0,0 +1,123 @@
+"""Bounds of the metrics and of the status of a host."""
+
+import collections
+
+import msgspec
+from prometheus_client import parser
+from twisted.internet import reactor
+
+from walnutport.config import settings as config
+from walnutport import interfaces
+from walnutport.lifecycle import answers
+from walnutport.metrics import exposition
+from walnutport.metrics import histograms
+from walnutport.service import host
+from walnutport.service import samples
+from walnutport import world
+
+_MANY = 3_000
+_MAX_SERIES = 100
+
+
+def _crowd(entry_host: host.EntryHost) -> None:
+    """Give a host thousands of members, entries, pools and suspects."""
+    parts = entry_host.parts
+    long_name = 'n' * 200
+    for number in range(_MANY):
+        name = f'{long_name}{number}'
+        parts.latencies.record(
+            histograms.MetricKey(name, 'standard'),
+            answers.Answer(answers.Outcome.COMPLETE, answers.Reason.OK),
+            0.02,
+        )
+        parts.cost.book(
+            member_id=name,
+            owner=name,
+            entry_id=name,
+            stage=name,
+            result=interfaces.AttemptResult(
+                'a', 't', 's', interfaces.AttemptStatus.OK, 0.01
+            ),
+        )
+        digest = number.to_bytes(16)
+        book = parts.policies.quarantine
+        for target in ('t1', 't2'):
+            book.attempt_started(digest, target, f'{target}{number}', 0.0)
+    for target in ('t1', 't2'):
+        parts.policies.quarantine.target_died(target, 0.0)
+    address = world.Address('127.0.0.1', 1)
+    targets = {
+        f't{number}': world.Target(
+            f't{number}', f'{long_name}{number}', 'dc-1', address
+        )
+        for number in range(_MANY)
+    }
+    now = parts.clock.monotonic()
+    parts.policies.router.targets_changed(targets, now)
+    parts.policies.admission.targets_changed(targets, now)
+    parts.policies.admission.advance(now)
+
+
+def _host(policy: str) -> host.EntryHost:
+    text = msgspec.json.encode({'policies': {'policy': policy}})
+    return host.EntryHost(config.parse_settings(text), reactor)
+
+
+def _metrics(entry_host: host.EntryHost) -> dict[str, list]:
+    collector = exposition.HostCollector(
+        entry_host.parts.latencies,
+        entry_host.parts.cost,
+        samples.HostSamples(entry_host).collect,
+    )
+    text = exposition.render(collector).decode()
+    return {
+        family.name: family.samples
+        for family in parser.text_string_to_metric_families(text)
+    }
+
+
+def test_series_and_labels_are_bounded() -> None:
+    """Guards against a scrape that grows with members, entries or pools."""
+    entry_host = _host('standard')
+    _crowd(entry_host)
+    metrics = _metrics(entry_host)
+    series = collections.Counter(
+        {
+            name: len({tuple(sample.labels.items()) for sample in found})
+            for name, found in metrics.items()
+        }
+    )
+    labels = {
+        label
+        for found in metrics.values()
+        for sample in found
+        for label in sample.labels.values()
+    }
+    assert max(map(len, labels)) <= 64
+    # Each pair of member and class has 13 series: buckets and the sum.
+    assert series['walnutport_request_latency_seconds'] <= 13 * 1_001
+    assert series['walnutport_answers'] <= 1_001
+    assert series['walnutport_attempts'] <= 2_001
+    assert series['walnutport_queue_waiting'] <= samples.QUEUES_SHOWN + 1
+    assert series['walnutport_targets'] <= _MAX_SERIES + 1
+    attempts = metrics['walnutport_attempts']
+    assert sum(sample.value for sample in attempts) == _MANY
+    targets = metrics['walnutport_targets']
+    assert sum(sample.value for sample in targets) == _MANY
+    standing = {
+        sample.labels['standing']: sample.value
+        for sample in metrics['walnutport_suspects']
+    }
+    assert standing == {'suspect': 0, 'quarantined': _MANY}
+    status = entry_host.view.status()
+    assert len(status['suspects']['quarantined_digests']) == 20
+    assert len(status['queues']) == samples.QUEUES_SHOWN
+
+
+def test_naive_host_has_metrics_and_status() -> None:
+    """Guards against views that need the standard policies."""
+    entry_host = _host('naive')
+    metrics = _metrics(entry_host)
+    assert metrics['walnutport_calls_in_flight'][0].value == 0
+    assert metrics['walnutport_target_deaths'][0].value == 0
+    assert entry_host.view.status()['queues'] == {}
--- a/walnutport/admission/control.py
+++ b/walnutport/admission/control.py
@@ -78,6 +78,13 @@
 
     def pool_queue(self, service: str) -> fair_queue.FairQueue:
         """Return the queue in front of a pool."""
+        is_new = service not in self._pool_queues_by_service
+        found = self._queue_of(service)
+        if is_new:
+            self._adjust(self._now)
+        return found
+
+    def _queue_of(self, service: str) -> fair_queue.FairQueue:
         found = self._pool_queues_by_service.get(service)
         if found is None:
             key = f'pool/{service}'
@@ -86,8 +93,6 @@
                 rules=self._rules(lambda _: (key,)),
             )
             self._pool_queues_by_service[service] = found
-            self._adjust_at = -math.inf
-            self.advance(self._now)
         return found
 
     def catalogue_changed(
@@ -174,14 +179,14 @@
             key = f'pool/{service}'
             if not self._slots_by_service[service]:
                 # Requests pass and are told that there is no target.
-                self.pool_queue(service).set_capacity(key, math.inf)
+                self._queue_of(service).set_capacity(key, math.inf)
                 self.entry_queue.set_capacity(f'window/{service}', math.inf)
                 continue
             # A target with one request too many is better than a host that
             # cannot reach a small pool at all.
             share = max(1, self.limits.share(key, now))
             slots_by_service[service] = share
-            self.pool_queue(service).set_capacity(
+            self._queue_of(service).set_capacity(
                 key, int(share * POOL_FACTOR + 0.5)
             )
         windows = self._gate.windows(self._entries(), slots_by_service, now)
@@ -240,7 +245,7 @@
             )
         for service in self._slots_by_service:
             key = f'pool/{service}'
-            queue = self.pool_queue(service)
+            queue = self._queue_of(service)
             # What waits at the entry wants the pool as well.
             waiting = queue.waiting(key) + self.entry_queue.waiting(
                 f'window/{service}'
--- a/walnutport/metrics/exposition.py
+++ b/walnutport/metrics/exposition.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
-from hdrh import histogram
 import prometheus_client
 from prometheus_client import core
 from prometheus_client import registry
@@ -14,9 +13,6 @@
 
 __all__ = ['HostCollector', 'render']
 
-# Upper bounds in ms that a settlement window or a till screen cares about.
-BUCKETS_MS = (5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 4_000, 10_000)
-
 
 class HostCollector(registry.Collector):
     """Collects the metrics of one host.
@@ -56,15 +52,14 @@
         metric = core.HistogramMetricFamily(
             f'walnutport_{family.name}', family.help_text, labels=family.labels
         )
-        for key, item in self._latencies.histograms():
-            total = item.get_total_count()
+        for key, item in sorted(self._latencies.buckets_by_key.items()):
             metric.add_metric(
                 [
                     families.bounded_label(key.member_id),
                     families.bounded_label(key.class_id),
                 ],
                 buckets=_buckets(item),
-                sum_value=item.get_mean_value() * total / 1000,
+                sum_value=item.sum_s,
             )
         return metric
 
@@ -113,18 +108,9 @@
     return prometheus_client.generate_latest(own_registry)
 
 
-def _buckets(item: histogram.HdrHistogram) -> list[tuple[str, float]]:
-    buckets: list[tuple[str, float]] = [
-        (str(bound / 1000), float(_count_up_to(item, bound)))
-        for bound in BUCKETS_MS
+def _buckets(item: histograms.LatencyBuckets) -> list[tuple[str, float]]:
+    bounds = [str(bound / 1000) for bound in histograms.BUCKETS_MS]
+    return [
+        (bound, float(count))
+        for bound, count in zip([*bounds, '+Inf'], item.cumulative())
     ]
-    return [*buckets, ('+Inf', float(item.get_total_count()))]
-
-
-def _count_up_to(item: histogram.HdrHistogram, bound_ms: int) -> int:
-    count = 0
-    for step in item.get_recorded_iterator():
-        if step.value_iterated_to > bound_ms:
-            break
-        count = step.total_count_to_this_value
-    return count
--- a/walnutport/metrics/histograms.py
+++ b/walnutport/metrics/histograms.py
@@ -1,9 +1,11 @@
 """Latency histograms by member and class, and counts of outcomes."""
 
+import bisect
 import collections
 from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
+import itertools
 
 from hdrh import histogram
 
@@ -11,6 +13,8 @@
 from walnutport.lifecycle import answers
 
 __all__ = [
+    'BUCKETS_MS',
+    'LatencyBuckets',
     'LatencyHistograms',
     'MetricKey',
     'merge_encoded',
@@ -22,6 +26,8 @@
 # Two significant digits take about 11 kB a histogram; a third would take ten
 # times as much and is finer than any deadline.
 SIGNIFICANT_DIGITS = 2
+# Upper bounds in ms that a settlement window or a till screen cares about.
+BUCKETS_MS = (5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 4_000, 10_000)
 _MAX_KEYS = 1_000
 _OTHER = 'other'
 
@@ -34,6 +40,32 @@
     class_id: str
 
 
+class LatencyBuckets:
+    """Counts by bucket for the exposition.
+
+    They are kept beside the histogram, as counting one histogram's buckets
+    takes 25 ms, which at 1,000 histograms stops the host for 25 s.
+
+    >>> buckets = LatencyBuckets()
+    >>> buckets.record(0.02)
+    >>> buckets.cumulative()[:4]
+    [0, 0, 1, 1]
+    """
+
+    def __init__(self) -> None:
+        self._counts = [0] * (len(BUCKETS_MS) + 1)
+        self.sum_s = 0.0
+
+    def record(self, latency_s: float) -> None:
+        """Count one value."""
+        self._counts[bisect.bisect_left(BUCKETS_MS, latency_s * 1000)] += 1
+        self.sum_s += latency_s
+
+    def cumulative(self) -> list[int]:
+        """Return the count up to each bound; the last has no bound."""
+        return list(itertools.accumulate(self._counts))
+
+
 def new_histogram() -> histogram.HdrHistogram:
     """Return an empty histogram of milliseconds."""
     return histogram.HdrHistogram(LOWEST_MS, HIGHEST_MS, SIGNIFICANT_DIGITS)
@@ -50,6 +82,7 @@
     def __init__(self, max_keys: int = _MAX_KEYS) -> None:
         self._max_keys = max_keys
         self._histograms_by_key: dict[MetricKey, histogram.HdrHistogram] = {}
+        self.buckets_by_key: dict[MetricKey, LatencyBuckets] = {}
         self.outcomes_by_key: collections.Counter[
             tuple[MetricKey, answers.Outcome, answers.Reason]
         ] = collections.Counter()
@@ -66,6 +99,7 @@
         if answer.outcome is answers.Outcome.COMPLETE:
             value_ms = min(HIGHEST_MS, max(LOWEST_MS, int(latency_s * 1000)))
             self._histograms_by_key[key].record_value(value_ms)
+            self.buckets_by_key[key].record(latency_s)
 
     def histograms(
         self,
@@ -85,6 +119,7 @@
             key = MetricKey(_OTHER, _OTHER)
         if key not in self._histograms_by_key:
             self._histograms_by_key[key] = new_histogram()
+            self.buckets_by_key[key] = LatencyBuckets()
         return key
 
 
