--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -52,12 +52,13 @@
         '-d',
         '{"text": "invoice 17"}',
     ]
+    program = f'{sys.executable} -m walnutport'
     lines += [
         f'log: {running.log_address}',
         f'list: {running.list_address}',
         'request: ' + shlex.join(request),
-        f'status: walnutport status --host={control}',
-        f'catalogue: walnutport catalogue list --log={running.log_address}',
+        f'status: {program} status --host={control}',
+        f'catalogue: {program} catalogue list --log={running.log_address}',
         'Ctrl-C ends the fleet.',
     ]
     return '\n'.join(lines) + '\n'
