Start the fleet of a test on the test's own ports

Cause: the fleet that tests/integration/test_fleet_command.py starts chose its ports by its own process id, which may share a slice with another test. Seen at a load average of 26 to 32: in one of two full runs the request ended with a connection reset, and in one of four runs side by side a stand-in did not answer on its port within 20 s. That both came from a shared port fits but is not proven. Change: the test hands its slice on in the environment. Conclusion: the test uses ports as every other test does.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -14,8 +14,16 @@
 
 import msgspec
 
-__all__ = ['ManagedProcess', 'free_port', 'http_json', 'wait_http']
-
+__all__ = [
+    'ManagedProcess',
+    'PORT_OWNER',
+    'free_port',
+    'http_json',
+    'wait_http',
+]
+
+# Environment variable with the process id that chooses the slice of ports.
+PORT_OWNER = 'WALNUTPORT_PORT_OWNER'
 _STOP_LIMIT_S = 40.0
 _POLL_S = 0.02
 _FIRST_PORT = 10_000
@@ -29,9 +37,12 @@
 
     The ports lie below the range of outgoing connections, one of which could
     take the port before its process listens, and each test process has a
-    slice of its own.
+    slice of its own. A program that a test starts takes the slice of the test
+    from the environment, as its own process id may share one with another
+    test.
     """
-    base = _FIRST_PORT + os.getpid() % _PORT_SLICES * _SLICE_PORTS
+    owner = int(os.environ.get(PORT_OWNER, os.getpid()))
+    base = _FIRST_PORT + owner % _PORT_SLICES * _SLICE_PORTS
     for _ in range(_SLICE_PORTS):
         port = base + next(_PORT_NUMBERS) % _SLICE_PORTS
         with socket.socket() as probe:
--- a/tests/integration/test_fleet_command.py
+++ b/tests/integration/test_fleet_command.py
@@ -1,6 +1,7 @@
 """The fleet that ``make fleet`` starts for a first request."""
 
 import json
+import os
 import pathlib
 import shlex
 import signal
@@ -10,6 +11,8 @@
 import urllib.error
 import urllib.request
 
+from standins import processes
+
 _LIMIT_S = 60.0
 _README = pathlib.Path(__file__).parents[2] / 'README.md'
 
@@ -46,6 +49,7 @@
         [sys.executable, '-m', 'bench.fleet'],
         stdout=subprocess.PIPE,
         text=True,
+        env={**os.environ, processes.PORT_OWNER: str(os.getpid())},
     ) as process:
         try:
             assert process.stdout is not None
