--- a/walnutport/admission/control.py
+++ b/walnutport/admission/control.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 import itertools
 import math
 
@@ -29,7 +30,7 @@
 from walnutport.peer import messages
 from walnutport import world
 
-__all__ = ['AdmissionControl', 'POOL_FACTOR']
+__all__ = ['AdmissionControl', 'POOL_FACTOR', 'QueueState']
 
 # A target may hold some more requests than it has slots, so that no slot
 # stands empty between two requests. The factor is applied to the share of
@@ -39,6 +40,16 @@
 _ADJUST_S = 0.1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueState:
+    """Use of a resource that requests wait for."""
+
+    key: str
+    capacity: float
+    in_use: int
+    waiting: int
+
+
 class AdmissionControl:
     """Owns the queues of a host and keeps their capacities up to date.
 
@@ -73,6 +84,13 @@
 
     def pool_queue(self, service: str) -> fair_queue.FairQueue:
         """Return the queue in front of a pool."""
+        is_new = service not in self._pool_queues_by_service
+        found = self._queue_of(service)
+        if is_new:
+            self._adjust(self._now)
+        return found
+
+    def _queue_of(self, service: str) -> fair_queue.FairQueue:
         found = self._pool_queues_by_service.get(service)
         if found is None:
             key = f'pool/{service}'
@@ -81,8 +99,6 @@
                 rules=self._rules(lambda _: (key,)),
             )
             self._pool_queues_by_service[service] = found
-            self._adjust_at = -math.inf
-            self.advance(self._now)
         return found
 
     def catalogue_changed(
@@ -178,7 +194,7 @@
             key = f'pool/{service}'
             if not self._slots_by_service[service]:
                 # Requests pass and are told that there is no target.
-                self.pool_queue(service).set_capacity(key, math.inf)
+                self._queue_of(service).set_capacity(key, math.inf)
                 self.entry_queue.set_capacity(f'window/{service}', math.inf)
                 continue
             # A target with a request too many is better than a host that
@@ -186,7 +202,7 @@
             # loan of it is out: arrivals vary within the time of a lease.
             share = max(1, self.limits.base(key), self.limits.share(key, now))
             slots_by_service[service] = share
-            self.pool_queue(service).set_capacity(
+            self._queue_of(service).set_capacity(
                 key, int(share * POOL_FACTOR + 0.5)
             )
         windows = self._gate.windows(self._entries(now), slots_by_service, now)
@@ -218,6 +234,23 @@
         self.limits.hosts_changed(live, known, now)
         self._adjust_at = -math.inf
 
+    def queue_states(self) -> list[QueueState]:
+        """Return the use of each resource, in the order of its key."""
+        queues = [self.entry_queue, *self._pool_queues_by_service.values()]
+        return sorted(
+            (
+                QueueState(
+                    key,
+                    queue.capacity(key),
+                    queue.in_use(key),
+                    queue.waiting(key),
+                )
+                for queue in queues
+                for key in queue.keys()
+            ),
+            key=lambda state: state.key,
+        )
+
     def _report_use(self) -> None:
         for entry_id in list(self._active):
             key = f'entry/{entry_id}'
@@ -230,7 +263,7 @@
                 del self._active[entry_id]
         for service in self._slots_by_service:
             key = f'pool/{service}'
-            queue = self.pool_queue(service)
+            queue = self._queue_of(service)
             # What waits at the entry wants the pool as well.
             waiting = queue.waiting(key) + self.entry_queue.waiting(
                 f'window/{service}'
