Prove promises behind the fault proxy and test proxy and checker

Cause: no test drove real processes through the fault proxy, and neither the proxy nor the checker had tests of its own.

The proxy no longer delivers a stream with a gap after a black hole, no longer cuts off delayed data when the far side closes, keeps the order of pieces that are due at the same time, delays each piece by delay_s instead of adding the delays up, and applies half_open to new connections. The checker also finds events out of order and a missing end of a stream.

Before the change the checker counted nothing for events received in the order (1, 0).

--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -14,6 +14,7 @@
 from standins import ledger
 from standins import list_server
 from standins import log_server
+from standins import naive_relay
 from standins import target_server
 from standins import weight_server
 
@@ -69,6 +70,11 @@
     _serve(settings.ip, settings.port, weight_server.WeightServer(settings))
 
 
+def _start_naive_relay(text: str) -> None:
+    settings = msgspec.json.decode(text, type=naive_relay.NaiveRelaySettings)
+    _serve(settings.ip, settings.port, naive_relay.NaiveRelay(settings))
+
+
 def _start_caller(text: str) -> None:
     settings = msgspec.json.decode(text, type=caller.CallerSettings)
     with ledger.Ledger(settings.ledger_folder, settings.source) as book:
@@ -83,6 +89,7 @@
     'weights': _start_weights,
     'caller': _start_caller,
     'proxy': _start_proxy,
+    'naive_relay': _start_naive_relay,
 }
 
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -68,6 +68,7 @@
     nonce: str = ''
     trace: tuple[str, ...] = ()
     tokens: tuple[int, ...] = ()
+    tokens_wanted: int = 0
 
 
 class Caller:
@@ -130,6 +131,7 @@
                 answered_nonce=received.nonce,
                 trace=received.trace,
                 tokens=received.tokens,
+                tokens_wanted=received.tokens_wanted,
                 late=elapsed_s > load.deadline_ms / 1000,
                 latency_s=elapsed_s,
             )
@@ -231,6 +233,7 @@
             output = data.get('output', {})
             received.nonce = output.get('nonce', '')
             received.trace = tuple(output.get('trace', ()))
+            received.tokens_wanted = data.get('tokens', 0)
         elif 'token' in data:
             tokens.append(data['token'])
     received.tokens = tuple(tokens)
--- a/standins/checker.py
+++ b/standins/checker.py
@@ -4,7 +4,7 @@
 Count              Broken promise
 =================  ======================================================
 ``lost``           a request without a final answer, or a complete answer
-                   that lacks a stage or an event
+                   that lacks a stage, an event or the order of events
 ``doubled``        a stage that may not be repeated started twice for one
                    nonce, or an event that arrived twice
 ``misdelivered``   an answer or event of another request
@@ -149,9 +149,11 @@
         wanted = stages_by_entry.get(event.entry_id)
         if wanted is not None and event.trace != wanted:
             found.append(f'lost: {nonce} lacks a stage: {event.trace}')
-        unique = sorted(set(event.tokens))
-        if unique != list(range(len(unique))):
-            found.append(f'lost: {nonce} lacks events: {event.tokens}')
+        unique = tuple(dict.fromkeys(event.tokens))
+        if unique != tuple(range(max(len(unique), event.tokens_wanted))):
+            found.append(
+                f'lost: {nonce} lacks events or their order: {event.tokens}'
+            )
     return found
 
 
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -16,8 +16,11 @@
 One-way loss is ``black_hole`` with one direction only.
 """
 
+import collections
+from collections.abc import Callable
 import dataclasses
 import enum
+import functools
 
 import klein
 import msgspec
@@ -80,33 +83,57 @@
 
 
 class _Forwarder:
-    """Passes data on in order, under the faults of the route."""
+    """Passes data on in order, under the faults of the route.
+
+    A direction that has dropped data stays silent for the life of the
+    connection, as TCP never delivers a stream with a gap.
+    """
 
     def __init__(self, route: _Route, direction: Direction) -> None:
         self._route = route
         self._direction = direction
         self._ready_at = 0.0
+        self._waiting: collections.deque = collections.deque()
+        self._is_silent = False
 
     def forward(self, data: bytes, transport) -> None:
-        faults = self._route.faults
-        if faults.direction not in (Direction.BOTH, self._direction):
-            faults = Faults()
-        if faults.black_hole or transport is None:
+        """Pass data on now or later, or drop it."""
+        faults = self._faults()
+        self._is_silent |= faults.black_hole
+        if self._is_silent or transport is None:
             return
-        if not faults.drip_bytes:
-            self._write_later(data, transport, faults.delay_s)
-            return
-        for start in range(0, len(data), faults.drip_bytes):
-            piece = data[start : start + faults.drip_bytes]
-            self._write_later(piece, transport, faults.drip_s)
+        size = faults.drip_bytes or len(data)
+        for start in range(0, len(data), size):
+            piece = data[start : start + size]
+            self._later(functools.partial(transport.write, piece), faults)
+
+    def close(self, transport) -> None:
+        """Close the connection behind the data that is under way."""
+        faults = self._faults()
+        self._is_silent |= faults.black_hole
+        if not self._is_silent and transport is not None:
+            self._later(transport.loseConnection, Faults())
+
+    def _faults(self) -> Faults:
+        faults = self._route.faults
+        if faults.direction in (Direction.BOTH, self._direction):
+            return faults
+        return Faults()
 
-    def _write_later(self, data: bytes, transport, delay_s: float) -> None:
+    def _later(self, action: Callable[[], None], faults: Faults) -> None:
         now = reactor.seconds()
-        if delay_s <= 0 and self._ready_at <= now:
-            transport.write(data)
+        self._ready_at = max(self._ready_at, now + faults.delay_s)
+        if faults.drip_bytes:
+            self._ready_at += faults.drip_s
+        if self._ready_at <= now and not self._waiting:
+            action()
             return
-        self._ready_at = max(self._ready_at, now) + delay_s
-        reactor.callLater(self._ready_at - now, transport.write, data)
+        # Timers of equal times have no fixed order, the queue has one.
+        self._waiting.append(action)
+        reactor.callLater(max(0.0, self._ready_at - now), self._run_next)
+
+    def _run_next(self) -> None:
+        self._waiting.popleft()()
 
 
 class _Far(protocol.Protocol):
@@ -141,12 +168,17 @@
         if self._route.faults.reset:
             self.reset()
             return
+        if self._route.faults.half_open:
+            self._half_open = True
+            return
         connector = protocol.ClientCreator(reactor, _Far, self)
         connector.connectTCP(self._route.ip, self._route.port).addErrback(
             lambda _: self.reset()
         )
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self._half_open:
+            return
         if self._far is None:
             self._early.append(data)
             return
@@ -154,11 +186,14 @@
 
     def connectionLost(self, reason=None) -> None:  # noqa: N802
         self._route.connections.discard(self)
-        if self._far is not None and self._far.transport is not None:
-            self._far.transport.loseConnection()
+        if self._far is not None:
+            self._to_target.close(self._far.transport)
 
     def far_connected(self, far: _Far) -> None:
         self._far = far
+        if self not in self._route.connections or self._half_open:
+            far.transport.abortConnection()
+            return
         early, self._early = self._early, []
         for data in early:
             self._to_target.forward(data, far.transport)
@@ -167,8 +202,8 @@
         self._to_client.forward(data, self.transport)
 
     def far_lost(self) -> None:
-        if not self._half_open and self.transport is not None:
-            self.transport.loseConnection()
+        if not self._half_open:
+            self._to_client.close(self.transport)
 
     def close_far_side(self) -> None:
         self._half_open = True
@@ -176,6 +211,8 @@
             self._far.transport.abortConnection()
 
     def reset(self) -> None:
+        if self._far is not None and self._far.transport is not None:
+            self._far.transport.abortConnection()
         if self.transport is not None:
             self.transport.abortConnection()
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -16,6 +16,7 @@
 from standins import ledger
 from standins import list_server
 from standins import log_server
+from standins import naive_relay
 from standins import processes
 from standins import target_server
 from standins import weight_server
@@ -226,6 +227,20 @@
             ['walnutport', 'host', f'--settings={path}'], host_id
         )
 
+    def start_naive_relay(self, name: str, entry_id: str) -> None:
+        """Start a relay that takes calls of an entry and answers wrongly."""
+        port = processes.free_port()
+        self.caller_addresses_by_host[name] = f'127.0.0.1:{port}'
+        service_by_stage = {'generate': _ENGINE, 'confirm': 'payments'}
+        addresses_by_stage = {}
+        for stage in STAGES_BY_ENTRY[entry_id]:
+            service = service_by_stage.get(stage, stage)
+            listed = self.listed_targets_by_id[f'{service}-1']
+            addresses_by_stage[stage] = f'{listed.ip}:{listed.port}'
+        settings = naive_relay.NaiveRelaySettings(port, addresses_by_stage)
+        self._start_standin('naive_relay', settings, name)
+        processes.wait_http(f'http://127.0.0.1:{port}/healthz')
+
     def wait_ready(self, host_id: str) -> float:
         """Wait until a host takes calls and return the time in seconds.
 
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -38,6 +38,7 @@
     :param nonce: value that the caller put into its request body.
     :param key: idempotency key of a caller's request.
     :param tokens: indexes of received stream events, in order.
+    :param tokens_wanted: events of the whole stream as its last event says.
     """
 
     kind: EventKind
@@ -58,6 +59,7 @@
     latency_s: float = 0.0
     trace: tuple[str, ...] = ()
     tokens: tuple[int, ...] = ()
+    tokens_wanted: int = 0
     detail: str = ''
 
 
--- /dev/null
+++ b/tests/integration/faults.py
@@ -0,0 +1,93 @@
+"""What the tests of faults share: loads, waiting and the verdict."""
+
+from collections.abc import Callable
+import time
+
+from standins import caller
+from standins import checker
+from standins import fleet
+from standins import ledger
+from standins import processes
+
+LIMIT_S = 40.0
+POOLS = (
+    fleet.PoolPlan('encoder', 2),
+    fleet.PoolPlan('retriever', 3),
+    fleet.PoolPlan('reranker', 2),
+    fleet.PoolPlan('engine', 3, slots=16, events=20, event_ms=10.0),
+    fleet.PoolPlan('payments', 3, service_ms=60.0, repeatable=False),
+)
+
+
+def plan(hosts: int = 2, **changes) -> fleet.FleetPlan:
+    """Return a fleet behind the fault proxy."""
+    return fleet.FleetPlan(
+        **{'hosts': hosts, 'pools': POOLS, 'proxied': True, **changes}
+    )
+
+
+def load(entry_id: str, count: int, rate_per_s: float, **changes):
+    """Return a load; payments carry a key."""
+    fields = {'deadline_ms': 4_000, 'keyed': entry_id == 'payments', **changes}
+    return caller.Load(
+        'north',
+        fleet.TOKENS_BY_MEMBER['north'],
+        entry_id,
+        rate_per_s,
+        count,
+        **fields,
+    )
+
+
+def events_of(running: fleet.Fleet, source: str) -> list[ledger.LedgerEvent]:
+    """Return the events of the requests of one caller."""
+    events = ledger.read_ledger(running.ledger_folder)
+    nonces = {event.nonce for event in events if event.source == source}
+    return [event for event in events if event.nonce in nonces]
+
+
+def count(running: fleet.Fleet, source: str, /, **wanted: str) -> int:
+    """Count the events of a caller's requests with the given fields."""
+    return sum(
+        all(getattr(event, name) == value for name, value in wanted.items())
+        for event in events_of(running, source)
+    )
+
+
+def wait(condition: Callable[[], bool]) -> None:
+    """Wait for an event; the limit only ends a hang."""
+    limit = time.monotonic() + LIMIT_S
+    while not condition():
+        assert time.monotonic() < limit, 'limit reached'
+        time.sleep(0.03)
+
+
+def wait_count(
+    running: fleet.Fleet, source: str, least: int, /, **wanted: str
+) -> None:
+    """Wait until there are enough events of a caller's requests."""
+    wait(lambda: count(running, source, **wanted) >= least)
+
+
+def finish(sender: processes.ManagedProcess) -> None:
+    """Wait for the end of a caller."""
+    assert sender.process is not None
+    assert sender.process.wait(LIMIT_S) == 0
+
+
+def verdict(running: fleet.Fleet, source: str, sent: int) -> checker.Report:
+    """Return the checked report of a caller that met no broken promise."""
+    report = checker.check(events_of(running, source), fleet.STAGES_BY_ENTRY)
+    assert report.findings == ()
+    assert report.sent == sent
+    return report
+
+
+def outcomes(running: fleet.Fleet, source: str, entry_id: str) -> set[str]:
+    """Return the outcomes that a caller got for an entry."""
+    return {
+        event.outcome
+        for event in events_of(running, source)
+        if event.kind is ledger.EventKind.ANSWERED
+        and event.entry_id == entry_id
+    }
--- /dev/null
+++ b/tests/integration/test_faults_targets.py
@@ -0,0 +1,78 @@
+"""Faults of connections to targets while requests run."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from standins import fleet
+from standins import ledger
+from tests.integration import faults
+
+FAULTS_BY_NAME: dict[str, dict] = {
+    'reset': {'reset': True},
+    'black_hole': {'black_hole': True},
+    'half_open': {'half_open': True},
+    'delayed': {'delay_s': 0.3},
+    'dripped': {'drip_bytes': 64, 'drip_s': 0.01},
+    'answers_lost': {'black_hole': True, 'direction': 'to_client'},
+}
+HURT = ('retriever-1', 'engine-1', 'payments-1')
+
+
+@pytest.fixture(scope='module', name='running')
+def fixture_running() -> Iterator[fleet.Fleet]:
+    """Fleet whose processes all live on."""
+    with fleet.Fleet(faults.plan()) as running:
+        yield running
+
+
+@pytest.mark.parametrize('name', FAULTS_BY_NAME)
+def test_faulty_connections_to_targets(running: fleet.Fleet, name) -> None:
+    """Guards against lost, doubled and crossed work and false refusals."""
+    loads = (
+        faults.load('summaries', 50, 30.0),
+        faults.load('summaries', 25, 15.0, stream=True),
+        faults.load('payments', 25, 15.0),
+    )
+    sender = running.start_caller(loads, name)
+    faults.wait_count(running, name, 15, kind='started', stage='reranker')
+    for target_id in HURT:
+        running.set_faults(target_id, **FAULTS_BY_NAME[name])
+    faults.wait_count(running, name, 60, kind='sent')
+    for target_id in HURT:
+        running.set_faults(target_id)
+    faults.finish(sender)
+    report = faults.verdict(running, name, 100)
+    # A host that hangs on a connection beyond the deadline of a request
+    # makes the caller give up.
+    assert faults.count(running, name, outcome='disconnected') == 0
+    assert report.complete >= 50
+
+
+def test_stream_reset_in_the_middle(running: fleet.Fleet) -> None:
+    """Guards against events lost or doubled when a stream is resumed."""
+    source = 'streams'
+    loads = (faults.load('summaries', 40, 40.0, stream=True),)
+    sender = running.start_caller(loads, source)
+    wanted = {'kind': 'started', 'stage': 'generate', 'source': 'engine-2'}
+    faults.wait_count(running, source, 3, **wanted)
+    running.set_faults('engine-2', reset=True)
+    faults.wait_count(running, source, 25, kind='sent')
+    running.set_faults('engine-2')
+    faults.finish(sender)
+    faults.verdict(running, source, 40)
+    events = faults.events_of(running, source)
+    starts = [
+        event.nonce
+        for event in events
+        if event.kind is ledger.EventKind.STARTED and event.stage == 'generate'
+    ]
+    whole = tuple(range(20))
+    resumed = 0
+    for event in events:
+        if event.kind is ledger.EventKind.ANSWERED:
+            assert event.tokens == whole[: len(event.tokens)]
+            if event.outcome == 'complete':
+                assert event.tokens == whole
+                resumed += starts.count(event.nonce) > 1
+    assert resumed, 'no stream was resumed'
