Fuzz every outside input and bound what it may say

Cause: with 24 groups of damaged messages (tests/fuzz) three decoders raised RecursionError on deeply nested JSON: the answer of the log to a read and to an append and the answer of a stage. The log reader ended for good on an answer that named another stream or held a time beyond the range of a float. A load header with a huge count made routing to the whole pool raise OverflowError. A path that is not UTF-8 wrote a traceback to the log for each request.

Change: the decoders catch RecursionError, also those of the done event and of the CLI. The reader passes over streams it did not ask for. Offsets and times of the log, slots and ports of the host list and the counts of a load report have bounds. The callers' listener refuses a path that is not UTF-8 with 400 bad_request.

Conclusion: only errors of the layer are raised for these inputs, and the host answers /healthz afterwards.

--- a/walnutport/adapters/host_list.py
+++ b/walnutport/adapters/host_list.py
@@ -1,6 +1,7 @@
 """Client of the platform's list of hosts and targets over HTTP."""
 
 import dataclasses
+from typing import Annotated
 
 from expression import Error
 from expression import Ok
@@ -16,12 +17,15 @@
 __all__ = ['HttpHostList', 'decode_list']
 
 
+_Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _ListedHost:
     host_id: str
     data_centre: str
     ip: str
-    peer_port: int
+    peer_port: _Port
     leaving: bool = False
 
 
@@ -31,8 +35,8 @@
     service: str
     data_centre: str
     ip: str
-    port: int
-    slots: int
+    port: _Port
+    slots: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
     state: world.TargetState = world.TargetState.LIVE
 
 
--- a/walnutport/adapters/log.py
+++ b/walnutport/adapters/log.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 import dataclasses
+from typing import Annotated
 
 from expression import Error
 from expression import Ok
@@ -19,17 +20,21 @@
 _MAX_PAGE_RECORDS = 2_000
 
 
+# A larger number overflows where a time is turned into seconds.
+_Number = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _AppendReply:
-    offset: int
+    offset: _Number
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Page:
-    records: list[tuple[int, int, bytes]]
-    first: int
-    next: int
-    end: int
+    records: list[tuple[_Number, _Number, bytes]]
+    first: _Number
+    next: _Number
+    end: _Number
     expired: bool = False
 
 
@@ -98,7 +103,7 @@
             return Ok(
                 msgspec.json.decode(reply.body, type=_AppendReply).offset
             )
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             return Error(exceptions.AppendAmbiguous(str(error)))
 
     async def _read(
@@ -124,7 +129,7 @@
             return Error(exceptions.LogUnavailable(f'status {reply.status}'))
         try:
             decoded = msgspec.json.decode(reply.body, type=_ReadReply)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             return Error(exceptions.LogUnavailable(f'bad answer: {error}'))
         return Ok(
             {name: _to_page(page) for name, page in decoded.streams.items()}
--- a/walnutport/adapters/stage.py
+++ b/walnutport/adapters/stage.py
@@ -28,6 +28,10 @@
 HEADER_LOAD = 'walnutport-load'
 HEADER_TOKENS = 'walnutport-tokens'
 
+# A count beyond the range of a float would break routing to the whole pool,
+# and a negative one would draw all its work to one target.
+_MAX_COUNT = 1_000_000
+
 _NOT_SENT_ERRORS = (
     twisted_error.ConnectError,
     web_client.RequestNotSent,
@@ -149,14 +153,14 @@
 def parse_load(value: str) -> world.LoadReport:
     """Parse the load header ``running=1;queued=0;slots=4;...``.
 
-    :raises CodecError: if a field is missing or malformed.
+    :raises CodecError: if a field is missing, malformed or out of range.
     """
     try:
         fields = dict(item.split('=', 1) for item in value.split(';') if item)
         return world.LoadReport(
-            running=int(fields['running']),
-            queued=int(fields['queued']),
-            slots=int(fields['slots']),
+            running=_count(fields['running']),
+            queued=_count(fields['queued']),
+            slots=_count(fields['slots']),
             incarnation=fields.get('incarnation', ''),
             state=world.TargetState(fields.get('state', 'live')),
         )
@@ -164,6 +168,13 @@
         raise exceptions.CodecError(f'load header: {error!r}') from None
 
 
+def _count(text: str) -> int:
+    value = int(text)
+    if not 0 <= value <= _MAX_COUNT:
+        raise ValueError(f'{text[:20]} is out of range')
+    return value
+
+
 def load_of(headers: dict[str, str]) -> world.LoadReport | None:
     """Return the load in the headers, or None if there is no valid one."""
     value = headers.get(HEADER_LOAD)
@@ -194,7 +205,7 @@
     try:
         output = msgspec.json.decode(reply.body, type=_RunReply).output
         tokens = int(reply.headers.get(HEADER_TOKENS, '0'))
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise exceptions.AttemptLost(f'malformed answer: {error}') from None
     return StageReply(bytes(output), tokens, load_of(reply.headers))
 
--- a/walnutport/cli/fetch.py
+++ b/walnutport/cli/fetch.py
@@ -31,5 +31,5 @@
         return msgspec.json.decode(body, type=answer_type)
     except (urllib.error.URLError, OSError) as error:
         raise FetchError(f'{address}: {error}') from error
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise FetchError(f'{address}: {error}') from error
--- a/walnutport/relay/framing.py
+++ b/walnutport/relay/framing.py
@@ -59,5 +59,5 @@
     """
     try:
         return msgspec.json.decode(event[len(_DONE) :], type=DoneEvent)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise exceptions.CodecError(f'malformed done event: {error}') from None
--- a/walnutport/service/caller_site.py
+++ b/walnutport/service/caller_site.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import urllib.parse
 
 from twisted.internet import protocol
 from twisted.web import http
@@ -33,6 +34,15 @@
 
     _received = 0
 
+    def process(self) -> None:
+        """Refuse a path that is not UTF-8, which the router cannot take."""
+        try:
+            urllib.parse.unquote_to_bytes(self.path).decode()
+        except UnicodeDecodeError:
+            self.channel.refuse_path()
+            return
+        super().process()
+
     def gotLength(self, length) -> None:  # noqa: N802 - name of the library
         """Check the announced length; None tells that it is unknown."""
         if length is not None and length > self.channel.max_body_bytes:
@@ -92,6 +102,10 @@
             f'body exceeds {self.max_body_bytes} bytes',
         )
 
+    def refuse_path(self) -> None:
+        """Answer that the path is malformed and close."""
+        self._refuse(answers.Reason.BAD_REQUEST, 400, 'path is not UTF-8')
+
     def _refuse_headers(self) -> None:
         self._refuse(
             answers.Reason.HEADERS_TOO_LARGE,
--- a/walnutport/service/log_reader.py
+++ b/walnutport/service/log_reader.py
@@ -84,5 +84,8 @@
         self.available = True
         self.last_success = now
         for stream, page in result.ok.items():
-            self._followers_by_stream[stream].apply(page, now)
+            follower = self._followers_by_stream.get(stream)
+            # An answer may name a stream that was not asked for.
+            if follower is not None:
+                follower.apply(page, now)
         return True
