--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -38,6 +38,7 @@
     :param nonce: value that the caller put into its request body.
     :param key: idempotency key of a caller's request.
     :param tokens: indexes of received stream events, in order.
+    :param tokens_wanted: events of the whole stream as its last event says.
     """
 
     kind: EventKind
@@ -58,6 +59,7 @@
     latency_s: float = 0.0
     trace: tuple[str, ...] = ()
     tokens: tuple[int, ...] = ()
+    tokens_wanted: int = 0
     detail: str = ''
 
 
@@ -95,5 +97,7 @@
 
 def _read_folder(folder: pathlib.Path) -> Iterator[LedgerEvent]:
     for path in sorted(folder.glob('*.jsonl')):
-        for line in path.read_bytes().splitlines():
+        # A line may be seen in part while it is being written.
+        whole, _, _ = path.read_bytes().rpartition(b'\n')
+        for line in whole.splitlines():
             yield msgspec.json.decode(line, type=LedgerEvent)
--- a/walnutport/cli/fetch.py
+++ b/walnutport/cli/fetch.py
@@ -35,5 +35,5 @@
         return msgspec.json.decode(text, type=answer_type)
     except (urllib.error.URLError, OSError, client.HTTPException) as error:
         raise FetchError(f'{address}: {error}') from error
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise FetchError(f'{address}: {error}') from error
