Ask a silent target for its state before work is sent to it

Cause: a target that was idle and began to leave got work for up to the poll period of 5 s while the list lagged. Change: TargetWatch.confirm asks a target of which nothing was heard for 2 s, with one poll at a time for each target; attempts and hedges wait for it. The report in the head of a stream counts with the age of the attempt. Conclusion: no faster polling at rest is needed for the bound of 3 s.

--- /dev/null
+++ b/tests/integration/test_leaving.py
@@ -0,0 +1,72 @@
+"""Idle targets that begin to leave while the list lags (real processes)."""
+
+import time
+
+from standins import caller
+from standins import fleet
+from standins import ledger
+
+_BOUND_S = 3.0
+_TARGETS = ('encoder-1', 'engine-1', 'payments-1')
+
+
+def _load(entry_id: str, **fields) -> caller.Load:
+    return caller.Load(
+        'north',
+        fleet.TOKENS_BY_MEMBER['north'],
+        entry_id,
+        rate_per_s=30.0,
+        count=20,
+        deadline_ms=20_000,
+        **fields,
+    )
+
+
+def _run(running: fleet.Fleet, source: str) -> None:
+    loads = (
+        _load('summaries'),
+        _load('summaries', stream=True),
+        _load('payments', keyed=True),
+    )
+    sender = running.start_caller(loads, source)
+    assert sender.process is not None and sender.process.wait(60) == 0
+
+
+def test_an_idle_target_that_leaves_gets_nothing_after_the_bound() -> None:
+    """Guards against work for a target whose last word is too old."""
+    plan = fleet.FleetPlan(
+        hosts=2,
+        pools=(
+            fleet.PoolPlan('encoder', 2),
+            fleet.PoolPlan('retriever', 1, slots=16),
+            fleet.PoolPlan('reranker', 1, slots=16),
+            fleet.PoolPlan('engine', 2, slots=16),
+            fleet.PoolPlan('payments', 2, repeatable=False),
+        ),
+        list_lag_s=1_000.0,
+        # No regular poll tells the hosts within the test.
+        settings={'peers': {'target_poll_s': 100.0}},
+    )
+    with fleet.Fleet(plan) as running:
+        _run(running, 'caller-1')
+        for target_id in _TARGETS:
+            running.control_target(target_id, leaving=True)
+        time.sleep(_BOUND_S)
+        bound = time.monotonic()
+        _run(running, 'caller-2')
+        events = ledger.read_ledger(running.ledger_folder)
+        started = [
+            event for event in events if event.kind is ledger.EventKind.STARTED
+        ]
+        before = {e.source for e in started if e.time_s < bound}
+        after = {e.source for e in started if e.time_s >= bound}
+        assert before >= set(_TARGETS)
+        assert after >= {'encoder-2', 'engine-2', 'payments-2'}
+        assert not after & set(_TARGETS)
+        answered = [
+            event.outcome
+            for event in events
+            if event.kind is ledger.EventKind.ANSWERED
+        ]
+        assert answered == ['complete'] * 120
+        assert running.check().findings == ()
--- a/walnutport/membership/targets.py
+++ b/walnutport/membership/targets.py
@@ -12,6 +12,7 @@
 import collections
 from collections.abc import Mapping
 import dataclasses
+import math
 
 from walnutport.peer import messages
 from walnutport import world
@@ -82,13 +83,20 @@
                 del self._known_by_id[target_id]
 
     def load_heard(
-        self, target_id: str, load: world.LoadReport, now: float
+        self,
+        target_id: str,
+        load: world.LoadReport,
+        now: float,
+        age_s: float = 0.0,
     ) -> None:
-        """Take note of a report of the target itself."""
+        """Take note of a report of the target itself.
+
+        :param age_s: time since the target made the report at most.
+        """
         known = self._known_by_id.get(target_id)
         if known is None:
             return
-        known.heard = now
+        known.heard = max(now - age_s, known.heard or -math.inf)
         if known.current != load.incarnation:
             known.current = load.incarnation
             # The list may have meant the incarnation that is first heard.
@@ -123,6 +131,13 @@
         known = self._known_by_id.get(target_id)
         return known is None or _is_leaving(known, now)
 
+    def silent_s(self, target_id: str, now: float) -> float:
+        """Return the time since the last report of a target itself."""
+        known = self._known_by_id.get(target_id)
+        if known is None or known.heard is None:
+            return math.inf
+        return now - known.heard
+
     def usable(self, now: float) -> dict[str, world.Target]:
         """Return the listed targets that may get new work."""
         return {
--- a/walnutport/service/attempt.py
+++ b/walnutport/service/attempt.py
@@ -33,7 +33,8 @@
     Awaitable[stage_adapter.StageReply],
 ]
 
-LoadListener = Callable[[str, world.LoadReport], None]
+# Target id, report, and its greatest age in seconds.
+LoadListener = Callable[[str, world.LoadReport, float], None]
 
 _ABANDONED = (
     interfaces.AttemptStatus.CANCELLED,
@@ -220,8 +221,10 @@
         self._policies.router.attempt_finished(result, now)
         self._policies.retries.attempt_finished(result, now)
         if result.load is not None:
+            # A stream carries the report in its head.
+            age_s = now - started if job.stream is not None else 0.0
             for listener in self._load_listeners:
-                listener(result.target_id, result.load)
+                listener(result.target_id, result.load, age_s)
         self._policies.quarantine.attempt_finished(
             attempt_id, status is interfaces.AttemptStatus.OK, now
         )
--- a/walnutport/service/attempts.py
+++ b/walnutport/service/attempts.py
@@ -18,6 +18,7 @@
 from walnutport.service import streams
 from walnutport.service import suspect_runs
 from walnutport.service import suspects
+from walnutport.service import target_watch
 from walnutport.service import waiting
 from walnutport import world
 
@@ -54,7 +55,9 @@
         permits: interfaces.PermitGate | None = None,
         control: target_control.TargetControl | None = None,
         load_listeners: Sequence[attempt.LoadListener] = (),
+        targets: target_watch.TargetWatch | None = None,
     ) -> None:
+        self._targets = targets
         self._policies = policies
         self._client = client
         self._engines = engines
@@ -65,7 +68,7 @@
         )
         self._watch = watch
         self.hedges = hedging.HedgedRunner(
-            self._runner, policies, clock, reactor
+            self._runner, policies, clock, reactor, targets
         )
         self.guard = suspect_runs.SuspectGuard(
             policies, permits, clock, reactor
@@ -199,10 +202,21 @@
         now = self._clock.monotonic()
         share = _SUSPECT_WAIT_SHARE if call.permit_id else _WAIT_SHARE
         until = now + share * (call.deadline - now)
+        asked = 0
         while True:
             job = self._next_job(call, stage, input_json, excluded)
             if isinstance(job, attempt.AttemptJob):
-                return job
+                if self._targets is None or self._targets.is_fresh(job.target):
+                    return job
+                if not await self._targets.confirm(job.target):
+                    excluded |= {job.target.target_id}
+                    continue
+                # Attempts that waited for the same report are spread again
+                # by load, but only once, to bound the wait.
+                asked += 1
+                if asked > 1:
+                    return job
+                continue
             if self._clock.monotonic() >= until:
                 return job
             await task.deferLater(self._reactor, _TURN_S)
--- a/walnutport/service/hedging.py
+++ b/walnutport/service/hedging.py
@@ -9,6 +9,7 @@
 from walnutport import interfaces
 from walnutport.service import attempt
 from walnutport.service import policies as host_policies
+from walnutport.service import target_watch
 
 __all__ = ['HedgeCounts', 'HedgedRunner', 'RaceEnd']
 
@@ -47,7 +48,9 @@
         policies: host_policies.Policies,
         clock: interfaces.Clock,
         reactor,
+        targets: target_watch.TargetWatch | None = None,
     ) -> None:
+        self._targets = targets
         self._runner = runner
         self._policies = policies
         self._clock = clock
@@ -99,10 +102,22 @@
         target = self._policies.router.route(query, now)
         if target is None:
             return
-        if not self._policies.retries.take_hedge(job.stage.service, now):
+        hedge = dataclasses.replace(job, target=target, query=query)
+        if self._targets is None or self._targets.is_fresh(target):
+            self._enter(True, race, hedge)
+        else:
+            self._targets.confirm(target).addCallback(self._enter, race, hedge)
+
+    def _enter(
+        self, allowed: bool, race: '_Race', hedge: attempt.AttemptJob
+    ) -> None:
+        now = self._clock.monotonic()
+        if not allowed or race.over:
+            return
+        if not self._policies.retries.take_hedge(hedge.stage.service, now):
             return
         self.counts.started += 1
-        race.enter(dataclasses.replace(job, target=target, query=query))
+        race.enter(hedge)
 
 
 class _Race:
@@ -119,7 +134,7 @@
         self._entered = 0
         self._tried: frozenset[str] = frozenset()
         self._failed: attempt.AttemptEnd | None = None
-        self._over = False
+        self.over = False
         self.result: defer.Deferred[RaceEnd] = defer.Deferred(self._abandon)
 
     def enter(self, job: attempt.AttemptJob) -> None:
@@ -139,7 +154,7 @@
         self, ended: attempt.AttemptEnd, running: defer.Deferred, number: int
     ) -> None:
         self._running.remove(running)
-        if self._over:
+        if self.over:
             self._counts.late_dropped += 1
             return
         if ended.reply is None:
@@ -149,7 +164,7 @@
             if self._running:
                 return
             ended = self._failed
-        self._over = True
+        self.over = True
         if number > 1 and ended.reply is not None:
             self._counts.won += 1
         self._cancel_rest()
@@ -159,15 +174,15 @@
         self, failure: twisted_failure.Failure, running: defer.Deferred
     ) -> None:
         self._running.remove(running)
-        if self._over:
+        if self.over:
             failure.trap(defer.CancelledError)
             return
-        self._over = True
+        self.over = True
         self._cancel_rest()
         self.result.errback(failure)
 
     def _abandon(self, result: defer.Deferred) -> None:
-        self._over = True
+        self.over = True
         self._cancel_rest()
 
     def _cancel_rest(self) -> None:
--- a/walnutport/service/parts.py
+++ b/walnutport/service/parts.py
@@ -180,6 +180,7 @@
             permits=self.suspects.permits,
             control=control,
             load_listeners=self._load_listeners(),
+            targets=self.watch,
         )
         self.runner = pipeline.PipelineRunner(
             self.policies, self.stages, self.clock, claims=self.claims
@@ -211,16 +212,19 @@
 
     def _load_listeners(
         self,
-    ) -> list[Callable[[str, world.LoadReport], None]]:
+    ) -> list[Callable[[str, world.LoadReport, float], None]]:
         admission = self.policies.admission
-        listeners: list[Callable[[str, world.LoadReport], None]] = [
+        listeners: list[Callable[[str, world.LoadReport, float], None]] = [
             self.watch.load_heard,
-            lambda target_id, load: admission.load_reported(
+            lambda target_id, load, _: admission.load_reported(
                 target_id, load, self.clock.monotonic()
             ),
         ]
-        if self.suspects.watch is not None:
-            listeners.append(self.suspects.watch.load_seen)
+        deaths = self.suspects.watch
+        if deaths is not None:
+            listeners.append(
+                lambda target_id, load, _: deaths.load_seen(target_id, load)
+            )
         return listeners
 
     def _catalogue_changed(self) -> None:
--- a/walnutport/service/target_watch.py
+++ b/walnutport/service/target_watch.py
@@ -22,6 +22,12 @@
 PREFIX = 'targets:'
 
 _POLL_TIMEOUT_S = 1.0
+# Work must not start on a target later than 3 s after the target began to say
+# that it is leaving. The age of the last report and the pause after a poll
+# that failed add up to that bound.
+_MAX_SILENCE_S = 2.0
+_CONFIRM_TIMEOUT_S = 0.25
+_CONFIRM_PAUSE_S = 1.0
 _MAX_POLLS = 32
 _MAX_LOAD_BYTES = 4_096
 
@@ -75,17 +81,28 @@
         self._leaving: frozenset[str] = frozenset()
         self.listed_by_id: Mapping[str, world.Target] = {}
         self._polls = 0
+        self._waiting_by_target: dict[str, list[defer.Deferred[bool]]] = {}
+        self._failed_at_by_target: dict[str, float] = {}
+        self.confirm_polls = 0
+        self.confirm_polls_failed = 0
 
     def list_read(self, targets_by_id: Mapping[str, world.Target]) -> None:
         """Take note of the list."""
         self.listed_by_id = targets_by_id
+        for target_id in set(self._failed_at_by_target) - set(targets_by_id):
+            del self._failed_at_by_target[target_id]
         self.membership.list_read(targets_by_id, self._clock.monotonic())
         self._feed()
 
-    def load_heard(self, target_id: str, load: world.LoadReport) -> None:
-        """Take note of a report of a target."""
+    def load_heard(
+        self, target_id: str, load: world.LoadReport, age_s: float = 0.0
+    ) -> None:
+        """Take note of a report of a target.
+
+        :param age_s: time since the target made the report at most.
+        """
         now = self._clock.monotonic()
-        self.membership.load_heard(target_id, load, now)
+        self.membership.load_heard(target_id, load, now, age_s)
         is_leaving = self.membership.is_leaving(target_id, now)
         if is_leaving != (target_id in self._leaving):
             self._feed()
@@ -105,12 +122,64 @@
         for target in self.membership.due_polls(now, _MAX_POLLS - self._polls):
             self._polls += 1
             polling = defer.Deferred.fromCoroutine(self._poll(target))
+            polling.addBoth(self._poll_ended)
             polling.addErrback(
                 lambda failure: LOG.error('%s poll: %s', PREFIX, failure)
             )
         self._feed()
 
-    async def _poll(self, target: world.Target) -> None:
+    def is_fresh(self, target: world.Target) -> bool:
+        """Return whether work may be sent without asking the target."""
+        now = self._clock.monotonic()
+        silent_s = self.membership.silent_s(target.target_id, now)
+        failed_at = self._failed_at_by_target.get(target.target_id)
+        return silent_s <= _MAX_SILENCE_S or (
+            failed_at is not None and now - failed_at < _CONFIRM_PAUSE_S
+        )
+
+    def confirm(self, target: world.Target) -> defer.Deferred[bool]:
+        """Return whether a target may get work; ask it if it was silent.
+
+        There is one poll at a time for each target. A poll that fails does
+        not keep work back, as the attempt itself shows what is wrong, and is
+        not repeated for ``_CONFIRM_PAUSE_S``.
+        """
+        if self.is_fresh(target):
+            return defer.succeed(self._may_send(target))
+        waiting: defer.Deferred[bool] = defer.Deferred()
+        waiters = self._waiting_by_target.setdefault(target.target_id, [])
+        waiters.append(waiting)
+        if len(waiters) == 1:
+            self.confirm_polls += 1
+            polling = defer.Deferred.fromCoroutine(
+                self._poll(target, _CONFIRM_TIMEOUT_S)
+            )
+            polling.addBoth(self._confirmed, target)
+        return waiting
+
+    def _confirmed(self, heard: object, target: world.Target) -> None:
+        if heard is True:
+            self._failed_at_by_target.pop(target.target_id, None)
+        else:
+            self.confirm_polls_failed += 1
+            now = self._clock.monotonic()
+            self._failed_at_by_target[target.target_id] = now
+        # A waiter that was cancelled in the meantime ignores the result.
+        for waiting in self._waiting_by_target.pop(target.target_id):
+            waiting.callback(self._may_send(target))
+
+    def _may_send(self, target: world.Target) -> bool:
+        now = self._clock.monotonic()
+        return not self.membership.is_leaving(target.target_id, now)
+
+    def _poll_ended(self, result):
+        self._polls -= 1
+        return result
+
+    async def _poll(
+        self, target: world.Target, timeout_s: float = _POLL_TIMEOUT_S
+    ) -> bool:
+        """Ask a target for its load and return whether it answered."""
         call = defer.Deferred.fromCoroutine(
             self._client.call(
                 'GET',
@@ -118,21 +187,20 @@
                 max_body_bytes=_MAX_LOAD_BYTES,
             )
         )
-        call.addTimeout(_POLL_TIMEOUT_S, self._reactor)
+        call.addTimeout(timeout_s, self._reactor)
         try:
             reply = await call
             load = stage.parse_load(reply.body.decode('latin-1'))
         except exceptions.CodecError as error:
             LOG.warning('%s %s: %s', PREFIX, target.target_id, error)
-            return
+            return False
         except Exception as error:  # noqa: BLE001 - library errors vary
             LOG.debug('%s %s: %r', PREFIX, target.target_id, error)
-            return
-        finally:
-            self._polls -= 1
+            return False
         now = self._clock.monotonic()
         self._listeners.load_reported(target.target_id, load, now)
         self.load_heard(target.target_id, load)
+        return True
 
     def _feed(self) -> None:
         now = self._clock.monotonic()
--- a/walnutport/service/views.py
+++ b/walnutport/service/views.py
@@ -72,6 +72,8 @@
             'stream_events_repeated': stream.repeated_events,
             'cost_batches_appended': parts.cost_flusher.appended_batches,
             'cost_appends_failed': parts.cost_flusher.failed_appends,
+            'target_confirm_polls': parts.watch.confirm_polls,
+            'target_confirm_polls_failed': parts.watch.confirm_polls_failed,
         }
         for name, count in parts.coordination.network.counts.items():
             counters[f'peer_{name}'] = count
