Route prompts to engines that hold their prefix; send class priorities

Cause: nothing fed the index of cache events, RouteQuery.prefix_digests was never filled, and every attempt was sent with priority 1.0. The setting policies.prefix_affinity switches it.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -43,6 +43,7 @@
     event_ms: float = 5.0
     engine: bool = False
     checks_fencing: bool = True
+    cache_entries: int = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -260,6 +261,7 @@
                     settings,
                     self.weights_address,
                     checks_fencing=pool.checks_fencing,
+                    cache_entries=pool.cache_entries,
                 ),
                 target_id,
             )
--- a/standins/target_server.py
+++ b/standins/target_server.py
@@ -12,11 +12,11 @@
 
 import klein
 import msgspec
-from twisted.internet import defer
 from twisted.internet import reactor
 from twisted.internet import task
 
 from standins import ledger
+from standins import priority_slots
 
 __all__ = ['TargetServer', 'TargetServerSettings']
 
@@ -57,7 +57,7 @@
 
 
 class TargetServer:
-    """Runs stages in a fixed count of slots, first come first served."""
+    """Runs stages in a fixed count of slots, highest priority first."""
 
     app = klein.Klein()
 
@@ -66,7 +66,7 @@
     ) -> None:
         self._settings = settings
         self._book = book
-        self._slots = defer.DeferredSemaphore(settings.slots)
+        self._slots = priority_slots.PrioritySlots(settings.slots)
         self._control = TargetControl()
         self._incarnation = secrets.token_hex(4)
         self._running = 0
@@ -135,7 +135,7 @@
         gone.addErrback(lambda _: None)
         self._queued += 1
         try:
-            await self._slots.acquire()
+            await self._slots.acquire(_priority(request))
         finally:
             self._queued -= 1
         self._running += 1
@@ -143,7 +143,8 @@
             if wanted.input.get('crash'):
                 self._record(ledger.EventKind.CRASHED, request, wanted)
                 os._exit(70)
-            delay_s = service_ms * self._control.slowdown / 1000
+            work_ms = self._work_ms(wanted, service_ms)
+            delay_s = work_ms * self._control.slowdown / 1000
             await task.deferLater(reactor, delay_s)
             if then is not None:
                 await then(request, wanted)
@@ -154,6 +155,9 @@
             self._running -= 1
             self._slots.release()
 
+    def _work_ms(self, wanted: _RunRequest, service_ms: float) -> float:
+        return service_ms
+
     async def _stream(self, request, wanted: _RunRequest) -> None:
         nonce = wanted.input.get('nonce', '')
         pad_bytes = wanted.input.get('pad_bytes', 0)
@@ -198,6 +202,13 @@
         )
 
 
+def _priority(request) -> float:
+    try:
+        return float(request.getHeader('walnutport-priority') or 1.0)
+    except ValueError:
+        return 1.0
+
+
 def _output(wanted: _RunRequest) -> dict:
     """Return the input with the stage added to its trace."""
     trace = [*wanted.input.get('trace', ()), wanted.stage]
--- /dev/null
+++ b/tests/routing/test_affinity.py
@@ -0,0 +1,122 @@
+"""Tests of prompt digests and of the index of cache events."""
+
+import json
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from standins import prefix_cache
+from walnutport.adapters import cache_events
+from walnutport import exceptions
+from walnutport.routing import affinity
+from walnutport.routing import prefixes
+
+KEYS = st.integers(0, 5).map(lambda key: bytes([key]))
+
+
+@hypothesis.given(st.text(max_size=40), st.integers(0, 200), st.text())
+def test_host_and_engine_digest_alike(part, times, model) -> None:
+    """Guards against digests that no event of an engine ever names."""
+    prompt = part * times
+    body = json.dumps({'nonce': 1, 'prompt': prompt}).encode()
+    found = prefixes.prefix_digests(model, body)
+    naive = prefix_cache.block_digests(model, prompt)
+    assert [digest.hex() for digest in found] == naive
+
+
+@hypothesis.given(st.binary(max_size=200))
+def test_malformed_bytes_raise_only_the_layers_errors(data) -> None:
+    """Guards against a malformed input or page that fails a request."""
+    assert prefixes.prefix_digests('m', data) == ()
+    try:
+        cache_events.decode_page('t', data)
+    except exceptions.TargetError:
+        pass
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'{"incarnation":"a&b","events":[]}',
+        b'{"incarnation":"a","events":[{"sequence":1,"kind":"x",'
+        b'"digests":[]}]}',
+        b'{"incarnation":"a","events":[{"sequence":1,"kind":"stored",'
+        b'"digests":["zz"]}]}',
+    ],
+)
+def test_a_malformed_page_is_refused(body) -> None:
+    """Guards against events that were misread."""
+    with pytest.raises(exceptions.AttemptLost):
+        cache_events.decode_page('t', body)
+
+
+class IndexMachine(stateful.RuleBasedStateMachine):
+    """An engine whose events come late, repeated and with gaps.
+
+    Guards against prefixes in the index that the engine did not hold at the
+    last event that was read, and against prefixes that were read in full and
+    are missing. The naive reference replays the whole history.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.index = affinity.PrefixIndex()
+        self.restart()
+
+    @stateful.rule()
+    def restart(self) -> None:
+        self.incarnation = getattr(self, 'incarnation', 0) + 1
+        self.history: list[affinity.CacheEvent] = []
+        self.read_from = self.read_to = 0
+
+    @stateful.rule(stored=st.sets(KEYS), evicted=st.sets(KEYS))
+    def change(self, stored, evicted) -> None:
+        self.history.append(
+            affinity.CacheEvent(
+                't',
+                str(self.incarnation),
+                len(self.history) + 1,
+                tuple(sorted(stored)),
+                tuple(sorted(evicted - stored)),
+            )
+        )
+
+    @stateful.precondition(lambda self: self.read_to < len(self.history))
+    @stateful.rule(skipped=st.sampled_from((0, 0, 0, 1, 2)))
+    def read(self, skipped) -> None:
+        at = min(self.read_to + skipped, len(self.history) - 1)
+        if at != self.read_to:
+            self.read_from = at
+        self.read_to = at + 1
+        self.index.apply(self.history[at])
+
+    @stateful.precondition(lambda self: self.read_to)
+    @stateful.rule(data=st.data())
+    def repeat(self, data) -> None:
+        at = data.draw(st.integers(0, self.read_to - 1))
+        self.index.apply(self.history[at])
+
+    @stateful.rule()
+    def forget(self) -> None:
+        self.index.forget('t')
+        self.read_from = self.read_to
+
+    @stateful.invariant()
+    def holds_what_was_read(self) -> None:
+        if not self.read_to or self.read_from == self.read_to:
+            return
+        held: set[bytes] = set()
+        for event in self.history[self.read_from : self.read_to]:
+            held = (held - set(event.evicted)) | set(event.stored)
+        for key in range(6):
+            wanted = bytes([key])
+            assert self.index.match('t', [wanted]) == (wanted in held)
+        assert self.index.position('t') == (
+            str(self.incarnation),
+            self.read_to,
+        )
+
+
+TestIndex = IndexMachine.TestCase
--- a/walnutport/config/settings.py
+++ b/walnutport/config/settings.py
@@ -128,6 +128,7 @@
     max_ejected_share: Share = 0.3
     subset_size: PositiveInt = 64
     max_queued: PositiveInt = 2_000
+    prefix_affinity: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/walnutport/routing/affinity.py
+++ b/walnutport/routing/affinity.py
@@ -1,6 +1,7 @@
 """Index of the prompt prefixes that engines hold in their caches."""
 
 import collections
+from collections.abc import Collection
 from collections.abc import Sequence
 import dataclasses
 
@@ -39,6 +40,7 @@
     def __init__(self, max_prefixes: int = 4_096) -> None:
         self._max_prefixes = max_prefixes
         self._indexes_by_target: dict[str, _TargetIndex] = {}
+        self._used_at_by_target: dict[str, float] = {}
         self.gaps = 0
 
     def apply(self, event: CacheEvent) -> None:
@@ -65,6 +67,27 @@
         while len(index.prefixes) > self._max_prefixes:
             index.prefixes.popitem(last=False)
 
+    def note_use(self, target_id: str, now: float) -> None:
+        """Take note that a prompt is sent to a target."""
+        self._used_at_by_target[target_id] = now
+
+    def used_since(self, since: float) -> list[str]:
+        """Return the targets used since a time and drop the other marks."""
+        for target_id, used_at in list(self._used_at_by_target.items()):
+            if used_at < since:
+                del self._used_at_by_target[target_id]
+        return list(self._used_at_by_target)
+
+    def position(self, target_id: str) -> tuple[str, int]:
+        """Return incarnation and number of the last event of a target."""
+        index = self._indexes_by_target.get(target_id)
+        return (index.incarnation, index.sequence) if index else ('', 0)
+
+    def keep_only(self, target_ids: Collection[str]) -> None:
+        """Drop what is known of targets that are not in the collection."""
+        for target_id in set(self._indexes_by_target) - set(target_ids):
+            del self._indexes_by_target[target_id]
+
     def forget(self, target_id: str) -> None:
         """Drop the index of a target that restarted or is gone."""
         self._indexes_by_target.pop(target_id, None)
--- a/walnutport/routing/router.py
+++ b/walnutport/routing/router.py
@@ -89,6 +89,8 @@
         candidate = self._candidates_by_id.get(target_id)
         if candidate is not None:
             candidate.started_by_attempt[attempt_id] = now
+            if query.prefix_digests:
+                self.prefixes.note_use(target_id, now)
             if query.isolated:
                 candidate.isolated_attempts.add(attempt_id)
 
@@ -190,6 +192,7 @@
             for candidate in pool.candidates:
                 target_id = candidate.target.target_id
                 self._candidates_by_id[target_id] = candidate
+        self.prefixes.keep_only(self._candidates_by_id)
         for service in set(self._pools_by_service) - set(by_service):
             del self._pools_by_service[service]
 
--- a/walnutport/service/attempt.py
+++ b/walnutport/service/attempt.py
@@ -257,6 +257,7 @@
         remaining_s=job.call.deadline - now,
         input_json=job.input_json,
         repeatable=job.stage.repeatable,
+        priority=job.call.priority,
         model=job.stage.model,
     )
 
--- a/walnutport/service/attempts.py
+++ b/walnutport/service/attempts.py
@@ -11,6 +11,7 @@
 from walnutport.adapters import target_control
 from walnutport import interfaces
 from walnutport.lifecycle import answers
+from walnutport.routing import prefixes
 from walnutport.service import attempt
 from walnutport.service import calls
 from walnutport.service import hedging
@@ -147,6 +148,11 @@
         )
         stream = streams.open_stream(self._engines, call, stage)
         perform = stream.perform if stream else self._client.run
+        digests = (
+            prefixes.prefix_digests(stage.model, input_json)
+            if stage.model
+            else ()
+        )
         held = call
         excluded: frozenset[str] = frozenset()
         tries = 0
@@ -161,7 +167,7 @@
                 ok = False
                 try:
                     job = await self._wait_job(
-                        held, stage, input_json, excluded
+                        held, stage, input_json, excluded, digests
                     )
                     if isinstance(job, attempt.StageFailure):
                         return _final_failure(failure or job, stream)
@@ -197,6 +203,7 @@
         stage: world.Stage,
         input_json: bytes,
         excluded: frozenset[str],
+        digests: tuple[bytes, ...],
     ) -> attempt.AttemptJob | attempt.StageFailure:
         """Return the next job, after a wait if no target is free for it."""
         now = self._clock.monotonic()
@@ -204,7 +211,7 @@
         until = now + share * (call.deadline - now)
         asked = 0
         while True:
-            job = self._next_job(call, stage, input_json, excluded)
+            job = self._next_job(call, stage, input_json, excluded, digests)
             if isinstance(job, attempt.AttemptJob):
                 if self._targets is None or self._targets.is_fresh(job.target):
                     return job
@@ -227,6 +234,7 @@
         stage: world.Stage,
         input_json: bytes,
         excluded: frozenset[str],
+        digests: tuple[bytes, ...],
     ) -> attempt.AttemptJob | attempt.StageFailure:
         now = self._clock.monotonic()
         if now >= call.deadline:
@@ -237,6 +245,7 @@
             stage.service,
             call.deadline,
             model=stage.model,
+            prefix_digests=digests,
             excluded=excluded,
             isolated=bool(call.permit_id),
             content=call.digest(),
--- a/walnutport/service/caller_checks.py
+++ b/walnutport/service/caller_checks.py
@@ -55,12 +55,15 @@
                 answers.Reason.KEY_MISSING,
             )
         accept = request.getHeader('accept') or ''
+        class_id = _class_of(view, request, contract)
+        found = view.classes_by_id.get(class_id)
         return calls.Call(
             request_id=request_id,
             member=member,
             contract=contract,
             pipeline=pipeline,
-            class_id=_class_of(view, request, contract),
+            class_id=class_id,
+            priority=found.weight if found else 1.0,
             body=body,
             deadline=self._deadline(request, contract),
             key=key,
--- a/walnutport/service/calls.py
+++ b/walnutport/service/calls.py
@@ -43,6 +43,7 @@
     :param deadline: monotonic time in seconds.
     :param key: idempotency key, empty if none was given.
     :param permit_id: permit of a crash suspect, empty if none is held.
+    :param priority: weight of the class, passed on to targets.
     :param sink: set if the caller asked for a stream.
     :param run_id: unique here, unlike the request id that a caller chooses.
     """
@@ -57,6 +58,7 @@
     key: str = ''
     sink: StreamSink | None = None
     permit_id: str = ''
+    priority: float = 1.0
     run_id: str = dataclasses.field(
         default_factory=lambda: secrets.token_hex(8)
     )
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -172,6 +172,10 @@
         self._start_loop(parts.coordination.advance, _COORDINATION_TICK_S)
         self._start_loop(parts.update_hosts, _COORDINATION_TICK_S)
         self._start_loop(parts.runner.advance, _TICK_S)
+        if parts.cache_follower is not None:
+            self._start_loop(
+                parts.cache_follower.advance, _COORDINATION_TICK_S
+            )
         if parts.claims is not None:
             self._start_loop(parts.claims.advance, _TICK_S)
 
--- a/walnutport/service/parts.py
+++ b/walnutport/service/parts.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import secrets
 
+from walnutport.adapters import cache_events
 from walnutport.adapters import engine
 from walnutport.adapters import host_list
 from walnutport.adapters import http
@@ -17,7 +18,9 @@
 from walnutport import interfaces
 from walnutport.metrics import histograms
 from walnutport.peer import replay
+from walnutport.routing import router
 from walnutport.service import attempts
+from walnutport.service import cache_follower
 from walnutport.service import claims
 from walnutport.service import coordination
 from walnutport.service import cost
@@ -182,6 +185,18 @@
             load_listeners=self._load_listeners(),
             targets=self.watch,
         )
+        self.cache_follower: cache_follower.CacheFollower | None = None
+        chosen = self.policies.router
+        wanted = self.settings.policies.prefix_affinity
+        if wanted and isinstance(chosen, router.StandardRouter):
+            self.cache_follower = cache_follower.CacheFollower(
+                cache_events.CacheEventClient(
+                    http.HttpClient(self.reactor), self.reactor
+                ),
+                chosen.prefixes,
+                chosen.known_targets,
+                self.clock,
+            )
         self.runner = pipeline.PipelineRunner(
             self.policies, self.stages, self.clock, claims=self.claims
         )
--- a/walnutport/service/views.py
+++ b/walnutport/service/views.py
@@ -77,6 +77,9 @@
         }
         for name, count in parts.coordination.network.counts.items():
             counters[f'peer_{name}'] = count
+        if parts.cache_follower is not None:
+            counters['cache_polls'] = parts.cache_follower.polls
+            counters['cache_bytes'] = parts.cache_follower.bytes_read
         if parts.suspects.watch is not None:
             counters['target_deaths'] = parts.suspects.watch.deaths
         return counters
