--- a/walnutport/service/attempts.py
+++ b/walnutport/service/attempts.py
@@ -11,6 +11,7 @@
 from walnutport.adapters import target_control
 from walnutport import interfaces
 from walnutport.lifecycle import answers
+from walnutport.routing import prefixes
 from walnutport.service import attempt
 from walnutport.service import calls
 from walnutport.service import hedging
@@ -18,6 +19,7 @@
 from walnutport.service import streams
 from walnutport.service import suspect_runs
 from walnutport.service import suspects
+from walnutport.service import target_watch
 from walnutport.service import waiting
 from walnutport import world
 
@@ -54,7 +56,9 @@
         permits: interfaces.PermitGate | None = None,
         control: target_control.TargetControl | None = None,
         load_listeners: Sequence[attempt.LoadListener] = (),
+        targets: target_watch.TargetWatch | None = None,
     ) -> None:
+        self._targets = targets
         self._policies = policies
         self._client = client
         self._engines = engines
@@ -65,7 +69,7 @@
         )
         self._watch = watch
         self.hedges = hedging.HedgedRunner(
-            self._runner, policies, clock, reactor
+            self._runner, policies, clock, reactor, targets
         )
         self.guard = suspect_runs.SuspectGuard(
             policies, permits, clock, reactor
@@ -144,6 +148,11 @@
         )
         stream = streams.open_stream(self._engines, call, stage)
         perform = stream.perform if stream else self._client.run
+        digests = (
+            prefixes.prefix_digests(stage.model, input_json)
+            if stage.model
+            else ()
+        )
         held = call
         excluded: frozenset[str] = frozenset()
         tries = 0
@@ -158,7 +167,7 @@
                 ok = False
                 try:
                     job = await self._wait_job(
-                        held, stage, input_json, excluded
+                        held, stage, input_json, excluded, digests
                     )
                     if isinstance(job, attempt.StageFailure):
                         return _final_failure(failure or job, stream)
@@ -194,15 +203,27 @@
         stage: world.Stage,
         input_json: bytes,
         excluded: frozenset[str],
+        digests: tuple[bytes, ...],
     ) -> attempt.AttemptJob | attempt.StageFailure:
         """Return the next job, after a wait if no target is free for it."""
         now = self._clock.monotonic()
         share = _SUSPECT_WAIT_SHARE if call.permit_id else _WAIT_SHARE
         until = now + share * (call.deadline - now)
+        asked = 0
         while True:
-            job = self._next_job(call, stage, input_json, excluded)
+            job = self._next_job(call, stage, input_json, excluded, digests)
             if isinstance(job, attempt.AttemptJob):
-                return job
+                if self._targets is None or self._targets.is_fresh(job.target):
+                    return job
+                if not await self._targets.confirm(job.target):
+                    excluded |= {job.target.target_id}
+                    continue
+                # Attempts that waited for the same report are spread again
+                # by load, but only once, to bound the wait.
+                asked += 1
+                if asked > 1:
+                    return job
+                continue
             if self._clock.monotonic() >= until:
                 return job
             await task.deferLater(self._reactor, _TURN_S)
@@ -213,6 +234,7 @@
         stage: world.Stage,
         input_json: bytes,
         excluded: frozenset[str],
+        digests: tuple[bytes, ...],
     ) -> attempt.AttemptJob | attempt.StageFailure:
         now = self._clock.monotonic()
         if now >= call.deadline:
@@ -223,6 +245,7 @@
             stage.service,
             call.deadline,
             model=stage.model,
+            prefix_digests=digests,
             excluded=excluded,
             isolated=bool(call.permit_id),
             content=call.digest(),
--- a/walnutport/service/parts.py
+++ b/walnutport/service/parts.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import secrets
 
+from walnutport.adapters import cache_events
 from walnutport.adapters import engine
 from walnutport.adapters import host_list
 from walnutport.adapters import http
@@ -19,6 +20,7 @@
 from walnutport.peer import replay
 from walnutport.routing import router
 from walnutport.service import attempts
+from walnutport.service import cache_follower
 from walnutport.service import claims
 from walnutport.service import coordination
 from walnutport.service import cost
@@ -183,7 +185,20 @@
             permits=self.suspects.permits,
             control=control,
             load_listeners=self._load_listeners(),
+            targets=self.watch,
         )
+        self.cache_follower: cache_follower.CacheFollower | None = None
+        chosen = self.policies.router
+        wanted = self.settings.policies.prefix_affinity
+        if wanted and isinstance(chosen, router.StandardRouter):
+            self.cache_follower = cache_follower.CacheFollower(
+                cache_events.CacheEventClient(
+                    http.HttpClient(self.reactor), self.reactor
+                ),
+                chosen.prefixes,
+                chosen.known_targets,
+                self.clock,
+            )
         self.runner = pipeline.PipelineRunner(
             self.policies, self.stages, self.clock, claims=self.claims
         )
@@ -214,16 +229,19 @@
 
     def _load_listeners(
         self,
-    ) -> list[Callable[[str, world.LoadReport], None]]:
+    ) -> list[Callable[[str, world.LoadReport, float], None]]:
         admission = self.policies.admission
-        listeners: list[Callable[[str, world.LoadReport], None]] = [
+        listeners: list[Callable[[str, world.LoadReport, float], None]] = [
             self.watch.load_heard,
-            lambda target_id, load: admission.load_reported(
+            lambda target_id, load, _: admission.load_reported(
                 target_id, load, self.clock.monotonic()
             ),
         ]
-        if self.suspects.watch is not None:
-            listeners.append(self.suspects.watch.load_seen)
+        deaths = self.suspects.watch
+        if deaths is not None:
+            listeners.append(
+                lambda target_id, load, _: deaths.load_seen(target_id, load)
+            )
         return listeners
 
     def _catalogue_changed(self) -> None:
--- a/walnutport/service/samples.py
+++ b/walnutport/service/samples.py
@@ -100,6 +100,15 @@
         yield _Sample('prefix_index_gaps', chosen.prefixes.gaps)
 
     def _attempts(self) -> Iterator[families.Sample]:
+        watch = self._parts.watch
+        yield _Sample('target_confirm_polls', watch.confirm_polls)
+        yield _Sample(
+            'target_confirm_polls_failed', watch.confirm_polls_failed
+        )
+        cache = self._parts.cache_follower
+        if cache is not None:
+            yield _Sample('cache_polls', cache.polls)
+            yield _Sample('cache_bytes', cache.bytes_read)
         hedges = self._parts.stages.hedges.counts
         yield _Sample('hedges_started', hedges.started)
         yield _Sample('hedges_won', hedges.won)
