Check the deadline before each attempt and test cancels

Cause: retries, permits and questions to targets take time after the check of the pool queue, so a target could work for an answer that must be late. Targets without a matching prefix are skipped early in the search for holders.

--- a/tests/service/test_hedging.py
+++ b/tests/service/test_hedging.py
@@ -164,3 +164,26 @@
         ended = race.result.ended
         assert ended.failure.reason is answers.Reason.QUARANTINED
     assert bench.attempts_booked() == 2
+
+
+def test_a_deadline_cancels_every_attempt_at_its_target() -> None:
+    """Guards against targets that work on after the deadline."""
+    bench = Bench()
+    running = bench.start()
+    bench.reactor.advance(0.2)
+    assert list(bench.open) == ['t1', 't2']
+    bench.reactor.advance(9.0)
+    ended = running.result.ended
+    assert ended.failure.reason is answers.Reason.DEADLINE_EXCEEDED
+    assert sorted(bench.control.cancelled) == ['t1', 't2']
+
+
+def test_a_caller_who_leaves_cancels_every_attempt() -> None:
+    """Guards against targets that work for a caller who is gone."""
+    bench = Bench()
+    running = bench.start()
+    bench.reactor.advance(0.2)
+    running.addErrback(lambda failure: failure.trap(defer.CancelledError))
+    running.cancel()
+    assert sorted(bench.control.cancelled) == ['t1', 't2']
+    assert bench.attempts_booked() == 2
--- a/walnutport/admission/control.py
+++ b/walnutport/admission/control.py
@@ -132,6 +132,13 @@
             ticket_id, f'window/{service}', now
         )
 
+    def least_s(self, ticket: interfaces.Ticket) -> float:
+        """Return a low quantile of the time that the rest takes.
+
+        It is zero for stages that were not measured lately.
+        """
+        return self._time_needed(ticket).least_s
+
     def stage_held(
         self,
         entry_id: str,
--- a/walnutport/interfaces.py
+++ b/walnutport/interfaces.py
@@ -228,6 +228,9 @@
     ) -> Sequence[Decision]:
         """Record that a granted request passed a pool."""
 
+    def least_s(self, ticket: Ticket) -> float:
+        """Return a low quantile of the time that the rest takes."""
+
     def stage_held(
         self,
         entry_id: str,
--- a/walnutport/naive/admission.py
+++ b/walnutport/naive/admission.py
@@ -50,6 +50,9 @@
     ) -> Sequence[interfaces.Decision]:
         return ()
 
+    def least_s(self, ticket: interfaces.Ticket) -> float:
+        return 0.0
+
     def stage_held(
         self,
         entry_id: str,
--- a/walnutport/routing/affinity.py
+++ b/walnutport/routing/affinity.py
@@ -106,6 +106,7 @@
         """Return length of match and id of the targets that match."""
         found = [
             (self.match(target_id, prefixes), target_id)
-            for target_id in self._indexes_by_target
+            for target_id, index in self._indexes_by_target.items()
+            if not index.prefixes.keys().isdisjoint(prefixes)
         ]
         return sorted((item for item in found if item[0] > 0), reverse=True)
--- a/walnutport/service/attempts.py
+++ b/walnutport/service/attempts.py
@@ -122,7 +122,9 @@
             )
         granted_at = self._clock.monotonic()
         try:
-            outcome = await self._attempts(call, stage, input_json, on_sent)
+            outcome = await self._attempts(
+                call, stage, input_json, on_sent, ticket
+            )
             if _tells_latency(outcome):
                 now = self._clock.monotonic()
                 self._policies.admission.stage_held(
@@ -142,6 +144,7 @@
         stage: world.Stage,
         input_json: bytes,
         on_sent: Callable[[], None],
+        ticket: interfaces.Ticket,
     ) -> StageSuccess | attempt.StageFailure:
         self._policies.retries.request_started(
             stage.service, self._clock.monotonic()
@@ -171,6 +174,12 @@
                     )
                     if isinstance(job, attempt.StageFailure):
                         return _final_failure(failure or job, stream)
+                    # A resumed stream has a part of its work behind it.
+                    resumed = stream is not None and stream.session.started
+                    if not resumed and self._is_hopeless(ticket):
+                        return _final_failure(
+                            failure or _infeasible(stage), stream
+                        )
                     job = dataclasses.replace(job, stream=stream)
                     race = await self.hedges.run(job, perform, on_sent)
                     ended = race.ended
@@ -197,6 +206,15 @@
         finally:
             self.guard.leave(held, call)
 
+    def _is_hopeless(self, ticket: interfaces.Ticket) -> bool:
+        """Return whether not even a fast run ends before the deadline.
+
+        The queue checks this too, but retries, permits and questions to
+        targets take time after it.
+        """
+        left_s = ticket.deadline - self._clock.monotonic()
+        return left_s <= self._policies.admission.least_s(ticket)
+
     async def _wait_job(
         self,
         call: calls.Call,
@@ -279,6 +297,10 @@
         )
 
 
+def _infeasible(stage: world.Stage) -> attempt.StageFailure:
+    return attempt.StageFailure(answers.Reason.DEADLINE_INFEASIBLE, stage.name)
+
+
 def _final_failure(
     failure: attempt.StageFailure, stream: streams.StreamedStage | None
 ) -> attempt.StageFailure:
