Give back the place of a cancelled wait in the stand-in's slots

One target took 287 of 560 starts and drained 5 a second: a cancelled wait stayed in the heap of the priority slots, and the slot later given to it was never returned.

Conclusion: a fault of the stand-in, not of the routing.

--- a/standins/priority_slots.py
+++ b/standins/priority_slots.py
@@ -17,8 +17,8 @@
         self._waiting: list[tuple[float, int, defer.Deferred[None]]] = []
 
     def acquire(self, priority: float) -> defer.Deferred[None]:
-        """Wait for a slot."""
-        waiting: defer.Deferred[None] = defer.Deferred()
+        """Wait for a slot; cancelling the wait gives up the place."""
+        waiting: defer.Deferred[None] = defer.Deferred(self._leave)
         heapq.heappush(self._waiting, (-priority, next(self._order), waiting))
         self._serve()
         return waiting
@@ -28,6 +28,12 @@
         self._free += 1
         self._serve()
 
+    def _leave(self, waiting: defer.Deferred[None]) -> None:
+        self._waiting = [
+            item for item in self._waiting if item[2] is not waiting
+        ]
+        heapq.heapify(self._waiting)
+
     def _serve(self) -> None:
         while self._free and self._waiting:
             self._free -= 1
