Give the test of bounded metrics the clock's own time

Cause: the test entered deaths at time 0 and read them at the monotonic clock, which is the uptime of the machine; after an hour of uptime they had expired (3,600 s) and the test failed.

Change: the same clock for both.

Conclusion: the verdict depended on the uptime and no longer does.

--- a/tests/service/test_samples.py
+++ b/tests/service/test_samples.py
@@ -22,6 +22,7 @@
 def _crowd(entry_host: host.EntryHost) -> None:
     """Give a host thousands of members, entries, pools and suspects."""
     parts = entry_host.parts
+    now = parts.clock.monotonic()
     long_name = 'n' * 200
     for number in range(_MANY):
         name = f'{long_name}{number}'
@@ -42,9 +43,9 @@
         digest = number.to_bytes(16)
         book = parts.policies.quarantine
         for target in ('t1', 't2'):
-            book.attempt_started(digest, target, f'{target}{number}', 0.0)
+            book.attempt_started(digest, target, f'{target}{number}', now)
     for target in ('t1', 't2'):
-        parts.policies.quarantine.target_died(target, 0.0)
+        parts.policies.quarantine.target_died(target, now)
     address = world.Address('127.0.0.1', 1)
     targets = {
         f't{number}': world.Target(
@@ -52,7 +53,6 @@
         )
         for number in range(_MANY)
     }
-    now = parts.clock.monotonic()
     parts.policies.router.targets_changed(targets, now)
     parts.policies.admission.targets_changed(targets, now)
     parts.policies.admission.advance(now)
