--- a/bench/count.py
+++ b/bench/count.py
@@ -23,6 +23,8 @@
 )
 # Shells that hold recovery or membership rather than plain plumbing.
 _DECISION_MODULES = (
+    'catalogue_keeper',
+    'claim_peers',
     'claims',
     'drain',
     'hedging',
@@ -30,8 +32,9 @@
     'log_reader',
     'orders',
     'permits',
+    'suspect_runs',
     'suspects',
-    'targets',
+    'target_watch',
 )
 
 
