Forget the share of an entry that leaves the catalogue

Cause: make soak: an entry with limit 0 is deleted, and its queue kept the capacity 0; a request accepted just before the deletion then waited where a host that never used the entry grants it.

Change: the capacity goes with the entry; the failing example is part of the test.

Conclusion: found by the soak, mended in the product.

--- a/tests/admission/test_control.py
+++ b/tests/admission/test_control.py
@@ -127,6 +127,13 @@
         ]
 
 
+@hypothesis.example(
+    steps=[
+        ('catalogue', {'a': (0, 'p')}),
+        ('catalogue', {}),
+        ('offer', 'a'),
+    ]
+)
 @hypothesis.given(_STEPS)
 def test_idle_entries_make_no_difference(steps) -> None:
     """Guards against an idle entry whose next ticket meets an old share."""
--- a/walnutport/admission/control.py
+++ b/walnutport/admission/control.py
@@ -111,6 +111,8 @@
         """Take the entries in force."""
         for entry_id in set(self._contracts_by_id) - set(contracts_by_id):
             self.limits.drop_limit(f'entry/{entry_id}')
+            # A share of an entry that is gone must not bound a later one.
+            self.entry_queue.set_capacity(f'entry/{entry_id}', math.inf)
             self._active.pop(entry_id, None)
         # Tickets of an entry that was deleted and put again may still be held.
         for entry_id in set(contracts_by_id) - set(self._contracts_by_id):
