--- /dev/null
+++ b/walnutport/config/entry.py
@@ -0,0 +1,50 @@
+"""Settings of an entry host on an installation's platform."""
+
+import dataclasses
+
+__all__ = ['EntryBounds', 'EntrySettings']
+
+Address = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryBounds:
+    """Figures that the installation promises or asks for.
+
+    :param drain_s: time after which a leaving target gets no new work.
+    :param grace_s: time between the order to stop and the kill.
+    :param retry_ratio: repeats allowed for each request to a service.
+    :param retry_slack: repeats allowed besides, for all hosts together.
+    :param retry_window_s: window over which repeats are counted.
+    """
+
+    drain_s: float = 2.0
+    grace_s: float = 8.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 50.0
+    retry_window_s: float = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Settings of one process.
+
+    :param callers_address: where callers connect.
+    :param ready_address: where the balancer asks whether the host is ready.
+    :param peer_ports: first and last port free for traffic between hosts.
+    :param cpu_share: processor cores that the host may use.
+    :param heartbeat_s: interval at which targets register anew.
+    """
+
+    name: str
+    ip: str
+    data_centre: str
+    data_centres: tuple[str, ...]
+    callers_address: Address
+    ready_address: Address
+    peer_ports: tuple[int, int]
+    store_address: Address
+    cpu_share: float
+    memory_bytes: int
+    heartbeat_s: float
+    bounds: EntryBounds
--- a/walnutport/exceptions.py
+++ b/walnutport/exceptions.py
@@ -22,6 +22,8 @@
     'PeerError',
     'OrderError',
     'WeightStoreError',
+    'ChannelError',
+    'WireError',
 ]
 
 
@@ -118,3 +120,29 @@
 
 class OrderError(WalnutportError):
     """An order to a model engine was refused or could not be confirmed."""
+
+
+class ChannelError(WalnutportError):
+    """No complete answer came on an HTTP channel.
+
+    :param written: whether any byte of the request was written.
+    :param malformed: whether the bytes received were no HTTP answer.
+    :param timed_out: whether the time for the answer was over.
+    """
+
+    def __init__(
+        self,
+        text: str,
+        *,
+        written: bool,
+        malformed: bool = False,
+        timed_out: bool = False,
+    ) -> None:
+        super().__init__(text)
+        self.written = written
+        self.malformed = malformed
+        self.timed_out = timed_out
+
+
+class WireError(WalnutportError):
+    """A message of the platform does not decode."""
--- /dev/null
+++ b/walnutport/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The entry host on a platform: everything that does I/O."""
--- /dev/null
+++ b/walnutport/http1/client.py
@@ -0,0 +1,410 @@
+"""HTTP/1.1 client channels.
+
+A channel carries one request at a time. Its receiver learns what came back
+and, on a failure, whether any byte of the request was written.
+"""
+
+import socket
+import time
+from typing import Protocol as TypingProtocol
+
+import httptools
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import error
+from twisted.internet import protocol
+
+from walnutport import exceptions
+from walnutport.http1 import messages
+
+__all__ = [
+    'Address',
+    'AnswerReceiver',
+    'ChannelPool',
+    'ClientChannel',
+    'CollectedAnswer',
+    'connect',
+    'fetch',
+]
+
+Address = tuple[str, int]
+
+# A peer that is cut off acknowledges nothing; the kernel gives up on written
+# data after this long. Detection must fit within the shortest deadlines.
+UNACKED_LIMIT_MS = 1500
+# Keep-alive probes find a channel that went silent while we wait for an
+# answer and nothing is unacknowledged.
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+# Idle channels are kept for at most this long when the peer names no limit.
+DEFAULT_IDLE_S = 4.0
+# A channel is not reused within this margin of the peer's idle limit.
+IDLE_MARGIN_S = 0.5
+MAX_ANSWER_BYTES = 16 << 20
+CONNECT_TIMEOUT_S = 1.0
+
+
+class AnswerReceiver(TypingProtocol):
+    """Takes what a channel reads for one request."""
+
+    def head_received(self, head: messages.ResponseHead) -> bool:
+        """Take the head; return False for the answer to another request."""
+
+    def body_received(self, data: bytes) -> None:
+        """Take a part of the body."""
+
+    def finished(self) -> None:
+        """Take note that the answer is complete."""
+
+    def failed(self, failure: exceptions.ChannelError) -> None:
+        """Take note that no complete answer will come."""
+
+
+class ClientChannel(protocol.Protocol):
+    """One connection to a target, the store or a stage."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.idle_since = 0.0
+        self.idle_limit_s = DEFAULT_IDLE_S
+        self.alive = False
+        self.requests = 0
+        self._receiver: AnswerReceiver | None = None
+        self._written = False
+        self._keep = True
+        self._swallow = False
+        self._on_idle = lambda channel: None
+        self._reset_parser()
+
+    def connectionMade(self) -> None:
+        self.alive = True
+        _bound_silence(self.transport)
+
+    def send(
+        self,
+        data: bytes,
+        receiver: AnswerReceiver,
+        on_idle=lambda channel: None,
+    ) -> None:
+        """Write one request.
+
+        :param on_idle: called with the channel once it can be used again.
+        """
+        if not self.alive or self._receiver is not None:
+            raise exceptions.ChannelError('channel is not free', written=False)
+        self._receiver = receiver
+        self._on_idle = on_idle
+        self._written = True
+        self.requests += 1
+        self.transport.write(data)
+
+    def cancel(self) -> None:
+        """Drop the request in flight and the channel with it."""
+        self._receiver = None
+        self._drop()
+
+    def close(self) -> None:
+        """Close an idle channel."""
+        self._drop()
+
+    def dataReceived(self, data: bytes) -> None:
+        if self._receiver is None:
+            # Bytes that no request waits for belong to nobody.
+            self._drop()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as problem:
+            self._fail(f'malformed answer: {problem}', malformed=True)
+
+    def connectionLost(self, reason=protocol.connectionDone) -> None:
+        self.alive = False
+        if self._receiver is None:
+            return
+        if (
+            self._until_close
+            and self._head is not None
+            and reason.check(error.ConnectionDone)
+        ):
+            self._complete()
+            return
+        self._fail(f'channel lost: {reason.type.__name__}')
+
+    # The methods below are called by the parser.
+
+    def on_message_begin(self) -> None:
+        if self._done:
+            # A second answer after a complete one belongs to no request.
+            self._keep = False
+            self._swallow = True
+        self._headers: messages.Headers = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._head is None:
+            self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if self._done or self._receiver is None or status < 200:
+            return
+        head = messages.ResponseHead(status, self._headers)
+        if not self._receiver.head_received(head):
+            self._swallow = True
+            self._keep = False
+            return
+        self._swallow = False
+        self._head = head
+        self._until_close = (
+            head.first(b'content-length') is None
+            and head.first(b'transfer-encoding') is None
+            and status not in (204, 304)
+        )
+        self._keep = (
+            self._keep
+            and not self._until_close
+            and self._parser.should_keep_alive()
+        )
+        self._read_idle_limit(head)
+
+    def on_body(self, data: bytes) -> None:
+        if self._swallow or self._done or self._receiver is None:
+            return
+        if self._head is not None:
+            self._receiver.body_received(data)
+
+    def on_message_complete(self) -> None:
+        if self._parser.get_status_code() < 200:
+            return
+        if self._swallow or self._head is None:
+            self._swallow = False
+            return
+        if not self._done and not self._until_close:
+            self._done = True
+            self._complete()
+
+    def _complete(self) -> None:
+        receiver = self._receiver
+        self._receiver = None
+        if receiver is None:
+            return
+        reusable = self._keep and self.alive
+        if reusable:
+            self._reset_parser()
+            self.idle_since = time.monotonic()
+        else:
+            self._drop()
+        receiver.finished()
+        if reusable and self._receiver is None:
+            self._on_idle(self)
+
+    def _fail(self, text: str, malformed: bool = False) -> None:
+        receiver = self._receiver
+        self._receiver = None
+        self._drop()
+        if receiver is not None:
+            receiver.failed(
+                exceptions.ChannelError(
+                    text, written=self._written, malformed=malformed
+                )
+            )
+
+    def _drop(self) -> None:
+        self.alive = False
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+    def _reset_parser(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers = []
+        self._head: messages.ResponseHead | None = None
+        self._until_close = False
+        self._done = False
+        self._swallow = False
+        self._keep = True
+
+    def _read_idle_limit(self, head: messages.ResponseHead) -> None:
+        value = head.first(b'keep-alive') or b''
+        for part in value.split(b','):
+            name, _, number = part.strip().partition(b'=')
+            if name.lower() == b'timeout' and number.isdigit():
+                self.idle_limit_s = float(number) - IDLE_MARGIN_S
+
+
+class CollectedAnswer:
+    """Receiver that collects a whole answer.
+
+    :param accepts: tells whether a head answers this request.
+    """
+
+    def __init__(self, accepts=lambda head: True) -> None:
+        self.head: messages.ResponseHead | None = None
+        self.done: defer.Deferred = defer.Deferred()
+        self._accepts = accepts
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    @property
+    def body(self) -> bytes:
+        """Return the body received so far."""
+        return b''.join(self._parts)
+
+    def head_received(self, head: messages.ResponseHead) -> bool:
+        if not self._accepts(head):
+            return False
+        self.head = head
+        return True
+
+    def body_received(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size <= MAX_ANSWER_BYTES:
+            self._parts.append(data)
+
+    def finished(self) -> None:
+        if self.done.called:
+            return
+        if self._size > MAX_ANSWER_BYTES:
+            self.done.errback(
+                exceptions.ChannelError('answer too large', written=True)
+            )
+        else:
+            self.done.callback(self)
+
+    def failed(self, failure: exceptions.ChannelError) -> None:
+        if not self.done.called:
+            self.done.errback(failure)
+
+
+class ChannelPool:
+    """Idle channels by address.
+
+    :param reactor: the Twisted reactor.
+    :param max_idle: idle channels kept for one address.
+    """
+
+    def __init__(self, reactor, max_idle: int) -> None:
+        self._reactor = reactor
+        self._max_idle = max_idle
+        self._idle_by_address: dict[Address, list[ClientChannel]] = {}
+        self.opened = 0
+
+    def take_idle(
+        self, address: Address, longest_idle_s: float | None = None
+    ) -> ClientChannel | None:
+        """Return an idle channel that is still good, or None."""
+        idle = self._idle_by_address.get(address)
+        now = time.monotonic()
+        while idle:
+            channel = idle.pop()
+            limit = channel.idle_limit_s
+            if longest_idle_s is not None:
+                limit = min(limit, longest_idle_s)
+            if channel.alive and now - channel.idle_since < limit:
+                return channel
+            channel.close()
+        return None
+
+    async def open(
+        self, address: Address, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> ClientChannel:
+        """Open a new channel.
+
+        :raises ChannelError: when the peer cannot be reached.
+        """
+        self.opened += 1
+        return await connect(self._reactor, address, timeout_s)
+
+    def give_back(self, channel: ClientChannel) -> None:
+        """Keep an idle channel for later requests."""
+        idle = self._idle_by_address.setdefault(channel.address, [])
+        if len(idle) >= self._max_idle:
+            idle.pop(0).close()
+        idle.append(channel)
+
+    def forget(self, address: Address) -> None:
+        """Close the idle channels to an address."""
+        for channel in self._idle_by_address.pop(address, ()):
+            channel.close()
+
+    def close_expired(self) -> None:
+        """Close channels that reached their idle limit."""
+        now = time.monotonic()
+        for address, idle in list(self._idle_by_address.items()):
+            kept = []
+            for channel in idle:
+                idle_s = now - channel.idle_since
+                if channel.alive and idle_s < channel.idle_limit_s:
+                    kept.append(channel)
+                else:
+                    channel.close()
+            if kept:
+                self._idle_by_address[address] = kept
+            else:
+                del self._idle_by_address[address]
+
+
+async def connect(
+    reactor, address: Address, timeout_s: float = CONNECT_TIMEOUT_S
+) -> ClientChannel:
+    """Open a channel.
+
+    :raises ChannelError: when the peer cannot be reached.
+    """
+    endpoint = endpoints.TCP4ClientEndpoint(
+        reactor, address[0], address[1], timeout=timeout_s
+    )
+    factory = protocol.Factory.forProtocol(lambda: ClientChannel(address))
+    factory.noisy = False
+    try:
+        return await endpoint.connect(factory)
+    except (error.ConnectError, error.ConnectionLost, OSError) as problem:
+        raise exceptions.ChannelError(
+            f'cannot connect: {type(problem).__name__}', written=False
+        ) from problem
+
+
+async def fetch(
+    reactor,
+    pool: ChannelPool,
+    address: Address,
+    request: bytes,
+    timeout_s: float,
+) -> CollectedAnswer:
+    """Send a request that may be repeated and return the whole answer.
+
+    :raises ChannelError: when no complete answer came in time.
+    """
+    channel = pool.take_idle(address)
+    if channel is None:
+        channel = await pool.open(address, min(timeout_s, CONNECT_TIMEOUT_S))
+    answer = CollectedAnswer()
+    timer = reactor.callLater(timeout_s, _time_out, channel, answer)
+    try:
+        channel.send(request, answer, pool.give_back)
+        return await answer.done
+    finally:
+        if timer.active():
+            timer.cancel()
+
+
+def _time_out(channel: ClientChannel, answer: CollectedAnswer) -> None:
+    channel.cancel()
+    answer.failed(
+        exceptions.ChannelError(
+            'no answer in time', written=True, timed_out=True
+        )
+    )
+
+
+def _bound_silence(transport) -> None:
+    handle = transport.getHandle()
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_LIMIT_MS),
+    )
+    for level, option, value in options:
+        handle.setsockopt(level, option, value)
--- /dev/null
+++ b/walnutport/http1/messages.py
@@ -0,0 +1,81 @@
+"""Types that the HTTP server and client share."""
+
+import dataclasses
+
+__all__ = [
+    'HOP_HEADERS',
+    'Headers',
+    'REASONS',
+    'ResponseHead',
+    'encode_request',
+    'encode_response_head',
+]
+
+#: Header names in lower case, with values, in the order of arrival.
+Headers = list[tuple[bytes, bytes]]
+
+# Headers that concern one channel only (RFC 9110, section 7.6.1).
+HOP_HEADERS = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+
+REASONS = {
+    200: b'OK',
+    400: b'Bad Request',
+    401: b'Unauthorized',
+    404: b'Not Found',
+    408: b'Request Timeout',
+    413: b'Content Too Large',
+    429: b'Too Many Requests',
+    431: b'Request Header Fields Too Large',
+    500: b'Internal Server Error',
+    502: b'Bad Gateway',
+    503: b'Service Unavailable',
+    504: b'Gateway Timeout',
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """Status and headers of a response."""
+
+    status: int
+    headers: Headers
+
+    def first(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, given in lower case."""
+        for found, value in self.headers:
+            if found == name:
+                return value
+        return None
+
+
+def encode_request(
+    method: bytes, path: bytes, headers: Headers, body: bytes
+) -> bytes:
+    """Return a request with a content length."""
+    lines = [b'%s %s HTTP/1.1\r\n' % (method, path)]
+    lines += [b'%s: %s\r\n' % header for header in headers]
+    if body or method not in (b'GET', b'HEAD', b'DELETE'):
+        lines.append(b'content-length: %d\r\n' % len(body))
+    lines.append(b'\r\n')
+    lines.append(body)
+    return b''.join(lines)
+
+
+def encode_response_head(status: int, headers: Headers) -> bytes:
+    """Return the status line and headers of a response."""
+    lines = [b'HTTP/1.1 %d %s\r\n' % (status, REASONS.get(status, b'Status'))]
+    lines += [b'%s: %s\r\n' % header for header in headers]
+    lines.append(b'\r\n')
+    return b''.join(lines)
--- /dev/null
+++ b/walnutport/platform/headers.py
@@ -0,0 +1,199 @@
+"""Decodes and encodes the headers of requests and answers."""
+
+from walnutport import exceptions
+from walnutport.http1 import messages
+from walnutport.platform import wire
+from walnutport.world import requests
+
+__all__ = [
+    'answer_fields',
+    'caller_headers',
+    'own_headers',
+    'request_fields',
+    'target_headers',
+]
+
+_DROPPED_FROM_CALLERS = (
+    messages.HOP_HEADERS
+    | wire.SYSTEM_HEADERS
+    | frozenset(
+        (b'content-length', b'expect', wire.CREDENTIAL, wire.DEADLINE_MS)
+    )
+)
+_DROPPED_FROM_TARGETS = messages.HOP_HEADERS | frozenset(
+    (b'content-length', wire.LOAD, wire.NOT_RUN)
+)
+# Values that the system reads must not come twice, as a target could read
+# the other one.
+_READ_HEADERS = (
+    wire.REQUEST_ID,
+    wire.DEADLINE_MS,
+    wire.CREDENTIAL,
+    wire.PIECES,
+    wire.PIECE_KEY,
+    wire.LAST_EVENT_ID,
+)
+
+
+def request_fields(headers: messages.Headers) -> requests.RequestFields:
+    """Decode a caller's headers.
+
+    :raises WireError: when a header is missing or malformed.
+    """
+    value_by_name: dict[bytes, bytes] = {}
+    for name, value in headers:
+        if name in value_by_name and name in _READ_HEADERS:
+            raise exceptions.WireError(f'{name.decode()} comes twice')
+        value_by_name.setdefault(name, value)
+    request_id = _text(value_by_name, wire.REQUEST_ID)
+    if not request_id:
+        raise exceptions.WireError('no request id')
+    wait_ms = _whole_number(value_by_name, wire.DEADLINE_MS)
+    return requests.RequestFields(
+        request_id=request_id,
+        wait_s=None if wait_ms is None else wait_ms / 1000,
+        api_key=_text(value_by_name, wire.CREDENTIAL),
+        piece_counts=_piece_counts(value_by_name),
+        piece_key=_text(value_by_name, wire.PIECE_KEY),
+        prompt=_prompt(value_by_name),
+        last_event_id=_whole_number(value_by_name, wire.LAST_EVENT_ID),
+    )
+
+
+def target_headers(
+    headers: messages.Headers,
+    *,
+    target_id: str,
+    team: str | None,
+    remaining_s: float,
+    inputs: tuple[str, ...] | None = None,
+    last_event_id: int | None = None,
+    priority: int | None = None,
+) -> messages.Headers:
+    """Return the headers of a request as a target gets them.
+
+    :param headers: what the caller sent.
+    :param last_event_id: where the system resumes a stream; None keeps the
+        caller's own value.
+    :param priority: rank at the target, 0 to 9; None leaves it out.
+    """
+    dropped = _DROPPED_FROM_CALLERS | _named_by_connection(headers)
+    if last_event_id is not None:
+        dropped = dropped | {wire.LAST_EVENT_ID}
+    found = [header for header in headers if header[0] not in dropped]
+    remaining_ms = max(1, int(remaining_s * 1000))
+    found.append((wire.DEADLINE_MS, b'%d' % remaining_ms))
+    found.append((wire.EXPECT_INSTANCE, target_id.encode()))
+    if team is not None:
+        found.append((wire.TENANT, team.encode()))
+    if inputs is not None:
+        found.append((wire.INPUTS, ','.join(inputs).encode()))
+    if last_event_id is not None:
+        found.append((wire.LAST_EVENT_ID, b'%d' % last_event_id))
+    if priority is not None:
+        found.append((wire.PRIORITY, b'%d' % min(9, max(0, priority))))
+    return found
+
+
+def answer_fields(head: messages.ResponseHead) -> requests.AnswerFields:
+    """Decode a target's headers; what cannot be read counts as not said."""
+    request_id = head.first(wire.REQUEST_ID) or b''
+    return requests.AnswerFields(
+        request_id=request_id.decode('latin-1'),
+        sealed=bool(head.first(wire.SEAL)),
+        not_run=head.first(wire.NOT_RUN) is not None,
+        load=_load(head.first(wire.LOAD)),
+    )
+
+
+def caller_headers(head: messages.ResponseHead) -> messages.Headers:
+    """Return the headers of a target's answer as the caller gets them."""
+    dropped = _DROPPED_FROM_TARGETS | _named_by_connection(head.headers)
+    return [header for header in head.headers if header[0] not in dropped]
+
+
+def own_headers(
+    request_id: str, retry_after_s: float | None
+) -> messages.Headers:
+    """Return the headers of an answer by the system itself."""
+    found: messages.Headers = []
+    if request_id:
+        found.append((wire.REQUEST_ID, request_id.encode('latin-1')))
+    if retry_after_s is not None:
+        found.append((wire.RETRY_AFTER, b'%.3f' % retry_after_s))
+    return found
+
+
+def _named_by_connection(headers: messages.Headers) -> set[bytes]:
+    return {
+        part.strip().lower()
+        for name, value in headers
+        if name == b'connection'
+        for part in value.split(b',')
+    } - {wire.REQUEST_ID}
+
+
+def _text(value_by_name: dict[bytes, bytes], name: bytes) -> str:
+    return value_by_name.get(name, b'').decode('latin-1')
+
+
+def _whole_number(
+    value_by_name: dict[bytes, bytes], name: bytes
+) -> int | None:
+    value = value_by_name.get(name)
+    if value is None:
+        return None
+    if not value.isdigit() or len(value) > 12:
+        if name == wire.LAST_EVENT_ID:
+            # The target judges an event id that is not a number of ours.
+            return None
+        raise exceptions.WireError(f'{name.decode()} is not a number')
+    return int(value)
+
+
+def _piece_counts(
+    value_by_name: dict[bytes, bytes],
+) -> tuple[int, ...] | None:
+    value = value_by_name.get(wire.PIECES)
+    if value is None:
+        return None
+    parts = [part.strip() for part in value.split(b',')]
+    if not all(part.isdigit() and len(part) < 6 for part in parts):
+        raise exceptions.WireError('piece counts are not numbers')
+    return tuple(int(part) for part in parts)
+
+
+def _prompt(
+    value_by_name: dict[bytes, bytes],
+) -> requests.PromptShape | None:
+    counts = value_by_name.get(wire.TOKEN_COUNTS)
+    if counts is None:
+        return None
+    try:
+        input_tokens, output_tokens = (
+            int(part) for part in counts.split(b',')
+        )
+        parts = [
+            part.strip().split(b':')
+            for part in value_by_name.get(wire.PROMPT_PREFIX, b'').split(b',')
+            if part.strip()
+        ]
+        return requests.PromptShape(
+            input_tokens,
+            output_tokens,
+            tuple(part[0].decode('latin-1') for part in parts),
+            tuple(int(part[1]) for part in parts),
+        )
+    except (ValueError, IndexError):
+        # The target judges what it cannot read; we only lose a hint.
+        return None
+
+
+def _load(value: bytes | None) -> requests.ReportedLoad | None:
+    if value is None:
+        return None
+    parts = value.split(b',')
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return requests.ReportedLoad(running, waiting, slots)
--- /dev/null
+++ b/walnutport/platform/settings.py
@@ -0,0 +1,125 @@
+"""Reads the platform's settings file: lines of the form ``a.b=value``."""
+
+import os
+
+from walnutport.config import entry
+from walnutport import exceptions
+from walnutport.platform import wire
+
+__all__ = ['load_settings', 'parse_settings', 'settings_path']
+
+
+def settings_path() -> str:
+    """Return the path of the settings file.
+
+    :raises SettingsError: when the environment does not name it.
+    """
+    path = os.environ.get(wire.SETTINGS_VARIABLE, '')
+    if not path:
+        raise exceptions.SettingsError(
+            f'the variable {wire.SETTINGS_VARIABLE} names no settings file'
+        )
+    return path
+
+
+def load_settings(path: str) -> entry.EntrySettings:
+    """Read a settings file.
+
+    :raises SettingsError: when it is missing or cannot be used.
+    """
+    try:
+        with open(path, encoding='utf-8') as file:
+            return parse_settings(file.read(), path)
+    except (OSError, UnicodeDecodeError) as problem:
+        raise exceptions.SettingsError(f'{path}: {problem}') from problem
+
+
+def parse_settings(text: str, path: str) -> entry.EntrySettings:
+    """Decode the text of a settings file; unknown names are ignored.
+
+    :raises SettingsError: with the line and the reason.
+    """
+    lines = _Lines(text, path)
+    known = entry.EntryBounds()
+    bounds = entry.EntryBounds(
+        drain_s=lines.number('bounds.drainMs', known.drain_s * 1000) / 1000,
+        grace_s=lines.number('bounds.graceS', known.grace_s),
+        retry_ratio=lines.number('bounds.retryBudgetRatio', known.retry_ratio),
+        retry_slack=lines.number('bounds.retrySlack', known.retry_slack),
+        retry_window_s=lines.number(
+            'bounds.budgetWindowS', known.retry_window_s
+        ),
+    )
+    first_port, last_port = lines.port_range('portRange')
+    data_centres = tuple(
+        key.removeprefix('zones.')
+        for key in lines.value_by_key
+        if key.startswith('zones.')
+    )
+    return entry.EntrySettings(
+        name=lines.text('nodeName'),
+        ip=lines.text('ip'),
+        data_centre=lines.text('zone'),
+        data_centres=data_centres,
+        callers_address=lines.address('listen.front'),
+        ready_address=lines.address('listen.ready'),
+        peer_ports=(first_port, last_port),
+        store_address=lines.address('platform.address'),
+        cpu_share=lines.number('limits.cpuShare', 1.0)
+        * lines.number('limits.cores', 1.0),
+        memory_bytes=int(lines.number('limits.memoryMb', 300.0) * 1_000_000),
+        heartbeat_s=lines.number('heartbeatMs', 1200.0) / 1000,
+        bounds=bounds,
+    )
+
+
+class _Lines:
+    """Values of a settings file with their line numbers."""
+
+    def __init__(self, text: str, path: str) -> None:
+        self.value_by_key: dict[str, str] = {}
+        self._line_by_key: dict[str, int] = {}
+        self._path = path
+        for number, line in enumerate(text.splitlines(), 1):
+            stripped = line.strip()
+            if not stripped or stripped.startswith('#'):
+                continue
+            key, separator, value = stripped.partition('=')
+            if not separator:
+                raise exceptions.SettingsError(
+                    f'{path}:{number}: no "=" in the line'
+                )
+            self.value_by_key[key.strip()] = value.strip()
+            self._line_by_key[key.strip()] = number
+
+    def text(self, key: str) -> str:
+        value = self.value_by_key.get(key, '')
+        if not value:
+            raise exceptions.SettingsError(f'{self._path}: {key} is missing')
+        return value
+
+    def number(self, key: str, default: float) -> float:
+        value = self.value_by_key.get(key)
+        if value is None or value == '':
+            return default
+        try:
+            return float(value)
+        except ValueError:
+            raise self._wrong(key, 'not a number') from None
+
+    def address(self, key: str) -> tuple[str, int]:
+        host, separator, port = self.text(key).rpartition(':')
+        if not separator or not host or not port.isdigit():
+            raise self._wrong(key, 'not of the form IP:PORT')
+        return host, int(port)
+
+    def port_range(self, key: str) -> tuple[int, int]:
+        first, separator, last = self.text(key).partition(',')
+        if not separator or not first.isdigit() or not last.isdigit():
+            raise self._wrong(key, 'not of the form FIRST,LAST')
+        return int(first), int(last)
+
+    def _wrong(self, key: str, reason: str) -> exceptions.SettingsError:
+        return exceptions.SettingsError(
+            f'{self._path}:{self._line_by_key[key]}: {key}: {reason}'
+        )
--- /dev/null
+++ b/walnutport/platform/store.py
@@ -0,0 +1,190 @@
+"""Calls to the platform's store."""
+
+import base64
+import binascii
+import struct
+from urllib import parse
+
+import msgspec
+
+from walnutport import exceptions
+from walnutport.http1 import client
+from walnutport.http1 import messages
+from walnutport.platform import wire
+from walnutport.world import feeds
+
+__all__ = ['PlatformStore']
+
+# Longest wait for an answer beyond the time that the call may wait by itself.
+# A healthy store answers within some ms.
+ANSWER_TIMEOUT_S = 2.0
+MAX_PAGES = 200
+
+_TOPICS = {
+    feeds.Feed.DESIRED: wire.OPERATOR_TOPIC,
+    feeds.Feed.TARGETS: wire.TARGETS_TOPIC,
+    feeds.Feed.HOSTS: wire.HOSTS_TOPIC,
+}
+
+
+class _NewestItem(msgspec.Struct):
+    key: str
+    value: str
+    offset: int
+
+
+class _Newest(msgspec.Struct, rename='camel'):
+    items: list[_NewestItem]
+    end: int
+    has_more: bool = False
+
+
+_NEWEST = msgspec.json.Decoder(_Newest)
+
+
+class PlatformStore:
+    """Reads and writes keyed records; see ``feeds.FeedStore``."""
+
+    def __init__(self, reactor, address: client.Address) -> None:
+        self._reactor = reactor
+        self._address = address
+        self._pool = client.ChannelPool(reactor, max_idle=2)
+        self.calls = 0
+
+    async def newest(self, feed: feeds.Feed) -> feeds.FeedPage:
+        """Return the newest record of every key of a feed."""
+        records: list[feeds.FeedRecord] = []
+        end: int | None = None
+        after = ''
+        for _ in range(MAX_PAGES):
+            query = {'topic': _TOPICS[feed], 'part': '0'}
+            if after:
+                query['after'] = after
+            answer = await self._call(b'GET', wire.LOG_NEWEST_PATH, query)
+            if answer.head.status == 404:
+                return feeds.FeedPage((), 0)
+            page = self._decode_newest(answer)
+            # Pages are no snapshot; reading on from the first page's end
+            # repeats what changed meanwhile.
+            end = page.end if end is None else end
+            for item in page.items:
+                records.append(_newest_record(item))
+            if not page.has_more or not page.items:
+                return feeds.FeedPage(tuple(records), end)
+            after = page.items[-1].key
+        raise exceptions.LogUnavailable('too many pages of newest records')
+
+    async def read(
+        self, feed: feeds.Feed, offset: int, wait_s: float
+    ) -> feeds.FeedPage:
+        """Return the records from an offset on."""
+        query = {
+            'topic': _TOPICS[feed],
+            'part': '0',
+            'from': str(offset),
+            'waitMs': str(int(wait_s * 1000)),
+        }
+        answer = await self._call(
+            b'GET', wire.LOG_READ_PATH, query, wait_s + ANSWER_TIMEOUT_S
+        )
+        if answer.head.status == 410:
+            raise exceptions.RecordsExpired('records were dropped', offset)
+        if answer.head.status == 404:
+            return feeds.FeedPage((), offset)
+        if answer.head.status != 200:
+            raise exceptions.LogUnavailable(
+                f'read answered {answer.head.status}'
+            )
+        return _decode_records(answer.body, offset)
+
+    async def publish(self, feed: feeds.Feed, key: str, value: bytes) -> None:
+        """Append a keyed record."""
+        name = key.encode()
+        content = bytes((len(name),)) + name + value
+        answer = await self._call(
+            b'POST',
+            wire.LOG_APPEND_PATH,
+            {'topic': _TOPICS[feed], 'part': '0'},
+            body=struct.pack('>I', len(content)) + content,
+        )
+        if answer.head.status != 200:
+            raise exceptions.LogUnavailable(
+                f'append answered {answer.head.status}'
+            )
+
+    async def _call(
+        self,
+        method: bytes,
+        path: str,
+        query: dict[str, str],
+        timeout_s: float = ANSWER_TIMEOUT_S,
+        body: bytes = b'',
+    ) -> client.CollectedAnswer:
+        self.calls += 1
+        host, port = self._address
+        request = messages.encode_request(
+            method,
+            f'{path}?{parse.urlencode(query)}'.encode(),
+            [(b'host', f'{host}:{port}'.encode())],
+            body,
+        )
+        try:
+            return await client.fetch(
+                self._reactor, self._pool, self._address, request, timeout_s
+            )
+        except exceptions.ChannelError as problem:
+            raise exceptions.LogUnavailable(str(problem)) from problem
+
+    def _decode_newest(self, answer: client.CollectedAnswer) -> _Newest:
+        if answer.head.status != 200:
+            raise exceptions.LogUnavailable(
+                f'newest answered {answer.head.status}'
+            )
+        try:
+            return _NEWEST.decode(answer.body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+            raise exceptions.LogUnavailable(
+                f'newest records do not decode: {problem}'
+            ) from problem
+
+
+def _newest_record(item: _NewestItem) -> feeds.FeedRecord:
+    try:
+        value = base64.b64decode(item.value)
+    except (binascii.Error, ValueError):
+        # Goes on as a value that the decoder of the feed rejects and logs.
+        value = item.value.encode()
+    return feeds.FeedRecord(item.key, value or None, item.offset)
+
+
+def _decode_records(data: bytes, offset: int) -> feeds.FeedPage:
+    """Decode the raw answer to a read."""
+    if len(data) < 16:
+        raise exceptions.LogUnavailable('read answered too few bytes')
+    position = 16
+    records = []
+    while position + 4 <= len(data):
+        (length,) = struct.unpack_from('>I', data, position)
+        position += 4
+        content = data[position : position + length]
+        if len(content) < length:
+            break
+        position += length
+        record = _keyed_record(content, offset)
+        if record is not None:
+            records.append(record)
+        offset += 1
+    return feeds.FeedPage(tuple(records), offset)
+
+
+def _keyed_record(content: bytes, offset: int) -> feeds.FeedRecord | None:
+    if not content:
+        return None
+    key_length = content[0]
+    key = content[1 : 1 + key_length]
+    if len(key) < key_length:
+        return None
+    value = content[1 + key_length :]
+    return feeds.FeedRecord(
+        key.decode('utf-8', 'replace'), value or None, offset
+    )
--- /dev/null
+++ b/walnutport/stages/pieces.py
@@ -0,0 +1,122 @@
+"""Types of stage work."""
+
+import dataclasses
+import enum
+
+from walnutport.world import routes
+
+__all__ = [
+    'JobFailure',
+    'JobOrder',
+    'JobResult',
+    'PieceFailure',
+    'PieceWork',
+    'Refusal',
+    'StageCall',
+    'StageResult',
+]
+
+
+class PieceFailure(enum.Enum):
+    """Why a piece has no result."""
+
+    LATE = 'late'
+    INPUT_GONE = 'input_gone'
+    NO_ROOM = 'no_room'
+    ERROR = 'error'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PieceWork:
+    """One piece as a target gets it.
+
+    :param inputs: handles of the results that it needs; None for a stage
+        that comes after no other and works on the key.
+    """
+
+    request_id: str
+    stage: int
+    piece: int
+    remaining_s: float
+    key: str
+    inputs: tuple[str, ...] | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobOrder:
+    """Stages of one request, as the host that took it asks for them.
+
+    :param job_id: name of the job, unique over all hosts.
+    :param piece_counts: pieces of each stage; 0 leaves a stage out.
+    :param urgency: rank of the request; 0 is the most urgent.
+    :param aim_s: time left for an answer of full value.
+    :param deadline_s: time left for any answer.
+    :param final_s: expected time of the request itself after its stages.
+    """
+
+    job_id: str
+    request_id: str
+    piece_key: str
+    stages: tuple[routes.StageSpec, ...]
+    piece_counts: tuple[int, ...]
+    urgency: int
+    aim_s: float
+    deadline_s: float
+    final_s: float
+    team: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageResult:
+    """Result of one piece.
+
+    :param handle: name under which targets fetch it.
+    :param data_centre: where it lies.
+    """
+
+    handle: str
+    data_centre: str
+    size: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobResult:
+    """Results of the stages that no other stage follows."""
+
+    job_id: str
+    results: tuple[StageResult, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobFailure:
+    """The stages of a job were given up.
+
+    :param retry_after_s: when the caller may come back.
+    """
+
+    job_id: str
+    reason: str
+    retry_after_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A job that is not taken.
+
+    :param forecast_s: when its answer was expected.
+    """
+
+    reason: str
+    retry_after_s: float
+    forecast_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageCall:
+    """One call to a stage target."""
+
+    call_id: int
+    target_id: str
+    address: tuple[str, int]
+    work: tuple[PieceWork, ...]
+    timeout_s: float
--- /dev/null
+++ b/walnutport/stages/scheduler.py
@@ -0,0 +1,600 @@
+"""Assembles the calls to the stage targets of one cell.
+
+Load pattern: stage targets that take one call at a time with a large fixed
+cost. Calls that carry the pieces of many requests keep up with several times
+the traffic of calls that carry one request each, so a cell holds all pieces
+that wait for its targets in one place.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import itertools
+
+from walnutport.stages import forecast
+from walnutport.stages import jobs
+from walnutport.stages import pieces
+from walnutport.world import routes
+from walnutport.world import workers
+
+__all__ = ['CallFailure', 'StageScheduler']
+
+# A call that takes this many times its expected time, and the margin, is
+# repeated at another target.
+TIMEOUT_RATIO = 2.5
+TIMEOUT_MARGIN_S = 0.3
+# Share of a new sample in the measured slowness of a target.
+SLOWNESS_GAIN = 0.3
+# Bounds of the slowness, so that one odd sample does not rule a target out.
+LEAST_SLOWNESS = 0.5
+MOST_SLOWNESS = 8.0
+# A target that refuses a call is busy with others' work; a call there takes
+# some hundred ms.
+BUSY_PAUSE_S = 0.06
+# Pause after a failed call, doubled with each further failure.
+FAILURE_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 4.0
+# Failed pieces of one job before it is given up.
+MAX_JOB_FAILURES = 6
+# Time for the way to a target and back, and for the host's own work.
+CALL_OVERHEAD_S = 0.01
+# Waiting behind others that is always accepted: it is as long as a short call
+# and says nothing about overload.
+FREE_WAIT_S = 0.1
+# Bounds of the time after which a refused caller may come back.
+LEAST_RETRY_AFTER_S = 0.2
+MOST_RETRY_AFTER_S = 4.0
+
+
+class CallFailure:
+    """Names of the ways in which a call fails as a whole."""
+
+    BUSY = 'busy'
+    WRONG_TARGET = 'wrong_target'
+    LOST = 'lost'
+    TIMEOUT = 'timeout'
+    ERROR = 'error'
+
+
+@dataclasses.dataclass(slots=True)
+class _Call:
+    service: str
+    target_id: str
+    work: list[tuple[jobs.Job, jobs.PieceId]]
+    started_at: float
+    expected_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Target:
+    info: workers.RegisteredTarget
+    rules: routes.BatchRules
+    calls: dict[int, _Call] = dataclasses.field(default_factory=dict)
+    held_bytes: float = 0.0
+    slowness: float = 1.0
+    paused_until: float = 0.0
+    failures: int = 0
+    usable: bool = True
+
+    def is_free(self, now: float) -> bool:
+        return (
+            self.usable
+            and now >= self.paused_until
+            and len(self.calls) < self.rules.slots
+        )
+
+
+class StageScheduler:
+    """Jobs, targets and calls of one cell.
+
+    Times are seconds of a steady clock, passed in as ``now``.
+    """
+
+    def __init__(self) -> None:
+        self._job_by_id: dict[str, jobs.Job] = {}
+        self._target_by_id: dict[str, _Target] = {}
+        self._rules_by_service: dict[str, routes.BatchRules] = {}
+        self._call_by_id: dict[int, _Call] = {}
+        self._call_ids = itertools.count(1)
+        self._outcomes: list[pieces.JobResult | pieces.JobFailure] = []
+        self._freed_by_target: dict[str, list[str]] = {}
+
+    @property
+    def job_count(self) -> int:
+        """Jobs whose results are not used yet."""
+        return len(self._job_by_id)
+
+    @property
+    def call_count(self) -> int:
+        """Calls under way."""
+        return len(self._call_by_id)
+
+    def update_targets(
+        self,
+        rules_by_service: dict[str, routes.BatchRules],
+        targets: Iterable[workers.RegisteredTarget],
+        now: float,
+    ) -> None:
+        """Take over the targets that may be called.
+
+        A target that is no longer listed keeps its results until its call
+        fails or a new lifetime replaces it.
+        """
+        self._rules_by_service = rules_by_service
+        listed = {
+            target.target_id: target
+            for target in targets
+            if target.service in rules_by_service
+        }
+        for target_id, target in listed.items():
+            rules = rules_by_service[target.service]
+            known = self._target_by_id.get(target_id)
+            if known is None or known.info.lifetime != target.lifetime:
+                if known is not None:
+                    self._forget_target(target_id, now)
+                self._target_by_id[target_id] = _Target(
+                    target, rules, usable=not target.draining
+                )
+            else:
+                known.info = target
+                known.rules = rules
+                known.usable = not target.draining
+        for target_id, known in list(self._target_by_id.items()):
+            if target_id not in listed:
+                known.usable = False
+                if not known.calls and not self._holds_results(target_id):
+                    del self._target_by_id[target_id]
+
+    def submit(
+        self, order: pieces.JobOrder, now: float
+    ) -> pieces.Refusal | None:
+        """Take a job or say why not."""
+        job = jobs.Job(order, now)
+        refusal = self._judge(job, now)
+        if refusal is not None:
+            return refusal
+        self._job_by_id[order.job_id] = job
+        self._settle(job, now)
+        return None
+
+    def release(self, job_id: str) -> None:
+        """Give up a job, whether it is done or not, and its results."""
+        job = self._job_by_id.pop(job_id, None)
+        if job is None:
+            return
+        job.finished = True
+        for placed in job.results.values():
+            self._free(placed)
+        job.results = {}
+        job.waiting = set()
+
+    def take_outcomes(self) -> list[pieces.JobResult | pieces.JobFailure]:
+        """Return the jobs that were done or given up since the last call."""
+        outcomes, self._outcomes = self._outcomes, []
+        return outcomes
+
+    def take_freed(
+        self,
+    ) -> list[tuple[workers.RegisteredTarget, list[str]]]:
+        """Return results that are no longer needed, by target."""
+        freed, self._freed_by_target = self._freed_by_target, {}
+        return [
+            (self._target_by_id[target_id].info, handles)
+            for target_id, handles in freed.items()
+            if target_id in self._target_by_id
+        ]
+
+    def expire(self, now: float) -> None:
+        """Give up the jobs that cannot be answered in time any more."""
+        for job in list(self._job_by_id.values()):
+            if job.finished:
+                continue
+            if now + self._least_s(job) > job.deadline_at:
+                self._fail(job, 'deadline', now)
+
+    def next_calls(self, now: float) -> list[pieces.StageCall]:
+        """Return the calls to start now."""
+        calls: list[pieces.StageCall] = []
+        waiting = self._waiting_by_service()
+        for service, entries in waiting.items():
+            entries.sort(key=lambda entry: _rank(entry[0], now))
+            free = [
+                target
+                for target in self._target_by_id.values()
+                if target.info.service == service and target.is_free(now)
+            ]
+            free.sort(key=lambda target: target.slowness)
+            while free and entries:
+                target = self._choose_target(free, entries[0])
+                free.remove(target)
+                call = self._fill(target, entries, now)
+                if call is not None:
+                    calls.append(call)
+        return calls
+
+    def call_done(
+        self,
+        call_id: int,
+        outcomes: list[str | pieces.PieceFailure],
+        now: float,
+    ) -> None:
+        """Take the outcome of each piece of a call."""
+        call = self._call_by_id.pop(call_id, None)
+        if call is None:
+            return
+        target = self._target_by_id.get(call.target_id)
+        if target is not None:
+            target.calls.pop(call_id, None)
+            target.failures = 0
+            self._measure(target, call, now)
+        for (job, piece_id), outcome in zip(call.work, outcomes):
+            self._piece_done(job, piece_id, target, outcome, now)
+        for job in {id(job): job for job, _ in call.work}.values():
+            self._settle(job, now)
+
+    def call_failed(self, call_id: int, failure: str, now: float) -> None:
+        """Take note that a call had no usable answer."""
+        call = self._call_by_id.pop(call_id, None)
+        if call is None:
+            return
+        target = self._target_by_id.get(call.target_id)
+        if target is not None:
+            target.calls.pop(call_id, None)
+            self._pause(target, failure, now)
+            for job, piece_id in call.work:
+                self._unreserve(job, piece_id, target)
+        for job, piece_id in call.work:
+            job.running.discard(piece_id)
+            if failure != CallFailure.BUSY:
+                job.failures += 1
+        for job in {id(job): job for job, _ in call.work}.values():
+            self._settle(job, now)
+
+    def work_of(self, call_id: int) -> int:
+        """Return how many pieces of a call are still wanted."""
+        call = self._call_by_id.get(call_id)
+        if call is None:
+            return 0
+        return sum(not job.finished for job, _ in call.work)
+
+    def backlog(self, now: float) -> dict[str, float]:
+        """Return the seconds of committed work by service."""
+        return {
+            service: self._backlog_s(service, None, now)
+            for service in self._rules_by_service
+        }
+
+    def _judge(self, job: jobs.Job, now: float) -> pieces.Refusal | None:
+        order = job.order
+
+        def load_of(service: str) -> forecast.ServiceLoad | None:
+            return self._load(service, order.urgency, now)
+
+        found = forecast.forecast_job(job, load_of)
+        if found is None:
+            return pieces.Refusal('no_target', LEAST_RETRY_AFTER_S, 0.0)
+        total_s = found.total_s + order.final_s
+        if total_s > order.deadline_s:
+            return pieces.Refusal(
+                'deadline', _retry_after(found.wait_s), total_s
+            )
+        if total_s > order.aim_s and found.wait_s > FREE_WAIT_S:
+            return pieces.Refusal(
+                'overload',
+                _retry_after(total_s - order.aim_s),
+                total_s,
+            )
+        return None
+
+    def _load(
+        self, service: str, urgency: int, now: float
+    ) -> forecast.ServiceLoad | None:
+        rules = self._rules_by_service.get(service)
+        if rules is None:
+            return None
+        usable = [
+            target
+            for target in self._target_by_id.values()
+            if target.info.service == service
+            and target.usable
+            and target.paused_until <= now + BUSY_PAUSE_S
+        ]
+        if not usable:
+            return None
+        slowness = sum(target.slowness for target in usable) / len(usable)
+        return forecast.ServiceLoad(
+            rules,
+            len(usable) * rules.slots,
+            self._backlog_s(service, urgency, now) * slowness,
+            slowness,
+        )
+
+    def _backlog_s(
+        self, service: str, urgency: int | None, now: float
+    ) -> float:
+        """Return the work committed to a service, in seconds of one target.
+
+        :param urgency: count only work that goes ahead of this rank.
+        """
+        rules = self._rules_by_service[service]
+        piece_s = rules.piece_s + rules.call_s / rules.batch
+        found = 0.0
+        for job in self._job_by_id.values():
+            if job.finished:
+                continue
+            if urgency is not None and job.order.urgency > urgency:
+                continue
+            for stage in job.stages:
+                if job.order.stages[stage].service != service:
+                    continue
+                left = sum(
+                    (stage, piece) not in job.results
+                    and (stage, piece) not in job.running
+                    for piece in range(job.count(stage))
+                )
+                found += left * piece_s
+        for call in self._call_by_id.values():
+            if call.service == service:
+                found += max(0.0, call.started_at + call.expected_s - now)
+        return found
+
+    def _waiting_by_service(
+        self,
+    ) -> dict[str, list[tuple[jobs.Job, int, list[jobs.PieceId]]]]:
+        found: dict[str, list[tuple[jobs.Job, int, list[jobs.PieceId]]]] = {}
+        for job in self._job_by_id.values():
+            by_stage: dict[int, list[jobs.PieceId]] = {}
+            for piece_id in sorted(job.waiting):
+                by_stage.setdefault(piece_id[0], []).append(piece_id)
+            for stage, piece_ids in by_stage.items():
+                service = job.order.stages[stage].service
+                found.setdefault(service, []).append((job, stage, piece_ids))
+        return found
+
+    def _choose_target(
+        self,
+        free: list[_Target],
+        entry: tuple[jobs.Job, int, list[jobs.PieceId]],
+    ) -> _Target:
+        """Return the target for the most urgent entry.
+
+        Among targets of similar speed the one that stands where the inputs
+        lie is chosen, as results that cross data centres cost more.
+        """
+        job, stage, _ = entry
+        places = {placed.data_centre for placed in job.inputs(stage)}
+        fastest = free[0].slowness
+        for target in free:
+            if target.slowness > fastest * 1.5:
+                break
+            if target.info.data_centre in places:
+                return target
+        return free[0]
+
+    def _fill(
+        self,
+        target: _Target,
+        entries: list[tuple[jobs.Job, int, list[jobs.PieceId]]],
+        now: float,
+    ) -> pieces.StageCall | None:
+        """Assemble one call and take its pieces out of the entries."""
+        rules = target.rules
+        room = rules.result_bytes - target.held_bytes
+        work: list[tuple[jobs.Job, jobs.PieceId]] = []
+        left: list[tuple[jobs.Job, int, list[jobs.PieceId]]] = []
+        for job, stage, piece_ids in entries:
+            size = job.order.stages[stage].result_bytes
+            space = rules.batch - len(work)
+            fitting = int(room // size) if size else space
+            # The pieces of one stage stay together where they can, so that
+            # their reader finds them in one place.
+            splits = len(piece_ids) > rules.batch or not work
+            count = min(len(piece_ids), space, max(0, fitting))
+            if count < len(piece_ids) and not splits:
+                count = 0
+            for piece_id in piece_ids[:count]:
+                work.append((job, piece_id))
+                room -= size
+            if count < len(piece_ids):
+                left.append((job, stage, piece_ids[count:]))
+        entries[:] = left
+        if not work:
+            return None
+        return self._start(target, work, now)
+
+    def _start(
+        self,
+        target: _Target,
+        work: list[tuple[jobs.Job, jobs.PieceId]],
+        now: float,
+    ) -> pieces.StageCall:
+        rules = target.rules
+        expected_s = rules.call_s + len(work) * rules.piece_s + CALL_OVERHEAD_S
+        call = _Call(
+            target.info.service,
+            target.info.target_id,
+            work,
+            now,
+            expected_s * target.slowness,
+        )
+        call_id = next(self._call_ids)
+        self._call_by_id[call_id] = call
+        target.calls[call_id] = call
+        items = []
+        for job, piece_id in work:
+            stage, piece = piece_id
+            job.waiting.discard(piece_id)
+            job.running.add(piece_id)
+            target.held_bytes += job.order.stages[stage].result_bytes
+            inputs = job.inputs(stage)
+            items.append(
+                pieces.PieceWork(
+                    job.order.request_id,
+                    stage,
+                    piece,
+                    job.deadline_at - now,
+                    job.order.piece_key,
+                    tuple(placed.handle for placed in inputs)
+                    if inputs
+                    else None,
+                )
+            )
+        return pieces.StageCall(
+            call_id,
+            target.info.target_id,
+            target.info.address,
+            tuple(items),
+            call.expected_s * TIMEOUT_RATIO + TIMEOUT_MARGIN_S,
+        )
+
+    def _piece_done(
+        self,
+        job: jobs.Job,
+        piece_id: jobs.PieceId,
+        target: _Target | None,
+        outcome: str | pieces.PieceFailure,
+        now: float,
+    ) -> None:
+        job.running.discard(piece_id)
+        size = job.order.stages[piece_id[0]].result_bytes
+        if isinstance(outcome, str):
+            if target is None:
+                return
+            placed = jobs.Placed(
+                outcome, target.info.target_id, target.info.data_centre, size
+            )
+            if job.finished or piece_id in job.results:
+                self._free(placed)
+            else:
+                job.results[piece_id] = placed
+            return
+        if target is not None:
+            self._unreserve(job, piece_id, target)
+        if outcome is pieces.PieceFailure.NO_ROOM:
+            if target is not None:
+                target.paused_until = now + BUSY_PAUSE_S
+            return
+        job.failures += 1
+        if outcome is pieces.PieceFailure.INPUT_GONE and not job.finished:
+            for placed in job.drop_inputs(piece_id[0]):
+                self._free(placed)
+
+    def _settle(self, job: jobs.Job, now: float) -> None:
+        """Find out what follows a change of a job."""
+        if job.finished:
+            return
+        if job.failures > MAX_JOB_FAILURES:
+            self._fail(job, 'stage_failures', now)
+            return
+        for placed in job.take_used():
+            self._free(placed)
+        final = job.final_results()
+        if final is None:
+            job.refresh()
+            return
+        job.finished = True
+        self._outcomes.append(
+            pieces.JobResult(
+                job.order.job_id,
+                tuple(
+                    pieces.StageResult(
+                        placed.handle, placed.data_centre, placed.size
+                    )
+                    for placed in final
+                ),
+            )
+        )
+
+    def _fail(self, job: jobs.Job, reason: str, now: float) -> None:
+        job_id = job.order.job_id
+        self.release(job_id)
+        left_s = max(0.0, job.deadline_at - now)
+        self._outcomes.append(
+            pieces.JobFailure(job_id, reason, _retry_after(left_s / 3))
+        )
+
+    def _least_s(self, job: jobs.Job) -> float:
+        """Return the least time that a job still needs."""
+        least: dict[int, float] = {}
+        for stage in job.stages:
+            before = max(
+                (least[number] for number in job.after(stage)), default=0.0
+            )
+            rules = self._rules_by_service.get(job.order.stages[stage].service)
+            left = any(
+                (stage, piece) not in job.results
+                and (stage, piece) not in job.running
+                for piece in range(job.count(stage))
+            )
+            least[stage] = before + (rules.call_s if rules and left else 0.0)
+        return max(least.values(), default=0.0) + job.order.final_s / 2
+
+    def _measure(self, target: _Target, call: _Call, now: float) -> None:
+        expected_s = call.expected_s / target.slowness
+        sample = (now - call.started_at) / expected_s
+        sample = min(MOST_SLOWNESS, max(LEAST_SLOWNESS, sample))
+        target.slowness += SLOWNESS_GAIN * (sample - target.slowness)
+
+    def _pause(self, target: _Target, failure: str, now: float) -> None:
+        if failure == CallFailure.BUSY:
+            target.paused_until = now + BUSY_PAUSE_S
+            return
+        if failure == CallFailure.TIMEOUT:
+            target.slowness = min(MOST_SLOWNESS, target.slowness * 2)
+        pause_s = min(LONGEST_PAUSE_S, FAILURE_PAUSE_S * 2**target.failures)
+        target.failures += 1
+        target.paused_until = now + pause_s
+        if failure == CallFailure.WRONG_TARGET:
+            target.usable = False
+
+    def _unreserve(
+        self, job: jobs.Job, piece_id: jobs.PieceId, target: _Target
+    ) -> None:
+        size = job.order.stages[piece_id[0]].result_bytes
+        target.held_bytes = max(0.0, target.held_bytes - size)
+
+    def _free(self, placed: jobs.Placed) -> None:
+        target = self._target_by_id.get(placed.target_id)
+        if target is None:
+            return
+        target.held_bytes = max(0.0, target.held_bytes - placed.size)
+        self._freed_by_target.setdefault(placed.target_id, []).append(
+            placed.handle
+        )
+
+    def _holds_results(self, target_id: str) -> bool:
+        return any(
+            placed.target_id == target_id
+            for job in self._job_by_id.values()
+            for placed in job.results.values()
+        )
+
+    def _forget_target(self, target_id: str, now: float) -> None:
+        """Drop what a lost lifetime of a target held and ran."""
+        target = self._target_by_id.pop(target_id)
+        for call_id in list(target.calls):
+            self.call_failed(call_id, CallFailure.LOST, now)
+        for job in list(self._job_by_id.values()):
+            if not job.finished and job.drop_results(target_id):
+                job.waiting = {
+                    piece_id
+                    for piece_id in job.waiting
+                    if all(
+                        (before, piece) in job.results
+                        for before in job.after(piece_id[0])
+                        for piece in range(job.count(before))
+                    )
+                }
+                job.refresh()
+
+
+def _rank(job: jobs.Job, now: float) -> tuple[bool, int, float]:
+    """Return the order in which jobs are served.
+
+    Jobs whose aim has passed go behind those that can still be of full
+    value.
+    """
+    return (now > job.aim_at, job.order.urgency, job.aim_at)
+
+
+def _retry_after(wait_s: float) -> float:
+    return min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, wait_s))
