--- a/walnutport/gateway/attempts.py
+++ b/walnutport/gateway/attempts.py
@@ -14,7 +14,6 @@
 from walnutport.platform import headers
 from walnutport.relay import resumable
 from walnutport.world import requests
-from walnutport.world import routes
 from walnutport.world import workers
 
 __all__ = ['Attempt', 'AttemptResult', 'AttemptStatus', 'Attempts']
@@ -60,7 +59,7 @@
 
     status: AttemptStatus
     target: workers.RegisteredTarget
-    head: messages.ResponseHead | None = None
+    head: messages.ResponseHead = messages.NO_HEAD
     body: bytes = b''
     detail: str = ''
     reset: bool = False
@@ -83,10 +82,11 @@
     ) -> None:
         self._call = call
         self._target = target
-        self._relay = relay
+        self._relay = relay or resumable.EventRelay()
+        self._relays = relay is not None
         self._on_first_event = on_first_event
-        self._head: messages.ResponseHead | None = None
-        self._fields: requests.AnswerFields | None = None
+        self._head = messages.NO_HEAD
+        self._fields = headers.answer_fields(messages.NO_HEAD)
         self._parts: list[bytes] = []
         self._size = 0
         self._streaming = False
@@ -104,9 +104,7 @@
             return False
         self._head = head
         self._fields = fields
-        self._streaming = (
-            self._relay is not None and head.status == 200 and fields.sealed
-        )
+        self._streaming = self._relays and head.status == 200 and fields.sealed
         return True
 
     def body_received(self, data: bytes) -> None:
@@ -118,7 +116,7 @@
         passed = self._relay.feed(data)
         if self._relay.has_gap:
             self._end(AttemptStatus.BROKEN, 'gap in the stream')
-            self._channel.cancel()
+            self._drop_channel()
             return
         if not passed:
             return
@@ -173,14 +171,22 @@
         if self.done.called:
             return
         body = b'' if self._streaming else b''.join(self._parts)
-        load = self._fields.load if self._fields is not None else None
         self.done.callback(
             AttemptResult(
-                status, self._target, self._head, body, detail, reset, load
+                status,
+                self._target,
+                self._head,
+                body,
+                detail,
+                reset,
+                self._fields.load,
             )
         )
 
     def _cancelled(self, deferred: defer.Deferred) -> None:
+        self._drop_channel()
+
+    def _drop_channel(self) -> None:
         if self._channel is not None:
             self._channel.cancel()
 
@@ -262,8 +268,3 @@
         return await self._pool.open(
             target.address, min(CONNECT_S, max(0.05, call.left_s()))
         )
-
-
-def is_stream(route: routes.Route) -> bool:
-    """Return whether the answers of a route are streams of events."""
-    return route.kind is routes.RequestKind.STREAM
--- a/walnutport/gateway/cells.py
+++ b/walnutport/gateway/cells.py
@@ -13,6 +13,7 @@
 
 from walnutport import exceptions
 from walnutport.http1 import client
+from walnutport.http1 import messages
 from walnutport.membership import ranking
 from walnutport.peer import fleet_messages
 from walnutport.platform import headers
@@ -34,7 +35,7 @@
 MAX_SUBMITS = 3
 
 
-class StagesRefusedError(exceptions.RequestError):
+class StagesRefusedError(exceptions.WalnutportError):
     """The stages of a request were refused or given up.
 
     :param started: whether any stage was taken on before.
@@ -416,14 +417,14 @@
 
 
 def _read_outcomes(
-    answer: client.CollectedAnswer, expected: int
+    answer: messages.WholeAnswer, expected: int
 ) -> tuple[str, list[str | pieces.PieceFailure]]:
     fields = headers.answer_fields(answer.head)
-    if answer.head.status == 421:
+    if answer.status == 421:
         return scheduler.CallFailure.WRONG_TARGET, []
-    if answer.head.status == 503 and fields.not_run:
+    if answer.status == 503 and fields.not_run:
         return scheduler.CallFailure.BUSY, []
-    if answer.head.status != 200:
+    if answer.status != 200:
         return scheduler.CallFailure.ERROR, []
     try:
         return '', stage_calls.decode_outcomes(answer.body, expected)
--- a/walnutport/gateway/front.py
+++ b/walnutport/gateway/front.py
@@ -216,7 +216,7 @@
         self._budget(call.service).first(now)
         if call.route.stages:
             await self._serve_staged(call)
-        elif attempts.is_stream(call.route):
+        elif call.route.kind is routes.RequestKind.STREAM:
             await self._serve_stream(call)
         else:
             await self._serve_plain(call)
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -89,6 +89,15 @@
         self._store = platform_store.PlatformStore(
             reactor, settings.store_address
         )
+        self.mesh = peers.PeerMesh(
+            reactor,
+            self.log,
+            self._own_record(0),
+            self._pulse,
+            self._heard,
+            self._peer_lost,
+        )
+        self.mesh.wanted = self._wanted_peers
         self.follower = news.NewsFollower(
             reactor,
             self.log,
@@ -97,8 +106,8 @@
             documents.decode_desired_state,
             documents.decode_target,
             self._news_changed,
+            self.mesh,
         )
-        self.mesh: peers.PeerMesh | None = None
         self.stages = cells.StageClient(
             reactor,
             self.log,
@@ -140,21 +149,9 @@
         self._listen(settings.ready_address, self._operators)
         if self._metrics_port:
             self._listen((settings.ip, self._metrics_port), self._operators)
-        own = self._own_record(0)
-        mesh = peers.PeerMesh(
-            self._reactor,
-            self.log,
-            own,
-            self._pulse,
-            self._heard,
-            self._peer_lost,
-        )
-        port = mesh.listen(settings.peer_ports)
-        mesh.own = self._own_record(port)
-        mesh.wanted = self._wanted_peers
-        self.mesh = mesh
-        self.follower.mesh = mesh
-        mesh.start()
+        port = self.mesh.listen(settings.peer_ports)
+        self.mesh.own = self._own_record(port)
+        self.mesh.start()
         self.follower.start()
         defer.Deferred.fromCoroutine(self._find_hosts())
         self._tick_due = time.monotonic() + TICK_S
@@ -214,8 +211,7 @@
             channels=len(self._callers.channels),
         )
         self.follower.stop()
-        if self.mesh is not None:
-            self.mesh.stop()
+        self.mesh.stop()
         self.log.flush()
         self._drained.callback(not self.front.in_flight)
 
@@ -321,10 +317,9 @@
         shares = {}
         if self._fit and not self.draining:
             shares[own] = self.settings.cpu_share
-        if self.mesh is not None:
-            for name, view in self.mesh.view_by_name.items():
-                if view.takes_work:
-                    shares[name] = view.record.cpu_share
+        for name, view in self.mesh.view_by_name.items():
+            if view.takes_work:
+                shares[name] = view.record.cpu_share
         return shares or {own: 1.0}
 
     def _wanted_peers(self) -> set[str] | None:
@@ -361,7 +356,7 @@
         )
 
     def _send(self, name: str, message: fleet_messages.FleetMessage) -> bool:
-        return self.mesh is not None and self.mesh.send(name, message)
+        return self.mesh.send(name, message)
 
     def _pulse(self) -> fleet_messages.Pulse:
         return fleet_messages.Pulse(
@@ -394,12 +389,11 @@
             deaths=message.deaths,
             cleared=message.cleared,
         )
-        if self.mesh is not None:
-            self.mesh.broadcast(
-                fleet_messages.CrashNews(
-                    message.digest, tuple(message.deaths), message.cleared
-                )
+        self.mesh.broadcast(
+            fleet_messages.CrashNews(
+                message.digest, tuple(message.deaths), message.cleared
             )
+        )
 
     def _confirm_death(self, target, attempt_id: str) -> None:
         """End an attempt once it is known whether its target died."""
@@ -425,7 +419,7 @@
 
     def _new_budget(self) -> window.WindowBudget:
         bounds = self.settings.bounds
-        hosts = 1 + (len(self.mesh.view_by_name) if self.mesh else 0)
+        hosts = 1 + len(self.mesh.view_by_name)
         return window.WindowBudget(
             bounds.retry_ratio,
             bounds.retry_slack / hosts,
--- a/walnutport/gateway/metrics.py
+++ b/walnutport/gateway/metrics.py
@@ -18,9 +18,13 @@
         self._outcomes: collections.Counter = collections.Counter()
         self._rejected: collections.Counter = collections.Counter()
         self._latencies: dict[tuple[str, str], list[int]] = {}
-        self._latency_sums: collections.Counter = collections.Counter()
+        self._latency_sums: dict[tuple[str, str], float] = (
+            collections.defaultdict(float)
+        )
         self._first_events: dict[tuple[str, str], list[int]] = {}
-        self._first_sums: collections.Counter = collections.Counter()
+        self._first_sums: dict[tuple[str, str], float] = (
+            collections.defaultdict(float)
+        )
         self.gauges: dict[str, float] = {}
 
     def started(self, call: calls.CallerCall) -> None:
@@ -126,7 +130,7 @@
     name: str,
     text: str,
     histograms: dict[tuple[str, str], list[int]],
-    sums: collections.Counter,
+    sums: dict[tuple[str, str], float],
 ) -> None:
     lines.append(f'# HELP {name} {text}')
     lines.append(f'# TYPE {name} histogram')
--- a/walnutport/gateway/news.py
+++ b/walnutport/gateway/news.py
@@ -11,6 +11,7 @@
 from twisted.internet import task
 
 from walnutport import exceptions
+from walnutport.gateway import peers
 from walnutport.membership import ranking
 from walnutport.membership import registry
 from walnutport.peer import fleet_messages
@@ -42,6 +43,7 @@
     :param decode_target: decodes an entry of a target; raises WireError.
     :param on_change: called after each change of the desired state or the
         targets.
+    :param mesh: links to the other hosts.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         decode_desired: Callable[[bytes], routes.DesiredState],
         decode_target,
         on_change: Callable[[], None],
+        mesh: peers.PeerMesh,
     ) -> None:
         self._reactor = reactor
         self._log = log
@@ -63,7 +66,7 @@
         self.desired: routes.DesiredState | None = None
         self.desired_at = 0.0
         self.registry = registry.TargetRegistry(decode_target)
-        self.mesh = None
+        self._mesh = mesh
         self._desired_record: feeds.FeedRecord | None = None
         self._desired_end = -1
         self._targets_known = False
@@ -107,14 +110,14 @@
             self._desired_record is not None
             and pulse.desired_end < self._desired_end
         ):
-            self.mesh.send(
+            self._mesh.send(
                 name,
                 fleet_messages.DesiredNews(
                     self._desired_record, self._desired_end
                 ),
             )
         if self._targets_known and pulse.targets_end < self.registry.end:
-            self.mesh.send(name, self._target_news(pulse.targets_end))
+            self._mesh.send(name, self._target_news(pulse.targets_end))
 
     def _target_news(self, after: int) -> fleet_messages.TargetNews:
         return fleet_messages.TargetNews(
@@ -190,15 +193,13 @@
         else:
             found = self.registry.apply(page, now)
         self._report(*found, source='store')
-        if found[0] and self.mesh is not None:
-            self.mesh.broadcast(self._target_news(before))
+        if found[0]:
+            self._mesh.broadcast(self._target_news(before))
 
     def _should_read(self) -> bool:
         """Whether this host is one of those that read the targets."""
-        if self.mesh is None:
-            return True
-        shares = {self.mesh.own.name: 1.0}
-        for name, view in self.mesh.view_by_name.items():
+        shares = {self._mesh.own.name: 1.0}
+        for name, view in self._mesh.view_by_name.items():
             pulse = view.pulse
             if (
                 view.reachable
@@ -208,7 +209,7 @@
             ):
                 shares[name] = 1.0
         ranked = ranking.rank_hosts('targets-reader', shares)
-        return self.mesh.own.name in ranked[:READERS]
+        return self._mesh.own.name in ranked[:READERS]
 
     def _take_desired(
         self, record: feeds.FeedRecord, end: int, source: str
@@ -236,8 +237,7 @@
             source=source,
             routes=len(desired.routes),
         )
-        if self.mesh is not None:
-            self.mesh.broadcast(fleet_messages.DesiredNews(record, end))
+        self._mesh.broadcast(fleet_messages.DesiredNews(record, end))
         self._on_change()
 
     def expire(self) -> None:
--- a/walnutport/gateway/peers.py
+++ b/walnutport/gateway/peers.py
@@ -9,6 +9,7 @@
 import time
 
 from twisted.internet import endpoints
+from twisted.internet import error
 from twisted.internet import protocol
 from twisted.protocols import basic
 
@@ -30,7 +31,6 @@
 # Above this size hosts link with some others only.
 FULL_MESH_HOSTS = 16
 MAX_MESSAGE_BYTES = 4 << 20
-MAX_UNSENT_BYTES = 2 << 20
 
 
 @dataclasses.dataclass(slots=True)
@@ -145,11 +145,7 @@
                 self._listener = self._reactor.listenTCP(
                     port, factory, interface=self.own.ip
                 )
-            except OSError:
-                continue
-            except Exception as problem:  # CannotListenError
-                if type(problem).__name__ != 'CannotListenError':
-                    raise
+            except error.CannotListenError:
                 continue
             return port
         raise exceptions.PeerError(f'no free port in {ports}')
--- a/walnutport/http1/client.py
+++ b/walnutport/http1/client.py
@@ -75,6 +75,10 @@
         self._keep = True
         self._swallow = False
         self._on_idle = lambda channel: None
+        self._done = False
+        self._until_close = False
+        self._head: messages.ResponseHead | None = None
+        self._headers: messages.Headers = []
         self._reset_parser()
 
     def connectionMade(self) -> None:
@@ -138,7 +142,7 @@
             # A second answer after a complete one belongs to no request.
             self._keep = False
             self._swallow = True
-        self._headers: messages.Headers = []
+        self._headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._head is None:
@@ -217,7 +221,7 @@
     def _reset_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
-        self._head: messages.ResponseHead | None = None
+        self._head = None
         self._until_close = False
         self._done = False
         self._swallow = False
@@ -238,21 +242,16 @@
     """
 
     def __init__(self, accepts=lambda head: True) -> None:
-        self.head: messages.ResponseHead | None = None
+        self._head = messages.NO_HEAD
         self.done: defer.Deferred = defer.Deferred()
         self._accepts = accepts
         self._parts: list[bytes] = []
         self._size = 0
 
-    @property
-    def body(self) -> bytes:
-        """Return the body received so far."""
-        return b''.join(self._parts)
-
     def head_received(self, head: messages.ResponseHead) -> bool:
         if not self._accepts(head):
             return False
-        self.head = head
+        self._head = head
         return True
 
     def body_received(self, data: bytes) -> None:
@@ -268,7 +267,9 @@
                 exceptions.ChannelError('answer too large', written=True)
             )
         else:
-            self.done.callback(self)
+            self.done.callback(
+                messages.WholeAnswer(self._head, b''.join(self._parts))
+            )
 
     def failed(self, failure: exceptions.ChannelError) -> None:
         if not self.done.called:
@@ -369,7 +370,7 @@
     address: Address,
     request: bytes,
     timeout_s: float,
-) -> CollectedAnswer:
+) -> messages.WholeAnswer:
     """Send a request that may be repeated and return the whole answer.
 
     :raises ChannelError: when no complete answer came in time.
--- a/walnutport/http1/messages.py
+++ b/walnutport/http1/messages.py
@@ -6,7 +6,9 @@
     'HOP_HEADERS',
     'Headers',
     'REASONS',
+    'NO_HEAD',
     'ResponseHead',
+    'WholeAnswer',
     'encode_request',
     'encode_response_head',
 ]
@@ -60,6 +62,23 @@
         return None
 
 
+#: Stands for the head of an answer that did not come.
+NO_HEAD = ResponseHead(0, [])
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """Complete answer."""
+
+    head: ResponseHead
+    body: bytes
+
+    @property
+    def status(self) -> int:
+        """Status of the answer."""
+        return self.head.status
+
+
 def encode_request(
     method: bytes, path: bytes, headers: Headers, body: bytes
 ) -> bytes:
--- a/walnutport/membership/registry.py
+++ b/walnutport/membership/registry.py
@@ -93,7 +93,7 @@
 
     def expire(self, now: float) -> list[RegistryChange]:
         """Remove the targets whose lapsed entries did not come back."""
-        changes = []
+        changes: list[RegistryChange] = []
         for target_id, until in list(self._lapsed_until.items()):
             if now >= until:
                 del self._lapsed_until[target_id]
--- a/walnutport/platform/store.py
+++ b/walnutport/platform/store.py
@@ -61,7 +61,7 @@
             if after:
                 query['after'] = after
             answer = await self._call(b'GET', wire.LOG_NEWEST_PATH, query)
-            if answer.head.status == 404:
+            if answer.status == 404:
                 return feeds.FeedPage((), 0)
             page = self._decode_newest(answer)
             # Pages are no snapshot; reading on from the first page's end
@@ -87,14 +87,12 @@
         answer = await self._call(
             b'GET', wire.LOG_READ_PATH, query, wait_s + ANSWER_TIMEOUT_S
         )
-        if answer.head.status == 410:
+        if answer.status == 410:
             raise exceptions.RecordsExpired('records were dropped', offset)
-        if answer.head.status == 404:
+        if answer.status == 404:
             return feeds.FeedPage((), offset)
-        if answer.head.status != 200:
-            raise exceptions.LogUnavailable(
-                f'read answered {answer.head.status}'
-            )
+        if answer.status != 200:
+            raise exceptions.LogUnavailable(f'read answered {answer.status}')
         return _decode_records(answer.body, offset)
 
     async def publish(self, feed: feeds.Feed, key: str, value: bytes) -> None:
@@ -107,10 +105,8 @@
             {'topic': _TOPICS[feed], 'part': '0'},
             body=struct.pack('>I', len(content)) + content,
         )
-        if answer.head.status != 200:
-            raise exceptions.LogUnavailable(
-                f'append answered {answer.head.status}'
-            )
+        if answer.status != 200:
+            raise exceptions.LogUnavailable(f'append answered {answer.status}')
 
     async def _call(
         self,
@@ -119,7 +115,7 @@
         query: dict[str, str],
         timeout_s: float = ANSWER_TIMEOUT_S,
         body: bytes = b'',
-    ) -> client.CollectedAnswer:
+    ) -> messages.WholeAnswer:
         self.calls += 1
         host, port = self._address
         request = messages.encode_request(
@@ -135,11 +131,9 @@
         except exceptions.ChannelError as problem:
             raise exceptions.LogUnavailable(str(problem)) from problem
 
-    def _decode_newest(self, answer: client.CollectedAnswer) -> _Newest:
-        if answer.head.status != 200:
-            raise exceptions.LogUnavailable(
-                f'newest answered {answer.head.status}'
-            )
+    def _decode_newest(self, answer: messages.WholeAnswer) -> _Newest:
+        if answer.status != 200:
+            raise exceptions.LogUnavailable(f'newest answered {answer.status}')
         try:
             return _NEWEST.decode(answer.body)
         except (msgspec.DecodeError, UnicodeDecodeError) as problem:
