Let stage pieces wait for a near target while their aim allows it

Every piece of a stage fetches all results of the stage before, so 16 pieces of one request fetch the same 480 kB 16 times.

Ruled out: the inputs of the model engine, whose choice already weighs them.

--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -40,6 +40,10 @@
 # Waiting behind others that is always accepted: it is as long as a short call
 # and says nothing about overload.
 FREE_WAIT_S = 0.1
+# Inputs of a stage of one request that weigh less may cross data centres.
+BINDING_BYTES = 500_000
+# A near target may be free a little later than expected.
+NEAR_MARGIN_S = 0.05
 # Bounds of the time after which a refused caller may come back.
 LEAST_RETRY_AFTER_S = 0.2
 MOST_RETRY_AFTER_S = 4.0
@@ -203,8 +207,10 @@
                 if target.info.service == service and target.is_free(now)
             ]
             free.sort(key=lambda target: target.slowness)
-            while free and entries:
-                target = self._choose_target(free, entries[0])
+            while free:
+                target = self._choose_target(free, entries, now)
+                if target is None:
+                    break
                 free.remove(target)
                 call = self._fill(target, entries, now)
                 if call is not None:
@@ -353,22 +359,43 @@
     def _choose_target(
         self,
         free: list[_Target],
-        entry: tuple[jobs.Job, int, list[jobs.PieceId]],
-    ) -> _Target:
-        """Return the target for the most urgent entry.
+        entries: list[tuple[jobs.Job, int, list[jobs.PieceId]]],
+        now: float,
+    ) -> _Target | None:
+        """Return the target for the most urgent entry that can start."""
+        for job, stage, _ in entries:
+            places = _binding_places(job, stage)
+            if not places:
+                return free[0]
+            for target in free:
+                if target.info.data_centre in places:
+                    return target
+            if not self._can_wait(job, stage, places, now):
+                return free[0]
+        return None
 
-        Among targets of similar speed the one that stands where the inputs
-        lie is chosen, as results that cross data centres cost more.
+    def _can_wait(
+        self, job: jobs.Job, stage: int, places: set[str], now: float
+    ) -> bool:
+        """Whether a job meets its aim if it waits for a near target.
+
+        Every piece of a stage fetches all its inputs, so large inputs that
+        cross data centres cost more than a short wait.
         """
-        job, stage, _ = entry
-        places = {placed.data_centre for placed in job.inputs(stage)}
-        fastest = free[0].slowness
-        for target in free:
-            if target.slowness > fastest * 1.5:
-                break
-            if target.info.data_centre in places:
-                return target
-        return free[0]
+        service = job.order.stages[stage].service
+        near_s = min(
+            (
+                max(target.paused_until - now, _busy_s(target, now))
+                for target in self._target_by_id.values()
+                if target.info.service == service
+                and target.usable
+                and target.info.data_centre in places
+            ),
+            default=None,
+        )
+        if near_s is None:
+            return False
+        return now + near_s + NEAR_MARGIN_S < self._latest_start(job)
 
     def _fill(
         self,
@@ -382,6 +409,14 @@
         work: list[tuple[jobs.Job, jobs.PieceId]] = []
         left: list[tuple[jobs.Job, int, list[jobs.PieceId]]] = []
         for job, stage, piece_ids in entries:
+            places = _binding_places(job, stage)
+            if (
+                places
+                and target.info.data_centre not in places
+                and self._can_wait(job, stage, places, now)
+            ):
+                left.append((job, stage, piece_ids))
+                continue
             size = job.order.stages[stage].result_bytes
             space = rules.batch - len(work)
             fitting = int(room // size) if size else space
@@ -512,6 +547,10 @@
             pieces.JobFailure(job_id, reason, _retry_after(left_s / 3))
         )
 
+    def _latest_start(self, job: jobs.Job) -> float:
+        """Return when the next stage must start for the aim to be met."""
+        return job.aim_at - self._least_s(job) - job.order.final_s / 2
+
     def _least_s(self, job: jobs.Job) -> float:
         """Return the least time that a job still needs."""
         least: dict[int, float] = {}
@@ -587,6 +626,28 @@
                 job.refresh()
 
 
+def _binding_places(job: jobs.Job, stage: int) -> set[str]:
+    """Return the data centres of inputs that are too large to move."""
+    inputs = job.inputs(stage)
+    moved = job.count(stage) * sum(placed.size for placed in inputs)
+    if moved < BINDING_BYTES:
+        return set()
+    return {placed.data_centre for placed in inputs}
+
+
+def _busy_s(target: _Target, now: float) -> float:
+    """Return the time until a target can take a call."""
+    if len(target.calls) < target.rules.slots:
+        return 0.0
+    return max(
+        0.0,
+        min(
+            call.started_at + call.expected_s - now
+            for call in target.calls.values()
+        ),
+    )
+
+
 def _rank(job: jobs.Job, now: float) -> tuple[bool, int, float]:
     """Return the order in which jobs are served.
 
