Forecast full calls and the memory for results at admission

The forecast took a call for as short as the job's own pieces, although calls leave full behind other work, and did not count the memory that results hold until they are read.

--- /dev/null
+++ b/tests/stages/builders.py
@@ -0,0 +1,64 @@
+"""Jobs and targets for the tests of stages."""
+
+from walnutport.stages import pieces
+from walnutport.world import routes
+from walnutport.world import workers
+
+ENCODE = routes.BatchRules(
+    slots=1,
+    queue=2,
+    batch=6,
+    call_s=0.15,
+    piece_s=0.02,
+    result_bytes=27_000_000,
+)
+RULES = {'encode': ENCODE, 'rank': ENCODE}
+CHAIN = (
+    routes.StageSpec('encode', (), 8_000),
+    routes.StageSpec('rank', (0,), 8_000),
+)
+SINGLE = (routes.StageSpec('encode', (), 3_000_000),)
+
+
+def target(
+    target_id: str,
+    service: str = 'encode',
+    data_centre: str = 'a',
+    incarnation: int = 1,
+    draining: bool = False,
+) -> workers.RegisteredTarget:
+    """Return a target of a stage service."""
+    return workers.RegisteredTarget(
+        target_id=target_id,
+        incarnation=incarnation,
+        service=service,
+        address=('10.0.0.1', 8000 + sum(target_id.encode()) % 500),
+        data_centre=data_centre,
+        slots=1,
+        draining=draining,
+        cold_s=0.0,
+    )
+
+
+def order(
+    job_id: str,
+    stages: tuple[routes.StageSpec, ...] = SINGLE,
+    counts: tuple[int, ...] = (2,),
+    urgency: int = 1,
+    aim_s: float = 1.0,
+    deadline_s: float = 5.0,
+    final_s: float = 0.2,
+) -> pieces.JobOrder:
+    """Return a job."""
+    return pieces.JobOrder(
+        job_id=job_id,
+        request_id=f'request-{job_id}',
+        piece_key=f'key-{job_id}',
+        stages=stages,
+        piece_counts=counts,
+        urgency=urgency,
+        aim_s=aim_s,
+        deadline_s=deadline_s,
+        final_s=final_s,
+        team='north',
+    )
--- a/walnutport/stages/forecast.py
+++ b/walnutport/stages/forecast.py
@@ -65,14 +65,18 @@
             default=0.0,
         )
         rules = load.rules
-        start = max(ready, load.backlog_s / load.targets)
+        wait_s = load.backlog_s / load.targets
         count = job.count(stage)
         calls = -(-count // rules.batch)
         rounds = -(-calls // load.targets)
-        per_call = min(count, rules.batch)
-        run_s = rounds * (rules.call_s + per_call * rules.piece_s)
-        end_by_stage[stage] = start + run_s * load.slowness
-        free_by_stage[stage] = ready_if_free + run_s * load.slowness
+        own = min(count, rules.batch)
+        # Behind other work a call leaves full, and all of its results come
+        # at its end.
+        filled = rules.batch if wait_s > ready else own
+        run_s = rounds * (rules.call_s + filled * rules.piece_s)
+        free_s = rounds * (rules.call_s + own * rules.piece_s)
+        end_by_stage[stage] = max(ready, wait_s) + run_s * load.slowness
+        free_by_stage[stage] = ready_if_free + free_s * load.slowness
     total = max(end_by_stage.values(), default=0.0)
     unloaded = max(free_by_stage.values(), default=0.0)
     return Forecast(total, total - unloaded)
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -322,7 +322,6 @@
         :param urgency: count only work that goes ahead of this rank.
         """
         rules = self._rules_by_service[service]
-        piece_s = rules.piece_s + rules.call_s / rules.batch
         found = 0.0
         for job in self._job_by_id.values():
             if job.finished:
@@ -337,7 +336,7 @@
                     and (stage, piece) not in job.running
                     for piece in range(job.count(stage))
                 )
-                found += left * piece_s
+                found += left * _piece_cost_s(job, stage, rules)
         for call in self._call_by_id.values():
             if call.service == service:
                 found += max(0.0, call.started_at + call.expected_s - now)
@@ -626,6 +625,22 @@
                 job.refresh()
 
 
+def _piece_cost_s(
+    job: jobs.Job, stage: int, rules: routes.BatchRules
+) -> float:
+    """Return the seconds of one target that a piece takes under load.
+
+    A piece takes its share of the time of a full call, or its share of the
+    memory for results until the request has read them, whichever is more.
+    """
+    time_s = rules.piece_s + rules.call_s / rules.batch
+    size = job.order.stages[stage].result_bytes
+    if not size or not rules.result_bytes:
+        return time_s
+    held_s = rules.call_s + rules.batch * rules.piece_s + job.order.final_s
+    return max(time_s, held_s * size / rules.result_bytes)
+
+
 def _binding_places(job: jobs.Job, stage: int) -> set[str]:
     """Return the data centres of inputs that are too large to move."""
     inputs = job.inputs(stage)
