Test the entry host's decisions and channels; hand answers on after all bytes

Cause: a target that sends a second answer in the same packet as the first left its channel in the pool, with the second answer attributed to whatever was sent next.

--- /dev/null
+++ b/tests/http1/test_server.py
@@ -0,0 +1,177 @@
+"""Tests of how requests of callers are read and answered."""
+
+import pytest
+from twisted.internet import task
+from twisted.test import proto_helpers
+
+from walnutport.http1 import server
+from walnutport.world import routes
+
+LIMITS = routes.RequestLimits(400, 100, 3.0, 15.0)
+
+
+class FakeTransport(proto_helpers.StringTransport):
+    """Transport without a socket."""
+
+    aborted = False
+
+    def setTcpNoDelay(self, enabled) -> None:
+        """Ignore the option."""
+
+    def abortConnection(self) -> None:
+        self.aborted = True
+
+    def loseWriteConnection(self) -> None:
+        self.disconnecting = True
+
+
+class Caller:
+    """Channel of a caller and the requests that were read from it."""
+
+    def __init__(self) -> None:
+        self.clock = task.Clock()
+        self.requests: list[server.ServerRequest] = []
+        self.rejected: list[int] = []
+        self.site = server.ServerSite(
+            self.clock,
+            self.requests.append,
+            lambda: LIMITS,
+            self.rejected.append,
+        )
+        self.transport = FakeTransport()
+        self.channel = self.site.buildProtocol(None)
+        self.channel.makeConnection(self.transport)
+
+    def send(self, data: bytes) -> bytes:
+        """Send bytes and return what came back."""
+        self.transport.clear()
+        self.channel.dataReceived(data)
+        return self.transport.value()
+
+
+def test_torn_request_is_read_whole():
+    """Guards against a request that is handed on before its end."""
+    caller = Caller()
+    for byte in b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nab':
+        caller.send(bytes((byte,)))
+    assert not caller.requests
+    caller.send(b'c')
+    assert caller.requests[0].body == b'abc'
+
+
+def test_pipelined_requests_are_answered_in_order():
+    """Guards against answers that are mixed up on one channel."""
+    caller = Caller()
+    caller.send(
+        b'GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n'
+    )
+    assert [request.target for request in caller.requests] == [b'/1']
+    caller.requests[0].respond(200, [], b'one')
+    assert [request.target for request in caller.requests] == [b'/1', b'/2']
+
+
+@pytest.mark.parametrize(
+    'head',
+    [
+        b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n',
+        b'Content-Length: 3\r\nContent-Length: 4\r\n',
+        b'Transfer-Encoding: chunked, gzip\r\n',
+        b'Transfer-Encoding: gzip\r\n',
+        b'Host: other\r\n',
+        b'Content-Length: +3\r\n',
+        b'X y: 1\r\n',
+    ],
+)
+def test_ambiguous_request_is_rejected(head):
+    """Guards against a request that is smuggled inside another."""
+    caller = Caller()
+    answer = caller.send(
+        b'POST /a HTTP/1.1\r\nHost: h\r\n' + head + b'\r\n0\r\n\r\n'
+    )
+    assert answer.startswith(b'HTTP/1.1 400')
+    assert not caller.requests
+    assert caller.transport.disconnecting
+
+
+def test_trailers_are_no_headers():
+    """Guards against headers that are forged in the trailers."""
+    caller = Caller()
+    caller.send(
+        b'POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'1\r\nx\r\n0\r\nWalnutport-Tenant: evil\r\n\r\n'
+    )
+    names = [name for name, _ in caller.requests[0].headers]
+    assert b'walnutport-tenant' not in names
+    assert caller.requests[0].body == b'x'
+
+
+@pytest.mark.parametrize(
+    'data, status',
+    [
+        (b'GET /a HTTP/1.1\r\nX: ' + b'y' * 500 + b'\r\n\r\n', 431),
+        (b'GET /a HTTP/1.1\r\nX: ' + b'y' * 2000, 431),
+        (b'POST /a HTTP/1.1\r\nContent-Length: 101\r\n\r\n', 413),
+        (
+            b'POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n80\r\n'
+            + b'x' * 128,
+            413,
+        ),
+    ],
+)
+def test_limits_of_what_a_caller_sends(data, status):
+    """Guards against a caller that fills the memory of the host."""
+    caller = Caller()
+    assert caller.send(data).startswith(b'HTTP/1.1 %d' % status)
+    assert caller.rejected == [status]
+
+
+def test_slow_headers_end_the_channel():
+    """Guards against callers that hold channels with half a request."""
+    caller = Caller()
+    caller.send(b'GET /a HTTP/1.1\r\nHo')
+    caller.clock.advance(3.1)
+    assert caller.transport.value().startswith(b'HTTP/1.1 408')
+
+
+def test_channel_is_kept_for_the_whole_idle_time():
+    """Guards against closing a channel on which a request is under way."""
+    caller = Caller()
+    caller.send(b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n')
+    caller.requests[0].respond(200, [], b'')
+    caller.clock.advance(14.0)
+    assert not caller.transport.disconnecting
+    caller.clock.advance(1.5)
+    assert caller.transport.disconnecting
+
+
+def test_broken_stream_does_not_look_complete():
+    """Guards against the end mark of a stream that broke off."""
+    caller = Caller()
+    caller.send(b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n')
+    request = caller.requests[0]
+    request.start(200, [])
+    request.write(b'id: 1\n\n')
+    request.abort()
+    assert caller.transport.aborted
+    assert not caller.transport.value().endswith(b'0\r\n\r\n')
+
+
+def test_leaving_caller_is_noticed():
+    """Guards against work that goes on for a caller that left."""
+    caller = Caller()
+    caller.send(b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n')
+    left = []
+    caller.requests[0].on_gone = lambda: left.append(True)
+    caller.channel.connectionLost()
+    assert left == [True]
+    assert caller.requests[0].gone
+
+
+def test_draining_host_says_that_it_closes():
+    """Guards against a next request on a channel that is about to close."""
+    caller = Caller()
+    caller.send(b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n')
+    caller.site.closing = True
+    caller.requests[0].respond(200, [], b'ok')
+    assert b'connection: close' in caller.transport.value()
+    assert caller.transport.disconnecting
--- /dev/null
+++ b/tests/membership/test_ranking.py
@@ -0,0 +1,31 @@
+"""Tests of the rules that deal ownership to hosts."""
+
+from walnutport.membership import ranking
+
+HOSTS = {f'host-{number}': 1.0 for number in range(9)}
+
+
+def test_loss_of_a_host_moves_only_its_keys():
+    """Guards against cells that all move when one host leaves."""
+    rest = {name: share for name, share in HOSTS.items() if name != 'host-3'}
+    for key in range(50):
+        before = ranking.rank_hosts(f'cell-{key}', HOSTS)[0]
+        after = ranking.rank_hosts(f'cell-{key}', rest)[0]
+        assert before in ('host-3', after)
+
+
+def test_larger_hosts_own_more():
+    """Guards against work that a small host cannot do."""
+    shares = {'small': 0.5, 'large': 2.0}
+    owned = [
+        ranking.rank_hosts(f'cell-{key}', shares)[0] for key in range(1000)
+    ]
+    assert 740 < owned.count('large') < 860
+
+
+def test_cells_share_out_every_target():
+    """Guards against a target that no cell calls."""
+    ids = [f't{number}' for number in range(10)]
+    parts = [ranking.cell_targets(ids, cell, 3) for cell in range(3)]
+    assert sorted(target for part in parts for target in part) == ids
+    assert ranking.cell_count(0) == 1
--- /dev/null
+++ b/tests/routing/test_engines.py
@@ -0,0 +1,70 @@
+"""Tests of the choice of a model engine."""
+
+import random
+
+from walnutport.routing import engines
+from walnutport.routing import outcomes
+from walnutport.world import requests
+from walnutport.world import workers
+
+
+def engine(name: str, data_centre: str) -> workers.RegisteredTarget:
+    """Return an engine."""
+    return workers.RegisteredTarget(
+        name, 1, 'llm', ('10.0.0.1', 80), data_centre, 64, False, 0.0
+    )
+
+
+ENGINES = [engine(f'e{number}', 'abcd'[number % 4]) for number in range(9)]
+PROMPT = requests.PromptShape(9000, 50, ('p1', 's7', 'x'), (2500, 3800, 2700))
+
+
+def test_hosts_agree_on_the_engine_of_a_prompt():
+    """Guards against shared parts that every engine reads."""
+    chosen = {
+        engines.choose_engine(
+            random.Random(seed).sample(ENGINES, 9),
+            outcomes.TargetOutcomes(random.Random(seed)),
+            PROMPT,
+            {},
+            0.0,
+        ).target_id
+        for seed in range(10)
+    }
+    assert len(chosen) == 1
+
+
+def test_large_inputs_bind_to_their_data_centre():
+    """Guards against megabytes that cross data centres."""
+    for place in 'abcd':
+        chosen = engines.choose_engine(
+            ENGINES,
+            outcomes.TargetOutcomes(random.Random(1)),
+            PROMPT,
+            {place: 9_000_000},
+            0.0,
+        )
+        assert chosen.data_centre == place
+
+
+def test_loaded_engine_is_avoided():
+    """Guards against a queue at one engine while others are idle."""
+    book = outcomes.TargetOutcomes(random.Random(1))
+    first = engines.choose_engine(ENGINES, book, PROMPT, {}, 0.0)
+    book.reported(first, requests.ReportedLoad(64, 10, 64), 0.0)
+    second = engines.choose_engine(ENGINES, book, PROMPT, {}, 0.1)
+    assert second.target_id != first.target_id
+
+
+def test_tried_engines_are_left_out():
+    """Guards against a second attempt at the same engine."""
+    tried = {entry.target_id for entry in ENGINES[:8]}
+    chosen = engines.choose_engine(
+        ENGINES,
+        outcomes.TargetOutcomes(random.Random(1)),
+        PROMPT,
+        {},
+        0.0,
+        tried,
+    )
+    assert chosen is ENGINES[8]
--- a/walnutport/http1/client.py
+++ b/walnutport/http1/client.py
@@ -120,7 +120,12 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as problem:
-            self._fail(f'malformed answer: {problem}', malformed=True)
+            if not self._done:
+                self._fail(f'malformed answer: {problem}', malformed=True)
+                return
+            self._keep = False
+        if self._done:
+            self._complete()
 
     def connectionLost(self, reason=protocol.connectionDone) -> None:
         self.alive = False
@@ -183,9 +188,10 @@
         if self._swallow or self._head is None:
             self._swallow = False
             return
-        if not self._done and not self._until_close:
+        if not self._until_close:
+            # The answer is handed on once all bytes that came with it are
+            # read: more bytes make the channel useless.
             self._done = True
-            self._complete()
 
     def _complete(self) -> None:
         receiver = self._receiver
