--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -15,6 +15,7 @@
 from standins import list_server
 from standins import log_server
 from standins import naive_relay
+from standins import platform_site
 from standins import target_server
 from standins import weight_server
 
@@ -70,6 +71,11 @@
     _serve(settings.ip, settings.port, weight_server.WeightServer(settings))
 
 
+def _start_platform(text: str) -> None:
+    settings = msgspec.json.decode(text, type=platform_site.PlatformSettings)
+    _serve(settings.ip, settings.port, platform_site.PlatformSite(settings))
+
+
 def _start_naive_relay(text: str) -> None:
     settings = msgspec.json.decode(text, type=naive_relay.NaiveRelaySettings)
     _serve(settings.ip, settings.port, naive_relay.NaiveRelay(settings))
@@ -90,6 +96,7 @@
     'caller': _start_caller,
     'proxy': _start_proxy,
     'naive_relay': _start_naive_relay,
+    'platform': _start_platform,
 }
 
 
--- /dev/null
+++ b/tests/integration/test_platform.py
@@ -0,0 +1,239 @@
+"""Entry hosts on the stand-in of a platform, as processes."""
+
+import signal
+import socket
+import threading
+import time
+
+import pytest
+
+from standins import processes
+from tests.integration import platform_fleet
+
+EVENTS = b''.join(
+    b'id: %d\ndata: token %d\n\n' % (number, number) for number in range(1, 7)
+)
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    """Start one host."""
+    with platform_fleet.PlatformFleet(tmp_path) as running:
+        yield running
+
+
+def test_plain_request_gets_its_own_sealed_answer(fleet):
+    """Guards against an answer that is changed or another's."""
+    answer = fleet.call('pay', 'id-1', Walnutport_Tenant='evil')
+    assert answer.status == 200
+    assert answer.body.startswith(b'id-1 by plain-')
+    assert 'walnutport-response-seal' in {
+        name.lower() for name in answer.headers
+    }
+    (run,) = fleet.runs('id-1')
+    assert run['headers']['walnutport-tenant'] == 'north'
+    assert 'walnutport-credential' not in run['headers']
+    assert run['body'] == 'body'
+
+
+def test_stream_is_relayed_whole(fleet):
+    """Guards against events that are lost or repeated."""
+    assert fleet.call('write', 'id-1').body == EVENTS
+
+
+def test_stages_run_before_the_request(fleet):
+    """Guards against a request without its inputs or with another's."""
+    answer = fleet.call(
+        'review',
+        'id-1',
+        Walnutport_Pieces='2,3',
+        Walnutport_Piece_Key='key-1',
+    )
+    assert answer.body == EVENTS
+    runs = fleet.runs('id-1')
+    stages = [(run['stage'], run['piece']) for run in runs]
+    assert sorted(stages) == [
+        (-1, -1),
+        (0, 0),
+        (0, 1),
+        (1, 0),
+        (1, 1),
+        (1, 2),
+    ]
+    assert {run['body'] for run in runs if run['stage'] == 0} == {'key-1'}
+    final = next(run for run in runs if run['stage'] == -1)
+    handles = final['headers']['walnutport-inputs'].split(',')
+    assert [handle.split('/')[1] for handle in handles] == [
+        f'id-1.1.{piece}' for piece in range(3)
+    ]
+
+
+def test_unknown_key_and_route_are_rejected(fleet):
+    """Guards against work for callers without a right to it."""
+    assert fleet.call('pay', 'id-1', key='stolen').status == 401
+    assert fleet.call('nowhere', 'id-2').status == 404
+    assert not fleet.runs('id-1')
+
+
+def test_unsafe_request_is_not_repeated_after_a_reset(fleet):
+    """Guards against a payment that runs twice, or a false "not run"."""
+    fleet.control(modes={'plain-1': 'reset_after', 'plain-2': 'reset_after'})
+    answer = fleet.call('pay', 'id-1')
+    assert answer.status == 502
+    assert len(fleet.runs('id-1')) == 1
+
+
+def test_safe_request_goes_to_another_target(fleet):
+    """Guards against failing what another target can serve."""
+    fleet.control(modes={'plain-1': 'reset_after'})
+    for number in range(4):
+        answer = fleet.call('check', f'id-{number}')
+        assert answer.status == 200
+        assert answer.body.endswith(b'plain-2')
+
+
+def test_full_targets_are_a_truthful_refusal(fleet):
+    """Guards against a refusal of a request that ran."""
+    fleet.control(modes={'plain-1': 'full', 'plain-2': 'full'})
+    answer = fleet.call('pay', 'id-1')
+    assert answer.status == 503
+    assert float(answer.headers['retry-after']) > 0
+    assert not fleet.runs('id-1')
+
+
+def test_broken_stream_goes_on_at_another_target(fleet):
+    """Guards against a cut answer where the stream may be resumed."""
+    fleet.control(
+        modes={'llm-1': 'reset_midway_once', 'llm-2': 'reset_midway_once'}
+    )
+    answer = fleet.call('write', 'id-1')
+    assert answer.body == EVENTS
+    assert len(fleet.runs('id-1')) == 2
+
+
+def test_stream_that_must_not_be_resumed_is_cut(fleet):
+    """Guards against a cut stream that looks complete."""
+    fleet.control(modes={'llm-1': 'reset_midway', 'llm-2': 'reset_midway'})
+    answer = fleet.call(
+        'review',
+        'id-1',
+        Walnutport_Pieces='1,1',
+        Walnutport_Piece_Key='key-1',
+    )
+    assert not answer.complete
+
+
+def test_new_desired_state_is_applied(fleet):
+    """Guards against a host that stays with an old version."""
+    fleet.control(desired=platform_fleet.desired(version=9, tenants=[]))
+    fleet.wait_log('desired_applied', version=9)
+    assert fleet.call('pay', 'id-1').status == 401
+
+
+def test_leaving_target_gets_no_new_work(fleet):
+    """Guards against requests to a target that drains or is gone."""
+    fleet.control(states={'plain-1': 'draining'})
+    fleet.wait_log('target_draining', target='plain-1')
+    for number in range(4):
+        answer = fleet.call('check', f'id-{number}')
+        assert answer.body.endswith(b'plain-2')
+
+
+def test_host_serves_while_the_store_is_down(fleet):
+    """Guards against an outage of the store that stops all service."""
+    fleet.control(store='busy')
+    fleet.wait_log('store_lost')
+    assert fleet.call('check', 'id-1').status == 200
+    fleet.control(store='ok')
+    fleet.wait_log('store_regained')
+
+
+def test_stop_finishes_what_is_under_way(fleet):
+    """Guards against answers that a planned stop cuts."""
+    answers = []
+    caller = threading.Thread(
+        target=lambda: answers.append(fleet.call('write', 'id-1'))
+    )
+    caller.start()
+    fleet.wait_log('placed', id='id-1')
+    assert fleet.hosts[0].terminate() == 0
+    caller.join()
+    assert answers[0].body == EVENTS
+
+
+def test_leaving_caller_ends_the_work(fleet):
+    """Guards against targets that work for callers that left."""
+    with socket.create_connection(
+        (platform_fleet.IP, fleet.caller_ports[0])
+    ) as caller:
+        caller.sendall(
+            b'POST /write/x HTTP/1.1\r\nHost: calls.example\r\n'
+            b'Walnutport-Request-Attempt-Id: id-1\r\n'
+            b'Walnutport-Credential: key-north\r\nContent-Length: 0\r\n\r\n'
+        )
+        fleet.wait_log('placed', id='id-1')
+    line = fleet.wait_log('finished', id='id-1')
+    assert line['outcome'] == 'caller_left'
+
+
+def test_hosts_share_calls_and_survive_a_lost_owner(tmp_path):
+    """Guards against stages that stop with the host that owns a cell."""
+    with platform_fleet.PlatformFleet(tmp_path, hosts=2) as fleet:
+        for host in (0, 1):
+            fleet.wait_log('peer_joined', host)
+        pieces = {'Walnutport_Pieces': '1,1', 'Walnutport_Piece_Key': 'k'}
+        for host in (0, 1):
+            answer = fleet.call('review', f'id-{host}', host, **pieces)
+            assert answer.body == EVENTS
+        owner = fleet.wait_log('cell_owner')['owner']
+        lost = int(owner.rpartition('-')[2])
+        fleet.hosts[lost].signal(signal.SIGKILL)
+        answer = fleet.call('review', 'id-9', 1 - lost, **pieces)
+        assert answer.body == EVENTS
+
+
+def test_frozen_owner_is_replaced(tmp_path):
+    """Guards against requests that wait for a host that stands still."""
+    with platform_fleet.PlatformFleet(tmp_path, hosts=2) as fleet:
+        for host in (0, 1):
+            fleet.wait_log('peer_joined', host)
+        pieces = {'Walnutport_Pieces': '1,1', 'Walnutport_Piece_Key': 'k'}
+        fleet.call('review', 'id-0', 0, **pieces)
+        owner = fleet.wait_log('cell_owner')['owner']
+        lost = int(owner.rpartition('-')[2])
+        fleet.hosts[lost].signal(signal.SIGSTOP)
+        try:
+            answer = fleet.call('review', 'id-9', 1 - lost, **pieces)
+            assert answer.body == EVENTS
+        finally:
+            fleet.hosts[lost].signal(signal.SIGCONT)
+
+
+def test_unusable_settings_end_with_a_documented_code(tmp_path, monkeypatch):
+    """Guards against a process that ends without saying why."""
+    path = tmp_path / 'boot.conf'
+    path.write_text('nodeName=x\nip\n')
+    monkeypatch.setenv('WALNUTPORT_BOOT', str(path))
+    output = tmp_path / 'host.log'
+    with processes.ManagedProcess(['walnutport', 'entry'], output) as host:
+        assert host.process.wait(platform_fleet.LIMIT_S) == 3
+    assert f'{path}:2: no "=" in the line' in output.read_text()
+
+
+def test_second_request_on_a_kept_channel(fleet):
+    """Guards against a channel that is closed after one answer."""
+    with socket.create_connection(
+        (platform_fleet.IP, fleet.caller_ports[0])
+    ) as caller:
+        for number in range(3):
+            caller.sendall(
+                b'POST /pay/x HTTP/1.1\r\nHost: calls.example\r\n'
+                b'Walnutport-Request-Attempt-Id: id-%d\r\n'
+                b'Walnutport-Credential: key-north\r\n'
+                b'Content-Length: 0\r\n\r\n' % number
+            )
+            data = b''
+            limit = time.monotonic() + platform_fleet.LIMIT_S
+            while b'by plain' not in data and time.monotonic() < limit:
+                data += caller.recv(4096)
+            assert b'id-%d by plain' % number in data
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,125 @@
+"""Tests of decoding the documents in the store."""
+
+import json
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from walnutport import exceptions
+from walnutport.platform import documents
+from walnutport.world import routes
+
+ENTRY = {
+    'service': 'llm',
+    'address': '10.1.0.9:8080',
+    'zone': 'a',
+    'state': 'ready',
+    'slots': 4,
+    'coldMs': 500,
+    'sequence': 3,
+    'born': 1700000000000,
+}
+CONFIG = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r',
+            'host': 'H.example',
+            'pathPrefix': '/a/',
+            'kind': 'streaming',
+            'timeoutMs': 5000,
+            'latencyTargetMs': 1600,
+            'split': [{'service': 'llm', 'weight': 90}],
+            'maxAttempts': 2,
+            'stages': [{'service': 's', 'after': [], 'bytes': 8000}],
+            'resumable': True,
+            'gapAimMs': 400,
+        },
+        {
+            'name': 'long',
+            'host': 'h.example',
+            'pathPrefix': '/a/b/',
+            'kind': 'never_heard_of',
+            'timeoutMs': 1000,
+            'service': 'plain',
+        },
+    ],
+    'services': [
+        {
+            'name': 's',
+            'maxConns': 3,
+            'pieces': {
+                'batch': 6,
+                'callMs': 150.0,
+                'itemMs': 20,
+                'headroomMb': 27.5,
+            },
+        }
+    ],
+    'limits': {'headerBytes': 1000, 'idleMs': 9000},
+    'tenants': [{'name': 'north', 'apiKeys': ['k1', 'k2'], 'priority': 1}],
+    'somethingNew': True,
+}
+
+
+def test_target_is_decoded():
+    """Guards against fields taken with the wrong unit."""
+    found = documents.decode_target('t1', json.dumps(ENTRY).encode())
+    assert found.address == ('10.1.0.9', 8080)
+    assert found.cold_s == 0.5
+    assert found.incarnation == 1700000000000
+    assert not found.draining
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'state': 'resting'},
+        {'address': 'nowhere'},
+        {'address': '10.0.0.1:99999'},
+        {'slots': 0},
+        {'slots': 'many'},
+        {'born': 'yesterday'},
+        {'born': True},
+        {'service': None},
+    ],
+)
+def test_entry_of_another_writer_is_rejected(changes):
+    """Guards against requests to what is no target."""
+    with pytest.raises(exceptions.WireError):
+        documents.decode_target('t1', json.dumps(ENTRY | changes).encode())
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_raise_only_the_adapters_error(data):
+    """Guards against a process that ends over bad bytes."""
+    for decode in (
+        documents.decode_desired_state,
+        lambda found: documents.decode_target('t1', found),
+    ):
+        try:
+            decode(data)
+        except exceptions.WireError:
+            continue
+
+
+def test_desired_state_is_decoded():
+    """Guards against wrong units, defaults and route choice."""
+    found = documents.decode_desired_state(json.dumps(CONFIG).encode())
+    route = found.route_for('h.example', '/a/x')
+    assert route.kind is routes.RequestKind.STREAM
+    assert route.repeatable and route.timeout_s == 5.0
+    assert found.route_for('h.example', '/a/b/c').name == 'long'
+    assert found.route_for('h.example', '/c/') is None
+    assert found.limits.idle_s == 9.0
+    assert found.team_by_key['k2'].name == 'north'
+    assert found.service_by_name['s'].batch.result_bytes == 27_500_000
+
+
+def test_unknown_kind_runs_at_most_once():
+    """Guards against a request that runs twice by mistake."""
+    found = documents.decode_desired_state(json.dumps(CONFIG).encode())
+    route = found.route_for('h.example', '/a/b/c')
+    assert route.kind is routes.RequestKind.ONCE
+    assert not route.repeatable
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,116 @@
+"""Tests of the headers of requests and answers."""
+
+import pytest
+
+from walnutport import exceptions
+from walnutport.http1 import messages
+from walnutport.platform import headers
+
+CALLER = [
+    (b'host', b'h.example'),
+    (b'walnutport-request-attempt-id', b'id-1'),
+    (b'walnutport-deadline-ms', b'8000'),
+    (b'walnutport-credential', b'key'),
+    (b'walnutport-token-counts', b'1460,80'),
+    (b'walnutport-prompt-prefix', b'5c:800,91:410,e4:250'),
+    (b'walnutport-pieces', b'2, 0,1'),
+    (b'x-other', b'kept'),
+]
+
+
+def test_fields_of_a_request():
+    """Guards against hints that are read wrongly."""
+    found = headers.request_fields(CALLER)
+    assert found.request_id == 'id-1'
+    assert found.wait_s == 8.0
+    assert found.piece_counts == (2, 0, 1)
+    assert found.prompt.part_tokens == (800, 410, 250)
+
+
+@pytest.mark.parametrize(
+    'extra',
+    [
+        [(b'walnutport-request-attempt-id', b'id-2')],
+        [(b'walnutport-credential', b'other')],
+        [(b'walnutport-deadline-ms', b'9')],
+    ],
+)
+def test_header_that_comes_twice_is_rejected(extra):
+    """Guards against a target that reads another value than the host."""
+    with pytest.raises(exceptions.WireError):
+        headers.request_fields(CALLER + extra)
+
+
+def test_headers_that_only_the_system_sets_are_replaced():
+    """Guards against callers that pose as the system."""
+    forged = [
+        (b'walnutport-tenant', b'evil'),
+        (b'walnutport-expect-instance', b'other'),
+        (b'walnutport-hold', b'h'),
+        (b'walnutport-pin-ms', b'4000'),
+        (b'walnutport-kv-backup', b'10.0.0.1:1'),
+        (b'kv-from', b'10.0.0.1:1/x'),
+        (b'walnutport-inputs', b'stolen'),
+        (b'walnutport-request-priority', b'0'),
+        (b'connection', b'x-other'),
+    ]
+    found = headers.target_headers(
+        CALLER + forged, target_id='t1', team='north', remaining_s=1.5
+    )
+    values: dict[bytes, list[bytes]] = {}
+    for name, value in found:
+        values.setdefault(name, []).append(value)
+    assert values[b'walnutport-tenant'] == [b'north']
+    assert values[b'walnutport-expect-instance'] == [b't1']
+    assert values[b'walnutport-deadline-ms'] == [b'1500']
+    for name in (
+        b'walnutport-hold',
+        b'walnutport-pin-ms',
+        b'walnutport-kv-backup',
+        b'kv-from',
+        b'walnutport-inputs',
+        b'walnutport-request-priority',
+        b'walnutport-credential',
+        b'connection',
+        b'x-other',
+    ):
+        assert name not in values
+
+
+def test_request_id_cannot_be_removed():
+    """Guards against a caller that strips the id with Connection."""
+    found = headers.target_headers(
+        [*CALLER, (b'connection', b'walnutport-request-attempt-id')],
+        target_id='t1',
+        team=None,
+        remaining_s=1.0,
+    )
+    assert (b'walnutport-request-attempt-id', b'id-1') in found
+
+
+def test_resumed_stream_names_the_last_event_once():
+    """Guards against a target that goes on at the caller's old event."""
+    found = headers.target_headers(
+        [*CALLER, (b'last-event-id', b'3')],
+        target_id='t1',
+        team=None,
+        remaining_s=1.0,
+        last_event_id=9,
+    )
+    ids = [value for name, value in found if name == b'last-event-id']
+    assert ids == [b'9']
+
+
+def test_fields_of_an_answer():
+    """Guards against load and promises that are read wrongly."""
+    head = messages.ResponseHead(
+        503,
+        [
+            (b'walnutport-not-executed', b'1'),
+            (b'walnutport-server-load', b'3,0,8'),
+        ],
+    )
+    found = headers.answer_fields(head)
+    assert found.not_run and not found.sealed
+    assert found.load.slots == 8
+    assert headers.caller_headers(head) == []
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,54 @@
+"""Tests of the platform's settings file."""
+
+import pytest
+
+from walnutport import exceptions
+from walnutport.platform import settings
+
+TEXT = """\
+nodeName=edge-a-1
+ip=10.1.0.41
+zone=a
+zones.a=west
+zones.b=west
+listen.front=10.1.0.41:8625
+listen.ready=10.1.0.41:8621
+portRange=7740,7755
+platform.address=10.200.1.7:8624
+bounds.drainMs=2500
+bounds.newOne=maybe
+limits.cpuShare=0.5
+limits.cores=2
+somethingNew=yes
+"""
+
+
+def test_settings_are_read():
+    """Guards against figures that are taken with the wrong unit."""
+    found = settings.parse_settings(TEXT, 'boot.conf')
+    assert found.callers_address == ('10.1.0.41', 8625)
+    assert found.data_centres == ('a', 'b')
+    assert found.bounds.drain_s == 2.5
+    assert found.cpu_share == 1.0
+
+
+@pytest.mark.parametrize(
+    'line, message',
+    [
+        ('ip=', 'boot.conf: ip is missing'),
+        ('listen.front=10.1.0.41', 'boot.conf:6: listen.front'),
+        ('portRange=7740', 'boot.conf:8: portRange'),
+        ('limits.cores=two', 'boot.conf:13: limits.cores: not a number'),
+        ('nodeName', 'boot.conf:1: no "="'),
+    ],
+)
+def test_unusable_settings_name_line_and_reason(line, message):
+    """Guards against a process that ends without saying why."""
+    key = line.partition('=')[0]
+    text = ''.join(
+        f'{line}\n' if old.partition('=')[0] == key else f'{old}\n'
+        for old in TEXT.splitlines()
+    )
+    with pytest.raises(exceptions.SettingsError, match='boot.conf') as caught:
+        settings.parse_settings(text, 'boot.conf')
+    assert str(caught.value).startswith(message)
