Choose engines by the tokens they still read, at the owner of a cell

The owner of a cell sees most requests and advises an engine with the results. First parts of prompts are kept by a third of the engines of a data centre, and the expected time to the first event follows the size of the prompt.

Ruled out: slow targets and transfers of inputs (0.005 s).

--- a/walnutport/gateway/calls.py
+++ b/walnutport/gateway/calls.py
@@ -40,7 +40,8 @@
     )
     outcome: str = ''
     stages_s: float = 0.0
-    placed_at: float = 0.0
+    engine_id: str = ''
+    first_event_at: float = 0.0
 
     @property
     def request_id(self) -> str:
--- a/walnutport/gateway/cells.py
+++ b/walnutport/gateway/cells.py
@@ -18,6 +18,7 @@
 from walnutport.peer import fleet_messages
 from walnutport.platform import headers
 from walnutport.platform import stage_calls
+from walnutport.routing import engines
 from walnutport.stages import pieces
 from walnutport.stages import scheduler
 from walnutport.world import routes
@@ -56,18 +57,29 @@
 
     peer: str
     reply: Callable[[object], None]
+    order: pieces.JobOrder
 
 
 class CellOwner:
     """Drives the scheduler of one cell.
 
-    :param targets: returns the rules and targets of all stage services.
+    :param place: chooses where a request runs after its stages.
     """
 
-    def __init__(self, reactor, log, pool: client.ChannelPool) -> None:
+    def __init__(
+        self,
+        reactor,
+        log,
+        pool: client.ChannelPool,
+        place: Callable[
+            [pieces.JobOrder, pieces.JobResult, engines.EngineBook], str
+        ],
+    ) -> None:
         self._reactor = reactor
         self._log = log
         self._pool = pool
+        self._place = place
+        self._engines = engines.EngineBook()
         self.scheduler = scheduler.StageScheduler()
         self._origin_by_job: dict[str, _Origin] = {}
         self._free_timer = None
@@ -107,12 +119,13 @@
         if refusal is not None:
             reply(refusal)
             return
-        self._origin_by_job[order.job_id] = _Origin(peer, reply)
+        self._origin_by_job[order.job_id] = _Origin(peer, reply, order)
         self._pump()
 
     def release(self, job_id: str) -> None:
         """Give up a job and its results."""
         self._origin_by_job.pop(job_id, None)
+        self._engines.read(job_id)
         self.scheduler.release(job_id)
         self._pump()
 
@@ -132,8 +145,16 @@
             origin = self._origin_by_job.get(outcome.job_id)
             if isinstance(outcome, pieces.JobFailure):
                 self._origin_by_job.pop(outcome.job_id, None)
-            if origin is not None:
-                origin.reply(outcome)
+            if origin is None:
+                continue
+            if isinstance(outcome, pieces.JobResult):
+                outcome = dataclasses.replace(
+                    outcome,
+                    target_id=self._place(
+                        origin.order, outcome, self._engines
+                    ),
+                )
+            origin.reply(outcome)
         if self._free_timer is None:
             self._free_timer = self._reactor.callLater(
                 FREE_DELAY_S, self._free
@@ -217,6 +238,7 @@
     :param shares: returns the processor share of each host that takes work,
         this one included while it does.
     :param send: sends a message to a host; False when it is not linked.
+    :param place: chooses where a request runs after its stages.
     """
 
     def __init__(
@@ -228,7 +250,11 @@
         pool: client.ChannelPool,
         shares: Callable[[], dict[str, float]],
         send: Callable[[str, fleet_messages.FleetMessage], bool],
+        place: Callable[
+            [pieces.JobOrder, pieces.JobResult, engines.EngineBook], str
+        ],
     ) -> None:
+        self._place = place
         self._reactor = reactor
         self._log = log
         self._own = own
@@ -389,7 +415,9 @@
     def _local(self, cell: int) -> CellOwner:
         found = self._owner_by_cell.get(cell)
         if found is None:
-            found = CellOwner(self._reactor, self._log, self._pool)
+            found = CellOwner(
+                self._reactor, self._log, self._pool, self._place
+            )
             self._owner_by_cell[cell] = found
             found.update(self._rules, self._of_cell(cell))
         return found
--- a/walnutport/gateway/front.py
+++ b/walnutport/gateway/front.py
@@ -34,9 +34,6 @@
 RETRY_STARTING_S = 0.5
 # A caller honours a wait of at most a third of the time that it has left.
 RETRY_SHARE = 0.33
-# Time from the end of the stages to the first event, before it was measured.
-FIRST_EVENT_S = 0.25
-FIRST_EVENT_GAIN = 0.1
 # An answer is sent this long before the caller's own deadline.
 DEADLINE_MARGIN_S = 0.03
 # A plain target whose expected time is over this many aims is refused.
@@ -81,7 +78,7 @@
         self._rng = rng
         self._confirm_death = confirm_death
         self._budget_by_service: dict[str, window.WindowBudget] = {}
-        self._first_event_s = FIRST_EVENT_S
+        self._forecast = engines.FirstEventForecast()
         self._longest_wait_by_route: dict[str, float] = {}
         self.in_flight: set[calls.CallerCall] = set()
 
@@ -245,10 +242,6 @@
         if counts is None or len(counts) != len(call.route.stages):
             call.answer(400, 'malformed')
             return
-        if not any(counts):
-            call.inputs = ()
-            await self._serve_stream(call)
-            return
         job_id = self._stages.new_job_id()
         place: list = [0, '']
         now = time.monotonic()
@@ -261,8 +254,10 @@
             urgency=call.urgency,
             aim_s=call.aim_at - now,
             deadline_s=call.deadline_at - now,
-            final_s=self._first_event_s,
+            final_s=self._forecast.expected_s(call.fields.prompt),
             team=call.team or '',
+            final_service=call.service,
+            prompt=call.fields.prompt,
         )
 
         def taken(cell: int, owner: str) -> None:
@@ -276,12 +271,9 @@
         try:
             result = await self._stages.run(order, taken)
             call.stages_s = time.monotonic() - now
+            call.engine_id = result.target_id
             call.inputs = tuple(found.handle for found in result.results)
-            for found in result.results:
-                sizes = call.input_bytes_by_place
-                sizes[found.data_centre] = (
-                    sizes.get(found.data_centre, 0) + found.size
-                )
+            call.input_bytes_by_place = pieces.bytes_by_place(result.results)
             await self._serve_stream(call, release)
         except cells.StagesRefusedError as problem:
             self._refuse(call, problem.reason, problem.retry_after_s)
@@ -301,14 +293,13 @@
             if target is None:
                 break
             started_at = time.monotonic()
-            call.placed_at = started_at
 
             def first_event() -> None:
-                latency_s = time.monotonic() - started_at
-                self._first_event_s += FIRST_EVENT_GAIN * (
-                    latency_s - self._first_event_s
+                call.first_event_at = time.monotonic()
+                self._forecast.observe(
+                    call.fields.prompt, call.first_event_at - started_at
                 )
-                self._metrics.first_event(call, time.monotonic())
+                self._metrics.first_event(call, call.first_event_at)
                 on_inputs_read()
 
             result = await self._attempt(
@@ -432,15 +423,48 @@
     def _choose_engine(
         self, call: calls.CallerCall
     ) -> workers.RegisteredTarget | None:
+        now = time.monotonic()
+        advised = self._follower.registry.targets.get(call.engine_id)
+        if (
+            advised is not None
+            and not call.targets
+            and not advised.draining
+            and self._standings.standing(advised).ejected_until <= now
+        ):
+            return advised
         return engines.choose_engine(
             self._follower.registry.usable(call.service),
             self._standings,
             call.fields.prompt,
             call.input_bytes_by_place,
-            time.monotonic(),
+            now,
             set(call.targets),
         )
 
+    def place(
+        self,
+        order: pieces.JobOrder,
+        result: pieces.JobResult,
+        book: engines.EngineBook,
+    ) -> str:
+        """Choose the engine for a request of any host after its stages."""
+        engine = engines.choose_engine(
+            self._follower.registry.usable(order.final_service),
+            self._standings,
+            order.prompt,
+            pieces.bytes_by_place(result.results),
+            time.monotonic(),
+            pending_tokens=book.pending_tokens,
+        )
+        if engine is None:
+            return ''
+        book.placed(
+            order.job_id,
+            engine.target_id,
+            engines.likely_read_tokens(order.prompt),
+        )
+        return engine.target_id
+
     def _may_repeat(
         self, call: calls.CallerCall, result: attempts.AttemptResult
     ) -> bool:
@@ -545,6 +569,7 @@
         now = time.monotonic()
         took_s = now - call.arrived_at
         self._metrics.finished(call, took_s)
+        first_at = call.first_event_at or now
         write = (
             self._log.routine
             if call.outcome in ('answered', 'streamed')
@@ -558,7 +583,9 @@
             outcome=call.outcome,
             took_s=round(took_s, 3),
             stages_s=round(call.stages_s, 3),
-            late=now > call.aim_at,
+            first_s=round(first_at - call.arrived_at, 3),
+            late=first_at > call.aim_at,
+            tokens=engines.unshared_tokens(call.fields.prompt),
             targets=call.targets,
         )
 
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -116,6 +116,7 @@
             self._pool,
             self._work_shares,
             self._send,
+            lambda *found: self.front.place(*found),
         )
         self.front = front.Front(
             reactor,
--- a/walnutport/stages/pieces.py
+++ b/walnutport/stages/pieces.py
@@ -1,8 +1,10 @@
 """Types of stage work."""
 
+from collections.abc import Iterable
 import dataclasses
 import enum
 
+from walnutport.world import requests
 from walnutport.world import routes
 
 __all__ = [
@@ -14,6 +16,7 @@
     'Refusal',
     'StageCall',
     'StageResult',
+    'bytes_by_place',
 ]
 
 
@@ -52,6 +55,8 @@
     :param aim_s: time left for an answer of full value.
     :param deadline_s: time left for any answer.
     :param final_s: expected time of the request itself after its stages.
+    :param final_service: service that runs the request itself.
+    :param prompt: prompt of the request, where it has one.
     """
 
     job_id: str
@@ -64,6 +69,8 @@
     deadline_s: float
     final_s: float
     team: str
+    final_service: str = ''
+    prompt: requests.PromptShape | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,10 +88,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobResult:
-    """Results of the stages that no other stage follows."""
+    """Results of the stages that no other stage follows.
+
+    :param target_id: where the request itself should run, empty for no
+        advice.
+    """
 
     job_id: str
     results: tuple[StageResult, ...]
+    target_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,3 +132,13 @@
     address: tuple[str, int]
     work: tuple[PieceWork, ...]
     timeout_s: float
+
+
+def bytes_by_place(results: Iterable[StageResult]) -> dict[str, int]:
+    """Return the bytes of results in each data centre."""
+    found: dict[str, int] = {}
+    for result in results:
+        found[result.data_centre] = (
+            found.get(result.data_centre, 0) + result.size
+        )
+    return found
