Count stage work incrementally and pass on only changes of targets

The owner of a cell went through all pieces of all jobs on every submission, and every host sent each heartbeat of a target to every peer.

Jobs now keep their pieces by stage, the scheduler keeps totals by service and urgency, and hosts pass on only records that change what is believed.

--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -106,4 +106,13 @@
 def test_peer_gets_only_what_it_lacks(known):
     """Guards against whole lists on every heartbeat."""
     known.apply(page(7, t2=b'1'), 0.0)
-    assert [record.key for record in known.records_after(3)] == ['t2']
+    assert [record.key for record in known.changes_after(3)] == ['t2']
+
+
+def test_heartbeat_of_a_target_is_no_change(known):
+    """Guards against passing every heartbeat on to every host."""
+    changed_end = known.changed_end
+    known.apply(page(7, t1=b'1'), 0.0)
+    assert known.end == 7
+    assert known.changed_end == changed_end
+    assert known.changes_after(changed_end) == ()
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -362,7 +362,7 @@
     def _pulse(self) -> fleet_messages.Pulse:
         return fleet_messages.Pulse(
             self.follower.desired_end,
-            self.follower.registry.end,
+            self.follower.registry.changed_end,
             min(999.0, round(self.follower.store_age_s(), 2)),
             self._fit,
             self.draining,
--- a/walnutport/gateway/news.py
+++ b/walnutport/gateway/news.py
@@ -116,12 +116,13 @@
                     self._desired_record, self._desired_end
                 ),
             )
-        if self._targets_known and pulse.targets_end < self.registry.end:
+        behind = pulse.targets_end < self.registry.changed_end
+        if self._targets_known and behind:
             self._mesh.send(name, self._target_news(pulse.targets_end))
 
     def _target_news(self, after: int) -> fleet_messages.TargetNews:
         return fleet_messages.TargetNews(
-            self.registry.records_after(after),
+            self.registry.changes_after(after),
             self.registry.end,
             self.registry.grace_left_s(time.monotonic()),
         )
@@ -185,7 +186,7 @@
             )
         self._store_answered()
         now = time.monotonic()
-        before = self.registry.end
+        before = self.registry.changed_end
         self._targets_read_at = now
         self._targets_known = True
         if fresh:
--- a/walnutport/membership/registry.py
+++ b/walnutport/membership/registry.py
@@ -42,7 +42,11 @@
         self._target_by_id: dict[str, workers.RegisteredTarget] = {}
         self._lapsed_until: dict[str, float] = {}
         self._grace_until = 0.0
+        self._changed_at_by_key: dict[str, int] = {}
         self.end = 0
+        # Offset after the last record that changed what is believed; most
+        # records are heartbeats that change nothing.
+        self.changed_end = 0
 
     @property
     def targets(self) -> dict[str, workers.RegisteredTarget]:
@@ -100,12 +104,12 @@
                 self._remove(target_id, self.end, changes)
         return changes
 
-    def records_after(self, offset: int) -> tuple[feeds.FeedRecord, ...]:
+    def changes_after(self, offset: int) -> tuple[feeds.FeedRecord, ...]:
         """Return the newest records of the keys that changed since."""
         return tuple(
-            record
-            for record in self._record_by_key.values()
-            if record.offset >= offset
+            self._record_by_key[key]
+            for key, changed_at in self._changed_at_by_key.items()
+            if changed_at >= offset
         )
 
     def usable(self, service: str) -> list[workers.RegisteredTarget]:
@@ -130,6 +134,7 @@
         if record.value is None:
             if record.key not in self._target_by_id:
                 return
+            self._changed(record)
             if now < self._grace_until:
                 self._lapsed_until[record.key] = self._grace_until
             else:
@@ -140,14 +145,20 @@
         except exceptions.WireError as problem:
             problems.append(f'offset {record.offset}: {problem}')
             self._remove(record.key, record.offset, changes)
+            self._changed(record)
             return
         self._lapsed_until.pop(record.key, None)
         before = self._target_by_id.get(record.key)
         self._target_by_id[record.key] = target
         change = _describe(before, target)
         if change:
+            self._changed(record)
             changes.append(RegistryChange(record.key, change, record.offset))
 
+    def _changed(self, record: feeds.FeedRecord) -> None:
+        self._changed_at_by_key[record.key] = record.offset
+        self.changed_end = max(self.changed_end, record.offset + 1)
+
     def _remove(
         self, target_id: str, offset: int, changes: list[RegistryChange]
     ) -> None:
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -46,7 +46,7 @@
     """Heartbeat.
 
     :param desired_end: offset up to which the sender knows the desired state.
-    :param targets_end: offset up to which it knows the targets.
+    :param targets_end: offset after the last change of a target that it knows.
     :param store_age_s: seconds since it last read targets from the store.
     :param fit: whether it keeps up with its work and takes that of others.
     """
@@ -66,7 +66,7 @@
 
 
 class TargetNews(msgspec.Struct, frozen=True, tag='targets'):
-    """Records of the target feed up to an offset.
+    """Changes of targets, and the offset up to which they are known.
 
     :param grace_s: how long removed entries count as lapsed only.
     """
--- a/walnutport/stages/jobs.py
+++ b/walnutport/stages/jobs.py
@@ -1,10 +1,11 @@
 """State of one job: which pieces are done, under way or waiting."""
 
+from collections.abc import Iterable
 import dataclasses
 
 from walnutport.stages import pieces
 
-__all__ = ['Job', 'Placed', 'PieceId']
+__all__ = ['Job', 'PieceId', 'Placed']
 
 #: Number of the stage and of the piece in it.
 PieceId = tuple[int, int]
@@ -31,20 +32,27 @@
         self.order = order
         self.aim_at = now + order.aim_s
         self.deadline_at = now + order.deadline_s
-        self.results: dict[PieceId, Placed] = {}
-        self.running: set[PieceId] = set()
-        self.waiting: set[PieceId] = set()
         self.failures = 0
         self.finished = False
-        self._kept = [
+        # Seconds of work that are left, by service, as the scheduler counts.
+        self.committed_s: dict[str, float] = {}
+        self.stages = [
             number
             for number, count in enumerate(order.piece_counts)
             if count > 0
         ]
-        self._after = {number: self._needed(number) for number in self._kept}
-        followed = {before for all_ in self._after.values() for before in all_}
+        self.waiting: dict[int, set[int]] = {}
+        self.running: dict[int, set[int]] = {n: set() for n in self.stages}
+        self.results: dict[int, dict[int, Placed]] = {
+            number: {} for number in self.stages
+        }
+        self._after = {number: self._needed(number) for number in self.stages}
+        self._followers: dict[int, list[int]] = {n: [] for n in self.stages}
+        for number, needed in self._after.items():
+            for before in needed:
+                self._followers[before].append(number)
         self.final_stages = tuple(
-            number for number in self._kept if number not in followed
+            number for number in self.stages if not self._followers[number]
         )
         self.refresh()
 
@@ -52,97 +60,120 @@
         """Return the stages with pieces whose results a stage needs."""
         return self._after[stage]
 
-    @property
-    def stages(self) -> list[int]:
-        """Stages with pieces, in an order that follows the graph."""
-        return self._kept
-
     def count(self, stage: int) -> int:
         """Return the pieces of a stage."""
         return self.order.piece_counts[stage]
 
-    def refresh(self) -> list[int]:
-        """Move pieces whose inputs are there to those that wait.
+    def is_done(self, stage: int) -> bool:
+        """Whether every piece of a stage has its result."""
+        return len(self.results[stage]) == self.order.piece_counts[stage]
+
+    def open_pieces(self, stage: int) -> int:
+        """Return the pieces of a stage that are still to be started."""
+        if not self._is_needed(stage):
+            return 0
+        return (
+            self.order.piece_counts[stage]
+            - len(self.results[stage])
+            - len(self.running[stage])
+        )
 
-        :returns: stages that have new waiting pieces.
-        """
-        fresh = []
-        for stage in self._kept:
-            if not self._needed_now(stage):
+    def refresh(self) -> None:
+        """Move pieces whose inputs are there to those that wait."""
+        for stage in self.stages:
+            if not self.open_pieces(stage):
                 continue
-            if not all(self._is_done(before) for before in self._after[stage]):
+            if not all(self.is_done(before) for before in self._after[stage]):
                 continue
-            for piece in range(self.count(stage)):
-                piece_id = (stage, piece)
-                if (
-                    piece_id not in self.results
-                    and piece_id not in self.running
-                    and piece_id not in self.waiting
-                ):
-                    self.waiting.add(piece_id)
-                    fresh.append(stage)
-        return sorted(set(fresh))
+            done = self.results[stage]
+            running = self.running[stage]
+            waiting = {
+                piece
+                for piece in range(self.order.piece_counts[stage])
+                if piece not in done and piece not in running
+            }
+            if waiting:
+                self.waiting[stage] = waiting
+
+    def start(self, piece_id: PieceId) -> None:
+        """Take note that a piece is under way."""
+        stage, piece = piece_id
+        left = self.waiting[stage]
+        left.discard(piece)
+        if not left:
+            del self.waiting[stage]
+        self.running[stage].add(piece)
 
     def inputs(self, stage: int) -> tuple[Placed, ...]:
         """Return the results that a piece of a stage needs."""
-        return tuple(
-            self.results[(before, piece)]
-            for before in self._after[stage]
-            for piece in range(self.count(before))
-        )
+        return self._collect(self._after[stage])
 
     def final_results(self) -> tuple[Placed, ...] | None:
         """Return what the request itself needs, or None if not all done."""
-        if not all(self._is_done(stage) for stage in self.final_stages):
+        if not all(self.is_done(stage) for stage in self.final_stages):
             return None
-        return tuple(
-            self.results[(stage, piece)]
-            for stage in self.final_stages
-            for piece in range(self.count(stage))
-        )
+        return self._collect(self.final_stages)
+
+    def all_results(self) -> list[Placed]:
+        """Return every result that is still held."""
+        return [
+            placed
+            for found in self.results.values()
+            for placed in found.values()
+        ]
 
     def take_used(self) -> list[Placed]:
         """Remove and return results that no stage needs any more."""
-        used = []
-        for stage in self._kept:
-            if stage in self.final_stages:
-                continue
-            followers = [
-                other for other in self._kept if stage in self._after[other]
-            ]
-            if not all(self._is_done(other) for other in followers):
+        used: list[Placed] = []
+        for stage in self.stages:
+            found = self.results[stage]
+            if not found or not self._followers[stage]:
                 continue
-            for piece in range(self.count(stage)):
-                placed = self.results.pop((stage, piece), None)
-                if placed is not None:
-                    used.append(placed)
+            if all(self.is_done(other) for other in self._followers[stage]):
+                used += found.values()
+                self.results[stage] = {}
         return used
 
     def drop_results(self, target_id: str) -> bool:
         """Forget the results that a lost target held."""
-        lost = [
-            piece_id
-            for piece_id, placed in self.results.items()
-            if placed.target_id == target_id
-        ]
-        for piece_id in lost:
-            del self.results[piece_id]
-        return bool(lost)
+        dropped = False
+        for stage in self.stages:
+            found = self.results[stage]
+            kept = {
+                piece: placed
+                for piece, placed in found.items()
+                if placed.target_id != target_id
+            }
+            if len(kept) < len(found):
+                self.results[stage] = kept
+                dropped = True
+        if dropped:
+            self._withdraw_unready()
+            self.refresh()
+        return dropped
 
     def drop_inputs(self, stage: int) -> list[Placed]:
         """Forget the inputs of a stage so that they are made again."""
-        dropped = []
+        dropped: list[Placed] = []
         for before in self._after[stage]:
-            for piece in range(self.count(before)):
-                placed = self.results.pop((before, piece), None)
-                if placed is not None:
-                    dropped.append(placed)
-        # Pieces of this stage cannot run until their inputs are back.
-        self.waiting = {
-            piece_id for piece_id in self.waiting if piece_id[0] != stage
-        }
+            dropped += self.results[before].values()
+            self.results[before] = {}
+        self._withdraw_unready()
         return dropped
 
+    def _withdraw_unready(self) -> None:
+        """Let pieces wait no longer whose inputs are gone."""
+        for stage in list(self.waiting):
+            if not all(self.is_done(before) for before in self._after[stage]):
+                del self.waiting[stage]
+
+    def _collect(self, stages: Iterable[int]) -> tuple[Placed, ...]:
+        return tuple(
+            self.results[stage][piece]
+            for stage in stages
+            for piece in range(self.order.piece_counts[stage])
+        )
+
     def _needed(self, stage: int) -> tuple[int, ...]:
         found: list[int] = []
         for before in self.order.stages[stage].after:
@@ -152,18 +183,10 @@
                 found.extend(self._needed(before))
         return tuple(dict.fromkeys(found))
 
-    def _needed_now(self, stage: int) -> bool:
+    def _is_needed(self, stage: int) -> bool:
         """Whether the results of a stage are still of use."""
-        if stage in self.final_stages:
-            return True
-        return any(
-            not self._is_done(other) and self._needed_now(other)
-            for other in self._kept
-            if stage in self._after[other]
-        )
-
-    def _is_done(self, stage: int) -> bool:
-        return all(
-            (stage, piece) in self.results
-            for piece in range(self.count(stage))
+        followers = self._followers[stage]
+        return not followers or any(
+            not self.is_done(other) and self._is_needed(other)
+            for other in followers
         )
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -44,11 +44,19 @@
 BINDING_BYTES = 500_000
 # A near target may be free a little later than expected.
 NEAR_MARGIN_S = 0.05
+# How often jobs are looked at that come close to their deadline, and how
+# close that is.
+EXPIRE_EVERY_S = 0.1
+EXPIRE_HORIZON_S = 3.0
 # Bounds of the time after which a refused caller may come back.
 LEAST_RETRY_AFTER_S = 0.2
 MOST_RETRY_AFTER_S = 4.0
 
 
+#: Id of a job and number of a stage.
+_EntryKey = tuple[str, int]
+
+
 class CallFailure:
     """Names of the ways in which a call fails as a whole."""
 
@@ -68,6 +76,31 @@
     expected_s: float
 
 
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    """Pieces of one stage of a job that wait.
+
+    :param places: data centres of inputs that are too large to move.
+    """
+
+    job: jobs.Job
+    stage: int
+    waiting: list[int]
+    places: set[str] = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        inputs = self.job.inputs(self.stage)
+        # Every piece fetches all inputs of its stage.
+        moved = self.job.count(self.stage) * sum(
+            placed.size for placed in inputs
+        )
+        self.places = (
+            {placed.data_centre for placed in inputs}
+            if moved >= BINDING_BYTES
+            else set()
+        )
+
+
 @dataclasses.dataclass(slots=True)
 class _Target:
     info: workers.RegisteredTarget
@@ -98,6 +131,11 @@
         self._target_by_id: dict[str, _Target] = {}
         self._rules_by_service: dict[str, routes.BatchRules] = {}
         self._call_by_id: dict[int, _Call] = {}
+        # Jobs with pieces that wait, by service.
+        self._ready: dict[str, dict[_EntryKey, jobs.Job]] = {}
+        # Seconds of work not started yet, by service and urgency.
+        self._committed_s: dict[str, dict[int, float]] = {}
+        self._expire_at = 0.0
         self._call_ids = itertools.count(1)
         self._outcomes: list[pieces.JobResult | pieces.JobFailure] = []
         self._freed_by_target: dict[str, list[str]] = {}
@@ -166,10 +204,11 @@
         if job is None:
             return
         job.finished = True
-        for placed in job.results.values():
+        for placed in job.all_results():
             self._free(placed)
-        job.results = {}
-        job.waiting = set()
+        job.results = {stage: {} for stage in job.stages}
+        job.waiting = {}
+        self._track(job)
 
     def take_outcomes(self) -> list[pieces.JobResult | pieces.JobFailure]:
         """Return the jobs that were done or given up since the last call."""
@@ -189,8 +228,11 @@
 
     def expire(self, now: float) -> None:
         """Give up the jobs that cannot be answered in time any more."""
+        if now < self._expire_at:
+            return
+        self._expire_at = now + EXPIRE_EVERY_S
         for job in list(self._job_by_id.values()):
-            if job.finished:
+            if job.finished or now + EXPIRE_HORIZON_S < job.deadline_at:
                 continue
             if now + self._least_s(job) > job.deadline_at:
                 self._fail(job, 'deadline', now)
@@ -198,21 +240,25 @@
     def next_calls(self, now: float) -> list[pieces.StageCall]:
         """Return the calls to start now."""
         calls: list[pieces.StageCall] = []
-        waiting = self._waiting_by_service()
-        for service, entries in waiting.items():
-            entries.sort(key=lambda entry: _rank(entry[0], now))
-            free = [
-                target
-                for target in self._target_by_id.values()
-                if target.info.service == service and target.is_free(now)
+        free_by_service: dict[str, list[_Target]] = {}
+        for target in self._target_by_id.values():
+            if self._ready.get(target.info.service) and target.is_free(now):
+                free_by_service.setdefault(target.info.service, []).append(
+                    target
+                )
+        for service, free in free_by_service.items():
+            entries = [
+                _Entry(job, stage, sorted(job.waiting[stage]))
+                for (_, stage), job in self._ready[service].items()
             ]
+            entries.sort(key=lambda entry: _rank(entry.job, now))
             free.sort(key=lambda target: target.slowness)
             while free:
-                target = self._choose_target(free, entries, now)
-                if target is None:
+                chosen = self._choose_target(free, entries, now)
+                if chosen is None:
                     break
-                free.remove(target)
-                call = self._fill(target, entries, now)
+                free.remove(chosen)
+                call = self._fill(chosen, entries, now)
                 if call is not None:
                     calls.append(call)
         return calls
@@ -249,7 +295,7 @@
             for job, piece_id in call.work:
                 self._unreserve(job, piece_id, target)
         for job, piece_id in call.work:
-            job.running.discard(piece_id)
+            job.running[piece_id[0]].discard(piece_id[1])
             if failure != CallFailure.BUSY:
                 job.failures += 1
         for job in {id(job): job for job, _ in call.work}.values():
@@ -321,115 +367,117 @@
 
         :param urgency: count only work that goes ahead of this rank.
         """
-        rules = self._rules_by_service[service]
-        found = 0.0
-        for job in self._job_by_id.values():
-            if job.finished:
-                continue
-            if urgency is not None and job.order.urgency > urgency:
-                continue
-            for stage in job.stages:
-                if job.order.stages[stage].service != service:
-                    continue
-                left = sum(
-                    (stage, piece) not in job.results
-                    and (stage, piece) not in job.running
-                    for piece in range(job.count(stage))
-                )
-                found += left * _piece_cost_s(job, stage, rules)
+        found = sum(
+            seconds
+            for rank, seconds in self._committed_s.get(service, {}).items()
+            if urgency is None or rank <= urgency
+        )
         for call in self._call_by_id.values():
             if call.service == service:
                 found += max(0.0, call.started_at + call.expected_s - now)
         return found
 
-    def _waiting_by_service(
-        self,
-    ) -> dict[str, list[tuple[jobs.Job, int, list[jobs.PieceId]]]]:
-        found: dict[str, list[tuple[jobs.Job, int, list[jobs.PieceId]]]] = {}
-        for job in self._job_by_id.values():
-            by_stage: dict[int, list[jobs.PieceId]] = {}
-            for piece_id in sorted(job.waiting):
-                by_stage.setdefault(piece_id[0], []).append(piece_id)
-            for stage, piece_ids in by_stage.items():
-                service = job.order.stages[stage].service
-                found.setdefault(service, []).append((job, stage, piece_ids))
-        return found
+    def _track(self, job: jobs.Job) -> None:
+        """Bring what is counted of a job up to date."""
+        order = job.order
+        left: dict[str, float] = {}
+        for stage in job.stages:
+            service = order.stages[stage].service
+            ready = self._ready.setdefault(service, {})
+            key = (order.job_id, stage)
+            if stage in job.waiting:
+                ready[key] = job
+            else:
+                ready.pop(key, None)
+            rules = self._rules_by_service.get(service)
+            if job.finished or rules is None:
+                continue
+            count = job.open_pieces(stage)
+            if count:
+                left[service] = left.get(service, 0.0) + (
+                    count * _piece_cost_s(job, stage, rules)
+                )
+        for service in left.keys() | job.committed_s.keys():
+            by_rank = self._committed_s.setdefault(service, {})
+            change = left.get(service, 0.0) - job.committed_s.get(service, 0.0)
+            total = by_rank.get(order.urgency, 0.0) + change
+            by_rank[order.urgency] = max(0.0, total)
+        job.committed_s = left
 
     def _choose_target(
         self,
         free: list[_Target],
-        entries: list[tuple[jobs.Job, int, list[jobs.PieceId]]],
+        entries: 'list[_Entry]',
         now: float,
     ) -> _Target | None:
         """Return the target for the most urgent entry that can start."""
-        for job, stage, _ in entries:
-            places = _binding_places(job, stage)
+        for entry in entries:
+            places = entry.places
             if not places:
                 return free[0]
             for target in free:
                 if target.info.data_centre in places:
                     return target
-            if not self._can_wait(job, stage, places, now):
+            if not self._can_wait(entry, now):
                 return free[0]
         return None
 
-    def _can_wait(
-        self, job: jobs.Job, stage: int, places: set[str], now: float
-    ) -> bool:
+    def _can_wait(self, entry: '_Entry', now: float) -> bool:
         """Whether a job meets its aim if it waits for a near target.
 
         Every piece of a stage fetches all its inputs, so large inputs that
         cross data centres cost more than a short wait.
         """
-        service = job.order.stages[stage].service
+        service = entry.job.order.stages[entry.stage].service
         near_s = min(
             (
                 max(target.paused_until - now, _busy_s(target, now))
                 for target in self._target_by_id.values()
                 if target.info.service == service
                 and target.usable
-                and target.info.data_centre in places
+                and target.info.data_centre in entry.places
             ),
             default=None,
         )
         if near_s is None:
             return False
-        return now + near_s + NEAR_MARGIN_S < self._latest_start(job)
+        latest = self._latest_start(entry.job)
+        return now + near_s + NEAR_MARGIN_S < latest
 
     def _fill(
-        self,
-        target: _Target,
-        entries: list[tuple[jobs.Job, int, list[jobs.PieceId]]],
-        now: float,
+        self, target: _Target, entries: 'list[_Entry]', now: float
     ) -> pieces.StageCall | None:
         """Assemble one call and take its pieces out of the entries."""
         rules = target.rules
         room = rules.result_bytes - target.held_bytes
         work: list[tuple[jobs.Job, jobs.PieceId]] = []
-        left: list[tuple[jobs.Job, int, list[jobs.PieceId]]] = []
-        for job, stage, piece_ids in entries:
-            places = _binding_places(job, stage)
+        left: list[_Entry] = []
+        for number, entry in enumerate(entries):
+            space = rules.batch - len(work)
+            if space <= 0:
+                left += entries[number:]
+                break
             if (
-                places
-                and target.info.data_centre not in places
-                and self._can_wait(job, stage, places, now)
+                entry.places
+                and target.info.data_centre not in entry.places
+                and self._can_wait(entry, now)
             ):
-                left.append((job, stage, piece_ids))
+                left.append(entry)
                 continue
-            size = job.order.stages[stage].result_bytes
-            space = rules.batch - len(work)
+            size = entry.job.order.stages[entry.stage].result_bytes
             fitting = int(room // size) if size else space
+            wanted = len(entry.waiting)
+            count = min(wanted, space, max(0, fitting))
             # The pieces of one stage stay together where they can, so that
             # their reader finds them in one place.
-            splits = len(piece_ids) > rules.batch or not work
-            count = min(len(piece_ids), space, max(0, fitting))
-            if count < len(piece_ids) and not splits:
+            if count < wanted <= rules.batch and work:
                 count = 0
-            for piece_id in piece_ids[:count]:
-                work.append((job, piece_id))
-                room -= size
-            if count < len(piece_ids):
-                left.append((job, stage, piece_ids[count:]))
+            for piece in entry.waiting[:count]:
+                work.append((entry.job, (entry.stage, piece)))
+            room -= size * count
+            if count < wanted:
+                entry.waiting = entry.waiting[count:]
+                left.append(entry)
         entries[:] = left
         if not work:
             return None
@@ -454,12 +502,15 @@
         self._call_by_id[call_id] = call
         target.calls[call_id] = call
         items = []
+        handles_by_stage: dict[_EntryKey, tuple[str, ...]] = {}
         for job, piece_id in work:
             stage, piece = piece_id
-            job.waiting.discard(piece_id)
-            job.running.add(piece_id)
+            job.start(piece_id)
             target.held_bytes += job.order.stages[stage].result_bytes
-            inputs = job.inputs(stage)
+            inputs = handles_by_stage.get((job.order.job_id, stage))
+            if inputs is None:
+                inputs = tuple(found.handle for found in job.inputs(stage))
+                handles_by_stage[(job.order.job_id, stage)] = inputs
             items.append(
                 pieces.PieceWork(
                     job.order.request_id,
@@ -467,11 +518,11 @@
                     piece,
                     job.deadline_at - now,
                     job.order.piece_key,
-                    tuple(placed.handle for placed in inputs)
-                    if inputs
-                    else None,
+                    inputs or None,
                 )
             )
+        for job in {id(job): job for job, _ in work}.values():
+            self._track(job)
         return pieces.StageCall(
             call_id,
             target.info.target_id,
@@ -488,18 +539,19 @@
         outcome: str | pieces.PieceFailure,
         now: float,
     ) -> None:
-        job.running.discard(piece_id)
-        size = job.order.stages[piece_id[0]].result_bytes
+        stage, piece = piece_id
+        job.running[stage].discard(piece)
+        size = job.order.stages[stage].result_bytes
         if isinstance(outcome, str):
             if target is None:
                 return
             placed = jobs.Placed(
                 outcome, target.info.target_id, target.info.data_centre, size
             )
-            if job.finished or piece_id in job.results:
+            if job.finished or piece in job.results[stage]:
                 self._free(placed)
             else:
-                job.results[piece_id] = placed
+                job.results[stage][piece] = placed
             return
         if target is not None:
             self._unreserve(job, piece_id, target)
@@ -509,7 +561,7 @@
             return
         job.failures += 1
         if outcome is pieces.PieceFailure.INPUT_GONE and not job.finished:
-            for placed in job.drop_inputs(piece_id[0]):
+            for placed in job.drop_inputs(stage):
                 self._free(placed)
 
     def _settle(self, job: jobs.Job, now: float) -> None:
@@ -524,8 +576,10 @@
         final = job.final_results()
         if final is None:
             job.refresh()
+            self._track(job)
             return
         job.finished = True
+        self._track(job)
         self._outcomes.append(
             pieces.JobResult(
                 job.order.job_id,
@@ -558,11 +612,7 @@
                 (least[number] for number in job.after(stage)), default=0.0
             )
             rules = self._rules_by_service.get(job.order.stages[stage].service)
-            left = any(
-                (stage, piece) not in job.results
-                and (stage, piece) not in job.running
-                for piece in range(job.count(stage))
-            )
+            left = job.open_pieces(stage) > 0
             least[stage] = before + (rules.call_s if rules and left else 0.0)
         return max(least.values(), default=0.0) + job.order.final_s / 2
 
@@ -603,7 +653,7 @@
         return any(
             placed.target_id == target_id
             for job in self._job_by_id.values()
-            for placed in job.results.values()
+            for placed in job.all_results()
         )
 
     def _forget_target(self, target_id: str, now: float) -> None:
@@ -613,16 +663,7 @@
             self.call_failed(call_id, CallFailure.LOST, now)
         for job in list(self._job_by_id.values()):
             if not job.finished and job.drop_results(target_id):
-                job.waiting = {
-                    piece_id
-                    for piece_id in job.waiting
-                    if all(
-                        (before, piece) in job.results
-                        for before in job.after(piece_id[0])
-                        for piece in range(job.count(before))
-                    )
-                }
-                job.refresh()
+                self._track(job)
 
 
 def _piece_cost_s(
@@ -641,15 +682,6 @@
     return max(time_s, held_s * size / rules.result_bytes)
 
 
-def _binding_places(job: jobs.Job, stage: int) -> set[str]:
-    """Return the data centres of inputs that are too large to move."""
-    inputs = job.inputs(stage)
-    moved = job.count(stage) * sum(placed.size for placed in inputs)
-    if moved < BINDING_BYTES:
-        return set()
-    return {placed.data_centre for placed in inputs}
-
-
 def _busy_s(target: _Target, now: float) -> float:
     """Return the time until a target can take a call."""
     if len(target.calls) < target.rules.slots:
