Pull news from a peer instead of sending every version to everybody

One of the two owners was a machine with such a link.

A host that stays behind a peer for 0.35 s asks for its news; cells are owned by hosts of at least half the largest share of processor and link.

Ruled out: loop lag (no host was unfit) and losses of machines (none planned before 17.5 s).

--- a/tests/membership/test_ranking.py
+++ b/tests/membership/test_ranking.py
@@ -29,3 +29,11 @@
     parts = [ranking.cell_targets(ids, cell, 3) for cell in range(3)]
     assert sorted(target for part in parts for target in part) == ids
     assert ranking.cell_count(0) == 1
+
+
+def test_small_hosts_own_no_cells():
+    """Guards against a cell whose calls fill the link of its owner."""
+    shares = {'small-1': 0.2, 'small-2': 0.2, 'large': 2.0}
+    assert ranking.able_hosts(shares) == {'large': 2.0}
+    equal = {'a': 0.2, 'b': 0.2}
+    assert ranking.able_hosts(equal) == equal
--- /dev/null
+++ b/walnutport/cli/explain.py
@@ -0,0 +1,136 @@
+"""Print the story of one request from the decision logs of entry hosts.
+
+walnutport explain ID < LOG
+
+The log may hold the lines of several hosts, in any order and with text before
+each line. The last line names the cause.
+
+Exit codes:
+  0  the request was found
+  1  no line names the request
+  2  wrong use of the command
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import sys
+
+import msgspec
+
+from walnutport.cli import exit_codes
+
+__all__ = ['explain', 'run']
+
+# What the outcome of a request means to somebody on call.
+_CAUSES = {
+    'answered': 'a target gave this answer; the host passed it on',
+    'streamed': 'the whole stream was passed on',
+    'overload': 'refused: its stages could not be done within its aim',
+    'deadline': 'refused: it could not be done before its deadline',
+    'no_target': 'refused: no target of its service was usable',
+    'quarantined': 'refused: it was running at two targets that died',
+    'stage_failures': 'given up: too many of its stage pieces failed',
+    'owners_lost': 'given up: hosts that ran its stages were lost',
+    'not_run': 'refused: the target refused it and it may not go elsewhere',
+    'wrong_target': 'refused: the address belongs to another target now',
+    'inputs_gone': 'refused: results of its stages were gone',
+    'not_sent': 'refused: no target could be connected',
+    'lost': 'failed: a target may have run it and gave no whole answer',
+    'timeout': 'failed: a target had it and did not answer in time',
+    'broken': 'cut: its stream broke off and may not go on elsewhere',
+    'cut_at_deadline': 'cut: its stream was not over at its deadline',
+    'caller_left': 'the caller closed the channel before the answer',
+    'error': 'failed: an error of the host, see its trace',
+}
+_HIDDEN = ('time', 'host', 'event', 'id', 'ids')
+
+
+def run(argv: list[str]) -> int:
+    """Run the subcommand and return its exit code."""
+    if len(argv) != 2:
+        sys.stderr.write('usage: walnutport explain ID < LOG\n')
+        return exit_codes.USAGE
+    lines = explain(argv[1], sys.stdin)
+    if not lines:
+        sys.stderr.write(f'no line names the request {argv[1]}\n')
+        return exit_codes.FAILED
+    sys.stdout.write('\n'.join(lines) + '\n')
+    return exit_codes.OK
+
+
+def explain(request_id: str, log: Iterable[str]) -> list[str]:
+    """Return the story of a request.
+
+    :param log: lines of the decision logs.
+    """
+    records = sorted(
+        (record for record in _records(log) if _names(record, request_id)),
+        key=lambda record: record.get('time', 0.0),
+    )
+    if not records:
+        return []
+    start = records[0].get('time', 0.0)
+    lines = [_line(record, start) for record in records]
+    lines.append(f'cause: {_cause(records)}')
+    return lines
+
+
+def _records(log: Iterable[str]) -> Iterator[dict]:
+    for line in log:
+        position = line.find('{"time"')
+        if position < 0:
+            continue
+        try:
+            yield msgspec.json.decode(line[position:].strip(), type=dict)
+        except msgspec.DecodeError:
+            # A line that was cut off says nothing more.
+            continue
+
+
+def _names(record: dict, request_id: str) -> bool:
+    return record.get('id') == request_id or request_id in record.get(
+        'ids', ()
+    )
+
+
+def _line(record: dict, start: float) -> str:
+    inputs = ' '.join(
+        f'{name}={value}'
+        for name, value in record.items()
+        if name not in _HIDDEN
+    )
+    after_s = record.get('time', 0.0) - start
+    return (
+        f'{after_s:8.3f} s  {record.get("host", "?")}  '
+        f'{record.get("event", "?")}  {inputs}'
+    ).rstrip()
+
+
+def _cause(records: list[dict]) -> str:
+    ends = [record for record in records if record.get('event') == 'finished']
+    if not ends:
+        rejected = [r for r in records if r.get('event') == 'rejected']
+        if rejected:
+            return (
+                f'rejected with {rejected[0].get("status")}: '
+                f'{rejected[0].get("reason")}'
+            )
+        return 'no end in this log; the host stopped or the line was dropped'
+    outcome = str(ends[-1].get('outcome', ''))
+    text = _CAUSES.get(outcome, f'outcome {outcome or "unknown"}')
+    failures = [
+        record for record in records if record.get('event') == 'attempt_failed'
+    ]
+    if failures and outcome not in ('answered', 'streamed'):
+        last = failures[-1]
+        text += (
+            f' (target {last.get("target")}: {last.get("status")} '
+            f'{last.get("detail", "")}'.rstrip()
+            + ')'
+        )
+    if ends[-1].get('late'):
+        text += (
+            f'; late: first answer after {ends[-1].get("first_s")} s, '
+            f'of which stages {ends[-1].get("stages_s")} s'
+        )
+    return text
--- a/walnutport/cli/main.py
+++ b/walnutport/cli/main.py
@@ -16,6 +16,7 @@
 COMMANDS = {
     'host': 'run an entry host',
     'entry': "run an entry host on an installation's platform",
+    'explain': 'tell the story of a request from decision logs',
     'status': "show a host's own view",
     'report': 'report latency and cost over hosts',
     'catalogue': 'read and edit the catalogue',
--- a/walnutport/config/entry.py
+++ b/walnutport/config/entry.py
@@ -33,6 +33,7 @@
     :param ready_address: where the balancer asks whether the host is ready.
     :param peer_ports: first and last port free for traffic between hosts.
     :param cpu_share: processor cores that the host may use.
+    :param link_mbps: bandwidth of the host's link.
     :param heartbeat_s: interval at which targets register anew.
     """
 
@@ -46,5 +47,6 @@
     store_address: Address
     cpu_share: float
     memory_bytes: int
+    link_mbps: float
     heartbeat_s: float
     bounds: EntryBounds
--- a/walnutport/gateway/cells.py
+++ b/walnutport/gateway/cells.py
@@ -293,7 +293,8 @@
 
     def owner_name(self, cell: int) -> str:
         """Return the host that owns a cell."""
-        ranked = ranking.rank_hosts(f'cell-{cell}', self._shares())
+        able = ranking.able_hosts(self._shares())
+        ranked = ranking.rank_hosts(f'cell-{cell}', able)
         name = ranked[0] if ranked else self._own
         if self._known_owner.get(cell) != name:
             self._log.notable(
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -50,6 +50,9 @@
 FIT_LAG_S = 0.03
 LAG_GAIN = 0.15
 PUBLISH_RETRY_S = 1.0
+# Link that goes with one core of a host that takes work of others: the calls
+# of a cell come to some Mbit/s.
+LINK_MBPS_PER_CORE = 50.0
 # A death is confirmed by a refused connection.
 PROBE_TIMEOUT_S = 0.5
 # Samples of the loop lag kept for the metrics.
@@ -75,6 +78,9 @@
         self._reactor = reactor
         self._load_settings = load_settings
         self._metrics_port = metrics_port
+        self._work_share = min(
+            settings.cpu_share, settings.link_mbps / LINK_MBPS_PER_CORE
+        )
         self._incarnation = uuid.uuid4().hex[:8]
         self._rng = random.Random()
         self._lag_s = 0.0
@@ -236,7 +242,7 @@
             settings.ip,
             port,
             settings.data_centre,
-            settings.cpu_share,
+            self._work_share,
         )
 
     async def _find_hosts(self) -> None:
@@ -317,10 +323,10 @@
         own = self.settings.name
         shares = {}
         if self._fit and not self.draining:
-            shares[own] = self.settings.cpu_share
+            shares[own] = self._work_share
         for name, view in self.mesh.view_by_name.items():
             if view.takes_work:
-                shares[name] = view.record.cpu_share
+                shares[name] = view.record.work_share
         return shares or {own: 1.0}
 
     def _wanted_peers(self) -> set[str] | None:
@@ -331,12 +337,13 @@
         the fleet connected.
         """
         views = self.mesh.view_by_name
-        shares = {name: view.record.cpu_share for name, view in views.items()}
-        shares[self.settings.name] = self.settings.cpu_share
+        shares = {name: view.record.work_share for name, view in views.items()}
+        shares[self.settings.name] = self._work_share
         wanted: set[str] = set()
         cells_now = ranking.cell_count(self._stage_target_count())
         for cell in range(cells_now):
-            wanted.update(ranking.rank_hosts(f'cell-{cell}', shares)[:3])
+            able = ranking.able_hosts(shares)
+            wanted.update(ranking.rank_hosts(f'cell-{cell}', able)[:3])
         names = sorted(shares)
         position = names.index(self.settings.name)
         for step in (1, 2, 3):
--- a/walnutport/gateway/news.py
+++ b/walnutport/gateway/news.py
@@ -30,6 +30,11 @@
 READER_STALE_S = 1.6
 # How long the store holds back the answer of a read of the desired state.
 DESIRED_WAIT_S = 8.0
+# A host that stays behind a peer this long asks for its news. Most hosts read
+# the store themselves within that time, and a desired state of many routes
+# sent to everybody fills the links of small hosts.
+ASK_AFTER_S = 0.35
+ASK_EVERY_S = 0.6
 FIRST_RETRY_S = 0.25
 LONGEST_RETRY_S = 1.0
 
@@ -73,6 +78,10 @@
         self._targets_read_at = 0.0
         self._store_lost_at: float | None = None
         self._stopped = False
+        # Peer that is known to be ahead, since when, and when to ask next.
+        self._ahead = ''
+        self._behind_since = 0.0
+        self._ask_at = 0.0
 
     @property
     def desired_end(self) -> int:
@@ -103,12 +112,39 @@
             self._targets_known = True
             self._report(*self.registry.apply(page, now), source=name)
         elif isinstance(message, fleet_messages.Pulse):
-            self._bring_up(name, message)
+            self._compare(name, message)
+        elif isinstance(message, fleet_messages.AskNews):
+            self._tell(name, message)
 
-    def _bring_up(self, name: str, pulse: fleet_messages.Pulse) -> None:
+    def _compare(self, name: str, pulse: fleet_messages.Pulse) -> None:
+        """Ask a peer for its news if this host stays behind it."""
+        now = time.monotonic()
+        behind = (
+            pulse.desired_end > self._desired_end
+            or pulse.targets_end > self.registry.changed_end
+        )
+        if not behind:
+            if self._ahead == name:
+                self._ahead = ''
+            return
+        if not self._ahead:
+            self._ahead = name
+            self._behind_since = now
+        if now - self._behind_since < ASK_AFTER_S or now < self._ask_at:
+            return
+        self._ask_at = now + ASK_EVERY_S
+        self._mesh.send(
+            name,
+            fleet_messages.AskNews(
+                self._desired_end, self.registry.changed_end
+            ),
+        )
+
+    def _tell(self, name: str, ask: fleet_messages.AskNews) -> None:
+        """Give a peer the news that it lacks."""
         if (
             self._desired_record is not None
-            and pulse.desired_end < self._desired_end
+            and ask.desired_end < self._desired_end
         ):
             self._mesh.send(
                 name,
@@ -116,9 +152,8 @@
                     self._desired_record, self._desired_end
                 ),
             )
-        behind = pulse.targets_end < self.registry.changed_end
-        if self._targets_known and behind:
-            self._mesh.send(name, self._target_news(pulse.targets_end))
+        if ask.targets_end < self.registry.changed_end:
+            self._mesh.send(name, self._target_news(ask.targets_end))
 
     def _target_news(self, after: int) -> fleet_messages.TargetNews:
         return fleet_messages.TargetNews(
@@ -238,7 +273,6 @@
             source=source,
             routes=len(desired.routes),
         )
-        self._mesh.broadcast(fleet_messages.DesiredNews(record, end))
         self._on_change()
 
     def expire(self) -> None:
--- a/walnutport/http1/client.py
+++ b/walnutport/http1/client.py
@@ -364,6 +364,8 @@
     factory.noisy = False
     try:
         return await endpoint.connect(factory)
+    except error.ConnectingCancelledError:
+        raise defer.CancelledError from None
     except (error.ConnectError, error.ConnectionLost, OSError) as problem:
         raise exceptions.ChannelError(
             f'cannot connect: {type(problem).__name__}', written=False
--- a/walnutport/membership/ranking.py
+++ b/walnutport/membership/ranking.py
@@ -9,12 +9,30 @@
 import hashlib
 import math
 
-__all__ = ['cell_count', 'cell_targets', 'rank_hosts']
+__all__ = ['able_hosts', 'cell_count', 'cell_targets', 'rank_hosts']
 
 # Stage targets that one host serves well: each takes some four calls a second.
 TARGETS_PER_CELL = 20
 
 
+# Hosts with at least this part of the largest share may own cells.
+ABLE_PART = 0.5
+
+
+def able_hosts(shares_by_name: dict[str, float]) -> dict[str, float]:
+    """Leave out hosts that are much smaller than the largest one.
+
+    An owner's link carries the calls of its whole cell, which fills the link
+    of a small host.
+    """
+    most = max(shares_by_name.values(), default=0.0)
+    return {
+        name: share
+        for name, share in shares_by_name.items()
+        if share >= most * ABLE_PART
+    }
+
+
 def rank_hosts(key: str, shares_by_name: dict[str, float]) -> list[str]:
     """Return the hosts in the order in which they own a key.
 
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -7,6 +7,7 @@
 from walnutport.world import feeds
 
 __all__ = [
+    'AskNews',
     'CrashNews',
     'DesiredNews',
     'FleetMessage',
@@ -25,14 +26,17 @@
 
 
 class HostRecord(msgspec.Struct, frozen=True):
-    """Where a host takes messages of other hosts."""
+    """Where a host takes messages of other hosts.
+
+    :param work_share: how much work of other hosts it can take.
+    """
 
     name: str
     incarnation: str
     ip: str
     port: int
     data_centre: str
-    cpu_share: float
+    work_share: float
 
 
 class Hello(msgspec.Struct, frozen=True, tag='hello'):
@@ -58,6 +62,13 @@
     draining: bool
 
 
+class AskNews(msgspec.Struct, frozen=True, tag='ask'):
+    """Asks for news beyond what the sender knows."""
+
+    desired_end: int
+    targets_end: int
+
+
 class DesiredNews(msgspec.Struct, frozen=True, tag='desired'):
     """Newest desired state."""
 
@@ -120,6 +131,7 @@
 FleetMessage = (
     Hello
     | Pulse
+    | AskNews
     | DesiredNews
     | TargetNews
     | RunStages
--- a/walnutport/platform/settings.py
+++ b/walnutport/platform/settings.py
@@ -68,6 +68,7 @@
         cpu_share=lines.number('limits.cpuShare', 1.0)
         * lines.number('limits.cores', 1.0),
         memory_bytes=int(lines.number('limits.memoryMb', 300.0) * 1_000_000),
+        link_mbps=lines.number('limits.linkMbps', 1000.0),
         heartbeat_s=lines.number('heartbeatMs', 1200.0) / 1000,
         bounds=bounds,
     )
