--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -44,6 +44,8 @@
 BINDING_BYTES = 500_000
 # A near target may be free a little later than expected.
 NEAR_MARGIN_S = 0.05
+# The time still needed is an estimate; a job counts as late only beyond this.
+LATE_MARGIN_S = 0.1
 # How often jobs are looked at that come close to their deadline, and how
 # close that is.
 EXPIRE_EVERY_S = 0.1
@@ -251,7 +253,7 @@
                 _Entry(job, stage, sorted(job.waiting[stage]))
                 for (_, stage), job in self._ready[service].items()
             ]
-            entries.sort(key=lambda entry: _rank(entry.job, now))
+            entries.sort(key=lambda entry: self._rank(entry.job, now))
             free.sort(key=lambda target: target.slowness)
             while free:
                 chosen = self._choose_target(free, entries, now)
@@ -600,6 +602,16 @@
             pieces.JobFailure(job_id, reason, _retry_after(left_s / 3))
         )
 
+    def _rank(self, job: jobs.Job, now: float) -> tuple[bool, float]:
+        """Return the order in which jobs are served.
+
+        Jobs that must start first to meet their aim go first; urgency has
+        decided which jobs are taken at all. Jobs that cannot meet it any more
+        go behind those that can.
+        """
+        latest = self._latest_start(job)
+        return (now > latest + LATE_MARGIN_S, latest)
+
     def _latest_start(self, job: jobs.Job) -> float:
         """Return when the next stage must start for the aim to be met."""
         return job.aim_at - self._least_s(job) - job.order.final_s / 2
@@ -695,14 +707,5 @@
     )
 
 
-def _rank(job: jobs.Job, now: float) -> tuple[bool, int, float]:
-    """Return the order in which jobs are served.
-
-    Jobs whose aim has passed go behind those that can still be of full
-    value.
-    """
-    return (now > job.aim_at, job.order.urgency, job.aim_at)
-
-
 def _retry_after(wait_s: float) -> float:
     return min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, wait_s))
