Ask for news of targets only once

Hosts that had read the list of targets at different times held the same targets with different offsets and asked each other for the list every 0.6 s.

Ruled out: processor time (0.06 of a core), stage work, the desired state.

Test: tests/gateway/test_news.py; fails before.

--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -5,6 +5,7 @@
 from walnutport.gateway import news
 from walnutport.peer import fleet_messages
 from walnutport.world import feeds
+from walnutport.world import workers
 
 
 class FakeMesh:
@@ -41,6 +42,13 @@
     routes = ()
 
 
+def decode_target(key: str, data: bytes) -> workers.RegisteredTarget:
+    """Return the same target for any record of a key."""
+    return workers.RegisteredTarget(
+        key, 1, 'llm', ('10.0.0.1', 80), 'a', 4, False, 0.0
+    )
+
+
 def follower(mesh: FakeMesh) -> news.NewsFollower:
     """Return a follower without a store."""
     return news.NewsFollower(
@@ -49,7 +57,7 @@
         None,
         'config',
         lambda data: State(),
-        lambda key, data: None,
+        decode_target,
         lambda: None,
         mesh,
     )
@@ -111,3 +119,42 @@
     found.heard('b', fleet_messages.AskNews(0, 0))
     assert [name for name, _ in mesh.sent] == ['b']
     assert mesh.sent[0][1].record.offset == 4
+
+
+def test_host_with_older_heartbeats_asks_only_once(monkeypatch):
+    """Guards against hosts that ask for the same targets for ever.
+
+    Hosts that had read the list at different times held the same targets with
+    different offsets, and their questions filled the links of small hosts.
+    """
+    now = 10.0
+    monkeypatch.setattr(news.time, 'monotonic', lambda: now)
+    late_mesh, mesh = FakeMesh(), FakeMesh()
+    late, early = follower(late_mesh), follower(mesh)
+    for found, offset in ((early, 3), (late, 9)):
+        record = feeds.FeedRecord('t1', b'{}', offset)
+        found.registry.replace(feeds.FeedPage((record,), offset + 1), now)
+
+    def beat() -> int:
+        early.heard(
+            'late',
+            fleet_messages.Pulse(-1, late.registry.changed_end, 1, 1, 0),
+        )
+        asked = [
+            message
+            for _, message in mesh.sent
+            if isinstance(message, fleet_messages.AskNews)
+        ]
+        mesh.sent.clear()
+        for ask in asked:
+            late.heard('early', ask)
+        for _, news_of_late in late_mesh.sent:
+            early.heard('late', news_of_late)
+        late_mesh.sent.clear()
+        return len(asked)
+
+    asks = []
+    for _ in range(8):
+        now += 0.7
+        asks.append(beat())
+    assert sum(asks) == 1
--- a/walnutport/gateway/news.py
+++ b/walnutport/gateway/news.py
@@ -111,6 +111,7 @@
             page = feeds.FeedPage(message.records, message.end)
             self._targets_known = True
             self._report(*self.registry.apply(page, now), source=name)
+            self.registry.caught_up(message.changed_end)
         elif isinstance(message, fleet_messages.Pulse):
             self._compare(name, message)
         elif isinstance(message, fleet_messages.AskNews):
@@ -159,6 +160,7 @@
         return fleet_messages.TargetNews(
             self.registry.changes_after(after),
             self.registry.end,
+            self.registry.changed_end,
             self.registry.grace_left_s(time.monotonic()),
         )
 
--- a/walnutport/membership/registry.py
+++ b/walnutport/membership/registry.py
@@ -112,6 +112,14 @@
             if changed_at >= offset
         )
 
+    def caught_up(self, changed_end: int) -> None:
+        """Take note that all changes up to an offset are known.
+
+        The records of a heartbeat move on, so hosts that read the list at
+        different times hold the same targets with different offsets.
+        """
+        self.changed_end = max(self.changed_end, changed_end)
+
     def usable(self, service: str) -> list[workers.RegisteredTarget]:
         """Return the targets of a service that take new work."""
         return [
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -79,11 +79,13 @@
 class TargetNews(msgspec.Struct, frozen=True, tag='targets'):
     """Changes of targets, and the offset up to which they are known.
 
+    :param changed_end: offset after the last change.
     :param grace_s: how long removed entries count as lapsed only.
     """
 
     records: tuple[feeds.FeedRecord, ...]
     end: int
+    changed_end: int
     grace_s: float
 
 
