--- a/walnutport/gateway/calls.py
+++ b/walnutport/gateway/calls.py
@@ -18,6 +18,7 @@
 
     :param deadline_at: when the caller or the route gives up.
     :param aim_at: until when an answer has its full value.
+    :param returned: whether the caller comes back after a refusal.
     :param open_runs: targets that were sent the request and have not said
         that they did not run it.
     """
@@ -33,6 +34,7 @@
     deadline_at: float
     aim_at: float
     open_runs: int = 0
+    returned: bool = False
     targets: list[str] = dataclasses.field(default_factory=list)
     inputs: tuple[str, ...] | None = None
     input_bytes_by_place: dict[str, int] = dataclasses.field(
--- a/walnutport/gateway/front.py
+++ b/walnutport/gateway/front.py
@@ -34,6 +34,9 @@
 RETRY_STARTING_S = 0.5
 # A caller honours a wait of at most a third of the time that it has left.
 RETRY_SHARE = 0.33
+# A caller whose deadline is this much shorter than the longest one of its
+# route is on its second try.
+RETURNED_AFTER_S = 0.1
 # An answer is sent this long before the caller's own deadline.
 DEADLINE_MARGIN_S = 0.03
 # A plain target whose expected time is over this many aims is refused.
@@ -171,6 +174,7 @@
             arrived_at=arrived_at,
             deadline_at=arrived_at + wait_s,
             aim_at=arrived_at + route.aim_s - spent_s,
+            returned=spent_s > RETURNED_AFTER_S,
         )
 
     def _service_of(self, route: routes.Route) -> str:
@@ -258,6 +262,7 @@
             team=call.team or '',
             final_service=call.service,
             prompt=call.fields.prompt,
+            returned=call.returned,
         )
 
         def taken(cell: int, owner: str) -> None:
--- a/walnutport/stages/pieces.py
+++ b/walnutport/stages/pieces.py
@@ -57,6 +57,7 @@
     :param final_s: expected time of the request itself after its stages.
     :param final_service: service that runs the request itself.
     :param prompt: prompt of the request, where it has one.
+    :param returned: whether the caller was refused before.
     """
 
     job_id: str
@@ -71,6 +72,7 @@
     team: str
     final_service: str = ''
     prompt: requests.PromptShape | None = None
+    returned: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -43,6 +43,9 @@
 # Part of the time left for the aim that a forecast must leave free under
 # load: a shorter queue serves as many and makes fewer of them late.
 AIM_MARGIN = 0.12
+# The same for a request that was refused before. It goes first, as a second
+# refusal would leave it without time for a third try.
+RETURN_MARGIN = 0.02
 # Inputs of a stage of one request that weigh less may cross data centres.
 BINDING_BYTES = 500_000
 # A near target may be free a little later than expected.
@@ -334,7 +337,8 @@
             return pieces.Refusal(
                 'deadline', _retry_after(found.wait_s), total_s
             )
-        margin_s = AIM_MARGIN * order.aim_s
+        margin = RETURN_MARGIN if order.returned else AIM_MARGIN
+        margin_s = margin * order.aim_s
         if total_s + margin_s > order.aim_s and found.wait_s > FREE_WAIT_S:
             return pieces.Refusal(
                 'overload',
