--- a/tests/cli/test_help.py
+++ b/tests/cli/test_help.py
@@ -14,6 +14,8 @@
 _DOCUMENTED_CODES_BY_COMMAND = {
     '': {0, 1, 2, 3, 4, 5},
     'host': {0, 1, 2, 3},
+    'entry': {0, 1, 2, 3},
+    'explain': {0, 1, 2},
     'status': {0, 1, 2, 5},
     'report': {0, 2, 5},
     'catalogue': {0, 1, 2, 3, 4, 5},
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -2,6 +2,8 @@
 
 import signal
 import socket
+import subprocess
+import sys
 import threading
 import time
 
@@ -237,3 +239,37 @@
             while b'by plain' not in data and time.monotonic() < limit:
                 data += caller.recv(4096)
             assert b'id-%d by plain' % number in data
+
+
+def test_operators_see_the_hosts_view(fleet):
+    """Guards against a host whose belief cannot be read."""
+    fleet.call('check', 'id-1')
+    address = f'{platform_fleet.IP}:{fleet.ready_ports[0]}'
+    done = subprocess.run(
+        [sys.executable, '-m', 'walnutport', 'status', f'--host={address}'],
+        capture_output=True,
+        text=True,
+        timeout=platform_fleet.LIMIT_S,
+    )
+    assert done.returncode == 0
+    assert 'desired_version: 1' in done.stdout
+    assert 'plain-1: service=plain' in done.stdout
+    metrics = processes.http_json(f'http://{address}/metrics').decode()
+    assert 'walnutport_outcomes_total{route="check"' in metrics
+
+
+def test_explain_leads_from_an_id_to_its_cause(fleet):
+    """Guards against failures that logs cannot explain."""
+    fleet.control(modes={'plain-1': 'reset_after', 'plain-2': 'reset_after'})
+    fleet.call('pay', 'id-1')
+    fleet.wait_log('finished', id='id-1')
+    log = (fleet.folder / 'host-0.log').read_text()
+    done = subprocess.run(
+        [sys.executable, '-m', 'walnutport', 'explain', 'id-1'],
+        input=log,
+        capture_output=True,
+        text=True,
+        timeout=platform_fleet.LIMIT_S,
+    )
+    assert done.returncode == 0
+    assert 'cause: failed: a target may have run it' in done.stdout
--- a/tests/stages/test_scheduler.py
+++ b/tests/stages/test_scheduler.py
@@ -93,7 +93,9 @@
     """Guards against results that their target has no room for."""
     cell = filled(builders.target('t1'))
     for number in range(6):
-        cell.submit(builders.order(str(number), deadline_s=30.0), 0.0)
+        cell.submit(
+            builders.order(str(number), aim_s=30.0, deadline_s=30.0), 0.0
+        )
     pieces_held = 0
     now = 0.0
     for _ in range(4):
--- a/walnutport/cli/check.py
+++ b/walnutport/cli/check.py
@@ -3,9 +3,10 @@
 walnutport check FILE...
 
 A file that holds a JSON object is checked as settings of a host; one that
-holds a JSON list, as a catalogue with the items {"kind", "name", "body"}. In
-a catalogue, the pipelines, classes, owners and callers that contracts name
-must exist. Each error is printed with file, JSON path and reason.
+holds a JSON list, as a catalogue with the items {"kind", "name", "body"}; one
+with lines of the form a.b=value, as settings of an entry host on a platform.
+In a catalogue, the pipelines, classes, owners and callers that contracts name
+must exist. Each error is printed with file, path or line, and reason.
 
 Exit codes:
   0  every file is valid
@@ -23,6 +24,7 @@
 from walnutport.cli import exit_codes
 from walnutport.config import settings as config
 from walnutport import exceptions
+from walnutport.platform import settings as platform_settings
 from walnutport import world
 
 __all__ = ['check_text', 'run']
@@ -52,7 +54,15 @@
 
     >>> list(check_text('{}'))
     []
+    >>> list(check_text('nodeName=edge-1'))[0]
+    'settings: portRange is missing'
     """
+    if _is_platform_settings(text):
+        try:
+            platform_settings.parse_settings(text, 'settings')
+        except exceptions.SettingsError as error:
+            yield str(error)
+        return
     try:
         data = json.loads(text)
     except (ValueError, RecursionError) as error:
@@ -67,6 +77,11 @@
         yield from str(error).split('; ')
 
 
+def _is_platform_settings(text: str) -> bool:
+    first = text.lstrip().partition('\n')[0]
+    return '=' in first and not first.startswith(('{', '['))
+
+
 def _check_catalogue(items: list) -> Iterator[str]:
     definitions_by_key: dict[tuple[str, str], records.Definition] = {}
     for index, item in enumerate(items):
--- a/walnutport/gateway/cells.py
+++ b/walnutport/gateway/cells.py
@@ -377,6 +377,10 @@
         for local in self._owner_by_cell.values():
             local.peer_lost(name)
 
+    def known_owners(self) -> dict[int, str]:
+        """Return the owner of each cell that this host has used."""
+        return dict(self._known_owner)
+
     def local_owners(self) -> list[CellOwner]:
         """Return the cells that this host has run jobs for."""
         return list(self._owner_by_cell.values())
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -6,6 +6,7 @@
 import time
 import uuid
 
+import msgspec
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -452,9 +453,53 @@
                 [(b'content-type', b'text/plain; version=0.0.4')],
                 self.metrics.render(),
             )
+        elif path == b'/v1/status':
+            request.respond(
+                200,
+                [(b'content-type', b'application/json')],
+                msgspec.json.encode(self.status()),
+            )
         else:
             request.respond(404, [], b'')
 
+    def status(self) -> dict:
+        """Return this host's view of itself and the installation."""
+        desired = self.follower.desired
+        return {
+            'ready': self.ready,
+            'host': self.settings.name,
+            'incarnation': self._incarnation,
+            'draining': self.draining,
+            'fit': self._fit,
+            'in_flight': len(self.front.in_flight),
+            'desired_version': desired.version if desired else None,
+            'desired_age_s': round(
+                time.monotonic() - self.follower.desired_at, 1
+            ),
+            'targets_read_s': round(self.follower.store_age_s(), 1),
+            'targets': {
+                target.target_id: {
+                    'service': target.service,
+                    'data_centre': target.data_centre,
+                    'draining': target.draining,
+                    **self._standings.describe(target, time.monotonic()),
+                }
+                for target in self.follower.registry.targets.values()
+            },
+            'peers': {
+                name: {
+                    'data_centre': view.record.data_centre,
+                    'reachable': view.reachable,
+                    'takes_work': view.takes_work,
+                }
+                for name, view in self.mesh.view_by_name.items()
+            },
+            'cells': {
+                str(cell): owner
+                for cell, owner in self.stages.known_owners().items()
+            },
+        }
+
     def _set_gauges(self) -> None:
         desired = self.follower.desired
         owners = self.stages.local_owners()
--- a/walnutport/routing/outcomes.py
+++ b/walnutport/routing/outcomes.py
@@ -69,6 +69,19 @@
             self._standing_by_id[target.target_id] = found
         return found
 
+    def describe(
+        self, target: workers.RegisteredTarget, now: float
+    ) -> dict[str, float]:
+        """Return the measurements of a target for operators."""
+        found = self.standing(target)
+        return {
+            'in_flight': found.in_flight,
+            'load': round(found.expected_load(now), 1),
+            'latency_s': round(found.latency_s, 3),
+            'failure_share': round(found.failure_share, 2),
+            'ejected_s': round(max(0.0, found.ejected_until - now), 1),
+        }
+
     def forget(self, target_id: str) -> None:
         """Drop what is known of a target that is gone."""
         self._standing_by_id.pop(target_id, None)
