Add up the speeds of stage targets in the forecast

Cause: the forecast multiplied all times by the mean slowness, so one target that takes eight times as long made a service of four look three times slower and closed it for requests that the fast targets can serve.

Test: tests/stages/test_scheduler.py; fails before.

--- a/tests/stages/test_scheduler.py
+++ b/tests/stages/test_scheduler.py
@@ -194,3 +194,28 @@
     finish(cell, again, 0.4)
     (done,) = cell.take_outcomes()
     assert isinstance(done, pieces.JobResult)
+
+
+def test_one_slow_target_does_not_close_a_service():
+    """Guards against refusing requests that the fast targets can serve.
+
+    Replays a target that takes eight times as long beside three good ones.
+    """
+    cell = filled(*(builders.target(f't{number}') for number in range(4)))
+    slow_until = 0.0
+    for step in range(40):
+        now = step * 0.5
+        cell.submit(builders.order(f'warm-{step}', aim_s=9.0), now)
+        for call in cell.next_calls(now):
+            slow = call.target_id == 't0'
+            took = 2.0 if slow else 0.19
+            slow_until = max(slow_until, now + took)
+            finish(cell, call, now + took)
+        for outcome in cell.take_outcomes():
+            cell.release(outcome.job_id)
+    now = slow_until + 1.0
+    accepted = sum(
+        cell.submit(builders.order(f'job-{number}'), now) is None
+        for number in range(12)
+    )
+    assert accepted >= 9
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -362,7 +362,9 @@
         ]
         if not usable:
             return None
-        slowness = sum(target.slowness for target in usable) / len(usable)
+        # Fast targets take more calls, so speeds add up, not times.
+        speed = sum(1 / target.slowness for target in usable)
+        slowness = len(usable) / speed
         return forecast.ServiceLoad(
             rules,
             len(usable) * rules.slots,
