--- a/tests/stages/test_scheduler.py
+++ b/tests/stages/test_scheduler.py
@@ -5,6 +5,7 @@
 from tests.stages import builders
 from walnutport.stages import pieces
 from walnutport.stages import scheduler
+from walnutport.stages import stage_targets
 
 
 def filled(*targets, rules=None) -> scheduler.StageScheduler:
@@ -138,7 +139,7 @@
     cell = filled(builders.target('t1'))
     cell.submit(builders.order('1'), 0.0)
     (call,) = cell.next_calls(0.0)
-    cell.call_failed(call.call_id, scheduler.CallFailure.BUSY, 0.01)
+    cell.call_failed(call.call_id, stage_targets.CallFailure.BUSY, 0.01)
     assert cell.next_calls(0.02) == []
     (again,) = cell.next_calls(0.2)
     assert again.work[0].piece == call.work[0].piece
@@ -149,7 +150,7 @@
     cell = filled(builders.target('t1'), builders.target('t2'))
     cell.submit(builders.order('1'), 0.0)
     (call,) = cell.next_calls(0.0)
-    cell.call_failed(call.call_id, scheduler.CallFailure.TIMEOUT, 0.6)
+    cell.call_failed(call.call_id, stage_targets.CallFailure.TIMEOUT, 0.6)
     (again,) = cell.next_calls(0.6)
     assert again.target_id != call.target_id
 
--- a/walnutport/gateway/calls.py
+++ b/walnutport/gateway/calls.py
@@ -19,6 +19,8 @@
     :param deadline_at: when the caller or the route gives up.
     :param aim_at: until when an answer has its full value.
     :param returned: whether the caller comes back after a refusal.
+    :param targets: targets that the request was sent to.
+    :param unreachable: targets that could not be connected.
     :param open_runs: targets that were sent the request and have not said
         that they did not run it.
     """
@@ -40,6 +42,7 @@
     input_bytes_by_place: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
+    unreachable: set[str] = dataclasses.field(default_factory=set)
     outcome: str = ''
     stages_s: float = 0.0
     engine_id: str = ''
@@ -55,6 +58,10 @@
         """Whether a target may have run the request."""
         return self.open_runs > 0
 
+    def tried(self) -> set[str]:
+        """Return the targets that are not tried again."""
+        return self.unreachable.union(self.targets)
+
     def left_s(self) -> float:
         """Return the time until the deadline."""
         return self.deadline_at - time.monotonic()
--- a/walnutport/gateway/cells.py
+++ b/walnutport/gateway/cells.py
@@ -21,10 +21,11 @@
 from walnutport.routing import engines
 from walnutport.stages import pieces
 from walnutport.stages import scheduler
+from walnutport.stages import stage_targets
 from walnutport.world import routes
 from walnutport.world import workers
 
-__all__ = ['CellOwner', 'StageClient', 'StagesRefusedError']
+__all__ = ['CellOwner', 'StageClient', 'StageRun', 'StagesRefusedError']
 
 # Results of a host that was lost are kept this long, as a target may just be
 # reading them for it.
@@ -168,7 +169,7 @@
 
     async def _call(self, call: pieces.StageCall) -> None:
         started_at = time.monotonic()
-        failure = ''
+        failure: stage_targets.CallFailure | None = None
         outcomes: list[str | pieces.PieceFailure] = []
         try:
             answer = await client.fetch(
@@ -183,17 +184,17 @@
             failure, outcomes = _read_outcomes(answer, len(call.work))
         except exceptions.ChannelError as problem:
             failure = (
-                scheduler.CallFailure.TIMEOUT
+                stage_targets.CallFailure.TIMEOUT
                 if problem.timed_out
-                else scheduler.CallFailure.LOST
+                else stage_targets.CallFailure.LOST
             )
         now = time.monotonic()
-        if failure:
+        if failure is not None:
             self._log.notable(
                 'stage_call_failed',
                 target=call.target_id,
                 pieces=len(call.work),
-                failure=failure,
+                failure=failure.value,
                 took_s=round(now - started_at, 3),
                 ids=[item.request_id for item in call.work[:4]],
             )
@@ -312,15 +313,12 @@
             self._known_owner[cell] = name
         return name
 
-    async def run(
-        self, order: pieces.JobOrder, on_taken: Callable[[int, str], None]
-    ) -> pieces.JobResult:
+    async def run(self, run: 'StageRun') -> pieces.JobResult:
         """Run the stages of a request.
 
-        :param on_taken: called with the cell and the owner before the job is
-            sent there.
         :raises StagesRefusedError: when they are refused or given up.
         """
+        order = run.order
         started = False
         ends_at = time.monotonic() + order.deadline_s
         aim_at = time.monotonic() + order.aim_s
@@ -331,7 +329,8 @@
             order = dataclasses.replace(
                 order, deadline_s=ends_at - now, aim_s=aim_at - now
             )
-            on_taken(cell, owner)
+            run.cell = cell
+            run.owner = owner
             reply = await self._submit(order, cell, owner)
             if isinstance(reply, pieces.JobResult):
                 return reply
@@ -458,17 +457,51 @@
         ]
 
 
+class StageRun:
+    """Stages of one request; the end of the context gives their results up.
+
+    :param client: where the stages are run.
+    """
+
+    def __init__(self, client: StageClient, order: pieces.JobOrder) -> None:
+        self.order = order
+        self.cell = 0
+        # Host that runs the stages, empty while there is none.
+        self.owner = ''
+        self._client = client
+        self._released = False
+
+    def __enter__(self) -> 'StageRun':
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.release()
+
+    async def results(self) -> pieces.JobResult:
+        """Run the stages.
+
+        :raises StagesRefusedError: when they are refused or given up.
+        """
+        return await self._client.run(self)
+
+    def release(self) -> None:
+        """Give the job and its results up."""
+        if self.owner and not self._released:
+            self._released = True
+            self._client.release(self.order.job_id, self.cell, self.owner)
+
+
 def _read_outcomes(
     answer: messages.WholeAnswer, expected: int
-) -> tuple[str, list[str | pieces.PieceFailure]]:
+) -> tuple[stage_targets.CallFailure | None, list[str | pieces.PieceFailure]]:
     fields = headers.answer_fields(answer.head)
     if answer.status == 421:
-        return scheduler.CallFailure.WRONG_TARGET, []
+        return stage_targets.CallFailure.WRONG_TARGET, []
     if answer.status == 503 and fields.not_run:
-        return scheduler.CallFailure.BUSY, []
+        return stage_targets.CallFailure.BUSY, []
     if answer.status != 200:
-        return scheduler.CallFailure.ERROR, []
+        return stage_targets.CallFailure.ERROR, []
     try:
-        return '', stage_calls.decode_outcomes(answer.body, expected)
+        return None, stage_calls.decode_outcomes(answer.body, expected)
     except exceptions.WireError:
-        return scheduler.CallFailure.ERROR, []
+        return stage_targets.CallFailure.ERROR, []
--- a/walnutport/gateway/front.py
+++ b/walnutport/gateway/front.py
@@ -7,6 +7,7 @@
 from twisted.internet import defer
 from twisted.python import failure as twisted_failure
 
+from walnutport.admission import returns
 from walnutport import exceptions
 from walnutport.gateway import attempts
 from walnutport.gateway import calls
@@ -34,13 +35,10 @@
 RETRY_STARTING_S = 0.5
 # A caller honours a wait of at most a third of the time that it has left.
 RETRY_SHARE = 0.33
-# A caller whose deadline is this much shorter than the longest one of its
-# route is on its second try.
-RETURNED_AFTER_S = 0.1
+# Targets that are tried in vain before a request is refused.
+MOST_UNREACHABLE = 3
 # An answer is sent this long before the caller's own deadline.
 DEADLINE_MARGIN_S = 0.03
-# A plain target whose expected time is over this many aims is refused.
-PLAIN_QUEUE_SLOTS = 3.0
 
 _Status = attempts.AttemptStatus
 
@@ -82,7 +80,7 @@
         self._confirm_death = confirm_death
         self._budget_by_service: dict[str, window.WindowBudget] = {}
         self._forecast = engines.FirstEventForecast()
-        self._longest_wait_by_route: dict[str, float] = {}
+        self._returns = returns.ReturnBook()
         self.in_flight: set[calls.CallerCall] = set()
 
     def handle(self, request: server.ServerRequest) -> None:
@@ -144,14 +142,7 @@
         wait_s = route.timeout_s
         if fields.wait_s is not None:
             wait_s = min(wait_s, fields.wait_s - DEADLINE_MARGIN_S)
-        # A caller that comes back has less time left than at first; what is
-        # missing has gone from its aim as well.
-        longest = max(
-            self._longest_wait_by_route.get(route.name, 0.0),
-            fields.wait_s or 0.0,
-        )
-        self._longest_wait_by_route[route.name] = longest
-        spent_s = longest - (fields.wait_s or longest)
+        spent_s = self._returns.spent_s(route.name, fields.wait_s)
         urgency = route.priority
         if team is not None and team.priority is not None:
             urgency = team.priority
@@ -174,7 +165,7 @@
             arrived_at=arrived_at,
             deadline_at=arrived_at + wait_s,
             aim_at=arrived_at + route.aim_s - spent_s,
-            returned=spent_s > RETURNED_AFTER_S,
+            returned=spent_s > 0,
         )
 
     def _service_of(self, route: routes.Route) -> str:
@@ -246,11 +237,9 @@
         if counts is None or len(counts) != len(call.route.stages):
             call.answer(400, 'malformed')
             return
-        job_id = self._stages.new_job_id()
-        place: list = [0, '']
         now = time.monotonic()
         order = pieces.JobOrder(
-            job_id=job_id,
+            job_id=self._stages.new_job_id(),
             request_id=call.request_id,
             piece_key=call.fields.piece_key,
             stages=call.route.stages,
@@ -264,35 +253,26 @@
             prompt=call.fields.prompt,
             returned=call.returned,
         )
-
-        def taken(cell: int, owner: str) -> None:
-            place[:] = [cell, owner]
-
-        def release() -> None:
-            if place[1]:
-                self._stages.release(job_id, place[0], place[1])
-                place[1] = ''
-
-        try:
-            result = await self._stages.run(order, taken)
+        with cells.StageRun(self._stages, order) as run:
+            try:
+                result = await run.results()
+            except cells.StagesRefusedError as problem:
+                self._refuse(
+                    call,
+                    problem.reason,
+                    problem.retry_after_s,
+                    cell=run.cell,
+                    owner=run.owner,
+                    forecast_s=round(problem.forecast_s, 3),
+                    aim_left_s=round(call.aim_at - time.monotonic(), 3),
+                    returned=call.returned,
+                )
+                return
             call.stages_s = time.monotonic() - now
             call.engine_id = result.target_id
             call.inputs = tuple(found.handle for found in result.results)
             call.input_bytes_by_place = pieces.bytes_by_place(result.results)
-            await self._serve_stream(call, release)
-        except cells.StagesRefusedError as problem:
-            self._refuse(
-                call,
-                problem.reason,
-                problem.retry_after_s,
-                cell=place[0],
-                owner=place[1],
-                forecast_s=round(problem.forecast_s, 3),
-                aim_left_s=round(call.aim_at - time.monotonic(), 3),
-                returned=call.returned,
-            )
-        finally:
-            release()
+            await self._serve_stream(call, run.release)
 
     async def _serve_stream(
         self,
@@ -430,7 +410,7 @@
         return self._standings.choose(
             self._follower.registry.usable(call.service),
             time.monotonic(),
-            set(call.targets),
+            call.tried(),
             self._data_centre,
         )
 
@@ -441,7 +421,7 @@
         advised = self._follower.registry.targets.get(call.engine_id)
         if (
             advised is not None
-            and not call.targets
+            and not call.tried()
             and not advised.draining
             and self._standings.standing(advised).ejected_until <= now
         ):
@@ -452,7 +432,7 @@
             call.fields.prompt,
             call.input_bytes_by_place,
             now,
-            set(call.targets),
+            call.tried(),
         )
 
     def place(
@@ -487,9 +467,8 @@
         if call.request.gone or call.left_s() <= 0:
             return False
         if result.status is _Status.NOT_SENT:
-            # The target is left out from now on, so this ends.
-            call.targets.append(result.target.target_id)
-            return len(call.targets) < 4
+            call.unreachable.add(result.target.target_id)
+            return len(call.unreachable) <= MOST_UNREACHABLE
         if len(call.targets) >= call.route.max_targets:
             return False
         unsafe = result.status in (
@@ -615,6 +594,10 @@
             self._budget_by_service[service] = found
         return found
 
+    def keep_routes(self, desired: routes.DesiredState) -> None:
+        """Forget what was learnt of routes that are gone."""
+        self._returns.keep({route.name for route in desired.routes})
+
     def set_slack(self, slack: float) -> None:
         """Take over this host's share of the fleet-wide slack."""
         for budget in self._budget_by_service.values():
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -54,6 +54,9 @@
 # Link that goes with one core of a host that takes work of others: the calls
 # of a cell come to some Mbit/s.
 LINK_MBPS_PER_CORE = 50.0
+# Hosts that are assumed at least while the others are not known yet. Today's
+# installations have 7 to 9.
+LEAST_FLEET = 7
 # A death is confirmed by a refused connection.
 PROBE_TIMEOUT_S = 0.5
 # Samples of the loop lag kept for the metrics.
@@ -294,6 +297,7 @@
                 'fit' if self._fit else 'unfit', lag_s=round(self._lag_s, 3)
             )
         self.follower.expire()
+        self.front.set_slack(self._retry_slack())
         self.stages.tick()
         self._pool.close_expired()
 
@@ -309,6 +313,7 @@
         self._known_ids = set(targets)
         if desired is None:
             return
+        self.front.keep_routes(desired)
         rules = {
             service.name: service.batch
             for service in desired.service_by_name.values()
@@ -428,13 +433,15 @@
 
     def _new_budget(self) -> window.WindowBudget:
         bounds = self.settings.bounds
-        hosts = 1 + len(self.mesh.view_by_name)
         return window.WindowBudget(
-            bounds.retry_ratio,
-            bounds.retry_slack / hosts,
-            bounds.retry_window_s,
+            bounds.retry_ratio, self._retry_slack(), bounds.retry_window_s
         )
 
+    def _retry_slack(self) -> float:
+        """Return this host's share of the fleet-wide slack."""
+        hosts = max(LEAST_FLEET, 1 + len(self.mesh.view_by_name))
+        return self.settings.bounds.retry_slack / hosts
+
     def _limits(self) -> routes.RequestLimits:
         desired = self.follower.desired
         return desired.limits if desired else routes.RequestLimits()
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -13,26 +13,16 @@
 from walnutport.stages import forecast
 from walnutport.stages import jobs
 from walnutport.stages import pieces
+from walnutport.stages import stage_targets
 from walnutport.world import routes
 from walnutport.world import workers
 
-__all__ = ['CallFailure', 'StageScheduler']
+__all__ = ['StageScheduler']
 
 # A call that takes this many times its expected time, and the margin, is
 # repeated at another target.
 TIMEOUT_RATIO = 2.5
 TIMEOUT_MARGIN_S = 0.3
-# Share of a new sample in the measured slowness of a target.
-SLOWNESS_GAIN = 0.3
-# Bounds of the slowness, so that one odd sample does not rule a target out.
-LEAST_SLOWNESS = 0.5
-MOST_SLOWNESS = 8.0
-# A target that refuses a call is busy with others' work; a call there takes
-# some hundred ms.
-BUSY_PAUSE_S = 0.06
-# Pause after a failed call, doubled with each further failure.
-FAILURE_PAUSE_S = 0.5
-LONGEST_PAUSE_S = 4.0
 # Failed pieces of one job before it is given up.
 MAX_JOB_FAILURES = 6
 # Time for the way to a target and back, and for the host's own work.
@@ -65,25 +55,6 @@
 _EntryKey = tuple[str, int]
 
 
-class CallFailure:
-    """Names of the ways in which a call fails as a whole."""
-
-    BUSY = 'busy'
-    WRONG_TARGET = 'wrong_target'
-    LOST = 'lost'
-    TIMEOUT = 'timeout'
-    ERROR = 'error'
-
-
-@dataclasses.dataclass(slots=True)
-class _Call:
-    service: str
-    target_id: str
-    work: list[tuple[jobs.Job, jobs.PieceId]]
-    started_at: float
-    expected_s: float
-
-
 @dataclasses.dataclass(slots=True)
 class _Entry:
     """Pieces of one stage of a job that wait.
@@ -109,25 +80,6 @@
         )
 
 
-@dataclasses.dataclass(slots=True)
-class _Target:
-    info: workers.RegisteredTarget
-    rules: routes.BatchRules
-    calls: dict[int, _Call] = dataclasses.field(default_factory=dict)
-    held_bytes: float = 0.0
-    slowness: float = 1.0
-    paused_until: float = 0.0
-    failures: int = 0
-    usable: bool = True
-
-    def is_free(self, now: float) -> bool:
-        return (
-            self.usable
-            and now >= self.paused_until
-            and len(self.calls) < self.rules.slots
-        )
-
-
 class StageScheduler:
     """Jobs, targets and calls of one cell.
 
@@ -136,9 +88,9 @@
 
     def __init__(self) -> None:
         self._job_by_id: dict[str, jobs.Job] = {}
-        self._target_by_id: dict[str, _Target] = {}
+        self._target_by_id: dict[str, stage_targets.StageTarget] = {}
         self._rules_by_service: dict[str, routes.BatchRules] = {}
-        self._call_by_id: dict[int, _Call] = {}
+        self._call_by_id: dict[int, stage_targets.RunningCall] = {}
         # Jobs with pieces that wait, by service.
         self._ready: dict[str, dict[_EntryKey, jobs.Job]] = {}
         # Seconds of work not started yet, by service and urgency.
@@ -181,7 +133,7 @@
             if known is None or known.info.lifetime != target.lifetime:
                 if known is not None:
                     self._forget_target(target_id, now)
-                self._target_by_id[target_id] = _Target(
+                self._target_by_id[target_id] = stage_targets.StageTarget(
                     target, rules, usable=not target.draining
                 )
             else:
@@ -248,7 +200,7 @@
     def next_calls(self, now: float) -> list[pieces.StageCall]:
         """Return the calls to start now."""
         calls: list[pieces.StageCall] = []
-        free_by_service: dict[str, list[_Target]] = {}
+        free_by_service: dict[str, list[stage_targets.StageTarget]] = {}
         for target in self._target_by_id.values():
             if self._ready.get(target.info.service) and target.is_free(now):
                 free_by_service.setdefault(target.info.service, []).append(
@@ -284,14 +236,15 @@
         target = self._target_by_id.get(call.target_id)
         if target is not None:
             target.calls.pop(call_id, None)
-            target.failures = 0
-            self._measure(target, call, now)
+            target.answered(call, now)
         for (job, piece_id), outcome in zip(call.work, outcomes):
             self._piece_done(job, piece_id, target, outcome, now)
         for job in {id(job): job for job, _ in call.work}.values():
             self._settle(job, now)
 
-    def call_failed(self, call_id: int, failure: str, now: float) -> None:
+    def call_failed(
+        self, call_id: int, failure: stage_targets.CallFailure, now: float
+    ) -> None:
         """Take note that a call had no usable answer."""
         call = self._call_by_id.pop(call_id, None)
         if call is None:
@@ -299,12 +252,12 @@
         target = self._target_by_id.get(call.target_id)
         if target is not None:
             target.calls.pop(call_id, None)
-            self._pause(target, failure, now)
+            target.failed(failure, now)
             for job, piece_id in call.work:
                 self._unreserve(job, piece_id, target)
         for job, piece_id in call.work:
             job.running[piece_id[0]].discard(piece_id[1])
-            if failure != CallFailure.BUSY:
+            if failure is not stage_targets.CallFailure.BUSY:
                 job.failures += 1
         for job in {id(job): job for job, _ in call.work}.values():
             self._settle(job, now)
@@ -358,7 +311,7 @@
             for target in self._target_by_id.values()
             if target.info.service == service
             and target.usable
-            and target.paused_until <= now + BUSY_PAUSE_S
+            and target.paused_until <= now + stage_targets.BUSY_PAUSE_S
         ]
         if not usable:
             return None
@@ -418,10 +371,10 @@
 
     def _choose_target(
         self,
-        free: list[_Target],
+        free: list[stage_targets.StageTarget],
         entries: 'list[_Entry]',
         now: float,
-    ) -> _Target | None:
+    ) -> stage_targets.StageTarget | None:
         """Return the target for the most urgent entry that can start."""
         for entry in entries:
             places = entry.places
@@ -443,7 +396,7 @@
         service = entry.job.order.stages[entry.stage].service
         near_s = min(
             (
-                max(target.paused_until - now, _busy_s(target, now))
+                target.free_in_s(now)
                 for target in self._target_by_id.values()
                 if target.info.service == service
                 and target.usable
@@ -457,7 +410,10 @@
         return now + near_s + NEAR_MARGIN_S < latest
 
     def _fill(
-        self, target: _Target, entries: 'list[_Entry]', now: float
+        self,
+        target: stage_targets.StageTarget,
+        entries: 'list[_Entry]',
+        now: float,
     ) -> pieces.StageCall | None:
         """Assemble one call and take its pieces out of the entries."""
         rules = target.rules
@@ -497,13 +453,13 @@
 
     def _start(
         self,
-        target: _Target,
+        target: stage_targets.StageTarget,
         work: list[tuple[jobs.Job, jobs.PieceId]],
         now: float,
     ) -> pieces.StageCall:
         rules = target.rules
         expected_s = rules.call_s + len(work) * rules.piece_s + CALL_OVERHEAD_S
-        call = _Call(
+        call = stage_targets.RunningCall(
             target.info.service,
             target.info.target_id,
             work,
@@ -547,7 +503,7 @@
         self,
         job: jobs.Job,
         piece_id: jobs.PieceId,
-        target: _Target | None,
+        target: stage_targets.StageTarget | None,
         outcome: str | pieces.PieceFailure,
         now: float,
     ) -> None:
@@ -569,7 +525,7 @@
             self._unreserve(job, piece_id, target)
         if outcome is pieces.PieceFailure.NO_ROOM:
             if target is not None:
-                target.paused_until = now + BUSY_PAUSE_S
+                target.paused_until = now + stage_targets.BUSY_PAUSE_S
             return
         job.failures += 1
         if outcome is pieces.PieceFailure.INPUT_GONE and not job.finished:
@@ -638,35 +594,20 @@
             least[stage] = before + (rules.call_s if rules and left else 0.0)
         return max(least.values(), default=0.0) + job.order.final_s / 2
 
-    def _measure(self, target: _Target, call: _Call, now: float) -> None:
-        expected_s = call.expected_s / target.slowness
-        sample = (now - call.started_at) / expected_s
-        sample = min(MOST_SLOWNESS, max(LEAST_SLOWNESS, sample))
-        target.slowness += SLOWNESS_GAIN * (sample - target.slowness)
-
-    def _pause(self, target: _Target, failure: str, now: float) -> None:
-        if failure == CallFailure.BUSY:
-            target.paused_until = now + BUSY_PAUSE_S
-            return
-        if failure == CallFailure.TIMEOUT:
-            target.slowness = min(MOST_SLOWNESS, target.slowness * 2)
-        pause_s = min(LONGEST_PAUSE_S, FAILURE_PAUSE_S * 2**target.failures)
-        target.failures += 1
-        target.paused_until = now + pause_s
-        if failure == CallFailure.WRONG_TARGET:
-            target.usable = False
-
     def _unreserve(
-        self, job: jobs.Job, piece_id: jobs.PieceId, target: _Target
+        self,
+        job: jobs.Job,
+        piece_id: jobs.PieceId,
+        target: stage_targets.StageTarget,
     ) -> None:
         size = job.order.stages[piece_id[0]].result_bytes
-        target.held_bytes = max(0.0, target.held_bytes - size)
+        target.give_room(size)
 
     def _free(self, placed: jobs.Placed) -> None:
         target = self._target_by_id.get(placed.target_id)
         if target is None:
             return
-        target.held_bytes = max(0.0, target.held_bytes - placed.size)
+        target.give_room(placed.size)
         self._freed_by_target.setdefault(placed.target_id, []).append(
             placed.handle
         )
@@ -682,7 +623,7 @@
         """Drop what a lost lifetime of a target held and ran."""
         target = self._target_by_id.pop(target_id)
         for call_id in list(target.calls):
-            self.call_failed(call_id, CallFailure.LOST, now)
+            self.call_failed(call_id, stage_targets.CallFailure.LOST, now)
         for job in list(self._job_by_id.values()):
             if not job.finished and job.drop_results(target_id):
                 self._track(job)
@@ -704,18 +645,5 @@
     return max(time_s, held_s * size / rules.result_bytes)
 
 
-def _busy_s(target: _Target, now: float) -> float:
-    """Return the time until a target can take a call."""
-    if len(target.calls) < target.rules.slots:
-        return 0.0
-    return max(
-        0.0,
-        min(
-            call.started_at + call.expected_s - now
-            for call in target.calls.values()
-        ),
-    )
-
-
 def _retry_after(wait_s: float) -> float:
     return min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, wait_s))
