--- a/walnutport/gateway/peers.py
+++ b/walnutport/gateway/peers.py
@@ -8,7 +8,6 @@
 import dataclasses
 import time
 
-from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import protocol
 from twisted.protocols import basic
@@ -299,23 +298,29 @@
         if view.dialling or view.link is not None:
             return
         view.dialling = True
-        factory = protocol.Factory.forProtocol(
-            lambda: PeerLink(self, dialled=True)
-        )
-        factory.noisy = False
-        endpoint = endpoints.TCP4ClientEndpoint(
-            self._reactor,
+        self._reactor.connectTCP(
             view.record.ip,
             view.record.port,
+            _PeerDialler(self, view),
             timeout=DIAL_TIMEOUT_S,
         )
 
-        def connected(link: PeerLink) -> None:
-            view.dialling = False
 
-        def refused(failure) -> None:
-            view.dialling = False
-            view.redial_at = time.monotonic() + view.redial_s
-            view.redial_s = min(LONGEST_REDIAL_S, view.redial_s * 2)
+class _PeerDialler(protocol.ClientFactory):
+    """Opens one link to a host."""
+
+    noisy = False
+
+    def __init__(self, mesh: PeerMesh, view: PeerView) -> None:
+        self._mesh = mesh
+        self._view = view
+
+    def buildProtocol(self, addr) -> PeerLink:
+        self._view.dialling = False
+        return PeerLink(self._mesh, dialled=True)
 
-        endpoint.connect(factory).addCallbacks(connected, refused)
+    def clientConnectionFailed(self, connector, reason) -> None:
+        view = self._view
+        view.dialling = False
+        view.redial_at = time.monotonic() + view.redial_s
+        view.redial_s = min(LONGEST_REDIAL_S, view.redial_s * 2)
--- a/walnutport/http1/client.py
+++ b/walnutport/http1/client.py
@@ -4,13 +4,13 @@
 and, on a failure, whether any byte of the request was written.
 """
 
+from collections.abc import Callable
 import socket
 import time
 from typing import Protocol as TypingProtocol
 
 import httptools
 from twisted.internet import defer
-from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import protocol
 
@@ -74,6 +74,7 @@
         self._written = False
         self._keep = True
         self._swallow = False
+        self.on_open: Callable[[ClientChannel], None] = lambda channel: None
         self._on_idle = lambda channel: None
         self._done = False
         self._until_close = False
@@ -84,6 +85,7 @@
     def connectionMade(self) -> None:
         self.alive = True
         _bound_silence(self.transport)
+        self.on_open(self)
 
     def send(
         self,
@@ -357,19 +359,40 @@
 
     :raises ChannelError: when the peer cannot be reached.
     """
-    endpoint = endpoints.TCP4ClientEndpoint(
-        reactor, address[0], address[1], timeout=timeout_s
+    dialler = _Dialler(ClientChannel(address))
+    dialler.connector = reactor.connectTCP(
+        address[0], address[1], dialler, timeout=timeout_s
     )
-    factory = protocol.Factory.forProtocol(lambda: ClientChannel(address))
-    factory.noisy = False
-    try:
-        return await endpoint.connect(factory)
-    except error.ConnectingCancelledError:
-        raise defer.CancelledError from None
-    except (error.ConnectError, error.ConnectionLost, OSError) as problem:
-        raise exceptions.ChannelError(
-            f'cannot connect: {type(problem).__name__}', written=False
-        ) from problem
+    return await dialler.opened
+
+
+class _Dialler(protocol.ClientFactory):
+    """Opens one channel, unless it is cancelled before."""
+
+    noisy = False
+
+    def __init__(self, channel: ClientChannel) -> None:
+        self.connector = None
+        self.opened: defer.Deferred = defer.Deferred(self._cancel)
+        self._channel = channel
+        self._cancelled = False
+        channel.on_open = self.opened.callback
+
+    def buildProtocol(self, addr) -> ClientChannel:
+        return self._channel
+
+    def clientConnectionFailed(self, connector, reason) -> None:
+        if not self._cancelled:
+            self.opened.errback(
+                exceptions.ChannelError(
+                    f'cannot connect: {reason.type.__name__}', written=False
+                )
+            )
+
+    def _cancel(self, opened: defer.Deferred) -> None:
+        self._cancelled = True
+        if self.connector is not None:
+            self.connector.disconnect()
 
 
 async def fetch(
