--- a/tests/cli/test_entry_imports.py
+++ b/tests/cli/test_entry_imports.py
@@ -65,8 +65,11 @@
     deployed = {
         'absl',
         'attr',
+        'attrs',
         'automat',
         'constantly',
+        # Comes with the compiled part of httptools.
+        'cython_runtime',
         'expression',
         'httptools',
         'hyperlink',
@@ -76,6 +79,7 @@
         'packaging',
         'twisted',
         'typing_extensions',
+        'typing_extensions',
         'walnutport',
         'zope',
     }
