Call only answers late in walnutport explain

Cause: a refused request has no first event, so its line "finished" counts the whole wait as the time to one and carries late=true. explain appended "late: first answer after ..." to the cause of a refusal.

Ruled out: leaving the field out of the log line; it is a plain comparison there and the reader knows the outcome.

Conclusion: the cause of a refusal names the refusal only.

--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -77,3 +77,23 @@
 def test_torn_lines_and_unknown_ids():
     """Guards against a command that ends over a torn log."""
     assert explain.explain('a', ['{"time": 1, "id": "a"', 'noise']) == []
+
+
+def test_refusal_is_not_called_a_late_answer():
+    """Guards against a cause that speaks of an answer that never came."""
+    lines = explain.explain(
+        'a',
+        log(
+            {'host': 'h', 'event': 'refused', 'id': 'a', 'reason': 'overload'},
+            {
+                'host': 'h',
+                'event': 'finished',
+                'id': 'a',
+                'outcome': 'overload',
+                'late': True,
+                'first_s': 2.0,
+                'stages_s': 0.0,
+            },
+        ),
+    )
+    assert 'late' not in lines[-1]
--- a/walnutport/cli/explain.py
+++ b/walnutport/cli/explain.py
@@ -128,7 +128,7 @@
             f'{last.get("detail", "")}'.rstrip()
             + ')'
         )
-    if ends[-1].get('late'):
+    if ends[-1].get('late') and outcome in ('answered', 'streamed'):
         text += (
             f'; late: first answer after {ends[-1].get("first_s")} s, '
             f'of which stages {ends[-1].get("stages_s")} s'
