Split the entry host by job and pass on the answer of the only target

Rules without I/O moved to retries/repeats.py (may a request go to a further target), membership/fitness.py (does a host take work of others) and ranking.wanted_links.

Two faults showed while splitting. A failure that the only target of a service answered was replaced by 502 "may have run" when no other target was left to try. And each run of a resumed stream counted as a first event, in the metrics and in the forecast of the next one.

Ruled out: asking for a further target before the retry budget; the answer would still be lost when that target cannot be connected.

--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client_channel.py
@@ -6,7 +6,8 @@
 from twisted.test import proto_helpers
 
 from walnutport import exceptions
-from walnutport.http1 import client
+from walnutport.http1 import channel_pool
+from walnutport.http1 import client_channel
 from walnutport.http1 import messages
 
 
@@ -30,12 +31,12 @@
 
     def __init__(self, wanted: bytes = b'') -> None:
         self.transport = FakeTransport()
-        self.channel = client.ClientChannel(('10.0.0.1', 80))
+        self.channel = client_channel.ClientChannel(('10.0.0.1', 80))
         self.channel.makeConnection(self.transport)
         self.idle: list = []
         self.failures: list = []
         self.answers: list = []
-        self.receiver = client.CollectedAnswer(
+        self.receiver = channel_pool.CollectedAnswer(
             lambda head: not wanted or head.first(b'x-id') == wanted
         )
         self.receiver.done.addCallbacks(
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -94,6 +94,15 @@
         assert answer.body.endswith(b'plain-2')
 
 
+def test_failure_of_the_only_target_is_passed_on(fleet):
+    """Guards against an answer that is replaced by "may have run"."""
+    fleet.control(states={'plain-2': 'draining'}, modes={'plain-1': 'fail'})
+    fleet.wait_log('target_draining', target='plain-2')
+    answer = fleet.call('check', 'id-1')
+    assert answer.status == 500
+    assert answer.body == b'failed'
+
+
 def test_full_targets_are_a_truthful_refusal(fleet):
     """Guards against a refusal of a request that ran."""
     fleet.control(modes={'plain-1': 'full', 'plain-2': 'full'})
@@ -111,6 +120,14 @@
     answer = fleet.call('write', 'id-1')
     assert answer.body == EVENTS
     assert len(fleet.runs('id-1')) == 2
+    address = f'{platform_fleet.IP}:{fleet.ready_ports[0]}'
+    metrics = processes.http_json(f'http://{address}/metrics').decode()
+    (count,) = [
+        line
+        for line in metrics.splitlines()
+        if line.startswith('walnutport_first_event_seconds_count')
+    ]
+    assert count.endswith(' 1'), 'a resumed run has no first event'
 
 
 def test_stream_that_must_not_be_resumed_is_cut(fleet):
--- a/walnutport/gateway/attempts.py
+++ b/walnutport/gateway/attempts.py
@@ -9,7 +9,8 @@
 
 from walnutport import exceptions
 from walnutport.gateway import calls
-from walnutport.http1 import client
+from walnutport.http1 import channel_pool
+from walnutport.http1 import client_channel
 from walnutport.http1 import messages
 from walnutport.platform import headers
 from walnutport.relay import resumable
@@ -65,6 +66,16 @@
     reset: bool = False
     load: requests.ReportedLoad | None = None
 
+    @property
+    def is_answer(self) -> bool:
+        """Whether a whole answer came that the caller may get."""
+        return self.status is AttemptStatus.ANSWERED
+
+    @property
+    def is_final(self) -> bool:
+        """Whether it is an answer that no other target would better."""
+        return self.is_answer and self.head.status < 500
+
 
 class Attempt:
     """Receiver of one attempt's answer.
@@ -90,11 +101,11 @@
         self._parts: list[bytes] = []
         self._size = 0
         self._streaming = False
-        self._channel: client.ClientChannel | None = None
+        self._channel: client_channel.ClientChannel | None = None
         self.first_event_at = 0.0
         self.done: defer.Deferred = defer.Deferred(self._cancelled)
 
-    def sent_on(self, channel: client.ClientChannel) -> None:
+    def sent_on(self, channel: client_channel.ClientChannel) -> None:
         """Take note of the channel that carries the attempt."""
         self._channel = channel
 
@@ -110,7 +121,7 @@
     def body_received(self, data: bytes) -> None:
         if not self._streaming:
             self._size += len(data)
-            if self._size <= client.MAX_ANSWER_BYTES:
+            if self._size <= channel_pool.MAX_ANSWER_BYTES:
                 self._parts.append(data)
             return
         passed = self._relay.feed(data)
@@ -151,7 +162,7 @@
     def _judge(self) -> tuple[AttemptStatus, str]:
         """Tell what a whole answer means."""
         status = self._head.status
-        if self._size > client.MAX_ANSWER_BYTES:
+        if self._size > channel_pool.MAX_ANSWER_BYTES:
             return AttemptStatus.LOST, 'answer too large'
         if self._fields.not_run:
             if status == 421:
@@ -197,7 +208,7 @@
     :param pool: channels to targets.
     """
 
-    def __init__(self, reactor, pool: client.ChannelPool) -> None:
+    def __init__(self, reactor, pool: channel_pool.ChannelPool) -> None:
         self._reactor = reactor
         self._pool = pool
 
@@ -260,7 +271,7 @@
 
     async def _channel(
         self, call: calls.CallerCall, target: workers.RegisteredTarget
-    ) -> client.ClientChannel:
+    ) -> client_channel.ClientChannel:
         limit_s = None if call.route.repeatable else FRESH_IDLE_S
         channel = self._pool.take_idle(target.address, limit_s)
         if channel is not None:
--- /dev/null
+++ b/walnutport/gateway/forwarding.py
@@ -0,0 +1,191 @@
+"""Makes the attempts of a request and learns from their outcomes."""
+
+from collections.abc import Callable
+import time
+
+from walnutport.gateway import attempts
+from walnutport.gateway import calls
+from walnutport import interfaces
+from walnutport.quarantine import suspects
+from walnutport.relay import resumable
+from walnutport.retries import repeats
+from walnutport.retries import window
+from walnutport.routing import outcomes
+from walnutport.world import workers
+
+__all__ = ['Forwarder']
+
+_Status = attempts.AttemptStatus
+
+_END_BY_STATUS = {
+    _Status.NOT_SENT: repeats.AttemptEnd.UNSENT,
+    _Status.NOT_RUN: repeats.AttemptEnd.NOT_RUN,
+    _Status.WRONG_TARGET: repeats.AttemptEnd.NOT_RUN,
+    _Status.INPUTS_GONE: repeats.AttemptEnd.INPUTS_GONE,
+    _Status.ANSWERED: repeats.AttemptEnd.MAY_HAVE_RUN,
+    _Status.LOST: repeats.AttemptEnd.MAY_HAVE_RUN,
+    _Status.BROKEN: repeats.AttemptEnd.MAY_HAVE_RUN,
+}
+
+
+class Forwarder:
+    """Sends calls to targets, within the retry budget of their service.
+
+    :param new_budget: creates the retry budget of a service.
+    :param confirm_death: finds out whether a target died during an attempt,
+        and ends the attempt in the book of suspects.
+    """
+
+    def __init__(
+        self,
+        log,
+        sender: attempts.Attempts,
+        standings: outcomes.TargetOutcomes,
+        suspect_book: suspects.SuspectBook,
+        new_budget: Callable[[], window.WindowBudget],
+        confirm_death: Callable[[workers.RegisteredTarget, str], None],
+    ) -> None:
+        self._log = log
+        self._sender = sender
+        self._standings = standings
+        self._suspects = suspect_book
+        self._new_budget = new_budget
+        self._confirm_death = confirm_death
+        self._budget_by_service: dict[str, window.WindowBudget] = {}
+
+    def is_quarantined(self, call: calls.CallerCall) -> bool:
+        """Whether the request is suspected to kill its targets."""
+        state = self._suspects.state(call.digest, time.monotonic())
+        return state is interfaces.SuspicionState.QUARANTINED
+
+    def begin(self, call: calls.CallerCall) -> None:
+        """Count a request, which earns its service a share of retries."""
+        self._budget(call.service).first(time.monotonic())
+
+    async def attempt(
+        self,
+        call: calls.CallerCall,
+        target: workers.RegisteredTarget,
+        relay: resumable.EventRelay | None = None,
+        on_first_event: Callable[[], None] = lambda: None,
+        resume_after: int | None = None,
+    ) -> attempts.AttemptResult:
+        """Send a request to a target and judge the target by the outcome.
+
+        :param resume_after: id of the event after which a stream goes on.
+        """
+        started_at = time.monotonic()
+        attempt_id = f'{call.request_id}/{len(call.targets) + 1}'
+        load = self._standings.standing(target).expected_load(started_at)
+        self._log.routine(
+            'placed',
+            id=call.request_id,
+            target=target.target_id,
+            attempt=len(call.targets) + 1,
+            left_s=round(call.left_s(), 3),
+            load=round(load, 1),
+        )
+        self._standings.started(target)
+        self._suspects.attempt_started(
+            call.digest, target.target_id, attempt_id, started_at
+        )
+        survived = False
+        reset = False
+        try:
+            result = await self._sender.send(
+                call, target, relay, on_first_event, resume_after
+            )
+            reset = result.reset
+            survived = result.status in (_Status.ANSWERED, _Status.STREAMED)
+            if survived:
+                self._judge(result, started_at)
+            else:
+                self._note_failure(call, result)
+            return result
+        finally:
+            self._standings.ended(target)
+            if reset:
+                self._confirm_death(target, attempt_id)
+            else:
+                self._suspects.attempt_finished(
+                    attempt_id, survived, time.monotonic()
+                )
+
+    def may_repeat(
+        self, call: calls.CallerCall, result: attempts.AttemptResult
+    ) -> bool:
+        """Whether the request may go to another target now."""
+        if result.status is _Status.NOT_SENT:
+            call.unreachable.add(result.target.target_id)
+        end = _END_BY_STATUS[result.status]
+        denial = repeats.repeat_denial(
+            end,
+            repeats.RepeatState(
+                wanted=not call.request.gone and call.left_s() > 0,
+                repeatable=call.route.repeatable,
+                sent=len(call.targets),
+                max_targets=call.route.max_targets,
+                unreachable=len(call.unreachable),
+                quarantined=self.is_quarantined(call),
+            ),
+        )
+        if denial:
+            self._log.routine('repeat_denied', id=call.request_id, why=denial)
+            return False
+        if end is repeats.AttemptEnd.UNSENT:
+            return True
+        now = time.monotonic()
+        budget = self._budget(call.service)
+        allowed = budget.take(now)
+        self._log.notable(
+            'repeat' if allowed else 'repeat_denied',
+            id=call.request_id,
+            after=result.status.value,
+            budget=round(budget.left(now), 1),
+        )
+        return allowed
+
+    def set_slack(self, slack: float) -> None:
+        """Take over this host's share of the fleet-wide slack."""
+        for budget in self._budget_by_service.values():
+            budget.slack = slack
+
+    def _judge(
+        self, result: attempts.AttemptResult, started_at: float
+    ) -> None:
+        now = time.monotonic()
+        if result.is_answer and not result.is_final:
+            self._standings.failed(result.target, now, unreachable=False)
+        else:
+            self._standings.succeeded(
+                result.target, now - started_at, result.load, now
+            )
+
+    def _note_failure(
+        self, call: calls.CallerCall, result: attempts.AttemptResult
+    ) -> None:
+        now = time.monotonic()
+        self._standings.reported(result.target, result.load, now)
+        ejected = False
+        if result.detail != 'deadline':
+            ejected = self._standings.failed(
+                result.target,
+                now,
+                unreachable=result.status
+                in (_Status.NOT_SENT, _Status.WRONG_TARGET),
+            )
+        self._log.notable(
+            'attempt_failed',
+            id=call.request_id,
+            target=result.target.target_id,
+            status=result.status.value,
+            detail=result.detail,
+            ejected=ejected,
+        )
+
+    def _budget(self, service: str) -> window.WindowBudget:
+        found = self._budget_by_service.get(service)
+        if found is None:
+            found = self._new_budget()
+            self._budget_by_service[service] = found
+        return found
--- /dev/null
+++ b/walnutport/gateway/intake.py
@@ -0,0 +1,137 @@
+"""Finds the route and the team of a request."""
+
+import hashlib
+import time
+
+from walnutport.admission import returns
+from walnutport.gateway import calls
+from walnutport.gateway import metrics
+from walnutport.gateway import news
+from walnutport.http1 import server
+from walnutport.platform import headers
+from walnutport.world import requests
+from walnutport.world import routes
+
+__all__ = ['Intake']
+
+# A host that knows no desired state yet has it within a read of the store.
+RETRY_STARTING_S = 0.5
+# An answer is sent this long before the caller's own deadline.
+DEADLINE_MARGIN_S = 0.03
+
+
+class Intake:
+    """Turns requests into calls, or answers why it cannot.
+
+    :param follower: source of the desired state.
+    :param rng: chooses among the services of a weighted route.
+    """
+
+    def __init__(
+        self,
+        log,
+        follower: news.NewsFollower,
+        counters: metrics.EntryMetrics,
+        rng,
+    ) -> None:
+        self._log = log
+        self._follower = follower
+        self._metrics = counters
+        self._rng = rng
+        self._returns = returns.ReturnBook()
+
+    def admit(self, request: server.ServerRequest) -> calls.CallerCall | None:
+        """Return the call of a request, or answer it and return None.
+
+        :raises WireError: when the request cannot be read.
+        """
+        desired = self._follower.desired
+        if desired is None:
+            self._log.notable('refused', reason='no_desired_state')
+            request.respond(
+                503, headers.own_headers('', RETRY_STARTING_S), b''
+            )
+            return None
+        fields = headers.request_fields(request.headers)
+        path = request.target.split(b'?', 1)[0].decode('latin-1')
+        host = (request.header(b'host') or b'').decode('latin-1').lower()
+        route = desired.route_for(host.rsplit(':', 1)[0], path)
+        if route is None:
+            self._reject(request, fields, 404, 'no_route', desired)
+            return None
+        team = None
+        if desired.team_by_key is not None and not route.anonymous:
+            team = desired.team_by_key.get(fields.api_key)
+            if team is None:
+                self._reject(request, fields, 401, 'unknown_key', desired)
+                return None
+        return self._call(request, fields, route, team)
+
+    def keep_routes(self, desired: routes.DesiredState) -> None:
+        """Forget what was learnt of routes that are gone."""
+        self._returns.keep({route.name for route in desired.routes})
+
+    def _call(
+        self,
+        request: server.ServerRequest,
+        fields: requests.RequestFields,
+        route: routes.Route,
+        team: routes.Team | None,
+    ) -> calls.CallerCall:
+        arrived_at = request.started_at
+        wait_s = route.timeout_s
+        if fields.wait_s is not None:
+            wait_s = min(wait_s, fields.wait_s - DEADLINE_MARGIN_S)
+        spent_s = self._returns.spent_s(route.name, fields.wait_s)
+        urgency = route.priority
+        if team is not None and team.priority is not None:
+            urgency = team.priority
+        content = b'\n'.join(
+            (
+                request.method,
+                request.target,
+                fields.api_key.encode(),
+                request.body,
+            )
+        )
+        return calls.CallerCall(
+            request=request,
+            fields=fields,
+            route=route,
+            service=self._service_of(route),
+            team=None if team is None else team.name,
+            urgency=urgency,
+            digest=hashlib.blake2b(content, digest_size=16).digest(),
+            arrived_at=arrived_at,
+            deadline_at=arrived_at + wait_s,
+            aim_at=arrived_at + route.aim_s - spent_s,
+            returned=spent_s > 0,
+        )
+
+    def _service_of(self, route: routes.Route) -> str:
+        weights = route.weight_by_service
+        if len(weights) == 1:
+            return next(iter(weights))
+        names = list(weights)
+        return self._rng.choices(names, [weights[name] for name in names])[0]
+
+    def _reject(
+        self,
+        request: server.ServerRequest,
+        fields: requests.RequestFields,
+        status: int,
+        reason: str,
+        desired: routes.DesiredState,
+    ) -> None:
+        self._log.notable(
+            'rejected',
+            id=fields.request_id,
+            status=status,
+            reason=reason,
+            version=desired.version,
+            age_s=round(time.monotonic() - self._follower.desired_at, 2),
+        )
+        self._metrics.rejected(reason)
+        request.respond(
+            status, headers.own_headers(fields.request_id, None), b''
+        )
--- a/walnutport/gateway/news.py
+++ b/walnutport/gateway/news.py
@@ -246,7 +246,7 @@
                 and pulse.store_age_s < READER_STALE_S
             ):
                 shares[name] = 1.0
-        ranked = ranking.rank_hosts('targets-reader', shares)
+        ranked = ranking.rank_hosts(ranking.TARGETS_READER, shares)
         return self._mesh.own.name in ranked[:READERS]
 
     def _take_desired(
--- /dev/null
+++ b/walnutport/gateway/operator_site.py
@@ -0,0 +1,53 @@
+"""Answers the balancer, the collector of metrics and operators."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from walnutport.gateway import metrics
+from walnutport.http1 import server
+from walnutport.platform import wire
+
+__all__ = ['OperatorSite']
+
+
+class OperatorSite:
+    """Requests on the addresses for readiness and metrics.
+
+    :param ready: whether the balancer should send connections.
+    :param status: returns the view of this host.
+    :param gauges: returns the values of the gauges by name.
+    """
+
+    def __init__(
+        self,
+        counters: metrics.EntryMetrics,
+        ready: Callable[[], bool],
+        status: Callable[[], dict],
+        gauges: Callable[[], dict[str, float]],
+    ) -> None:
+        self._metrics = counters
+        self._ready = ready
+        self._status = status
+        self._gauges = gauges
+
+    def handle(self, request: server.ServerRequest) -> None:
+        """Answer one request."""
+        path = request.target.split(b'?', 1)[0]
+        if path == wire.READINESS_PATH:
+            request.respond(200 if self._ready() else 503, [], b'')
+        elif path == b'/metrics':
+            self._metrics.gauges.update(self._gauges())
+            request.respond(
+                200,
+                [(b'content-type', b'text/plain; version=0.0.4')],
+                self._metrics.render(),
+            )
+        elif path == b'/v1/status':
+            request.respond(
+                200,
+                [(b'content-type', b'application/json')],
+                msgspec.json.encode(self._status()),
+            )
+        else:
+            request.respond(404, [], b'')
--- /dev/null
+++ b/walnutport/http1/channel_pool.py
@@ -0,0 +1,165 @@
+"""Idle client channels, and whole answers fetched over them."""
+
+import time
+
+from twisted.internet import defer
+
+from walnutport import exceptions
+from walnutport.http1 import client_channel
+from walnutport.http1 import messages
+
+__all__ = ['ChannelPool', 'CollectedAnswer', 'MAX_ANSWER_BYTES', 'fetch']
+
+MAX_ANSWER_BYTES = 16 << 20
+
+
+class CollectedAnswer:
+    """Receiver that collects a whole answer.
+
+    :param accepts: tells whether a head answers this request.
+    """
+
+    def __init__(self, accepts=lambda head: True) -> None:
+        self._head = messages.NO_HEAD
+        self.done: defer.Deferred = defer.Deferred()
+        self._accepts = accepts
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    def head_received(self, head: messages.ResponseHead) -> bool:
+        if not self._accepts(head):
+            return False
+        self._head = head
+        return True
+
+    def body_received(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size <= MAX_ANSWER_BYTES:
+            self._parts.append(data)
+
+    def finished(self) -> None:
+        if self.done.called:
+            return
+        if self._size > MAX_ANSWER_BYTES:
+            self.done.errback(
+                exceptions.ChannelError('answer too large', written=True)
+            )
+        else:
+            self.done.callback(
+                messages.WholeAnswer(self._head, b''.join(self._parts))
+            )
+
+    def failed(self, failure: exceptions.ChannelError) -> None:
+        if not self.done.called:
+            self.done.errback(failure)
+
+
+class ChannelPool:
+    """Idle channels by address.
+
+    :param reactor: the Twisted reactor.
+    :param max_idle: idle channels kept for one address.
+    """
+
+    def __init__(self, reactor, max_idle: int) -> None:
+        self._reactor = reactor
+        self._max_idle = max_idle
+        self._idle_by_address: dict[
+            client_channel.Address, list[client_channel.ClientChannel]
+        ] = {}
+        self.opened = 0
+
+    def take_idle(
+        self,
+        address: client_channel.Address,
+        longest_idle_s: float | None = None,
+    ) -> client_channel.ClientChannel | None:
+        """Return an idle channel that is still good, or None."""
+        idle = self._idle_by_address.get(address)
+        now = time.monotonic()
+        while idle:
+            channel = idle.pop()
+            limit = channel.idle_limit_s
+            if longest_idle_s is not None:
+                limit = min(limit, longest_idle_s)
+            if channel.alive and now - channel.idle_since < limit:
+                return channel
+            channel.close()
+        return None
+
+    async def open(
+        self,
+        address: client_channel.Address,
+        timeout_s: float = client_channel.CONNECT_TIMEOUT_S,
+    ) -> client_channel.ClientChannel:
+        """Open a new channel.
+
+        :raises ChannelError: when the peer cannot be reached.
+        """
+        self.opened += 1
+        return await client_channel.connect(self._reactor, address, timeout_s)
+
+    def give_back(self, channel: client_channel.ClientChannel) -> None:
+        """Keep an idle channel for later requests."""
+        idle = self._idle_by_address.setdefault(channel.address, [])
+        if len(idle) >= self._max_idle:
+            idle.pop(0).close()
+        idle.append(channel)
+
+    def forget(self, address: client_channel.Address) -> None:
+        """Close the idle channels to an address."""
+        for channel in self._idle_by_address.pop(address, ()):
+            channel.close()
+
+    def close_expired(self) -> None:
+        """Close channels that reached their idle limit."""
+        now = time.monotonic()
+        for address, idle in list(self._idle_by_address.items()):
+            kept = []
+            for channel in idle:
+                idle_s = now - channel.idle_since
+                if channel.alive and idle_s < channel.idle_limit_s:
+                    kept.append(channel)
+                else:
+                    channel.close()
+            if kept:
+                self._idle_by_address[address] = kept
+            else:
+                del self._idle_by_address[address]
+
+
+async def fetch(
+    reactor,
+    pool: ChannelPool,
+    address: client_channel.Address,
+    request: bytes,
+    timeout_s: float,
+) -> messages.WholeAnswer:
+    """Send a request that may be repeated and return the whole answer.
+
+    :raises ChannelError: when no complete answer came in time.
+    """
+    channel = pool.take_idle(address)
+    if channel is None:
+        channel = await pool.open(
+            address, min(timeout_s, client_channel.CONNECT_TIMEOUT_S)
+        )
+    answer = CollectedAnswer()
+    timer = reactor.callLater(timeout_s, _time_out, channel, answer)
+    try:
+        channel.send(request, answer, pool.give_back)
+        return await answer.done
+    finally:
+        if timer.active():
+            timer.cancel()
+
+
+def _time_out(
+    channel: client_channel.ClientChannel, answer: CollectedAnswer
+) -> None:
+    channel.cancel()
+    answer.failed(
+        exceptions.ChannelError(
+            'no answer in time', written=True, timed_out=True
+        )
+    )
--- a/walnutport/membership/ranking.py
+++ b/walnutport/membership/ranking.py
@@ -9,14 +9,29 @@
 import hashlib
 import math
 
-__all__ = ['able_hosts', 'cell_count', 'cell_targets', 'rank_hosts']
+__all__ = [
+    'TARGETS_READER',
+    'able_hosts',
+    'cell_count',
+    'cell_key',
+    'cell_targets',
+    'rank_hosts',
+    'wanted_links',
+]
+
+#: Key of the hosts that read the targets from the store.
+TARGETS_READER = 'targets-reader'
 
 # Stage targets that one host serves well: each takes some four calls a second,
 # and a replay of 26 targets took a tenth of a core. Fewer cells fill calls
 # better and deal fewer targets anew when one comes or goes.
 TARGETS_PER_CELL = 32
-
-
+# Owners of a key that are linked ahead of need: the owner and the hosts that
+# follow if up to two are lost at once.
+LINKED_OWNERS = 3
+# Neighbours in the order of names that are linked, which keeps the fleet
+# connected.
+LINKED_NEIGHBOURS = 3
 # Hosts with at least this part of the largest share may own cells.
 ABLE_PART = 0.5
 
@@ -62,3 +77,32 @@
         for number, target_id in enumerate(sorted(target_ids))
         if number % cells == cell
     }
+
+
+def cell_key(cell: int) -> str:
+    """Return the key of a cell."""
+    return f'cell-{cell}'
+
+
+def wanted_links(
+    own: str, shares_by_name: dict[str, float], cells: int
+) -> set[str]:
+    """Return the hosts to link with in a large fleet.
+
+    These are the hosts that own cells or read the store, or will when others
+    are lost, and the next ones in the order of names.
+
+    :param shares_by_name: processor share of each known host, this one
+        included.
+    """
+    wanted: set[str] = set()
+    able = able_hosts(shares_by_name)
+    for cell in range(cells):
+        wanted.update(rank_hosts(cell_key(cell), able)[:LINKED_OWNERS])
+    equal = dict.fromkeys(shares_by_name, 1.0)
+    wanted.update(rank_hosts(TARGETS_READER, equal)[:LINKED_OWNERS])
+    names = sorted(shares_by_name)
+    position = names.index(own)
+    for step in range(1, LINKED_NEIGHBOURS + 1):
+        wanted.add(names[(position + step) % len(names)])
+    return wanted
--- a/walnutport/platform/store.py
+++ b/walnutport/platform/store.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from walnutport import exceptions
-from walnutport.http1 import client
+from walnutport.http1 import channel_pool
+from walnutport.http1 import client_channel
 from walnutport.http1 import messages
 from walnutport.platform import wire
 from walnutport.world import feeds
@@ -45,10 +46,10 @@
 class PlatformStore:
     """Reads and writes keyed records; see ``feeds.FeedStore``."""
 
-    def __init__(self, reactor, address: client.Address) -> None:
+    def __init__(self, reactor, address: client_channel.Address) -> None:
         self._reactor = reactor
         self._address = address
-        self._pool = client.ChannelPool(reactor, max_idle=2)
+        self._pool = channel_pool.ChannelPool(reactor, max_idle=2)
         self.calls = 0
 
     async def newest(self, feed: feeds.Feed) -> feeds.FeedPage:
@@ -125,7 +126,7 @@
             body,
         )
         try:
-            return await client.fetch(
+            return await channel_pool.fetch(
                 self._reactor, self._pool, self._address, request, timeout_s
             )
         except exceptions.ChannelError as problem:
