Split the stage scheduler by decision

Each rule is a module now, with the load pattern it answers: admission, timing, batching, backlog and cell_targets. A running call refers to the lifetime of the target that runs it, so the end of a call cannot be booked to a restarted target. Results that waited to be freed at a lost lifetime are dropped, as the new one does not know them.

Conclusion: the same decisions, each readable and tested on its own.

--- /dev/null
+++ b/walnutport/stages/admission.py
@@ -0,0 +1,54 @@
+"""Whether a cell takes a job.
+
+Load pattern: a burst of several times the usual traffic on stage targets that
+are busy already. A job is taken only while its answer can be of full value;
+the callers of the others learn at once when to come back.
+"""
+
+from collections.abc import Callable
+
+from walnutport.stages import forecast
+from walnutport.stages import jobs
+from walnutport.stages import pieces
+
+__all__ = ['judge', 'retry_after_s']
+
+# Waiting behind others that is always accepted: it is as long as a short call
+# and says nothing about overload.
+FREE_WAIT_S = 0.1
+# Part of the time left for the aim that a forecast must leave free under
+# load: a shorter queue serves as many and makes fewer of them late.
+AIM_MARGIN = 0.12
+# The same for a request that was refused before. It goes first, as a second
+# refusal would leave it without time for a third try.
+RETURN_MARGIN = 0.02
+# Bounds of the time after which a refused caller may come back.
+LEAST_RETRY_AFTER_S = 0.2
+MOST_RETRY_AFTER_S = 4.0
+
+
+def judge(
+    job: jobs.Job,
+    load_of: Callable[[str], forecast.ServiceLoad | None],
+) -> pieces.Refusal | None:
+    """Return why a job is not taken, or None if it is.
+
+    :param load_of: returns the work that goes ahead of the job at a service.
+    """
+    order = job.order
+    found = forecast.forecast_job(job, load_of)
+    if found is None:
+        return pieces.Refusal('no_target', LEAST_RETRY_AFTER_S, 0.0)
+    total_s = found.total_s + order.final_s
+    if total_s > order.deadline_s:
+        return pieces.Refusal('deadline', retry_after_s(found.wait_s), total_s)
+    margin = RETURN_MARGIN if order.returned else AIM_MARGIN
+    over_s = total_s + margin * order.aim_s - order.aim_s
+    if over_s > 0 and found.wait_s > FREE_WAIT_S:
+        return pieces.Refusal('overload', retry_after_s(over_s), total_s)
+    return None
+
+
+def retry_after_s(wait_s: float) -> float:
+    """Return the wait that a caller is told, from the expected one."""
+    return min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, wait_s))
--- a/walnutport/stages/stage_targets.py
+++ b/walnutport/stages/stage_targets.py
@@ -36,15 +36,19 @@
 class RunningCall:
     """Call under way.
 
+    :param target: lifetime that runs it.
     :param expected_s: how long it should take at this target.
     """
 
-    service: str
-    target_id: str
+    target: 'StageTarget'
     work: list[tuple[jobs.Job, jobs.PieceId]]
     started_at: float
     expected_s: float
 
+    def jobs(self) -> list[jobs.Job]:
+        """Return the jobs that have pieces in the call, each once."""
+        return list({id(job): job for job, _ in self.work}.values())
+
 
 @dataclasses.dataclass(slots=True)
 class StageTarget:
