Count the slowness of a running call once in the forecast

Cause: the expected time of a running call is scaled by the measured slowness of its target, and the backlog that it is part of was scaled again. With a service four times slower than planned, 0.8 s of running work counted as 3.2 s and jobs were refused that would have been in time.

Ruled out: keeping the expected time unscaled in the call; its timeout needs the scaled one.

Figures: tests/stages/test_scheduler.py::test_call_of_a_slow_target_counts_once fails before (the second job is refused) and passes now.

Conclusion: slow services refuse only what they cannot serve.

--- a/tests/stages/test_scheduler.py
+++ b/tests/stages/test_scheduler.py
@@ -220,3 +220,25 @@
         for number in range(12)
     )
     assert accepted >= 9
+
+
+def test_call_of_a_slow_target_counts_once():
+    """Replays a service whose only target became four times slower.
+
+    Guards against refusing what the target can do: the slowness is part of
+    the time that a running call is expected to take.
+    """
+    cell = filled(builders.target('t1'))
+    now = 0.0
+    for number in range(30):
+        cell.submit(builders.order(f'{number}', aim_s=9.0), now)
+        (call,) = cell.next_calls(now)
+        now += 4 * (0.15 + 0.02 * len(call.work) + scheduler.CALL_OVERHEAD_S)
+        finish(cell, call, now)
+        cell.release(f'{number}')
+    cell.take_outcomes()
+    assert cell.submit(builders.order('first', aim_s=9.0), now) is None
+    cell.next_calls(now)
+    # The running call takes 0.8 s, a full one after it 1.1 s, and the request
+    # itself 0.2 s. Counted twice, the first of these would be 3.2 s.
+    assert cell.submit(builders.order('second', aim_s=3.0), now) is None
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -213,12 +213,12 @@
         if capacity is None:
             return None
         # The expected time of a running call has its slowness in it.
-        ahead_s = self._backlog.ahead_s(service, urgency)
+        # The expected time of a running call has its slowness in it.
+        ahead_s = self._backlog.ahead_s(service, urgency) * capacity.slowness
         return forecast.ServiceLoad(
             capacity.rules,
             capacity.slots,
-            (ahead_s + self._targets.running_s(service, now))
-            * capacity.slowness,
+            ahead_s + self._targets.running_s(service, now),
             capacity.slowness,
         )
 
