Split interfaces, the stand-in fleet and the claim tests by job

Values of policies are in policy_types, the gates in gates (interfaces gives both out under their old names), plans of a fleet in standins/fleet_plans, the hosts of the claim tests in tests/service/claim_hosts.

Ruled out: changing every import of interfaces; 60 modules would change for no reader's gain.

Conclusion: moves only.

--- a/bench/affinity_trial.py
+++ b/bench/affinity_trial.py
@@ -13,6 +13,7 @@
 
 from standins import caller
 from standins import fleet
+from standins import fleet_plans
 from standins import ledger
 from standins import processes
 
@@ -27,13 +28,13 @@
 def main(affinity: str, rate_per_s: str, seconds: str = '20') -> None:
     """Run the trial and print its figures."""
     quick = {'slots': 16, 'service_ms': 2.0}
-    plan = fleet.FleetPlan(
+    plan = fleet_plans.FleetPlan(
         hosts=3,
         pools=(
-            fleet.PoolPlan('encoder', 1, **quick),
-            fleet.PoolPlan('retriever', 1, **quick),
-            fleet.PoolPlan('reranker', 1, **quick),
-            fleet.PoolPlan(
+            fleet_plans.PoolPlan('encoder', 1, **quick),
+            fleet_plans.PoolPlan('retriever', 1, **quick),
+            fleet_plans.PoolPlan('reranker', 1, **quick),
+            fleet_plans.PoolPlan(
                 'engine',
                 _ENGINES,
                 slots=4,
@@ -96,7 +97,7 @@
     return tuple(
         caller.Load(
             member_id='north',
-            token=fleet.TOKENS_BY_MEMBER['north'],
+            token=fleet_plans.TOKENS_BY_MEMBER['north'],
             entry_id='summaries',
             rate_per_s=rate_per_s / _PROMPTS,
             count=int(rate_per_s * span_s / _PROMPTS),
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -11,6 +11,7 @@
 from standins import caller
 from standins import checker
 from standins import fleet
+from standins import fleet_plans
 from standins import ledger
 from standins import processes
 
@@ -30,7 +31,7 @@
 def main() -> int:
     """Run the demo and return the exit status."""
     assert sum(share[-1] for share in _SHARES) == _REQUESTS
-    with fleet.Fleet(fleet.FleetPlan()) as running:
+    with fleet.Fleet(fleet_plans.FleetPlan()) as running:
         _print(f'{len(running.hosts_by_id)} hosts ready')
         sender = running.start_caller(_loads())
         _wait_answers(running, sender, _REQUESTS // 4)
@@ -57,7 +58,7 @@
     return tuple(
         caller.Load(
             member_id='north',
-            token=fleet.TOKENS_BY_MEMBER['north'],
+            token=fleet_plans.TOKENS_BY_MEMBER['north'],
             entry_id=entry_id,
             rate_per_s=_RATE_PER_S * count / _REQUESTS,
             count=count,
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -7,6 +7,7 @@
 import types
 
 from standins import fleet
+from standins import fleet_plans
 
 __all__ = ['main']
 
@@ -23,7 +24,7 @@
 
     for signum in (signal.SIGINT, signal.SIGTERM):
         signal.signal(signum, end)
-    with fleet.Fleet(fleet.FleetPlan(hosts=2)) as running:
+    with fleet.Fleet(fleet_plans.FleetPlan(hosts=2)) as running:
         sys.stdout.write(describe(running))
         sys.stdout.flush()
         ended.wait()
@@ -48,7 +49,7 @@
         '-s',
         f'http://{address}/v1/entries/{_ENTRY}',
         '-H',
-        f'Authorization: Bearer {fleet.TOKENS_BY_MEMBER[_MEMBER]}',
+        f'Authorization: Bearer {fleet_plans.TOKENS_BY_MEMBER[_MEMBER]}',
         '-d',
         '{"text": "invoice 17"}',
     ]
--- a/bench/probes.py
+++ b/bench/probes.py
@@ -14,6 +14,7 @@
 from standins import checker
 from standins import client
 from standins import fleet
+from standins import fleet_plans
 from standins import ledger
 from standins import processes
 from walnutport.config import settings as config
@@ -35,17 +36,17 @@
     'walnutport_peer_sent_bytes_total',
 )
 _SMALL_POOLS = (
-    fleet.PoolPlan('encoder', 2, service_ms=5.0),
-    fleet.PoolPlan('retriever', 2, service_ms=5.0),
-    fleet.PoolPlan('reranker', 2, service_ms=5.0),
-    fleet.PoolPlan('engine', 2, slots=8, service_ms=5.0, event_ms=0.0),
-    fleet.PoolPlan('payments', 1, service_ms=5.0, repeatable=False),
+    fleet_plans.PoolPlan('encoder', 2, service_ms=5.0),
+    fleet_plans.PoolPlan('retriever', 2, service_ms=5.0),
+    fleet_plans.PoolPlan('reranker', 2, service_ms=5.0),
+    fleet_plans.PoolPlan('engine', 2, slots=8, service_ms=5.0, event_ms=0.0),
+    fleet_plans.PoolPlan('payments', 1, service_ms=5.0, repeatable=False),
 )
 
 
 def measure_poison() -> dict[str, float]:
     """Resend one request that crashes its target over all hosts."""
-    with fleet.Fleet(fleet.FleetPlan(pools=_SMALL_POOLS)) as running:
+    with fleet.Fleet(fleet_plans.FleetPlan(pools=_SMALL_POOLS)) as running:
         body = {'crash': True, 'nonce': 'poison'}
         for turn, host_id in zip(
             range(20), itertools.cycle(running.caller_addresses_by_host)
@@ -64,14 +65,14 @@
 def measure_catalogue() -> dict[str, float]:
     """Time from an accepted change to its being in force on nine hosts."""
     with fleet.Fleet(
-        fleet.FleetPlan(hosts=_HOSTS, pools=_SMALL_POOLS)
+        fleet_plans.FleetPlan(hosts=_HOSTS, pools=_SMALL_POOLS)
     ) as running:
         worst_ms = 0.0
         for version in range(1, 6):
             body = {'class_id': 'standard', 'weight': 1.0 + version}
             started = time.monotonic()
             running.publish([_change(version, body)])
-            offset = len(fleet.example_catalogue()) + version
+            offset = len(fleet_plans.example_catalogue()) + version
             for address in running.control_addresses_by_host.values():
                 while _offset(address) < offset:
                     time.sleep(0.005)
@@ -81,7 +82,7 @@
 
 def measure_leaving() -> dict[str, float]:
     """Time from a target's notice of leaving to its last new request."""
-    plan = fleet.FleetPlan(pools=_SMALL_POOLS, list_lag_s=1.0)
+    plan = fleet_plans.FleetPlan(pools=_SMALL_POOLS, list_lag_s=1.0)
     with fleet.Fleet(plan) as running:
         sender = running.start_caller((_load(60.0, 420),), seed=_SEED)
         time.sleep(2.5)
@@ -116,10 +117,12 @@
         'limits': {'max_in_flight': _LIMIT},
     }
     pools = tuple(
-        fleet.PoolPlan(pool.service, 2, slots=32, service_ms=100.0)
+        fleet_plans.PoolPlan(pool.service, 2, slots=32, service_ms=100.0)
         for pool in _SMALL_POOLS
     )
-    plan = fleet.FleetPlan(hosts=_HOSTS, pools=pools, contracts=(contract,))
+    plan = fleet_plans.FleetPlan(
+        hosts=_HOSTS, pools=pools, contracts=(contract,)
+    )
     with fleet.Fleet(plan) as running:
         time.sleep(2.0)
         weights = tuple(1.0 / (number + 1) for number in range(_HOSTS))
@@ -171,10 +174,10 @@
 
 def measure_added_latency() -> dict[str, float]:
     """Median time that the host adds to four sequential stage calls."""
-    plan = fleet.FleetPlan(hosts=1, pools=_SMALL_POOLS)
+    plan = fleet_plans.FleetPlan(hosts=1, pools=_SMALL_POOLS)
     with fleet.Fleet(plan) as running:
         address = next(iter(running.caller_addresses_by_host.values()))
-        stages = fleet.STAGES_BY_ENTRY['summaries']
+        stages = fleet_plans.STAGES_BY_ENTRY['summaries']
         services = ('encoder', 'retriever', 'reranker', 'engine')
         direct = [
             (running.listed_targets_by_id[f'{service}-1'], stage)
@@ -191,7 +194,9 @@
 
 def measure_start() -> dict[str, float]:
     """Time from the start of a host process until it is ready."""
-    with fleet.Fleet(fleet.FleetPlan(hosts=2, pools=_SMALL_POOLS)) as running:
+    with fleet.Fleet(
+        fleet_plans.FleetPlan(hosts=2, pools=_SMALL_POOLS)
+    ) as running:
         running.hosts_by_id['host-1'].kill()
         started = time.monotonic()
         running.start_host('host-1')
@@ -208,11 +213,13 @@
     memory is what the host holds beyond one without peers and with one
     small pool.
     """
-    single = fleet.FleetPlan(hosts=1, pools=_SMALL_POOLS[:1])
+    single = fleet_plans.FleetPlan(hosts=1, pools=_SMALL_POOLS[:1])
     with fleet.Fleet(single) as running:
         time.sleep(2.0)
         idle_rss = _process(running, 'host-1').memory_info().rss
-    plan = fleet.FleetPlan(hosts=_HOSTS, pools=_SMALL_POOLS, proxied=True)
+    plan = fleet_plans.FleetPlan(
+        hosts=_HOSTS, pools=_SMALL_POOLS, proxied=True
+    )
     with fleet.Fleet(plan) as running:
         time.sleep(5.0)
         process = _process(running, 'host-1')
@@ -252,7 +259,7 @@
 
 def _load(rate: float, count: int, entry_id: str = 'summaries') -> caller.Load:
     return caller.Load(
-        'north', fleet.TOKENS_BY_MEMBER['north'], entry_id, rate, count
+        'north', fleet_plans.TOKENS_BY_MEMBER['north'], entry_id, rate, count
     )
 
 
@@ -312,4 +319,4 @@
 
 
 def _post(address: str, body: dict) -> None:
-    client.post_entry(address, fleet.TOKENS_BY_MEMBER['north'], body)
+    client.post_entry(address, fleet_plans.TOKENS_BY_MEMBER['north'], body)
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -16,6 +16,7 @@
 import psutil
 
 from standins import fleet
+from standins import fleet_plans
 
 __all__ = ['main', 'measure']
 
@@ -41,9 +42,9 @@
 
 def measure(streams: int, seconds: float) -> dict:
     """Run the processes and return what the reader measured."""
-    plan = fleet.FleetPlan(
+    plan = fleet_plans.FleetPlan(
         hosts=1,
-        pools=(fleet.PoolPlan('engine', 1, slots=streams),),
+        pools=(fleet_plans.PoolPlan('engine', 1, slots=streams),),
         settings={'control': {'log_level': 'WARNING'}},
     )
     with RelayFleet(plan) as running:
@@ -197,7 +198,7 @@
         b'walnutport-deadline-ms: 50000\r\ncontent-length: %d\r\n\r\n%b'
         % (
             _ENTRY.encode(),
-            fleet.TOKENS_BY_MEMBER['north'].encode(),
+            fleet_plans.TOKENS_BY_MEMBER['north'].encode(),
             len(body),
             body,
         )
--- a/bench/run.py
+++ b/bench/run.py
@@ -22,6 +22,7 @@
 from bench import scenarios
 from standins import checker
 from standins import fleet
+from standins import fleet_plans
 from standins import ledger
 
 __all__ = ['main']
@@ -46,7 +47,7 @@
 
     def execute(self) -> 'Run':
         """Run the load and keep the ledger."""
-        plan = fleet.FleetPlan(
+        plan = fleet_plans.FleetPlan(
             hosts=self.scenario.hosts,
             pools=scenarios.POOLS,
             settings={'policies': {'policy': self.policy}},
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from standins import caller
-from standins import fleet
+from standins import fleet_plans
 
 __all__ = [
     'CAPACITY_PER_S',
@@ -18,13 +18,15 @@
 # Each pool runs 100 requests a second: slots x targets / service time.
 CAPACITY_PER_S = 100.0
 POOLS = (
-    fleet.PoolPlan('encoder', 4, slots=2, service_ms=80.0),
-    fleet.PoolPlan('retriever', 4, slots=2, service_ms=80.0),
-    fleet.PoolPlan('reranker', 4, slots=2, service_ms=80.0),
-    fleet.PoolPlan(
+    fleet_plans.PoolPlan('encoder', 4, slots=2, service_ms=80.0),
+    fleet_plans.PoolPlan('retriever', 4, slots=2, service_ms=80.0),
+    fleet_plans.PoolPlan('reranker', 4, slots=2, service_ms=80.0),
+    fleet_plans.PoolPlan(
         'engine', 10, slots=2, service_ms=120.0, events=16, event_ms=5.0
     ),
-    fleet.PoolPlan('payments', 4, slots=2, service_ms=80.0, repeatable=False),
+    fleet_plans.PoolPlan(
+        'payments', 4, slots=2, service_ms=80.0, repeatable=False
+    ),
 )
 _SHARE = 0.7
 
@@ -66,12 +68,12 @@
 
 
 def _even(total_per_s: float) -> dict[str, float]:
-    members = fleet.TOKENS_BY_MEMBER
+    members = fleet_plans.TOKENS_BY_MEMBER
     return {member_id: total_per_s / len(members) for member_id in members}
 
 
 _STEADY = _even(_SHARE * CAPACITY_PER_S)
-_ONE_SHARE = _SHARE * CAPACITY_PER_S / len(fleet.TOKENS_BY_MEMBER)
+_ONE_SHARE = _SHARE * CAPACITY_PER_S / len(fleet_plans.TOKENS_BY_MEMBER)
 
 SCENARIOS = (
     Scenario('attainment_steady', _STEADY),
@@ -142,7 +144,7 @@
             result.append(
                 caller.Load(
                     member_id=member_id,
-                    token=fleet.TOKENS_BY_MEMBER[member_id],
+                    token=fleet_plans.TOKENS_BY_MEMBER[member_id],
                     entry_id=entry_id,
                     rate_per_s=rate,
                     count=max(1, round(rate * scenario.duration_s)),
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import dataclasses
-import hashlib
 import json
 import pathlib
 import tempfile
@@ -13,6 +12,7 @@
 from standins import checker
 from standins import engine_server
 from standins import fault_proxy
+from standins import fleet_plans
 from standins import ledger
 from standins import list_server
 from standins import log_server
@@ -21,148 +21,13 @@
 from standins import target_server
 from standins import weight_server
 
-__all__ = ['Fleet', 'FleetPlan', 'PoolPlan', 'TOKENS_BY_MEMBER']
-
-TOKENS_BY_MEMBER = {
-    'north': 'token-north',
-    'south': 'token-south',
-    'kiosk': 'token-kiosk',
-}
-_ENGINE = 'engine'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PoolPlan:
-    """Targets of one service."""
-
-    service: str
-    targets: int
-    slots: int = 4
-    service_ms: float = 10.0
-    repeatable: bool = True
-    events: int = 16
-    event_ms: float = 5.0
-    engine: bool = False
-    checks_fencing: bool = True
-    cache_entries: int = 64
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class FleetPlan:
-    """What a fleet consists of.
-
-    :param settings: settings of every host, merged over the defaults.
-    :param proxied: whether the fault proxy stands before the log, the list
-        and every target; ``Fleet.set_faults`` then sets its faults.
-    :param models: models of the weight store, which is started if there
-        are any.
-    """
-
-    hosts: int = 3
-    pools: tuple[PoolPlan, ...] = (
-        PoolPlan('encoder', 2),
-        PoolPlan('retriever', 2),
-        PoolPlan('reranker', 2),
-        PoolPlan(_ENGINE, 3, slots=8, service_ms=20.0),
-        PoolPlan('payments', 2, repeatable=False),
-    )
-    data_centres: int = 2
-    list_lag_s: float = 0.0
-    retention_s: float = 0.0
-    proxied: bool = False
-    settings: dict = dataclasses.field(default_factory=dict)
-    contracts: tuple[dict, ...] = ()
-    models: tuple[weight_server.StoredModel, ...] = ()
-
-
-def example_catalogue(extra: tuple[dict, ...] = ()) -> list[dict]:
-    """Return change records of the example catalogue.
-
-    :param extra: definitions of further contracts.
-    """
-    stages = [
-        {'name': name, 'service': name}
-        for name in ('encoder', 'retriever', 'reranker')
-    ]
-    generate = {
-        'name': 'generate',
-        'service': _ENGINE,
-        'streams': True,
-        'model': 'small',
-    }
-    confirm = {'name': 'confirm', 'service': 'payments', 'repeatable': False}
-    definitions: list[tuple[str, str, dict]] = [
-        ('class', 'standard', {'class_id': 'standard', 'weight': 1.0}),
-        ('class', 'urgent', {'class_id': 'urgent', 'weight': 4.0}),
-        (
-            'pipeline',
-            'answers',
-            {'pipeline_id': 'answers', 'stages': [*stages, generate]},
-        ),
-        (
-            'pipeline',
-            'confirmations',
-            {
-                'pipeline_id': 'confirmations',
-                'stages': [*stages, confirm],
-            },
-        ),
-        (
-            'contract',
-            'summaries',
-            {
-                'entry_id': 'summaries',
-                'owner': 'north',
-                'class_id': 'standard',
-                'pipeline_id': 'answers',
-            },
-        ),
-        (
-            'contract',
-            'payments',
-            {
-                'entry_id': 'payments',
-                'owner': 'north',
-                'class_id': 'urgent',
-                'pipeline_id': 'confirmations',
-            },
-        ),
-    ]
-    definitions += [('contract', item['entry_id'], item) for item in extra]
-    definitions += [
-        (
-            'member',
-            member_id,
-            {
-                'member_id': member_id,
-                'token_digests': [hashlib.sha256(token.encode()).hexdigest()],
-            },
-        )
-        for member_id, token in TOKENS_BY_MEMBER.items()
-    ]
-    return [
-        {
-            'change_id': f'example-{kind}-{name}',
-            'kind': kind,
-            'name': name,
-            'expected_version': 0,
-            'operator': 'example',
-            'body': json.dumps(body),
-        }
-        for kind, name, body in definitions
-    ]
-
-
-STAGES_BY_ENTRY = {
-    'summaries': ('encoder', 'retriever', 'reranker', 'generate'),
-    'payments': ('encoder', 'retriever', 'reranker', 'confirm'),
-}
+__all__ = ['Fleet']
 
 
 class Fleet:
     """Processes of a plan; a context manager that ends all of them."""
 
-    def __init__(self, plan: FleetPlan) -> None:
+    def __init__(self, plan: fleet_plans.FleetPlan) -> None:
         self.plan = plan
         self._stack = contextlib.ExitStack()
         self.folder = pathlib.Path()
@@ -194,7 +59,7 @@
             if self.plan.proxied:
                 self._start_proxy()
             self._start_list()
-            self.publish(example_catalogue(self.plan.contracts))
+            self.publish(fleet_plans.example_catalogue(self.plan.contracts))
             for number in range(self.plan.hosts):
                 self.start_host(f'host-{number + 1}')
             for host_id in self.hosts_by_id:
@@ -232,9 +97,12 @@
         """Start a relay that takes calls of an entry and answers wrongly."""
         port = processes.free_port()
         self.caller_addresses_by_host[name] = f'127.0.0.1:{port}'
-        service_by_stage = {'generate': _ENGINE, 'confirm': 'payments'}
+        service_by_stage = {
+            'generate': fleet_plans.ENGINE,
+            'confirm': 'payments',
+        }
         addresses_by_stage = {}
-        for stage in STAGES_BY_ENTRY[entry_id]:
+        for stage in fleet_plans.STAGES_BY_ENTRY[entry_id]:
             service = service_by_stage.get(stage, stage)
             listed = self.listed_targets_by_id[f'{service}-1']
             addresses_by_stage[stage] = f'{listed.ip}:{listed.port}'
@@ -322,11 +190,11 @@
 
     def check(self) -> checker.Report:
         """Check the ledger of everything that ran so far."""
-        stages = dict(STAGES_BY_ENTRY)
+        stages = dict(fleet_plans.STAGES_BY_ENTRY)
         for item in self.plan.contracts:
             pipeline = item['pipeline_id']
             entry = 'summaries' if pipeline == 'answers' else 'payments'
-            stages[item['entry_id']] = STAGES_BY_ENTRY[entry]
+            stages[item['entry_id']] = fleet_plans.STAGES_BY_ENTRY[entry]
         return checker.check(ledger.read_ledger(self.ledger_folder), stages)
 
     def set_faults(self, name: str, **faults) -> None:
--- a/tests/fuzz/samples.py
+++ b/tests/fuzz/samples.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 import msgspec
 
-from standins import fleet
+from standins import fleet_plans
 from walnutport.catalogue import records as catalogue_records
 from walnutport.catalogue import snapshot
 from walnutport.claims import records as claim_records
@@ -117,7 +117,7 @@
 
 
 SETTINGS = json.loads(settings.dump_settings(settings.default_settings()))
-CHANGES = fleet.example_catalogue()
+CHANGES = fleet_plans.example_catalogue()
 DEFINITIONS = {
     catalogue_records.EntryKind(item['kind']): json.loads(item['body'])
     for item in CHANGES
--- a/tests/fuzz/test_caller_bytes.py
+++ b/tests/fuzz/test_caller_bytes.py
@@ -11,6 +11,7 @@
 import pytest
 
 from standins import fleet
+from standins import fleet_plans
 from standins import processes
 
 _LIMIT_S = 20.0
@@ -105,10 +106,10 @@
 def fixture_running() -> Iterator[fleet.Fleet]:
     """One host before one target of each pool."""
     pools = tuple(
-        fleet.PoolPlan(name, 1, service_ms=1.0, events=1)
+        fleet_plans.PoolPlan(name, 1, service_ms=1.0, events=1)
         for name in ('encoder', 'retriever', 'reranker', 'engine')
     )
-    with fleet.Fleet(fleet.FleetPlan(hosts=1, pools=pools)) as running:
+    with fleet.Fleet(fleet_plans.FleetPlan(hosts=1, pools=pools)) as running:
         yield running
 
 
--- a/tests/integration/faults.py
+++ b/tests/integration/faults.py
@@ -6,22 +6,23 @@
 from standins import caller
 from standins import checker
 from standins import fleet
+from standins import fleet_plans
 from standins import ledger
 from standins import processes
 
 LIMIT_S = 40.0
 POOLS = (
-    fleet.PoolPlan('encoder', 2),
-    fleet.PoolPlan('retriever', 3),
-    fleet.PoolPlan('reranker', 2),
-    fleet.PoolPlan('engine', 3, slots=16, events=20, event_ms=10.0),
-    fleet.PoolPlan('payments', 3, service_ms=60.0, repeatable=False),
+    fleet_plans.PoolPlan('encoder', 2),
+    fleet_plans.PoolPlan('retriever', 3),
+    fleet_plans.PoolPlan('reranker', 2),
+    fleet_plans.PoolPlan('engine', 3, slots=16, events=20, event_ms=10.0),
+    fleet_plans.PoolPlan('payments', 3, service_ms=60.0, repeatable=False),
 )
 
 
-def plan(hosts: int = 2, **changes) -> fleet.FleetPlan:
+def plan(hosts: int = 2, **changes) -> fleet_plans.FleetPlan:
     """Return a fleet behind the fault proxy."""
-    return fleet.FleetPlan(
+    return fleet_plans.FleetPlan(
         **{'hosts': hosts, 'pools': POOLS, 'proxied': True, **changes}
     )
 
@@ -31,7 +32,7 @@
     fields = {'deadline_ms': 4_000, 'keyed': entry_id == 'payments', **changes}
     return caller.Load(
         'north',
-        fleet.TOKENS_BY_MEMBER['north'],
+        fleet_plans.TOKENS_BY_MEMBER['north'],
         entry_id,
         rate_per_s,
         count,
@@ -77,7 +78,9 @@
 
 def verdict(running: fleet.Fleet, source: str, sent: int) -> checker.Report:
     """Return the checked report of a caller that met no broken promise."""
-    report = checker.check(events_of(running, source), fleet.STAGES_BY_ENTRY)
+    report = checker.check(
+        events_of(running, source), fleet_plans.STAGES_BY_ENTRY
+    )
     assert report.findings == ()
     assert report.sent == sent
     return report
--- a/tests/integration/test_burst.py
+++ b/tests/integration/test_burst.py
@@ -3,6 +3,7 @@
 from standins import caller
 from standins import checker
 from standins import fleet
+from standins import fleet_plans
 from standins import ledger
 
 _LIMIT = 6
@@ -23,7 +24,7 @@
         'pipeline_id': 'answers',
         'limits': {'max_in_flight': _LIMIT},
     }
-    plan = fleet.FleetPlan(hosts=3, contracts=(contract,))
+    plan = fleet_plans.FleetPlan(hosts=3, contracts=(contract,))
     with fleet.Fleet(plan) as running:
         sender = running.start_caller(
             (
@@ -56,7 +57,7 @@
 ) -> caller.Load:
     return caller.Load(
         member_id,
-        fleet.TOKENS_BY_MEMBER[member_id],
+        fleet_plans.TOKENS_BY_MEMBER[member_id],
         'limited',
         rate_per_s,
         count,
--- a/tests/integration/test_caller_bounds.py
+++ b/tests/integration/test_caller_bounds.py
@@ -9,9 +9,10 @@
 import pytest
 
 from standins import fleet
+from standins import fleet_plans
 from standins import ledger
 
-_TOKEN = fleet.TOKENS_BY_MEMBER['north']
+_TOKEN = fleet_plans.TOKENS_BY_MEMBER['north']
 _HEADERS = {'Authorization': f'Bearer {_TOKEN}'}
 _BODY = b'{"nonce": "n1"}'
 _CALLERS = {
@@ -24,7 +25,7 @@
 @pytest.fixture(scope='module', name='running')
 def fixture_running() -> Iterator[fleet.Fleet]:
     """One host with small bounds and every pool."""
-    plan = fleet.FleetPlan(hosts=1, settings={'callers': _CALLERS})
+    plan = fleet_plans.FleetPlan(hosts=1, settings={'callers': _CALLERS})
     with fleet.Fleet(plan) as running:
         yield running
         started = [
--- a/tests/integration/test_claims.py
+++ b/tests/integration/test_claims.py
@@ -12,16 +12,17 @@
 
 from standins import caller
 from standins import fleet
+from standins import fleet_plans
 from standins import ledger
 from standins import processes
 
 _LIMIT_S = 30.0
 _POOLS = (
-    fleet.PoolPlan('encoder', 1),
-    fleet.PoolPlan('retriever', 1),
-    fleet.PoolPlan('reranker', 1),
-    fleet.PoolPlan('engine', 1),
-    fleet.PoolPlan('payments', 2, service_ms=1_500.0, repeatable=False),
+    fleet_plans.PoolPlan('encoder', 1),
+    fleet_plans.PoolPlan('retriever', 1),
+    fleet_plans.PoolPlan('reranker', 1),
+    fleet_plans.PoolPlan('engine', 1),
+    fleet_plans.PoolPlan('payments', 2, service_ms=1_500.0, repeatable=False),
 )
 
 
@@ -29,9 +30,9 @@
 _SETTINGS = {'platform': {'claim_timeout_s': 6.0}}
 
 
-def plan(**changes) -> fleet.FleetPlan:
+def plan(**changes) -> fleet_plans.FleetPlan:
     fields = {'hosts': 2, 'pools': _POOLS, 'settings': _SETTINGS, **changes}
-    return fleet.FleetPlan(**fields)
+    return fleet_plans.FleetPlan(**fields)
 
 
 def payments(count: int = 1, **changes) -> tuple[caller.Load, ...]:
@@ -39,7 +40,7 @@
     return (
         caller.Load(
             'north',
-            fleet.TOKENS_BY_MEMBER['north'],
+            fleet_plans.TOKENS_BY_MEMBER['north'],
             'payments',
             count=count,
             keyed=True,
--- a/tests/integration/test_cost.py
+++ b/tests/integration/test_cost.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from standins import fleet
+from standins import fleet_plans
 from standins import ledger
 from standins import processes
 from tests.integration import test_streams
@@ -29,7 +30,9 @@
 
     The answers of the first appends are lost, so batches are repeated.
     """
-    plan = fleet.FleetPlan(hosts=2, settings={'platform': {'cost_flush_s': 1}})
+    plan = fleet_plans.FleetPlan(
+        hosts=2, settings={'platform': {'cost_flush_s': 1}}
+    )
     with fleet.Fleet(plan) as running:
         running.control_log(lose_appends=3)
         sender = running.start_caller((test_streams._load(count=30),))
--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -4,6 +4,7 @@
 
 from standins import caller
 from standins import fleet
+from standins import fleet_plans
 from standins import ledger
 
 _BOUND_S = 3.0
@@ -13,7 +14,7 @@
 def _load(entry_id: str, **fields) -> caller.Load:
     return caller.Load(
         'north',
-        fleet.TOKENS_BY_MEMBER['north'],
+        fleet_plans.TOKENS_BY_MEMBER['north'],
         entry_id,
         rate_per_s=30.0,
         count=20,
@@ -34,14 +35,14 @@
 
 def test_an_idle_target_that_leaves_gets_nothing_after_the_bound() -> None:
     """Guards against work for a target whose last word is too old."""
-    plan = fleet.FleetPlan(
+    plan = fleet_plans.FleetPlan(
         hosts=2,
         pools=(
-            fleet.PoolPlan('encoder', 2),
-            fleet.PoolPlan('retriever', 1, slots=16),
-            fleet.PoolPlan('reranker', 1, slots=16),
-            fleet.PoolPlan('engine', 2, slots=16),
-            fleet.PoolPlan('payments', 2, repeatable=False),
+            fleet_plans.PoolPlan('encoder', 2),
+            fleet_plans.PoolPlan('retriever', 1, slots=16),
+            fleet_plans.PoolPlan('reranker', 1, slots=16),
+            fleet_plans.PoolPlan('engine', 2, slots=16),
+            fleet_plans.PoolPlan('payments', 2, repeatable=False),
         ),
         list_lag_s=1_000.0,
         # No regular poll tells the hosts within the test.
--- a/tests/integration/test_membership.py
+++ b/tests/integration/test_membership.py
@@ -14,15 +14,16 @@
 
 from standins import caller
 from standins import fleet
+from standins import fleet_plans
 from standins import ledger
 from standins import processes
 
 POOLS = (
-    fleet.PoolPlan('encoder', 2),
-    fleet.PoolPlan('retriever', 1, slots=16, service_ms=2.0),
-    fleet.PoolPlan('reranker', 1, slots=16, service_ms=2.0),
-    fleet.PoolPlan('engine', 1, slots=32),
-    fleet.PoolPlan('payments', 1, repeatable=False),
+    fleet_plans.PoolPlan('encoder', 2),
+    fleet_plans.PoolPlan('retriever', 1, slots=16, service_ms=2.0),
+    fleet_plans.PoolPlan('reranker', 1, slots=16, service_ms=2.0),
+    fleet_plans.PoolPlan('engine', 1, slots=32),
+    fleet_plans.PoolPlan('payments', 1, repeatable=False),
 )
 CONTRACT = {
     'entry_id': 'extra',
@@ -65,7 +66,7 @@
 def exchange(connection, entry_id: str, nonce: str, request_id='') -> tuple:
     """Send a request on a connection and return status and answer."""
     headers = {
-        'authorization': f'Bearer {fleet.TOKENS_BY_MEMBER["north"]}',
+        'authorization': f'Bearer {fleet_plans.TOKENS_BY_MEMBER["north"]}',
         'walnutport-request-id': request_id or nonce,
         'walnutport-deadline-ms': '20000',
     }
@@ -79,7 +80,7 @@
     """Return a load of the member ``north``."""
     return caller.Load(
         'north',
-        fleet.TOKENS_BY_MEMBER['north'],
+        fleet_plans.TOKENS_BY_MEMBER['north'],
         entry_id,
         rate_per_s,
         count,
@@ -104,7 +105,7 @@
 @pytest.fixture(scope='module')
 def running() -> Iterator[fleet.Fleet]:
     """A fleet whose host list lags for the whole test."""
-    plan = fleet.FleetPlan(
+    plan = fleet_plans.FleetPlan(
         hosts=3,
         pools=POOLS,
         list_lag_s=1_000.0,
@@ -259,10 +260,10 @@
 @pytest.mark.parametrize('limit_s', [0.3, 30.0])
 def test_a_stop_that_cannot_finish_says_so(limit_s: float) -> None:
     """Guards against an exit code 0 although a call was cut."""
-    plan = fleet.FleetPlan(
+    plan = fleet_plans.FleetPlan(
         hosts=1,
         pools=tuple(
-            fleet.PoolPlan(pool.service, 1, service_ms=15_000.0)
+            fleet_plans.PoolPlan(pool.service, 1, service_ms=15_000.0)
             for pool in POOLS
         ),
         settings={'callers': {'drain_limit_s': limit_s}},
--- a/tests/integration/test_operators.py
+++ b/tests/integration/test_operators.py
@@ -11,6 +11,7 @@
 
 from standins import caller
 from standins import fleet
+from standins import fleet_plans
 from standins import ledger
 from standins import processes
 from walnutport.metrics import families
@@ -20,14 +21,14 @@
 
 @pytest.fixture(scope='module')
 def running():
-    plan = fleet.FleetPlan(
+    plan = fleet_plans.FleetPlan(
         hosts=2, settings={'platform': {'cost_flush_s': 0.3}}
     )
     with fleet.Fleet(plan) as started:
         loads = tuple(
             caller.Load(
                 member_id='north',
-                token=fleet.TOKENS_BY_MEMBER['north'],
+                token=fleet_plans.TOKENS_BY_MEMBER['north'],
                 entry_id=entry,
                 rate_per_s=20.0,
                 count=12,
--- a/tests/integration/test_orders.py
+++ b/tests/integration/test_orders.py
@@ -7,6 +7,7 @@
 
 from standins import caller
 from standins import fleet
+from standins import fleet_plans
 from standins import ledger
 from standins import processes
 from standins import weight_server
@@ -15,13 +16,18 @@
 _LIMIT_S = 30.0
 
 
-def _plan() -> fleet.FleetPlan:
-    return fleet.FleetPlan(
+def _plan() -> fleet_plans.FleetPlan:
+    return fleet_plans.FleetPlan(
         hosts=2,
         pools=(
-            *(fleet.PoolPlan(name, 1) for name in ('encoder', 'retriever')),
-            fleet.PoolPlan('reranker', 1),
-            fleet.PoolPlan('engine', 2, engine=True, checks_fencing=False),
+            *(
+                fleet_plans.PoolPlan(name, 1)
+                for name in ('encoder', 'retriever')
+            ),
+            fleet_plans.PoolPlan('reranker', 1),
+            fleet_plans.PoolPlan(
+                'engine', 2, engine=True, checks_fencing=False
+            ),
         ),
         settings={
             'orders': {
@@ -130,7 +136,7 @@
             tuple(
                 caller.Load(
                     member_id='north',
-                    token=fleet.TOKENS_BY_MEMBER['north'],
+                    token=fleet_plans.TOKENS_BY_MEMBER['north'],
                     entry_id='summaries',
                     rate_per_s=10.0,
                     count=5,
--- a/tests/integration/test_priority.py
+++ b/tests/integration/test_priority.py
@@ -4,13 +4,14 @@
 
 from standins import caller
 from standins import fleet
+from standins import fleet_plans
 from standins import ledger
 
 
 def _load(entry_id: str, start_s: float, count: int) -> caller.Load:
     return caller.Load(
         'north',
-        fleet.TOKENS_BY_MEMBER['north'],
+        fleet_plans.TOKENS_BY_MEMBER['north'],
         entry_id,
         rate_per_s=1_000.0,
         count=count,
@@ -37,14 +38,14 @@
 
 def test_the_class_weight_goes_first_at_the_engine() -> None:
     """Guards against a priority that is lost on the way to the engine."""
-    plan = fleet.FleetPlan(
+    plan = fleet_plans.FleetPlan(
         hosts=2,
         pools=(
             *(
-                fleet.PoolPlan(name, 1, slots=16, service_ms=1.0)
+                fleet_plans.PoolPlan(name, 1, slots=16, service_ms=1.0)
                 for name in ('encoder', 'retriever', 'reranker')
             ),
-            fleet.PoolPlan('engine', 1, slots=1, service_ms=1_000.0),
+            fleet_plans.PoolPlan('engine', 1, slots=1, service_ms=1_000.0),
         ),
         settings={'policies': {'policy': 'naive'}},
         contracts=(
--- a/tests/integration/test_streams.py
+++ b/tests/integration/test_streams.py
@@ -8,6 +8,7 @@
 
 from standins import caller
 from standins import fleet
+from standins import fleet_plans
 from standins import ledger
 from standins import processes
 
@@ -17,7 +18,7 @@
 def _load(**changes) -> caller.Load:
     fields = {
         'member_id': 'north',
-        'token': fleet.TOKENS_BY_MEMBER['north'],
+        'token': fleet_plans.TOKENS_BY_MEMBER['north'],
         'entry_id': 'summaries',
         'rate_per_s': 20.0,
         'count': 60,
@@ -44,11 +45,11 @@
 def test_engine_killed_in_mid_stream() -> None:
     """Guards against lost or repeated events when a stream is resumed."""
     pools = (
-        *(fleet.PoolPlan(name, 2) for name in ('encoder', 'retriever')),
-        fleet.PoolPlan('reranker', 2),
-        fleet.PoolPlan('engine', 3, slots=32, events=40, event_ms=20.0),
+        *(fleet_plans.PoolPlan(name, 2) for name in ('encoder', 'retriever')),
+        fleet_plans.PoolPlan('reranker', 2),
+        fleet_plans.PoolPlan('engine', 3, slots=32, events=40, event_ms=20.0),
     )
-    with fleet.Fleet(fleet.FleetPlan(hosts=2, pools=pools)) as running:
+    with fleet.Fleet(fleet_plans.FleetPlan(hosts=2, pools=pools)) as running:
         sender = running.start_caller((_load(),))
         _wait_for(
             lambda: _count(running, ledger.EventKind.STARTED, 'generate') >= 25
@@ -100,7 +101,7 @@
     head = (
         'POST /v1/entries/summaries HTTP/1.1\r\nhost: test\r\n'
         'accept: text/event-stream\r\n'
-        f'authorization: Bearer {fleet.TOKENS_BY_MEMBER["north"]}\r\n'
+        f'authorization: Bearer {fleet_plans.TOKENS_BY_MEMBER["north"]}\r\n'
         f'walnutport-deadline-ms: {deadline_ms}\r\n'
         f'content-length: {len(body)}\r\n\r\n'
     )
@@ -109,12 +110,17 @@
 
 
 def _engine_plan(events: int, event_ms: float, settings=None):
-    return fleet.FleetPlan(
+    return fleet_plans.FleetPlan(
         hosts=1,
         pools=(
-            *(fleet.PoolPlan(name, 1) for name in ('encoder', 'retriever')),
-            fleet.PoolPlan('reranker', 1),
-            fleet.PoolPlan('engine', 1, events=events, event_ms=event_ms),
+            *(
+                fleet_plans.PoolPlan(name, 1)
+                for name in ('encoder', 'retriever')
+            ),
+            fleet_plans.PoolPlan('reranker', 1),
+            fleet_plans.PoolPlan(
+                'engine', 1, events=events, event_ms=event_ms
+            ),
         ),
         settings=settings or {},
     )
--- a/tests/integration/test_target_faults.py
+++ b/tests/integration/test_target_faults.py
@@ -8,14 +8,15 @@
 
 from standins import caller
 from standins import fleet
+from standins import fleet_plans
 from standins import ledger
 from standins import processes
 
 POOLS = (
-    fleet.PoolPlan('encoder', 6),
-    fleet.PoolPlan('retriever', 3),
-    fleet.PoolPlan('reranker', 2),
-    fleet.PoolPlan('engine', 2, events=1),
+    fleet_plans.PoolPlan('encoder', 6),
+    fleet_plans.PoolPlan('retriever', 3),
+    fleet_plans.PoolPlan('reranker', 2),
+    fleet_plans.PoolPlan('engine', 2, events=1),
 )
 KILLER = b'{"nonce": "killer", "crash": true}'
 LIMIT_S = 20.0
@@ -25,7 +26,7 @@
     """Return a load with a deadline that only a lost request misses."""
     return caller.Load(
         member_id='north',
-        token=fleet.TOKENS_BY_MEMBER['north'],
+        token=fleet_plans.TOKENS_BY_MEMBER['north'],
         entry_id='summaries',
         rate_per_s=rate_per_s,
         count=count,
@@ -39,7 +40,7 @@
         f'http://{address}/v1/entries/{entry}',
         data=body,
         headers={
-            'authorization': f'Bearer {fleet.TOKENS_BY_MEMBER["north"]}',
+            'authorization': f'Bearer {fleet_plans.TOKENS_BY_MEMBER["north"]}',
             'content-type': 'application/json',
             'walnutport-deadline-ms': '20000',
         },
@@ -82,7 +83,7 @@
     running.publish(
         [
             record
-            for record in fleet.example_catalogue((barrier,))
+            for record in fleet_plans.example_catalogue((barrier,))
             if record['name'] == 'barrier'
         ]
     )
@@ -96,7 +97,7 @@
 
 def test_targets_are_killed_and_started_again_under_load() -> None:
     """Guards against requests lost with a target, or doubled by retries."""
-    with fleet.Fleet(fleet.FleetPlan(hosts=2, pools=POOLS)) as running:
+    with fleet.Fleet(fleet_plans.FleetPlan(hosts=2, pools=POOLS)) as running:
         sender = running.start_caller((load(240, 60.0),))
         for target_id in ('retriever-1', 'engine-2'):
             before = count_events(running, 'started', target_id)
@@ -117,7 +118,7 @@
 
 def test_a_crashing_request_costs_two_targets() -> None:
     """Guards against a request that ends target after target."""
-    with fleet.Fleet(fleet.FleetPlan(pools=POOLS)) as running:
+    with fleet.Fleet(fleet_plans.FleetPlan(pools=POOLS)) as running:
         hosts = list(running.caller_addresses_by_host.values())
         first = post(hosts[0], KILLER)
         wait_until_read(running)
@@ -139,7 +140,7 @@
 
 def test_copies_at_the_same_moment_on_one_host() -> None:
     """Guards against copies that end targets before the first death shows."""
-    with fleet.Fleet(fleet.FleetPlan(hosts=1, pools=POOLS)) as running:
+    with fleet.Fleet(fleet_plans.FleetPlan(hosts=1, pools=POOLS)) as running:
         (host,) = running.caller_addresses_by_host.values()
         with concurrent.futures.ThreadPoolExecutor(20) as executor:
             answers = list(executor.map(post, [host] * 20, [KILLER] * 20))
@@ -150,7 +151,7 @@
 
 def test_a_slow_target_does_not_cost_answers() -> None:
     """Guards against a slow target that keeps its share of the work."""
-    with fleet.Fleet(fleet.FleetPlan(hosts=2, pools=POOLS)) as running:
+    with fleet.Fleet(fleet_plans.FleetPlan(hosts=2, pools=POOLS)) as running:
         running.control_target('retriever-1', slowdown=10.0)
         sender = running.start_caller((load(240, 60.0),))
         assert sender.process is not None
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -2,11 +2,12 @@
 
 from standins import caller
 from standins import fleet
+from standins import fleet_plans
 
 
 def test_requests_are_answered_whole() -> None:
     """Guards against lost, doubled or crossed answers without any fault."""
-    plan = fleet.FleetPlan(hosts=2)
+    plan = fleet_plans.FleetPlan(hosts=2)
     with fleet.Fleet(plan) as running:
         sender = running.start_caller(
             tuple(
@@ -18,7 +19,7 @@
                     count=15,
                     deadline_ms=20_000,
                 )
-                for member_id, token in fleet.TOKENS_BY_MEMBER.items()
+                for member_id, token in fleet_plans.TOKENS_BY_MEMBER.items()
             )
         )
         assert sender.process is not None
--- a/tests/standins/test_checker.py
+++ b/tests/standins/test_checker.py
@@ -7,11 +7,12 @@
 
 from standins import checker
 from standins import fleet
+from standins import fleet_plans
 from standins import ledger
 from tests.integration import faults
 
 _COUNTS = ('lost', 'doubled', 'misdelivered', 'false_not_run')
-_TRACE = fleet.STAGES_BY_ENTRY['payments']
+_TRACE = fleet_plans.STAGES_BY_ENTRY['payments']
 _CLOCK = itertools.count()
 
 
@@ -89,7 +90,7 @@
 def test_fabricated_events(name: str) -> None:
     """Guards against a checker that misses a breach or finds a false one."""
     events, wanted = CASES[name]
-    report = checker.check(events, fleet.STAGES_BY_ENTRY)
+    report = checker.check(events, fleet_plans.STAGES_BY_ENTRY)
     assert tuple(getattr(report, item) for item in _COUNTS) == wanted
     assert report.is_clean == (not any(wanted))
 
@@ -97,7 +98,7 @@
 @pytest.fixture(scope='module', name='running')
 def fixture_running() -> Iterator[fleet.Fleet]:
     """Targets behind a relay that answers wrongly, and no host."""
-    with fleet.Fleet(fleet.FleetPlan(hosts=0)) as running:
+    with fleet.Fleet(fleet_plans.FleetPlan(hosts=0)) as running:
         running.start_naive_relay('naive', 'payments')
         yield running
 
--- a/walnutport/interfaces.py
+++ b/walnutport/interfaces.py
@@ -12,14 +12,26 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
-import enum
 from typing import Any, Protocol, TYPE_CHECKING
 
 from expression import Result
 
 from walnutport import exceptions
-from walnutport.lifecycle import answers
+from walnutport.gates import ClaimGate
+from walnutport.gates import ClaimGrant
+from walnutport.gates import ClaimIdentity
+from walnutport.gates import ClaimRefusal
+from walnutport.gates import PermitGate
+from walnutport.gates import PermitRefusal
 from walnutport.peer import messages
+from walnutport.policy_types import AttemptResult
+from walnutport.policy_types import AttemptStatus
+from walnutport.policy_types import Decision
+from walnutport.policy_types import DecisionKind
+from walnutport.policy_types import RetryDecision
+from walnutport.policy_types import RouteQuery
+from walnutport.policy_types import SuspicionState
+from walnutport.policy_types import Ticket
 from walnutport import world
 
 if TYPE_CHECKING:
@@ -142,42 +154,6 @@
 # Policies
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ticket:
-    """A request that asks a queue for leave to go on.
-
-    :param cost: slots that the request takes.
-    :param deadline: monotonic time in seconds.
-    :param stages_passed: finished stages; such work goes before new work.
-    """
-
-    ticket_id: str
-    entry_id: str
-    member_id: str
-    class_id: str
-    deadline: float
-    cost: int = 1
-    stages_passed: int = 0
-
-
-class DecisionKind(enum.StrEnum):
-    """What a queue decided about a ticket."""
-
-    GRANTED = 'granted'
-    QUEUED = 'queued'
-    REFUSED = 'refused'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Decision:
-    """Decision of a queue about one ticket."""
-
-    ticket_id: str
-    kind: DecisionKind
-    reason: str = ''
-    retry_after_s: float = 0.0
-
-
 class AdmissionQueue(Protocol):
     """Bounds the work in one place: an entry of the catalogue or a pool."""
 
@@ -261,58 +237,6 @@
         """Bring capacities up to date."""
 
 
-class AttemptStatus(enum.StrEnum):
-    """How an attempt on a target ended."""
-
-    OK = 'ok'
-    NOT_SENT = 'not_sent'
-    REFUSED = 'refused'
-    FAILED = 'failed'
-    LOST = 'lost'
-    TIMED_OUT = 'timed_out'
-    CANCELLED = 'cancelled'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AttemptResult:
-    """End of an attempt.
-
-    :param latency_s: time from the start of the attempt in seconds.
-    :param target_died: whether the connection was lost and the target then
-        refused a connection or came back with another incarnation.
-    """
-
-    attempt_id: str
-    target_id: str
-    service: str
-    status: AttemptStatus
-    latency_s: float
-    tokens: int = 0
-    load: world.LoadReport | None = None
-    target_died: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RouteQuery:
-    """What a router needs to know of an attempt.
-
-    :param prefix_digests: digests of growing prompt prefixes, shortest
-        first, for prefix-cache affinity.
-    :param excluded: targets that this request has tried already.
-    :param isolated: whether the attempt must be the only suspect there.
-    :param content: digest of the request's content; equal contents prefer
-        the same target, so that copies of a crashing request meet there.
-    """
-
-    service: str
-    deadline: float
-    model: str = ''
-    prefix_digests: tuple[bytes, ...] = ()
-    excluded: frozenset[str] = frozenset()
-    isolated: bool = False
-    content: bytes = b''
-
-
 class Router(Protocol):
     """Chooses the target of an attempt and learns from its end."""
 
@@ -341,18 +265,6 @@
         """Replace the set of known targets."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RetryDecision:
-    """Whether and when to try again.
-
-    :param delay_s: time to wait before the next attempt in seconds.
-    """
-
-    retry: bool
-    delay_s: float = 0.0
-    reason: str = ''
-
-
 class RetryPolicy(Protocol):
     """Decides on retries within a budget."""
 
@@ -383,14 +295,6 @@
         """Take one hedge out of the budget."""
 
 
-class SuspicionState(enum.StrEnum):
-    """Standing of a content digest."""
-
-    CLEAR = 'clear'
-    SUSPECT = 'suspect'
-    QUARANTINED = 'quarantined'
-
-
 class Quarantine(Protocol):
     """Finds requests that crash the targets that run them."""
 
@@ -457,63 +361,3 @@
 
         ``page.expired`` tells that records before it are gone.
         """
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimIdentity:
-    """Identity of a request that must run at most once."""
-
-    member_id: str
-    entry_id: str
-    key: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimGrant:
-    """The caller of the gate owns the run of the request."""
-
-    claim_id: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimRefusal:
-    """The request may not run here; ``answer`` is what to tell the caller."""
-
-    answer: answers.Answer
-
-
-class ClaimGate(Protocol):
-    """Grants the sole run of a request that must run at most once."""
-
-    def claim(
-        self, identity: ClaimIdentity, body_digest: bytes, deadline: float
-    ) -> Deferred[Result[ClaimGrant, ClaimRefusal]]:
-        """Claim the run, or join the run that owns the identity."""
-
-    def finish(self, claim_id: str, answer: answers.Answer) -> None:
-        """Store the final answer of a granted run.
-
-        An answer with outcome ``not_run`` releases the claim.
-        """
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PermitRefusal:
-    """The suspect may not run now.
-
-    :param retry_after_s: when the caller may try again in seconds.
-    """
-
-    retry_after_s: float
-
-
-class PermitGate(Protocol):
-    """Grants the sole run of a suspect content over the fleet."""
-
-    def acquire(
-        self, digest: bytes, deadline: float
-    ) -> Deferred[Result[str, PermitRefusal]]:
-        """Ask for a permit; the result is its id."""
-
-    def release(self, permit_id: str, digest: bytes) -> None:
-        """End the run under a permit."""
