Keep room in the stage queues for teams within their fair share

Cause: a team that sends many times its usual traffic filled the queue of a stage service up to the aim; the requests of all teams were then refused as they came.

Teams within their share may use the queue to its end, teams that took more than theirs leave 30% of the aim free. Without refusals nothing changes.

Conclusion: a burst of one team costs that team.

--- a/tests/stages/builders.py
+++ b/tests/stages/builders.py
@@ -48,6 +48,8 @@
     aim_s: float = 1.0,
     deadline_s: float = 5.0,
     final_s: float = 0.2,
+    team: str = 'north',
+    returned: bool = False,
 ) -> pieces.JobOrder:
     """Return a job."""
     return pieces.JobOrder(
@@ -60,5 +62,6 @@
         aim_s=aim_s,
         deadline_s=deadline_s,
         final_s=final_s,
-        team='north',
+        team=team,
+        returned=returned,
     )
--- /dev/null
+++ b/tests/stages/test_team_shares.py
@@ -0,0 +1,109 @@
+"""Tests of the shares of teams in the stage targets."""
+
+import math
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.stages import builders
+from walnutport.stages import scheduler
+from walnutport.stages import team_shares
+
+Standing = team_shares.Standing
+
+
+def test_level_leaves_small_demands_whole():
+    """Guards against equal cuts, which starve those who ask for little."""
+    assert team_shares.fair_level([1.0, 1.0, 20.0], 10.0) == 8.0
+    assert team_shares.fair_level([1.0, 2.0], 10.0) == math.inf
+    assert team_shares.fair_level([9.0, 9.0], 10.0) == 5.0
+
+
+@given(
+    st.lists(st.floats(0.0, 100.0), min_size=1, max_size=20),
+    st.floats(0.1, 200.0),
+)
+def test_level_gives_out_what_there_is(demands, capacity):
+    """Guards against capacity that is idle while a team is held to a share."""
+    level = team_shares.fair_level(demands, capacity)
+    given_out = sum(min(demand, level) for demand in demands)
+    if level == math.inf:
+        assert given_out <= capacity * 1.000001
+    else:
+        assert abs(given_out - capacity) < 1e-6 * capacity
+
+
+def test_burst_makes_one_team_over_and_the_others_under():
+    """Replays a team that asks for four times what a target does."""
+    shares = team_shares.TeamShares()
+    for step in range(100):
+        now = step * 0.05
+        shares.asked('north', {'encode': 0.2}, now)
+        shares.taken('north', {'encode': 0.04}, now)
+        shares.asked('south', {'encode': 0.01}, now)
+        shares.taken('south', {'encode': 0.01}, now)
+    slots = {'encode': 1.0}
+    assert shares.standing('north', slots, now) is Standing.FAIR
+    shares.taken('north', {'encode': 1.0}, now)
+    assert shares.standing('north', slots, now) is Standing.OVER
+    assert shares.standing('south', slots, now) is Standing.UNDER
+    assert shares.standing('east', slots, now) is Standing.UNDER
+
+
+def test_without_contention_teams_are_alike():
+    """Guards against a share that holds a team to it on idle targets."""
+    shares = team_shares.TeamShares()
+    shares.asked('north', {'encode': 1.0}, 0.0)
+    shares.taken('north', {'encode': 1.0}, 0.0)
+    for team in ('north', 'south'):
+        assert shares.standing(team, {'encode': 4.0}, 0.0) is Standing.FAIR
+
+
+def test_burst_is_forgotten_after_its_end():
+    """Guards against a team that pays for a burst long after it."""
+    shares = team_shares.TeamShares()
+    for team in ('north', 'south'):
+        shares.asked(team, {'encode': 9.0}, 0.0)
+    shares.taken('north', {'encode': 9.0}, 0.0)
+    slots = {'encode': 1.0}
+    assert shares.standing('north', slots, 0.0) is Standing.OVER
+    later = 5 * team_shares.WINDOW_S
+    assert shares.standing('north', slots, later) is Standing.FAIR
+
+
+def test_burst_of_one_team_does_not_refuse_the_others():
+    """Replays 6 s in which one team asks for three times the capacity.
+
+    Two targets do some 33 pieces/s each in full calls. North sends 100
+    requests/s of two pieces, south and east 4 each, which is well below a
+    third of what there is.
+    """
+    cell = scheduler.StageScheduler()
+    targets = [builders.target(f't{number}') for number in range(2)]
+    cell.update_targets(builders.RULES, targets, 0.0)
+    busy: list = []
+    sent = {'north': 0, 'south': 0, 'east': 0}
+    taken = {'north': 0, 'south': 0, 'east': 0}
+    team_by_job: dict[str, str] = {}
+    for step in range(600):
+        now = step * 0.01
+        for end, call in [entry for entry in busy if entry[0] <= now]:
+            busy.remove((end, call))
+            handles = [f'{call.call_id}/{n}' for n in range(len(call.work))]
+            cell.call_done(call.call_id, handles, now)
+        teams = ['north']
+        if step % 25 == 0:
+            teams += ['south', 'east']
+        for team in teams:
+            order = builders.order(f'{team}-{step}', team=team)
+            sent[team] += 1
+            if cell.submit(order, now) is None:
+                taken[team] += 1
+                team_by_job[order.job_id] = team
+        for outcome in cell.take_outcomes():
+            cell.release(outcome.job_id)
+        for call in cell.next_calls(now):
+            busy.append((now + 0.16 + 0.02 * len(call.work), call))
+    assert taken['north'] < 0.6 * sent['north'], 'the targets are overloaded'
+    for team in ('south', 'east'):
+        assert taken[team] >= 0.95 * sent[team]
--- a/walnutport/stages/admission.py
+++ b/walnutport/stages/admission.py
@@ -10,6 +10,7 @@
 from walnutport.stages import forecast
 from walnutport.stages import jobs
 from walnutport.stages import pieces
+from walnutport.stages import team_shares
 
 __all__ = ['judge', 'retry_after_s']
 
@@ -19,9 +20,13 @@
 # Part of the time left for the aim that a forecast must leave free under
 # load: a shorter queue serves as many and makes fewer of them late.
 AIM_MARGIN = 0.12
-# The same for a request that was refused before. It goes first, as a second
-# refusal would leave it without time for a third try.
-RETURN_MARGIN = 0.02
+# The same for a request that was refused before, as a second refusal would
+# leave it without time for a third try, and for a team that asks for less
+# than its share.
+FIRST_MARGIN = 0.02
+# The same for a team that took more than its share. Twice the usual margin
+# and more keeps room in the queue for the requests of the others.
+OVER_MARGIN = 0.3
 # Bounds of the time after which a refused caller may come back.
 LEAST_RETRY_AFTER_S = 0.2
 MOST_RETRY_AFTER_S = 4.0
@@ -30,10 +35,12 @@
 def judge(
     job: jobs.Job,
     load_of: Callable[[str], forecast.ServiceLoad | None],
+    standing: team_shares.Standing = team_shares.Standing.FAIR,
 ) -> pieces.Refusal | None:
     """Return why a job is not taken, or None if it is.
 
     :param load_of: returns the work that goes ahead of the job at a service.
+    :param standing: demand of the job's team against its share.
     """
     order = job.order
     found = forecast.forecast_job(job, load_of)
@@ -42,13 +49,22 @@
     total_s = found.total_s + order.final_s
     if total_s > order.deadline_s:
         return pieces.Refusal('deadline', retry_after_s(found.wait_s), total_s)
-    margin = RETURN_MARGIN if order.returned else AIM_MARGIN
+    margin = _margin(order.returned, standing)
     over_s = total_s + margin * order.aim_s - order.aim_s
     if over_s > 0 and found.wait_s > FREE_WAIT_S:
         return pieces.Refusal('overload', retry_after_s(over_s), total_s)
     return None
 
 
+def _margin(returned: bool, standing: team_shares.Standing) -> float:
+    """Return the part of the time left for the aim that stays free."""
+    if standing is team_shares.Standing.OVER:
+        return AIM_MARGIN if returned else OVER_MARGIN
+    if returned or standing is team_shares.Standing.UNDER:
+        return FIRST_MARGIN
+    return AIM_MARGIN
+
+
 def retry_after_s(wait_s: float) -> float:
     """Return the wait that a caller is told, from the expected one."""
     return min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, wait_s))
--- a/walnutport/stages/backlog.py
+++ b/walnutport/stages/backlog.py
@@ -8,7 +8,7 @@
 from walnutport.stages import jobs
 from walnutport.world import routes
 
-__all__ = ['Backlog', 'piece_cost_s']
+__all__ = ['Backlog', 'cost_by_service', 'piece_cost_s']
 
 
 class Backlog:
@@ -22,17 +22,7 @@
     ) -> None:
         """Bring what is counted of a job up to date."""
         order = job.order
-        left: dict[str, float] = {}
-        for stage in job.stages:
-            service = order.stages[stage].service
-            rules = rules_by_service.get(service)
-            if job.finished or rules is None:
-                continue
-            count = job.open_pieces(stage)
-            if count:
-                left[service] = left.get(service, 0.0) + (
-                    count * piece_cost_s(job, stage, rules)
-                )
+        left = cost_by_service(job, rules_by_service)
         for service in left.keys() | job.committed_s.keys():
             by_rank = self._seconds.setdefault(service, {})
             change = left.get(service, 0.0) - job.committed_s.get(service, 0.0)
@@ -52,6 +42,24 @@
         )
 
 
+def cost_by_service(
+    job: jobs.Job, rules_by_service: dict[str, routes.BatchRules]
+) -> dict[str, float]:
+    """Return the seconds of work that a job still has to start."""
+    found: dict[str, float] = {}
+    if job.finished:
+        return found
+    for stage in job.stages:
+        service = job.order.stages[stage].service
+        rules = rules_by_service.get(service)
+        count = job.open_pieces(stage)
+        if rules is not None and count:
+            found[service] = found.get(service, 0.0) + (
+                count * piece_cost_s(job, stage, rules)
+            )
+    return found
+
+
 def piece_cost_s(job: jobs.Job, stage: int, rules: routes.BatchRules) -> float:
     """Return the seconds of one target that a piece takes under load.
 
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -17,6 +17,7 @@
 from walnutport.stages import jobs
 from walnutport.stages import pieces
 from walnutport.stages import stage_targets
+from walnutport.stages import team_shares
 from walnutport.stages import timing
 from walnutport.world import routes
 from walnutport.world import workers
@@ -52,6 +53,7 @@
     def __init__(self) -> None:
         self._targets = cell_targets.CellTargets()
         self._backlog = backlog.Backlog()
+        self._shares = team_shares.TeamShares()
         self._job_by_id: dict[str, jobs.Job] = {}
         self._call_by_id: dict[int, stage_targets.RunningCall] = {}
         # Jobs with pieces that wait, by service.
@@ -93,11 +95,19 @@
     ) -> pieces.Refusal | None:
         """Take a job or say why not."""
         job = jobs.Job(order, now)
+        cost_by_service = backlog.cost_by_service(
+            job, self._targets.rules_by_service
+        )
+        if not order.returned:
+            self._shares.asked(order.team, cost_by_service, now)
         refusal = admission.judge(
-            job, lambda service: self._load(service, order.urgency, now)
+            job,
+            lambda service: self._load(service, order.urgency, now),
+            self._standing(order.team, cost_by_service, now),
         )
         if refusal is not None:
             return refusal
+        self._shares.taken(order.team, cost_by_service, now)
         self._job_by_id[order.job_id] = job
         self._settle(job, now)
         return None
@@ -205,6 +215,17 @@
         for job in call.jobs():
             self._settle(job, now)
 
+    def _standing(
+        self, team: str, services: Iterable[str], now: float
+    ) -> team_shares.Standing:
+        """Return the standing of a team at some services."""
+        slots_by_service = {}
+        for service in services:
+            capacity = self._targets.capacity(service, now)
+            if capacity is not None:
+                slots_by_service[service] = capacity.slots / capacity.slowness
+        return self._shares.standing(team, slots_by_service, now)
+
     def _load(
         self, service: str, urgency: int, now: float
     ) -> forecast.ServiceLoad | None:
