Declare the lines of the decision log in one module

Cause: names and fields of log lines stood at some 40 places, and the list in docs/OPERATIONS.md was written by hand; a renamed field was noticed by nobody. gateway/events.py declares each line with its fields; tools/events_table.py writes the list; a test compares every call that logs with it, and the integration tests compare every line that their hosts wrote. The refusal of a stage job names the standing of the team, which decides it since the shares.

Ruled out: a class for each line (40 classes for as many call sites); checking each line in the host (processor time for what tests find).

Conclusion: one place to look up a line, kept by tests.

--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -1,8 +1,13 @@
 """Checks the operators' page against the program."""
 
+import ast
 import pathlib
 import re
 
+from tools import events_table
+from walnutport.gateway import events
+from walnutport.membership import registry
+
 ROOT = pathlib.Path(__file__).parents[2]
 PAGE = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
 SOURCES = ''.join(
@@ -12,17 +17,63 @@
 )
 
 
-def test_every_event_is_on_the_page():
+def _names(node: ast.expr) -> list[str]:
+    """Return the names that the first argument of a call can have."""
+    if isinstance(node, ast.Constant):
+        return [str(node.value)]
+    if isinstance(node, ast.IfExp):
+        return _names(node.body) + _names(node.orelse)
+    if isinstance(node, ast.BinOp):
+        assert ast.literal_eval(node.left) == 'target_'
+        return ['target_' + change for change in registry.CHANGES]
+    raise AssertionError(f'line {node.lineno}: name cannot be found out')
+
+
+def _logged() -> list[tuple[str, set[str], bool]]:
+    """Return name and fields of each line that the program writes.
+
+    :returns: with each, whether more fields may come with ``**``.
+    """
+    found = []
+    for path in sorted((ROOT / 'walnutport' / 'gateway').glob('*.py')):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call):
+                continue
+            name = getattr(node.func, 'attr', getattr(node.func, 'id', ''))
+            logs = name in ('notable', 'routine', 'write')
+            if not logs or not any(item.arg for item in node.keywords):
+                continue
+            fields = {item.arg for item in node.keywords if item.arg}
+            more = any(item.arg is None for item in node.keywords)
+            found += [(each, fields, more) for each in _names(node.args[0])]
+    return found
+
+
+def test_every_line_is_written_as_it_is_declared():
     """Guards against log lines that nobody can look up."""
-    events = set(re.findall(r"\.(?:notable|routine)\(\s*'([a-z_]+)'", SOURCES))
-    events |= set(
-        re.findall(r"'((?:repeat|fit|unfit)[a-z_]*)' (?:if|else)", SOURCES)
-    )
-    events |= {'finished', 'target_gone', 'target_restarted', 'log_dropped'}
-    missing = {
-        event for event in events - {'target_'} if f'`{event}`' not in PAGE
-    }
-    assert not missing
+    written = {}
+    for name, fields, more in _logged():
+        event = events.EVENT_BY_NAME[name]
+        assert fields <= {*event.fields, *event.optional}, name
+        assert more or fields >= set(event.fields), name
+        written[name] = fields
+    # These have no field or are written by the log itself.
+    written |= dict.fromkeys(('reloaded', 'log_dropped'))
+    assert written.keys() == events.EVENT_BY_NAME.keys()
+
+
+def test_the_page_lists_the_declared_lines():
+    """Guards against a list that was not written anew."""
+    assert events_table.replace_table(PAGE) == PAGE
+
+
+def test_undeclared_lines_are_found():
+    """Guards against a check of played logs that accepts anything."""
+    good = {'time': 1.0, 'host': 'h', 'event': 'peer_lost', 'peer': 'a'}
+    assert not events.problems(good)
+    assert events.problems({**good, 'event': 'peer_left'})
+    assert events.problems({**good, 'extra': 1})
+    assert events.problems({'event': 'peer_lost'})
 
 
 def test_every_metric_is_in_the_program():
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -11,6 +11,7 @@
 
 from standins import platform_site
 from standins import processes
+from walnutport.gateway import events
 
 IP = '127.0.0.1'
 HOST = 'calls.example'
@@ -139,6 +140,14 @@
             self.add_host()
         return self
 
+    def __exit__(self, *exc_info) -> bool | None:
+        result = super().__exit__(*exc_info)
+        if exc_info[0] is None:
+            for host in range(len(self.hosts)):
+                for line in self.log_lines(host):
+                    assert not events.problems(line), line
+        return result
+
     def add_host(self) -> None:
         """Start one more entry host and wait until it is ready."""
         number = len(self.hosts)
--- a/walnutport/gateway/front.py
+++ b/walnutport/gateway/front.py
@@ -135,6 +135,7 @@
                     forecast_s=round(problem.forecast_s, 3),
                     aim_left_s=round(call.aim_at - time.monotonic(), 3),
                     returned=call.returned,
+                    team_standing=problem.standing,
                 )
                 return
             call.stages_s = time.monotonic() - now
--- a/walnutport/gateway/stage_client.py
+++ b/walnutport/gateway/stage_client.py
@@ -29,22 +29,23 @@
 class StagesRefusedError(exceptions.WalnutportError):
     """The stages of a request were refused or given up.
 
-    :param started: whether any stage was taken on before.
     :param forecast_s: when the owner expected the answer; 0 if unknown.
+    :param standing: demand of the team against its share, as the owner saw
+        it; empty if unknown.
     """
 
     def __init__(
         self,
         reason: str,
         retry_after_s: float,
-        started: bool,
         forecast_s: float = 0.0,
+        standing: str = '',
     ) -> None:
         super().__init__(reason)
         self.reason = reason
-        self.forecast_s = forecast_s
         self.retry_after_s = retry_after_s
-        self.started = started
+        self.forecast_s = forecast_s
+        self.standing = standing
 
 
 class StageClient:
@@ -133,7 +134,6 @@
         :raises StagesRefusedError: when they are refused or given up.
         """
         order = run.order
-        started = False
         ends_at = time.monotonic() + order.deadline_s
         aim_at = time.monotonic() + order.aim_s
         for _ in range(MAX_SUBMITS):
@@ -152,19 +152,16 @@
                 raise StagesRefusedError(
                     reply.reason,
                     reply.retry_after_s,
-                    started,
                     reply.forecast_s,
+                    reply.standing,
                 )
             if isinstance(reply, pieces.JobFailure):
-                raise StagesRefusedError(
-                    reply.reason, reply.retry_after_s, True
-                )
+                raise StagesRefusedError(reply.reason, reply.retry_after_s)
             # The owner is lost; the stages start again elsewhere.
-            started = True
             self._log.notable(
                 'stages_resubmitted', id=order.request_id, lost_owner=owner
             )
-        raise StagesRefusedError('owners_lost', RETRY_OWNERS_LOST_S, True)
+        raise StagesRefusedError('owners_lost', RETRY_OWNERS_LOST_S)
 
     def release(self, job_id: str, cell: int, owner: str) -> None:
         """Give up a job and its results."""
--- a/walnutport/membership/registry.py
+++ b/walnutport/membership/registry.py
@@ -7,7 +7,10 @@
 from walnutport.world import feeds
 from walnutport.world import workers
 
-__all__ = ['RegistryChange', 'TargetRegistry']
+__all__ = ['CHANGES', 'RegistryChange', 'TargetRegistry']
+
+#: What can happen to a target.
+CHANGES = ('added', 'draining', 'ready', 'restarted', 'gone')
 
 # After an outage of the store, entries that lapsed meanwhile are back within
 # about two seconds if their target lives (letter of the users).
--- a/walnutport/stages/admission.py
+++ b/walnutport/stages/admission.py
@@ -52,7 +52,9 @@
     margin = _margin(order.returned, standing)
     over_s = total_s + margin * order.aim_s - order.aim_s
     if over_s > 0 and found.wait_s > FREE_WAIT_S:
-        return pieces.Refusal('overload', retry_after_s(over_s), total_s)
+        return pieces.Refusal(
+            'overload', retry_after_s(over_s), total_s, standing.value
+        )
     return None
 
 
--- a/walnutport/stages/pieces.py
+++ b/walnutport/stages/pieces.py
@@ -118,11 +118,14 @@
     """A job that is not taken.
 
     :param forecast_s: when its answer was expected.
+    :param standing: demand of its team against its share, empty where that
+        did not matter.
     """
 
     reason: str
     retry_after_s: float
     forecast_s: float
+    standing: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
