Add a fault soak of real entry hosts on the platform stand-in

Cause: the soak so far repeated property tests with new seeds; nothing played overlapping faults against running entry hosts and checked what callers get.

Ruled out: faults between hosts through the proxy (a host announces the port it listens on; pauses and kills silence it), clocks and disks (the hosts use the wall clock for log lines only and have no disk).

--- /dev/null
+++ b/bench/soak_callers.py
@@ -0,0 +1,162 @@
+"""Callers of the soak: threads that keep and reuse their connections."""
+
+import http.client
+import random
+import threading
+import time
+import urllib.error
+
+from bench import soak_checks
+from standins import platform_fleet
+from standins import processes
+
+__all__ = ['Callers', 'connect', 'send']
+
+# A balancer asks a host once a second; the soak asks more often, as its
+# rounds are short.
+READY_EVERY_S = 0.2
+DEADLINES_S = (1.0, 2.0, 4.0)
+ROUTES = ('check', 'pay', 'write', 'review')
+# Part of the requests after which a caller opens a new connection.
+RENEW_PART = 0.15
+PAUSE_S = 0.03
+# A caller gives up waiting this long after its deadline.
+PATIENCE_S = 6.0
+
+
+class Callers:
+    """Threads that send requests to the hosts that are ready."""
+
+    def __init__(
+        self, fleet: platform_fleet.PlatformFleet, seed: int, count: int
+    ) -> None:
+        self.outcomes: list[soak_checks.Outcome] = []
+        self._fleet = fleet
+        self._seed = seed
+        self._stop = threading.Event()
+        self._ready: list[int] = []
+        self._threads = [
+            threading.Thread(target=self._watch_ready, daemon=True),
+            *(
+                threading.Thread(target=self._run, args=(n,), daemon=True)
+                for n in range(count)
+            ),
+        ]
+
+    def __enter__(self) -> 'Callers':
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _watch_ready(self) -> None:
+        while not self._stop.wait(READY_EVERY_S):
+            self._ready = [
+                number
+                for number, port in enumerate(self._fleet.ready_ports)
+                if _is_ready(port)
+            ]
+
+    def _run(self, number: int) -> None:
+        rng = random.Random(f'{self._seed}-{number}')
+        connection: http.client.HTTPConnection | None = None
+        host = -1
+        sent = 0
+        while not self._stop.wait(PAUSE_S * rng.random() * 2):
+            ready = self._ready
+            if not ready:
+                continue
+            if connection is None or rng.random() < RENEW_PART:
+                if connection is not None:
+                    connection.close()
+                host = rng.choice(ready)
+                connection = connect(self._fleet.caller_ports[host])
+                reused = False
+            sent += 1
+            outcome = send(
+                connection,
+                host,
+                rng.choice(ROUTES),
+                f'{self._seed}-{number}-{sent}',
+                rng.choice(DEADLINES_S),
+                reused,
+            )
+            self.outcomes.append(outcome)
+            reused = True
+            if not outcome.whole or connection.sock is None:
+                connection.close()
+                connection = None
+        if connection is not None:
+            connection.close()
+
+
+def send(
+    connection: http.client.HTTPConnection,
+    host: int,
+    route: str,
+    request_id: str,
+    deadline_s: float,
+    reused: bool = False,
+) -> soak_checks.Outcome:
+    """Send one request and return what came of it."""
+    headers = {
+        'Host': platform_fleet.HOST,
+        'Walnutport-Request-Attempt-Id': request_id,
+        'Walnutport-Deadline-Ms': str(int(deadline_s * 1000)),
+        'Walnutport-Credential': 'key-north',
+    }
+    if route == 'review':
+        headers['Walnutport-Pieces'] = '2,3'
+        headers['Walnutport-Piece-Key'] = request_id
+    begin = time.monotonic()
+    status = 0
+    body = b''
+    whole = False
+    sealed = False
+    retry_after = None
+    try:
+        connection.request('POST', f'/{route}/x', b'body', headers)
+        reply = connection.getresponse()
+        status = reply.status
+        sealed = reply.getheader('walnutport-response-seal') is not None
+        retry_after = reply.getheader('retry-after')
+        body = reply.read()
+        whole = True
+    except (http.client.HTTPException, OSError):
+        # The outcome says that no whole answer came; the checks judge it.
+        pass
+    return soak_checks.Outcome(
+        request_id,
+        route,
+        host,
+        begin,
+        time.monotonic(),
+        deadline_s,
+        status,
+        body,
+        whole,
+        sealed,
+        retry_after,
+        reused,
+    )
+
+
+def connect(port: int) -> http.client.HTTPConnection:
+    """Return a connection to a host, opened by its first request."""
+    return http.client.HTTPConnection(
+        platform_fleet.IP, port, timeout=max(DEADLINES_S) + PATIENCE_S
+    )
+
+
+def _is_ready(port: int) -> bool:
+    try:
+        processes.http_json(
+            f'http://{platform_fleet.IP}:{port}/readiness', timeout_s=0.3
+        )
+    except (urllib.error.URLError, OSError):
+        return False
+    return True
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -29,6 +29,8 @@
     """One target.
 
     :param kind: ``plain``, ``engine`` or ``stage``.
+    :param announced_port: port that the target names in the store, where that
+        is the one of a proxy; 0 for its own.
     """
 
     target_id: str
@@ -37,6 +39,7 @@
     port: int
     data_centre: str = 'a'
     slots: int = 4
+    announced_port: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,7 +97,9 @@
         """Write what a target says of itself."""
         entry = {
             'service': plan.service,
-            'address': f'{self.settings.ip}:{plan.port}',
+            'address': (
+                f'{self.settings.ip}:{plan.announced_port or plan.port}'
+            ),
             'zone': plan.data_centre,
             'version': 'v1',
             'slots': plan.slots,
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -9,8 +9,8 @@
 
 import pytest
 
+from standins import platform_fleet
 from standins import processes
-from tests.integration import platform_fleet
 
 EVENTS = b''.join(
     b'id: %d\ndata: token %d\n\n' % (number, number) for number in range(1, 7)
--- a/tests/retries/test_window.py
+++ b/tests/retries/test_window.py
@@ -35,3 +35,34 @@
         pass
     assert not budget.take(5.0)
     assert budget.take(10.5)
+
+
+def test_outage_of_all_targets_keeps_the_budget_of_the_fleet():
+    """Replays 8 s in which every request fails at every target.
+
+    Seven hosts of unequal load share a slack of 40. One of them restarts in
+    the middle and has forgotten what it spent.
+    """
+    hosts, ratio, slack, window_s = 7, 0.2, 40.0, 10.0
+
+    def new() -> window.WindowBudget:
+        return window.WindowBudget(ratio, slack / hosts, window_s)
+
+    budgets = [new() for _ in range(hosts)]
+    firsts: list[float] = []
+    repeats: list[float] = []
+    for step in range(4000):
+        now = step * 0.005
+        if step == 1200:
+            budgets[0] = new()
+        number = step % 10
+        budget = budgets[number if number < hosts else 0]
+        budget.first(now)
+        firsts.append(now)
+        if 4.0 <= now < 12.0 and budget.take(now):
+            repeats.append(now)
+        start = now - window_s
+        recent = sum(at >= start for at in repeats)
+        allowed = ratio * sum(at >= start for at in firsts) + slack
+        assert recent <= allowed
+    assert len(repeats) > 100, 'the budget was of use'
