Await near stage targets only while full calls still meet the aim

Cause: results of several megabytes bind the next stage to their data centre, and a job waited for a busy target there until its latest start. That counted each remaining call as if it carried one piece's fixed cost only; in a burst calls leave full, so jobs used up their slack waiting and then came late.

Change: the wait ends once a full call at every remaining stage would miss the aim (timing.unhurried_start).

The test of the replay fails before and passes now.

--- a/tests/stages/test_scheduler.py
+++ b/tests/stages/test_scheduler.py
@@ -134,6 +134,35 @@
     assert moved.target_id == 'far'
 
 
+def test_near_target_is_not_awaited_at_the_cost_of_the_aim():
+    """Replays a burst in which calls leave full and near targets are busy.
+
+    Guards against a wait that counts on calls as short as those of one job:
+    the last call of the job is full and takes 0.27 s, not 0.15 s.
+    """
+    stages = (
+        builders.CHAIN[0].__class__('encode', (), 400_000),
+        builders.CHAIN[1],
+    )
+    near = builders.target('near', 'rank', 'a')
+    far = builders.target('far', 'rank', 'b')
+    cell = filled(builders.target('t1'), near, far)
+    cell.submit(builders.order('1', stages, (1, 4)), 0.0)
+    (call,) = cell.next_calls(0.0)
+    finish(cell, call, 0.2)
+    (placed,) = cell.next_calls(0.2)
+    assert placed.target_id == 'near'
+    cell.submit(builders.order('2', stages, (1, 4), aim_s=0.77), 0.2)
+    (call,) = cell.next_calls(0.2)
+    finish(cell, call, 0.4)
+    # The near target is free at 0.44. A call that starts there at 0.49 and
+    # takes 0.27 s leaves 0.21 s for the request, which needs 0.2 s.
+    assert cell.next_calls(0.4) == []
+    # The near target is late; 0.08 s later the same wait is too long.
+    (moved,) = cell.next_calls(0.48)
+    assert moved.target_id == 'far'
+
+
 def test_refused_call_keeps_its_pieces():
     """Guards against pieces that are lost when a target is full."""
     cell = filled(builders.target('t1'))
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -168,7 +168,7 @@
             builder = batching.CallBuilder(
                 self._targets,
                 entries,
-                lambda job: timing.latest_start(job, rules),
+                lambda job: timing.unhurried_start(job, rules),
                 now,
             )
             while free:
