Split walnutport/service by what its modules serve

Cause: 31 modules lay side by side in one package. They are in requests, fleet, records, targets and operations now; host, parts, policies and drain, which connect them, stay above. tests/service follows.

Ruled out: names like peers or store for the packages; both are modules of them already.

The entry host of the platform loads none of these modules (tests/cli/test_entry_imports.py).

Conclusion: each module is found by what it serves.

--- a/bench/capacity_records.py
+++ b/bench/capacity_records.py
@@ -15,7 +15,7 @@
 from walnutport.cost import totals
 from walnutport.peer import messages
 from walnutport.quarantine import suspects
-from walnutport.service import suspects as suspect_service
+from walnutport.service.fleet import suspects as suspect_service
 
 __all__ = ['SERIES']
 
--- a/bench/capacity_teams.py
+++ b/bench/capacity_teams.py
@@ -23,7 +23,7 @@
 from walnutport import interfaces
 from walnutport.lifecycle import answers
 from walnutport.metrics import histograms
-from walnutport.service import caller_checks
+from walnutport.service.requests import caller_checks
 from walnutport import world
 
 __all__ = ['SERIES', 'member_entries']
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -29,9 +29,9 @@
 from walnutport.config import settings as config
 from walnutport import interfaces
 from walnutport.lifecycle import answers
-from walnutport.service import claims
-from walnutport.service import log_reader
-from walnutport.service import log_writer
+from walnutport.service.records import claims
+from walnutport.service.records import log_reader
+from walnutport.service.records import log_writer
 from walnutport import world
 
 __all__ = ['main']
--- a/bench/count.py
+++ b/bench/count.py
@@ -79,7 +79,11 @@
     total = sum(lines_by_folder.values())
     package = root / 'walnutport'
     decisions = sum(count_lines(package / name) for name in _DECISION_PACKAGES)
-    shells = [package / 'service' / f'{name}.py' for name in _DECISION_MODULES]
+    shells = [
+        path
+        for path in (package / 'service').rglob('*.py')
+        if path.stem in _DECISION_MODULES
+    ]
     shells += [package / 'gateway' / f'{name}.py' for name in _GATEWAY_MODULES]
     for path in shells:
         if path.exists():
--- a/tests/cost/test_ledger.py
+++ b/tests/cost/test_ledger.py
@@ -14,7 +14,7 @@
 from walnutport.cost import totals
 from walnutport import exceptions
 from walnutport import interfaces
-from walnutport.service import cost
+from walnutport.service.records import cost
 
 _HOSTS = ('h1', 'h2')
 
--- a/tests/docs/test_operators.py
+++ b/tests/docs/test_operators.py
@@ -7,7 +7,7 @@
 from tools import metrics_table
 from walnutport.config import settings as config
 from walnutport.lifecycle import answers
-from walnutport.service import claims
+from walnutport.service.records import claims
 
 _PAGE = metrics_table.PAGE.read_text()
 _ROOT = metrics_table.PAGE.parent.parent
--- a/tests/fuzz/samples.py
+++ b/tests/fuzz/samples.py
@@ -16,7 +16,7 @@
 from walnutport.cost import records as cost_records
 from walnutport.orders import lease
 from walnutport.peer import messages
-from walnutport.service import suspects
+from walnutport.service.fleet import suspects
 
 __all__ = ['ANY_BYTES', 'DEEP', 'damaged']
 
--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -37,8 +37,8 @@
 from walnutport.quarantine import suspects
 from walnutport.relay import stream
 from walnutport.routing import router
-from walnutport.service import log_reader
-from walnutport.service import suspects as suspects_shell
+from walnutport.service.fleet import suspects as suspects_shell
+from walnutport.service.records import log_reader
 from walnutport import world
 
 _ADDRESS = world.Address('127.0.0.1', 9)
--- a/tests/service/test_heartbeats.py
+++ b/tests/service/fleet/test_heartbeats.py
@@ -2,7 +2,7 @@
 
 from walnutport.peer import codec
 from walnutport.peer import messages
-from walnutport.service import heartbeats
+from walnutport.service.fleet import heartbeats
 
 
 def test_long_names_do_not_stop_the_heartbeat() -> None:
--- a/tests/service/test_peers.py
+++ b/tests/service/fleet/test_peers.py
@@ -11,7 +11,7 @@
 from walnutport import clock
 from walnutport.peer import codec
 from walnutport.peer import messages
-from walnutport.service import peers
+from walnutport.service.fleet import peers
 from walnutport import world
 
 KEYRING = codec.Keyring('k1', {'k1': b'0123456789abcdef'})
--- a/tests/service/test_suspects.py
+++ b/tests/service/fleet/test_suspects.py
@@ -6,14 +6,14 @@
 from twisted.internet import defer
 from twisted.internet import task
 
-from tests.service import test_hedging
+from tests.service.requests import test_hedging
 from walnutport import exceptions
 from walnutport import interfaces
 from walnutport.peer import messages
 from walnutport.quarantine import suspects as suspect_book
 from walnutport.routing import router
-from walnutport.service import permits
-from walnutport.service import suspects
+from walnutport.service.fleet import permits
+from walnutport.service.fleet import suspects
 from walnutport import world
 
 DIGEST = b'digest'
--- a/tests/service/test_samples.py
+++ b/tests/service/operations/test_samples.py
@@ -12,7 +12,7 @@
 from walnutport.metrics import exposition
 from walnutport.metrics import histograms
 from walnutport.service import host
-from walnutport.service import samples
+from walnutport.service.operations import samples
 from walnutport import world
 
 _MANY = 3_000
--- a/tests/service/claim_hosts.py
+++ b/tests/service/records/claim_hosts.py
@@ -13,8 +13,8 @@
 from walnutport import interfaces
 from walnutport.lifecycle import answers
 from walnutport.peer import messages
-from walnutport.service import claims
-from walnutport.service import log_writer
+from walnutport.service.records import claims
+from walnutport.service.records import log_writer
 
 WALL_S = 1_700_000_000.0
 KEY = f'{int(WALL_S)}-k'
--- a/tests/service/test_claims.py
+++ b/tests/service/records/test_claims.py
@@ -6,14 +6,14 @@
 from twisted.internet import defer
 from twisted.internet import task
 
-from tests.service import claim_hosts
+from tests.service.records import claim_hosts
 from walnutport.claims import keys
 from walnutport.claims import records
 from walnutport.claims import store
 from walnutport import exceptions
 from walnutport import interfaces
 from walnutport.lifecycle import answers
-from walnutport.service import log_writer
+from walnutport.service.records import log_writer
 
 
 @pytest.mark.parametrize('host', [0, 1])
--- a/tests/service/test_orders.py
+++ b/tests/service/records/test_orders.py
@@ -14,7 +14,7 @@
 from walnutport.orders import lease
 from walnutport.orders import planner
 from walnutport.orders import reconcile
-from walnutport.service import orders
+from walnutport.service.records import orders
 from walnutport import world
 
 _GRACE_S = 30.0
--- a/tests/service/test_attempts.py
+++ b/tests/service/requests/test_attempts.py
@@ -3,13 +3,13 @@
 import pytest
 from twisted.internet import defer
 
-from tests.service import test_hedging
+from tests.service.requests import test_hedging
 from walnutport import exceptions
 from walnutport.lifecycle import answers
 from walnutport.naive import admission
-from walnutport.service import attempts
-from walnutport.service import calls
 from walnutport.service import policies
+from walnutport.service.requests import attempts
+from walnutport.service.requests import calls
 from walnutport import world
 
 
--- a/tests/service/test_caller_checks.py
+++ b/tests/service/requests/test_caller_checks.py
@@ -10,7 +10,7 @@
 from walnutport.catalogue import fold
 from walnutport.catalogue import records
 from walnutport import exceptions
-from walnutport.service import caller_checks
+from walnutport.service.requests import caller_checks
 from walnutport import world
 
 TOKENS = ('a', 'b', 'c', 'd', 'é', '')
--- a/tests/service/test_hedging.py
+++ b/tests/service/requests/test_hedging.py
@@ -13,10 +13,10 @@
 from walnutport.quarantine import suspects
 from walnutport.retries import policy
 from walnutport.routing import router
-from walnutport.service import attempt
-from walnutport.service import calls
-from walnutport.service import hedging
 from walnutport.service import policies
+from walnutport.service.requests import attempt
+from walnutport.service.requests import calls
+from walnutport.service.requests import hedging
 from walnutport import world
 
 STAGE = world.Stage('rerank', 'rerank')
--- a/tests/service/test_cache_follower.py
+++ b/tests/service/targets/test_cache_follower.py
@@ -2,11 +2,11 @@
 
 from twisted.internet import task
 
-from tests.service import test_hedging
+from tests.service.requests import test_hedging
 from walnutport.adapters import cache_events
 from walnutport import exceptions
 from walnutport.routing import affinity
-from walnutport.service import cache_follower
+from walnutport.service.targets import cache_follower
 from walnutport import world
 
 ADDRESS = world.Address('127.0.0.1', 9)
--- a/tests/service/test_target_watch.py
+++ b/tests/service/targets/test_target_watch.py
@@ -3,9 +3,9 @@
 from twisted.internet import defer
 from twisted.internet import task
 
-from tests.service import test_hedging
+from tests.service.requests import test_hedging
 from walnutport.adapters import http
-from walnutport.service import target_watch
+from walnutport.service.targets import target_watch
 from walnutport import world
 
 ADDRESS = world.Address('127.0.0.1', 9)
--- /dev/null
+++ b/walnutport/service/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What a host shares with its peers."""
--- a/walnutport/service/coordination.py
+++ b/walnutport/service/fleet/coordination.py
@@ -8,11 +8,11 @@
 from walnutport import interfaces
 from walnutport.peer import codec
 from walnutport.peer import messages
-from walnutport.service import catalogue_keeper
-from walnutport.service import heartbeats
-from walnutport.service import log_reader
-from walnutport.service import peers
-from walnutport.service import target_watch
+from walnutport.service.fleet import heartbeats
+from walnutport.service.fleet import peers
+from walnutport.service.records import catalogue_keeper
+from walnutport.service.records import log_reader
+from walnutport.service.targets import target_watch
 from walnutport import world
 
 __all__ = ['Coordination']
--- a/walnutport/service/heartbeats.py
+++ b/walnutport/service/fleet/heartbeats.py
@@ -12,8 +12,8 @@
 from walnutport import interfaces
 from walnutport.membership import hosts
 from walnutport.peer import messages
-from walnutport.service import peers
-from walnutport.service import target_watch
+from walnutport.service.fleet import peers
+from walnutport.service.targets import target_watch
 from walnutport import world
 
 __all__ = ['Heartbeats']
--- a/walnutport/service/suspect_parts.py
+++ b/walnutport/service/fleet/suspect_parts.py
@@ -9,9 +9,9 @@
 from walnutport import interfaces
 from walnutport.quarantine import suspects as suspect_book
 from walnutport.routing import router as standard_router
-from walnutport.service import permits as permit_service
+from walnutport.service.fleet import permits as permit_service
+from walnutport.service.fleet import suspects
 from walnutport.service import policies as host_policies
-from walnutport.service import suspects
 
 __all__ = ['SuspectParts', 'build_suspect_parts']
 
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -10,13 +10,13 @@
 
 from walnutport.config import settings as config
 from walnutport.metrics import exposition
-from walnutport.service import caller_site
-from walnutport.service import callers
 from walnutport.service import drain
-from walnutport.service import operators
+from walnutport.service.operations import operators
+from walnutport.service.operations import samples
+from walnutport.service.operations import views
 from walnutport.service import parts as host_parts
-from walnutport.service import samples
-from walnutport.service import views
+from walnutport.service.requests import caller_site
+from walnutport.service.requests import callers
 
 __all__ = ['EntryHost']
 
--- /dev/null
+++ b/walnutport/service/operations/__init__.py
@@ -0,0 +1,1 @@
+"""What a host shows to operators."""
--- a/walnutport/service/views.py
+++ b/walnutport/service/operations/views.py
@@ -6,7 +6,7 @@
 from walnutport.admission import control
 from walnutport import interfaces
 from walnutport.quarantine import suspects
-from walnutport.service import samples
+from walnutport.service.operations import samples
 
 if TYPE_CHECKING:
     from walnutport.service import host
--- a/walnutport/service/parts.py
+++ b/walnutport/service/parts.py
@@ -19,18 +19,18 @@
 from walnutport.metrics import histograms
 from walnutport.peer import replay
 from walnutport.routing import router
-from walnutport.service import attempts
-from walnutport.service import cache_follower
-from walnutport.service import claims
-from walnutport.service import coordination
-from walnutport.service import cost
-from walnutport.service import log_reader
-from walnutport.service import log_writer
-from walnutport.service import orders
-from walnutport.service import pipeline
+from walnutport.service.fleet import coordination
+from walnutport.service.fleet import suspect_parts
 from walnutport.service import policies as host_policies
-from walnutport.service import suspect_parts
-from walnutport.service import target_watch
+from walnutport.service.records import claims
+from walnutport.service.records import cost
+from walnutport.service.records import log_reader
+from walnutport.service.records import log_writer
+from walnutport.service.records import orders
+from walnutport.service.requests import attempts
+from walnutport.service.requests import pipeline
+from walnutport.service.targets import cache_follower
+from walnutport.service.targets import target_watch
 from walnutport import world
 
 __all__ = ['HostParts']
--- a/walnutport/service/catalogue_keeper.py
+++ b/walnutport/service/records/catalogue_keeper.py
@@ -15,7 +15,7 @@
 from walnutport import interfaces
 from walnutport.membership import hosts
 from walnutport.peer import messages
-from walnutport.service import log_reader
+from walnutport.service.records import log_reader
 
 __all__ = ['CatalogueKeeper', 'SnapshotWriter']
 
--- a/walnutport/service/claims.py
+++ b/walnutport/service/records/claims.py
@@ -24,8 +24,8 @@
 from walnutport import interfaces
 from walnutport.lifecycle import answers
 from walnutport.peer import messages
-from walnutport.service import claim_peers
-from walnutport.service import log_writer
+from walnutport.service.fleet import claim_peers
+from walnutport.service.records import log_writer
 
 __all__ = ['ClaimService']
 
--- /dev/null
+++ b/walnutport/service/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The way of one request: callers, attempts, streams, answers."""
--- a/walnutport/service/attempt.py
+++ b/walnutport/service/requests/attempt.py
@@ -13,10 +13,10 @@
 from walnutport import exceptions
 from walnutport import interfaces
 from walnutport.lifecycle import answers
-from walnutport.service import calls
+from walnutport.service.fleet import suspects
 from walnutport.service import policies as host_policies
-from walnutport.service import streams
-from walnutport.service import suspects
+from walnutport.service.requests import calls
+from walnutport.service.requests import streams
 from walnutport import world
 
 __all__ = [
--- a/walnutport/service/attempts.py
+++ b/walnutport/service/requests/attempts.py
@@ -12,15 +12,15 @@
 from walnutport import interfaces
 from walnutport.lifecycle import answers
 from walnutport.routing import prefixes
-from walnutport.service import attempt
-from walnutport.service import calls
-from walnutport.service import hedging
+from walnutport.service.fleet import suspects
 from walnutport.service import policies as host_policies
-from walnutport.service import streams
-from walnutport.service import suspect_runs
-from walnutport.service import suspects
-from walnutport.service import target_watch
-from walnutport.service import waiting
+from walnutport.service.requests import attempt
+from walnutport.service.requests import calls
+from walnutport.service.requests import hedging
+from walnutport.service.requests import streams
+from walnutport.service.requests import suspect_runs
+from walnutport.service.requests import waiting
+from walnutport.service.targets import target_watch
 from walnutport import world
 
 __all__ = ['StageRunner', 'StageSuccess']
--- a/walnutport/service/caller_checks.py
+++ b/walnutport/service/requests/caller_checks.py
@@ -14,7 +14,7 @@
 from walnutport import exceptions
 from walnutport import interfaces
 from walnutport.lifecycle import answers
-from walnutport.service import calls
+from walnutport.service.requests import calls
 from walnutport import world
 
 __all__ = ['EVENT_STREAM', 'CallerChecks']
--- a/walnutport/service/caller_site.py
+++ b/walnutport/service/requests/caller_site.py
@@ -14,7 +14,7 @@
 
 from walnutport.config import settings as config
 from walnutport.lifecycle import answers
-from walnutport.service import answer_format
+from walnutport.service.requests import answer_format
 
 __all__ = ['CallerSite']
 
--- a/walnutport/service/callers.py
+++ b/walnutport/service/requests/callers.py
@@ -14,11 +14,11 @@
 from walnutport import interfaces
 from walnutport.lifecycle import answers
 from walnutport.metrics import histograms
-from walnutport.service import answer_format
-from walnutport.service import caller_checks
-from walnutport.service import calls
-from walnutport.service import pipeline
-from walnutport.service import sinks
+from walnutport.service.requests import answer_format
+from walnutport.service.requests import caller_checks
+from walnutport.service.requests import calls
+from walnutport.service.requests import pipeline
+from walnutport.service.requests import sinks
 
 __all__ = ['CallerApi']
 
--- a/walnutport/service/hedging.py
+++ b/walnutport/service/requests/hedging.py
@@ -7,9 +7,9 @@
 from twisted.python import failure as twisted_failure
 
 from walnutport import interfaces
-from walnutport.service import attempt
 from walnutport.service import policies as host_policies
-from walnutport.service import target_watch
+from walnutport.service.requests import attempt
+from walnutport.service.targets import target_watch
 
 __all__ = ['HedgeCounts', 'HedgedRunner', 'RaceEnd']
 
--- a/walnutport/service/pipeline.py
+++ b/walnutport/service/requests/pipeline.py
@@ -7,11 +7,11 @@
 from walnutport import interfaces
 from walnutport.lifecycle import answers
 from walnutport.lifecycle import machine
-from walnutport.service import attempt
-from walnutport.service import attempts
-from walnutport.service import calls
 from walnutport.service import policies as host_policies
-from walnutport.service import waiting
+from walnutport.service.requests import attempt
+from walnutport.service.requests import attempts
+from walnutport.service.requests import calls
+from walnutport.service.requests import waiting
 
 __all__ = ['PipelineRunner']
 
--- a/walnutport/service/streams.py
+++ b/walnutport/service/requests/streams.py
@@ -7,7 +7,7 @@
 from walnutport.adapters import stage as stage_adapter
 from walnutport.lifecycle import answers
 from walnutport.relay import stream
-from walnutport.service import calls
+from walnutport.service.requests import calls
 from walnutport import world
 
 __all__ = ['StreamedStage', 'open_stream']
--- a/walnutport/service/suspect_runs.py
+++ b/walnutport/service/requests/suspect_runs.py
@@ -7,10 +7,10 @@
 from walnutport import interfaces
 from walnutport.lifecycle import answers
 from walnutport.quarantine import first_runs
-from walnutport.service import attempt
-from walnutport.service import calls
-from walnutport.service import permits as permit_service
+from walnutport.service.fleet import permits as permit_service
 from walnutport.service import policies as host_policies
+from walnutport.service.requests import attempt
+from walnutport.service.requests import calls
 
 __all__ = ['SuspectGuard']
 
--- /dev/null
+++ b/walnutport/service/targets/__init__.py
@@ -0,0 +1,1 @@
+"""What a host learns of targets."""
