Fail a soak round whose faults were not played

Cause: an exception in the thread of a fault went to standard error only, and the round counted as passed with a fault less.

Ruled out: ending the round at once; the other findings of it would be lost.

Conclusion: a round that passes has had all its faults.

--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -178,12 +178,16 @@
         self, action: soak_schedule.FaultAction, started_at: float
     ) -> None:
         time.sleep(max(0.0, started_at + action.at_s - time.monotonic()))
-        if action.kind == 'host':
-            self._disturb(action)
-            return
-        self._begin(action)
-        time.sleep(action.for_s)
-        self._end(action)
+        try:
+            if action.kind == 'host':
+                self._disturb(action)
+                return
+            self._begin(action)
+            time.sleep(action.for_s)
+            self._end(action)
+        except Exception as error:
+            # A fault that could not be played makes the round worthless.
+            self.problems.append(f'{action} was not played: {error!r}')
 
     def _begin(self, action: soak_schedule.FaultAction) -> None:
         fleet = self._fleet
