One bounded HTTP client for the adapters, no import cycles, fuller metrics

Cause: the constructors and time limits of the log, host list and weight adapters stood three times; cli/plots imported cli/report and the reverse, service/host and its samples and views too; operators could not read how long stages wait, how full calls are and what is left of the retry budget, and counters were exposed as gauges.

Change: adapters/http.BoundedClient; cli/fleet_report and service/operations/host_state (a Protocol); metrics walnutport_stages_seconds, _stage_backlog_seconds, _stage_batch_fill, _retry_budget_left and _desired_age_seconds; counters end in _total.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -111,10 +111,12 @@
     clock = system_clock.SystemClock()
     platform = config.LogSettings()
     service = log.HttpLogService(
-        http.HttpClient(reactor),
-        world.Address('127.0.0.1', port),
-        reactor,
-        platform.timeout_s,
+        http.BoundedClient(
+            http.HttpClient(reactor),
+            world.Address('127.0.0.1', port),
+            reactor,
+            platform.timeout_s,
+        )
     )
     writer = log_writer.LogWriter(
         service, clock, reactor, platform.max_appends_per_s
--- a/tests/integration/test_blocked_output.py
+++ b/tests/integration/test_blocked_output.py
@@ -62,4 +62,4 @@
         answers = list(pool.map(one, range(count)))
     assert [answer.status for answer in answers] == [200] * count
     assert all(answer.complete for answer in answers)
-    assert read_gauge(fleet, 'walnutport_log_lines_dropped') > 0
+    assert read_gauge(fleet, 'walnutport_log_lines_dropped_total') > 0
--- a/walnutport/adapters/host_list.py
+++ b/walnutport/adapters/host_list.py
@@ -53,17 +53,8 @@
     304 and no body, and the same page object is returned again.
     """
 
-    def __init__(
-        self,
-        client: http.HttpClient,
-        address: world.Address,
-        reactor,
-        timeout_s: float,
-    ) -> None:
+    def __init__(self, client: http.BoundedClient) -> None:
         self._client = client
-        self._url = f'http://{address}/v1/list'
-        self._reactor = reactor
-        self._timeout_s = timeout_s
         self._etag = ''
         self._page = interfaces.HostListPage({}, {})
 
@@ -79,11 +70,8 @@
         self,
     ) -> Result[interfaces.HostListPage, exceptions.HostListError]:
         headers = {'if-none-match': self._etag} if self._etag else {}
-        call = defer.Deferred.fromCoroutine(
-            self._client.call('GET', self._url, headers=headers)
-        )
         try:
-            reply = await call.addTimeout(self._timeout_s, self._reactor)
+            reply = await self._client.call('GET', '/list', headers=headers)
         except Exception as error:  # noqa: BLE001 - library errors vary
             return Error(exceptions.HostListError(repr(error)))
         if reply.status == 304 and self._etag:
--- a/walnutport/adapters/http.py
+++ b/walnutport/adapters/http.py
@@ -12,8 +12,15 @@
 from zope.interface import implementer
 
 from walnutport import exceptions
+from walnutport import world
 
-__all__ = ['HttpClient', 'HttpReply', 'ReportingBody', 'read_bounded']
+__all__ = [
+    'BoundedClient',
+    'HttpClient',
+    'HttpReply',
+    'ReportingBody',
+    'read_bounded',
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -152,6 +159,48 @@
         return self._pool.closeCachedConnections()
 
 
+class BoundedClient:
+    """Calls one address and gives up after a time.
+
+    :param client: connections that several addresses may share.
+    :param timeout_s: longest wait for a whole answer in seconds.
+    """
+
+    def __init__(
+        self,
+        client: HttpClient,
+        address: world.Address,
+        reactor,
+        timeout_s: float,
+    ) -> None:
+        self._client = client
+        self._base = f'http://{address}/v1'
+        self._reactor = reactor
+        self._timeout_s = timeout_s
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        headers: dict[str, str] | None = None,
+        *,
+        on_sent: Callable[[], None] = lambda: None,
+        wait_s: float = 0.0,
+    ) -> defer.Deferred[HttpReply]:
+        """Send a request and read the whole answer.
+
+        :param path: path below the version of the interface.
+        :param wait_s: time for which the call asks the other side to wait.
+        """
+        calling = defer.Deferred.fromCoroutine(
+            self._client.call(
+                method, self._base + path, body, headers, on_sent=on_sent
+            )
+        )
+        return calling.addTimeout(self._timeout_s + wait_s, self._reactor)
+
+
 def flatten_headers(response: iweb.IResponse) -> dict[str, str]:
     """Return the last value of each header by lower-case name."""
     return {
--- a/walnutport/adapters/log.py
+++ b/walnutport/adapters/log.py
@@ -13,7 +13,6 @@
 from walnutport.adapters import http
 from walnutport import exceptions
 from walnutport import interfaces
-from walnutport import world
 
 __all__ = ['HttpLogService']
 
@@ -44,23 +43,10 @@
 
 
 class HttpLogService:
-    """Log service behind its HTTP interface (see docs/interfaces.md).
-
-    :param timeout_s: longest wait for an answer in seconds, on top of the
-        wait that a read asks for.
-    """
-
-    def __init__(
-        self,
-        client: http.HttpClient,
-        address: world.Address,
-        reactor,
-        timeout_s: float,
-    ) -> None:
+    """Log service behind its HTTP interface (see docs/interfaces.md)."""
+
+    def __init__(self, client: http.BoundedClient) -> None:
         self._client = client
-        self._base = f'http://{address}/v1'
-        self._reactor = reactor
-        self._timeout_s = timeout_s
 
     def append(
         self, stream: str, payload: bytes
@@ -85,11 +71,10 @@
             nonlocal sent
             sent = True
 
-        url = f'{self._base}/streams/{stream}/records'
+        path = f'/streams/{stream}/records'
         try:
-            reply = await self._bounded(
-                self._client.call('POST', url, payload, on_sent=on_sent),
-                self._timeout_s,
+            reply = await self._client.call(
+                'POST', path, payload, on_sent=on_sent
             )
         except Exception as error:  # noqa: BLE001 - library errors vary
             if sent:
@@ -119,9 +104,8 @@
             }
         )
         try:
-            reply = await self._bounded(
-                self._client.call('POST', f'{self._base}/read', body),
-                self._timeout_s + wait_s,
+            reply = await self._client.call(
+                'POST', '/read', body, wait_s=wait_s
             )
         except Exception as error:  # noqa: BLE001 - library errors vary
             return Error(exceptions.LogUnavailable(repr(error)))
@@ -135,10 +119,6 @@
             {name: _to_page(page) for name, page in decoded.streams.items()}
         )
 
-    def _bounded(self, coroutine, timeout_s: float) -> defer.Deferred:
-        deferred = defer.Deferred.fromCoroutine(coroutine)
-        return deferred.addTimeout(timeout_s, self._reactor)
-
 
 def _to_page(page: _Page) -> interfaces.StreamPage:
     return interfaces.StreamPage(
--- a/walnutport/adapters/weights.py
+++ b/walnutport/adapters/weights.py
@@ -6,11 +6,9 @@
 from expression import Ok
 from expression import Result
 import msgspec
-from twisted.internet import defer
 
 from walnutport.adapters import http
 from walnutport import exceptions
-from walnutport import world
 
 __all__ = ['HttpWeightStore', 'WeightList', 'Weights']
 
@@ -41,30 +39,15 @@
 
 
 class HttpWeightStore:
-    """Weight store behind its HTTP interface.
+    """Weight store behind its HTTP interface."""
 
-    :param timeout_s: longest wait for an answer in seconds.
-    """
-
-    def __init__(
-        self,
-        client: http.HttpClient,
-        address: world.Address,
-        reactor,
-        timeout_s: float,
-    ) -> None:
+    def __init__(self, client: http.BoundedClient) -> None:
         self._client = client
-        self._url = f'http://{address}/v1/weights'
-        self._reactor = reactor
-        self._timeout_s = timeout_s
 
     async def read(self) -> Result[WeightList, exceptions.WeightStoreError]:
         """Read the list of weights."""
-        calling = defer.Deferred.fromCoroutine(
-            self._client.call('GET', self._url)
-        ).addTimeout(self._timeout_s, self._reactor)
         try:
-            reply = await calling
+            reply = await self._client.call('GET', '/weights')
         except Exception as error:  # noqa: BLE001 - library errors vary
             return Error(exceptions.WeightStoreError(repr(error)))
         if reply.status != 200:
--- a/walnutport/cli/catalogue.py
+++ b/walnutport/cli/catalogue.py
@@ -80,7 +80,9 @@
 
     def __init__(self, address: world.Address) -> None:
         service = log.HttpLogService(
-            http.HttpClient(reactor), address, reactor, _TIMEOUT_S.value
+            http.BoundedClient(
+                http.HttpClient(reactor), address, reactor, _TIMEOUT_S.value
+            )
         )
         self._editor = editor.CatalogueEditor(
             service,
--- a/walnutport/cli/plots.py
+++ b/walnutport/cli/plots.py
@@ -2,7 +2,7 @@
 
 import leather
 
-from walnutport.cli import report as fleet_report
+from walnutport.cli import fleet_report
 
 __all__ = ['draw_report']
 
--- a/walnutport/cli/report.py
+++ b/walnutport/cli/report.py
@@ -14,22 +14,18 @@
   5  a host or the log service does not answer, or answers otherwise
 """
 
-import collections
-import dataclasses
 import sys
 
 from absl import flags
-from hdrh import histogram
 import msgspec
 
 from walnutport.cli import cost_log
 from walnutport.cli import exit_codes
 from walnutport.cli import fetch
-from walnutport.cost import records as cost_records
+from walnutport.cli import fleet_report
 from walnutport import exceptions
-from walnutport.metrics import histograms
 
-__all__ = ['FleetReport', 'run']
+__all__ = ['run']
 
 _HOSTS = flags.DEFINE_multi_string(
     'host',
@@ -46,90 +42,6 @@
 _JSON = flags.DEFINE_bool('json', False, 'print JSON', allow_override=True)
 _PLOT = flags.DEFINE_string('plot', '', 'SVG file to draw the report into')
 
-_PERCENTILES = (50, 95, 99)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _CostItem:
-    owner: str
-    member: str
-    entry: str
-    stage: str
-    attempts: int
-    failed: int
-    target_us: int
-    tokens: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _HostReport:
-    histograms: list[dict[str, str]]
-    cost: list[_CostItem]
-
-
-class FleetReport:
-    """Sum of the reports of several hosts."""
-
-    def __init__(self) -> None:
-        self.histograms_by_key: dict[
-            histograms.MetricKey, histogram.HdrHistogram
-        ] = collections.defaultdict(histograms.new_histogram)
-        self.cost_by_key: dict[
-            cost_records.CostKey, cost_records.CostLine
-        ] = {}
-
-    def add(self, report: _HostReport) -> None:
-        """Add the report of one host.
-
-        :raises CodecError: if a histogram cannot be decoded.
-        """
-        for item in report.histograms:
-            key = histograms.MetricKey(
-                item.get('member', ''), item.get('class', '')
-            )
-            histograms.merge_encoded(
-                self.histograms_by_key[key], item.get('encoded', '')
-            )
-        for cost in report.cost:
-            cost_key = cost_records.CostKey(
-                cost.owner, cost.member, cost.entry, cost.stage
-            )
-            line = cost_records.CostLine(
-                cost.attempts, cost.failed, cost.target_us, cost.tokens
-            )
-            known = self.cost_by_key.get(cost_key, cost_records.CostLine())
-            self.cost_by_key[cost_key] = known.plus(line)
-
-    def latency_rows(self) -> list[dict[str, object]]:
-        """Return count and percentiles in ms by member and class."""
-        return [
-            {
-                'member': key.member_id,
-                'class': key.class_id,
-                'count': item.get_total_count(),
-                **{
-                    f'p{percentile}_ms': item.get_value_at_percentile(
-                        percentile
-                    )
-                    for percentile in _PERCENTILES
-                },
-            }
-            for key, item in sorted(self.histograms_by_key.items())
-        ]
-
-    def cost_rows(self) -> list[dict[str, object]]:
-        """Return the cost by owner, member, entry and stage."""
-        return [
-            {
-                **dataclasses.asdict(key),
-                'attempts': line.attempts,
-                'failed': line.failed,
-                'target_s': round(line.target_us / 1e6, 3),
-                'tokens': line.tokens,
-            }
-            for key, line in sorted(self.cost_by_key.items())
-        ]
-
 
 def run(argv: list[str]) -> int:
     """Run the subcommand and return its exit code."""
@@ -155,11 +67,15 @@
     return exit_codes.OK
 
 
-def _read_report() -> FleetReport:
-    report = FleetReport()
+def _read_report() -> fleet_report.FleetReport:
+    report = fleet_report.FleetReport()
     if not _LOG.value or flags.FLAGS['host'].present:
         for address in _HOSTS.value:
-            report.add(fetch.fetch_json(address, '/v1/report', _HostReport))
+            report.add(
+                fetch.fetch_json(
+                    address, '/v1/report', fleet_report.HostReport
+                )
+            )
     if _LOG.value:
         totals = cost_log.read_totals(_LOG.value)
         report.cost_by_key = totals.lines_by_key
--- a/walnutport/gateway/cell_owner.py
+++ b/walnutport/gateway/cell_owner.py
@@ -44,11 +44,13 @@
 class CellOwner:
     """Drives the scheduler of one cell.
 
+    :param cell: number of the cell.
     :param place: chooses where a request runs after its stages.
     """
 
     def __init__(
         self,
+        cell: int,
         reactor,
         log,
         pool: channel_pool.ChannelPool,
@@ -56,6 +58,7 @@
             [pieces.JobOrder, pieces.JobResult, engines.EngineBook], str
         ],
     ) -> None:
+        self.cell = cell
         self._reactor = reactor
         self._log = log
         self._pool = pool
--- a/walnutport/gateway/forwarding.py
+++ b/walnutport/gateway/forwarding.py
@@ -150,6 +150,13 @@
         for budget in self._budget_by_service.values():
             budget.slack = slack
 
+    def budget_left(self, now: float) -> dict[str, float]:
+        """Return how many retries each service has left."""
+        return {
+            service: budget.left(now)
+            for service, budget in self._budget_by_service.items()
+        }
+
     def _judge(
         self, result: attempts.AttemptResult, started_at: float
     ) -> None:
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -152,6 +152,7 @@
             self._standings,
             self._stages,
             self._front,
+            self._forwarder,
             self._fitness,
         )
         self._callers = server.ServerSite(
@@ -164,6 +165,7 @@
                 lambda: self.ready,
                 self.status,
                 self._view.gauges,
+                self._view.totals,
             ).handle,
             routes.RequestLimits,
         )
--- a/walnutport/gateway/host_view.py
+++ b/walnutport/gateway/host_view.py
@@ -4,6 +4,7 @@
 
 from walnutport.config import entry
 from walnutport.gateway import decision_log
+from walnutport.gateway import forwarding
 from walnutport.gateway import front
 from walnutport.gateway import news
 from walnutport.gateway import peers
@@ -31,6 +32,7 @@
         standings: outcomes.TargetOutcomes,
         stages: stage_client.StageClient,
         requests: front.Front,
+        forwarder: forwarding.Forwarder,
         own_fitness: fitness.HostFitness,
     ) -> None:
         self._settings = settings
@@ -43,6 +45,7 @@
         self._standings = standings
         self._stages = stages
         self._front = requests
+        self._forwarder = forwarder
         self._fitness = own_fitness
 
     def status(self) -> dict:
@@ -82,20 +85,37 @@
 
     def gauges(self) -> dict[str, float]:
         """Return the values of the gauges by name."""
+        now = time.monotonic()
         desired = self._follower.desired
-        owners = self._stages.local_owners()
-        return {
+        found: dict[str, float] = {
             'in_flight': len(self._front.in_flight),
             'desired_version': desired.version if desired else 0,
+            'desired_age_seconds': now - self._follower.desired_at,
             'targets': len(self._follower.registry.targets),
             'targets_age_seconds': self._follower.store_age_s(),
             'peers': sum(
                 view.reachable for view in self._mesh.view_by_name.values()
             ),
-            'store_calls': self._store.calls,
-            'channels_opened': self._pool.opened,
-            'stage_calls': sum(owner.batches for owner in owners),
-            'stage_pieces': sum(owner.batched_pieces for owner in owners),
             'loop_lag_seconds': self._fitness.lag_s,
-            'log_lines_dropped': self._log.dropped,
+        }
+        for service, left in self._forwarder.budget_left(now).items():
+            found[f'retry_budget_left{{service="{service}"}}'] = left
+        for owner in self._stages.local_owners():
+            for service, load in owner.scheduler.loads(now).items():
+                labels = f'{{cell="{owner.cell}",service="{service}"}}'
+                found['stage_backlog_seconds' + labels] = load.backlog_s
+                found['stage_batch_fill' + labels] = load.batch_fill
+        return found
+
+    def totals(self) -> dict[str, float]:
+        """Return the values of counters by name."""
+        owners = self._stages.local_owners()
+        return {
+            'store_calls_total': self._store.calls,
+            'channels_opened_total': self._pool.opened,
+            'stage_calls_total': sum(owner.batches for owner in owners),
+            'stage_pieces_total': sum(
+                owner.batched_pieces for owner in owners
+            ),
+            'log_lines_dropped_total': self._log.dropped,
         }
--- a/walnutport/gateway/metrics.py
+++ b/walnutport/gateway/metrics.py
@@ -1,5 +1,6 @@
 """Counters and latency histograms of an entry host."""
 
+import bisect
 import collections
 
 from walnutport.gateway import calls
@@ -11,21 +12,28 @@
 
 
 class EntryMetrics:
-    """Collects figures and renders them in Prometheus' text format."""
+    """Collects figures and renders them in Prometheus' text format.
+
+    Names of gauges and totals may carry labels, as in ``left{service="a"}``.
+    """
 
     def __init__(self) -> None:
         self._started: collections.Counter = collections.Counter()
         self._outcomes: collections.Counter = collections.Counter()
         self._rejected: collections.Counter = collections.Counter()
-        self._latencies: dict[tuple[str, str], list[int]] = {}
-        self._latency_sums: dict[tuple[str, str], float] = (
-            collections.defaultdict(float)
+        self._requests = _Histogram(
+            'walnutport_request_seconds', 'Time to the end of the answer.'
         )
-        self._first_events: dict[tuple[str, str], list[int]] = {}
-        self._first_sums: dict[tuple[str, str], float] = (
-            collections.defaultdict(float)
+        self._first_events = _Histogram(
+            'walnutport_first_event_seconds',
+            'Time to the first event of a stream.',
+        )
+        self._stages = _Histogram(
+            'walnutport_stages_seconds',
+            'Time of the stages of a request, its waits included.',
         )
         self.gauges: dict[str, float] = {}
+        self.totals: dict[str, float] = {}
 
     def started(self, call: calls.CallerCall) -> None:
         """Count a request that has a route and a team."""
@@ -37,17 +45,15 @@
 
     def first_event(self, call: calls.CallerCall, now: float) -> None:
         """Count the first event of a stream."""
-        key = _labels(call)
-        took_s = now - call.arrived_at
-        _count(self._first_events, key, took_s)
-        self._first_sums[key] += took_s
+        self._first_events.observe(_labels(call), now - call.arrived_at)
 
     def finished(self, call: calls.CallerCall, took_s: float) -> None:
         """Count the end of a request."""
         key = _labels(call)
         self._outcomes[(*key, call.outcome)] += 1
-        _count(self._latencies, key, took_s)
-        self._latency_sums[key] += took_s
+        self._requests.observe(key, took_s)
+        if call.stages_s:
+            self._stages.observe(key, call.stages_s)
 
     def render(self) -> bytes:
         """Return all figures as text."""
@@ -79,41 +85,45 @@
                 for reason, value in self._rejected.items()
             },
         )
-        _histogram(
-            lines,
-            'walnutport_request_seconds',
-            'Time to the end of the answer.',
-            self._latencies,
-            self._latency_sums,
-        )
-        _histogram(
-            lines,
-            'walnutport_first_event_seconds',
-            'Time to the first event of a stream.',
-            self._first_events,
-            self._first_sums,
-        )
-        for name, value in sorted(self.gauges.items()):
-            lines.append(f'# TYPE walnutport_{name} gauge')
-            lines.append(f'walnutport_{name} {value:g}')
+        for histogram in (self._requests, self._first_events, self._stages):
+            histogram.render(lines)
+        _values(lines, 'counter', self.totals)
+        _values(lines, 'gauge', self.gauges)
         return ('\n'.join(lines) + '\n').encode()
 
 
-def _labels(call: calls.CallerCall) -> tuple[str, str]:
-    return call.route.name, call.team or ''
+class _Histogram:
+    """Latencies by route and team."""
 
+    def __init__(self, name: str, text: str) -> None:
+        self._name = name
+        self._text = text
+        self._counts: dict[tuple[str, str], list[int]] = {}
+        self._sums: dict[tuple[str, str], float] = collections.defaultdict(
+            float
+        )
 
-def _count(
-    histograms: dict[tuple[str, str], list[int]],
-    key: tuple[str, str],
-    took_s: float,
-) -> None:
-    counts = histograms.setdefault(key, [0] * (len(BUCKETS_S) + 1))
-    for number, bound in enumerate(BUCKETS_S):
-        if took_s <= bound:
-            counts[number] += 1
-            return
-    counts[-1] += 1
+    def observe(self, key: tuple[str, str], took_s: float) -> None:
+        counts = self._counts.setdefault(key, [0] * (len(BUCKETS_S) + 1))
+        counts[bisect.bisect_left(BUCKETS_S, took_s)] += 1
+        self._sums[key] += took_s
+
+    def render(self, lines: list[str]) -> None:
+        name = self._name
+        lines.append(f'# HELP {name} {self._text}')
+        lines.append(f'# TYPE {name} histogram')
+        for key, counts in sorted(self._counts.items()):
+            labels = f'route="{key[0]}",team="{key[1]}"'
+            total = 0
+            for bound, count in zip((*BUCKETS_S, '+Inf'), counts):
+                total += count
+                lines.append(f'{name}_bucket{{{labels},le="{bound}"}} {total}')
+            lines.append(f'{name}_sum{{{labels}}} {self._sums[key]:g}')
+            lines.append(f'{name}_count{{{labels}}} {total}')
+
+
+def _labels(call: calls.CallerCall) -> tuple[str, str]:
+    return call.route.name, call.team or ''
 
 
 def _counter(
@@ -125,20 +135,13 @@
         lines.append(f'{name}{{{labels}}} {value:g}')
 
 
-def _histogram(
-    lines: list[str],
-    name: str,
-    text: str,
-    histograms: dict[tuple[str, str], list[int]],
-    sums: dict[tuple[str, str], float],
+def _values(
+    lines: list[str], kind: str, value_by_name: dict[str, float]
 ) -> None:
-    lines.append(f'# HELP {name} {text}')
-    lines.append(f'# TYPE {name} histogram')
-    for key, counts in sorted(histograms.items()):
-        labels = f'route="{key[0]}",team="{key[1]}"'
-        total = 0
-        for bound, count in zip((*BUCKETS_S, '+Inf'), counts):
-            total += count
-            lines.append(f'{name}_bucket{{{labels},le="{bound}"}} {total}')
-        lines.append(f'{name}_sum{{{labels}}} {sums[key]:g}')
-        lines.append(f'{name}_count{{{labels}}} {total}')
+    described = ''
+    for name, value in sorted(value_by_name.items()):
+        family = 'walnutport_' + name.partition('{')[0]
+        if family != described:
+            lines.append(f'# TYPE {family} {kind}')
+            described = family
+        lines.append(f'walnutport_{name} {value:g}')
--- a/walnutport/gateway/operator_site.py
+++ b/walnutport/gateway/operator_site.py
@@ -17,6 +17,7 @@
     :param ready: whether the balancer should send connections.
     :param status: returns the view of this host.
     :param gauges: returns the values of the gauges by name.
+    :param totals: returns the values of counters by name.
     """
 
     def __init__(
@@ -25,11 +26,13 @@
         ready: Callable[[], bool],
         status: Callable[[], dict],
         gauges: Callable[[], dict[str, float]],
+        totals: Callable[[], dict[str, float]],
     ) -> None:
         self._metrics = counters
         self._ready = ready
         self._status = status
         self._gauges = gauges
+        self._totals = totals
 
     def handle(self, request: server.ServerRequest) -> None:
         """Answer one request."""
@@ -37,7 +40,8 @@
         if path == wire.READINESS_PATH:
             request.respond(200 if self._ready() else 503, [], b'')
         elif path == b'/metrics':
-            self._metrics.gauges.update(self._gauges())
+            self._metrics.gauges = self._gauges()
+            self._metrics.totals = self._totals()
             request.respond(
                 200,
                 [(b'content-type', b'text/plain; version=0.0.4')],
--- a/walnutport/gateway/stage_client.py
+++ b/walnutport/gateway/stage_client.py
@@ -240,7 +240,7 @@
         found = self._owner_by_cell.get(cell)
         if found is None:
             found = cell_owner.CellOwner(
-                self._reactor, self._log, self._pool, self._place
+                cell, self._reactor, self._log, self._pool, self._place
             )
             self._owner_by_cell[cell] = found
             found.update(self._rules, self._of_cell(cell))
--- a/walnutport/service/operations/samples.py
+++ b/walnutport/service/operations/samples.py
@@ -3,17 +3,14 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
-from typing import TYPE_CHECKING
 
 from walnutport.admission import control
 from walnutport.metrics import families
 from walnutport.quarantine import suspects
 from walnutport.routing import router
+from walnutport.service.operations import host_state
 from walnutport import world
 
-if TYPE_CHECKING:
-    from walnutport.service import host
-
 __all__ = ['HostSamples', 'QUEUES_SHOWN', 'target_states']
 
 # A catalogue may have thousands of entries; the queues of the others are
@@ -31,7 +28,7 @@
     :param entry_host: the host whose state is shown.
     """
 
-    def __init__(self, entry_host: 'host.EntryHost') -> None:
+    def __init__(self, entry_host: host_state.HostState) -> None:
         self._host = entry_host
         self._parts = entry_host.parts
 
--- a/walnutport/service/operations/views.py
+++ b/walnutport/service/operations/views.py
@@ -1,16 +1,13 @@
 """Operators' view of a host: what ``walnutport status`` shows."""
 
 import math
-from typing import TYPE_CHECKING
 
 from walnutport.admission import control
 from walnutport import interfaces
 from walnutport.quarantine import suspects
+from walnutport.service.operations import host_state
 from walnutport.service.operations import samples
 
-if TYPE_CHECKING:
-    from walnutport.service import host
-
 __all__ = ['HostView']
 
 _DIGESTS_SHOWN = 20
@@ -23,7 +20,7 @@
     :param entry_host: the host whose state is shown.
     """
 
-    def __init__(self, entry_host: 'host.EntryHost') -> None:
+    def __init__(self, entry_host: host_state.HostState) -> None:
         self._host = entry_host
         self._parts = entry_host.parts
 
--- a/walnutport/service/parts.py
+++ b/walnutport/service/parts.py
@@ -69,19 +69,23 @@
         platform = self.settings.platform
         self.platform_client = http.HttpClient(self.reactor)
         self.log = log.HttpLogService(
-            self.platform_client,
-            _address(platform.log),
-            self.reactor,
-            platform.timeout_s,
+            http.BoundedClient(
+                self.platform_client,
+                _address(platform.log),
+                self.reactor,
+                platform.timeout_s,
+            )
         )
         self.log_writer = log_writer.LogWriter(
             self.log, self.clock, self.reactor, platform.max_appends_per_s
         )
         self.host_list = host_list.HttpHostList(
-            self.platform_client,
-            _address(platform.host_list),
-            self.reactor,
-            platform.timeout_s,
+            http.BoundedClient(
+                self.platform_client,
+                _address(platform.host_list),
+                self.reactor,
+                platform.timeout_s,
+            )
         )
         self.catalogue = follower.CatalogueFollower(self._catalogue_changed)
         self.log_reader = log_reader.LogReader(
--- a/walnutport/service/records/orders.py
+++ b/walnutport/service/records/orders.py
@@ -336,10 +336,12 @@
         log,
         engine_control.EngineControl(client, reactor, platform.timeout_s),
         weights.HttpWeightStore(
-            client,
-            world.Address(store.ip, store.port),
-            reactor,
-            platform.timeout_s,
+            http.BoundedClient(
+                client,
+                world.Address(store.ip, store.port),
+                reactor,
+                platform.timeout_s,
+            )
         ),
         clock,
         reactor,
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -6,7 +6,9 @@
 call, and ``cell_targets`` what a target can take.
 """
 
+import collections
 from collections.abc import Iterable
+import dataclasses
 import itertools
 
 from walnutport.stages import admission
@@ -22,7 +24,7 @@
 from walnutport.world import routes
 from walnutport.world import workers
 
-__all__ = ['StageScheduler']
+__all__ = ['StageLoad', 'StageScheduler']
 
 # A call that takes this many times its expected time, and the margin, is
 # repeated at another target.
@@ -44,6 +46,18 @@
 _StageKey = tuple[str, int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageLoad:
+    """Load of a stage service for operators.
+
+    :param backlog_s: seconds of work of one target that are taken.
+    :param batch_fill: pieces of all calls over what they could have carried.
+    """
+
+    backlog_s: float
+    batch_fill: float
+
+
 class StageScheduler:
     """Jobs, targets and calls of one cell.
 
@@ -58,6 +72,8 @@
         self._call_by_id: dict[int, stage_targets.RunningCall] = {}
         # Jobs with pieces that wait, by service.
         self._ready: dict[str, dict[_StageKey, jobs.Job]] = {}
+        self._calls_by_service: collections.Counter = collections.Counter()
+        self._pieces_by_service: collections.Counter = collections.Counter()
         self._expire_at = 0.0
         self._call_ids = itertools.count(1)
         self._outcomes: list[pieces.JobResult | pieces.JobFailure] = []
@@ -215,6 +231,18 @@
         for job in call.jobs():
             self._settle(job, now)
 
+    def loads(self, now: float) -> dict[str, StageLoad]:
+        """Return the load of each service."""
+        found = {}
+        for service, rules in self._targets.rules_by_service.items():
+            room = self._calls_by_service[service] * rules.batch
+            found[service] = StageLoad(
+                self._backlog.ahead_s(service)
+                + self._targets.running_s(service, now),
+                self._pieces_by_service[service] / room if room else 0.0,
+            )
+        return found
+
     def _standing(
         self, team: str, services: Iterable[str], now: float
     ) -> team_shares.Standing:
@@ -269,6 +297,8 @@
         call_id = next(self._call_ids)
         self._call_by_id[call_id] = call
         target.calls[call_id] = call
+        self._calls_by_service[target.info.service] += 1
+        self._pieces_by_service[target.info.service] += len(work)
         items = []
         handles_by_stage: dict[_StageKey, tuple[str, ...]] = {}
         for job, piece_id in work:
