Play the commands of OPERATIONS.md over a recorded log; forget old services

Cause: the page showed stories of requests that no test ran, so they had drifted from the log lines. And the demand of teams for services that a new desired state had dropped stayed in memory.

TeamShares.keep drops services that are gone.

Conclusion: the page and the program cannot drift apart unnoticed.

--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -3,6 +3,9 @@
 import ast
 import pathlib
 import re
+import subprocess
+import sys
+import textwrap
 
 from tools import events_table
 from walnutport.gateway import events
@@ -80,3 +83,28 @@
     """Guards against metrics that were renamed."""
     for name in set(re.findall(r'`walnutport_([a-z_]+)', PAGE)):
         assert name in SOURCES, name
+
+
+def test_the_shown_commands_print_what_the_page_shows():
+    """Guards against a page whose commands do something else.
+
+    The log has the lines of three failed requests of a played day.
+    """
+    blocks = re.findall(
+        r'^    \$ walnutport explain (\w+) < day\.log\n((?:    .+\n)+)',
+        PAGE,
+        re.M,
+    )
+    assert len(blocks) == 3
+    log = (ROOT / 'tests' / 'docs' / 'day.log').read_text()
+    for request_id, shown in blocks:
+        done = subprocess.run(
+            [sys.executable, '-m', 'walnutport', 'explain', request_id],
+            input=log,
+            capture_output=True,
+            text=True,
+            timeout=60,
+            cwd=ROOT,
+        )
+        assert done.returncode == 0
+        assert textwrap.dedent(shown) == textwrap.dedent(done.stdout)
--- a/tests/stages/test_team_shares.py
+++ b/tests/stages/test_team_shares.py
@@ -71,6 +71,17 @@
     assert shares.standing('north', slots, later) is Standing.FAIR
 
 
+def test_demand_for_services_that_are_gone_is_forgotten():
+    """Guards against memory that grows with each renamed service."""
+    shares = team_shares.TeamShares()
+    for team in ('north', 'south'):
+        shares.asked(team, {'old': 9.0, 'encode': 9.0}, 0.0)
+        shares.taken(team, {'old': 5.0, 'encode': 5.0}, 0.0)
+    shares.keep({'encode'})
+    assert shares.standing('north', {'old': 1.0}, 0.0) is Standing.FAIR
+    assert shares.standing('north', {'encode': 1.0}, 0.0) is Standing.OVER
+
+
 def test_burst_of_one_team_does_not_refuse_the_others():
     """Replays 6 s in which one team asks for three times the capacity.
 
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -96,6 +96,7 @@
         now: float,
     ) -> None:
         """Take over the targets that may be called."""
+        self._shares.keep(rules_by_service)
         for lost in self._targets.update(rules_by_service, targets):
             self._forget_lifetime(lost, now)
         self._targets.forget_unused(
--- a/walnutport/stages/team_shares.py
+++ b/walnutport/stages/team_shares.py
@@ -6,6 +6,7 @@
 goes to those that ask for more, so nothing is left idle.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
 import enum
@@ -88,6 +89,12 @@
         """Count the work of a request that was taken."""
         _add(self._taken, team, cost_by_service, now)
 
+    def keep(self, services: Collection[str]) -> None:
+        """Forget the demand for services that are gone."""
+        for totals in (self._asked, self._taken):
+            for service in totals.keys() - set(services):
+                del totals[service]
+
     def standing(
         self, team: str, slots_by_service: dict[str, float], now: float
     ) -> Standing:
