Say the latest starts of a job in one way

Cause: timing had the walk over the stages of a job twice, and a name for the second that is no term of the field.

Ruled out: one function with a flag for all callers; the two latest starts answer different questions.

Conclusion: no change of decisions.

--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -185,7 +185,7 @@
             builder = batching.CallBuilder(
                 self._targets,
                 entries,
-                lambda job: timing.unhurried_start(job, rules),
+                lambda job: timing.latest_start_of_full_calls(job, rules),
                 now,
             )
             while free:
--- a/walnutport/stages/timing.py
+++ b/walnutport/stages/timing.py
@@ -8,7 +8,7 @@
 from walnutport.stages import jobs
 from walnutport.world import routes
 
-__all__ = ['latest_start', 'least_s', 'rank', 'unhurried_start']
+__all__ = ['latest_start', 'latest_start_of_full_calls', 'least_s', 'rank']
 
 # The time still needed is an estimate; a job counts as late only beyond this.
 LATE_MARGIN_S = 0.1
@@ -17,39 +17,48 @@
 
 
 def least_s(job: jobs.Job, rules_by_service: _Rules) -> float:
-    """Return the least time that a job still needs, in seconds."""
-    least: dict[int, float] = {}
-    for stage in job.stages:
-        before = max(
-            (least[number] for number in job.after(stage)), default=0.0
-        )
-        rules = rules_by_service.get(job.order.stages[stage].service)
-        left = job.open_pieces(stage) > 0
-        least[stage] = before + (rules.call_s if rules and left else 0.0)
-    return max(least.values(), default=0.0) + job.order.final_s / 2
+    """Return the least time that a job still needs, in seconds.
+
+    Half of the time of the request itself is counted, as it varies.
+    """
+    chain_s = _chain_s(job, rules_by_service, full_calls=False)
+    return chain_s + job.order.final_s / 2
 
 
-def unhurried_start(job: jobs.Job, rules_by_service: _Rules) -> float:
-    """Return until when the next stage may start without haste.
+def latest_start(job: jobs.Job, rules_by_service: _Rules) -> float:
+    """Return when the next stage must start for the aim to be met.
 
-    All calls that are left may be full then.
+    Calls are taken to carry little else, which holds but for bursts.
     """
-    full_s: dict[int, float] = {}
+    chain_s = _chain_s(job, rules_by_service, full_calls=False)
+    return job.aim_at - chain_s - job.order.final_s
+
+
+def latest_start_of_full_calls(
+    job: jobs.Job, rules_by_service: _Rules
+) -> float:
+    """Return the same for calls that leave full, as in a burst."""
+    chain_s = _chain_s(job, rules_by_service, full_calls=True)
+    return job.aim_at - chain_s - job.order.final_s
+
+
+def _chain_s(
+    job: jobs.Job, rules_by_service: _Rules, full_calls: bool
+) -> float:
+    """Return the time of the longest chain of stages that are left."""
+    end_by_stage: dict[int, float] = {}
     for stage in job.stages:
         before = max(
-            (full_s[number] for number in job.after(stage)), default=0.0
+            (end_by_stage[number] for number in job.after(stage)), default=0.0
         )
         rules = rules_by_service.get(job.order.stages[stage].service)
-        left = job.open_pieces(stage) > 0
-        call_s = rules.call_s + rules.batch * rules.piece_s if rules else 0.0
-        full_s[stage] = before + (call_s if left else 0.0)
-    left_s = max(full_s.values(), default=0.0) + job.order.final_s
-    return job.aim_at - left_s
-
-
-def latest_start(job: jobs.Job, rules_by_service: _Rules) -> float:
-    """Return when the next stage must start for the aim to be met."""
-    return job.aim_at - least_s(job, rules_by_service) - job.order.final_s / 2
+        call_s = 0.0
+        if rules is not None and job.open_pieces(stage) > 0:
+            call_s = rules.call_s
+            if full_calls:
+                call_s += rules.batch * rules.piece_s
+        end_by_stage[stage] = before + call_s
+    return max(end_by_stage.values(), default=0.0)
 
 
 def rank(
