Be ready only with targets known, and notice missed changes of targets

Cause 1: a host said that it was ready as soon as it knew the desired state. Its first read of the targets may end some ms later; a request in between was refused as no_target.

Cause 2, found while tracing it: news of targets that a reader sends to all hosts hold only the changes since its last read, but a host that had missed earlier news (its link was down) took them for complete, and no longer asked. It could keep sending work to a target that had left.

Change: ready needs the desired state and all targets; news say from which offset on they are complete, and a host that knows less applies them, stays behind and asks its peer.

Ruled out: load as the cause of the failure (it only made the gap longer); sending all targets each time (links of small hosts).

--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -158,3 +158,47 @@
         now += 0.7
         asks.append(beat())
     assert sum(asks) == 1
+
+
+def target_news(after: int, *offsets: int) -> fleet_messages.TargetNews:
+    """Return the changes of targets from an offset on."""
+    records = tuple(
+        feeds.FeedRecord(f't{offset}', b'x', offset) for offset in offsets
+    )
+    end = max(offsets) + 1
+    return fleet_messages.TargetNews(records, end, end, 0.0, after)
+
+
+def test_host_that_missed_changes_stays_behind(monkeypatch):
+    """Guards against a gap that later news hides.
+
+    A host whose link was down for a moment has missed that a target left. The
+    news after that must not let it believe that it knows everything.
+    """
+    now = 10.0
+    monkeypatch.setattr(news.time, 'monotonic', lambda: now)
+    mesh = FakeMesh()
+    found = follower(mesh)
+    found.heard('a', target_news(0, 0, 1))
+    found.heard('a', target_news(5, 6))
+    assert set(found.registry.targets) == {'t0', 't1', 't6'}
+    assert found.registry.changed_end == 2
+    assert found.registry.end == 2, 'a reader must not skip the gap'
+    ahead = fleet_messages.Pulse(-1, 7, 1.0, True, False)
+    found.heard('a', ahead)
+    now = 10.4
+    found.heard('a', ahead)
+    assert mesh.sent == [('a', fleet_messages.AskNews(-1, 2))]
+    found.heard('a', target_news(2, 3, 6))
+    assert found.registry.changed_end == 7
+
+
+def test_host_is_informed_once_it_knows_state_and_all_targets():
+    """Guards against a host that is ready and refuses for want of targets."""
+    found = follower(FakeMesh())
+    found.heard('a', desired(4))
+    assert not found.is_informed
+    found.heard('a', target_news(3, 3))
+    assert not found.is_informed, 'these are changes only'
+    found.heard('a', target_news(0, 0, 3))
+    assert found.is_informed
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -225,7 +225,7 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer should send connections."""
-        return not self._drain.begun and self._follower.desired is not None
+        return not self._drain.begun and self._follower.is_informed
 
     def status(self) -> dict:
         """Return this host's view of itself and the installation."""
--- a/walnutport/gateway/news.py
+++ b/walnutport/gateway/news.py
@@ -83,6 +83,11 @@
         self._behind_since = 0.0
         self._ask_at = 0.0
 
+    @property
+    def is_informed(self) -> bool:
+        """Whether the desired state and the targets are known."""
+        return self.desired is not None and self._targets_known
+
     @property
     def desired_end(self) -> int:
         """Offset up to which the desired state is known."""
@@ -107,16 +112,30 @@
         if isinstance(message, fleet_messages.DesiredNews):
             self._take_desired(message.record, message.end, f'peer {name}')
         elif isinstance(message, fleet_messages.TargetNews):
-            self.registry.extend_grace(message.grace_s, now)
-            page = feeds.FeedPage(message.records, message.end)
-            self._targets_known = True
-            self._report(*self.registry.apply(page, now), source=name)
-            self.registry.caught_up(message.changed_end)
+            self._take_targets(name, message, now)
         elif isinstance(message, fleet_messages.Pulse):
             self._compare(name, message)
         elif isinstance(message, fleet_messages.AskNews):
             self._tell(name, message)
 
+    def _take_targets(
+        self, name: str, message: fleet_messages.TargetNews, now: float
+    ) -> None:
+        """Apply changes of targets, also those that leave a gap.
+
+        After a gap this host stays behind its peers, as their heartbeats
+        show, and asks for what it lacks.
+        """
+        self.registry.extend_grace(message.grace_s, now)
+        if message.after > self.registry.changed_end:
+            found = self.registry.apply_some(message.records, now)
+        else:
+            page = feeds.FeedPage(message.records, message.end)
+            found = self.registry.apply(page, now)
+            self.registry.caught_up(message.changed_end)
+            self._targets_known = True
+        self._report(*found, source=name)
+
     def _compare(self, name: str, pulse: fleet_messages.Pulse) -> None:
         """Ask a peer for its news if this host stays behind it."""
         now = time.monotonic()
@@ -162,6 +181,7 @@
             self.registry.end,
             self.registry.changed_end,
             self.registry.grace_left_s(time.monotonic()),
+            after,
         )
 
     async def _follow_desired(self) -> None:
--- a/walnutport/membership/registry.py
+++ b/walnutport/membership/registry.py
@@ -84,6 +84,15 @@
         self.end = max(self.end, page.end)
         return changes, problems
 
+    def apply_some(
+        self, records: tuple[feeds.FeedRecord, ...], now: float
+    ) -> tuple[list[RegistryChange], list[str]]:
+        """Fold records before which others may be missing."""
+        changed_end = self.changed_end
+        found = self.apply(feeds.FeedPage(records, self.end), now)
+        self.changed_end = changed_end
+        return found
+
     def replace(
         self, page: feeds.FeedPage, now: float
     ) -> tuple[list[RegistryChange], list[str]]:
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -81,12 +81,15 @@
 
     :param changed_end: offset after the last change.
     :param grace_s: how long removed entries count as lapsed only.
+    :param after: offset from which all changes are in the message; a host
+        that knows less has missed some.
     """
 
     records: tuple[feeds.FeedRecord, ...]
     end: int
     changed_end: int
     grace_s: float
+    after: int = 0
 
 
 class RunStages(msgspec.Struct, frozen=True, tag='run'):
