Log ejections and taken stage jobs; label request metrics with the service

Cause: that a target was taken back after an ejection was in no line, the ejection only a field of a failed attempt, and the owner of a cell said nothing of the jobs it took; metrics of requests could not be told apart by service.

Change: lines target_ejected (with its inputs), target_taken_back and stages_taken (forecast against the aim); label service on requests, outcomes and latencies.

Ruled out: a line for each piece that waits (a call names its requests).

--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -13,6 +13,7 @@
     found.route = routes.Route.__new__(routes.Route)
     object.__setattr__(found.route, 'name', 'review')
     found.team = 'north'
+    found.service = 'llm'
     found.outcome = outcome
     found.stages_s = stages_s
     found.arrived_at = 10.0
--- a/tests/routing/test_outcomes.py
+++ b/tests/routing/test_outcomes.py
@@ -70,3 +70,16 @@
     book.reported(TARGETS[0], requests.ReportedLoad(6, 20, 6), 0.0)
     chosen = {book.choose(TARGETS, 0.1).target_id for _ in range(50)}
     assert 't1' not in chosen
+
+
+def test_target_is_taken_back_by_its_first_good_answer():
+    """Guards against an ejection whose end nobody can see.
+
+    An answer that was under way when the target was ejected says nothing.
+    """
+    book = outcomes.TargetOutcomes(random.Random(1))
+    assert book.failed(TARGETS[0], 0.0, unreachable=True)
+    assert not book.succeeded(TARGETS[0], 0.1, None, 0.1)
+    later = outcomes.FIRST_EJECTION_S + 0.1
+    assert book.succeeded(TARGETS[0], 0.1, None, later)
+    assert not book.succeeded(TARGETS[0], 0.1, None, later + 0.1)
--- a/walnutport/gateway/cell_owner.py
+++ b/walnutport/gateway/cell_owner.py
@@ -103,6 +103,15 @@
         if refusal is not None:
             reply(refusal)
             return
+        self._log.routine(
+            'stages_taken',
+            id=order.request_id,
+            cell=self.cell,
+            peer=peer,
+            pieces=order.piece_counts,
+            forecast_s=round(self.scheduler.forecast_s(order.job_id), 3),
+            aim_s=round(order.aim_s, 3),
+        )
         self._origin_by_job[order.job_id] = _Origin(peer, reply, order)
         self._pump()
 
--- a/walnutport/gateway/events.py
+++ b/walnutport/gateway/events.py
@@ -97,6 +97,16 @@
         'the store has dropped what comes next; all are read anew',
         ('offset',),
     ),
+    Event(
+        'target_ejected',
+        'failures of requests leave a target out for a while',
+        ('target', 'unreachable', 'failures_in_row', 'failure_share', 'for_s'),
+    ),
+    Event(
+        'target_taken_back',
+        'the first good answer after that',
+        ('target',),
+    ),
     Event('store_lost', 'a call to the store failed', ('problem',)),
     Event('store_regained', 'the store answers again', ('outage_s',)),
     # Other hosts.
@@ -135,6 +145,11 @@
         'another host assembles the calls of a cell',
         ('cell', 'owner', 'before'),
     ),
+    Event(
+        'stages_taken',
+        'the owner of a cell takes the stages of a request',
+        ('id', 'cell', 'peer', 'pieces', 'forecast_s', 'aim_s'),
+    ),
     Event(
         'stage_call',
         'a call to a stage target was answered',
@@ -164,7 +179,7 @@
     Event(
         'attempt_failed',
         'an attempt had no whole answer',
-        ('id', 'target', 'status', 'detail', 'ejected'),
+        ('id', 'target', 'status', 'detail'),
     ),
     Event(
         'repeat',
--- a/walnutport/gateway/forwarding.py
+++ b/walnutport/gateway/forwarding.py
@@ -162,10 +162,12 @@
     ) -> None:
         now = time.monotonic()
         if result.is_answer and not result.is_final:
-            self._standings.failed(result.target, now, unreachable=False)
-        else:
-            self._standings.succeeded(
-                result.target, now - started_at, result.load, now
+            self._count_failure(result, now, unreachable=False)
+        elif self._standings.succeeded(
+            result.target, now - started_at, result.load, now
+        ):
+            self._log.notable(
+                'target_taken_back', target=result.target.target_id
             )
 
     def _note_failure(
@@ -173,21 +175,33 @@
     ) -> None:
         now = time.monotonic()
         self._standings.reported(result.target, result.load, now)
-        ejected = False
         if result.detail != 'deadline':
-            ejected = self._standings.failed(
-                result.target,
-                now,
-                unreachable=result.status
-                in (_Status.NOT_SENT, _Status.WRONG_TARGET),
+            unreachable = result.status in (
+                _Status.NOT_SENT,
+                _Status.WRONG_TARGET,
             )
+            self._count_failure(result, now, unreachable)
         self._log.notable(
             'attempt_failed',
             id=call.request_id,
             target=result.target.target_id,
             status=result.status.value,
             detail=result.detail,
-            ejected=ejected,
+        )
+
+    def _count_failure(
+        self, result: attempts.AttemptResult, now: float, unreachable: bool
+    ) -> None:
+        if not self._standings.failed(result.target, now, unreachable):
+            return
+        found = self._standings.standing(result.target)
+        self._log.notable(
+            'target_ejected',
+            target=result.target.target_id,
+            unreachable=unreachable,
+            failures_in_row=found.failures_in_row,
+            failure_share=round(found.failure_share, 2),
+            for_s=round(found.ejected_until - now, 2),
         )
 
     def _budget(self, service: str) -> window.WindowBudget:
--- a/walnutport/gateway/metrics.py
+++ b/walnutport/gateway/metrics.py
@@ -11,6 +11,10 @@
 BUCKETS_S = (0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2.4, 4.0, 8.0, 16.0)
 
 
+#: Route, team and service of a request.
+_Key = tuple[str, str, str]
+
+
 class EntryMetrics:
     """Collects figures and renders them in Prometheus' text format.
 
@@ -37,7 +41,7 @@
 
     def started(self, call: calls.CallerCall) -> None:
         """Count a request that has a route and a team."""
-        self._started[_labels(call)] += 1
+        self._started[_key(call)] += 1
 
     def rejected(self, reason: str) -> None:
         """Count a request without a route or a team."""
@@ -45,12 +49,12 @@
 
     def first_event(self, call: calls.CallerCall, now: float) -> None:
         """Count the first event of a stream."""
-        self._first_events.observe(_labels(call), now - call.arrived_at)
+        self._first_events.observe(_key(call), now - call.arrived_at)
 
     def finished(self, call: calls.CallerCall, took_s: float) -> None:
         """Count the end of a request."""
-        key = _labels(call)
-        self._outcomes[(*key, call.outcome)] += 1
+        key = _key(call)
+        self._outcomes[(key, call.outcome)] += 1
         self._requests.observe(key, took_s)
         if call.stages_s:
             self._stages.observe(key, call.stages_s)
@@ -62,18 +66,15 @@
             lines,
             'walnutport_requests_total',
             'Requests of callers with a route and a team.',
-            {
-                f'route="{route}",team="{team}"': value
-                for (route, team), value in self._started.items()
-            },
+            {_labels(key): value for key, value in self._started.items()},
         )
         _counter(
             lines,
             'walnutport_outcomes_total',
             'Ends of requests by outcome.',
             {
-                f'route="{route}",team="{team}",outcome="{outcome}"': value
-                for (route, team, outcome), value in self._outcomes.items()
+                f'{_labels(key)},outcome="{outcome}"': value
+                for (key, outcome), value in self._outcomes.items()
             },
         )
         _counter(
@@ -93,17 +94,15 @@
 
 
 class _Histogram:
-    """Latencies by route and team."""
+    """Latencies by route, team and service."""
 
     def __init__(self, name: str, text: str) -> None:
         self._name = name
         self._text = text
-        self._counts: dict[tuple[str, str], list[int]] = {}
-        self._sums: dict[tuple[str, str], float] = collections.defaultdict(
-            float
-        )
+        self._counts: dict[_Key, list[int]] = {}
+        self._sums: dict[_Key, float] = collections.defaultdict(float)
 
-    def observe(self, key: tuple[str, str], took_s: float) -> None:
+    def observe(self, key: _Key, took_s: float) -> None:
         counts = self._counts.setdefault(key, [0] * (len(BUCKETS_S) + 1))
         counts[bisect.bisect_left(BUCKETS_S, took_s)] += 1
         self._sums[key] += took_s
@@ -113,7 +112,7 @@
         lines.append(f'# HELP {name} {self._text}')
         lines.append(f'# TYPE {name} histogram')
         for key, counts in sorted(self._counts.items()):
-            labels = f'route="{key[0]}",team="{key[1]}"'
+            labels = _labels(key)
             total = 0
             for bound, count in zip((*BUCKETS_S, '+Inf'), counts):
                 total += count
@@ -122,8 +121,12 @@
             lines.append(f'{name}_count{{{labels}}} {total}')
 
 
-def _labels(call: calls.CallerCall) -> tuple[str, str]:
-    return call.route.name, call.team or ''
+def _key(call: calls.CallerCall) -> _Key:
+    return call.route.name, call.team or '', call.service
+
+
+def _labels(key: _Key) -> str:
+    return f'route="{key[0]}",team="{key[1]}",service="{key[2]}"'
 
 
 def _counter(
--- a/walnutport/routing/outcomes.py
+++ b/walnutport/routing/outcomes.py
@@ -40,6 +40,8 @@
     failure_share: float = 0.0
     failures_in_row: int = 0
     ejected_until: float = 0.0
+    # Whether no good answer came since the last ejection.
+    is_suspect: bool = False
     load: requests.ReportedLoad | None = None
     load_at: float = 0.0
 
@@ -101,8 +103,11 @@
         latency_s: float,
         load: requests.ReportedLoad | None,
         now: float,
-    ) -> None:
-        """Count a good answer."""
+    ) -> bool:
+        """Count a good answer.
+
+        :returns: whether the target is taken back after an ejection.
+        """
         found = self.standing(target)
         if found.samples == 0:
             found.latency_s = latency_s
@@ -111,6 +116,10 @@
         found.failure_share *= 1 - GAIN
         found.failures_in_row = 0
         self.reported(target, load, now)
+        taken_back = found.is_suspect and now >= found.ejected_until
+        if taken_back:
+            found.is_suspect = False
+        return taken_back
 
     def reported(
         self,
@@ -137,6 +146,7 @@
         found.failures_in_row += 1
         if found.failures_in_row < EJECT_AFTER and not unreachable:
             return False
+        found.is_suspect = True
         doublings = max(0, found.failures_in_row - EJECT_AFTER)
         found.ejected_until = now + min(
             LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**doublings
--- a/walnutport/stages/admission.py
+++ b/walnutport/stages/admission.py
@@ -39,6 +39,8 @@
 ) -> pieces.Refusal | None:
     """Return why a job is not taken, or None if it is.
 
+    The forecast stays with the job.
+
     :param load_of: returns the work that goes ahead of the job at a service.
     :param standing: demand of the job's team against its share.
     """
@@ -47,6 +49,7 @@
     if found is None:
         return pieces.Refusal('no_target', LEAST_RETRY_AFTER_S, 0.0)
     total_s = found.total_s + order.final_s
+    job.forecast_s = total_s
     if total_s > order.deadline_s:
         return pieces.Refusal('deadline', retry_after_s(found.wait_s), total_s)
     margin = _margin(order.returned, standing)
--- a/walnutport/stages/jobs.py
+++ b/walnutport/stages/jobs.py
@@ -33,6 +33,8 @@
         self.aim_at = now + order.aim_s
         self.deadline_at = now + order.deadline_s
         self.failures = 0
+        # When its answer was expected as it was taken, in seconds from then.
+        self.forecast_s = 0.0
         self.finished = False
         # Seconds of work that are left, by service, as the scheduler counts.
         self.committed_s: dict[str, float] = {}
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -129,6 +129,14 @@
         self._settle(job, now)
         return None
 
+    def forecast_s(self, job_id: str) -> float:
+        """Return when the answer of a job was expected as it was taken.
+
+        :returns: seconds from then; 0 for a job that is gone.
+        """
+        job = self._job_by_id.get(job_id)
+        return job.forecast_s if job is not None else 0.0
+
     def release(self, job_id: str) -> None:
         """Give up a job, whether it is done or not, and its results."""
         job = self._job_by_id.pop(job_id, None)
