Make one operators' page

Cause: two pages told the person on call what to do, docs/operators.md for the own interface and docs/OPERATIONS.md for the platform.

Ruled out: mixing the sections; commands, metrics and settings differ.

The check of metric names reads the part of the platform; the other part's table is generated.

Conclusion: one page.

--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -81,7 +81,10 @@
 
 def test_every_metric_is_in_the_program():
     """Guards against metrics that were renamed."""
-    for name in set(re.findall(r'`walnutport_([a-z_]+)', PAGE)):
+    # The second part of the page has the table of metrics.families, which
+    # tests/docs/test_operators.py compares.
+    part = PAGE.split("## Hosts of the project's own interface")[0]
+    for name in set(re.findall(r'`walnutport_([a-z_]+)', part)):
         assert name in SOURCES, name
 
 
--- a/tests/docs/test_operators.py
+++ b/tests/docs/test_operators.py
@@ -1,4 +1,4 @@
-"""docs/operators.md against the program."""
+"""docs/OPERATIONS.md against the program."""
 
 import json
 import pathlib
@@ -19,7 +19,9 @@
 
 def _rows(title: str) -> dict[str, list[str]]:
     """Return the cells of the table in a section by its first column."""
-    section = re.split(r'^## ', _PAGE.split(f'\n## {title}\n')[1], flags=re.M)
+    section = re.split(
+        r'^### ', _PAGE.split(f'\n### {title}\n')[1], flags=re.M
+    )
     rows = re.findall(r'^\| `(.+?)` \| (.*) \|$', section[0], re.M)
     found = {name: rest.split(' | ') for name, rest in rows}
     assert len(found) == len(rows), 'a name has two rows'
--- a/tools/metrics_table.py
+++ b/tools/metrics_table.py
@@ -1,4 +1,4 @@
-"""Writes the table of metrics into docs/operators.md."""
+"""Writes the table of metrics into docs/OPERATIONS.md."""
 
 import pathlib
 
@@ -6,7 +6,7 @@
 
 __all__ = ['PAGE', 'replace_table', 'table']
 
-PAGE = pathlib.Path(__file__).parent.parent / 'docs' / 'operators.md'
+PAGE = pathlib.Path(__file__).parent.parent / 'docs' / 'OPERATIONS.md'
 _START = '<!-- metrics: written by python -m tools.metrics_table -->\n'
 _END = '<!-- end -->\n'
 
--- a/walnutport/metrics/families.py
+++ b/walnutport/metrics/families.py
@@ -1,7 +1,7 @@
 """Definitions of the metrics of a host: name, kind, labels and help text.
 
 A name in this table is stable: dashboards and alerts refer to it. The page
-``docs/operators.md`` shows the same table.
+``docs/OPERATIONS.md`` shows the same table.
 """
 
 import dataclasses
