--- a/tests/stages/test_scheduler.py
+++ b/tests/stages/test_scheduler.py
@@ -111,25 +111,42 @@
     assert cell.next_calls(now + 1)
 
 
-def test_large_inputs_wait_for_a_near_target():
-    """Guards against results that cross data centres without need."""
+def awaiting_near_target(
+    aim_s: float, inputs_at: float
+) -> scheduler.StageScheduler:
+    """Return a cell with a job that has large inputs in data centre ``a``.
+
+    The only target there is busy from 0.2 on and should be free at 0.44; a
+    target in another data centre is idle.
+
+    :param aim_s: aim of the job, which is taken at 0.2.
+    :param inputs_at: when its inputs are there.
+    """
     stages = (
         builders.CHAIN[0].__class__('encode', (), 400_000),
         builders.CHAIN[1],
     )
-    near = builders.target('near', 'rank', 'a')
-    far = builders.target('far', 'rank', 'b')
-    cell = filled(builders.target('t1'), near, far)
+    cell = filled(
+        builders.target('t1'),
+        builders.target('near', 'rank', 'a'),
+        builders.target('far', 'rank', 'b'),
+    )
     cell.submit(builders.order('1', stages, (1, 4)), 0.0)
     (call,) = cell.next_calls(0.0)
     finish(cell, call, 0.2)
     (placed,) = cell.next_calls(0.2)
     assert placed.target_id == 'near'
-    cell.submit(builders.order('2', stages, (1, 4), aim_s=2.0), 0.2)
+    cell.submit(builders.order('2', stages, (1, 4), aim_s=aim_s), 0.2)
     (call,) = cell.next_calls(0.2)
-    finish(cell, call, 0.3)
+    finish(cell, call, inputs_at)
+    return cell
+
+
+def test_large_inputs_wait_for_a_near_target():
+    """Guards against results that cross data centres without need."""
+    cell = awaiting_near_target(aim_s=2.0, inputs_at=0.3)
     assert cell.next_calls(0.3) == []
-    # The near target is late, and the aim of the second job comes close.
+    # The near target is late, and the aim of the job comes close.
     (moved,) = cell.next_calls(1.85)
     assert moved.target_id == 'far'
 
@@ -140,23 +157,9 @@
     Guards against a wait that counts on calls as short as those of one job:
     the last call of the job is full and takes 0.27 s, not 0.15 s.
     """
-    stages = (
-        builders.CHAIN[0].__class__('encode', (), 400_000),
-        builders.CHAIN[1],
-    )
-    near = builders.target('near', 'rank', 'a')
-    far = builders.target('far', 'rank', 'b')
-    cell = filled(builders.target('t1'), near, far)
-    cell.submit(builders.order('1', stages, (1, 4)), 0.0)
-    (call,) = cell.next_calls(0.0)
-    finish(cell, call, 0.2)
-    (placed,) = cell.next_calls(0.2)
-    assert placed.target_id == 'near'
-    cell.submit(builders.order('2', stages, (1, 4), aim_s=0.77), 0.2)
-    (call,) = cell.next_calls(0.2)
-    finish(cell, call, 0.4)
-    # The near target is free at 0.44. A call that starts there at 0.49 and
-    # takes 0.27 s leaves 0.21 s for the request, which needs 0.2 s.
+    cell = awaiting_near_target(aim_s=0.77, inputs_at=0.4)
+    # A call that starts at the near target at 0.49 and takes 0.27 s leaves
+    # 0.21 s for the request, which needs 0.2 s.
     assert cell.next_calls(0.4) == []
     # The near target is late; 0.08 s later the same wait is too long.
     (moved,) = cell.next_calls(0.48)
--- a/walnutport/lifecycle/machine.py
+++ b/walnutport/lifecycle/machine.py
@@ -80,11 +80,8 @@
         detail: str,
         retry_after_s: float,
     ) -> answers.Answer:
-        return answers.Answer(
-            answers.Outcome.NOT_RUN,
-            reason,
-            detail=detail,
-            retry_after_s=retry_after_s,
+        return _given_up(
+            answers.Outcome.NOT_RUN, reason, detail, retry_after_s
         )
 
     @sent.upon(RequestMachine.give_up).to(closed)
@@ -95,11 +92,8 @@
         detail: str,
         retry_after_s: float,
     ) -> answers.Answer:
-        return answers.Answer(
-            answers.Outcome.UNKNOWN,
-            reason,
-            detail=detail,
-            retry_after_s=retry_after_s,
+        return _given_up(
+            answers.Outcome.UNKNOWN, reason, detail, retry_after_s
         )
 
     @sent.upon(RequestMachine.fail).to(closed)
@@ -136,3 +130,14 @@
         return answers.Reason(code)
     except ValueError:
         raise exceptions.CodecError(f'unknown reason {code!r}') from None
+
+
+def _given_up(
+    outcome: answers.Outcome,
+    reason: answers.Reason,
+    detail: str,
+    retry_after_s: float,
+) -> answers.Answer:
+    return answers.Answer(
+        outcome, reason, detail=detail, retry_after_s=retry_after_s
+    )
