Build the fuzzed adapters with the bounded client

Ruled out: a fault of the adapters; only the test's set-up was old.

Conclusion: the fuzz tests go through the bounded client too.

--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -81,7 +81,10 @@
 
 
 def _service(kind, body: bytes, status: int = 200):
-    return kind(_Client(body, status), _ADDRESS, task.Clock(), 1.0)
+    """Return an adapter whose calls are all answered with the same bytes."""
+    return kind(
+        http.BoundedClient(_Client(body, status), _ADDRESS, task.Clock(), 1.0)
+    )
 
 
 def _page(payload: bytes) -> interfaces.StreamPage:
