Read-through: split the scheduler again and say things once

A comment stood in it twice. * The two transitions that give a request up are one, with the outcome as argument. The soak and the stand-in fleet built a caller's headers and the whole stream each; both come from the fleet now. The soak's main loop is two functions. * StagesRefused is in exceptions with the others. take_repeat says that it uses up the budget, may_repeat did not. * The wait of the host directory named a limit of the store that no page states; four constants had no reason or were figures in an expression. * A host that knows no desired state yet refused requests without their id in line and answer; repeat_denied had two sets of fields.

No check is changed but for what it calls things.

Conclusion: same decisions; a refusal at the start can be explained.

--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -7,7 +7,9 @@
 """
 
 import argparse
+from collections.abc import Iterator
 import concurrent.futures
+import itertools
 import pathlib
 import secrets
 import shutil
@@ -46,31 +48,44 @@
     parser.add_argument('--jobs', type=int, default=2)
     parser.add_argument('seeds', nargs='*', type=int)
     arguments = parser.parse_args(argv)
+    seeds: Iterator[int] = iter(arguments.seeds)
+    if not arguments.seeds:
+        seeds = _fresh_seeds(arguments.minutes)
+    rounds, failed = _run_all(seeds, arguments.jobs)
+    sys.stdout.write(f'soak: {rounds} rounds, {failed} failed\n')
+    return 1 if failed else 0
+
+
+def _fresh_seeds(minutes: float) -> Iterator[int]:
+    """Give out new seeds until the time is over."""
+    ends_at = time.monotonic() + minutes * 60
+    while time.monotonic() < ends_at:
+        yield secrets.randbits(32)
+
+
+def _run_all(seeds: Iterator[int], jobs: int) -> tuple[int, int]:
+    """Play a round for each seed, some at a time.
+
+    :returns: rounds played, and how many of them failed.
+    """
+    rounds = 0
     failed = 0
-    seeds = list(arguments.seeds)
-    ends_at = time.monotonic() + arguments.minutes * 60
-    with concurrent.futures.ProcessPoolExecutor(arguments.jobs) as pool:
-        waiting: dict[concurrent.futures.Future, int] = {}
-        rounds = 0
+    seed_by_round: dict[concurrent.futures.Future, int] = {}
+    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
         while True:
-            while len(waiting) < arguments.jobs and (
-                seeds or (not arguments.seeds and time.monotonic() < ends_at)
-            ):
-                seed = seeds.pop(0) if seeds else secrets.randbits(32)
-                waiting[pool.submit(run_round, seed)] = seed
-            if not waiting:
-                break
+            for seed in itertools.islice(seeds, jobs - len(seed_by_round)):
+                seed_by_round[pool.submit(run_round, seed)] = seed
+            if not seed_by_round:
+                return rounds, failed
             done, _ = concurrent.futures.wait(
-                waiting, return_when=concurrent.futures.FIRST_COMPLETED
+                seed_by_round, return_when=concurrent.futures.FIRST_COMPLETED
             )
             for future in done:
-                seed = waiting.pop(future)
-                rounds += 1
+                seed = seed_by_round.pop(future)
                 problems, requests = future.result()
+                rounds += 1
                 failed += bool(problems)
                 _say(f'soak: seed {seed}: {requests} requests', problems)
-    sys.stdout.write(f'soak: {rounds} rounds, {failed} failed\n')
-    return 1 if failed else 0
 
 
 def run_round(
@@ -95,12 +110,11 @@
             time.sleep(RECOVERY_S)
         outcomes = list(callers.outcomes)
         problems = injector.problems + _final_requests(fleet, seed, outcomes)
-        stream = b''.join(
-            b'id: %d\ndata: token %d\n\n' % (number, number)
-            for number in range(1, 7)
-        )
         problems += soak_checks.violations(
-            outcomes, fleet.all_runs(), injector.disturbances, stream
+            outcomes,
+            fleet.all_runs(),
+            injector.disturbances,
+            platform_fleet.STREAM,
         )
     for number in range(HOSTS):
         problems += [
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -103,12 +103,7 @@
     reused: bool = False,
 ) -> soak_checks.Outcome:
     """Send one request and return what came of it."""
-    headers = {
-        'Host': platform_fleet.HOST,
-        'Walnutport-Request-Attempt-Id': request_id,
-        'Walnutport-Deadline-Ms': str(int(deadline_s * 1000)),
-        'Walnutport-Credential': 'key-north',
-    }
+    headers = platform_fleet.caller_headers(request_id, deadline_s)
     if route == 'review':
         headers['Walnutport-Pieces'] = '2,3'
         headers['Walnutport-Piece-Key'] = request_id
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -10,6 +10,7 @@
 DEADLINE_SLACK_S = 1.0
 # Bound of the routes on the targets of one request.
 MAX_TARGETS = 2
+_STREAM_ROUTES = ('write', 'review')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,7 +98,7 @@
     if outcome.status == 200:
         if not outcome.sealed:
             return 'an answer without the seal of a target'
-        if outcome.route in ('write', 'review'):
+        if outcome.route in _STREAM_ROUTES:
             if outcome.body != stream:
                 return 'a stream that is not whole, or not in order'
         elif outcome.body not in [
@@ -124,7 +125,7 @@
 ) -> str:
     if outcome.whole or _is_disturbed(outcome, disturbances):
         return ''
-    if outcome.status == 200 and outcome.route in ('write', 'review'):
+    if outcome.status == 200 and outcome.route in _STREAM_ROUTES:
         return ''
     stopping = _is_disturbed(outcome, disturbances, ('stop',))
     if stopping and not outcome.status and not ran:
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -16,6 +16,11 @@
 IP = '127.0.0.1'
 HOST = 'calls.example'
 LIMIT_S = 20.0
+# What a caller gets of a whole stream.
+STREAM = b''.join(
+    platform_site.event_bytes(number)
+    for number in range(1, platform_site.STREAM_EVENTS + 1)
+)
 
 
 def desired(version: int = 1, **changes) -> dict:
@@ -82,6 +87,18 @@
     }
 
 
+def caller_headers(
+    request_id: str, deadline_s: float = 4.0, key: str = 'key-north'
+) -> dict[str, str]:
+    """Return the headers of a caller's request."""
+    return {
+        'Host': HOST,
+        'Walnutport-Request-Attempt-Id': request_id,
+        'Walnutport-Deadline-Ms': str(int(deadline_s * 1000)),
+        'Walnutport-Credential': key,
+    }
+
+
 def target_plans() -> tuple[platform_site.TargetPlan, ...]:
     """Return two targets of each service."""
     kinds = {
@@ -219,12 +236,7 @@
         connection = http.client.HTTPConnection(
             IP, self.caller_ports[host], timeout=LIMIT_S
         )
-        sent = {
-            'Host': HOST,
-            'Walnutport-Request-Attempt-Id': request_id,
-            'Walnutport-Deadline-Ms': '4000',
-            'Walnutport-Credential': key,
-        }
+        sent = caller_headers(request_id, key=key)
         sent.update(
             (name.replace('_', '-'), value) for name, value in headers.items()
         )
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -17,7 +17,16 @@
 from twisted.internet import task
 from twisted.web import server
 
-__all__ = ['PlatformSettings', 'PlatformSite', 'TargetPlan']
+__all__ = [
+    'PlatformSettings',
+    'PlatformSite',
+    'STREAM_EVENTS',
+    'TargetPlan',
+    'event_bytes',
+]
+
+#: Events of a whole stream, if nothing else is set.
+STREAM_EVENTS = 6
 
 _LONGEST_WAIT_S = 30.0
 _POLL_S = 0.02
@@ -57,7 +66,7 @@
     targets: tuple[TargetPlan, ...]
     ip: str = '127.0.0.1'
     work_ms: float = 20.0
-    events: int = 6
+    events: int = STREAM_EVENTS
     event_ms: float = 20.0
     call_ms: float = 40.0
 
@@ -306,7 +315,7 @@
                 await self._sleep(5.0)
                 request.transport.abortConnection()
                 return b''
-            request.write(b'id: %d\ndata: token %d\n\n' % (number, number))
+            request.write(event_bytes(number))
         return b''
 
     def _accepts(self, request) -> bool:
@@ -331,5 +340,10 @@
         await task.deferLater(reactor, time_ms / 1000)
 
 
+def event_bytes(number: int) -> bytes:
+    """Return an event of the streams of engines, counted from 1."""
+    return b'id: %d\ndata: token %d\n\n' % (number, number)
+
+
 def _query(request, name: str) -> str:
     return request.args[name.encode()][0].decode()
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -12,10 +12,6 @@
 from standins import platform_fleet
 from standins import processes
 
-EVENTS = b''.join(
-    b'id: %d\ndata: token %d\n\n' % (number, number) for number in range(1, 7)
-)
-
 
 @pytest.fixture
 def fleet(tmp_path):
@@ -40,7 +36,7 @@
 
 def test_stream_is_relayed_whole(fleet):
     """Guards against events that are lost or repeated."""
-    assert fleet.call('write', 'id-1').body == EVENTS
+    assert fleet.call('write', 'id-1').body == platform_fleet.STREAM
 
 
 def test_stages_run_before_the_request(fleet):
@@ -51,7 +47,7 @@
         Walnutport_Pieces='2,3',
         Walnutport_Piece_Key='key-1',
     )
-    assert answer.body == EVENTS
+    assert answer.body == platform_fleet.STREAM
     runs = fleet.runs('id-1')
     stages = [(run['stage'], run['piece']) for run in runs]
     assert sorted(stages) == [
@@ -118,7 +114,7 @@
         modes={'llm-1': 'reset_midway_once', 'llm-2': 'reset_midway_once'}
     )
     answer = fleet.call('write', 'id-1')
-    assert answer.body == EVENTS
+    assert answer.body == platform_fleet.STREAM
     assert len(fleet.runs('id-1')) == 2
     address = f'{platform_fleet.IP}:{fleet.ready_ports[0]}'
     metrics = processes.http_json(f'http://{address}/metrics').decode()
@@ -177,7 +173,7 @@
     fleet.wait_log('placed', id='id-1')
     assert fleet.hosts[0].terminate() == 0
     caller.join()
-    assert answers[0].body == EVENTS
+    assert answers[0].body == platform_fleet.STREAM
 
 
 def test_leaving_caller_ends_the_work(fleet):
@@ -203,12 +199,12 @@
         pieces = {'Walnutport_Pieces': '1,1', 'Walnutport_Piece_Key': 'k'}
         for host in (0, 1):
             answer = fleet.call('review', f'id-{host}', host, **pieces)
-            assert answer.body == EVENTS
+            assert answer.body == platform_fleet.STREAM
         owner = fleet.wait_log('cell_owner')['owner']
         lost = int(owner.rpartition('-')[2])
         fleet.hosts[lost].signal(signal.SIGKILL)
         answer = fleet.call('review', 'id-9', 1 - lost, **pieces)
-        assert answer.body == EVENTS
+        assert answer.body == platform_fleet.STREAM
 
 
 def test_frozen_owner_is_replaced(tmp_path):
@@ -223,7 +219,7 @@
         fleet.hosts[lost].signal(signal.SIGSTOP)
         try:
             answer = fleet.call('review', 'id-9', 1 - lost, **pieces)
-            assert answer.body == EVENTS
+            assert answer.body == platform_fleet.STREAM
         finally:
             fleet.hosts[lost].signal(signal.SIGCONT)
 
--- /dev/null
+++ b/tests/stages/test_held_results.py
@@ -0,0 +1,34 @@
+"""Tests of giving the memory of results back."""
+
+from tests.stages import builders
+from walnutport.stages import cell_targets
+from walnutport.stages import held_results
+from walnutport.stages import jobs
+
+PLACED = jobs.Placed('h1', 't1', 'a', 3_000)
+
+
+def test_freed_results_give_room_and_are_told_once():
+    """Guards against memory that stays taken, and handles freed twice."""
+    targets = cell_targets.CellTargets()
+    targets.update(builders.RULES, [builders.target('t1')])
+    targets.by_id['t1'].held_bytes = 5_000.0
+    held = held_results.HeldResults(targets)
+    held.free(PLACED)
+    assert targets.by_id['t1'].held_bytes == 2_000.0
+    ((info, handles),) = held.take_freed()
+    assert info.target_id == 't1' and handles == ['h1']
+    assert held.take_freed() == []
+
+
+def test_results_of_a_lost_lifetime_are_not_freed():
+    """Guards against calls to a target that does not know the results."""
+    targets = cell_targets.CellTargets()
+    targets.update(builders.RULES, [builders.target('t1')])
+    held = held_results.HeldResults(targets)
+    held.free(PLACED)
+    held.forget('t1')
+    assert held.take_freed() == []
+    targets.by_id.clear()
+    held.free(PLACED)
+    assert held.take_freed() == []
--- a/walnutport/exceptions.py
+++ b/walnutport/exceptions.py
@@ -23,6 +23,7 @@
     'OrderError',
     'WeightStoreError',
     'ChannelError',
+    'StagesRefused',
     'WireError',
 ]
 
@@ -146,3 +147,25 @@
 
 class WireError(WalnutportError):
     """A message of the platform does not decode."""
+
+
+class StagesRefused(WalnutportError):
+    """The stages of a request were refused or given up.
+
+    :param forecast_s: when the owner expected the answer; 0 if unknown.
+    :param standing: demand of the team against its share, as the owner saw
+        it; empty if unknown.
+    """
+
+    def __init__(
+        self,
+        reason: str,
+        retry_after_s: float,
+        forecast_s: float = 0.0,
+        standing: str = '',
+    ) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+        self.forecast_s = forecast_s
+        self.standing = standing
--- a/walnutport/gateway/drain.py
+++ b/walnutport/gateway/drain.py
@@ -9,6 +9,7 @@
 
 __all__ = ['Drain']
 
+# How often the end is looked for; each step adds at most this to the stop.
 STEP_S = 0.1
 # The balancer takes a host out after two questions, a second apart, that it
 # does not answer with 200; connections may come until then.
--- a/walnutport/gateway/events.py
+++ b/walnutport/gateway/events.py
@@ -189,16 +189,14 @@
     Event(
         'repeat_denied',
         'nothing more is tried: a rule or the retry budget forbids it',
-        ('id',),
-        ('why', 'after', 'budget'),
+        ('id', 'after', 'why'),
+        ('budget',),
     ),
     Event(
         'refused',
         'the request has not run; the caller is told when to come back',
-        ('reason',),
+        ('id', 'reason', 'retry_after_s'),
         (
-            'id',
-            'retry_after_s',
             'left_s',
             'cell',
             'owner',
--- a/walnutport/gateway/forwarding.py
+++ b/walnutport/gateway/forwarding.py
@@ -111,10 +111,14 @@
                     attempt_id, survived, time.monotonic()
                 )
 
-    def may_repeat(
+    def take_repeat(
         self, call: calls.CallerCall, result: attempts.AttemptResult
     ) -> bool:
-        """Whether the request may go to another target now."""
+        """Take leave to send the request to another target.
+
+        :returns: whether it may go there now; the retry budget is then less
+            by one.
+        """
         if result.status is _Status.NOT_SENT:
             call.unreachable.add(result.target.target_id)
         end = _END_BY_STATUS[result.status]
@@ -130,19 +134,32 @@
             ),
         )
         if denial:
-            self._log.routine('repeat_denied', id=call.request_id, why=denial)
+            self._log.routine(
+                'repeat_denied',
+                id=call.request_id,
+                after=result.status.value,
+                why=denial,
+            )
             return False
         if end is repeats.AttemptEnd.UNSENT:
             return True
         now = time.monotonic()
         budget = self._budget(call.service)
         allowed = budget.take(now)
-        self._log.notable(
-            'repeat' if allowed else 'repeat_denied',
-            id=call.request_id,
-            after=result.status.value,
-            budget=round(budget.left(now), 1),
-        )
+        after = result.status.value
+        left = round(budget.left(now), 1)
+        if allowed:
+            self._log.notable(
+                'repeat', id=call.request_id, after=after, budget=left
+            )
+        else:
+            self._log.notable(
+                'repeat_denied',
+                id=call.request_id,
+                after=after,
+                why='retry_budget',
+                budget=left,
+            )
         return allowed
 
     def set_slack(self, slack: float) -> None:
--- a/walnutport/gateway/front.py
+++ b/walnutport/gateway/front.py
@@ -97,7 +97,9 @@
             if target is None:
                 break
             result = await self._forwarder.attempt(call, target)
-            if result.is_final or not self._forwarder.may_repeat(call, result):
+            if result.is_final or not self._forwarder.take_repeat(
+                call, result
+            ):
                 break
         self._responder.give_up(call, result)
 
@@ -125,7 +127,7 @@
         with stage_client.StageRun(self._stages, order) as run:
             try:
                 result = await run.results()
-            except stage_client.StagesRefusedError as problem:
+            except exceptions.StagesRefused as problem:
                 self._responder.refuse(
                     call,
                     problem.reason,
@@ -169,7 +171,9 @@
                 call.outcome = 'streamed'
                 call.request.finish()
                 return
-            if result.is_final or not self._forwarder.may_repeat(call, result):
+            if result.is_final or not self._forwarder.take_repeat(
+                call, result
+            ):
                 break
             relay.next_run()
             if call.request.head_sent and relay.last_id is not None:
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -40,6 +40,7 @@
 
 __all__ = ['EntryHost']
 
+# How often time-outs are looked at; some of them are 0.3 s.
 TICK_S = 0.1
 # Idle channels kept to each target.
 MAX_IDLE_CHANNELS = 6
@@ -51,6 +52,7 @@
 LEAST_FLEET = 7
 # Age of the targets that is told to peers at most, in seconds.
 MOST_STORE_AGE_S = 999.0
+# Connections that wait while the loop is busy; a burst brings some hundred.
 LISTEN_BACKLOG = 512
 
 
--- a/walnutport/gateway/host_directory.py
+++ b/walnutport/gateway/host_directory.py
@@ -11,7 +11,7 @@
 
 __all__ = ['HostDirectory']
 
-# The store allows a few writes a second to each host.
+# Bounds the calls of a fleet that starts while the store is away.
 RETRY_S = 1.0
 
 
--- a/walnutport/gateway/host_view.py
+++ b/walnutport/gateway/host_view.py
@@ -101,7 +101,7 @@
         for service, left in self._forwarder.budget_left(now).items():
             found[f'retry_budget_left{{service="{service}"}}'] = left
         for owner in self._stages.local_owners():
-            for service, load in owner.scheduler.loads(now).items():
+            for service, load in owner.scheduler.load.by_service(now).items():
                 labels = f'{{cell="{owner.cell}",service="{service}"}}'
                 found['stage_backlog_seconds' + labels] = load.backlog_s
                 found['stage_batch_fill' + labels] = load.batch_fill
--- a/walnutport/gateway/intake.py
+++ b/walnutport/gateway/intake.py
@@ -45,14 +45,21 @@
 
         :raises WireError: when the request cannot be read.
         """
+        fields = headers.request_fields(request.headers)
         desired = self._follower.desired
         if desired is None:
-            self._log.notable('refused', reason='no_desired_state')
+            self._log.notable(
+                'refused',
+                id=fields.request_id,
+                reason='no_desired_state',
+                retry_after_s=RETRY_STARTING_S,
+            )
             request.respond(
-                503, headers.own_headers('', RETRY_STARTING_S), b''
+                503,
+                headers.own_headers(fields.request_id, RETRY_STARTING_S),
+                b'',
             )
             return None
-        fields = headers.request_fields(request.headers)
         path = request.target.split(b'?', 1)[0].decode('latin-1')
         host = (request.header(b'host') or b'').decode('latin-1').lower()
         route = desired.route_for(host.rsplit(':', 1)[0], path)
--- a/walnutport/gateway/responses.py
+++ b/walnutport/gateway/responses.py
@@ -15,13 +15,15 @@
 RETRY_ERROR_S = 0.2
 # A caller honours a wait of at most a third of the time that it has left.
 RETRY_SHARE = 0.33
+# Part by which waits differ, so that callers who were refused together do not
+# come back together.
+RETRY_SPREAD = 0.2
 
 
 class Responder:
     """Refuses, gives up and closes the calls of this host.
 
-    :param rng: spreads the waits, so that refused callers do not come back
-        at the same moment.
+    :param rng: spreads the waits of refused callers.
     """
 
     def __init__(self, log, counters: metrics.EntryMetrics, rng) -> None:
@@ -60,7 +62,7 @@
         :param inputs: what decided the refusal, for the log.
         """
         most_s = max(0.0, call.left_s() * RETRY_SHARE)
-        spread = 0.8 + 0.4 * self._rng.random()
+        spread = self._rng.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
         wait_s = min(retry_after_s * spread, most_s)
         self._log.notable(
             'refused',
--- a/walnutport/gateway/stage_client.py
+++ b/walnutport/gateway/stage_client.py
@@ -17,7 +17,7 @@
 from walnutport.world import routes
 from walnutport.world import workers
 
-__all__ = ['StageClient', 'StageRun', 'StagesRefusedError']
+__all__ = ['StageClient', 'StageRun']
 
 # Attempts to get the stages of one request run by an owner.
 MAX_SUBMITS = 3
@@ -26,28 +26,6 @@
 RETRY_OWNERS_LOST_S = 0.3
 
 
-class StagesRefusedError(exceptions.WalnutportError):
-    """The stages of a request were refused or given up.
-
-    :param forecast_s: when the owner expected the answer; 0 if unknown.
-    :param standing: demand of the team against its share, as the owner saw
-        it; empty if unknown.
-    """
-
-    def __init__(
-        self,
-        reason: str,
-        retry_after_s: float,
-        forecast_s: float = 0.0,
-        standing: str = '',
-    ) -> None:
-        super().__init__(reason)
-        self.reason = reason
-        self.retry_after_s = retry_after_s
-        self.forecast_s = forecast_s
-        self.standing = standing
-
-
 class StageClient:
     """Gets the stages of the requests of this host run.
 
@@ -131,7 +109,7 @@
     async def run(self, run: 'StageRun') -> pieces.JobResult:
         """Run the stages of a request.
 
-        :raises StagesRefusedError: when they are refused or given up.
+        :raises StagesRefused: when they are refused or given up.
         """
         order = run.order
         ends_at = time.monotonic() + order.deadline_s
@@ -149,19 +127,21 @@
             if isinstance(reply, pieces.JobResult):
                 return reply
             if isinstance(reply, pieces.Refusal):
-                raise StagesRefusedError(
+                raise exceptions.StagesRefused(
                     reply.reason,
                     reply.retry_after_s,
                     reply.forecast_s,
                     reply.standing,
                 )
             if isinstance(reply, pieces.JobFailure):
-                raise StagesRefusedError(reply.reason, reply.retry_after_s)
+                raise exceptions.StagesRefused(
+                    reply.reason, reply.retry_after_s
+                )
             # The owner is lost; the stages start again elsewhere.
             self._log.notable(
                 'stages_resubmitted', id=order.request_id, lost_owner=owner
             )
-        raise StagesRefusedError('owners_lost', RETRY_OWNERS_LOST_S)
+        raise exceptions.StagesRefused('owners_lost', RETRY_OWNERS_LOST_S)
 
     def release(self, job_id: str, cell: int, owner: str) -> None:
         """Give up a job and its results."""
@@ -291,7 +271,7 @@
     async def results(self) -> pieces.JobResult:
         """Run the stages.
 
-        :raises StagesRefusedError: when they are refused or given up.
+        :raises StagesRefused: when they are refused or given up.
         """
         return await self._client.run(self)
 
--- a/walnutport/lifecycle/machine.py
+++ b/walnutport/lifecycle/machine.py
@@ -50,6 +50,23 @@
     attempts_sent: int = 0
 
 
+def _give_up_with(outcome: answers.Outcome):
+    """Return the transition that gives a request up with an outcome."""
+
+    def give_up(
+        machine: RequestMachine,
+        core: RequestLifecycle,
+        reason: answers.Reason,
+        detail: str,
+        retry_after_s: float,
+    ) -> answers.Answer:
+        return answers.Answer(
+            outcome, reason, detail=detail, retry_after_s=retry_after_s
+        )
+
+    return give_up
+
+
 def _build() -> automat.TypeMachineBuilder:
     builder = automat.TypeMachineBuilder(RequestMachine, RequestLifecycle)
     accepted = builder.state('accepted')
@@ -72,29 +89,12 @@
             answers.Outcome.COMPLETE, answers.Reason.OK, output
         )
 
-    @accepted.upon(RequestMachine.give_up).to(closed)
-    def refused(
-        machine: RequestMachine,
-        core: RequestLifecycle,
-        reason: answers.Reason,
-        detail: str,
-        retry_after_s: float,
-    ) -> answers.Answer:
-        return _given_up(
-            answers.Outcome.NOT_RUN, reason, detail, retry_after_s
-        )
-
-    @sent.upon(RequestMachine.give_up).to(closed)
-    def lost(
-        machine: RequestMachine,
-        core: RequestLifecycle,
-        reason: answers.Reason,
-        detail: str,
-        retry_after_s: float,
-    ) -> answers.Answer:
-        return _given_up(
-            answers.Outcome.UNKNOWN, reason, detail, retry_after_s
-        )
+    accepted.upon(RequestMachine.give_up).to(closed)(
+        _give_up_with(answers.Outcome.NOT_RUN)
+    )
+    sent.upon(RequestMachine.give_up).to(closed)(
+        _give_up_with(answers.Outcome.UNKNOWN)
+    )
 
     @sent.upon(RequestMachine.fail).to(closed)
     def failed(
@@ -130,14 +130,3 @@
         return answers.Reason(code)
     except ValueError:
         raise exceptions.CodecError(f'unknown reason {code!r}') from None
-
-
-def _given_up(
-    outcome: answers.Outcome,
-    reason: answers.Reason,
-    detail: str,
-    retry_after_s: float,
-) -> answers.Answer:
-    return answers.Answer(
-        outcome, reason, detail=detail, retry_after_s=retry_after_s
-    )
--- /dev/null
+++ b/walnutport/stages/cell_load.py
@@ -0,0 +1,110 @@
+"""Work that a cell has taken, against what its targets can do."""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+
+from walnutport.stages import admission
+from walnutport.stages import backlog
+from walnutport.stages import cell_targets
+from walnutport.stages import forecast
+from walnutport.stages import jobs
+from walnutport.stages import pieces
+from walnutport.stages import team_shares
+
+__all__ = ['CellLoad', 'StageLoad']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageLoad:
+    """Load of a stage service for operators.
+
+    :param backlog_s: seconds of work of one target that are taken.
+    :param batch_fill: pieces of all calls over what they could have carried.
+    """
+
+    backlog_s: float
+    batch_fill: float
+
+
+class CellLoad:
+    """Load of each service of a cell, and the demand of each team.
+
+    Times are seconds of a steady clock, passed in as ``now``.
+    """
+
+    def __init__(self, targets: cell_targets.CellTargets) -> None:
+        self._targets = targets
+        self._backlog = backlog.Backlog()
+        self._shares = team_shares.TeamShares()
+        self._calls_by_service: collections.Counter = collections.Counter()
+        self._pieces_by_service: collections.Counter = collections.Counter()
+
+    def keep_services(self) -> None:
+        """Forget the demand for services that are gone."""
+        self._shares.keep(self._targets.rules_by_service)
+
+    def judge(self, job: jobs.Job, now: float) -> pieces.Refusal | None:
+        """Count the demand of a new job and say why it is not taken."""
+        order = job.order
+        cost_by_service = backlog.cost_by_service(
+            job, self._targets.rules_by_service
+        )
+        if not order.returned:
+            self._shares.asked(order.team, cost_by_service, now)
+        refusal = admission.judge(
+            job,
+            lambda service: self._ahead(service, order.urgency, now),
+            self._standing(order.team, cost_by_service, now),
+        )
+        if refusal is None:
+            self._shares.taken(order.team, cost_by_service, now)
+        return refusal
+
+    def track(self, job: jobs.Job) -> None:
+        """Bring what is counted of a job up to date."""
+        self._backlog.track(job, self._targets.rules_by_service)
+
+    def call_started(self, service: str, count: int) -> None:
+        """Count a call and its pieces."""
+        self._calls_by_service[service] += 1
+        self._pieces_by_service[service] += count
+
+    def by_service(self, now: float) -> dict[str, StageLoad]:
+        """Return the load of each service."""
+        found = {}
+        for service, rules in self._targets.rules_by_service.items():
+            room = self._calls_by_service[service] * rules.batch
+            found[service] = StageLoad(
+                self._backlog.ahead_s(service)
+                + self._targets.running_s(service, now),
+                self._pieces_by_service[service] / room if room else 0.0,
+            )
+        return found
+
+    def _standing(
+        self, team: str, services: Iterable[str], now: float
+    ) -> team_shares.Standing:
+        """Return the standing of a team at some services."""
+        slots_by_service = {}
+        for service in services:
+            capacity = self._targets.capacity(service, now)
+            if capacity is not None:
+                slots_by_service[service] = capacity.slots / capacity.slowness
+        return self._shares.standing(team, slots_by_service, now)
+
+    def _ahead(
+        self, service: str, urgency: int, now: float
+    ) -> forecast.ServiceLoad | None:
+        """Return the work that goes ahead of a new job at a service."""
+        capacity = self._targets.capacity(service, now)
+        if capacity is None:
+            return None
+        # The expected time of a running call has its slowness in it.
+        ahead_s = self._backlog.ahead_s(service, urgency) * capacity.slowness
+        return forecast.ServiceLoad(
+            capacity.rules,
+            capacity.slots,
+            ahead_s + self._targets.running_s(service, now),
+            capacity.slowness,
+        )
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -1,30 +1,27 @@
 """Jobs and calls of one cell.
 
 The owner of a cell asks the scheduler which calls to start and tells it what
-came of them. The rules stand apart: ``admission`` and ``forecast`` decide
-which jobs are taken, ``timing`` their order, ``batching`` what goes into a
-call, and ``cell_targets`` what a target can take.
+came of them. The rules stand apart: ``cell_load`` decides with ``admission``
+and ``forecast`` which jobs are taken, ``timing`` their order, ``batching``
+what goes into a call, and ``cell_targets`` what a target can take.
 """
 
-import collections
 from collections.abc import Iterable
-import dataclasses
 import itertools
 
 from walnutport.stages import admission
-from walnutport.stages import backlog
 from walnutport.stages import batching
+from walnutport.stages import cell_load
 from walnutport.stages import cell_targets
-from walnutport.stages import forecast
+from walnutport.stages import held_results
 from walnutport.stages import jobs
 from walnutport.stages import pieces
 from walnutport.stages import stage_targets
-from walnutport.stages import team_shares
 from walnutport.stages import timing
 from walnutport.world import routes
 from walnutport.world import workers
 
-__all__ = ['StageLoad', 'StageScheduler']
+__all__ = ['StageScheduler']
 
 # A call that takes this many times its expected time, and the margin, is
 # repeated at another target.
@@ -46,18 +43,6 @@
 _StageKey = tuple[str, int]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageLoad:
-    """Load of a stage service for operators.
-
-    :param backlog_s: seconds of work of one target that are taken.
-    :param batch_fill: pieces of all calls over what they could have carried.
-    """
-
-    backlog_s: float
-    batch_fill: float
-
-
 class StageScheduler:
     """Jobs, targets and calls of one cell.
 
@@ -66,18 +51,15 @@
 
     def __init__(self) -> None:
         self._targets = cell_targets.CellTargets()
-        self._backlog = backlog.Backlog()
-        self._shares = team_shares.TeamShares()
+        self._results = held_results.HeldResults(self._targets)
+        self.load = cell_load.CellLoad(self._targets)
         self._job_by_id: dict[str, jobs.Job] = {}
         self._call_by_id: dict[int, stage_targets.RunningCall] = {}
         # Jobs with pieces that wait, by service.
         self._ready: dict[str, dict[_StageKey, jobs.Job]] = {}
-        self._calls_by_service: collections.Counter = collections.Counter()
-        self._pieces_by_service: collections.Counter = collections.Counter()
         self._expire_at = 0.0
         self._call_ids = itertools.count(1)
         self._outcomes: list[pieces.JobResult | pieces.JobFailure] = []
-        self._freed_by_target: dict[str, list[str]] = {}
 
     @property
     def job_count(self) -> int:
@@ -96,9 +78,9 @@
         now: float,
     ) -> None:
         """Take over the targets that may be called."""
-        self._shares.keep(rules_by_service)
         for lost in self._targets.update(rules_by_service, targets):
             self._forget_lifetime(lost, now)
+        self.load.keep_services()
         self._targets.forget_unused(
             {
                 placed.target_id
@@ -112,19 +94,9 @@
     ) -> pieces.Refusal | None:
         """Take a job or say why not."""
         job = jobs.Job(order, now)
-        cost_by_service = backlog.cost_by_service(
-            job, self._targets.rules_by_service
-        )
-        if not order.returned:
-            self._shares.asked(order.team, cost_by_service, now)
-        refusal = admission.judge(
-            job,
-            lambda service: self._load(service, order.urgency, now),
-            self._standing(order.team, cost_by_service, now),
-        )
+        refusal = self.load.judge(job, now)
         if refusal is not None:
             return refusal
-        self._shares.taken(order.team, cost_by_service, now)
         self._job_by_id[order.job_id] = job
         self._settle(job, now)
         return None
@@ -144,7 +116,7 @@
             return
         job.finished = True
         for placed in job.all_results():
-            self._free(placed)
+            self._results.free(placed)
         job.results = {stage: {} for stage in job.stages}
         job.waiting = {}
         self._track(job)
@@ -158,12 +130,7 @@
         self,
     ) -> list[tuple[workers.RegisteredTarget, list[str]]]:
         """Return results that are no longer needed, by target."""
-        freed, self._freed_by_target = self._freed_by_target, {}
-        return [
-            (self._targets.by_id[target_id].info, handles)
-            for target_id, handles in freed.items()
-            if target_id in self._targets.by_id
-        ]
+        return self._results.take_freed()
 
     def expire(self, now: float) -> None:
         """Give up the jobs that cannot be answered in time any more."""
@@ -240,46 +207,6 @@
         for job in call.jobs():
             self._settle(job, now)
 
-    def loads(self, now: float) -> dict[str, StageLoad]:
-        """Return the load of each service."""
-        found = {}
-        for service, rules in self._targets.rules_by_service.items():
-            room = self._calls_by_service[service] * rules.batch
-            found[service] = StageLoad(
-                self._backlog.ahead_s(service)
-                + self._targets.running_s(service, now),
-                self._pieces_by_service[service] / room if room else 0.0,
-            )
-        return found
-
-    def _standing(
-        self, team: str, services: Iterable[str], now: float
-    ) -> team_shares.Standing:
-        """Return the standing of a team at some services."""
-        slots_by_service = {}
-        for service in services:
-            capacity = self._targets.capacity(service, now)
-            if capacity is not None:
-                slots_by_service[service] = capacity.slots / capacity.slowness
-        return self._shares.standing(team, slots_by_service, now)
-
-    def _load(
-        self, service: str, urgency: int, now: float
-    ) -> forecast.ServiceLoad | None:
-        """Return the work that goes ahead of a new job at a service."""
-        capacity = self._targets.capacity(service, now)
-        if capacity is None:
-            return None
-        # The expected time of a running call has its slowness in it.
-        # The expected time of a running call has its slowness in it.
-        ahead_s = self._backlog.ahead_s(service, urgency) * capacity.slowness
-        return forecast.ServiceLoad(
-            capacity.rules,
-            capacity.slots,
-            ahead_s + self._targets.running_s(service, now),
-            capacity.slowness,
-        )
-
     def _track(self, job: jobs.Job) -> None:
         """Bring what is counted of a job up to date."""
         for stage in job.stages:
@@ -290,7 +217,7 @@
                 ready[key] = job
             else:
                 ready.pop(key, None)
-        self._backlog.track(job, self._targets.rules_by_service)
+        self.load.track(job)
 
     def _start(
         self,
@@ -306,8 +233,7 @@
         call_id = next(self._call_ids)
         self._call_by_id[call_id] = call
         target.calls[call_id] = call
-        self._calls_by_service[target.info.service] += 1
-        self._pieces_by_service[target.info.service] += len(work)
+        self.load.call_started(target.info.service, len(work))
         items = []
         handles_by_stage: dict[_StageKey, tuple[str, ...]] = {}
         for job, piece_id in work:
@@ -354,7 +280,7 @@
                 outcome, target.info.target_id, target.info.data_centre, size
             )
             if job.finished or piece in job.results[stage]:
-                self._free(placed)
+                self._results.free(placed)
             else:
                 job.results[stage][piece] = placed
             return
@@ -365,7 +291,7 @@
         job.failures += 1
         if outcome is pieces.PieceFailure.INPUT_GONE and not job.finished:
             for placed in job.drop_inputs(stage):
-                self._free(placed)
+                self._results.free(placed)
 
     def _settle(self, job: jobs.Job, now: float) -> None:
         """Find out what follows a change of a job."""
@@ -375,7 +301,7 @@
             self._fail(job, 'stage_failures', now)
             return
         for placed in job.take_used():
-            self._free(placed)
+            self._results.free(placed)
         final = job.final_results()
         if final is None:
             job.refresh()
@@ -402,15 +328,6 @@
         wait_s = admission.retry_after_s(left_s * RETRY_PART)
         self._outcomes.append(pieces.JobFailure(job_id, reason, wait_s))
 
-    def _free(self, placed: jobs.Placed) -> None:
-        target = self._targets.by_id.get(placed.target_id)
-        if target is None:
-            return
-        target.give_room(placed.size)
-        self._freed_by_target.setdefault(placed.target_id, []).append(
-            placed.handle
-        )
-
     def _forget_lifetime(
         self, target: stage_targets.StageTarget, now: float
     ) -> None:
@@ -418,7 +335,7 @@
         for call_id in list(target.calls):
             self.call_failed(call_id, stage_targets.CallFailure.LOST, now)
         target_id = target.info.target_id
-        self._freed_by_target.pop(target_id, None)
+        self._results.forget(target_id)
         for job in list(self._job_by_id.values()):
             if not job.finished and job.drop_results(target_id):
                 self._track(job)
