Tell a target's failure from its good answer in logs and explain

Cause: a request whose last target answered 500 ended in "a target gave this answer", as a good one does, and a late answer to a caller who had come back after a refusal looked as if it took no time.

Change: the line finished has the status of the answer and whether the caller had come back; walnutport explain says both.

Ruled out: an outcome of its own for such answers (the host passes them on like others, and the metrics would change their meaning).

Conclusion: the cause of a failure names the failure.

--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -97,3 +97,44 @@
         ),
     )
     assert 'late' not in lines[-1]
+
+
+def test_failure_that_a_target_answered_is_called_a_failure():
+    """Guards against a cause that reads like a good answer."""
+    lines = explain.explain(
+        'a',
+        log(
+            {
+                'host': 'h',
+                'event': 'finished',
+                'id': 'a',
+                'outcome': 'answered',
+                'status': 500,
+                'targets': ['t1', 't2'],
+            },
+        ),
+    )
+    assert lines[-1] == (
+        'cause: failed: answered 500 by its last target of t1, t2'
+    )
+
+
+def test_late_answer_to_a_caller_who_came_back_says_so():
+    """Guards against a late answer that took no time at all."""
+    lines = explain.explain(
+        'a',
+        log(
+            {
+                'host': 'h',
+                'event': 'finished',
+                'id': 'a',
+                'outcome': 'answered',
+                'status': 200,
+                'late': True,
+                'returned': True,
+                'first_s': 0.1,
+                'stages_s': 0.0,
+            },
+        ),
+    )
+    assert lines[-1].endswith('the caller had come back after a refusal')
--- a/walnutport/cli/explain.py
+++ b/walnutport/cli/explain.py
@@ -118,6 +118,10 @@
         return 'no end in this log; the host stopped or the line was dropped'
     outcome = str(ends[-1].get('outcome', ''))
     text = _CAUSES.get(outcome, f'outcome {outcome or "unknown"}')
+    status = ends[-1].get('status', 0)
+    if outcome == 'answered' and status >= 500:
+        tried = ', '.join(ends[-1].get('targets', ()))
+        text = f'failed: answered {status} by its last target of {tried}'
     failures = [
         record for record in records if record.get('event') == 'attempt_failed'
     ]
@@ -133,4 +137,6 @@
             f'; late: first answer after {ends[-1].get("first_s")} s, '
             f'of which stages {ends[-1].get("stages_s")} s'
         )
+        if ends[-1].get('returned'):
+            text += ', and the caller had come back after a refusal'
     return text
--- a/walnutport/gateway/attempts.py
+++ b/walnutport/gateway/attempts.py
@@ -136,7 +136,10 @@
             self._on_first_event()
         request = self._call.request
         if not request.head_sent:
-            request.start(200, headers.caller_headers(self._head))
+            self._call.status = self._head.status
+            request.start(
+                self._head.status, headers.caller_headers(self._head)
+            )
         request.write(passed)
 
     def finished(self) -> None:
--- a/walnutport/gateway/calls.py
+++ b/walnutport/gateway/calls.py
@@ -18,6 +18,7 @@
 
     :param deadline_at: when the caller or the route gives up.
     :param aim_at: until when an answer has its full value.
+    :param status: status of the answer, 0 while there is none.
     :param returned: whether the caller comes back after a refusal.
     :param targets: targets that the request was sent to.
     :param unreachable: targets that could not be connected.
@@ -44,6 +45,7 @@
     )
     unreachable: set[str] = dataclasses.field(default_factory=set)
     outcome: str = ''
+    status: int = 0
     stages_s: float = 0.0
     engine_id: str = ''
     first_event_at: float = 0.0
@@ -74,6 +76,7 @@
     ) -> None:
         """Send an answer of the system itself."""
         self.outcome = outcome
+        self.status = status
         self.request.respond(
             status, headers.own_headers(self.request_id, retry_after_s), b''
         )
@@ -81,4 +84,5 @@
     def pass_on(self, head: messages.ResponseHead, body: bytes) -> None:
         """Send a target's whole answer."""
         self.outcome = 'answered'
+        self.status = head.status
         self.request.respond(head.status, headers.caller_headers(head), body)
--- a/walnutport/gateway/events.py
+++ b/walnutport/gateway/events.py
@@ -221,6 +221,8 @@
             'route',
             'team',
             'outcome',
+            'status',
+            'returned',
             'took_s',
             'stages_s',
             'first_s',
--- a/walnutport/gateway/responses.py
+++ b/walnutport/gateway/responses.py
@@ -113,6 +113,8 @@
             route=call.route.name,
             team=call.team,
             outcome=call.outcome,
+            status=call.status,
+            returned=call.returned,
             took_s=round(took_s, 3),
             stages_s=round(call.stages_s, 3),
             first_s=round(first_at - call.arrived_at, 3),
