Follow a store that returns from an older copy

Cause: offsets decided what was newer. After a return the store assigns them again, so a host kept an old desired state, read expired offsets in a loop without a pause, skipped records below its offset, and contradicted its peers; a host whose record was lost stayed unknown.

Change: positions are pairs of era and offset, in the store client, in the registry and in the messages between hosts. A new era starts a full read. The desired state with the highest version is in force. Entries of targets are ordered by run and sequence number across eras, so that a draining or removed target stays so, and targets that the copy lacks have 3.5 s to write again. Hosts publish their record again. Missing, invalid or falling eras are logged. The stand-in and the soak play the return; status shows the era.

--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -221,6 +221,8 @@
             fleet.control_platform(store=action.variant)
         elif action.kind == 'leave':
             fleet.control_platform(states={action.location: action.variant})
+        elif action.kind == 'return':
+            fleet.control_platform(copy=True)
         else:
             self._version += 1
             fleet.control_platform(
@@ -237,6 +239,8 @@
             fleet.control_platform(store='ok')
         elif action.kind == 'leave':
             fleet.control_platform(states={action.location: 'ready'})
+        elif action.kind == 'return':
+            fleet.control_platform(return_older=float(action.variant))
 
     def _disrupt_host(self, action: soak_schedule.FaultAction) -> None:
         number = int(action.location)
--- a/bench/idle_host.py
+++ b/bench/idle_host.py
@@ -73,7 +73,7 @@
             _QuietLog(),
             _record(name, 0),
             lambda interval_s: fleet_messages.Heartbeat(
-                1, 1, 1.0, True, False, interval_s
+                1, 0, 1, 1.0, True, False, interval_s
             ),
             lambda peer, message: None,
             lambda peer: None,
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -2,6 +2,7 @@
 
 import http.client
 import random
+import select
 import threading
 import time
 import urllib.error
@@ -70,7 +71,11 @@
             ready_hosts = self._ready_hosts
             if not ready_hosts:
                 continue
-            if connection is None or rng.random() < NEW_CONNECTION_SHARE:
+            if (
+                connection is None
+                or rng.random() < NEW_CONNECTION_SHARE
+                or _is_closed(connection)
+            ):
                 if connection is not None:
                     connection.close()
                 host = rng.choice(ready_hosts)
@@ -149,6 +154,14 @@
     )
 
 
+def _is_closed(connection: http.client.HTTPConnection) -> bool:
+    """Return whether the host has closed an idle connection."""
+    if connection.sock is None:
+        return True
+    readable, _, _ = select.select([connection.sock], [], [], 0)
+    return bool(readable)
+
+
 def _is_ready(port: int) -> bool:
     try:
         processes.http_request(
--- a/bench/soak_schedule.py
+++ b/bench/soak_schedule.py
@@ -18,6 +18,9 @@
 RUN_TARGET_WEIGHT = 4
 # Share of the faults that are repeated at the same location.
 REPEAT_SHARE = 0.3
+# Share of the rounds in which the store returns from an older copy, and the
+# share of these in which it does so again.
+STORE_RETURN_SHARE = 0.5
 
 _NETWORK_FAULTS = ('delay', 'reset', 'silent', 'half_open', 'drip')
 _TARGET_MODES = (
@@ -46,8 +49,9 @@
 class FaultAction:
     """A fault that is injected during a round.
 
-    :param kind: ``network``, ``mode``, ``host``, ``store``, ``desired`` or
-        ``leave``.
+    :param kind: ``network``, ``mode``, ``host``, ``store``, ``desired``,
+        ``leave`` or ``return``. With the last one, the store takes a copy at
+        the start and returns from it at the end.
     :param location: target id, host number or ``store``.
     :param variant: which fault of this kind.
     :param at_s: start, relative to the start of the round.
@@ -78,9 +82,30 @@
                     action, at_s=action.at_s + action.for_s + gap_s
                 )
             )
+    actions += _draw_store_returns(seed)
     return sorted(actions, key=lambda action: action.at_s)
 
 
+def _draw_store_returns(seed: int) -> list[FaultAction]:
+    """Return the times at which the store returns from an older copy.
+
+    The variant is the time after which the lost records are written again.
+    """
+    rng = random.Random(f'{seed}/store-returns')
+    actions: list[FaultAction] = []
+    while rng.random() < STORE_RETURN_SHARE:
+        actions.append(
+            FaultAction(
+                'return',
+                'store',
+                f'{rng.uniform(0.05, 1.8):.2f}',
+                round(rng.uniform(0.0, ROUND_S), 2),
+                round(rng.uniform(0.2, 4.0), 2),
+            )
+        )
+    return actions
+
+
 def _draw_fault(
     rng: random.Random, target_ids: tuple[str, ...], hosts: int
 ) -> FaultAction:
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -7,6 +7,7 @@
 import base64
 import collections
 import dataclasses
+import itertools
 import secrets
 import struct
 import time
@@ -99,6 +100,10 @@
         self.freed: list[str] = []
         self.mode_by_target: dict[str, str] = {}
         self.store_mode = 'ok'
+        # Rises when the store returns from its copy.
+        self.era = 1
+        self._copy: dict[str, list[tuple[str, bytes]]] = {}
+        self._sequences = itertools.count(1)
         self._records: dict[str, list[tuple[str, bytes]]] = (
             collections.defaultdict(list)
         )
@@ -119,11 +124,45 @@
             'slots': plan.slots,
             'state': state,
             'coldMs': 0,
-            'sequence': 1,
+            'sequence': next(self._sequences),
             'born': 1_700_000_000_000,
         }
         self._append('keyed.servers', plan.target_id, record)
 
+    def take_copy(self) -> None:
+        """Keep a copy of all records."""
+        self._copy = {
+            topic: list(records) for topic, records in self._records.items()
+        }
+
+    def return_older(self, rewrite_after_s: float) -> None:
+        """Return from the copy, in a new era.
+
+        :param rewrite_after_s: time until the operator and the targets have
+            written again what the copy lacks.
+        """
+        lost = self._records
+        self._records = collections.defaultdict(
+            list,
+            {topic: list(records) for topic, records in self._copy.items()},
+        )
+        self.era += 1
+        reactor.callLater(rewrite_after_s, self._rewrite, lost)
+
+    def _rewrite(self, lost: dict[str, list[tuple[str, bytes]]]) -> None:
+        """Append the newest lost value of each key that has no newer one."""
+        for topic in ('keyed.op', 'keyed.servers'):
+            copied = len(self._copy.get(topic, ()))
+            written = {key for key, _ in self._records[topic][copied:]}
+            for key, value in dict(lost[topic]).items():
+                if key in written:
+                    continue
+                if topic == 'keyed.servers' and value:
+                    entry = msgspec.json.decode(value)
+                    entry['sequence'] = next(self._sequences)
+                    value = msgspec.json.encode(entry)
+                self._records[topic].append((key, value))
+
     @app.route('/log-newest')
     def read_newest(self, request) -> bytes:
         """Return the newest record of each key of a topic."""
@@ -155,8 +194,19 @@
             _MAX_WAIT_S, int(_query_argument(request, 'waitMs')) / 1000
         )
         deadline = time.monotonic() + wait_s
-        while len(records) <= start and time.monotonic() < deadline:
+        era = self.era
+        while (
+            len(records) <= start
+            and self.era == era
+            and time.monotonic() < deadline
+        ):
             await task.deferLater(reactor, _POLL_S)
+        # The store may have returned from its copy meanwhile.
+        records = self._records[_query_argument(request, 'topic')]
+        request.setHeader('store-era', str(self.era))
+        if start > len(records):
+            request.setResponseCode(410)
+            return msgspec.json.encode({'first': 0})
         parts = [struct.pack('>QQ', len(records), 0)]
         for key, value in records[start:]:
             content = bytes((len(key),)) + key.encode() + value
@@ -189,6 +239,10 @@
             self._append('keyed.op', 'config', changes['desired'])
         for record in changes.get('hosts', ()):
             self._append('keyed.walnutport-hosts', record['name'], record)
+        if changes.get('copy'):
+            self.take_copy()
+        if 'return_older' in changes:
+            self.return_older(changes['return_older'])
         if 'store' in changes:
             self.store_mode = changes['store']
         self.mode_by_target.update(changes.get('modes', {}))
@@ -209,6 +263,7 @@
         self._records[topic].append((key, msgspec.json.encode(value)))
 
     def _apply_store_mode(self, request) -> None:
+        request.setHeader('store-era', str(self.era))
         if self.store_mode == 'busy':
             request.setResponseCode(503)
             raise _StoreFault
--- a/tests/gateway/test_feed_follower.py
+++ b/tests/gateway/test_feed_follower.py
@@ -36,11 +36,16 @@
 
 
 class FakeDesiredState:
-    """Smallest desired state that the follower accepts."""
+    """Smallest desired state that the follower accepts.
+
+    :param data: its version, and any number of spaces.
+    """
 
-    version = 1
     routes = ()
 
+    def __init__(self, data: bytes) -> None:
+        self.version = int(data)
+
 
 def decode_target(key: str, data: bytes) -> registrations.RegisteredTarget:
     """Return a target with the given id, whatever the data."""
@@ -56,22 +61,29 @@
         FakeLog(),
         None,
         'config',
-        lambda data: FakeDesiredState(),
+        FakeDesiredState,
         decode_target,
         lambda: None,
         mesh,
+        lambda: None,
     )
 
 
-def desired_state_update(offset: int) -> fleet_messages.DesiredStateUpdate:
-    """Return a message with a desired state of 20 kB at an offset."""
-    record = feeds.FeedRecord('config', b'{}' * 10_000, offset)
-    return fleet_messages.DesiredStateUpdate(record, offset + 1)
+def desired_state_update(version: int) -> fleet_messages.DesiredStateUpdate:
+    """Return a message with a desired state of 20 kB."""
+    value = b'%d' % version + b' ' * 20_000
+    return fleet_messages.DesiredStateUpdate(
+        feeds.FeedRecord('config', value, version)
+    )
 
 
-def heartbeat(desired_end: int) -> fleet_messages.Heartbeat:
-    """Return a heartbeat of a peer with the desired state up to an offset."""
-    return fleet_messages.Heartbeat(desired_end, 0, 1.0, True, False)
+def heartbeat(
+    desired_version: int, targets_end: int = 0, era: int = 0
+) -> fleet_messages.Heartbeat:
+    """Return a heartbeat of a peer with the given knowledge."""
+    return fleet_messages.Heartbeat(
+        desired_version, era, targets_end, 1.0, True, False
+    )
 
 
 def test_applied_desired_state_is_not_broadcast():
@@ -84,7 +96,7 @@
     follower = make_follower(mesh)
     follower.handle_message('peer', desired_state_update(4))
     follower.handle_message('other', heartbeat(0))
-    assert follower.desired_end == 5
+    assert follower.desired_version == 4
     assert mesh.sent == []
 
 
@@ -108,7 +120,7 @@
     follower = make_follower(FakeMesh())
     follower.handle_message('a', desired_state_update(4))
     follower.handle_message('b', desired_state_update(2))
-    assert follower.desired_end == 5
+    assert follower.desired_version == 4
 
 
 def test_asked_host_sends_the_missing_desired_state():
@@ -116,7 +128,7 @@
     mesh = FakeMesh()
     follower = make_follower(mesh)
     follower.handle_message('a', desired_state_update(4))
-    follower.handle_message('b', fleet_messages.UpdateRequest(0, 0))
+    follower.handle_message('b', fleet_messages.UpdateRequest(0, 0, 0))
     assert [name for name, _ in mesh.sent] == ['b']
     assert mesh.sent[0][1].record.offset == 4
 
@@ -138,9 +150,7 @@
     def exchange_heartbeat() -> int:
         earlier.handle_message(
             'late',
-            fleet_messages.Heartbeat(
-                -1, later.registry.changes_end_offset, 1, 1, 0
-            ),
+            heartbeat(0, later.registry.changes_end_offset),
         )
         requests = [
             message
@@ -172,7 +182,7 @@
         feeds.FeedRecord(f't{offset}', b'x', offset) for offset in offsets
     )
     end = max(offsets) + 1
-    return fleet_messages.TargetUpdate(records, end, end, 0.0, after)
+    return fleet_messages.TargetUpdate(records, 0, end, end, 0.0, after)
 
 
 def test_gap_in_target_changes_keeps_the_known_offset(monkeypatch):
@@ -192,11 +202,11 @@
     assert follower.registry.end_offset == 2, (
         'a read of the store must not skip the gap'
     )
-    newer_heartbeat = fleet_messages.Heartbeat(-1, 7, 1.0, True, False)
+    newer_heartbeat = heartbeat(0, 7)
     follower.handle_message('a', newer_heartbeat)
     now = 10.4
     follower.handle_message('a', newer_heartbeat)
-    assert mesh.sent == [('a', fleet_messages.UpdateRequest(-1, 2))]
+    assert mesh.sent == [('a', fleet_messages.UpdateRequest(0, 0, 2))]
     follower.handle_message('a', target_update(2, 3, 6))
     assert follower.registry.changes_end_offset == 7
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -58,7 +58,7 @@
 
 def heartbeat(interval_s: float) -> fleet_messages.Heartbeat:
     """Return a heartbeat."""
-    return fleet_messages.Heartbeat(1, 1, 1.0, True, False, interval_s)
+    return fleet_messages.Heartbeat(1, 0, 1, 1.0, True, False, interval_s)
 
 
 class Fixture:
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -201,6 +201,39 @@
     assert line['outcome'] == 'caller_left'
 
 
+def test_store_that_returns_older_takes_nothing_back(tmp_path):
+    """Guards against belief in records that the store has lost.
+
+    The copy lacks a newer desired state, the entry of a target that drains,
+    and the record of a host. One host starts after the return.
+    """
+    with platform_fleet.PlatformFleet(tmp_path) as fleet:
+        fleet.control_platform(copy=True)
+        fleet.add_host()
+        fleet.control_platform(
+            desired=platform_fleet.desired_state(version=9, tenants=[]),
+            states={'plain-1': 'draining'},
+        )
+        fleet.wait_for_event('desired_applied', version=9)
+        fleet.wait_for_event('target_draining', target='plain-1')
+        fleet.control_platform(return_older=1.0)
+        fleet.wait_for_event('store_returned_older', era=2)
+        assert fleet.call('pay', 'id-1').status == 401
+        assert fleet.call('pay', 'id-2', host=1).status == 401
+        fleet.control_platform(
+            desired=platform_fleet.desired_state(version=11)
+        )
+        for host in (0, 1):
+            fleet.wait_for_event('desired_applied', host, version=11)
+        for number in range(4):
+            answer = fleet.call('check', f'id-{number + 3}')
+            assert answer.body.endswith(b'plain-2')
+        fleet.add_host()
+        for host in (0, 1):
+            fleet.wait_for_event('peer_joined', host, peer='edge-2')
+        assert fleet.call('check', 'id-9', host=2).status == 200
+
+
 def test_hosts_share_calls_and_survive_a_lost_owner(tmp_path):
     """Guards against stages that stop when the owner of a cell is killed."""
     with platform_fleet.PlatformFleet(tmp_path, hosts=2) as fleet:
--- a/walnutport/gateway/events.py
+++ b/walnutport/gateway/events.py
@@ -70,6 +70,11 @@
         'a desired state could not be decoded; the old one stays in force',
         ('offset', 'problem'),
     ),
+    Event(
+        'desired_superseded',
+        'a desired state is older than the one in force, which stays',
+        ('version', 'in_force', 'offset', 'source'),
+    ),
     Event(
         'desired_expired',
         'the next records in the store expired; the newest are read',
@@ -126,6 +131,16 @@
         ('problem',),
     ),
     Event('store_regained', 'the store is available again', ('outage_s',)),
+    Event(
+        'store_returned_older',
+        'the store returned from an older copy; everything is read again',
+        ('era', 'before', 'source'),
+    ),
+    Event(
+        'store_era_invalid',
+        'a response of the store names no valid era, or an earlier one',
+        ('problem',),
+    ),
     # Other hosts.
     Event(
         'peer_joined',
--- a/walnutport/gateway/feed_follower.py
+++ b/walnutport/gateway/feed_follower.py
@@ -50,6 +50,7 @@
     :param on_change: called after each change of the desired state or the
         targets.
     :param mesh: links to the other hosts.
+    :param on_new_era: called when the store has returned from an older copy.
     :ivar desired_at: when the desired state was applied.
     """
 
@@ -63,6 +64,7 @@
         decode_target,
         on_change: Callable[[], None],
         mesh: peers.PeerMesh,
+        on_new_era: Callable[[], None],
     ) -> None:
         self._reactor = reactor
         self._log = log
@@ -70,12 +72,15 @@
         self._desired_key = desired_key
         self._decode_desired = decode_desired
         self._on_change = on_change
+        self._on_new_era = on_new_era
+        # Era of the store as this host knows it, also from its peers.
+        self.era = 0
+        self.era_changes = 0
         self.desired: routes.DesiredState | None = None
         self.desired_at = 0.0
         self.registry = registry.TargetRegistry(decode_target)
         self._mesh = mesh
         self._desired_record: feeds.FeedRecord | None = None
-        self._desired_end = -1
         self._targets_known = False
         self._targets_read_at = 0.0
         self._store_lost_at: float | None = None
@@ -92,9 +97,9 @@
         return self.desired is not None and self._targets_known
 
     @property
-    def desired_end(self) -> int:
-        """Offset up to which the desired state is known."""
-        return self._desired_end
+    def desired_version(self) -> int:
+        """Version of the desired state, 0 if none is known."""
+        return 0 if self.desired is None else self.desired.version
 
     def store_age_s(self) -> float:
         """Return the seconds since this host read targets from the store."""
@@ -115,7 +120,7 @@
         """Apply an update from a peer, or send it one that it requests."""
         now = time.monotonic()
         if isinstance(message, fleet_messages.DesiredStateUpdate):
-            self._apply_desired(message.record, message.end, f'peer {name}')
+            self._apply_desired(message.record, f'peer {name}')
         elif isinstance(message, fleet_messages.TargetUpdate):
             self._apply_targets(name, message, now)
         elif isinstance(message, fleet_messages.Heartbeat):
@@ -131,6 +136,9 @@
         After a gap the known offset does not advance, so the heartbeats of
         peers show that this host lags, and it asks for the missing changes.
         """
+        if message.era < self.registry.era:
+            return
+        self._enter_era(message.era, f'peer {name}')
         self.registry.extend_grace(message.grace_s, now)
         if message.after > self.registry.changes_end_offset:
             applied = self.registry.apply_partial(message.records, now)
@@ -146,10 +154,10 @@
     ) -> None:
         """Ask a peer for an update if this host still lags behind it."""
         now = time.monotonic()
-        is_behind = (
-            heartbeat.desired_end > self._desired_end
-            or heartbeat.targets_end > self.registry.changes_end_offset
-        )
+        is_behind = heartbeat.desired_version > self.desired_version or (
+            heartbeat.era,
+            heartbeat.targets_end,
+        ) > (self.registry.era, self.registry.changes_end_offset)
         if not is_behind:
             if self._peer_ahead == name:
                 self._peer_ahead = ''
@@ -166,7 +174,9 @@
         self._mesh.send(
             name,
             fleet_messages.UpdateRequest(
-                self._desired_end, self.registry.changes_end_offset
+                self.desired_version,
+                self.registry.era,
+                self.registry.changes_end_offset,
             ),
         )
 
@@ -176,20 +186,21 @@
         """Send a peer the updates that it lacks."""
         if (
             self._desired_record is not None
-            and request.desired_end < self._desired_end
+            and request.desired_version < self.desired_version
         ):
             self._mesh.send(
-                name,
-                fleet_messages.DesiredStateUpdate(
-                    self._desired_record, self._desired_end
-                ),
+                name, fleet_messages.DesiredStateUpdate(self._desired_record)
             )
-        if request.targets_end < self.registry.changes_end_offset:
-            self._mesh.send(name, self._target_update(request.targets_end))
+        if request.era > self.registry.era:
+            return
+        after = request.targets_end if request.era == self.registry.era else 0
+        if after < self.registry.changes_end_offset:
+            self._mesh.send(name, self._target_update(after))
 
     def _target_update(self, after: int) -> fleet_messages.TargetUpdate:
         return fleet_messages.TargetUpdate(
             self.registry.changes_after(after),
+            self.registry.era,
             self.registry.end_offset,
             self.registry.changes_end_offset,
             self.registry.grace_left_s(time.monotonic()),
@@ -198,21 +209,24 @@
 
     async def _follow_desired(self) -> None:
         retry_delay_s = INITIAL_RETRY_DELAY_S
-        needs_full_read = True
+        end = -1
+        era = 0
         while not self._stopped:
             try:
-                if needs_full_read or self._desired_end < 0:
+                if end < 0 or self._store.era != era:
                     page = await self._store.read_newest(feeds.Feed.DESIRED)
-                    needs_full_read = False
                 else:
                     page = await self._store.read(
-                        feeds.Feed.DESIRED,
-                        self._desired_end,
-                        DESIRED_LONG_POLL_S,
+                        feeds.Feed.DESIRED, end, DESIRED_LONG_POLL_S
                     )
+                    if page.era != era:
+                        # The records were read from an offset of the era
+                        # before.
+                        continue
             except exceptions.RecordsExpired:
-                self._log.notable('desired_expired', offset=self._desired_end)
-                needs_full_read = True
+                self._log.notable('desired_expired', offset=end)
+                end = -1
+                await self._pause(INITIAL_RETRY_DELAY_S)
                 continue
             except exceptions.LogServiceError as problem:
                 self._store_failed(problem)
@@ -221,13 +235,14 @@
                 continue
             retry_delay_s = INITIAL_RETRY_DELAY_S
             self._store_succeeded()
+            self._enter_era(page.era, 'store')
+            end, era = page.end, page.era
             for record in page.records:
                 if (
                     record.key == self._desired_key
                     and record.value is not None
                 ):
-                    self._apply_desired(record, page.end, 'store')
-            self._desired_end = max(self._desired_end, page.end)
+                    self._apply_desired(record, 'store')
             if self.desired is None:
                 await self._pause(INITIAL_RETRY_DELAY_S)
 
@@ -239,7 +254,9 @@
                 continue
             try:
                 await self._read_targets(
-                    needs_full_read or not self._targets_known
+                    needs_full_read
+                    or not self._targets_known
+                    or self._store.era != self.registry.era
                 )
                 needs_full_read = False
             except exceptions.RecordsExpired:
@@ -247,12 +264,14 @@
                     'targets_expired', offset=self.registry.end_offset
                 )
                 needs_full_read = True
+                await self._pause(INITIAL_RETRY_DELAY_S)
                 continue
             except exceptions.LogServiceError as problem:
                 self._store_failed(problem)
             await self._pause(TARGETS_POLL_INTERVAL_S)
 
     async def _read_targets(self, full_read: bool) -> None:
+        era = self.registry.era
         if full_read:
             page = await self._store.read_newest(feeds.Feed.TARGETS)
         else:
@@ -260,6 +279,10 @@
                 feeds.Feed.TARGETS, self.registry.end_offset, 0.0
             )
         self._store_succeeded()
+        if page.era < self.registry.era or (not full_read and page.era != era):
+            # The offset of the read, or the whole page, is of an era before.
+            return
+        self._enter_era(page.era, 'store')
         now = time.monotonic()
         before = self.registry.changes_end_offset
         self._targets_read_at = now
@@ -269,9 +292,30 @@
         else:
             applied = self.registry.apply(page, now)
         self._log_changes(*applied, source='store')
-        if applied[0]:
+        if self.registry.changes_end_offset != before:
             self._mesh.broadcast(self._target_update(before))
 
+    def _enter_era(self, era: int, source: str) -> None:
+        """Follow the store into a new era, after it returned from a copy.
+
+        The desired state stays in force: its successor has a higher version,
+        whatever its offset is.
+        """
+        if era <= self.era:
+            return
+        before = self.era
+        self.era = era
+        if before == 0:
+            # The first era that this host sees replaces no other.
+            self.registry.era = era
+            return
+        self.registry.enter_era(era, time.monotonic())
+        self.era_changes += 1
+        self._log.notable(
+            'store_returned_older', era=era, before=before, source=source
+        )
+        self._on_new_era()
+
     def _should_read(self) -> bool:
         """Return whether this host is among those that read the targets."""
         shares = {self._mesh.own_record.name: 1.0}
@@ -287,11 +331,14 @@
         ranked = ranking.rank_hosts(ranking.TARGETS_READER, shares)
         return self._mesh.own_record.name in ranked[:READER_COUNT]
 
-    def _apply_desired(
-        self, record: feeds.FeedRecord, end: int, source: str
-    ) -> None:
+    def _apply_desired(self, record: feeds.FeedRecord, source: str) -> None:
+        """Put a desired state in force if it has a higher version.
+
+        Its offset is no criterion: a store that returns from an older copy
+        assigns offsets again.
+        """
         current = self._desired_record
-        if current is not None and record.offset <= current.offset:
+        if current is not None and record.value == current.value:
             return
         try:
             desired = self._decode_desired(record.value or b'')
@@ -302,8 +349,19 @@
                 problem=str(problem),
             )
             return
+        if (
+            self.desired is not None
+            and desired.version <= self.desired.version
+        ):
+            self._log.notable(
+                'desired_superseded',
+                version=desired.version,
+                in_force=self.desired.version,
+                offset=record.offset,
+                source=source,
+            )
+            return
         self._desired_record = record
-        self._desired_end = max(self._desired_end, end)
         self.desired = desired
         self.desired_at = time.monotonic()
         self._log.notable(
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -92,7 +92,13 @@
             reactor, MAX_IDLE_CHANNELS_PER_TARGET
         )
         self._outcomes = outcomes.TargetOutcomes(rng)
-        store = platform_store.PlatformStore(reactor, settings.store_address)
+        store = platform_store.PlatformStore(
+            reactor,
+            settings.store_address,
+            lambda problem: self.log.notable(
+                'store_era_invalid', problem=problem
+            ),
+        )
         self._mesh = peers.PeerMesh(
             reactor,
             self.log,
@@ -114,6 +120,7 @@
             documents.decode_target,
             self._state_changed,
             self._mesh,
+            lambda: self._directory.publish_again(),
         )
         selector = target_selector.TargetSelector(
             self._follower, self._outcomes, settings.data_centre
@@ -188,7 +195,12 @@
             lambda: self.settings.bounds.grace_s,
         )
         self._directory = host_directory.HostDirectory(
-            reactor, self.log, store, self._mesh, lambda: self._drain.started
+            reactor,
+            self.log,
+            store,
+            self._mesh,
+            rng,
+            lambda: self._drain.started,
         )
         self._stopped: defer.Deferred = defer.Deferred()
 
@@ -205,7 +217,7 @@
         self._mesh.own_record = self._own_record(port)
         self._mesh.start()
         self._follower.start()
-        defer.Deferred.fromCoroutine(self._directory.join())
+        self._directory.join()
         self._tick_due_at = time.monotonic() + TICK_INTERVAL_S
         self._reactor.callLater(TICK_INTERVAL_S, self._tick)
         self.log.notable(
@@ -312,7 +324,6 @@
         self._known_target_ids = set(targets)
         if desired is None:
             return
-        self._matcher.drop_missing_routes(desired)
         rules = {
             service.name: service.batch
             for service in desired.service_by_name.values()
@@ -365,7 +376,8 @@
 
     def _heartbeat(self, interval_s: float) -> fleet_messages.Heartbeat:
         return fleet_messages.Heartbeat(
-            self._follower.desired_end,
+            self._follower.desired_version,
+            self._follower.registry.era,
             self._follower.registry.changes_end_offset,
             min(
                 MAX_REPORTED_STORE_AGE_S,
--- a/walnutport/gateway/host_directory.py
+++ b/walnutport/gateway/host_directory.py
@@ -1,7 +1,9 @@
 """Registers this host in the store and finds the other hosts there."""
 
 from collections.abc import Callable
+import random
 
+from twisted.internet import defer
 from twisted.internet import task
 
 from walnutport import exceptions
@@ -13,6 +15,9 @@
 
 # Limits the calls to the store when many hosts start while it is unavailable.
 RETRY_DELAY_S = 1.0
+# Hosts publish again within this time after the store has returned from an
+# older copy, so that their calls stay within its rates.
+PUBLISH_AGAIN_WITHIN_S = 2.0
 
 
 class HostDirectory:
@@ -27,39 +32,75 @@
         log,
         store: feeds.FeedStore,
         mesh: peers.PeerMesh,
+        rng: random.Random,
         is_stopping: Callable[[], bool],
     ) -> None:
         self._reactor = reactor
         self._log = log
         self._store = store
         self._mesh = mesh
+        self._rng = rng
         self._is_stopping = is_stopping
+        # Whether the record of this host has to be written, and whether a
+        # coroutine is doing that.
+        self._must_publish = True
+        self._is_running = False
 
-    async def join(self) -> None:
+    def join(self) -> None:
         """Publish this host, then read the records of the others.
 
         In this order, at least one of two hosts that start at the same time
         sees the other.
         """
+        self._start(0.0)
+
+    def publish_again(self) -> None:
+        """Publish this host once more, as its record may be lost.
+
+        The store has returned from an older copy. Hosts that started since
+        that copy would stay unknown to those that start later.
+        """
+        self._must_publish = True
+        self._start(self._rng.uniform(0.0, PUBLISH_AGAIN_WITHIN_S))
+
+    def _start(self, delay_s: float) -> None:
+        if not self._is_running:
+            self._is_running = True
+            defer.Deferred.fromCoroutine(self._synchronize(delay_s))
+
+    async def _synchronize(self, delay_s: float) -> None:
         own = self._mesh.own_record
-        published = False
+        has_read = False
         while not self._is_stopping():
+            if delay_s:
+                await task.deferLater(self._reactor, delay_s)
+            delay_s = RETRY_DELAY_S
             try:
-                if not published:
-                    await self._store.publish(
-                        feeds.Feed.HOSTS,
-                        own.name,
-                        fleet_messages.encode_host(own),
+                if self._must_publish:
+                    # Cleared first: a new era during the call needs another.
+                    self._must_publish = False
+                    has_read = False
+                    await self._publish(own)
+                if not has_read:
+                    self._add_hosts(
+                        await self._store.read_newest(feeds.Feed.HOSTS)
                     )
-                    published = True
-                self._add_hosts(
-                    await self._store.read_newest(feeds.Feed.HOSTS)
-                )
-                self._mesh.hosts_read()
-                return
+                    self._mesh.hosts_read()
+                    has_read = True
+                if not self._must_publish:
+                    break
             except exceptions.LogServiceError as problem:
                 self._log.notable('hosts_unknown', problem=str(problem))
-                await task.deferLater(self._reactor, RETRY_DELAY_S)
+        self._is_running = False
+
+    async def _publish(self, own: fleet_messages.HostRecord) -> None:
+        try:
+            await self._store.publish(
+                feeds.Feed.HOSTS, own.name, fleet_messages.encode_host(own)
+            )
+        except exceptions.LogServiceError:
+            self._must_publish = True
+            raise
 
     def _add_hosts(self, page: feeds.FeedPage) -> None:
         for record in page.records:
--- a/walnutport/gateway/host_status.py
+++ b/walnutport/gateway/host_status.py
@@ -59,6 +59,7 @@
             'in_flight': len(self._handler.in_flight),
             'desired_version': desired.version if desired else None,
             'desired_age_s': round(now - self._follower.desired_at, 1),
+            'store_era': self._follower.era,
             'targets_read_s': round(self._follower.store_age_s(), 1),
             'targets': {
                 target.target_id: {
@@ -115,6 +116,7 @@
         owners = self._stages.local_owners()
         return {
             'store_calls_total': self._store.call_count,
+            'store_era_changes_total': self._follower.era_changes,
             'channels_opened_total': self._pool.opened_count,
             'stage_calls_total': sum(owner.total_calls for owner in owners),
             'stage_pieces_total': sum(owner.total_pieces for owner in owners),
--- a/walnutport/membership/registry.py
+++ b/walnutport/membership/registry.py
@@ -15,6 +15,13 @@
 # After an outage of the store, live targets restore their lapsed entries
 # within about two seconds, according to the users.
 LAPSE_GRACE_S = 2.3
+# After the store has returned from an older copy, targets write their entries
+# again within the same time, and a host that does not read the store gets them
+# from a peer.
+ERA_GRACE_S = 3.5
+# The copy from which the store returns is some seconds old, and lists targets
+# that were removed since.
+REMOVED_RETENTION_S = 120.0
 # An outage shorter than this cannot make an entry lapse.
 MIN_OUTAGE_S = 1.0
 
@@ -36,7 +43,11 @@
     """Current targets, from the records of the target feed.
 
     Records may come from the store or from other hosts, repeatedly and in any
-    order; of each key the record with the highest offset is valid.
+    order; of each key the record with the highest offset is valid. When the
+    store returns from an older copy, offsets start again, and the entries that
+    the targets had written since the copy are missing until they write again.
+    Until then the targets stay as they were known: an entry that is older than
+    one seen before changes nothing.
 
     :param decode: decodes the key and value of a record into a target; raises
         WireError.
@@ -48,9 +59,14 @@
         self._decode = decode
         self._records_by_key: dict[str, feeds.FeedRecord] = {}
         self._targets_by_id: dict[str, registrations.RegisteredTarget] = {}
+        self._removed_by_id: dict[str, _RemovedTarget] = {}
         self._lapsed_until_by_id: dict[str, float] = {}
         self._grace_until = 0.0
         self._changed_at_by_key: dict[str, int] = {}
+        # Earliest entry of each known target that is valid in this era.
+        self._first_valid_by_id: dict[str, tuple[int, int]] = {}
+        # Era of the store that the offsets belong to.
+        self.era = 0
         # Offset up to which the feed was read.
         self.end_offset = 0
         # Offset after the last record that changed a target; most records are
@@ -75,6 +91,27 @@
         """Adopt the grace period of the host that read the records."""
         self._grace_until = max(self._grace_until, now + grace_s)
 
+    def enter_era(self, era: int, now: float) -> None:
+        """Forget all offsets, as the store has returned from an older copy.
+
+        Targets whose entries the copy lacks have a grace period to write them
+        again.
+        """
+        self._first_valid_by_id = {
+            target_id: removed.next_entry
+            for target_id, removed in self._removed_by_id.items()
+        }
+        for target_id, target in self._targets_by_id.items():
+            self._first_valid_by_id[target_id] = _entry_order(target)
+        self.era = era
+        self._records_by_key.clear()
+        self._changed_at_by_key.clear()
+        self.end_offset = 0
+        self.changes_end_offset = 0
+        self._grace_until = now + ERA_GRACE_S
+        for target_id in self._targets_by_id:
+            self._lapsed_until_by_id[target_id] = self._grace_until
+
     def apply(
         self, page: feeds.FeedPage, now: float
     ) -> tuple[list[RegistryChange], list[str]]:
@@ -119,7 +156,8 @@
         for target_id, until in list(self._lapsed_until_by_id.items()):
             if now >= until:
                 del self._lapsed_until_by_id[target_id]
-                self._remove(target_id, self.end_offset, changes)
+                self._remove(target_id, self.end_offset, now, changes)
+        self._forget_removed(now)
         return changes
 
     def changes_after(self, offset: int) -> tuple[feeds.FeedRecord, ...]:
@@ -164,23 +202,37 @@
             if now < self._grace_until:
                 self._lapsed_until_by_id[record.key] = self._grace_until
             else:
-                self._remove(record.key, record.offset, changes)
+                self._remove(record.key, record.offset, now, changes)
             return
         try:
             target = self._decode(record.key, record.value)
         except exceptions.WireError as error:
             errors.append(f'offset {record.offset}: {error}')
-            self._remove(record.key, record.offset, changes)
+            self._remove(record.key, record.offset, now, changes)
             self._mark_changed(record)
             return
+        if self._is_superseded(target):
+            return
         self._lapsed_until_by_id.pop(record.key, None)
         before = self._targets_by_id.get(record.key)
         self._targets_by_id[record.key] = target
+        self._removed_by_id.pop(record.key, None)
         change = _change_kind(before, target)
-        if change:
+        if change or record.key not in self._changed_at_by_key:
             self._mark_changed(record)
+        if change:
             changes.append(RegistryChange(record.key, change, record.offset))
 
+    def _is_superseded(self, target: registrations.RegisteredTarget) -> bool:
+        """Return whether a later entry of the target was seen before."""
+        first_valid = self._first_valid_by_id.get(target.target_id)
+        if first_valid is None:
+            return False
+        if _entry_order(target) < first_valid:
+            return True
+        del self._first_valid_by_id[target.target_id]
+        return False
+
     def _mark_changed(self, record: feeds.FeedRecord) -> None:
         self._changed_at_by_key[record.key] = record.offset
         self.changes_end_offset = max(
@@ -188,11 +240,46 @@
         )
 
     def _remove(
-        self, target_id: str, offset: int, changes: list[RegistryChange]
+        self,
+        target_id: str,
+        offset: int,
+        now: float,
+        changes: list[RegistryChange],
     ) -> None:
-        if self._targets_by_id.pop(target_id, None) is not None:
+        target = self._targets_by_id.pop(target_id, None)
+        if target is not None:
+            # Popped first, so that the targets are in the order of removal.
+            self._removed_by_id.pop(target_id, None)
+            self._removed_by_id[target_id] = _RemovedTarget(
+                (target.incarnation, target.sequence + 1), now
+            )
             changes.append(RegistryChange(target_id, 'gone', offset))
 
+    def _forget_removed(self, now: float) -> None:
+        while self._removed_by_id:
+            target_id, removed = next(iter(self._removed_by_id.items()))
+            if now - removed.removed_at < REMOVED_RETENTION_S:
+                return
+            del self._removed_by_id[target_id]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RemovedTarget:
+    """A target that was removed.
+
+    :param next_entry: run and sequence number of the entry after its last one.
+    """
+
+    next_entry: tuple[int, int]
+    removed_at: float
+
+
+def _entry_order(
+    target: registrations.RegisteredTarget,
+) -> tuple[int, int]:
+    """Return a key that orders the entries of one target."""
+    return (target.incarnation, target.sequence)
+
 
 def _change_kind(
     before: registrations.RegisteredTarget | None,
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -60,7 +60,9 @@
 class Heartbeat(msgspec.Struct, frozen=True, tag='pulse'):
     """Periodic message with the state of the sender.
 
-    :param desired_end: offset up to which the sender knows the desired state.
+    :param desired_version: version of the sender's desired state, 0 if it
+        knows none.
+    :param era: era of the store that ``targets_end`` belongs to.
     :param targets_end: offset after the last change of a target that it knows.
     :param store_age_s: seconds since it last read targets from the store.
     :param fit: whether it keeps up with its own work and accepts that of
@@ -68,7 +70,8 @@
     :param interval_s: time until the next heartbeat of the sender.
     """
 
-    desired_end: int
+    desired_version: int
+    era: int
     targets_end: int
     store_age_s: float
     fit: bool
@@ -77,22 +80,23 @@
 
 
 class UpdateRequest(msgspec.Struct, frozen=True, tag='ask'):
-    """Request for the changes after the offsets that the sender knows."""
+    """Request for what is newer than what the sender knows."""
 
-    desired_end: int
+    desired_version: int
+    era: int
     targets_end: int
 
 
 class DesiredStateUpdate(msgspec.Struct, frozen=True, tag='desired'):
-    """Latest desired state and the offset after it."""
+    """Latest desired state."""
 
     record: feeds.FeedRecord
-    end: int
 
 
 class TargetUpdate(msgspec.Struct, frozen=True, tag='targets'):
     """Changes of targets, and the offset up to which they are known.
 
+    :param era: era of the store that the offsets belong to.
     :param changed_end: offset after the last change.
     :param grace_s: how long removed entries only count as lapsed.
     :param after: offset from which the message contains all changes; a host
@@ -100,6 +104,7 @@
     """
 
     records: tuple[feeds.FeedRecord, ...]
+    era: int
     end: int
     changed_end: int
     grace_s: float
--- a/walnutport/platform/documents.py
+++ b/walnutport/platform/documents.py
@@ -99,6 +99,8 @@
     cold_ms: float = 0
     # Start of the target process, in Unix milliseconds.
     born: Any = 0
+    # Count of the entries that this run of the target has written.
+    sequence: int = 0
 
 
 _CONFIG_DECODER = msgspec.json.Decoder(_Config)
@@ -178,6 +180,7 @@
         slots=entry.slots,
         draining=_DRAINING_BY_STATE[entry.state],
         warmup_s=entry.cold_ms / 1000,
+        sequence=entry.sequence,
     )
 
 
--- a/walnutport/platform/store.py
+++ b/walnutport/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+from collections.abc import Callable
 import struct
 from urllib import parse
 
@@ -20,6 +21,7 @@
 # store responds within a few milliseconds.
 RESPONSE_TIMEOUT_S = 2.0
 MAX_PAGES = 200
+MAX_ERA_DIGITS = 15
 
 _TOPIC_BY_FEED = {
     feeds.Feed.DESIRED: wire.OPERATOR_TOPIC,
@@ -44,26 +46,49 @@
 
 
 class PlatformStore:
-    """Reads and appends keyed records; see ``feeds.FeedStore``."""
+    """Reads and appends keyed records; see ``feeds.FeedStore``.
 
-    def __init__(self, reactor, address: client_channel.Address) -> None:
+    :param on_era_problem: called with a description when a response names no
+        valid era.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        address: client_channel.Address,
+        on_era_problem: Callable[[str], None],
+    ) -> None:
         self._reactor = reactor
         self._address = address
+        self._on_era_problem = on_era_problem
         self._pool = channel_pool.ChannelPool(reactor, max_idle=2)
         self.call_count = 0
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Latest era that the store has named; 0 before the first."""
+        return self._era
 
     async def read_newest(self, feed: feeds.Feed) -> feeds.FeedPage:
         """Return the newest record of every key of a feed."""
         records: list[feeds.FeedRecord] = []
         end: int | None = None
         after = ''
-        for _ in range(MAX_PAGES):
+        era = self._era
+        for number in range(MAX_PAGES):
             query = {'topic': _TOPIC_BY_FEED[feed], 'part': '0'}
             if after:
                 query['after'] = after
             response = await self._call(b'GET', wire.LOG_NEWEST_PATH, query)
+            if number == 0:
+                era = self._era
+            elif self._era != era:
+                raise exceptions.LogUnavailable(
+                    'the store returned from an older copy between two pages'
+                )
             if response.status == 404:
-                return feeds.FeedPage((), 0)
+                return feeds.FeedPage((), 0, era)
             page = self._decode_newest(response)
             # The pages are not a consistent snapshot. Reading on from the
             # end of the first page repeats what changed meanwhile.
@@ -71,7 +96,7 @@
             for item in page.items:
                 records.append(_decode_newest_item(item))
             if not page.has_more or not page.items:
-                return feeds.FeedPage(tuple(records), end)
+                return feeds.FeedPage(tuple(records), end, era)
             after = page.items[-1].key
         raise exceptions.LogUnavailable(
             'newest records exceed the maximum number of pages'
@@ -98,12 +123,12 @@
                 'records at the requested offset have expired', offset
             )
         if response.status == 404:
-            return feeds.FeedPage((), offset)
+            return feeds.FeedPage((), offset, self._era)
         if response.status != 200:
             raise exceptions.LogUnavailable(
                 f'read returned status {response.status}'
             )
-        return _decode_records(response.body, offset)
+        return _decode_records(response.body, offset, self._era)
 
     async def publish(self, feed: feeds.Feed, key: str, value: bytes) -> None:
         """Append a keyed record."""
@@ -137,11 +162,34 @@
             body,
         )
         try:
-            return await channel_pool.fetch(
+            response = await channel_pool.fetch(
                 self._reactor, self._pool, self._address, request, timeout_s
             )
         except exceptions.ChannelError as problem:
             raise exceptions.LogUnavailable(str(problem)) from problem
+        self._check_era(response.head)
+        return response
+
+    def _check_era(self, head: messages.ResponseHead) -> None:
+        """Adopt the era of a response.
+
+        :raises LogUnavailable: if the response is from an earlier era, so that
+            its offsets are not valid any more.
+        """
+        value = head.header(wire.STORE_ERA)
+        if value is None:
+            if self._era:
+                self._on_era_problem('response without an era')
+            return
+        if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+            self._on_era_problem(f'invalid era {value[:MAX_ERA_DIGITS]!r}')
+            return
+        era = int(value)
+        if era < self._era:
+            problem = f'response of era {era} after era {self._era}'
+            self._on_era_problem(problem)
+            raise exceptions.LogUnavailable(problem)
+        self._era = era
 
     def _decode_newest(self, response: messages.Response) -> _Newest:
         if response.status != 200:
@@ -166,7 +214,7 @@
     return feeds.FeedRecord(item.key, value or None, item.offset)
 
 
-def _decode_records(data: bytes, offset: int) -> feeds.FeedPage:
+def _decode_records(data: bytes, offset: int, era: int = 0) -> feeds.FeedPage:
     """Decode the binary response to a read."""
     if len(data) < 16:
         raise exceptions.LogUnavailable(
@@ -185,7 +233,7 @@
         if record is not None:
             records.append(record)
         offset += 1
-    return feeds.FeedPage(tuple(records), offset)
+    return feeds.FeedPage(tuple(records), offset, era)
 
 
 def _decode_record(content: bytes, offset: int) -> feeds.FeedRecord | None:
--- a/walnutport/platform/wire.py
+++ b/walnutport/platform/wire.py
@@ -37,6 +37,7 @@
 NOT_EXECUTED = b'walnutport-not-executed'
 LOAD = b'walnutport-server-load'
 RETRY_AFTER = b'retry-after'
+STORE_ERA = b'store-era'
 
 # Paths of the system.
 READINESS_PATH = b'/readiness'
--- a/walnutport/world/feeds.py
+++ b/walnutport/world/feeds.py
@@ -34,16 +34,26 @@
 class FeedPage:
     """Records that one read returned.
 
+    Offsets of different eras of the store cannot be compared: when the store
+    returns from an older copy, it enters the next era and assigns offsets
+    after that copy again.
+
     :param end: offset to read from next.
+    :param era: era of the store; 0 if the store does not count eras.
     """
 
     records: tuple[FeedRecord, ...]
     end: int
+    era: int = 0
 
 
 class FeedStore(Protocol):
     """Store that keeps the feeds of an installation."""
 
+    @property
+    def era(self) -> int:
+        """Latest era that the store has named; 0 before the first."""
+
     async def read_newest(self, feed: Feed) -> FeedPage:
         """Return the newest record of every key."""
 
--- a/walnutport/world/registrations.py
+++ b/walnutport/world/registrations.py
@@ -17,6 +17,8 @@
     :param draining: whether it is shutting down and accepts no new work.
     :param slots: requests that it can run at the same time.
     :param warmup_s: seconds after its start during which it is slow.
+    :param sequence: count of the entries that this run has written, so that
+        of two entries the later one is known.
     """
 
     target_id: str
@@ -27,6 +29,7 @@
     slots: int
     draining: bool
     warmup_s: float
+    sequence: int = 0
 
     @property
     def incarnation_key(self) -> tuple[str, int, tuple[str, int]]:
