Recognize retries of refused requests by their content

Cause: a request whose deadline was shorter than the usual one of its route counted as a retry of an earlier attempt, with its aim shortened by the difference.

Change: the owner of a cell remembers the digests of the contents that it refused, with the time of the first refusal. Requests choose their cell by the digest, so that a retry reaches the same owner.

--- a/tests/stages/builders.py
+++ b/tests/stages/builders.py
@@ -49,7 +49,7 @@
     deadline_s: float = 5.0,
     final_s: float = 0.2,
     team: str = 'north',
-    returned: bool = False,
+    content: bytes = b'',
 ) -> pieces.JobSpec:
     """Return the specification of a job."""
     return pieces.JobSpec(
@@ -63,5 +63,5 @@
         deadline_s=deadline_s,
         final_s=final_s,
         team=team,
-        returned=returned,
+        content=content,
     )
--- a/tests/stages/test_admission.py
+++ b/tests/stages/test_admission.py
@@ -34,9 +34,9 @@
         max(
             step
             for step in range(400)
-            if check_job_behind(step * 0.01, returned=flag) is None
+            if check_job_behind(step * 0.01, spent_s=spent_s) is None
         )
-        for flag in (False, True)
+        for spent_s in (0.0, 0.5)
     ]
     assert longest_backlogs[0] < longest_backlogs[1]
 
--- a/tests/stages/test_scheduler.py
+++ b/tests/stages/test_scheduler.py
@@ -281,3 +281,30 @@
     # The running call takes 0.8 s, a full one after it 1.1 s, and the request
     # itself 0.2 s. With the slowness applied twice, the first would be 3.2 s.
     assert cell.submit(builders.job_spec('second', aim_s=3.0), now) is None
+
+
+def test_new_request_with_a_short_deadline_keeps_its_aim():
+    """Guards against new requests that are refused as late retries.
+
+    Callers send deadlines that differ by up to 15%. Only a request whose
+    content was refused before has used up a part of its aim.
+    """
+    cell = make_scheduler(builders.target('t1'))
+    cell.submit(builders.job_spec('1', deadline_s=4.2, content=b'1'), 0.0)
+    cell.submit(builders.job_spec('2', deadline_s=5.0, content=b'2'), 0.0)
+    assert [cell._job_by_id[job_id].aim_at for job_id in '12'] == [1.0, 1.0]
+
+
+def test_retry_has_the_rest_of_the_aim_of_its_first_attempt():
+    """Guards against answers that are on time only for the last attempt."""
+    cell = make_scheduler(builders.target('t1'))
+    for number in range(20):
+        cell.submit(builders.job_spec(str(number)), 0.0)
+    refusal = cell.submit(builders.job_spec('first', content=b'1'), 0.0)
+    assert refusal is not None and refusal.spent_s == 0.0
+    second = cell.submit(builders.job_spec('second', content=b'1'), 0.3)
+    assert second is not None and second.spent_s == pytest.approx(0.3)
+    for number in range(20):
+        cell.release(str(number))
+    assert cell.submit(builders.job_spec('third', content=b'1'), 0.6) is None
+    assert cell._job_by_id['third'].aim_at == pytest.approx(1.0)
--- a/walnutport/admission/caller_retries.py
+++ b/walnutport/admission/caller_retries.py
@@ -2,54 +2,59 @@
 
 During a burst every refused caller retries once, with less time left. Such a
 request has only the rest of its aim, and it is preferred over new ones, as a
-second refusal leaves no time for a third attempt.
+second refusal leaves no time for a third attempt. Each attempt has an id of
+its own, and the deadlines of callers differ, so that only the content shows
+that a request has come before.
 """
 
 import collections
 
-__all__ = ['CallerRetryDetector']
+__all__ = ['RefusedRequests']
 
-# Number of recent deadlines kept per route; most of them belong to first
-# attempts.
-HISTORY_LENGTH = 64
-# A caller whose deadline is shorter than usual by more than this is retrying.
-MIN_EARLIER_S = 0.1
-# Resolution at which deadlines are compared.
-DEADLINE_STEP_S = 0.01
+# Bound of the memory; a burst of 1000 refusals a second is remembered for the
+# time in which callers return.
+MAX_REQUESTS = 20_000
+# A caller whose deadline is longer returns within this time or not at all.
+MAX_RETENTION_S = 30.0
 
 
-class CallerRetryDetector:
-    """Detects retries by comparison with the usual deadline of a route.
+class RefusedRequests:
+    """Contents that were refused, with the time of their first refusal.
 
-    The most frequent deadline counts, so a single caller with an unusual
-    deadline does not make all others look like retries.
+    Times are seconds of a monotonic clock, passed in as ``now``.
     """
 
     def __init__(self) -> None:
-        self._steps_by_route: dict[str, collections.deque[int]] = {}
+        # In the order of the first refusal.
+        self._refused_at_by_content: collections.OrderedDict[bytes, float] = (
+            collections.OrderedDict()
+        )
 
-    def earlier_attempts_s(
-        self, route: str, remaining_s: float | None
-    ) -> float:
-        """Return the time that a caller has used up in earlier attempts.
+    def spent_s(self, content: bytes, now: float) -> float:
+        """Return the time since the first refusal of a request.
 
-        :param remaining_s: time for which the caller still waits; None if
-            unknown.
+        :param content: digest of the content of the request.
+        :returns: seconds; 0 if it was not refused before.
         """
-        if remaining_s is None:
+        refused_at = self._refused_at_by_content.get(content)
+        if refused_at is None or now - refused_at > MAX_RETENTION_S:
             return 0.0
-        steps = self._steps_by_route.get(route)
-        if steps is None:
-            steps = collections.deque(maxlen=HISTORY_LENGTH)
-            self._steps_by_route[route] = steps
-        steps.append(round(remaining_s / DEADLINE_STEP_S))
-        usual_s = (
-            collections.Counter(steps).most_common(1)[0][0] * DEADLINE_STEP_S
-        )
-        earlier_s = usual_s - remaining_s
-        return earlier_s if earlier_s > MIN_EARLIER_S else 0.0
-
-    def retain_routes(self, routes: set[str]) -> None:
-        """Drop the history of routes that are no longer in force."""
-        for route in self._steps_by_route.keys() - routes:
-            del self._steps_by_route[route]
+        return max(0.0, now - refused_at)
+
+    def record(self, content: bytes, now: float) -> None:
+        """Remember a refusal, unless an earlier one is remembered."""
+        self._forget_expired(now)
+        if content:
+            self._refused_at_by_content.setdefault(content, now)
+
+    def _forget_expired(self, now: float) -> None:
+        while self._refused_at_by_content:
+            content, refused_at = next(
+                iter(self._refused_at_by_content.items())
+            )
+            if (
+                now - refused_at <= MAX_RETENTION_S
+                and len(self._refused_at_by_content) < MAX_REQUESTS
+            ):
+                return
+            del self._refused_at_by_content[content]
--- a/walnutport/exceptions.py
+++ b/walnutport/exceptions.py
@@ -157,6 +157,8 @@
         if unknown.
     :param team_standing: demand of the team relative to its share, as the
         owner measured it; empty if unknown.
+    :param spent_s: time since the first refusal of the request; 0 if this is
+        the first.
     """
 
     def __init__(
@@ -165,9 +167,11 @@
         retry_after_s: float,
         forecast_s: float = 0.0,
         team_standing: str = '',
+        spent_s: float = 0.0,
     ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.retry_after_s = retry_after_s
         self.forecast_s = forecast_s
         self.team_standing = team_standing
+        self.spent_s = spent_s
--- a/walnutport/gateway/calls.py
+++ b/walnutport/gateway/calls.py
@@ -78,6 +78,14 @@
         """Return the ids of the targets that are not tried again."""
         return self.unreachable.union(self.targets)
 
+    def record_earlier_attempts(self, spent_s: float) -> None:
+        """Record the time since the first refusal of the request.
+
+        :param spent_s: 0 if it was not refused.
+        """
+        self.aim_at -= spent_s
+        self.is_caller_retry = spent_s > 0
+
     def time_left_s(self) -> float:
         """Return the time until the deadline."""
         return self.deadline_at - time.monotonic()
--- a/walnutport/gateway/request_handler.py
+++ b/walnutport/gateway/request_handler.py
@@ -125,12 +125,13 @@
             team=call.team or '',
             final_service=call.service,
             prompt=call.fields.prompt,
-            returned=call.is_caller_retry,
+            content=call.digest,
         )
         with stage_client.StageRun(self._stages, spec) as stage_run:
             try:
                 result = await stage_run.run()
             except exceptions.StagesRefused as problem:
+                call.record_earlier_attempts(problem.spent_s)
                 self._responder.refuse(
                     call,
                     problem.reason,
@@ -144,6 +145,7 @@
                 )
                 return
             call.stages_s = time.monotonic() - now
+            call.record_earlier_attempts(result.spent_s)
             call.engine_id = result.target_id
             call.inputs = tuple(
                 piece_result.handle for piece_result in result.results
--- a/walnutport/gateway/route_matcher.py
+++ b/walnutport/gateway/route_matcher.py
@@ -3,7 +3,6 @@
 import hashlib
 import time
 
-from walnutport.admission import caller_retries
 from walnutport.gateway import calls
 from walnutport.gateway import feed_follower
 from walnutport.gateway import metrics
@@ -38,7 +37,6 @@
         self._follower = follower
         self._metrics = entry_metrics
         self._rng = rng
-        self._retry_detector = caller_retries.CallerRetryDetector()
 
     def match(self, request: server.ServerRequest) -> calls.CallerCall | None:
         """Return the call for a request, or reject it and return None.
@@ -76,12 +74,6 @@
                 return None
         return self._create_call(request, fields, route, team)
 
-    def drop_missing_routes(self, desired: routes.DesiredState) -> None:
-        """Drop the state of all routes that are not in the desired state."""
-        self._retry_detector.retain_routes(
-            {route.name for route in desired.routes}
-        )
-
     def _create_call(
         self,
         request: server.ServerRequest,
@@ -95,9 +87,6 @@
             time_limit_s = min(
                 time_limit_s, fields.timeout_s - DEADLINE_MARGIN_S
             )
-        spent_before_s = self._retry_detector.earlier_attempts_s(
-            route.name, fields.timeout_s
-        )
         priority = route.priority
         if team is not None and team.priority is not None:
             priority = team.priority
@@ -119,8 +108,7 @@
             digest=hashlib.blake2b(content, digest_size=16).digest(),
             arrived_at=arrived_at,
             deadline_at=arrived_at + time_limit_s,
-            aim_at=arrived_at + route.latency_target_s - spent_before_s,
-            is_caller_retry=spent_before_s > 0,
+            aim_at=arrived_at + route.latency_target_s,
         )
 
     def _choose_service(self, route: routes.Route) -> str:
--- a/walnutport/gateway/stage_client.py
+++ b/walnutport/gateway/stage_client.py
@@ -121,7 +121,7 @@
         aim_at = time.monotonic() + spec.aim_s
         for _ in range(MAX_SUBMISSIONS):
             now = time.monotonic()
-            cell = ranking.cell_for_request(spec.request_id, self._cell_count)
+            cell = ranking.cell_for_content(spec.content, self._cell_count)
             owner = self.find_owner(cell)
             spec = dataclasses.replace(
                 spec, deadline_s=deadline_at - now, aim_s=aim_at - now
@@ -137,6 +137,7 @@
                     reply.retry_after_s,
                     reply.forecast_s,
                     reply.standing,
+                    reply.spent_s,
                 )
             if isinstance(reply, pieces.JobFailure):
                 raise exceptions.StagesRefused(
--- a/walnutport/membership/ranking.py
+++ b/walnutport/membership/ranking.py
@@ -14,7 +14,7 @@
     'TARGETS_READER',
     'eligible_hosts',
     'cell_count',
-    'cell_for_request',
+    'cell_for_content',
     'cell_key',
     'cell_targets',
     'rank_hosts',
@@ -92,12 +92,15 @@
     }
 
 
-def cell_for_request(request_id: str, cells: int) -> int:
-    """Return the cell whose owner runs the stages of a request."""
-    if cells == 1:
-        return 0
-    digest = hashlib.blake2b(request_id.encode(), digest_size=8)
-    return int.from_bytes(digest.digest(), 'big') % cells
+def cell_for_content(content: bytes, cells: int) -> int:
+    """Return the cell whose owner runs the stages of a request.
+
+    A request that is retried after a refusal has the same content and goes to
+    the same cell, whose owner recognizes it.
+
+    :param content: digest of the content of the request.
+    """
+    return int.from_bytes(content, 'big') % cells
 
 
 def cell_key(cell: int) -> str:
--- a/walnutport/stages/pieces.py
+++ b/walnutport/stages/pieces.py
@@ -58,7 +58,10 @@
     :param final_s: expected duration of the request itself after its stages.
     :param final_service: service that runs the request itself.
     :param prompt: prompt of the request, if it has one.
-    :param returned: whether the request is a retry after a refusal.
+    :param content: digest of the content of the request, by which a retry
+        after a refusal is recognized.
+    :param spent_s: time since the first refusal of the request; 0 if it was
+        not refused. ``aim_s`` is shorter by that time.
     """
 
     job_id: str
@@ -73,7 +76,13 @@
     team: str
     final_service: str = ''
     prompt: requests.PromptShape | None = None
-    returned: bool = False
+    content: bytes = b''
+    spent_s: float = 0.0
+
+    @property
+    def returned(self) -> bool:
+        """Whether the request is a retry after a refusal."""
+        return self.spent_s > 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,11 +104,13 @@
 
     :param target_id: recommended target for the request itself; empty for
         no recommendation.
+    :param spent_s: as in the specification of the job.
     """
 
     job_id: str
     results: tuple[StageResult, ...]
     target_id: str = ''
+    spent_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,12 +132,15 @@
     :param forecast_s: forecast time until the answer.
     :param standing: demand of its team relative to its share; empty if it
         did not affect the decision.
+    :param spent_s: time since the first refusal of the request; 0 if this is
+        the first.
     """
 
     reason: str
     retry_after_s: float
     forecast_s: float
     standing: str = ''
+    spent_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -8,8 +8,10 @@
 """
 
 from collections.abc import Iterable
+import dataclasses
 import itertools
 
+from walnutport.admission import caller_retries
 from walnutport.stages import admission
 from walnutport.stages import batching
 from walnutport.stages import cell_load
@@ -54,6 +56,7 @@
         self._targets = cell_targets.CellTargets()
         self._results = held_results.HeldResults(self._targets)
         self.cell_load = cell_load.CellLoad(self._targets)
+        self._refused = caller_retries.RefusedRequests()
         self._job_by_id: dict[str, jobs.Job] = {}
         self._call_by_id: dict[int, stage_targets.RunningCall] = {}
         # Jobs with waiting pieces, by service.
@@ -97,10 +100,16 @@
 
         :returns: the refusal of the job, or None if it is admitted.
         """
+        spent_s = self._refused.spent_s(spec.content, now)
+        if spent_s:
+            spec = dataclasses.replace(
+                spec, aim_s=spec.aim_s - spent_s, spent_s=spent_s
+            )
         job = jobs.Job(spec, now)
         refusal = self.cell_load.check_job(job, now)
         if refusal is not None:
-            return refusal
+            self._refused.record(spec.content, now)
+            return dataclasses.replace(refusal, spent_s=spent_s)
         self._job_by_id[spec.job_id] = job
         self._advance_job(job, now)
         return None
@@ -331,11 +340,13 @@
                     )
                     for placed in final
                 ),
+                spent_s=job.spec.spent_s,
             )
         )
 
     def _fail_job(self, job: jobs.Job, reason: str, now: float) -> None:
         job_id = job.spec.job_id
+        self._refused.record(job.spec.content, now)
         self.release(job_id)
         remaining_s = max(0.0, job.deadline_at - now)
         retry_after_s = admission.retry_after_s(
