Forecast the first event by a line through the measured times

Cause: the forecast was a rate in seconds a token, learnt mostly from short prompts whose time is constant.

Change: least squares over base and slope, earlier measurements lose weight.

--- a/walnutport/gateway/request_handler.py
+++ b/walnutport/gateway/request_handler.py
@@ -17,7 +17,7 @@
 from walnutport.gateway import target_selector
 from walnutport.http1 import server
 from walnutport.relay import resumable
-from walnutport.routing import engines
+from walnutport.routing import first_event
 from walnutport.stages import pieces
 from walnutport.world import routes
 
@@ -52,7 +52,7 @@
         self._responder = responder
         self._stages = stages
         self._metrics = entry_metrics
-        self._forecast = engines.FirstEventForecast()
+        self._forecast = first_event.FirstEventForecast()
         self.in_flight: set[calls.CallerCall] = set()
 
     def handle(self, request: server.ServerRequest) -> None:
--- a/walnutport/routing/engines.py
+++ b/walnutport/routing/engines.py
@@ -17,7 +17,6 @@
 
 __all__ = [
     'PrefillTracker',
-    'FirstEventForecast',
     'choose_engine',
     'expected_prefill_tokens',
     'rendezvous_weight',
@@ -36,14 +35,8 @@
 CROSS_LINK_BYTES_PER_S = 40e6
 # Inputs smaller than this do not tie a request to their data centre.
 MIN_LOCALITY_BYTES = 1_000_000
-# Time to the first event besides prefill: network latency and one step.
-FIRST_EVENT_BASE_S = 0.03
 # Average fraction of the shared tokens that an engine has to prefill.
 SHARED_PREFILL_FRACTION = 0.3
-# Shorter prompts say too little about the prefill rate.
-MIN_SAMPLE_TOKENS = 500
-MAX_RATE_RATIO = 4.0
-RATE_SMOOTHING = 0.05
 # One in this many engines of a data centre caches a given first part. With
 # fewer engines the part is prefilled less often, with more they carry more
 # load.
@@ -155,36 +148,6 @@
     tokens: float
 
 
-class FirstEventForecast:
-    """Estimates the time from placing a request to its first event.
-
-    The estimate is linear in the tokens that the engine has to prefill; the
-    rate is a moving average of measured times.
-    """
-
-    def __init__(self) -> None:
-        self._s_per_token = 1 / PREFILL_TOKENS_PER_S
-
-    def expected_s(self, prompt: requests.PromptShape | None) -> float:
-        """Return the expected time to the first event of a prompt."""
-        return (
-            FIRST_EVENT_BASE_S
-            + self._s_per_token * expected_prefill_tokens(prompt)
-        )
-
-    def observe(
-        self, prompt: requests.PromptShape | None, took_s: float
-    ) -> None:
-        """Update the rate from the time that one first event took."""
-        tokens = expected_prefill_tokens(prompt)
-        if tokens < MIN_SAMPLE_TOKENS:
-            return
-        sample = max(0.0, took_s - FIRST_EVENT_BASE_S) / tokens
-        # The time of a request that waited long says little about the rate.
-        sample = min(sample, MAX_RATE_RATIO * self._s_per_token)
-        self._s_per_token += RATE_SMOOTHING * (sample - self._s_per_token)
-
-
 def expected_prefill_tokens(prompt: requests.PromptShape | None) -> float:
     """Return the expected count of tokens that an engine has to prefill."""
     unshared = unshared_tokens(prompt)
