Choose engines by the parts that were sent to them

Cause: engines for a shared part were guessed by rendezvous hashing, one in each data centre when the inputs are large. Reading a dossier of 13,300 tokens again costs the engine 85 ms, in which all its other requests wait; its inputs of 7.5 MB cross in some 10 ms.

Change: the owner of a cell records which parts it sent to which engine, up to the memory that the desired state gives, and places by that. A part that no engine holds goes to one engine that all owners name alike. Callers leave a stream without an event after a time that the platform names; jobs end before.

--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -122,7 +122,7 @@
             self._mesh,
             lambda: self._directory.publish_again(),
         )
-        selector = target_selector.TargetSelector(
+        self._selector = target_selector.TargetSelector(
             self._follower, self._outcomes, settings.data_centre
         )
         self._stages = stage_client.StageClient(
@@ -133,7 +133,7 @@
             self._pool,
             self._work_shares,
             self._mesh.send,
-            selector.recommend_engine,
+            self._selector.recommend_engine,
         )
         self._forwarder = forwarding.Forwarder(
             self.log,
@@ -151,7 +151,7 @@
             reactor,
             self.log,
             self._matcher,
-            selector,
+            self._selector,
             self._forwarder,
             responses.Responder(self.log, entry_metrics, rng),
             self._stages,
@@ -320,7 +320,7 @@
                 target.target_id, str(target.incarnation)
             )
         for target_id in self._known_target_ids - targets.keys():
-            self._outcomes.forget(target_id)
+            self._selector.forget(target_id)
         self._known_target_ids = set(targets)
         if desired is None:
             return
--- a/walnutport/gateway/request_handler.py
+++ b/walnutport/gateway/request_handler.py
@@ -23,6 +23,8 @@
 
 __all__ = ['RequestHandler']
 
+# Before the caller of a stream leaves, its first event must be on its way.
+EVENT_PATIENCE_MARGIN_S = 0.1
 # Only this many characters at the end of a traceback are logged.
 MAX_TRACE_CHARACTERS = 1500
 
@@ -120,7 +122,13 @@
             piece_counts=counts,
             urgency=call.priority,
             aim_s=call.aim_at - now,
-            deadline_s=call.deadline_at - now,
+            deadline_s=min(
+                call.deadline_at,
+                call.arrived_at
+                + call.route.event_patience_s
+                - EVENT_PATIENCE_MARGIN_S,
+            )
+            - now,
             final_s=self._forecast.expected_s(call.fields.prompt),
             team=call.team or '',
             final_service=call.service,
--- a/walnutport/gateway/target_selector.py
+++ b/walnutport/gateway/target_selector.py
@@ -6,8 +6,10 @@
 from walnutport.gateway import feed_follower
 from walnutport.routing import engines
 from walnutport.routing import outcomes
+from walnutport.routing import prompt_caches
 from walnutport.stages import pieces
 from walnutport.world import registrations
+from walnutport.world import requests
 
 __all__ = ['TargetSelector']
 
@@ -27,6 +29,7 @@
         self._follower = follower
         self._outcomes = target_outcomes
         self._data_centre = data_centre
+        self._caches = prompt_caches.PromptCaches()
 
     def select_target(
         self, call: calls.CallerCall
@@ -56,14 +59,18 @@
             and self._outcomes.stats(recommended).ejected_until <= now
         ):
             return recommended
-        return engines.choose_engine(
+        engine = engines.choose_engine(
             self._follower.registry.usable(call.service),
             self._outcomes,
             call.fields.prompt,
             call.input_bytes_by_data_centre,
             now,
             call.excluded_targets(),
+            caches=self._caches,
         )
+        if engine is not None:
+            self._record_prompt(call.fields.prompt, engine)
+        return engine
 
     def recommend_engine(
         self,
@@ -85,12 +92,34 @@
             pieces.bytes_by_data_centre(result.results),
             time.monotonic(),
             pending_tokens=prefills.pending_tokens,
+            caches=self._caches,
         )
         if engine is None:
             return ''
         prefills.add(
             spec.job_id,
             engine.target_id,
-            engines.expected_prefill_tokens(spec.prompt),
+            engines.uncached_tokens(spec.prompt, engine, self._caches),
         )
+        self._record_prompt(spec.prompt, engine)
         return engine.target_id
+
+    def forget(self, target_id: str) -> None:
+        """Drop what is known of a target that was removed."""
+        self._outcomes.forget(target_id)
+        self._caches.forget(target_id)
+
+    def _record_prompt(
+        self,
+        prompt: requests.PromptShape | None,
+        engine: registrations.RegisteredTarget,
+    ) -> None:
+        if prompt is None:
+            return
+        capacity_tokens = prompt_caches.DEFAULT_CACHE_TOKENS
+        desired = self._follower.desired
+        if desired is not None:
+            service = desired.service_by_name.get(engine.service)
+            if service is not None and service.engine is not None:
+                capacity_tokens = service.engine.cache_tokens
+        self._caches.record(prompt, engine, capacity_tokens)
--- a/walnutport/platform/documents.py
+++ b/walnutport/platform/documents.py
@@ -17,6 +17,10 @@
 }
 _DRAINING_BY_STATE = {'ready': False, 'draining': True}
 _DEFAULT_EVENT_GAP_MS = 1000
+# Callers leave a stream after the longest of these times without an event.
+_MIN_EVENT_PATIENCE_MS = 2000
+_EVENT_PATIENCE_LATENCY_TARGETS = 4
+_EVENT_PATIENCE_EVENT_GAPS = 8
 
 
 class _Stage(msgspec.Struct):
@@ -186,6 +190,11 @@
 
 def _build_route(route: _Route) -> routes.Route:
     weights = {part.service: part.weight for part in route.split}
+    event_patience_ms = max(
+        _MIN_EVENT_PATIENCE_MS,
+        _EVENT_PATIENCE_LATENCY_TARGETS * route.latency_target_ms,
+        _EVENT_PATIENCE_EVENT_GAPS * route.gap_aim_ms,
+    )
     return routes.Route(
         name=route.name,
         host=route.host.lower(),
@@ -200,6 +209,7 @@
         anonymous=route.anonymous,
         resumable=route.resumable,
         max_event_gap_s=route.gap_aim_ms / 1000,
+        event_patience_s=event_patience_ms / 1000,
         stages=tuple(
             routes.StageSpec(
                 stage.service, tuple(stage.after), int(stage.bytes)
--- a/walnutport/routing/engines.py
+++ b/walnutport/routing/engines.py
@@ -3,7 +3,7 @@
 Prompts share long parts, and inputs have several megabytes. Prefilling a part
 again costs an engine as much as a whole short prompt, and inputs that cross
 data centres use the links between them. Requests with the same parts
-therefore go to the same engine near their inputs while its load allows.
+therefore go to an engine that holds these while its load allows.
 """
 
 from collections.abc import Callable
@@ -12,6 +12,7 @@
 import hashlib
 
 from walnutport.routing import outcomes
+from walnutport.routing import prompt_caches
 from walnutport.world import registrations
 from walnutport.world import requests
 
@@ -20,6 +21,7 @@
     'choose_engine',
     'expected_prefill_tokens',
     'rendezvous_weight',
+    'uncached_tokens',
     'unshared_tokens',
 ]
 
@@ -33,14 +35,11 @@
 # Bytes sent between data centres that cost one second; all requests share the
 # links.
 CROSS_LINK_BYTES_PER_S = 40e6
-# Inputs smaller than this do not tie a request to their data centre.
-MIN_LOCALITY_BYTES = 1_000_000
 # Average fraction of the shared tokens that an engine has to prefill.
 SHARED_PREFILL_FRACTION = 0.3
-# One in this many engines of a data centre caches a given first part. With
-# fewer engines the part is prefilled less often, with more they carry more
-# load.
-ENGINES_PER_CACHED_PART = 3
+# The engine that all hosts prefer for a shared part may hold it already, as
+# the owner of another cell may have sent it there.
+PREFERRED_PREFILL_FRACTION = 0.7
 
 
 def rendezvous_weight(part_id: str, target_id: str) -> int:
@@ -59,6 +58,7 @@
     now: float,
     avoid: set[str] | frozenset[str] = frozenset(),
     pending_tokens: Callable[[str], float] = lambda target_id: 0.0,
+    caches: prompt_caches.PromptCaches | None = None,
 ) -> registrations.RegisteredTarget | None:
     """Return the engine with the lowest expected cost, None without engines.
 
@@ -66,6 +66,7 @@
     :param avoid: ids of engines that were tried already.
     :param pending_tokens: returns the tokens that an engine still has to
         prefill for earlier requests.
+    :param caches: expected contents of the caches of the engines.
     """
     candidates = target_outcomes.exclude_ejected(
         [engine for engine in engines if engine.target_id not in avoid], now
@@ -73,10 +74,7 @@
     if not candidates:
         return None
     total_bytes = sum(input_bytes_by_data_centre.values())
-    cache_per_data_centre = total_bytes >= MIN_LOCALITY_BYTES
-    uncached_tokens = _uncached_tokens(
-        candidates, prompt, cache_per_data_centre
-    )
+    preferred_id = _preferred_engine(candidates, prompt)
 
     def cost(engine: registrations.RegisteredTarget) -> float:
         stats = target_outcomes.stats(engine)
@@ -89,7 +87,9 @@
             engine.data_centre, 0
         )
         total_s += remote_bytes / CROSS_LINK_BYTES_PER_S
-        tokens = float(uncached_tokens.get(engine.target_id, 0))
+        tokens = float(uncached_tokens(prompt, engine, caches))
+        if engine.target_id == preferred_id:
+            tokens *= PREFERRED_PREFILL_FRACTION
         tokens += pending_tokens(engine.target_id)
         total_s += tokens / PREFILL_TOKENS_PER_S
         return total_s
@@ -106,6 +106,19 @@
     return prompt.part_tokens[-1]
 
 
+def uncached_tokens(
+    prompt: requests.PromptShape | None,
+    engine: registrations.RegisteredTarget,
+    caches: prompt_caches.PromptCaches | None,
+) -> int:
+    """Return the tokens of a prompt that an engine is expected to prefill."""
+    if prompt is None:
+        return 0
+    if caches is None:
+        return prompt.input_tokens
+    return max(0, prompt.input_tokens - caches.cached_tokens(prompt, engine))
+
+
 class PrefillTracker:
     """Requests that one host placed and whose prefill is not complete.
 
@@ -158,56 +171,19 @@
     )
 
 
-def _uncached_tokens(
+def _preferred_engine(
     engines: list[registrations.RegisteredTarget],
     prompt: requests.PromptShape | None,
-    cache_per_data_centre: bool,
-) -> dict[str, int]:
-    """Return the shared tokens that each engine is expected to prefill.
-
-    All hosts assign the parts alike. The first part, which many prompts share,
-    is cached by a fraction of the engines of each data centre; the part before
-    the last, which few share, by one of these. The last part belongs to the
-    request alone.
+) -> str:
+    """Return the id of the engine for a shared part that none holds yet.
 
-    :param cache_per_data_centre: whether one engine of each data centre caches
-        the part before the last, instead of one of all engines.
+    All hosts name the same engine, so that owners of several cells send the
+    requests that share the part to it.
     """
     if prompt is None or len(prompt.part_ids) < 2:
-        return {}
-    engines_by_data_centre: dict[
-        str, list[registrations.RegisteredTarget]
-    ] = {}
-    for engine in engines:
-        engines_by_data_centre.setdefault(engine.data_centre, []).append(
-            engine
-        )
-    caching_engines: list[registrations.RegisteredTarget] = []
-    for local_engines in engines_by_data_centre.values():
-        local_engines.sort(
-            key=lambda engine: rendezvous_weight(
-                prompt.part_ids[0], engine.target_id
-            ),
-            reverse=True,
-        )
-        caching_engines += local_engines[
-            : max(1, len(local_engines) // ENGINES_PER_CACHED_PART)
-        ]
-    best_by_data_centre: dict[str, tuple[int, str]] = {}
-    for engine in caching_engines:
-        data_centre = engine.data_centre if cache_per_data_centre else ''
-        weight = rendezvous_weight(prompt.part_ids[-2], engine.target_id)
-        best_by_data_centre[data_centre] = max(
-            best_by_data_centre.get(data_centre, (0, '')),
-            (weight, engine.target_id),
-        )
-    first_tokens = prompt.part_tokens[0]
-    middle_tokens = sum(prompt.part_tokens[1:-1])
-    uncached_tokens = {
-        engine.target_id: first_tokens + middle_tokens for engine in engines
-    }
-    for engine in caching_engines:
-        uncached_tokens[engine.target_id] = middle_tokens
-    for _, target_id in best_by_data_centre.values():
-        uncached_tokens[target_id] = 0
-    return uncached_tokens
+        return ''
+    shared_part = prompt.part_ids[-2]
+    return max(
+        engines,
+        key=lambda engine: rendezvous_weight(shared_part, engine.target_id),
+    ).target_id
--- a/walnutport/world/routes.py
+++ b/walnutport/world/routes.py
@@ -52,6 +52,8 @@
     :param max_targets: maximum number of targets tried for one request.
     :param priority: priority of the requests; 0 is the most urgent.
     :param max_event_gap_s: longest acceptable pause between stream events.
+    :param event_patience_s: time after which callers leave a stream that has
+        no event.
     """
 
     name: str
@@ -66,6 +68,7 @@
     anonymous: bool
     resumable: bool
     max_event_gap_s: float
+    event_patience_s: float
     stages: tuple[StageSpec, ...]
 
     @property
