Leave a margin in the forecast of first events; use deadlines where constant

The line through the middle of the times admits requests whose engines then answer late, and long prompts start later than before.

Change: the forecast adds the mean absolute deviation. A deadline shorter than usual counts again as time of earlier attempts where a quarter of the callers of a route send the same deadline: there it also shows attempts that were lost on their way.

--- a/walnutport/exceptions.py
+++ b/walnutport/exceptions.py
@@ -157,8 +157,8 @@
         if unknown.
     :param team_standing: demand of the team relative to its share, as the
         owner measured it; empty if unknown.
-    :param spent_s: time since the first refusal of the request; 0 if this is
-        the first.
+    :param spent_s: time that earlier attempts of the request took; 0 if none
+        is known.
     """
 
     def __init__(
--- a/walnutport/gateway/calls.py
+++ b/walnutport/gateway/calls.py
@@ -28,7 +28,8 @@
     :param aim_at: when the latency target of the route ends.
     :param possible_runs: number of targets that were sent the request and did
         not report that they did not run it.
-    :param is_caller_retry: whether the caller retries after a refusal.
+    :param spent_s: time that earlier attempts of the request took; 0 if none
+        is known.
     :param targets: ids of the targets that the request was sent to.
     :param inputs: handles of the stage results that the request reads.
     :param unreachable: ids of the targets that could not be connected to.
@@ -51,7 +52,7 @@
     deadline_at: float
     aim_at: float
     possible_runs: int = 0
-    is_caller_retry: bool = False
+    spent_s: float = 0.0
     targets: list[str] = dataclasses.field(default_factory=list)
     inputs: tuple[str, ...] | None = None
     input_bytes_by_data_centre: dict[str, int] = dataclasses.field(
@@ -79,12 +80,12 @@
         return self.unreachable.union(self.targets)
 
     def record_earlier_attempts(self, spent_s: float) -> None:
-        """Record the time since the first refusal of the request.
+        """Record the time that earlier attempts of the request took.
 
-        :param spent_s: 0 if it was not refused.
+        :param spent_s: 0 if none is known.
         """
-        self.aim_at -= spent_s
-        self.is_caller_retry = spent_s > 0
+        self.aim_at += self.spent_s - spent_s
+        self.spent_s = spent_s
 
     def time_left_s(self) -> float:
         """Return the time until the deadline."""
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -324,6 +324,7 @@
         self._known_target_ids = set(targets)
         if desired is None:
             return
+        self._matcher.drop_missing_routes(desired)
         rules = {
             service.name: service.batch
             for service in desired.service_by_name.values()
--- a/walnutport/gateway/request_handler.py
+++ b/walnutport/gateway/request_handler.py
@@ -134,6 +134,7 @@
             final_service=call.service,
             prompt=call.fields.prompt,
             content=call.digest,
+            spent_s=call.spent_s,
         )
         with stage_client.StageRun(self._stages, spec) as stage_run:
             try:
@@ -148,7 +149,7 @@
                     owner=stage_run.owner,
                     forecast_s=round(problem.forecast_s, 3),
                     aim_left_s=round(call.aim_at - time.monotonic(), 3),
-                    returned=call.is_caller_retry,
+                    returned=call.spent_s > 0,
                     team_standing=problem.team_standing,
                 )
                 return
--- a/walnutport/gateway/responses.py
+++ b/walnutport/gateway/responses.py
@@ -119,7 +119,7 @@
             team=call.team,
             outcome=call.outcome,
             status=call.status,
-            returned=call.is_caller_retry,
+            returned=call.spent_s > 0,
             took_s=round(took_s, 3),
             stages_s=round(call.stages_s, 3),
             first_s=round(first_at - call.arrived_at, 3),
--- a/walnutport/gateway/route_matcher.py
+++ b/walnutport/gateway/route_matcher.py
@@ -3,6 +3,7 @@
 import hashlib
 import time
 
+from walnutport.admission import caller_retries
 from walnutport.gateway import calls
 from walnutport.gateway import feed_follower
 from walnutport.gateway import metrics
@@ -37,6 +38,7 @@
         self._follower = follower
         self._metrics = entry_metrics
         self._rng = rng
+        self._deadlines = caller_retries.DeadlineHistory()
 
     def match(self, request: server.ServerRequest) -> calls.CallerCall | None:
         """Return the call for a request, or reject it and return None.
@@ -74,6 +76,10 @@
                 return None
         return self._create_call(request, fields, route, team)
 
+    def drop_missing_routes(self, desired: routes.DesiredState) -> None:
+        """Drop the state of all routes that are not in the desired state."""
+        self._deadlines.retain_routes({route.name for route in desired.routes})
+
     def _create_call(
         self,
         request: server.ServerRequest,
@@ -87,6 +93,7 @@
             time_limit_s = min(
                 time_limit_s, fields.timeout_s - DEADLINE_MARGIN_S
             )
+        spent_s = self._deadlines.spent_s(route.name, fields.timeout_s)
         priority = route.priority
         if team is not None and team.priority is not None:
             priority = team.priority
@@ -108,7 +115,8 @@
             digest=hashlib.blake2b(content, digest_size=16).digest(),
             arrived_at=arrived_at,
             deadline_at=arrived_at + time_limit_s,
-            aim_at=arrived_at + route.latency_target_s,
+            aim_at=arrived_at + route.latency_target_s - spent_s,
+            spent_s=spent_s,
         )
 
     def _choose_service(self, route: routes.Route) -> str:
--- a/walnutport/routing/first_event.py
+++ b/walnutport/routing/first_event.py
@@ -23,6 +23,11 @@
 # A measurement counts as at most this multiple of its forecast: the time of a
 # request that waited long says little about the others.
 MAX_SAMPLE_RATIO = 3.0
+# Mean absolute deviations that a forecast lies above the line, so that most
+# answers come in time.
+DEVIATION_WEIGHT = 1.0
+DEVIATION_GAIN = 0.02
+INITIAL_DEVIATION_S = 0.05
 
 
 class FirstEventForecast:
@@ -32,6 +37,7 @@
     """
 
     def __init__(self) -> None:
+        self._deviation_s = INITIAL_DEVIATION_S
         self._weight = 0.0
         self._tokens = 0.0
         self._seconds = 0.0
@@ -43,14 +49,20 @@
             self._add(tokens, self._expected_s(tokens), INITIAL_WEIGHT)
 
     def expected_s(self, prompt: requests.PromptShape | None) -> float:
-        """Return the expected time to the first event of a prompt."""
-        return self._expected_s(engines.expected_prefill_tokens(prompt))
+        """Return the time in which most first events of a prompt arrive."""
+        return (
+            self._expected_s(engines.expected_prefill_tokens(prompt))
+            + DEVIATION_WEIGHT * self._deviation_s
+        )
 
     def observe(
         self, prompt: requests.PromptShape | None, took_s: float
     ) -> None:
         """Add the measured time to one first event."""
         tokens = engines.expected_prefill_tokens(prompt)
+        self._deviation_s += DEVIATION_GAIN * (
+            abs(took_s - self._expected_s(tokens)) - self._deviation_s
+        )
         limit_s = MAX_SAMPLE_RATIO * self._expected_s(tokens)
         self._weight *= DECAY
         self._tokens *= DECAY
--- a/walnutport/stages/pieces.py
+++ b/walnutport/stages/pieces.py
@@ -60,8 +60,8 @@
     :param prompt: prompt of the request, if it has one.
     :param content: digest of the content of the request, by which a retry
         after a refusal is recognized.
-    :param spent_s: time since the first refusal of the request; 0 if it was
-        not refused. ``aim_s`` is shorter by that time.
+    :param spent_s: time that earlier attempts of the request took; 0 if none
+        is known. ``aim_s`` is shorter by that time.
     """
 
     job_id: str
@@ -132,8 +132,8 @@
     :param forecast_s: forecast time until the answer.
     :param standing: demand of its team relative to its share; empty if it
         did not affect the decision.
-    :param spent_s: time since the first refusal of the request; 0 if this is
-        the first.
+    :param spent_s: time that earlier attempts of the request took; 0 if none
+        is known.
     """
 
     reason: str
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -101,15 +101,17 @@
         :returns: the refusal of the job, or None if it is admitted.
         """
         spent_s = self._refused.spent_s(spec.content, now)
-        if spent_s:
+        if spent_s > spec.spent_s:
             spec = dataclasses.replace(
-                spec, aim_s=spec.aim_s - spent_s, spent_s=spent_s
+                spec,
+                aim_s=spec.aim_s + spec.spent_s - spent_s,
+                spent_s=spent_s,
             )
         job = jobs.Job(spec, now)
         refusal = self.cell_load.check_job(job, now)
         if refusal is not None:
             self._refused.record(spec.content, now)
-            return dataclasses.replace(refusal, spent_s=spent_s)
+            return dataclasses.replace(refusal, spent_s=spec.spent_s)
         self._job_by_id[spec.job_id] = job
         self._advance_job(job, now)
         return None
