Link a started host within its dials' time; wait for the owner of a cell

Change: dials end after 0.3 s and are repeated after 0.1 s, doubling; links are dialled when the hosts are read or announced. A host whose link to the owner was not tried yet waits for it, at most 0.4 s, and then refuses.

--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -235,3 +235,32 @@
     for number in range(2, 40):
         fixture.mesh.add_host(record(number))
     assert abs(count_heartbeats() - full_mesh_count / 2) <= 1
+
+
+def test_host_that_starts_later_is_linked_soon(monkeypatch):
+    """Guards against seconds without an owner after a power cut of all hosts.
+
+    Hosts start within a second of each other. A dial to one that is not up
+    yet hung for a second and was repeated only after that.
+    """
+    fixture = Fixture(monkeypatch)
+    fixture.mesh.choose_peers = lambda: {'host-1'}
+    for number in range(1, 40):
+        fixture.mesh.add_host(record(number))
+    fixture.reactor.refuses = True
+    fixture.mesh.dial_chosen()
+    fixture.advance(0.5)
+    assert len(fixture.reactor.dialled_ports) >= 3
+    assert peers.DIAL_TIMEOUT_S <= 0.3
+
+
+def test_host_is_untried_until_its_link_is_up_or_fails(monkeypatch):
+    """Guards against waiting for an owner that was lost."""
+    fixture = Fixture(monkeypatch)
+    fixture.mesh.add_host(record(1))
+    peer = fixture.mesh.peer_by_name['host-1']
+    assert peer.is_untried
+    link = fixture.connect(1)
+    assert not peer.is_untried
+    fixture.mesh.link_lost(link)
+    assert not peer.is_untried
--- /dev/null
+++ b/tests/gateway/test_stage_client.py
@@ -0,0 +1,90 @@
+"""Tests of the choice of the host that runs stages."""
+
+import time
+
+import pytest
+from twisted.internet import defer
+from twisted.internet import task
+
+from tests.gateway import test_feed_follower
+from tests.stages import builders
+from walnutport import exceptions
+from walnutport.gateway import stage_client
+from walnutport.membership import ranking
+from walnutport.peer import fleet_messages
+
+SHARES = {f'host-{number}': 1.0 for number in range(6)}
+RANKED = ranking.rank_hosts(ranking.cell_key(0), SHARES)
+
+
+class Fixture:
+    """Client of a host, with the shares of linked and of untried hosts."""
+
+    def __init__(self, monkeypatch, own: str) -> None:
+        self.clock = task.Clock()
+        monkeypatch.setattr(time, 'monotonic', self.clock.seconds)
+        self.linked = {own: 1.0}
+        self.untried: dict[str, float] = {}
+        self.sent: list[tuple[str, object]] = []
+        self.client = stage_client.StageClient(
+            self.clock,
+            test_feed_follower.FakeLog(),
+            own,
+            'i',
+            None,
+            lambda: self.linked,
+            lambda: self.untried,
+            self._send,
+            lambda spec, result, prefills: '',
+        )
+
+    def _send(self, name: str, message: object) -> bool:
+        self.sent.append((name, message))
+        return True
+
+    def run(self) -> defer.Deferred:
+        """Start to run the stages of a job."""
+        run = stage_client.StageRun(self.client, builders.job_spec('1'))
+        return defer.Deferred.fromCoroutine(run.run())
+
+
+def test_started_host_waits_for_the_link_to_the_owner(monkeypatch):
+    """Guards against every host calling the stage targets for itself.
+
+    After a power cut of all hosts, each one assembled calls of its own until
+    its links were up. Half of all calls found the target busy, and two
+    seconds of requests were lost.
+    """
+    fixture = Fixture(monkeypatch, RANKED[-1])
+    fixture.untried = {RANKED[0]: 1.0}
+    fixture.run()
+    assert fixture.sent == []
+    fixture.linked[RANKED[0]] = 1.0
+    fixture.untried = {}
+    fixture.clock.advance(0.1)
+    ((name, message),) = fixture.sent
+    assert name == RANKED[0]
+    assert isinstance(message, fleet_messages.RunStages)
+
+
+def test_request_does_not_wait_long_for_an_owner(monkeypatch):
+    """Guards against requests that are held until their aim has passed."""
+    fixture = Fixture(monkeypatch, RANKED[-1])
+    fixture.untried = {RANKED[0]: 1.0}
+    result = fixture.run()
+    fixture.clock.pump([0.05] * 10)
+    failure = fixture.client and result.result
+    assert failure.check(exceptions.StagesRefused)
+    assert failure.value.reason == 'owner_unknown'
+    assert failure.value.retry_after_s > 0
+    result.addErrback(lambda failure: None)
+
+
+@pytest.mark.parametrize('untried', [RANKED[1:3], []])
+def test_owner_with_a_link_is_used_at_once(monkeypatch, untried):
+    """Guards against a wait for hosts that would not be the owner."""
+    fixture = Fixture(monkeypatch, RANKED[-1])
+    fixture.linked[RANKED[0]] = 1.0
+    fixture.untried = dict.fromkeys(untried, 1.0)
+    fixture.run()
+    assert [name for name, _ in fixture.sent] == [RANKED[0]]
--- a/tests/gateway/test_store_era.py
+++ b/tests/gateway/test_store_era.py
@@ -385,6 +385,9 @@
         def hosts_read(self) -> None:
             pass
 
+        def dial_chosen(self) -> None:
+            pass
+
         def add_host(self, record) -> None:
             pass
 
--- a/walnutport/cli/explain.py
+++ b/walnutport/cli/explain.py
@@ -30,6 +30,7 @@
     'no_target': 'refused: no target of its service was usable',
     'quarantined': 'refused: it was running at two targets that crashed',
     'stage_failures': 'given up: too many of its stage pieces failed',
+    'owner_unknown': 'no link to the host that runs its stages was up yet',
     'owners_lost': 'given up: hosts that ran its stages were lost',
     'not_run': 'refused: its target refused it and no other one may run it',
     'wrong_target': 'refused: the address belongs to another target now',
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -132,6 +132,7 @@
             self._incarnation,
             self._pool,
             self._work_shares,
+            self._untried_shares,
             self._mesh.send,
             self._selector.recommend_engine,
         )
@@ -349,6 +350,15 @@
                 shares[name] = peer.record.work_share
         return shares or {own: 1.0}
 
+    def _untried_shares(self) -> dict[str, float]:
+        """Return the work shares of the hosts whose links are not up yet."""
+        peer_by_name = self._mesh.peer_by_name
+        return {
+            name: peer_by_name[name].record.work_share
+            for name in self._mesh.chosen_names()
+            if name in peer_by_name and peer_by_name[name].is_untried
+        }
+
     def _choose_peers(self) -> set[str]:
         """Return the peers to link with in a large installation.
 
--- a/walnutport/gateway/host_directory.py
+++ b/walnutport/gateway/host_directory.py
@@ -86,6 +86,7 @@
                         await self._store.read_newest(feeds.Feed.HOSTS)
                     )
                     self._mesh.hosts_read()
+                    self._mesh.dial_chosen()
                     has_read = True
                 if not self._must_publish:
                     break
--- a/walnutport/gateway/peers.py
+++ b/walnutport/gateway/peers.py
@@ -30,9 +30,12 @@
 # When its own heartbeat is this late, this host was stalled and cannot tell
 # whether its peers are silent.
 STALL_THRESHOLD_S = 0.5
-INITIAL_REDIAL_DELAY_S = 0.3
+INITIAL_REDIAL_DELAY_S = 0.1
 MAX_REDIAL_DELAY_S = 3.0
-DIAL_TIMEOUT_S = 1.0
+# Data centres are milliseconds apart, and TCP repeats a lost SYN only after a
+# second: a new dial is quicker. After a power cut of all hosts, many dial
+# others that are not up yet.
+DIAL_TIMEOUT_S = 0.3
 # Hosts that were unreachable for this long are removed.
 REMOVE_AFTER_S = 60.0
 # A host that knows at least this number of peers links with only some of
@@ -47,8 +50,8 @@
 
     :param redial_at: earliest time of the next dial.
     :param redial_delay_s: delay after the next failed dial.
-    :param failing_since: when the dials began to fail, None if the last one
-        succeeded or there was none.
+    :param failing_since: when the host became unreachable; None if it is
+        reachable, or was not dialled yet.
     """
 
     record: fleet_messages.HostRecord
@@ -64,6 +67,11 @@
         """Whether a link is up and a heartbeat was received on it."""
         return self.link is not None and self.heartbeat is not None
 
+    @property
+    def is_untried(self) -> bool:
+        """Whether no link to the host was ever up or has failed."""
+        return self.link is None and self.failing_since is None
+
     @property
     def accepts_work(self) -> bool:
         """Whether the peer accepts work of other hosts."""
@@ -149,13 +157,13 @@
         self.log = log
         self.own_record = own_record
         self.peer_by_name: dict[str, PeerState] = {}
-        # Returns the names of the peers to link with in a large installation,
-        # or None for all of them. Called again after ``links_changed``.
-        self.choose_peers: Callable[[], set[str] | None] = lambda: None
+        # Returns the names of the peers to link with in a large installation.
+        # Called again after ``links_changed``.
+        self.choose_peers: Callable[[], set[str]] = set
         self._reactor = reactor
         self._create_heartbeat = create_heartbeat
         self._hosts_known = False
-        self._chosen: set[str] | None = None
+        self._chosen: set[str] = set()
         self._chosen_stale = True
         # Hosts that connected to this one and that no peer was told about.
         self._unannounced: list[fleet_messages.HostRecord] = []
@@ -217,6 +225,38 @@
         """Record that the hosts in the store were read."""
         self._hosts_known = True
 
+    def dial_chosen(self) -> None:
+        """Dial the hosts to link with that have no link."""
+        now = time.monotonic()
+        for name in self.chosen_names():
+            peer = self.peer_by_name.get(name)
+            if (
+                peer is not None
+                and peer.link is None
+                and now >= peer.redial_at
+            ):
+                self._dial(peer)
+
+    def dial_failed(self, peer: PeerState) -> None:
+        """Dial a host again after a while."""
+        now = time.monotonic()
+        peer.dialling = False
+        peer.redial_at = now + peer.redial_delay_s
+        self._reactor.callLater(peer.redial_delay_s, self.dial_chosen)
+        peer.redial_delay_s = min(MAX_REDIAL_DELAY_S, peer.redial_delay_s * 2)
+        if peer.failing_since is None:
+            peer.failing_since = now
+            self.links_changed()
+
+    def chosen_names(self) -> set[str]:
+        """Return the names of the peers to link with."""
+        if not self._is_partial():
+            return set(self.peer_by_name)
+        if self._chosen_stale:
+            self._chosen_stale = False
+            self._chosen = self.choose_peers()
+        return self._chosen
+
     def links_changed(self) -> None:
         """Choose the hosts to link with again before the next dial."""
         self._chosen_stale = True
@@ -255,6 +295,7 @@
         if isinstance(message, fleet_messages.HostsUpdate):
             for record in message.hosts:
                 self.add_host(record)
+            self.dial_chosen()
             return
         if isinstance(message, fleet_messages.Heartbeat):
             peer.heartbeat = message
@@ -269,6 +310,8 @@
         peer.heartbeat = None
         peer.redial_at = 0.0
         peer.redial_delay_s = INITIAL_REDIAL_DELAY_S
+        peer.failing_since = time.monotonic()
+        self.links_changed()
         self.log.notable('peer_lost', peer=link.name)
         self._on_lost(link.name)
 
@@ -344,7 +387,6 @@
             heartbeat = fleet_messages.encode(
                 self._create_heartbeat(interval_s)
             )
-        chosen = self._chosen_names()
         for name, peer in list(self.peer_by_name.items()):
             link = peer.link
             if link is not None:
@@ -367,8 +409,7 @@
             ):
                 del self.peer_by_name[name]
                 self.links_changed()
-            elif now >= peer.redial_at and (chosen is None or name in chosen):
-                self._dial(peer)
+        self.dial_chosen()
         self._announce_hosts()
 
     @staticmethod
@@ -380,15 +421,6 @@
         )
         return now - link.last_received_at > interval_s * MISSED_HEARTBEATS
 
-    def _chosen_names(self) -> set[str] | None:
-        """Return the peers to link with, or None for all of them."""
-        if not self._is_partial():
-            return None
-        if self._chosen_stale:
-            self._chosen_stale = False
-            self._chosen = self.choose_peers()
-        return self._chosen
-
     def _announce_hosts(self) -> None:
         """Tell the linked peers about hosts that connected to this one.
 
@@ -427,11 +459,4 @@
         return PeerLink(self._mesh, dialled=True)
 
     def clientConnectionFailed(self, connector, reason) -> None:
-        peer = self._peer
-        now = time.monotonic()
-        peer.dialling = False
-        peer.redial_at = now + peer.redial_delay_s
-        peer.redial_delay_s = min(MAX_REDIAL_DELAY_S, peer.redial_delay_s * 2)
-        if peer.failing_since is None:
-            peer.failing_since = now
-            self._mesh.links_changed()
+        self._mesh.dial_failed(self._peer)
--- a/walnutport/gateway/stage_client.py
+++ b/walnutport/gateway/stage_client.py
@@ -6,6 +6,7 @@
 import time
 
 from twisted.internet import defer
+from twisted.internet import task
 
 from walnutport import exceptions
 from walnutport.gateway import cell_owner
@@ -22,6 +23,11 @@
 # Maximum number of times that the stages of a request are submitted, each time
 # to the current owner of the cell.
 MAX_SUBMISSIONS = 3
+# After a start, a host waits this long for its link to the owner of a cell. If
+# each host assembled calls for itself meanwhile, they would refuse each other
+# the targets.
+OWNER_WAIT_S = 0.4
+OWNER_POLL_INTERVAL_S = 0.03
 # Retry delay after several owners in a row were lost; their successors are
 # known by then.
 OWNERS_LOST_RETRY_AFTER_S = 0.3
@@ -33,6 +39,8 @@
     :param host_name: name of this host.
     :param work_shares: returns the work share of each host that accepts work
         of others, which may include this host.
+    :param untried_shares: returns the work share of each host to which the
+        first link is not up yet.
     :param send: sends a message to a peer; returns False when no link to it
         is up.
     :param choose_engine: returns the id of the engine that should run a
@@ -47,6 +55,7 @@
         incarnation: str,
         pool: channel_pool.ChannelPool,
         work_shares: Callable[[], dict[str, float]],
+        untried_shares: Callable[[], dict[str, float]],
         send: Callable[[str, fleet_messages.FleetMessage], bool],
         choose_engine: Callable[
             [pieces.JobSpec, pieces.JobResult, engines.PrefillTracker], str
@@ -59,6 +68,7 @@
         self._incarnation = incarnation
         self._pool = pool
         self._work_shares = work_shares
+        self._untried_shares = untried_shares
         self._send = send
         self._job_numbers = itertools.count(1)
         self._local_owner_by_cell: dict[int, cell_owner.CellOwner] = {}
@@ -96,11 +106,17 @@
         for owner in self._local_owner_by_cell.values():
             owner.tick()
 
-    def find_owner(self, cell: int) -> str:
-        """Return the name of the host that owns a cell."""
-        eligible = ranking.eligible_hosts(self._work_shares())
+    def find_owner(self, cell: int) -> str | None:
+        """Return the name of the host that owns a cell.
+
+        :returns: None while the link to the owner is not up yet.
+        """
+        work_shares = self._work_shares()
+        eligible = ranking.eligible_hosts(work_shares | self._untried_shares())
         ranked = ranking.rank_hosts(ranking.cell_key(cell), eligible)
         name = ranked[0] if ranked else self._host_name
+        if name not in work_shares:
+            return None
         if self._owner_name_by_cell.get(cell) != name:
             self._log.notable(
                 'cell_owner',
@@ -120,9 +136,9 @@
         deadline_at = time.monotonic() + spec.deadline_s
         aim_at = time.monotonic() + spec.aim_s
         for _ in range(MAX_SUBMISSIONS):
-            now = time.monotonic()
             cell = ranking.cell_for_content(spec.content, self._cell_count)
-            owner = self.find_owner(cell)
+            owner = await self._wait_for_owner(cell)
+            now = time.monotonic()
             spec = dataclasses.replace(
                 spec, deadline_s=deadline_at - now, aim_s=aim_at - now
             )
@@ -194,6 +210,22 @@
         """Return the cells that this host owns or has owned."""
         return list(self._local_owner_by_cell.values())
 
+    async def _wait_for_owner(self, cell: int) -> str:
+        """Return the owner of a cell, once its link is up.
+
+        :raises StagesRefused: if that takes too long.
+        """
+        give_up_at = time.monotonic() + OWNER_WAIT_S
+        while True:
+            owner = self.find_owner(cell)
+            if owner is not None:
+                return owner
+            if time.monotonic() >= give_up_at:
+                raise exceptions.StagesRefused(
+                    'owner_unknown', OWNERS_LOST_RETRY_AFTER_S
+                )
+            await task.deferLater(self._reactor, OWNER_POLL_INTERVAL_S)
+
     async def _submit(
         self, spec: pieces.JobSpec, cell: int, owner: str
     ) -> object:
