Keep the types of the own interface out of the entry host's imports

The entry host imported walnutport.interfaces, walnutport.peer.messages and expression for two types.

--- a/walnutport/gateway/forwarding.py
+++ b/walnutport/gateway/forwarding.py
@@ -5,8 +5,8 @@
 
 from walnutport.gateway import attempts
 from walnutport.gateway import calls
-from walnutport import interfaces
 from walnutport.quarantine import suspects
+from walnutport.quarantine import suspicion
 from walnutport.relay import resumable
 from walnutport.retries import retry_eligibility
 from walnutport.retries import window_budget
@@ -58,7 +58,7 @@
     def is_quarantined(self, call: calls.CallerCall) -> bool:
         """Return whether the content is suspected to crash its targets."""
         state = self._suspects.state(call.digest, time.monotonic())
-        return state is interfaces.SuspicionState.QUARANTINED
+        return state is suspicion.SuspicionState.QUARANTINED
 
     def record_request(self, call: calls.CallerCall) -> None:
         """Count a request, which raises the retry budget of its service."""
--- a/walnutport/gateway/suspect_exchange.py
+++ b/walnutport/gateway/suspect_exchange.py
@@ -8,8 +8,8 @@
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.peer import fleet_messages
-from walnutport.peer import messages as peer_messages
 from walnutport.quarantine import suspects
+from walnutport.quarantine import suspicion
 from walnutport.routing import outcomes
 from walnutport.world import registrations
 
@@ -41,7 +41,7 @@
     def merge_report(self, message: fleet_messages.CrashReport) -> None:
         """Merge a report of a peer on a request into the table."""
         self.table.merge(
-            peer_messages.SuspectReport(
+            suspicion.SuspectReport(
                 message.digest, message.deaths, message.cleared
             ),
             time.monotonic(),
@@ -74,7 +74,7 @@
             )
         ).addCallbacks(on_connected, on_failure)
 
-    def _publish(self, message: peer_messages.SuspectReport) -> None:
+    def _publish(self, message: suspicion.SuspectReport) -> None:
         self._log.notable(
             'suspect',
             digest=message.digest.hex(),
--- a/walnutport/peer/messages.py
+++ b/walnutport/peer/messages.py
@@ -7,6 +7,8 @@
 import dataclasses
 import enum
 
+from walnutport.quarantine.suspicion import SuspectReport
+
 __all__ = [
     'AnswerReply',
     'AnswerRequest',
@@ -131,20 +133,6 @@
     address: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SuspectReport:
-    """Crashes of targets while they ran a request with some content.
-
-    :param digest: digest of the content.
-    :param deaths: identifiers (target id and incarnation) of the crashes.
-    :param cleared: whether the content has since completed.
-    """
-
-    digest: bytes
-    deaths: tuple[str, ...]
-    cleared: bool = False
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class PermitRequest:
     """Request for a permit to run suspect content, one run at a time.
--- a/walnutport/policy_types.py
+++ b/walnutport/policy_types.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from walnutport.quarantine.suspicion import SuspicionState
 from walnutport import world
 
 __all__ = [
@@ -118,11 +119,3 @@
     retry: bool
     delay_s: float = 0.0
     reason: str = ''
-
-
-class SuspicionState(enum.StrEnum):
-    """Suspicion that requests with a content digest crash targets."""
-
-    CLEAR = 'clear'
-    SUSPECT = 'suspect'
-    QUARANTINED = 'quarantined'
--- a/walnutport/quarantine/suspects.py
+++ b/walnutport/quarantine/suspects.py
@@ -10,8 +10,7 @@
 from collections.abc import Callable
 import dataclasses
 
-from walnutport import interfaces
-from walnutport.peer import messages
+from walnutport.quarantine import suspicion
 
 __all__ = ['MAX_ENTRIES', 'SuspectTable', 'death_id']
 
@@ -52,7 +51,7 @@
 
     def __init__(
         self,
-        publish: Callable[[messages.SuspectReport], None] = lambda message: (
+        publish: Callable[[suspicion.SuspectReport], None] = lambda message: (
             None
         ),
     ) -> None:
@@ -68,35 +67,35 @@
     def __len__(self) -> int:
         return len(self._entries)
 
-    def state(self, digest: bytes, now: float) -> interfaces.SuspicionState:
+    def state(self, digest: bytes, now: float) -> suspicion.SuspicionState:
         """Return the suspicion state of a digest."""
         entry = self._find(digest, now)
         deaths = len(entry.uncleared_deaths()) if entry else 0
         if deaths >= QUARANTINE_DEATHS:
-            return interfaces.SuspicionState.QUARANTINED
+            return suspicion.SuspicionState.QUARANTINED
         if deaths:
-            return interfaces.SuspicionState.SUSPECT
-        return interfaces.SuspicionState.CLEAR
+            return suspicion.SuspicionState.SUSPECT
+        return suspicion.SuspicionState.CLEAR
 
     def digests_by_state(
         self, now: float
-    ) -> dict[interfaces.SuspicionState, list[bytes]]:
+    ) -> dict[suspicion.SuspicionState, list[bytes]]:
         """Return the digests that are not clear, most recently used first.
 
         The time is linear in the entries, of which there are at most 10,000.
         """
-        digests: dict[interfaces.SuspicionState, list[bytes]] = {
-            interfaces.SuspicionState.SUSPECT: [],
-            interfaces.SuspicionState.QUARANTINED: [],
+        digests: dict[suspicion.SuspicionState, list[bytes]] = {
+            suspicion.SuspicionState.SUSPECT: [],
+            suspicion.SuspicionState.QUARANTINED: [],
         }
         for digest, entry in reversed(self._entries.items()):
             deaths = len(entry.uncleared_deaths())
             if not deaths or now - entry.updated_at >= ENTRY_TTL_S:
                 continue
             if deaths >= QUARANTINE_DEATHS:
-                digests[interfaces.SuspicionState.QUARANTINED].append(digest)
+                digests[suspicion.SuspicionState.QUARANTINED].append(digest)
             else:
-                digests[interfaces.SuspicionState.SUSPECT].append(digest)
+                digests[suspicion.SuspicionState.SUSPECT].append(digest)
         return digests
 
     def attempt_started(
@@ -115,7 +114,7 @@
         entry = self._find(attempt.digest, now)
         if entry is None or not entry.uncleared_deaths():
             return
-        message = messages.SuspectReport(
+        message = suspicion.SuspectReport(
             attempt.digest, entry.uncleared_deaths(), cleared=True
         )
         self.merge(message, now)
@@ -150,11 +149,11 @@
         for digest in sorted(digests):
             entry = self._find(digest, now)
             if entry is None or death not in entry.deaths:
-                message = messages.SuspectReport(digest, (death,))
+                message = suspicion.SuspectReport(digest, (death,))
                 self.merge(message, now)
                 self.publish(message)
 
-    def merge(self, message: messages.SuspectReport, now: float) -> None:
+    def merge(self, message: suspicion.SuspectReport, now: float) -> None:
         """Merge a message from another host or from the log."""
         entry = self._find(message.digest, now)
         if entry is None:
