Pass on reports of crashing requests in a partial mesh

Cause, read in the code: a report reached only the hosts linked with its sender, some twelve of 195, and nobody passed it on. A request that crashes its targets would have run once more at each other host that its caller tries.

Change: a report that changes the state of a content goes on to all linked peers. States only change with new deaths or clearances, so it ends.

--- a/walnutport/gateway/peers.py
+++ b/walnutport/gateway/peers.py
@@ -250,7 +250,7 @@
 
     def chosen_names(self) -> set[str]:
         """Return the names of the peers to link with."""
-        if not self._is_partial():
+        if not self.is_partial:
             return set(self.peer_by_name)
         if self._chosen_stale:
             self._chosen_stale = False
@@ -367,11 +367,13 @@
             )
 
     def _interval_s(self) -> float:
-        if self._is_partial():
+        if self.is_partial:
             return PARTIAL_MESH_HEARTBEAT_INTERVAL_S
         return HEARTBEAT_INTERVAL_S
 
-    def _is_partial(self) -> bool:
+    @property
+    def is_partial(self) -> bool:
+        """Whether this host links with some of the hosts only."""
         return len(self.peer_by_name) >= MIN_PARTIAL_MESH_PEERS
 
     def _tick(self) -> None:
--- a/walnutport/gateway/suspect_exchange.py
+++ b/walnutport/gateway/suspect_exchange.py
@@ -39,13 +39,22 @@
         self.table = suspects.SuspectTable(self._publish)
 
     def merge_report(self, message: fleet_messages.CrashReport) -> None:
-        """Merge a report of a peer on a request into the table."""
+        """Merge a report of a peer on a request into the table.
+
+        In a partial mesh, the hosts that are linked with this one may have no
+        link to the peer, so a report that changes the state is passed on.
+        """
+        now = time.monotonic()
+        before = self.table.state(message.digest, now)
         self.table.merge(
             suspicion.SuspectReport(
                 message.digest, message.deaths, message.cleared
             ),
-            time.monotonic(),
+            now,
         )
+        is_changed = self.table.state(message.digest, now) is not before
+        if is_changed and self._mesh.is_partial:
+            self._mesh.broadcast(message)
 
     def check_for_crash(
         self, target: registrations.RegisteredTarget, attempt_id: str
