--- a/bench/idle_host.py
+++ b/bench/idle_host.py
@@ -31,6 +31,8 @@
 # Time after the start in which the links are established.
 _SETTLE_S = 6.0
 _WINDOW_S = 10.0
+# Below the ports that ``processes.free_port`` gives out.
+_REDUCED_HOST_PORTS = (2_100, 9_900)
 _STAGE_TARGETS = 24
 _ENGINES = 20
 
@@ -78,7 +80,7 @@
             lambda peer, message: None,
             lambda peer: None,
         )
-        port = mesh.listen((20_000, 32_000))
+        port = mesh.listen(_REDUCED_HOST_PORTS)
         mesh.own_record = _record(name, port)
         meshes[name] = mesh
     for name, mesh in meshes.items():
@@ -148,6 +150,8 @@
             )
         )
         report = _run(host, hosts, meshes)
+        if not host.is_running():
+            raise RuntimeError((folder / 'host.log').read_text()[-2000:])
         if profile is not None:
             host.terminate()
     return report
