Dial a host before it is removed for a lost link

Read in the diff: a host that had opened the link and then linked with others was removed after a minute without a dial, though it lived, so that hosts would again rank owners over different sets. The new test failed before.

--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -264,3 +264,21 @@
     assert not peer.is_untried
     fixture.mesh.link_lost(link)
     assert not peer.is_untried
+
+
+def test_host_that_closed_its_link_is_dialled_before_it_is_removed(
+    monkeypatch,
+):
+    """Guards against forgetting a live host that links with others now."""
+    fixture = Fixture(monkeypatch)
+    fixture.mesh.choose_peers = lambda: {'host-39'}
+    for number in range(1, 40):
+        fixture.mesh.add_host(record(number))
+    link = fixture.connect(1)
+    fixture.mesh.link_lost(link)
+    fixture.advance(peers.REMOVE_AFTER_S + 2.0)
+    assert 7001 in fixture.reactor.dialled_ports
+    assert 'host-1' in fixture.mesh.peer_by_name
+    fixture.mesh.dial_failed(fixture.mesh.peer_by_name['host-1'])
+    fixture.advance(1.0)
+    assert 'host-1' not in fixture.mesh.peer_by_name
--- a/walnutport/gateway/peers.py
+++ b/walnutport/gateway/peers.py
@@ -52,6 +52,7 @@
     :param redial_delay_s: delay after the next failed dial.
     :param failing_since: when the host became unreachable; None if it is
         reachable, or was not dialled yet.
+    :param failed_dials: dials that failed since the host was reachable.
     """
 
     record: fleet_messages.HostRecord
@@ -61,6 +62,7 @@
     redial_delay_s: float = INITIAL_REDIAL_DELAY_S
     dialling: bool = False
     failing_since: float | None = None
+    failed_dials: int = 0
 
     @property
     def reachable(self) -> bool:
@@ -241,6 +243,7 @@
         """Dial a host again after a while."""
         now = time.monotonic()
         peer.dialling = False
+        peer.failed_dials += 1
         peer.redial_at = now + peer.redial_delay_s
         self._reactor.callLater(peer.redial_delay_s, self.dial_chosen)
         peer.redial_delay_s = min(MAX_REDIAL_DELAY_S, peer.redial_delay_s * 2)
@@ -348,6 +351,7 @@
         peer.record = hello.host
         peer.link = link
         peer.redial_delay_s = INITIAL_REDIAL_DELAY_S
+        peer.failed_dials = 0
         if peer.failing_since is not None:
             peer.failing_since = None
             self.links_changed()
@@ -409,11 +413,21 @@
                 and now - peer.failing_since > REMOVE_AFTER_S
                 and not peer.dialling
             ):
-                del self.peer_by_name[name]
-                self.links_changed()
+                self._remove_or_dial(peer)
         self.dial_chosen()
         self._announce_hosts()
 
+    def _remove_or_dial(self, peer: PeerState) -> None:
+        """Remove a host whose link is lost, unless it was never dialled.
+
+        A host that had opened the link may live and link with others now.
+        """
+        if peer.failed_dials:
+            del self.peer_by_name[peer.record.name]
+            self.links_changed()
+        else:
+            self._dial(peer)
+
     @staticmethod
     def _is_silent(peer: PeerState, link: PeerLink, now: float) -> bool:
         interval_s = (
