--- a/bench/count.py
+++ b/bench/count.py
@@ -45,6 +45,7 @@
     'forwarding',
     'host_directory',
     'feed_follower',
+    'peer_link',
     'peers',
     'stage_client',
     'suspect_exchange',
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -5,6 +5,7 @@
 from twisted.internet import task
 from twisted.internet.testing import StringTransport
 
+from walnutport.gateway import peer_link
 from walnutport.gateway import peers
 from walnutport.peer import fleet_messages
 
@@ -86,9 +87,9 @@
         for _ in range(round(seconds / STEP_S)):
             self.reactor.advance(STEP_S)
 
-    def connect(self, number: int, **fields) -> peers.PeerLink:
+    def connect(self, number: int, **fields) -> peer_link.PeerLink:
         """Return a link that a host has dialled."""
-        link = peers.PeerLink(self.mesh, dialled=False)
+        link = peer_link.PeerLink(self.mesh, dialled=False)
         link.makeConnection(LinkTransport())
         self.mesh.message_received(
             link, fleet_messages.Hello(record(number), **fields)
@@ -97,7 +98,7 @@
         return link
 
 
-def sent(link: peers.PeerLink) -> list:
+def sent(link: peer_link.PeerLink) -> list:
     """Return the messages sent on a link since the last call."""
     data = link.transport.value()
     link.transport.clear()
@@ -185,7 +186,7 @@
     """Guards against a restart without peers while the store is away."""
     fixture = Fixture(monkeypatch)
     fixture.connect(1)
-    link = peers.PeerLink(fixture.mesh, dialled=False)
+    link = peer_link.PeerLink(fixture.mesh, dialled=False)
     link.makeConnection(LinkTransport())
     sent(link)
     fixture.mesh.message_received(
--- a/walnutport/gateway/peers.py
+++ b/walnutport/gateway/peers.py
@@ -1,22 +1,20 @@
-"""Links between entry hosts.
+"""The other hosts: which are known, linked and reachable.
 
-Messages go over plain TCP, each with its length as a prefix. A link whose peer
-stops sending is closed, and the peer is dialled again.
+A link whose peer stops sending is closed, and the peer is dialled again.
 """
 
 from collections.abc import Callable
 import dataclasses
-import socket
 import time
 
 from twisted.internet import error
 from twisted.internet import protocol
-from twisted.protocols import basic
 
 from walnutport import exceptions
+from walnutport.gateway import peer_link
 from walnutport.peer import fleet_messages
 
-__all__ = ['PeerLink', 'PeerMesh', 'PeerState']
+__all__ = ['PeerMesh', 'PeerState']
 
 HEARTBEAT_INTERVAL_S = 0.3
 # Interval in a partial mesh, where the owner of a cell has a link from every
@@ -24,9 +22,6 @@
 PARTIAL_MESH_HEARTBEAT_INTERVAL_S = 0.6
 # A link is closed after this number of intervals without a message.
 MISSED_HEARTBEATS = 3.15
-# The kernel closes a link whose data stays unacknowledged for this long, which
-# detects a host that lost power or its network before heartbeats do.
-UNACKED_TIMEOUT_MS = 950
 # When its own heartbeat is this late, this host was stalled and cannot tell
 # whether its peers are silent.
 STALL_THRESHOLD_S = 0.5
@@ -41,7 +36,6 @@
 # A host that knows at least this number of peers links with only some of
 # them.
 MIN_PARTIAL_MESH_PEERS = 16
-MAX_MESSAGE_BYTES = 4 << 20
 
 
 @dataclasses.dataclass(slots=True)
@@ -56,7 +50,7 @@
     """
 
     record: fleet_messages.HostRecord
-    link: 'PeerLink | None' = None
+    link: peer_link.PeerLink | None = None
     heartbeat: fleet_messages.Heartbeat | None = None
     redial_at: float = 0.0
     redial_delay_s: float = INITIAL_REDIAL_DELAY_S
@@ -85,57 +79,6 @@
         )
 
 
-class PeerLink(basic.Int32StringReceiver):
-    """One connection to a peer.
-
-    :param dialled: whether this host opened the connection.
-    """
-
-    MAX_LENGTH = MAX_MESSAGE_BYTES
-
-    def __init__(self, mesh: 'PeerMesh', dialled: bool) -> None:
-        self.mesh = mesh
-        self.dialled = dialled
-        self.name = ''
-        self.last_received_at = time.monotonic()
-
-    def connectionMade(self) -> None:
-        self.transport.setTcpNoDelay(True)
-        self.transport.getHandle().setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS
-        )
-        self.send(self.mesh.create_hello())
-
-    def send(self, message: fleet_messages.FleetMessage) -> None:
-        """Send a message, unless the connection is closed."""
-        self.send_encoded(fleet_messages.encode(message))
-
-    def send_encoded(self, data: bytes) -> None:
-        """Send an encoded message, unless the connection is closed."""
-        if self.connected:
-            self.sendString(data)
-
-    def stringReceived(self, string: bytes) -> None:
-        self.last_received_at = time.monotonic()
-        try:
-            message = fleet_messages.decode(string)
-        except exceptions.CodecError as problem:
-            self.mesh.log.notable('peer_garbled', problem=str(problem))
-            self.transport.abortConnection()
-            return
-        self.mesh.message_received(self, message)
-
-    def lengthLimitExceeded(self, length: int) -> None:
-        self.mesh.log.notable(
-            'peer_garbled',
-            problem=f'message of {length} bytes is too long',
-        )
-        self.transport.abortConnection()
-
-    def connectionLost(self, reason=protocol.connectionDone) -> None:
-        self.mesh.link_lost(self)
-
-
 class PeerMesh:
     """Links of this host to its peers.
 
@@ -182,7 +125,7 @@
         :raises PeerError: when no port is free.
         """
         factory = protocol.Factory.forProtocol(
-            lambda: PeerLink(self, dialled=False)
+            lambda: peer_link.PeerLink(self, dialled=False)
         )
         factory.noisy = False
         for port in range(ports[0], ports[1] + 1):
@@ -286,7 +229,7 @@
                 peer.link.send_encoded(data)
 
     def message_received(
-        self, link: PeerLink, message: fleet_messages.FleetMessage
+        self, link: peer_link.PeerLink, message: fleet_messages.FleetMessage
     ) -> None:
         """Handle a message that arrived on a link."""
         if isinstance(message, fleet_messages.Hello):
@@ -304,7 +247,7 @@
             peer.heartbeat = message
         self._on_message(link.name, message)
 
-    def link_lost(self, link: PeerLink) -> None:
+    def link_lost(self, link: peer_link.PeerLink) -> None:
         """Handle the end of a link."""
         peer = self.peer_by_name.get(link.name)
         if peer is None or peer.link is not link:
@@ -319,7 +262,7 @@
         self._on_lost(link.name)
 
     def _hello_received(
-        self, link: PeerLink, hello: fleet_messages.Hello
+        self, link: peer_link.PeerLink, hello: fleet_messages.Hello
     ) -> None:
         name = hello.host.name
         if name == self.own_record.name:
@@ -429,7 +372,9 @@
             self._dial(peer)
 
     @staticmethod
-    def _is_silent(peer: PeerState, link: PeerLink, now: float) -> bool:
+    def _is_silent(
+        peer: PeerState, link: peer_link.PeerLink, now: float
+    ) -> bool:
         interval_s = (
             peer.heartbeat.interval_s
             if peer.heartbeat is not None
@@ -470,9 +415,9 @@
         self._mesh = mesh
         self._peer = peer
 
-    def buildProtocol(self, addr) -> PeerLink:
+    def buildProtocol(self, addr) -> peer_link.PeerLink:
         self._peer.dialling = False
-        return PeerLink(self._mesh, dialled=True)
+        return peer_link.PeerLink(self._mesh, dialled=True)
 
     def clientConnectionFailed(self, connector, reason) -> None:
         self._mesh.dial_failed(self._peer)
