Log how recent the desired state is that rejects a request

A wrong 404 or 401 showed the version in force and its age, from which neither of the open hypotheses follows: that the read of the desired state has had no answer for long, or that the host has read an older copy. 'rejected' now has the time since the store last answered that read and the era, 'desired_applied' the era; status and metrics have the first one. No decision changes.

--- a/tests/gateway/test_route_matcher.py
+++ b/tests/gateway/test_route_matcher.py
@@ -20,12 +20,16 @@
     """Request that records its response."""
 
     def __init__(self) -> None:
+        self.target = b'/a/b'
         self.headers = [
             (b'host', b'h.example'),
             (b'walnutport-request-attempt-id', b'id-1'),
         ]
         self.response: tuple = ()
 
+    def header(self, name) -> bytes | None:
+        return dict(self.headers).get(name)
+
     def respond(self, status, headers, body) -> None:
         self.response = (status, dict(headers))
 
@@ -48,3 +52,26 @@
     ((event, fields),) = log.lines
     assert event == 'refused'
     assert fields['id'] == 'id-1' and fields['reason'] == 'no_desired_state'
+
+
+def test_rejection_logs_how_recent_the_desired_state_is():
+    """Guards against a wrong 404 or 401 whose cause no log line shows.
+
+    A host that rejects by an old desired state has either not heard from the
+    store for long, or heard of an older copy.
+    """
+    log = FakeLog()
+    follower = types.SimpleNamespace(
+        desired=types.SimpleNamespace(version=4, route_for=lambda *_: None),
+        desired_at=0.0,
+        desired_read_age_s=lambda: 1.25,
+        era=3,
+    )
+    matcher = route_matcher.RouteMatcher(
+        log, follower, metrics.EntryMetrics(), None
+    )
+    assert matcher.match(FakeRequest()) is None
+    ((event, fields),) = log.lines
+    assert event == 'rejected'
+    assert fields['version'] == 4
+    assert fields['read_age_s'] == 1.25 and fields['era'] == 3
--- a/walnutport/gateway/events.py
+++ b/walnutport/gateway/events.py
@@ -63,7 +63,7 @@
     Event(
         'desired_applied',
         'a new desired state took effect',
-        ('version', 'offset', 'source', 'routes'),
+        ('version', 'offset', 'era', 'source', 'routes'),
     ),
     Event(
         'desired_unreadable',
@@ -253,7 +253,15 @@
     Event(
         'rejected',
         'no route matches the request, or the API key is unknown',
-        ('id', 'status', 'reason', 'version', 'age_s'),
+        (
+            'id',
+            'status',
+            'reason',
+            'version',
+            'age_s',
+            'read_age_s',
+            'era',
+        ),
     ),
     Event(
         'request_malformed',
--- a/walnutport/gateway/feed_follower.py
+++ b/walnutport/gateway/feed_follower.py
@@ -78,6 +78,7 @@
         self.era_changes = 0
         self.desired: routes.DesiredState | None = None
         self.desired_at = 0.0
+        self._desired_read_at = 0.0
         self.registry = registry.TargetRegistry(decode_target)
         self._mesh = mesh
         self._desired_record: feeds.FeedRecord | None = None
@@ -105,6 +106,13 @@
         """Return the seconds since this host read targets from the store."""
         return time.monotonic() - self._targets_read_at
 
+    def desired_read_age_s(self) -> float:
+        """Return the seconds since the store answered for the desired state.
+
+        A healthy store answers once a read has been held for its longest time.
+        """
+        return time.monotonic() - self._desired_read_at
+
     def start(self) -> None:
         """Start to follow both feeds."""
         defer.Deferred.fromCoroutine(self._follow_desired())
@@ -234,6 +242,7 @@
                 retry_delay_s = min(MAX_RETRY_DELAY_S, retry_delay_s * 2)
                 continue
             retry_delay_s = INITIAL_RETRY_DELAY_S
+            self._desired_read_at = time.monotonic()
             self._store_succeeded()
             self._enter_era(page.era, 'store')
             end, era = page.end, page.era
@@ -368,6 +377,7 @@
             'desired_applied',
             version=desired.version,
             offset=record.offset,
+            era=self.era,
             source=source,
             routes=len(desired.routes),
         )
--- a/walnutport/gateway/host_status.py
+++ b/walnutport/gateway/host_status.py
@@ -59,6 +59,7 @@
             'in_flight': len(self._handler.in_flight),
             'desired_version': desired.version if desired else None,
             'desired_age_s': round(now - self._follower.desired_at, 1),
+            'desired_read_s': round(self._follower.desired_read_age_s(), 1),
             'store_era': self._follower.era,
             'targets_read_s': round(self._follower.store_age_s(), 1),
             'targets': {
@@ -92,6 +93,7 @@
             'in_flight': len(self._handler.in_flight),
             'desired_version': desired.version if desired else 0,
             'desired_age_seconds': now - self._follower.desired_at,
+            'desired_read_age_seconds': self._follower.desired_read_age_s(),
             'targets': len(self._follower.registry.targets),
             'targets_age_seconds': self._follower.store_age_s(),
             'peers': sum(
--- a/walnutport/gateway/route_matcher.py
+++ b/walnutport/gateway/route_matcher.py
@@ -141,6 +141,8 @@
             reason=reason,
             version=desired.version,
             age_s=round(time.monotonic() - self._follower.desired_at, 2),
+            read_age_s=round(self._follower.desired_read_age_s(), 2),
+            era=self._follower.era,
         )
         self._metrics.rejected(reason)
         request.respond(
