Show by a failing test that a held read hides the next desired state

After a return of the store, a read that waits at an offset which the copy does not have gets no answer until it times out; the desired state that the operator writes meanwhile is not in force 2 s later, on any host. The fake store had answered held reads at its return, which hid this.

--- a/tests/gateway/test_store_era.py
+++ b/tests/gateway/test_store_era.py
@@ -17,15 +17,23 @@
 from walnutport.world import feeds
 from walnutport.world import registrations
 
+# Bounds of the users: a desired state is in force within the first one, for
+# hosts without a fault in the second one.
+CONFIG_APPLY_S = 2.0
+STABLE_WINDOW_S = 3.0
 # A power of two, so that the times of timers are exact.
 STEP_S = 1 / 16
 MAX_CALLS = 2000
+# Time after which the client gives up a held read that got no response, in
+# addition to the wait time.
+RESPONSE_MARGIN_S = 1.0
 
 
 class FakeStore:
     """Store in memory that can return from a copy."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: task.Clock) -> None:
+        self._clock = clock
         self.era = 1
         self.calls = 0
         self.published: list[tuple[int, str]] = []
@@ -47,14 +55,24 @@
             feed: list(records) for feed, records in self._records.items()
         }
 
-    def return_older(self) -> None:
-        """Return from the copy."""
+    def return_older(self, answers_held_reads: bool = True) -> None:
+        """Return from the copy.
+
+        :param answers_held_reads: whether the reads that wait for a record
+            get a response.
+        """
         self._records = {
             feed: list(records) for feed, records in self._copy.items()
         }
         self._era_of_store += 1
+        if not answers_held_reads:
+            self.lose_held_reads()
         self._wake()
 
+    def lose_held_reads(self) -> None:
+        """Never answer the reads that wait for a record now."""
+        self._waiting.clear()
+
     async def read_newest(self, feed: feeds.Feed) -> feeds.FeedPage:
         self._count_call()
         records = self._records[feed]
@@ -73,9 +91,7 @@
     ) -> feeds.FeedPage:
         self._count_call()
         if wait_s and offset == len(self._records[feed]):
-            waiting: defer.Deferred = defer.Deferred()
-            self._waiting.append(waiting)
-            await waiting
+            await self._wait_for_record(wait_s)
             self.era = self._era_of_store
         records = self._records[feed]
         if offset > len(records):
@@ -99,6 +115,29 @@
         self.calls += 1
         assert self.calls < MAX_CALLS, 'the store is called without a pause'
 
+    async def _wait_for_record(self, wait_s: float) -> None:
+        waiting: defer.Deferred = defer.Deferred()
+        self._waiting.append(waiting)
+        timers = (
+            self._clock.callLater(wait_s, self._end_wait, waiting),
+            self._clock.callLater(
+                wait_s + RESPONSE_MARGIN_S,
+                waiting.errback,
+                exceptions.LogUnavailable('no response'),
+            ),
+        )
+        try:
+            await waiting
+        finally:
+            for timer in timers:
+                if timer.active():
+                    timer.cancel()
+
+    def _end_wait(self, waiting: defer.Deferred) -> None:
+        if waiting in self._waiting:
+            self._waiting.remove(waiting)
+            waiting.callback(None)
+
     def _wake(self) -> None:
         waiting, self._waiting = self._waiting, []
         for call in waiting:
@@ -128,7 +167,7 @@
         monkeypatch.setattr(
             feed_follower.time, 'monotonic', lambda: self.clock.seconds()
         )
-        self.store = FakeStore()
+        self.store = FakeStore(self.clock)
         self.mesh = test_feed_follower.FakeMesh()
         self.mesh.own_record = fleet_messages.HostRecord(
             'own', 'i', '10.0.0.1', 1, 'a', 1.0
@@ -189,6 +228,25 @@
     assert fixture.follower.desired_version == 11
 
 
+def test_held_read_that_a_returned_store_never_answers(monkeypatch):
+    """Guards against a held read that hides the next desired state.
+
+    The read waits at an offset that the copy does not have, so the next
+    desired state gets a lower one, and the store does not answer.
+    """
+    fixture = Fixture(monkeypatch)
+    fixture.write_desired(1)
+    fixture.store.take_copy()
+    for version in (2, 3, 4):
+        fixture.write_desired(version)
+    fixture.start()
+    fixture.store.return_older(answers_held_reads=False)
+    fixture.advance(1.0)
+    fixture.write_desired(5)
+    fixture.advance(CONFIG_APPLY_S)
+    assert fixture.follower.desired_version == 5
+
+
 def test_desired_state_in_force_is_not_taken_back(monkeypatch):
     """Guards against a return to what the operator has replaced.
 
@@ -375,7 +433,7 @@
 def test_host_publishes_again_in_a_new_era(monkeypatch):
     """Guards against hosts that are unknown to those that start later."""
     clock = task.Clock()
-    store = FakeStore()
+    store = FakeStore(clock)
 
     class Mesh:
         own_record = fleet_messages.HostRecord(
