Abandon a held read of the desired state when the store enters another era

What callers see: 404 or 401 by a version that the operator replaced seconds ago, on every host.

Cause: each host follows the desired state by one read that the store holds for up to 25 s, and nothing ended it when a read of the targets, or a peer, showed that the store had returned from an older copy. Its offset belongs to the era before; records that the operator writes next lie below it. Class of fault: a wait whose condition can no longer come true, and that only its own time limit ends.

Fix: the loop is a class of its own, whose held read is cancelled when the era that the host knows passes that of the offset; a cancelled fetch closes its channel (test_cancelled_fetch_closes_its_channel, failed before).

--- /dev/null
+++ b/walnutport/gateway/desired_reader.py
@@ -0,0 +1,127 @@
+"""Reads the feed of the desired state from the store."""
+
+from collections.abc import Callable
+import time
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from walnutport import exceptions
+from walnutport.world import feeds
+
+__all__ = ['DesiredReader']
+
+# Longest time that the store holds a read until there is a new record (long
+# polling).
+HELD_READ_S = 25.0
+INITIAL_RETRY_DELAY_S = 0.25
+MAX_RETRY_DELAY_S = 1.0
+
+
+class DesiredReader:
+    """Reads that the store holds until there is a new record.
+
+    :param store: the installation's store.
+    :param on_page: called with the records of each successful read.
+    :param on_failure: called with the error of each failed read.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        log,
+        store: feeds.FeedStore,
+        on_page: Callable[[feeds.FeedPage], None],
+        on_failure: Callable[[Exception], None],
+    ) -> None:
+        self._reactor = reactor
+        self._log = log
+        self._store = store
+        self._on_page = on_page
+        self._on_failure = on_failure
+        # Offset to read from next, None before a read of the newest records,
+        # and the era that it belongs to.
+        self._offset: int | None = None
+        self._era = 0
+        self._read: defer.Deferred | None = None
+        self._read_at = 0.0
+        # Whether the store held the last read for a while.
+        self._was_held = False
+        self._stopped = False
+
+    def start(self) -> None:
+        """Start to read."""
+        defer.Deferred.fromCoroutine(self._run())
+
+    def stop(self) -> None:
+        """Stop once the read in flight is complete."""
+        self._stopped = True
+
+    def age_s(self) -> float:
+        """Return the seconds since the store last answered."""
+        return time.monotonic() - self._read_at
+
+    def enter_era(self, era: int) -> None:
+        """Abandon a held read whose offset is of an earlier era.
+
+        The store may have no record at that offset for long, and new ones
+        below it.
+        """
+        if self._era < era and self._offset is not None:
+            self._offset = None
+            if self._read is not None:
+                self._read.cancel()
+
+    async def _run(self) -> None:
+        retry_delay_s = INITIAL_RETRY_DELAY_S
+        while not self._stopped:
+            try:
+                page = await self._next_page()
+            except defer.CancelledError:
+                continue
+            except exceptions.RecordsExpired:
+                self._log.notable('desired_expired', offset=self._offset)
+                self._offset = None
+                await self._pause(INITIAL_RETRY_DELAY_S)
+                continue
+            except exceptions.LogServiceError as problem:
+                self._on_failure(problem)
+                await self._pause(retry_delay_s)
+                retry_delay_s = min(MAX_RETRY_DELAY_S, retry_delay_s * 2)
+                continue
+            retry_delay_s = INITIAL_RETRY_DELAY_S
+            if page is None:
+                continue
+            self._offset = page.end
+            self._era = page.era
+            self._read_at = time.monotonic()
+            self._on_page(page)
+            if not page.records and not self._was_held:
+                # The operator has not written a desired state yet.
+                await self._pause(INITIAL_RETRY_DELAY_S)
+
+    async def _next_page(self) -> feeds.FeedPage | None:
+        """Read on, or read the newest records.
+
+        :returns: None if the store has entered another era since the offset
+            of the read was valid.
+        """
+        started_at = time.monotonic()
+        offset = self._offset
+        if offset is None or self._store.era != self._era:
+            offset = None
+            reading = self._store.read_newest(feeds.Feed.DESIRED)
+        else:
+            reading = self._store.read(feeds.Feed.DESIRED, offset, HELD_READ_S)
+        self._read = defer.Deferred.fromCoroutine(reading)
+        try:
+            page = await self._read
+        finally:
+            self._read = None
+        self._was_held = time.monotonic() - started_at > INITIAL_RETRY_DELAY_S
+        if offset is not None and page.era != self._era:
+            return None
+        return page
+
+    async def _pause(self, delay_s: float) -> None:
+        await task.deferLater(self._reactor, delay_s)
--- a/walnutport/gateway/feed_follower.py
+++ b/walnutport/gateway/feed_follower.py
@@ -11,6 +11,7 @@
 from twisted.internet import task
 
 from walnutport import exceptions
+from walnutport.gateway import desired_reader
 from walnutport.gateway import peers
 from walnutport.membership import ranking
 from walnutport.membership import registry
@@ -28,16 +29,12 @@
 READER_COUNT = 2
 # A host whose last read is older than this does not count as a reader.
 READER_TIMEOUT_S = 1.6
-# How long the store may hold a read of the desired state until there is a new
-# record (long polling).
-DESIRED_LONG_POLL_S = 25.0
 # A host that lags behind a peer for this long asks it for an update. Most
 # hosts read the store themselves within that time, and broadcasting a desired
 # state with many routes would saturate the links of small hosts.
 REQUEST_UPDATE_AFTER_S = 0.35
 REQUEST_UPDATE_INTERVAL_S = 0.6
-INITIAL_RETRY_DELAY_S = 0.25
-MAX_RETRY_DELAY_S = 1.0
+EXPIRED_RETRY_DELAY_S = 0.25
 
 
 class FeedFollower:
@@ -78,10 +75,12 @@
         self.era_changes = 0
         self.desired: routes.DesiredState | None = None
         self.desired_at = 0.0
-        self._desired_read_at = 0.0
         self.registry = registry.TargetRegistry(decode_target)
         self._mesh = mesh
         self._desired_record: feeds.FeedRecord | None = None
+        self._desired_reader = desired_reader.DesiredReader(
+            reactor, log, store, self._apply_desired_page, self._store_failed
+        )
         self._targets_known = False
         self._targets_read_at = 0.0
         self._store_lost_at: float | None = None
@@ -111,16 +110,17 @@
 
         A healthy store answers once a read has been held for its longest time.
         """
-        return time.monotonic() - self._desired_read_at
+        return self._desired_reader.age_s()
 
     def start(self) -> None:
         """Start to follow both feeds."""
-        defer.Deferred.fromCoroutine(self._follow_desired())
+        self._desired_reader.start()
         defer.Deferred.fromCoroutine(self._follow_targets())
 
     def stop(self) -> None:
         """Stop once the calls in flight are complete."""
         self._stopped = True
+        self._desired_reader.stop()
 
     def handle_message(
         self, name: str, message: fleet_messages.FleetMessage
@@ -215,45 +215,12 @@
             after,
         )
 
-    async def _follow_desired(self) -> None:
-        retry_delay_s = INITIAL_RETRY_DELAY_S
-        end = -1
-        era = 0
-        while not self._stopped:
-            try:
-                if end < 0 or self._store.era != era:
-                    page = await self._store.read_newest(feeds.Feed.DESIRED)
-                else:
-                    page = await self._store.read(
-                        feeds.Feed.DESIRED, end, DESIRED_LONG_POLL_S
-                    )
-                    if page.era != era:
-                        # The records were read from an offset of the era
-                        # before.
-                        continue
-            except exceptions.RecordsExpired:
-                self._log.notable('desired_expired', offset=end)
-                end = -1
-                await self._pause(INITIAL_RETRY_DELAY_S)
-                continue
-            except exceptions.LogServiceError as problem:
-                self._store_failed(problem)
-                await self._pause(retry_delay_s)
-                retry_delay_s = min(MAX_RETRY_DELAY_S, retry_delay_s * 2)
-                continue
-            retry_delay_s = INITIAL_RETRY_DELAY_S
-            self._desired_read_at = time.monotonic()
-            self._store_succeeded()
-            self._enter_era(page.era, 'store')
-            end, era = page.end, page.era
-            for record in page.records:
-                if (
-                    record.key == self._desired_key
-                    and record.value is not None
-                ):
-                    self._apply_desired(record, 'store')
-            if self.desired is None:
-                await self._pause(INITIAL_RETRY_DELAY_S)
+    def _apply_desired_page(self, page: feeds.FeedPage) -> None:
+        self._store_succeeded()
+        self._enter_era(page.era, 'store')
+        for record in page.records:
+            if record.key == self._desired_key and record.value is not None:
+                self._apply_desired(record, 'store')
 
     async def _follow_targets(self) -> None:
         needs_full_read = True
@@ -273,7 +240,7 @@
                     'targets_expired', offset=self.registry.end_offset
                 )
                 needs_full_read = True
-                await self._pause(INITIAL_RETRY_DELAY_S)
+                await self._pause(EXPIRED_RETRY_DELAY_S)
                 continue
             except exceptions.LogServiceError as problem:
                 self._store_failed(problem)
@@ -318,6 +285,7 @@
             # The first era that this host sees replaces no other.
             self.registry.era = era
             return
+        self._desired_reader.enter_era(era)
         self.registry.enter_era(era, time.monotonic())
         self.era_changes += 1
         self._log.notable(
--- a/walnutport/http1/channel_pool.py
+++ b/walnutport/http1/channel_pool.py
@@ -143,6 +143,8 @@
 ) -> messages.Response:
     """Send an idempotent request and return the complete response.
 
+    Cancelling closes the channel.
+
     :raises ChannelError: if no complete response arrives in time.
     """
     channel = pool.take_idle(address)
@@ -155,6 +157,9 @@
     try:
         channel.send(request, collector, pool.release)
         return await collector.done
+    except defer.CancelledError:
+        channel.cancel()
+        raise
     finally:
         if timer.active():
             timer.cancel()
