Limit held reads of the hosts that read the store for their peers

Cause: the read of the desired state is held for up to 25 s and given up after 27 s. When the connections of all hosts fall silent at once, no host hears of a new version, so none can tell its peers; TCP keep-alive shows only some of these cases.

A host that starts to read for others begins a new one.

--- a/tests/gateway/test_store_era.py
+++ b/tests/gateway/test_store_era.py
@@ -159,6 +159,13 @@
     )
 
 
+class FakePeer:
+    """Peer that can be reached and reads the store."""
+
+    reachable = True
+    heartbeat = test_feed_follower.heartbeat(0)
+
+
 class Fixture:
     """Follower of a fake store, with a clock that tests advance."""
 
@@ -247,6 +254,45 @@
     assert fixture.follower.desired_version == 5
 
 
+def test_connections_to_the_store_that_fall_silent(monkeypatch):
+    """Guards against hosts that all wait for a response that never comes.
+
+    Connections may fall silent without a reset while new ones work. A host
+    that reads the targets for all must notice that soon.
+    """
+    fixture = Fixture(monkeypatch)
+    fixture.write_desired(1)
+    fixture.start()
+    fixture.store.lose_held_reads()
+    fixture.advance(STABLE_WINDOW_S - CONFIG_APPLY_S)
+    fixture.write_desired(2)
+    fixture.advance(CONFIG_APPLY_S)
+    assert fixture.follower.desired_version == 2
+
+
+def test_host_that_becomes_a_reader_of_targets_reads_the_desired_state(
+    monkeypatch,
+):
+    """Guards against a silent read of a host that others rely on from now on.
+
+    The hosts that read the targets before have stopped.
+    """
+    fixture = Fixture(monkeypatch)
+    readers = {name: FakePeer() for name in 'abcdefgh'}
+    fixture.mesh.peer_by_name = readers
+    fixture.write_desired(1)
+    fixture.start()
+    fixture.store.lose_held_reads()
+    fixture.advance(4.0)
+    calls = fixture.store.calls
+    fixture.write_desired(2)
+    fixture.advance(CONFIG_APPLY_S)
+    assert fixture.store.calls == calls, 'another host is a reader'
+    fixture.mesh.peer_by_name = {}
+    fixture.advance(CONFIG_APPLY_S)
+    assert fixture.follower.desired_version == 2
+
+
 def test_desired_state_in_force_is_not_taken_back(monkeypatch):
     """Guards against a return to what the operator has replaced.
 
--- a/walnutport/gateway/desired_reader.py
+++ b/walnutport/gateway/desired_reader.py
@@ -14,6 +14,11 @@
 # Longest time that the store holds a read until there is a new record (long
 # polling).
 HELD_READ_S = 25.0
+# The same for a host that reads the store for its peers. A connection may fall
+# silent without a reset, which shows only when a response is overdue; with the
+# time limit of the call, a retry and the messages to peers, all hosts follow
+# again within three seconds.
+HELD_READ_FOR_PEERS_S = 1.0
 INITIAL_RETRY_DELAY_S = 0.25
 MAX_RETRY_DELAY_S = 1.0
 
@@ -47,6 +52,7 @@
         self._read_at = 0.0
         # Whether the store held the last read for a while.
         self._was_held = False
+        self._reads_for_peers = False
         self._stopped = False
 
     def start(self) -> None:
@@ -61,6 +67,14 @@
         """Return the seconds since the store last answered."""
         return time.monotonic() - self._read_at
 
+    def set_reads_for_peers(self, reads_for_peers: bool) -> None:
+        """Set whether other hosts rely on the reads of this one."""
+        has_started = reads_for_peers and not self._reads_for_peers
+        self._reads_for_peers = reads_for_peers
+        if has_started and self._offset is not None:
+            # The connection of the held read may have fallen silent.
+            self._abandon_read()
+
     def enter_era(self, era: int) -> None:
         """Abandon a held read whose offset is of an earlier era.
 
@@ -69,8 +83,12 @@
         """
         if self._era < era and self._offset is not None:
             self._offset = None
-            if self._read is not None:
-                self._read.cancel()
+            self._abandon_read()
+
+    def _abandon_read(self) -> None:
+        """Cancel the read in flight, if any; the next one follows at once."""
+        if self._read is not None:
+            self._read.cancel()
 
     async def _run(self) -> None:
         retry_delay_s = INITIAL_RETRY_DELAY_S
@@ -112,7 +130,13 @@
             offset = None
             reading = self._store.read_newest(feeds.Feed.DESIRED)
         else:
-            reading = self._store.read(feeds.Feed.DESIRED, offset, HELD_READ_S)
+            reading = self._store.read(
+                feeds.Feed.DESIRED,
+                offset,
+                HELD_READ_FOR_PEERS_S
+                if self._reads_for_peers
+                else HELD_READ_S,
+            )
         self._read = defer.Deferred.fromCoroutine(reading)
         try:
             page = await self._read
--- a/walnutport/gateway/feed_follower.py
+++ b/walnutport/gateway/feed_follower.py
@@ -225,7 +225,9 @@
     async def _follow_targets(self) -> None:
         needs_full_read = True
         while not self._stopped:
-            if self._targets_known and not self._should_read():
+            reads_for_peers = self._should_read()
+            self._desired_reader.set_reads_for_peers(reads_for_peers)
+            if self._targets_known and not reads_for_peers:
                 await self._pause(TARGETS_POLL_INTERVAL_S / 2)
                 continue
             try:
--- a/walnutport/platform/store.py
+++ b/walnutport/platform/store.py
@@ -17,9 +17,11 @@
 
 __all__ = ['PlatformStore']
 
-# Timeout of a call, in addition to the wait time of a long poll. A healthy
-# store responds within a few milliseconds.
+# Timeout of a call. A healthy store responds within a few milliseconds.
 RESPONSE_TIMEOUT_S = 2.0
+# The same for a read that the store holds, beyond its wait time. Only this
+# limit shows a connection that has fallen silent.
+HELD_RESPONSE_TIMEOUT_S = 1.0
 MAX_PAGES = 200
 MAX_ERA_DIGITS = 15
 
@@ -116,7 +118,10 @@
             'waitMs': str(int(wait_s * 1000)),
         }
         response = await self._call(
-            b'GET', wire.LOG_READ_PATH, query, wait_s + RESPONSE_TIMEOUT_S
+            b'GET',
+            wire.LOG_READ_PATH,
+            query,
+            wait_s + HELD_RESPONSE_TIMEOUT_S if wait_s else RESPONSE_TIMEOUT_S,
         )
         if response.status == 410:
             raise exceptions.RecordsExpired(
