Show by a failing test that a started host accepts a removed key

The store has returned from a copy that holds a key which a newer desired state had removed; a host that starts before the operator writes again answers 200 for it, while its peer answers 401.

--- a/tests/gateway/test_feed_follower.py
+++ b/tests/gateway/test_feed_follower.py
@@ -14,6 +14,7 @@
     def __init__(self) -> None:
         self.sent: list = []
         self.peer_by_name: dict = {}
+        self.awaits_peers = False
 
     def send(self, name, message) -> bool:
         self.sent.append((name, message))
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -12,6 +12,10 @@
 from standins import platform_fleet
 from standins import processes
 
+# Time until the operator writes again what a store that returned from an
+# older copy has lost; enough for a host to start.
+REWRITE_AFTER_S = 4.0
+
 
 @pytest.fixture
 def fleet(tmp_path):
@@ -234,6 +238,32 @@
         assert fleet.call('check', 'id-9', host=2).status == 200
 
 
+def test_host_that_starts_beside_an_older_store_accepts_no_removed_key(
+    tmp_path,
+):
+    """Guards against callers whose key was taken away.
+
+    The store returns from a copy that has the key, and a host starts before
+    the operator has written the newer desired state again.
+    """
+    with platform_fleet.PlatformFleet(tmp_path) as fleet:
+        fleet.control_platform(copy=True)
+        fleet.control_platform(
+            desired=platform_fleet.desired_state(version=9, tenants=[])
+        )
+        fleet.wait_for_event('desired_applied', version=9)
+        fleet.control_platform(return_older=REWRITE_AFTER_S)
+        fleet.wait_for_event('store_returned_older', era=2)
+        fleet.add_host()
+        deadline = time.monotonic() + REWRITE_AFTER_S
+        statuses = set()
+        while time.monotonic() < deadline:
+            answer = fleet.call('pay', f'id-{len(statuses)}', host=1)
+            statuses.add(answer.status)
+        assert statuses <= {401, 503}
+        assert fleet.call('pay', 'id-last', host=1).status == 401
+
+
 def test_hosts_share_calls_and_survive_a_lost_owner(tmp_path):
     """Guards against stages that stop when the owner of a cell is killed."""
     with platform_fleet.PlatformFleet(tmp_path, hosts=2) as fleet:
