Compare the first desired state of a started host with its peers

What callers see: a key that was taken away is accepted (or a new route is rejected) by a host that has just started, for some 0.6 s, while all others know better.

Cause: a host puts the first desired state that it reads in force and reports itself ready. After a return of the store, or a stale read, that is an older one, and only heartbeats and a request to a peer bring the newer. Class of fault: a first observation taken for the present state.

Fix: the first state waits until the hosts in the store were read and each peer to link with has sent a heartbeat or could not be reached; a peer that is ahead is asked at once. Until then requests get 503 with Retry-After, as before a desired state is known. The wait ends after 1.2 s. A host whose peers are all unreachable has only the store to go by; its state may still be older.

The same in targets: a started host may read the entry of a target that has said since that it drains. Targets write again within about two seconds of the return, and their drain time is longer; not changed.

--- a/walnutport/gateway/desired_reader.py
+++ b/walnutport/gateway/desired_reader.py
@@ -1,5 +1,6 @@
 """Reads the feed of the desired state from the store."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import time
 
@@ -27,7 +28,8 @@
     """Reads that the store holds until there is a new record.
 
     :param store: the installation's store.
-    :param on_page: called with the records of each successful read.
+    :param on_page: called with the records of each successful read; the next
+        read begins when it is done.
     :param on_failure: called with the error of each failed read.
     """
 
@@ -36,7 +38,7 @@
         reactor,
         log,
         store: feeds.FeedStore,
-        on_page: Callable[[feeds.FeedPage], None],
+        on_page: Callable[[feeds.FeedPage], Awaitable[None]],
         on_failure: Callable[[Exception], None],
     ) -> None:
         self._reactor = reactor
@@ -113,7 +115,7 @@
             self._offset = page.end
             self._era = page.era
             self._read_at = time.monotonic()
-            self._on_page(page)
+            await self._on_page(page)
             if not page.records and not self._was_held:
                 # The operator has not written a desired state yet.
                 await self._pause(INITIAL_RETRY_DELAY_S)
--- a/walnutport/gateway/events.py
+++ b/walnutport/gateway/events.py
@@ -75,6 +75,12 @@
         'a desired state is older than the one in force, which stays',
         ('version', 'in_force', 'offset', 'source'),
     ),
+    Event(
+        'desired_unconfirmed',
+        'a started host applies the desired state of the store although peers '
+        'did not answer in time, or are ahead',
+        ('version', 'ahead'),
+    ),
     Event(
         'desired_expired',
         'the next records in the store expired; the newest are read',
--- a/walnutport/gateway/feed_follower.py
+++ b/walnutport/gateway/feed_follower.py
@@ -34,6 +34,11 @@
 # state with many routes would saturate the links of small hosts.
 REQUEST_UPDATE_AFTER_S = 0.35
 REQUEST_UPDATE_INTERVAL_S = 0.6
+# A started host compares the first desired state that it reads with those of
+# its peers, for at most this long: dials end after 0.3 s, and a large desired
+# state takes half a second on the slowest links.
+FIRST_COMPARISON_LIMIT_S = 1.2
+FIRST_COMPARISON_INTERVAL_S = 0.02
 EXPIRED_RETRY_DELAY_S = 0.25
 
 
@@ -178,6 +183,10 @@
             or now < self._next_request_at
         ):
             return
+        self._request_update(name, now)
+
+    def _request_update(self, name: str, now: float) -> None:
+        """Ask a peer for what is newer than what this host knows."""
         self._next_request_at = now + REQUEST_UPDATE_INTERVAL_S
         self._mesh.send(
             name,
@@ -215,13 +224,50 @@
             after,
         )
 
-    def _apply_desired_page(self, page: feeds.FeedPage) -> None:
+    async def _apply_desired_page(self, page: feeds.FeedPage) -> None:
         self._store_succeeded()
         self._enter_era(page.era, 'store')
         for record in page.records:
             if record.key == self._desired_key and record.value is not None:
+                if self.desired is None:
+                    await self._compare_first(record)
                 self._apply_desired(record, 'store')
 
+    async def _compare_first(self, record: feeds.FeedRecord) -> None:
+        """Wait until no peer is known to have a newer desired state.
+
+        The store may have returned from an older copy, or answer with old
+        data, and this host does not know what was in force before it started.
+        """
+        version = self._version_of(record)
+        give_up_at = time.monotonic() + FIRST_COMPARISON_LIMIT_S
+        while self.desired is None and not self._stopped:
+            ahead = [
+                name
+                for name, peer in self._mesh.peer_by_name.items()
+                if peer.heartbeat is not None
+                and peer.heartbeat.desired_version > version
+            ]
+            if not ahead and not self._mesh.awaits_peers:
+                return
+            now = time.monotonic()
+            if now >= give_up_at:
+                self._log.notable(
+                    'desired_unconfirmed', version=version, ahead=ahead
+                )
+                return
+            if ahead and now >= self._next_request_at:
+                self._request_update(ahead[0], now)
+            await self._pause(FIRST_COMPARISON_INTERVAL_S)
+
+    def _version_of(self, record: feeds.FeedRecord) -> int:
+        """Return the version of a desired state, 0 if it is unreadable."""
+        try:
+            return self._decode_desired(record.value or b'').version
+        except exceptions.WireError:
+            # Logged when the record is applied.
+            return 0
+
     async def _follow_targets(self) -> None:
         needs_full_read = True
         while not self._stopped:
--- a/walnutport/gateway/peers.py
+++ b/walnutport/gateway/peers.py
@@ -170,6 +170,21 @@
         """Record that the hosts in the store were read."""
         self._hosts_known = True
 
+    @property
+    def awaits_peers(self) -> bool:
+        """Whether a first heartbeat or a failed dial is still to come.
+
+        This is so until the hosts in the store were read, and each peer to
+        link with has sent a heartbeat or could not be reached.
+        """
+        if not self._hosts_known:
+            return True
+        return any(
+            peer.link is not None and peer.heartbeat is None or peer.is_untried
+            for name in self.chosen_names()
+            if (peer := self.peer_by_name.get(name)) is not None
+        )
+
     def dial_chosen(self) -> None:
         """Dial the hosts to link with that have no link."""
         now = time.monotonic()
