Record the limits that targets state, and tell the peers

The header of a limit was not read anywhere, so that logs could not tell whether a target had stated one to a host, and which. Each host now logs target_limit with the limit, the one before and where it comes from, shows it in status, and passes changes on to its peers with their age. Invalid values are ignored, logged and counted. The calls to stage targets and the freeing of results are read as well. No decision changes: the pacing in routing/backpressure.py is not asked yet.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -98,7 +98,11 @@
         self.settings = settings
         self.runs: list[Run] = []
         self.freed: list[str] = []
+        # Times at which requests arrived, by target.
+        self.arrivals: dict[str, list[float]] = collections.defaultdict(list)
         self.mode_by_target: dict[str, str] = {}
+        # Headers that targets add to all their responses, by target.
+        self.headers_by_target: dict[str, dict[str, str]] = {}
         self.store_mode = 'ok'
         # Rises when the store returns from its copy.
         self.era = 1
@@ -246,6 +250,7 @@
         if 'store' in changes:
             self.store_mode = changes['store']
         self.mode_by_target.update(changes.get('modes', {}))
+        self.headers_by_target.update(changes.get('headers', {}))
         for plan in self.settings.targets:
             state = changes.get('states', {}).get(plan.target_id)
             if state == 'gone':
@@ -256,8 +261,14 @@
 
     @app.route('/runs')
     def get_runs(self, request) -> bytes:
-        """Return the started runs and the handles of freed results."""
-        return msgspec.json.encode({'runs': self.runs, 'freed': self.freed})
+        """Return runs, handles of freed results and times of arrivals."""
+        return msgspec.json.encode(
+            {
+                'runs': self.runs,
+                'freed': self.freed,
+                'arrivals': self.arrivals,
+            }
+        )
 
     def _append(self, topic: str, key: str, value: dict) -> None:
         self._records[topic].append((key, msgspec.json.encode(value)))
@@ -330,6 +341,8 @@
     @app.route('/stage-free', methods=['POST'])
     def stage_free(self, request) -> bytes:
         """Record the handles of freed results."""
+        if not self._accept_or_refuse(request):
+            return b''
         free_request = msgspec.json.decode(request.content.read(), type=dict)
         self._platform.freed.extend(free_request['handles'])
         return b'{}'
@@ -383,6 +396,12 @@
         return b''
 
     def _accept_or_refuse(self, request) -> bool:
+        self._platform.arrivals[self._plan.target_id].append(time.monotonic())
+        own_headers = self._platform.headers_by_target.get(
+            self._plan.target_id, {}
+        )
+        for name, value in own_headers.items():
+            request.setHeader(name, value)
         expected = request.getHeader('walnutport-expect-instance')
         if expected != self._plan.target_id:
             request.setResponseCode(421)
--- a/tests/gateway/test_stage_client.py
+++ b/tests/gateway/test_stage_client.py
@@ -36,6 +36,7 @@
             lambda: self.untried,
             self._send,
             lambda spec, result, prefills: '',
+            None,
         )
 
     def _send(self, name: str, message: object) -> bool:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -114,3 +114,28 @@
     assert found.not_run and not found.sealed
     assert found.load.slots == 8
     assert headers.forwarded_response_headers(head) == []
+
+
+@pytest.mark.parametrize(
+    ('value', 'expected'),
+    [(b'1', 1.0), (b'2.5', 2.5), (b'0', 0.0), (b' 3 ', 3.0)],
+)
+def test_rate_limit_of_a_target_is_decoded_and_not_forwarded(value, expected):
+    """Guards against a stated limit that no host sees."""
+    head = messages.ResponseHead(200, [(b'server-limit', value)])
+    found = headers.decode_response_headers(head)
+    assert found.rate_limit == expected
+    assert not found.problems
+    assert headers.forwarded_response_headers(head) == []
+
+
+@pytest.mark.parametrize(
+    'value', [b'', b'-1', b'nan', b'inf', b'1e300', b'ten', b'\xff', b'1,5']
+)
+def test_invalid_rate_limit_is_ignored_with_its_value(value):
+    """Guards against a target whose invalid header ends its requests."""
+    head = messages.ResponseHead(200, [(b'server-limit', value)])
+    found = headers.decode_response_headers(head)
+    assert found.rate_limit is None
+    (problem,) = found.problems
+    assert repr(value) in problem
--- a/tests/stages/test_scheduler.py
+++ b/tests/stages/test_scheduler.py
@@ -188,7 +188,7 @@
     (call,) = cell.next_calls(0.0)
     cell.call_failed(call.call_id, stage_targets.CallFailure.TIMEOUT, 0.6)
     (again,) = cell.next_calls(0.6)
-    assert again.target_id != call.target_id
+    assert again.target != call.target
 
 
 def test_results_of_a_restarted_target_are_recomputed():
@@ -246,7 +246,7 @@
         now = step * 0.5
         cell.submit(builders.job_spec(f'warm-{step}', aim_s=9.0), now)
         for call in cell.next_calls(now):
-            slow = call.target_id == 't0'
+            slow = call.target.target_id == 't0'
             took = 2.0 if slow else 0.19
             slow_until = max(slow_until, now + took)
             finish_call(cell, call, now + took)
--- a/walnutport/gateway/attempts.py
+++ b/walnutport/gateway/attempts.py
@@ -3,12 +3,14 @@
 from collections.abc import Callable
 import dataclasses
 import enum
+import functools
 import time
 
 from twisted.internet import defer
 
 from walnutport import exceptions
 from walnutport.gateway import calls
+from walnutport.gateway import target_reports
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.http1 import messages
@@ -94,6 +96,7 @@
     :param relay: splits a stream into the events to forward as they arrive;
         None collects the complete response first.
     :param on_first_event: called when the first event is forwarded.
+    :param on_head: called with the fields and the status of a response.
     """
 
     def __init__(
@@ -102,12 +105,14 @@
         target: registrations.RegisteredTarget,
         relay: resumable.EventRelay | None,
         on_first_event: Callable[[], None],
+        on_head: Callable[[requests.ResponseFields, int], None],
     ) -> None:
         self._call = call
         self._target = target
         self._relay = relay or resumable.EventRelay()
         self._has_relay = relay is not None
         self._on_first_event = on_first_event
+        self._on_head = on_head
         self._head = messages.EMPTY_HEAD
         self._fields = headers.decode_response_headers(messages.EMPTY_HEAD)
         self._body_parts: list[bytes] = []
@@ -127,6 +132,7 @@
             return False
         self._head = head
         self._fields = fields
+        self._on_head(fields, head.status)
         self._streaming = (
             self._has_relay and head.status == 200 and fields.sealed
         )
@@ -227,11 +233,18 @@
     """Sends attempts to targets.
 
     :param pool: channels to targets.
+    :param reports: evaluates what targets state in their responses.
     """
 
-    def __init__(self, reactor, pool: channel_pool.ChannelPool) -> None:
+    def __init__(
+        self,
+        reactor,
+        pool: channel_pool.ChannelPool,
+        reports: target_reports.TargetReports,
+    ) -> None:
         self._reactor = reactor
         self._pool = pool
+        self._reports = reports
 
     async def send(
         self,
@@ -262,7 +275,13 @@
             return AttemptResult(
                 AttemptStatus.NOT_SENT, target, detail='deadline'
             )
-        receiver = AttemptReceiver(call, target, relay, on_first_event)
+        receiver = AttemptReceiver(
+            call,
+            target,
+            relay,
+            on_first_event,
+            functools.partial(self._reports.response_received, target),
+        )
         receiver.set_channel(channel)
         call.possible_runs += 1
         call.targets.append(target.target_id)
--- a/walnutport/gateway/cell_owner.py
+++ b/walnutport/gateway/cell_owner.py
@@ -11,6 +11,7 @@
 from twisted.internet import defer
 
 from walnutport import exceptions
+from walnutport.gateway import target_reports
 from walnutport.http1 import channel_pool
 from walnutport.http1 import messages
 from walnutport.platform import headers
@@ -20,6 +21,7 @@
 from walnutport.stages import scheduler
 from walnutport.stages import stage_targets
 from walnutport.world import registrations
+from walnutport.world import requests
 from walnutport.world import routes
 
 __all__ = ['CellOwner']
@@ -52,6 +54,7 @@
     :param cell: number of the cell.
     :param choose_engine: returns the id of the engine that should run a
         request after its stages.
+    :param reports: evaluates what targets state in their responses.
     """
 
     def __init__(
@@ -63,8 +66,10 @@
         choose_engine: Callable[
             [pieces.JobSpec, pieces.JobResult, engines.PrefillTracker], str
         ],
+        reports: target_reports.TargetReports,
     ) -> None:
         self.cell = cell
+        self._reports = reports
         self._reactor = reactor
         self._log = log
         self._pool = pool
@@ -169,13 +174,21 @@
             response = await channel_pool.fetch(
                 self._reactor,
                 self._pool,
-                call.address,
+                call.target.address,
                 stage_calls.encode_run(
-                    call.address, call.target_id, list(call.pieces)
+                    call.target.address,
+                    call.target.target_id,
+                    list(call.pieces),
                 ),
                 call.timeout_s,
             )
-            failure, outcomes = _decode_response(response, len(call.pieces))
+            fields = headers.decode_response_headers(response.head)
+            self._reports.response_received(
+                call.target, fields, response.status
+            )
+            failure, outcomes = _decode_response(
+                response, fields, len(call.pieces)
+            )
         except exceptions.ChannelError as problem:
             failure = (
                 stage_targets.CallFailure.TIMEOUT
@@ -186,7 +199,7 @@
         if failure is not None:
             self._log.notable(
                 'stage_call_failed',
-                target=call.target_id,
+                target=call.target.target_id,
                 pieces=len(call.pieces),
                 failure=failure.value,
                 took_s=round(now - started_at, 3),
@@ -196,7 +209,7 @@
         else:
             self._log.routine(
                 'stage_call',
-                target=call.target_id,
+                target=call.target.target_id,
                 pieces=len(call.pieces),
                 took_s=round(now - started_at, 3),
                 ids=sorted({item.request_id for item in call.pieces}),
@@ -215,7 +228,7 @@
         self, target: registrations.RegisteredTarget, handles: list[str]
     ) -> None:
         try:
-            await channel_pool.fetch(
+            response = await channel_pool.fetch(
                 self._reactor,
                 self._pool,
                 target.address,
@@ -224,6 +237,11 @@
                 ),
                 FREE_TIMEOUT_S,
             )
+            self._reports.response_received(
+                target,
+                headers.decode_response_headers(response.head),
+                response.status,
+            )
         except exceptions.ChannelError as problem:
             # The target frees the results itself after a while.
             self._log.notable(
@@ -235,9 +253,8 @@
 
 
 def _decode_response(
-    response: messages.Response, expected: int
+    response: messages.Response, fields: requests.ResponseFields, expected: int
 ) -> tuple[stage_targets.CallFailure | None, list[str | pieces.PieceFailure]]:
-    fields = headers.decode_response_headers(response.head)
     if response.status == 421:
         return stage_targets.CallFailure.WRONG_TARGET, []
     if response.status == 503 and fields.not_run:
--- a/walnutport/gateway/events.py
+++ b/walnutport/gateway/events.py
@@ -131,6 +131,17 @@
         'an ejected target responded successfully and is restored',
         ('target',),
     ),
+    Event(
+        'target_limit',
+        'a target states a limit, in requests a second from all hosts, or '
+        'states none any more',
+        ('target', 'requests_per_s', 'before', 'source'),
+    ),
+    Event(
+        'target_header_invalid',
+        'a response of a target has values that are ignored',
+        ('target', 'problems'),
+    ),
     Event(
         'store_lost',
         'a call to the store failed; the store counts as unavailable',
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -24,6 +24,7 @@
 from walnutport.gateway import route_matcher
 from walnutport.gateway import stage_client
 from walnutport.gateway import suspect_exchange
+from walnutport.gateway import target_reports
 from walnutport.gateway import target_selector
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
@@ -35,6 +36,7 @@
 from walnutport.platform import store as platform_store
 from walnutport.platform import wire
 from walnutport.retries import window_budget
+from walnutport.routing import backpressure
 from walnutport.routing import outcomes
 from walnutport.world import routes
 
@@ -122,6 +124,15 @@
             self._mesh,
             lambda: self._directory.publish_again(),
         )
+        self._backpressure = backpressure.TargetBackpressure(
+            settings.name, self._mesh.live_names
+        )
+        self._reports = target_reports.TargetReports(
+            self.log,
+            self._mesh,
+            self._backpressure,
+            lambda target_id: self._follower.registry.targets.get(target_id),
+        )
         self._selector = target_selector.TargetSelector(
             self._follower, self._outcomes, settings.data_centre
         )
@@ -135,10 +146,11 @@
             self._untried_shares,
             self._mesh.send,
             self._selector.recommend_engine,
+            self._reports,
         )
         self._forwarder = forwarding.Forwarder(
             self.log,
-            attempts.AttemptSender(reactor, self._pool),
+            attempts.AttemptSender(reactor, self._pool, self._reports),
             self._outcomes,
             self._suspects.table,
             self._create_budget,
@@ -167,6 +179,7 @@
             self._follower,
             self._mesh,
             self._outcomes,
+            self._reports,
             self._stages,
             self._request_handler,
             self._forwarder,
@@ -311,6 +324,7 @@
         self._follower.expire_targets()
         self._forwarder.set_retry_slack(self._retry_slack())
         self._stages.tick()
+        self._reports.tick()
         self._pool.close_expired()
 
     def _state_changed(self) -> None:
@@ -322,6 +336,7 @@
             )
         for target_id in self._known_target_ids - targets.keys():
             self._selector.forget(target_id)
+            self._backpressure.forget(target_id)
         self._known_target_ids = set(targets)
         if desired is None:
             return
@@ -405,6 +420,9 @@
         if isinstance(message, fleet_messages.CrashReport):
             self._suspects.merge_report(message)
             return
+        if isinstance(message, fleet_messages.TargetLimits):
+            self._reports.merge_report(name, message)
+            return
         self._follower.handle_message(name, message)
         self._stages.handle_message(name, message)
 
--- a/walnutport/gateway/host_status.py
+++ b/walnutport/gateway/host_status.py
@@ -9,6 +9,7 @@
 from walnutport.gateway import peers
 from walnutport.gateway import request_handler
 from walnutport.gateway import stage_client
+from walnutport.gateway import target_reports
 from walnutport.http1 import channel_pool
 from walnutport.membership import loop_lag
 from walnutport.platform import store as platform_store
@@ -30,6 +31,7 @@
         follower: feed_follower.FeedFollower,
         mesh: peers.PeerMesh,
         target_outcomes: outcomes.TargetOutcomes,
+        reports: target_reports.TargetReports,
         stages: stage_client.StageClient,
         handler: request_handler.RequestHandler,
         forwarder: forwarding.Forwarder,
@@ -43,6 +45,7 @@
         self._follower = follower
         self._mesh = mesh
         self._outcomes = target_outcomes
+        self._reports = reports
         self._stages = stages
         self._handler = handler
         self._forwarder = forwarder
@@ -68,6 +71,7 @@
                     'data_centre': target.data_centre,
                     'draining': target.draining,
                     **self._outcomes.describe(target, now),
+                    **self._reports.describe(target, now),
                 }
                 for target in self._follower.registry.targets.values()
             },
@@ -122,5 +126,6 @@
             'channels_opened_total': self._pool.opened_count,
             'stage_calls_total': sum(owner.total_calls for owner in owners),
             'stage_pieces_total': sum(owner.total_pieces for owner in owners),
+            'target_headers_invalid_total': self._reports.invalid_count,
             'log_lines_dropped_total': self._log.dropped_lines,
         }
--- a/walnutport/gateway/peers.py
+++ b/walnutport/gateway/peers.py
@@ -209,6 +209,14 @@
             peer.failing_since = now
             self.links_changed()
 
+    def live_names(self) -> list[str]:
+        """Return the names of this host and of the peers that may be up."""
+        return [self.own_record.name] + [
+            name
+            for name, peer in self.peer_by_name.items()
+            if peer.failing_since is None
+        ]
+
     def chosen_names(self) -> set[str]:
         """Return the names of the peers to link with."""
         if not self.is_partial:
--- a/walnutport/gateway/stage_client.py
+++ b/walnutport/gateway/stage_client.py
@@ -10,6 +10,7 @@
 
 from walnutport import exceptions
 from walnutport.gateway import cell_owner
+from walnutport.gateway import target_reports
 from walnutport.http1 import channel_pool
 from walnutport.membership import ranking
 from walnutport.peer import fleet_messages
@@ -45,6 +46,7 @@
         is up.
     :param choose_engine: returns the id of the engine that should run a
         request after its stages.
+    :param reports: evaluates what targets state in their responses.
     """
 
     def __init__(
@@ -60,8 +62,10 @@
         choose_engine: Callable[
             [pieces.JobSpec, pieces.JobResult, engines.PrefillTracker], str
         ],
+        reports: target_reports.TargetReports,
     ) -> None:
         self._choose_engine = choose_engine
+        self._reports = reports
         self._reactor = reactor
         self._log = log
         self._host_name = host_name
@@ -266,7 +270,12 @@
         owner = self._local_owner_by_cell.get(cell)
         if owner is None:
             owner = cell_owner.CellOwner(
-                cell, self._reactor, self._log, self._pool, self._choose_engine
+                cell,
+                self._reactor,
+                self._log,
+                self._pool,
+                self._choose_engine,
+                self._reports,
             )
             self._local_owner_by_cell[cell] = owner
             owner.update_targets(
--- /dev/null
+++ b/walnutport/gateway/target_reports.py
@@ -0,0 +1,117 @@
+"""Evaluates what targets state in their responses, and tells the peers."""
+
+from collections.abc import Callable
+import math
+import time
+
+from walnutport.gateway import peers
+from walnutport.peer import fleet_messages
+from walnutport.routing import backpressure
+from walnutport.world import registrations
+from walnutport.world import requests
+
+__all__ = ['TargetReports']
+
+
+class TargetReports:
+    """Limits of targets on this host, kept in sync with its peers.
+
+    :param find_target: returns the registered target with an id, or None.
+    :ivar invalid_count: values of targets that were invalid.
+    """
+
+    def __init__(
+        self,
+        log,
+        mesh: peers.PeerMesh,
+        limits: backpressure.TargetBackpressure,
+        find_target: Callable[[str], registrations.RegisteredTarget | None],
+    ) -> None:
+        self._log = log
+        self._mesh = mesh
+        self._limits = limits
+        self._find_target = find_target
+        self.invalid_count = 0
+
+    def response_received(
+        self,
+        target: registrations.RegisteredTarget,
+        fields: requests.ResponseFields,
+        status: int,
+    ) -> None:
+        """Evaluate the headers of a response.
+
+        A response from another target at the same address counts for nothing.
+        One without any mark of the target lifts no limit, as a faulty target
+        may send bytes that are not its answer.
+        """
+        if status == 421:
+            return
+        if fields.problems:
+            self.invalid_count += len(fields.problems)
+            self._log.notable(
+                'target_header_invalid',
+                target=target.target_id,
+                problems=list(fields.problems),
+            )
+            return
+        is_marked = fields.sealed or fields.not_run or status == 200
+        if fields.rate_limit is None and not is_marked:
+            return
+        before = self._limits.rate_limit(target)
+        if self._limits.observe(target, fields.rate_limit, time.monotonic()):
+            self._log_change(target, before, 'response')
+
+    def merge_report(
+        self, name: str, message: fleet_messages.TargetLimits
+    ) -> None:
+        """Merge the limits that a peer has learnt.
+
+        In a partial mesh, the hosts that are linked with this one may have no
+        link to the peer, so reports that change something are passed on.
+        """
+        now = time.monotonic()
+        changed = []
+        for report in message.reports:
+            target = self._find_target(report.target_id)
+            if target is None:
+                continue
+            before = self._limits.rate_limit(target)
+            if self._limits.merge(target, report, now):
+                self._log_change(target, before, f'peer {name}')
+                changed.append(report)
+        if changed and self._mesh.is_partial:
+            self._mesh.broadcast(fleet_messages.TargetLimits(tuple(changed)))
+
+    def tick(self) -> None:
+        """Tell the peers about limits that changed."""
+        reports = self._limits.take_reports(time.monotonic())
+        if reports:
+            self._mesh.broadcast(fleet_messages.TargetLimits(tuple(reports)))
+
+    def describe(
+        self, target: registrations.RegisteredTarget, now: float
+    ) -> dict[str, float | None]:
+        """Return what a target has stated, as shown to operators."""
+        rate_limit = self._limits.rate_limit(target)
+        if rate_limit is None:
+            return {}
+        delay_s = self._limits.delay_s(target, now)
+        return {
+            'limit_per_s': rate_limit,
+            'next_send_s': None if math.isinf(delay_s) else round(delay_s, 2),
+        }
+
+    def _log_change(
+        self,
+        target: registrations.RegisteredTarget,
+        before: float | None,
+        source: str,
+    ) -> None:
+        self._log.notable(
+            'target_limit',
+            target=target.target_id,
+            requests_per_s=self._limits.rate_limit(target),
+            before=before,
+            source=source,
+        )
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from walnutport import exceptions
+from walnutport.routing import backpressure
 from walnutport.stages import pieces
 from walnutport.world import feeds
 
@@ -20,6 +21,7 @@
     'StagesDone',
     'StagesFailed',
     'StagesRefused',
+    'TargetLimits',
     'TargetUpdate',
     'decode',
     'encode',
@@ -157,6 +159,12 @@
     cleared: bool
 
 
+class TargetLimits(msgspec.Struct, frozen=True, tag='limits'):
+    """Limits that targets have stated to the sender, or to a peer of it."""
+
+    reports: tuple[backpressure.LimitReport, ...]
+
+
 FleetMessage = (
     Hello
     | HostsUpdate
@@ -170,6 +178,7 @@
     | StagesFailed
     | StagesRefused
     | CrashReport
+    | TargetLimits
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/walnutport/platform/headers.py
+++ b/walnutport/platform/headers.py
@@ -1,5 +1,7 @@
 """Decodes and encodes the headers of requests and responses."""
 
+import math
+
 from walnutport import exceptions
 from walnutport.http1 import messages
 from walnutport.platform import wire
@@ -13,6 +15,12 @@
     'forwarded_request_headers',
 ]
 
+# A stated limit above this is taken for a fault of the target; a target serves
+# some hundred requests a second at most.
+MAX_RATE_LIMIT = 1_000_000.0
+# Bytes of an invalid value that are quoted in the log.
+MAX_QUOTED_BYTES = 40
+
 _DROPPED_REQUEST_HEADERS = (
     messages.HOP_BY_HOP_HEADERS
     | wire.SYSTEM_HEADERS
@@ -21,7 +29,7 @@
     )
 )
 _DROPPED_RESPONSE_HEADERS = messages.HOP_BY_HOP_HEADERS | frozenset(
-    (b'content-length', wire.LOAD, wire.NOT_EXECUTED)
+    (b'content-length', wire.LOAD, wire.NOT_EXECUTED, wire.RATE_LIMIT)
 )
 # Headers that the system evaluates must not be repeated, as a target could
 # use another value than the system.
@@ -103,11 +111,17 @@
 ) -> requests.ResponseFields:
     """Decode a target's headers; an unreadable value counts as missing."""
     request_id = head.header(wire.REQUEST_ID) or b''
+    problems: list[str] = []
+    rate_limit = _parse_decimal(
+        head, wire.RATE_LIMIT, MAX_RATE_LIMIT, problems
+    )
     return requests.ResponseFields(
         request_id=request_id.decode('latin-1'),
         sealed=bool(head.header(wire.SEAL)),
         not_run=head.header(wire.NOT_EXECUTED) is not None,
         load=_parse_load(head.header(wire.LOAD)),
+        rate_limit=rate_limit,
+        problems=tuple(problems),
     )
 
 
@@ -205,3 +219,26 @@
         return None
     running, waiting, slots = (int(part) for part in parts)
     return requests.ResponseLoad(running, waiting, slots)
+
+
+def _parse_decimal(
+    head: messages.ResponseHead,
+    name: bytes,
+    maximum: float,
+    problems: list[str],
+) -> float | None:
+    """Return a decimal number from 0 to a maximum.
+
+    :param problems: gets a description if the value is invalid.
+    """
+    value = head.header(name)
+    if value is None:
+        return None
+    try:
+        number = float(value)
+    except ValueError:
+        number = math.nan
+    if 0 <= number <= maximum:
+        return number
+    problems.append(f'{name.decode()}: {value[:MAX_QUOTED_BYTES]!r}')
+    return None
--- a/walnutport/platform/wire.py
+++ b/walnutport/platform/wire.py
@@ -36,6 +36,8 @@
 SEAL = b'walnutport-response-seal'
 NOT_EXECUTED = b'walnutport-not-executed'
 LOAD = b'walnutport-server-load'
+# Requests a second that a target accepts from all hosts together.
+RATE_LIMIT = b'server-limit'
 RETRY_AFTER = b'retry-after'
 STORE_ERA = b'store-era'
 
--- a/walnutport/stages/pieces.py
+++ b/walnutport/stages/pieces.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 
+from walnutport.world import registrations
 from walnutport.world import requests
 from walnutport.world import routes
 
@@ -148,8 +149,7 @@
     """One call to a stage target."""
 
     call_id: int
-    target_id: str
-    address: tuple[str, int]
+    target: registrations.RegisteredTarget
     pieces: tuple[PieceRequest, ...]
     timeout_s: float
 
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -282,8 +282,7 @@
             self._update_job(job)
         return pieces.BatchCall(
             call_id,
-            target.info.target_id,
-            target.info.address,
+            target.info,
             tuple(items),
             call.expected_s * TIMEOUT_RATIO + TIMEOUT_MARGIN_S,
         )
--- a/walnutport/world/requests.py
+++ b/walnutport/world/requests.py
@@ -58,9 +58,14 @@
         without a seal is not forwarded.
     :param not_run: whether the target states that it did not run the request.
     :param load: load of the target; None if missing or unreadable.
+    :param rate_limit: requests a second that the target accepts from all hosts
+        together; None if it states no limit.
+    :param problems: descriptions of values that are invalid and ignored.
     """
 
     request_id: str
     sealed: bool
     not_run: bool
     load: ResponseLoad | None
+    rate_limit: float | None = None
+    problems: tuple[str, ...] = ()
