Tell an outage of the store from one of a single host

What the target sees: a request 2,123 ms after the store had accepted that its entry is gone (bound 2,000 ms, DRAIN).

Cause: a host that the store had turned away for 8 s counted this as an outage of the store, in which entries of live targets may lapse and come back. Its grace period of 2.3 s went to all hosts with the removal, which therefore kept a target that was leaving. Class of fault: a local observation taken for one of the whole installation.

Fix: the outage counts from the last read of any host, which heartbeats tell; a host adopts the grace period of a peer only if it has heard of no read for a while. An outage that can make entries lapse takes 1.8 s or more now, as the age in heartbeats is up to 1.5 s; three missed reports take over 2.4 s.

--- a/tests/gateway/test_desired_reader.py
+++ b/tests/gateway/test_desired_reader.py
@@ -9,13 +9,6 @@
 STABLE_WINDOW_S = 3.0
 
 
-class FakePeer:
-    """Peer that can be reached and reads the store."""
-
-    reachable = True
-    heartbeat = test_feed_follower.heartbeat(0)
-
-
 def test_held_read_that_a_returned_store_never_answers(monkeypatch):
     """Guards against a held read that hides the next desired state.
 
@@ -59,7 +52,7 @@
     The hosts that read the targets before have stopped.
     """
     fixture = test_store_era.Fixture(monkeypatch)
-    readers = {name: FakePeer() for name in 'abcdefgh'}
+    readers = {name: test_feed_follower.FakePeer() for name in 'abcdefgh'}
     fixture.mesh.peer_by_name = readers
     fixture.write_desired(1)
     fixture.start()
--- a/tests/gateway/test_feed_follower.py
+++ b/tests/gateway/test_feed_follower.py
@@ -87,6 +87,13 @@
     )
 
 
+class FakePeer:
+    """Peer that can be reached and reads the store."""
+
+    reachable = True
+    heartbeat = heartbeat(0)
+
+
 def test_applied_desired_state_is_not_broadcast():
     """Guards against a new version that saturates the links of small hosts.
 
--- a/walnutport/gateway/events.py
+++ b/walnutport/gateway/events.py
@@ -147,7 +147,12 @@
         'a call to the store failed; the store counts as unavailable',
         ('problem',),
     ),
-    Event('store_regained', 'the store is available again', ('outage_s',)),
+    Event(
+        'store_regained',
+        'the store is available to this host again; the outage of the fleet '
+        'is shorter if peers have read meanwhile',
+        ('outage_s', 'fleet_outage_s'),
+    ),
     Event(
         'store_returned_older',
         'the store returned from an older copy; everything is read again',
--- a/walnutport/gateway/feed_follower.py
+++ b/walnutport/gateway/feed_follower.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import math
 import time
 
 from twisted.internet import defer
@@ -89,6 +90,10 @@
         self._targets_known = False
         self._targets_read_at = 0.0
         self._store_lost_at: float | None = None
+        # When this host or a peer last read targets from the store, and when
+        # such reads last went on after an outage.
+        self._fleet_read_at = -math.inf
+        self._outage_ended_at = -math.inf
         self._stopped = False
         # Peer that is known to be ahead, when this host first noticed, and
         # when it may next ask a peer.
@@ -137,6 +142,7 @@
         elif isinstance(message, fleet_messages.TargetUpdate):
             self._apply_targets(name, message, now)
         elif isinstance(message, fleet_messages.Heartbeat):
+            self._record_fleet_read(now - message.store_age_s, now)
             self._compare_offsets(name, message)
         elif isinstance(message, fleet_messages.UpdateRequest):
             self._send_updates(name, message)
@@ -152,7 +158,8 @@
         if message.era < self.registry.era:
             return
         self._enter_era(message.era, f'peer {name}')
-        self.registry.extend_grace(message.grace_s, now)
+        if message.grace_s and self._outage_is_recent(now):
+            self.registry.extend_grace(message.grace_s, now)
         if message.after > self.registry.changes_end_offset:
             applied = self.registry.apply_partial(message.records, now)
         else:
@@ -310,6 +317,7 @@
         now = time.monotonic()
         before = self.registry.changes_end_offset
         self._targets_read_at = now
+        self._record_fleet_read(now, now)
         self._targets_known = True
         if full_read:
             applied = self.registry.replace(page, now)
@@ -433,9 +441,33 @@
             return
         now = time.monotonic()
         outage_s = now - self._store_lost_at
+        # The store may have refused this host alone; then the entries that are
+        # removed have not lapsed.
+        fleet_outage_s = min(outage_s, now - self._fleet_read_at)
         self._store_lost_at = None
-        self.registry.store_recovered(outage_s, now)
-        self._log.notable('store_regained', outage_s=round(outage_s, 3))
+        self.registry.store_recovered(fleet_outage_s, now)
+        self._log.notable(
+            'store_regained',
+            outage_s=round(outage_s, 3),
+            fleet_outage_s=round(fleet_outage_s, 3),
+        )
+
+    def _record_fleet_read(self, read_at: float, now: float) -> None:
+        """Record that this host or a peer has read targets from the store."""
+        if read_at - self._fleet_read_at >= registry.MIN_OUTAGE_S:
+            self._outage_ended_at = now
+        self._fleet_read_at = max(self._fleet_read_at, read_at)
+
+    def _outage_is_recent(self, now: float) -> bool:
+        """Return whether entries may have lapsed as far as this host knows.
+
+        It has heard of no read of the store for a while, or did so until
+        recently. A peer that the store refused alone may think so wrongly.
+        """
+        return (
+            now - self._fleet_read_at >= registry.MIN_OUTAGE_S
+            or now - self._outage_ended_at <= registry.LAPSE_GRACE_S
+        )
 
     async def _pause(self, delay_s: float) -> None:
         await task.deferLater(self._reactor, delay_s)
--- a/walnutport/membership/registry.py
+++ b/walnutport/membership/registry.py
@@ -7,7 +7,13 @@
 from walnutport.world import feeds
 from walnutport.world import registrations
 
-__all__ = ['CHANGE_KINDS', 'RegistryChange', 'TargetRegistry']
+__all__ = [
+    'CHANGE_KINDS',
+    'LAPSE_GRACE_S',
+    'MIN_OUTAGE_S',
+    'RegistryChange',
+    'TargetRegistry',
+]
 
 #: Kinds of change of a target.
 CHANGE_KINDS = ('added', 'draining', 'ready', 'restarted', 'gone')
@@ -22,8 +28,10 @@
 # The copy from which the store returns is some seconds old, and lists targets
 # that were removed since.
 REMOVED_RETENTION_S = 120.0
-# An outage shorter than this cannot make an entry lapse.
-MIN_OUTAGE_S = 1.0
+# An outage shorter than this cannot make an entry lapse: it takes three missed
+# liveness reports. The time since the last read, as heartbeats tell it, is up
+# to 1.5 s without an outage.
+MIN_OUTAGE_S = 1.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
