Stop sending to targets that say in their responses that they leave

What the target sees without it: requests while it shuts down, until the store's record or a peer tells, and again after the store has returned from an older copy.

Cause: the header was not read.

The statement belongs to a lifetime (id, start, address) and is kept for 120 s after the entry is gone, so that no older record brings the target back. It is asked where limits are: choice, retries, resumed streams, recommended engines, stage calls, forecasts and frees. Each host passes it on once; idle channels to the target are closed.

A refusal for limits now says so although a turn has come in the same moment.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -139,3 +139,16 @@
     assert found.rate_limit is None
     (problem,) = found.problems
     assert repr(value) in problem
+
+
+@pytest.mark.parametrize(
+    ('value', 'expected', 'problems'),
+    [(b'1', True, 0), (b'0', False, 0), (b'yes', False, 1), (b'', False, 1)],
+)
+def test_leaving_target_is_recognized(value, expected, problems):
+    """Guards against a target whose statement is missed or misread."""
+    head = messages.ResponseHead(200, [(b'server-leaving', value)])
+    found = headers.decode_response_headers(head)
+    assert found.leaving is expected
+    assert len(found.problems) == problems
+    assert headers.forwarded_response_headers(head) == []
--- a/tests/routing/test_backpressure.py
+++ b/tests/routing/test_backpressure.py
@@ -33,7 +33,7 @@
     def state_limit(self, rate_limit: float | None, now: float = 0.0) -> None:
         """Let every host see a response with a limit."""
         for limits in self.limits:
-            limits.observe(target(), rate_limit, now)
+            limits.observe(target(), rate_limit, False, now)
 
     def send_as_permitted(self, now: float) -> int:
         """Send as many requests as the target permits; return their count."""
@@ -83,7 +83,7 @@
 def test_target_without_a_limit_is_not_paced():
     """Guards against a delay for targets that state nothing."""
     limits = Fleet(1).limits[0]
-    limits.observe(target(), None, 0.0)
+    limits.observe(target(), None, False, 0.0)
     assert limits.permitted([target()] * 3, 0.0) == [target()] * 3
     assert limits.take_reports(0.0) == []
 
@@ -91,8 +91,8 @@
 def test_limit_ends_when_the_target_states_none():
     """Guards against a target that is held back from for ever."""
     limits = Fleet(9).limits[0]
-    assert limits.observe(target(), 1.0, 0.0)
-    assert limits.observe(target(), None, 1.0)
+    assert limits.observe(target(), 1.0, False, 0.0)
+    assert limits.observe(target(), None, False, 1.0)
     assert limits.permitted([target()], 1.0)
 
 
@@ -102,9 +102,9 @@
     The target has the same id and address.
     """
     limits = Fleet(9).limits[0]
-    limits.observe(target(1), 0.0, 0.0)
+    limits.observe(target(1), 0.0, False, 0.0)
     assert limits.permitted([target(2)], 0.0)
-    report = backpressure.LimitReport('t', 1, 1.0, 0.0)
+    report = backpressure.TargetReport('t', 1, 1.0, False, 0.0)
     assert not limits.merge(target(2), report, 1.0)
     assert limits.permitted([target(2)], 1.0)
 
@@ -112,11 +112,11 @@
 def test_later_statement_counts_whoever_heard_it():
     """Guards against a peer's old report that replaces what is newer."""
     limits = Fleet(9).limits[0]
-    limits.observe(target(), 2.0, 10.0)
-    old = backpressure.LimitReport('t', 1, None, 0.5)
+    limits.observe(target(), 2.0, False, 10.0)
+    old = backpressure.TargetReport('t', 1, None, False, 0.5)
     assert not limits.merge(target(), old, 10.1)
     assert limits.rate_limit(target()) == 2.0
-    new = backpressure.LimitReport('t', 1, None, 0.1)
+    new = backpressure.TargetReport('t', 1, None, False, 0.1)
     assert limits.merge(target(), new, 10.3)
     assert limits.rate_limit(target()) is None
 
@@ -124,16 +124,16 @@
 def test_changed_limit_is_reported_once_and_not_too_often():
     """Guards against a message to all peers for each response."""
     limits = Fleet(9).limits[0]
-    limits.observe(target(), 1.0, 0.0)
+    limits.observe(target(), 1.0, False, 0.0)
     assert limits.take_reports(0.25) == [
-        backpressure.LimitReport('t', 1, 1.0, 0.25)
+        backpressure.TargetReport('t', 1, 1.0, False, 0.25)
     ]
     for step in range(1, 8):
-        limits.observe(target(), float(step), 0.25 + step / 100)
+        limits.observe(target(), float(step), False, 0.25 + step / 100)
         assert limits.take_reports(0.25 + step / 100) == []
     (report,) = limits.take_reports(0.75)
     assert report.rate_limit == 7.0
-    limits.observe(target(), 7.0, 2.0)
+    limits.observe(target(), 7.0, False, 2.0)
     assert limits.take_reports(2.0) == []
 
 
@@ -150,3 +150,48 @@
     owner.record_recommendation(target(), 0.0)
     assert not owner.recommendable([target()], told[0], 0.5)
     assert owner.recommendable([target()], told[0], 1.0)
+
+
+def test_target_that_leaves_is_never_used_again():
+    """Guards against requests to a target that is shutting down.
+
+    Neither a response without the statement nor a peer's report brings it
+    back, and its peers are told once.
+    """
+    limits = Fleet(9).limits[0]
+    assert limits.observe(target(), None, True, 0.0)
+    assert not limits.permitted([target()], 0.0)
+    assert not limits.recommendable([target()], 'host-0', 0.0)
+    limits.observe(target(), None, False, 1.0)
+    limits.merge(
+        target(), backpressure.TargetReport('t', 1, None, False, 0.0), 2.0
+    )
+    assert not limits.permitted([target()], 2.0)
+    assert [report.leaving for report in limits.take_reports(2.0)] == [True]
+    limits.observe(target(), None, True, 3.0)
+    assert limits.take_reports(9.0) == []
+
+
+def test_leaving_target_stays_so_after_its_entry_is_back():
+    """Guards against a store that returns from an older copy.
+
+    It lists a target that was removed; the next lifetime is another target.
+    """
+    limits = Fleet(9).limits[0]
+    limits.observe(target(), None, True, 0.0)
+    limits.forget('t', 10.0)
+    assert not limits.permitted([target()], 20.0)
+    assert limits.permitted([target(2)], 20.0)
+    limits.forget('other', 10.1 + backpressure.LEAVING_RETENTION_S)
+    assert not limits.is_leaving(target())
+
+
+def test_peer_is_believed_that_a_target_leaves():
+    """Guards against hosts that wait for the store or the target itself."""
+    limits = Fleet(9).limits[0]
+    report = backpressure.TargetReport('t', 1, None, True, 0.2)
+    assert limits.merge(target(), report, 1.0)
+    assert not limits.permitted([target()], 1.0)
+    assert not limits.merge(target(), report, 2.0)
+    assert limits.merge(target(2), report, 2.0) is False
+    assert limits.permitted([target(2)], 2.0)
--- a/tests/stages/test_held_results.py
+++ b/tests/stages/test_held_results.py
@@ -58,3 +58,13 @@
         stage_targets.FREE_SPACING * target.min_interval_s
     )
     assert len(handles) == 2 and not held.has_freed
+
+
+def test_results_of_a_leaving_target_are_not_freed():
+    """Guards against requests to a target that is shutting down."""
+    targets = cell_targets.CellTargets()
+    targets.update(builders.RULES, [builders.target('t1')])
+    held = held_results.HeldResults(targets)
+    held.free(PLACED)
+    targets.by_id['t1'].leaving = True
+    assert held.take_freed(0.0) == [] and not held.has_freed
--- a/walnutport/gateway/attempts.py
+++ b/walnutport/gateway/attempts.py
@@ -302,7 +302,7 @@
                 request.body,
             ),
             receiver,
-            self._pool.release,
+            functools.partial(self._release, target),
         )
         result = await receiver.done
         if result.status in (
@@ -313,6 +313,17 @@
             call.possible_runs -= 1
         return result
 
+    def _release(
+        self,
+        target: registrations.RegisteredTarget,
+        channel: client_channel.ClientChannel,
+    ) -> None:
+        """Keep an idle channel for later requests, if there may be any."""
+        if self._reports.is_leaving(target):
+            channel.close()
+        else:
+            self._pool.release(channel)
+
     async def _acquire_channel(
         self, call: calls.CallerCall, target: registrations.RegisteredTarget
     ) -> client_channel.ClientChannel:
--- a/walnutport/gateway/cell_owner.py
+++ b/walnutport/gateway/cell_owner.py
@@ -95,13 +95,15 @@
             rules_by_service, targets, time.monotonic()
         )
         for target in targets:
-            self.limit_changed(target)
+            self.target_changed(target)
         self._advance_jobs()
 
-    def limit_changed(self, target: registrations.RegisteredTarget) -> None:
-        """Pace the calls to a target by the limit that it states now."""
-        self.scheduler.set_min_interval(
-            target, self._reports.min_interval_s(target)
+    def target_changed(self, target: registrations.RegisteredTarget) -> None:
+        """Follow what a target states now, if it belongs to the cell."""
+        self.scheduler.set_target_statement(
+            target,
+            self._reports.min_interval_s(target),
+            self._reports.is_leaving(target),
         )
 
     def tick(self) -> None:
--- a/walnutport/gateway/events.py
+++ b/walnutport/gateway/events.py
@@ -137,6 +137,11 @@
         'states none any more',
         ('target', 'requests_per_s', 'before', 'source'),
     ),
+    Event(
+        'target_leaving',
+        'a target states that it is shutting down; it gets no more requests',
+        ('target', 'source'),
+    ),
     Event(
         'target_header_invalid',
         'a response of a target has values that are ignored',
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -130,6 +130,7 @@
         self._reports = target_reports.TargetReports(
             self.log,
             self._mesh,
+            self._pool,
             self._backpressure,
             lambda target_id: self._follower.registry.targets.get(target_id),
         )
@@ -151,7 +152,7 @@
             self._selector.recommend_engine,
             self._reports,
         )
-        self._reports.on_change = self._stages.limit_changed
+        self._reports.on_change = self._stages.target_changed
         self._forwarder = forwarding.Forwarder(
             self.log,
             attempts.AttemptSender(reactor, self._pool, self._reports),
@@ -424,7 +425,7 @@
         if isinstance(message, fleet_messages.CrashReport):
             self._suspects.merge_report(message)
             return
-        if isinstance(message, fleet_messages.TargetLimits):
+        if isinstance(message, fleet_messages.TargetReports):
             self._reports.merge_report(name, message)
             return
         self._follower.handle_message(name, message)
--- a/walnutport/gateway/stage_client.py
+++ b/walnutport/gateway/stage_client.py
@@ -106,10 +106,10 @@
         for cell, owner in self._local_owner_by_cell.items():
             owner.update_targets(rules_by_service, self._targets_of_cell(cell))
 
-    def limit_changed(self, target: registrations.RegisteredTarget) -> None:
-        """Pace the calls of this host's cells to a target by its limit."""
+    def target_changed(self, target: registrations.RegisteredTarget) -> None:
+        """Let the cells of this host follow what a target states now."""
         for owner in self._local_owner_by_cell.values():
-            owner.limit_changed(target)
+            owner.target_changed(target)
 
     def tick(self) -> None:
         """Fail late jobs and start due calls in the cells of this host."""
--- a/walnutport/gateway/target_reports.py
+++ b/walnutport/gateway/target_reports.py
@@ -5,6 +5,7 @@
 import time
 
 from walnutport.gateway import peers
+from walnutport.http1 import channel_pool
 from walnutport.peer import fleet_messages
 from walnutport.routing import backpressure
 from walnutport.world import registrations
@@ -14,7 +15,7 @@
 
 
 class TargetReports:
-    """Limits of targets on this host, kept in sync with its peers.
+    """What targets have stated to this host, kept in sync with its peers.
 
     :param find_target: returns the registered target with an id, or None.
     :ivar invalid_count: values of targets that were invalid.
@@ -24,11 +25,13 @@
         self,
         log,
         mesh: peers.PeerMesh,
+        pool: channel_pool.ChannelPool,
         limits: backpressure.TargetBackpressure,
         find_target: Callable[[str], registrations.RegisteredTarget | None],
     ) -> None:
         self._log = log
         self._mesh = mesh
+        self._pool = pool
         self._limits = limits
         self._find_target = find_target
         # Called with a target whose limit has changed.
@@ -58,18 +61,21 @@
                 target=target.target_id,
                 problems=list(fields.problems),
             )
-            return
-        is_marked = fields.sealed or fields.not_run or status == 200
-        if fields.rate_limit is None and not is_marked:
-            return
         before = self._limits.rate_limit(target)
-        if self._limits.observe(target, fields.rate_limit, time.monotonic()):
-            self._record_change(target, before, 'response')
+        is_marked = fields.sealed or fields.not_run or status == 200
+        rate_limit = fields.rate_limit
+        if rate_limit is None and (fields.problems or not is_marked):
+            rate_limit = before
+        was_leaving = self._limits.is_leaving(target)
+        if self._limits.observe(
+            target, rate_limit, fields.leaving, time.monotonic()
+        ):
+            self._record_change(target, before, was_leaving, 'response')
 
     def merge_report(
-        self, name: str, message: fleet_messages.TargetLimits
+        self, name: str, message: fleet_messages.TargetReports
     ) -> None:
-        """Merge the limits that a peer has learnt.
+        """Merge what targets have stated to a peer.
 
         In a partial mesh, the hosts that are linked with this one may have no
         link to the peer, so reports that change something are passed on.
@@ -81,17 +87,24 @@
             if target is None:
                 continue
             before = self._limits.rate_limit(target)
+            was_leaving = self._limits.is_leaving(target)
             if self._limits.merge(target, report, now):
-                self._record_change(target, before, f'peer {name}')
+                self._record_change(
+                    target, before, was_leaving, f'peer {name}'
+                )
                 changed.append(report)
         if changed and self._mesh.is_partial:
-            self._mesh.broadcast(fleet_messages.TargetLimits(tuple(changed)))
+            self._mesh.broadcast(fleet_messages.TargetReports(tuple(changed)))
 
     def tick(self) -> None:
-        """Tell the peers about limits that changed."""
+        """Tell the peers what has changed."""
         reports = self._limits.take_reports(time.monotonic())
         if reports:
-            self._mesh.broadcast(fleet_messages.TargetLimits(tuple(reports)))
+            self._mesh.broadcast(fleet_messages.TargetReports(tuple(reports)))
+
+    def is_leaving(self, target: registrations.RegisteredTarget) -> bool:
+        """Return whether a target has stated that it is leaving."""
+        return self._limits.is_leaving(target)
 
     def min_interval_s(self, target: registrations.RegisteredTarget) -> float:
         """Return the time between requests of the only host that sends any.
@@ -102,8 +115,10 @@
 
     def describe(
         self, target: registrations.RegisteredTarget, now: float
-    ) -> dict[str, float | None]:
+    ) -> dict[str, float | bool | None]:
         """Return what a target has stated, as shown to operators."""
+        if self._limits.is_leaving(target):
+            return {'leaving': True}
         rate_limit = self._limits.rate_limit(target)
         if rate_limit is None:
             return {}
@@ -117,13 +132,21 @@
         self,
         target: registrations.RegisteredTarget,
         before: float | None,
+        was_leaving: bool,
         source: str,
     ) -> None:
-        self._log.notable(
-            'target_limit',
-            target=target.target_id,
-            requests_per_s=self._limits.rate_limit(target),
-            before=before,
-            source=source,
-        )
+        rate_limit = self._limits.rate_limit(target)
+        if rate_limit != before:
+            self._log.notable(
+                'target_limit',
+                target=target.target_id,
+                requests_per_s=rate_limit,
+                before=before,
+                source=source,
+            )
+        if self._limits.is_leaving(target) and not was_leaving:
+            self._log.notable(
+                'target_leaving', target=target.target_id, source=source
+            )
+            self._pool.close_address(target.address)
         self.on_change(target)
--- a/walnutport/gateway/target_selector.py
+++ b/walnutport/gateway/target_selector.py
@@ -53,12 +53,16 @@
     def limit_delay_s(self, call: calls.CallerCall) -> float | None:
         """Return the time until a target accepts a request by its limit.
 
-        :returns: None if a target does now, or there is none at all.
+        :returns: 0 if a target does now, None if there is none at all.
         """
         now = time.monotonic()
-        targets = self._follower.registry.usable(call.service)
+        targets = [
+            target
+            for target in self._follower.registry.usable(call.service)
+            if not self._limits.is_leaving(target)
+        ]
         delays_s = [self._limits.delay_s(target, now) for target in targets]
-        if not delays_s or min(delays_s) <= 0:
+        if not delays_s:
             return None
         if math.isinf(min(delays_s)):
             # Other hosts may send in this time, and callers reach them.
@@ -143,7 +147,7 @@
     def forget(self, target_id: str) -> None:
         """Drop what is known of a target that was removed."""
         self._outcomes.forget(target_id)
-        self._limits.forget(target_id)
+        self._limits.forget(target_id, time.monotonic())
         self._caches.forget(target_id)
 
     def _record_prompt(
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -21,7 +21,7 @@
     'StagesDone',
     'StagesFailed',
     'StagesRefused',
-    'TargetLimits',
+    'TargetReports',
     'TargetUpdate',
     'decode',
     'encode',
@@ -159,10 +159,10 @@
     cleared: bool
 
 
-class TargetLimits(msgspec.Struct, frozen=True, tag='limits'):
-    """Limits that targets have stated to the sender, or to a peer of it."""
+class TargetReports(msgspec.Struct, frozen=True, tag='reports'):
+    """What targets have stated to the sender, or to a peer of it."""
 
-    reports: tuple[backpressure.LimitReport, ...]
+    reports: tuple[backpressure.TargetReport, ...]
 
 
 FleetMessage = (
@@ -178,7 +178,7 @@
     | StagesFailed
     | StagesRefused
     | CrashReport
-    | TargetLimits
+    | TargetReports
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/walnutport/platform/headers.py
+++ b/walnutport/platform/headers.py
@@ -29,7 +29,13 @@
     )
 )
 _DROPPED_RESPONSE_HEADERS = messages.HOP_BY_HOP_HEADERS | frozenset(
-    (b'content-length', wire.LOAD, wire.NOT_EXECUTED, wire.RATE_LIMIT)
+    (
+        b'content-length',
+        wire.LOAD,
+        wire.NOT_EXECUTED,
+        wire.RATE_LIMIT,
+        wire.LEAVING,
+    )
 )
 # Headers that the system evaluates must not be repeated, as a target could
 # use another value than the system.
@@ -121,6 +127,7 @@
         not_run=head.header(wire.NOT_EXECUTED) is not None,
         load=_parse_load(head.header(wire.LOAD)),
         rate_limit=rate_limit,
+        leaving=_parse_flag(head, wire.LEAVING, problems),
         problems=tuple(problems),
     )
 
@@ -221,6 +228,19 @@
     return requests.ResponseLoad(running, waiting, slots)
 
 
+def _parse_flag(
+    head: messages.ResponseHead, name: bytes, problems: list[str]
+) -> bool:
+    """Return whether a flag is set.
+
+    :param problems: gets a description if the value is invalid.
+    """
+    value = head.header(name)
+    if value not in (None, b'0', b'1'):
+        problems.append(_describe_invalid(name, value))
+    return value == b'1'
+
+
 def _parse_decimal(
     head: messages.ResponseHead,
     name: bytes,
@@ -240,5 +260,9 @@
         number = math.nan
     if 0 <= number <= maximum:
         return number
-    problems.append(f'{name.decode()}: {value[:MAX_QUOTED_BYTES]!r}')
+    problems.append(_describe_invalid(name, value))
     return None
+
+
+def _describe_invalid(name: bytes, value: bytes) -> str:
+    return f'{name.decode()}: {value[:MAX_QUOTED_BYTES]!r}'
--- a/walnutport/platform/wire.py
+++ b/walnutport/platform/wire.py
@@ -38,6 +38,8 @@
 LOAD = b'walnutport-server-load'
 # Requests a second that a target accepts from all hosts together.
 RATE_LIMIT = b'server-limit'
+# ``1`` in the responses of a target that is shutting down.
+LEAVING = b'server-leaving'
 RETRY_AFTER = b'retry-after'
 STORE_ERA = b'store-era'
 
--- a/walnutport/routing/backpressure.py
+++ b/walnutport/routing/backpressure.py
@@ -1,10 +1,13 @@
-"""Limits that targets state in their responses, and pacing within them.
+"""What targets state in their responses about the requests they accept.
 
 Covers a target that is overloaded, or about to be, while the choice among
 targets still gives it its usual share of the load. It states how many requests
 a second it accepts from all hosts together. Hosts do not agree on each
 request: a few hosts, chosen alike on every host, share the limit evenly and
 space their requests, and the other hosts send none.
+
+Covers as well a target that is shutting down, while its entry in the store
+does not show that yet, or shows an older state again.
 """
 
 from collections.abc import Callable
@@ -15,7 +18,7 @@
 from walnutport.membership import ranking
 from walnutport.world import registrations
 
-__all__ = ['LimitReport', 'TargetBackpressure']
+__all__ = ['TargetBackpressure', 'TargetReport']
 
 # Requests a second that are sent to a target with a lower limit. Without any
 # request, nobody would learn that the limit is lifted.
@@ -24,21 +27,29 @@
 TIME_RESOLUTION_S = 1e-6
 # Limits are passed on to other hosts at most once in this time.
 MIN_REPORT_INTERVAL_S = 0.5
+# A target that leaves is remembered this long after its entry was removed, as
+# a store that returns from an older copy lists it again.
+LEAVING_RETENTION_S = 120.0
+
+#: Key that identifies one lifetime of a target.
+_LifetimeKey = tuple[str, int, tuple[str, int]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class LimitReport:
-    """Limit that a target has stated to some host.
+class TargetReport:
+    """What a target has stated to some host.
 
     :param incarnation: start of the run of the target, in Unix milliseconds.
     :param rate_limit: requests a second for all hosts together; None if the
         target states no limit any more.
+    :param leaving: whether the target is shutting down.
     :param age_s: seconds since the target stated it.
     """
 
     target_id: str
     incarnation: int
     rate_limit: float | None
+    leaving: bool
     age_s: float
 
 
@@ -61,7 +72,7 @@
 
 
 class TargetBackpressure:
-    """Limits of the targets, and when this host may send to them.
+    """What targets have stated, and when this host may send to them.
 
     Times are seconds of a monotonic clock, passed in as ``now``.
 
@@ -77,23 +88,34 @@
         self._own_name = own_name
         self._host_names = host_names
         self._state_by_id: dict[str, _TargetState] = {}
+        # Lifetimes of targets that leave, and when they may be forgotten.
+        self._leaving_until: dict[_LifetimeKey, float] = {}
         self.held_back = 0
 
     def observe(
         self,
         target: registrations.RegisteredTarget,
         rate_limit: float | None,
+        leaving: bool,
         now: float,
     ) -> bool:
         """Record what a target stated in a response to this host.
 
+        A target that has stated once that it is leaving does not come back.
+
         :param rate_limit: None if the response states no limit.
-        :returns: whether the limit has changed.
+        :param leaving: whether the response states that the target is leaving.
+        :returns: whether something has changed.
         """
-        if rate_limit is None and target.target_id not in self._state_by_id:
+        if (
+            rate_limit is None
+            and not leaving
+            and self._current_state(target) is None
+        ):
             return False
         state = self._state(target)
         changed = state.rate_limit != rate_limit
+        changed |= self._record_leaving(target, leaving)
         state.rate_limit = rate_limit
         state.observed_at = now
         state.must_report = state.must_report or changed
@@ -102,48 +124,51 @@
     def merge(
         self,
         target: registrations.RegisteredTarget,
-        report: LimitReport,
+        report: TargetReport,
         now: float,
     ) -> bool:
         """Record what a target stated to another host.
 
         :param target: the target as this host knows it; a report on another
             lifetime is ignored.
-        :returns: whether the limit has changed.
+        :returns: whether something has changed.
         """
         if report.incarnation != target.incarnation:
             return False
-        if (
-            report.rate_limit is None
-            and target.target_id not in self._state_by_id
-        ):
-            return False
+        changed = self._record_leaving(target, report.leaving)
+        if report.rate_limit is None and self._current_state(target) is None:
+            return changed
         state = self._state(target)
         observed_at = now - report.age_s
         if observed_at <= state.observed_at:
-            return False
-        changed = state.rate_limit != report.rate_limit
+            return changed
+        changed |= state.rate_limit != report.rate_limit
         state.rate_limit = report.rate_limit
         state.observed_at = observed_at
         return changed
 
-    def take_reports(self, now: float) -> list[LimitReport]:
-        """Return the limits that changed and that peers should know."""
+    def take_reports(self, now: float) -> list[TargetReport]:
+        """Return what has changed and peers should know."""
         reports = []
         for state in self._state_by_id.values():
             if state.must_report and now >= state.next_report_at:
                 state.must_report = False
                 state.next_report_at = now + MIN_REPORT_INTERVAL_S
                 reports.append(
-                    LimitReport(
+                    TargetReport(
                         state.target.target_id,
                         state.target.incarnation,
                         state.rate_limit,
+                        self.is_leaving(state.target),
                         now - state.observed_at,
                     )
                 )
         return reports
 
+    def is_leaving(self, target: registrations.RegisteredTarget) -> bool:
+        """Return whether a target has stated that it is leaving."""
+        return target.incarnation_key in self._leaving_until
+
     def rate_limit(
         self, target: registrations.RegisteredTarget
     ) -> float | None:
@@ -164,8 +189,10 @@
     ) -> float:
         """Return the time until this host may send to a target.
 
-        :returns: 0 if it may now, infinity if only other hosts may.
+        :returns: 0 if it may now, infinity if no host may, or others only.
         """
+        if self.is_leaving(target):
+            return math.inf
         state = self._current_state(target)
         if state is None or state.rate_limit is None:
             return 0.0
@@ -213,6 +240,8 @@
         """
         recommendable = []
         for target in targets:
+            if self.is_leaving(target):
+                continue
             state = self._current_state(target)
             if (
                 state is None
@@ -231,9 +260,25 @@
         if state is not None:
             state.next_recommendation_at = now + self.min_interval_s(target)
 
-    def forget(self, target_id: str) -> None:
-        """Drop what is known of a removed target."""
+    def forget(self, target_id: str, now: float) -> None:
+        """Drop what is known of a removed target, but that it is leaving."""
         self._state_by_id.pop(target_id, None)
+        for key, until in list(self._leaving_until.items()):
+            if until < now:
+                del self._leaving_until[key]
+            elif key[0] == target_id:
+                self._leaving_until[key] = min(
+                    until, now + LEAVING_RETENTION_S
+                )
+
+    def _record_leaving(
+        self, target: registrations.RegisteredTarget, leaving: bool
+    ) -> bool:
+        """Record that a target leaves; return whether that is new."""
+        if not leaving or self.is_leaving(target):
+            return False
+        self._leaving_until[target.incarnation_key] = math.inf
+        return True
 
     def _state(self, target: registrations.RegisteredTarget) -> _TargetState:
         """Return the state of a target's lifetime; create it if missing."""
--- a/walnutport/stages/cell_targets.py
+++ b/walnutport/stages/cell_targets.py
@@ -101,7 +101,7 @@
             target
             for target in self.by_id.values()
             if target.info.service == service
-            and target.usable
+            and target.accepts_work
             and target.paused_until <= now + stage_targets.BUSY_PAUSE_S
         ]
         if not usable:
@@ -133,7 +133,7 @@
                 target.free_in_s(now)
                 for target in self.by_id.values()
                 if target.info.service == service
-                and target.usable
+                and target.accepts_work
                 and target.info.data_centre in data_centres
             ),
             default=None,
--- a/walnutport/stages/held_results.py
+++ b/walnutport/stages/held_results.py
@@ -55,7 +55,8 @@
             if target is not None and not target.may_free(now):
                 continue
             results = self._freed_by_target.pop(target_id)
-            if target is None:
+            if target is None or target.leaving:
+                # The results end with the target.
                 continue
             target.record_free(now)
             target.release_memory(sum(size for _, size in results))
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -93,19 +93,25 @@
             }
         )
 
-    def set_min_interval(
-        self, target: registrations.RegisteredTarget, interval_s: float
+    def set_target_statement(
+        self,
+        target: registrations.RegisteredTarget,
+        min_interval_s: float,
+        leaving: bool,
     ) -> None:
-        """Set the time between calls to a target that states a limit.
+        """Record what a target states in its responses.
 
-        :param interval_s: 0 without a limit.
+        :param min_interval_s: time between calls that keeps its limit; 0
+            without a limit.
+        :param leaving: whether it is shutting down.
         """
         known = self._targets.by_id.get(target.target_id)
         if (
             known is not None
             and known.info.incarnation_key == target.incarnation_key
         ):
-            known.min_interval_s = interval_s
+            known.min_interval_s = min_interval_s
+            known.leaving = leaving
 
     def submit(
         self, spec: pieces.JobSpec, now: float
--- a/walnutport/stages/stage_targets.py
+++ b/walnutport/stages/stage_targets.py
@@ -60,6 +60,8 @@
     :param held_bytes: result memory that running calls and jobs occupy.
     :param slowness: measured duration of its calls divided by the expected
         one.
+    :param usable: whether it is listed, does not drain and is itself.
+    :param leaving: whether it has stated that it is shutting down.
     :param min_interval_s: time between calls that keeps the limit that the
         target states; 0 without a limit.
     :param next_send_at: earliest time of the next call by that limit.
@@ -74,14 +76,20 @@
     paused_until: float = 0.0
     failures: int = 0
     usable: bool = True
+    leaving: bool = False
     min_interval_s: float = 0.0
     next_send_at: float = 0.0
     next_free_at: float = 0.0
 
+    @property
+    def accepts_work(self) -> bool:
+        """Whether the target can take calls now or later."""
+        return self.usable and not self.leaving
+
     def is_free(self, now: float) -> bool:
         """Return whether the target can take a call."""
         return (
-            self.usable
+            self.accepts_work
             and now >= self.paused_until
             and self.limit_delay_s(now) <= 0
             and len(self.calls) < self.rules.slots
--- a/walnutport/world/requests.py
+++ b/walnutport/world/requests.py
@@ -60,6 +60,7 @@
     :param load: load of the target; None if missing or unreadable.
     :param rate_limit: requests a second that the target accepts from all hosts
         together; None if it states no limit.
+    :param leaving: whether the target states that it is shutting down.
     :param problems: descriptions of values that are invalid and ignored.
     """
 
@@ -68,4 +69,5 @@
     not_run: bool
     load: ResponseLoad | None
     rate_limit: float | None = None
+    leaving: bool = False
     problems: tuple[str, ...] = ()
