Give targets the time that they ask for when they turn requests away

What the target sees without it: 10 to 15 requests in the 1.5 s before its time has passed, whenever no other target is free.

Cause: Retry-After of a 503 was not read; a busy target was tried again with each request, and counted as a failing one.

Properties over drawn responses, lifetimes and times: tests/routing/test_backpressure.py.

The longest time asked for counts, for this host alone and this lifetime; requests come back 0.1 s apart for a second. A request whose target says so while the channel is being opened goes elsewhere. Start and end are logged; status, a gauge and explain show it.

--- a/tests/integration/test_target_limits.py
+++ b/tests/integration/test_target_limits.py
@@ -125,7 +125,7 @@
             for line in fleet.log_lines(host)
             if line['event'] == 'refused'
         }
-        assert reasons == {'target_limits'}
+        assert reasons == {'targets_held_back'}
 
 
 def test_lifted_limit_is_noticed_by_every_host(tmp_path):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -152,3 +152,25 @@
     assert found.leaving is expected
     assert len(found.problems) == problems
     assert headers.forwarded_response_headers(head) == []
+
+
+@pytest.mark.parametrize(
+    ('status', 'value', 'expected', 'problems'),
+    [
+        (503, b'2', 2.0, 0),
+        (503, b'0.25', 0.25, 0),
+        (503, b'Fri, 04 Dec 2026 07:00:00 GMT', None, 1),
+        (503, b'-1', None, 1),
+        (503, b'86400', None, 1),
+        (200, b'2', None, 0),
+        (429, b'2', None, 0),
+    ],
+)
+def test_time_that_a_target_asks_for_is_decoded(
+    status, value, expected, problems
+):
+    """Guards against a target that asks for time and does not get it."""
+    head = messages.ResponseHead(status, [(b'retry-after', value)])
+    found = headers.decode_response_headers(head)
+    assert found.retry_after_s == expected
+    assert len(found.problems) == problems
--- a/tests/routing/test_backpressure.py
+++ b/tests/routing/test_backpressure.py
@@ -195,3 +195,69 @@
     assert not limits.merge(target(), report, 2.0)
     assert limits.merge(target(2), report, 2.0) is False
     assert limits.permitted([target(2)], 2.0)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.floats(0.0, 1.5),
+            strategies.sampled_from([None, 0.0, 0.3, 1.0, 4.0]),
+            strategies.sampled_from([1, 2]),
+        ),
+        max_size=30,
+    )
+)
+def test_nothing_is_sent_while_a_target_asks_for_time(steps):
+    """Guards against requests to a target that wants none from this host.
+
+    Responses, lifetimes and times are drawn; later and shorter times do not
+    cut an earlier one, and the next lifetime of the target is free.
+    """
+    limits = Fleet(3).limits[0]
+    held_until = {1: 0.0, 2: 0.0}
+    incarnation = 1
+    now = 0.0
+    for step, retry_after_s, drawn in steps:
+        now += step
+        incarnation = max(incarnation, drawn)
+        current = target(incarnation)
+        if retry_after_s is not None:
+            limits.hold(current, retry_after_s, now)
+            held_until[incarnation] = max(
+                held_until[incarnation], now + retry_after_s
+            )
+        is_permitted = bool(limits.permitted([current], now))
+        if now < held_until[incarnation]:
+            assert not is_permitted
+        if is_permitted:
+            limits.record_send(current, now)
+        elif now >= held_until[incarnation]:
+            later = now + backpressure.RESUME_INTERVAL_S
+            assert limits.permitted([current], later)
+
+
+def test_requests_come_back_step_by_step_after_a_hold():
+    """Guards against all requests at once at a target that was full."""
+    limits = Fleet(1).limits[0]
+    limits.hold(target(), 2.0, 0.0)
+    times = []
+    for step in range(64 * 4):
+        now = step / 64
+        if limits.permitted([target()], now):
+            limits.record_send(target(), now)
+            times.append(now)
+    assert times[0] == 2.0
+    resuming = [time_s for time_s in times if time_s < 3.0]
+    assert len(resuming) <= 2 + 1.0 / backpressure.RESUME_INTERVAL_S
+    assert len(times) - len(resuming) == 64, 'without pacing a second later'
+
+
+def test_end_of_a_hold_is_told_once():
+    """Guards against a target whose hold seems to last in the log."""
+    limits = Fleet(1).limits[0]
+    assert limits.hold(target(), 1.0, 0.0)
+    assert not limits.hold(target(), 2.0, 0.5)
+    assert limits.held_count == 1
+    assert limits.take_ended_holds(2.0) == []
+    assert limits.take_ended_holds(2.5) == [target()]
+    assert limits.take_ended_holds(3.0) == [] and limits.held_count == 0
--- a/walnutport/cli/explain.py
+++ b/walnutport/cli/explain.py
@@ -28,7 +28,9 @@
     'overload': 'refused: its stages could not be done within its aim',
     'deadline': 'refused: it could not be done before its deadline',
     'no_target': 'refused: no target of its service was usable',
-    'target_limits': 'refused: all its targets state limits that are used up',
+    'targets_held_back': (
+        'refused: all its targets asked for time or state limits used up'
+    ),
     'quarantined': 'refused: it was running at two targets that crashed',
     'stage_failures': 'given up: too many of its stage pieces failed',
     'owner_unknown': 'no link to the host that runs its stages was up yet',
--- a/walnutport/gateway/attempts.py
+++ b/walnutport/gateway/attempts.py
@@ -69,6 +69,8 @@
     :param reset: whether the channel was reset or closed before the response
         was complete.
     :param load: load that the target reported with its response.
+    :param is_deferred: whether the target has asked for time, or is leaving,
+        so that the failure is none of its own.
     """
 
     status: AttemptStatus
@@ -78,6 +80,7 @@
     detail: str = ''
     reset: bool = False
     load: requests.ResponseLoad | None = None
+    is_deferred: bool = False
 
     @property
     def has_response(self) -> bool:
@@ -218,6 +221,7 @@
                 detail,
                 reset,
                 self._fields.load,
+                self._fields.leaving or self._fields.retry_after_s is not None,
             )
         )
 
@@ -275,6 +279,15 @@
             return AttemptResult(
                 AttemptStatus.NOT_SENT, target, detail='deadline'
             )
+        if self._reports.accepts_none(target):
+            # It has said so while the channel was being opened.
+            self._release(target, channel)
+            return AttemptResult(
+                AttemptStatus.NOT_SENT,
+                target,
+                detail='target accepts no requests',
+                is_deferred=True,
+            )
         receiver = AttemptReceiver(
             call,
             target,
--- a/walnutport/gateway/cell_owner.py
+++ b/walnutport/gateway/cell_owner.py
@@ -103,6 +103,7 @@
         self.scheduler.set_target_statement(
             target,
             self._reports.min_interval_s(target),
+            self._reports.held_until(target),
             self._reports.is_leaving(target),
         )
 
--- a/walnutport/gateway/events.py
+++ b/walnutport/gateway/events.py
@@ -142,6 +142,16 @@
         'a target states that it is shutting down; it gets no more requests',
         ('target', 'source'),
     ),
+    Event(
+        'target_held_back',
+        'a target turned a request away and asks this host for time',
+        ('target', 'for_s'),
+    ),
+    Event(
+        'target_hold_ended',
+        'the time has passed that a target had asked for',
+        ('target',),
+    ),
     Event(
         'target_header_invalid',
         'a response of a target has values that are ignored',
--- a/walnutport/gateway/forwarding.py
+++ b/walnutport/gateway/forwarding.py
@@ -189,7 +189,8 @@
     ) -> None:
         now = time.monotonic()
         if result.has_response and not result.is_final:
-            self._record_target_failure(result, now, unreachable=False)
+            if not result.is_deferred:
+                self._record_target_failure(result, now, unreachable=False)
         elif self._outcomes.record_success(
             result.target, now - started_at, result.load, now
         ):
@@ -202,7 +203,7 @@
     ) -> None:
         now = time.monotonic()
         self._outcomes.update_load(result.target, result.load, now)
-        if result.detail != 'deadline':
+        if result.detail != 'deadline' and not result.is_deferred:
             unreachable = result.status in (
                 _Status.NOT_SENT,
                 _Status.WRONG_TARGET,
--- a/walnutport/gateway/host_status.py
+++ b/walnutport/gateway/host_status.py
@@ -104,6 +104,7 @@
                 peer.reachable for peer in self._mesh.peer_by_name.values()
             ),
             'loop_lag_seconds': self._lag_monitor.lag_s,
+            **self._reports.gauges(),
         }
         for service, retries in self._forwarder.available_retries(now).items():
             values[f'retry_budget_left{{service="{service}"}}'] = retries
@@ -126,6 +127,6 @@
             'channels_opened_total': self._pool.opened_count,
             'stage_calls_total': sum(owner.total_calls for owner in owners),
             'stage_pieces_total': sum(owner.total_pieces for owner in owners),
-            'target_headers_invalid_total': self._reports.invalid_count,
+            **self._reports.totals(),
             'log_lines_dropped_total': self._log.dropped_lines,
         }
--- a/walnutport/gateway/request_handler.py
+++ b/walnutport/gateway/request_handler.py
@@ -113,9 +113,9 @@
         if counts is None or len(counts) != len(call.route.stages):
             call.send_local_response(400, 'malformed')
             return
-        delay_s = self._selector.limit_delay_s(call)
+        delay_s = self._selector.stated_delay_s(call)
         if delay_s is not None and delay_s > call.time_left_s():
-            self._refuse_by_limits(call, delay_s)
+            self._refuse_by_targets(call, delay_s)
             return
         now = time.monotonic()
         spec = pieces.JobSpec(
@@ -206,13 +206,14 @@
         self, call: calls.CallerCall, result: attempts.AttemptResult | None
     ) -> None:
         """Respond to a call that gets no further attempt."""
-        delay_s = self._selector.limit_delay_s(call)
-        if result is None and delay_s is not None:
-            self._refuse_by_limits(call, delay_s)
-        else:
+        delay_s = self._selector.stated_delay_s(call)
+        was_sent = result is not None and not result.is_deferred
+        if was_sent or call.may_have_run or delay_s is None:
             self._responder.give_up(call, result)
+        else:
+            self._refuse_by_targets(call, delay_s)
 
-    def _refuse_by_limits(
+    def _refuse_by_targets(
         self, call: calls.CallerCall, delay_s: float
     ) -> None:
         """Refuse a call because its targets accept no more requests now.
@@ -222,7 +223,7 @@
         """
         self._responder.refuse(
             call,
-            'target_limits',
+            'targets_held_back',
             max(delay_s, responses.DEFAULT_RETRY_AFTER_S),
         )
 
--- a/walnutport/gateway/target_reports.py
+++ b/walnutport/gateway/target_reports.py
@@ -61,15 +61,23 @@
                 target=target.target_id,
                 problems=list(fields.problems),
             )
+        now = time.monotonic()
+        if fields.retry_after_s is not None:
+            is_new = self._limits.hold(target, fields.retry_after_s, now)
+            if is_new:
+                self._log.notable(
+                    'target_held_back',
+                    target=target.target_id,
+                    for_s=round(fields.retry_after_s, 3),
+                )
+            self.on_change(target)
         before = self._limits.rate_limit(target)
         is_marked = fields.sealed or fields.not_run or status == 200
         rate_limit = fields.rate_limit
         if rate_limit is None and (fields.problems or not is_marked):
             rate_limit = before
         was_leaving = self._limits.is_leaving(target)
-        if self._limits.observe(
-            target, rate_limit, fields.leaving, time.monotonic()
-        ):
+        if self._limits.observe(target, rate_limit, fields.leaving, now):
             self._record_change(target, before, was_leaving, 'response')
 
     def merge_report(
@@ -97,8 +105,11 @@
             self._mesh.broadcast(fleet_messages.TargetReports(tuple(changed)))
 
     def tick(self) -> None:
-        """Tell the peers what has changed."""
-        reports = self._limits.take_reports(time.monotonic())
+        """Tell the peers what has changed, and note which holds ended."""
+        now = time.monotonic()
+        for target in self._limits.take_ended_holds(now):
+            self._log.notable('target_hold_ended', target=target.target_id)
+        reports = self._limits.take_reports(now)
         if reports:
             self._mesh.broadcast(fleet_messages.TargetReports(tuple(reports)))
 
@@ -106,6 +117,25 @@
         """Return whether a target has stated that it is leaving."""
         return self._limits.is_leaving(target)
 
+    def held_until(self, target: registrations.RegisteredTarget) -> float:
+        """Return when the time ends that a target has asked for."""
+        return self._limits.held_until(target)
+
+    def accepts_none(self, target: registrations.RegisteredTarget) -> bool:
+        """Return whether a target is leaving or has asked for time."""
+        return self._limits.accepts_none(target, time.monotonic())
+
+    def gauges(self) -> dict[str, float]:
+        """Return the gauges by name."""
+        return {'targets_held_back': self._limits.held_count}
+
+    def totals(self) -> dict[str, float]:
+        """Return the counters by name."""
+        return {
+            'target_headers_invalid_total': self.invalid_count,
+            'targets_passed_over_total': self._limits.held_back,
+        }
+
     def min_interval_s(self, target: registrations.RegisteredTarget) -> float:
         """Return the time between requests of the only host that sends any.
 
@@ -120,11 +150,13 @@
         if self._limits.is_leaving(target):
             return {'leaving': True}
         rate_limit = self._limits.rate_limit(target)
-        if rate_limit is None:
+        held_s = self._limits.held_until(target) - now
+        if rate_limit is None and held_s <= 0:
             return {}
         delay_s = self._limits.delay_s(target, now)
         return {
             'limit_per_s': rate_limit,
+            'held_s': round(max(0.0, held_s), 2),
             'next_send_s': None if math.isinf(delay_s) else round(delay_s, 2),
         }
 
--- a/walnutport/gateway/target_selector.py
+++ b/walnutport/gateway/target_selector.py
@@ -50,8 +50,8 @@
             self._data_centre,
         )
 
-    def limit_delay_s(self, call: calls.CallerCall) -> float | None:
-        """Return the time until a target accepts a request by its limit.
+    def stated_delay_s(self, call: calls.CallerCall) -> float | None:
+        """Return the time until a target accepts a request, as targets state.
 
         :returns: 0 if a target does now, None if there is none at all.
         """
--- a/walnutport/platform/headers.py
+++ b/walnutport/platform/headers.py
@@ -18,6 +18,8 @@
 # A stated limit above this is taken for a fault of the target; a target serves
 # some hundred requests a second at most.
 MAX_RATE_LIMIT = 1_000_000.0
+# A target that asks for more time than this is taken for a faulty one.
+MAX_RETRY_AFTER_S = 60.0
 # Bytes of an invalid value that are quoted in the log.
 MAX_QUOTED_BYTES = 40
 
@@ -121,6 +123,11 @@
     rate_limit = _parse_decimal(
         head, wire.RATE_LIMIT, MAX_RATE_LIMIT, problems
     )
+    retry_after_s = None
+    if head.status == 503:
+        retry_after_s = _parse_decimal(
+            head, wire.RETRY_AFTER, MAX_RETRY_AFTER_S, problems
+        )
     return requests.ResponseFields(
         request_id=request_id.decode('latin-1'),
         sealed=bool(head.header(wire.SEAL)),
@@ -128,6 +135,7 @@
         load=_parse_load(head.header(wire.LOAD)),
         rate_limit=rate_limit,
         leaving=_parse_flag(head, wire.LEAVING, problems),
+        retry_after_s=retry_after_s,
         problems=tuple(problems),
     )
 
--- a/walnutport/routing/backpressure.py
+++ b/walnutport/routing/backpressure.py
@@ -6,6 +6,9 @@
 request: a few hosts, chosen alike on every host, share the limit evenly and
 space their requests, and the other hosts send none.
 
+Covers a target that turns a request away and asks this host for time: nothing
+is sent until the time has passed, and then requests come back step by step.
+
 Covers as well a target that is shutting down, while its entry in the store
 does not show that yet, or shows an older state again.
 """
@@ -27,6 +30,10 @@
 TIME_RESOLUTION_S = 1e-6
 # Limits are passed on to other hosts at most once in this time.
 MIN_REPORT_INTERVAL_S = 0.5
+# After the time that a target has asked for, this host spaces its requests to
+# it for a while.
+RESUME_S = 1.0
+RESUME_INTERVAL_S = 0.1
 # A target that leaves is remembered this long after its entry was removed, as
 # a store that returns from an older copy lists it again.
 LEAVING_RETENTION_S = 120.0
@@ -58,6 +65,7 @@
     """Latest limit of one lifetime of a target.
 
     :param next_send_at: earliest time of the next request of this host.
+    :param held_until: end of the time that the target has asked for.
     :param next_recommendation_at: earliest time at which this host, as the
         owner of a cell, recommends the target to a host again.
     """
@@ -66,6 +74,7 @@
     rate_limit: float | None = None
     observed_at: float = -math.inf
     next_send_at: float = 0.0
+    held_until: float = -math.inf
     next_recommendation_at: float = 0.0
     must_report: bool = False
     next_report_at: float = 0.0
@@ -90,6 +99,8 @@
         self._state_by_id: dict[str, _TargetState] = {}
         # Lifetimes of targets that leave, and when they may be forgotten.
         self._leaving_until: dict[_LifetimeKey, float] = {}
+        # Targets whose time was not seen to have passed.
+        self._held_ids: set[str] = set()
         self.held_back = 0
 
     def observe(
@@ -147,6 +158,54 @@
         state.observed_at = observed_at
         return changed
 
+    def hold(
+        self,
+        target: registrations.RegisteredTarget,
+        retry_after_s: float,
+        now: float,
+    ) -> bool:
+        """Record that a target asks this host for time.
+
+        A later, shorter time does not cut an earlier one: the target may have
+        sent both for requests that it turned away at the same time.
+
+        :returns: whether the target was not held back from before.
+        """
+        state = self._state(target)
+        is_new = state.held_until <= now
+        state.held_until = max(state.held_until, now + retry_after_s)
+        self._held_ids.add(target.target_id)
+        return is_new
+
+    def take_ended_holds(
+        self, now: float
+    ) -> list[registrations.RegisteredTarget]:
+        """Return the targets whose time has passed since the last call."""
+        ended = []
+        for target_id in list(self._held_ids):
+            state = self._state_by_id.get(target_id)
+            if state is None or state.held_until <= now:
+                self._held_ids.remove(target_id)
+                if state is not None:
+                    ended.append(state.target)
+        return ended
+
+    @property
+    def held_count(self) -> int:
+        """Number of targets that have asked this host for time."""
+        return len(self._held_ids)
+
+    def held_until(self, target: registrations.RegisteredTarget) -> float:
+        """Return when the time ends that a target has asked for."""
+        state = self._current_state(target)
+        return -math.inf if state is None else state.held_until
+
+    def accepts_none(
+        self, target: registrations.RegisteredTarget, now: float
+    ) -> bool:
+        """Return whether a target is leaving or has asked for time."""
+        return self.is_leaving(target) or self.held_until(target) > now
+
     def take_reports(self, now: float) -> list[TargetReport]:
         """Return what has changed and peers should know."""
         reports = []
@@ -194,11 +253,15 @@
         if self.is_leaving(target):
             return math.inf
         state = self._current_state(target)
-        if state is None or state.rate_limit is None:
+        if state is None:
             return 0.0
-        if self._own_name not in self._senders(state):
+        if state.rate_limit is not None and (
+            self._own_name not in self._senders(state)
+        ):
             return math.inf
-        delay_s = state.next_send_at - now
+        delay_s = state.held_until - now
+        if state.rate_limit is not None or delay_s > -RESUME_S:
+            delay_s = max(delay_s, state.next_send_at - now)
         return delay_s if delay_s > TIME_RESOLUTION_S else 0.0
 
     def permitted(
@@ -218,10 +281,16 @@
     ) -> None:
         """Record that this host sends a request to a target."""
         state = self._current_state(target)
-        if state is not None and state.rate_limit is not None:
+        if state is None:
+            return
+        interval_s = 0.0
+        if state.rate_limit is not None:
             interval_s = self.min_interval_s(target) * len(
                 self._senders(state)
             )
+        if now - state.held_until < RESUME_S:
+            interval_s = max(interval_s, RESUME_INTERVAL_S)
+        if interval_s:
             # One unused turn is kept, as requests do not come evenly.
             state.next_send_at = (
                 max(state.next_send_at, now - interval_s) + interval_s
--- a/walnutport/stages/cell_targets.py
+++ b/walnutport/stages/cell_targets.py
@@ -102,7 +102,8 @@
             for target in self.by_id.values()
             if target.info.service == service
             and target.accepts_work
-            and target.paused_until <= now + stage_targets.BUSY_PAUSE_S
+            and max(target.paused_until, target.held_until)
+            <= now + stage_targets.BUSY_PAUSE_S
         ]
         if not usable:
             return None
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -97,12 +97,14 @@
         self,
         target: registrations.RegisteredTarget,
         min_interval_s: float,
+        held_until: float,
         leaving: bool,
     ) -> None:
         """Record what a target states in its responses.
 
         :param min_interval_s: time between calls that keeps its limit; 0
             without a limit.
+        :param held_until: end of the time for which it wants no calls.
         :param leaving: whether it is shutting down.
         """
         known = self._targets.by_id.get(target.target_id)
@@ -111,6 +113,7 @@
             and known.info.incarnation_key == target.incarnation_key
         ):
             known.min_interval_s = min_interval_s
+            known.held_until = held_until
             known.leaving = leaving
 
     def submit(
--- a/walnutport/stages/stage_targets.py
+++ b/walnutport/stages/stage_targets.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from walnutport.stages import jobs
 from walnutport.world import registrations
@@ -64,6 +65,7 @@
     :param leaving: whether it has stated that it is shutting down.
     :param min_interval_s: time between calls that keeps the limit that the
         target states; 0 without a limit.
+    :param held_until: end of the time for which it wants no calls.
     :param next_send_at: earliest time of the next call by that limit.
     :param next_free_at: earliest time to free results by that limit.
     """
@@ -78,6 +80,7 @@
     usable: bool = True
     leaving: bool = False
     min_interval_s: float = 0.0
+    held_until: float = -math.inf
     next_send_at: float = 0.0
     next_free_at: float = 0.0
 
@@ -91,13 +94,13 @@
         return (
             self.accepts_work
             and now >= self.paused_until
-            and self.limit_delay_s(now) <= 0
+            and self.stated_delay_s(now) <= 0
             and len(self.calls) < self.rules.slots
         )
 
     def free_in_s(self, now: float) -> float:
         """Return the expected time until the target can take a call."""
-        paused_s = max(0.0, self.paused_until - now, self.limit_delay_s(now))
+        paused_s = max(0.0, self.paused_until - now, self.stated_delay_s(now))
         if len(self.calls) < self.rules.slots:
             return paused_s
         return max(
@@ -108,11 +111,12 @@
             ),
         )
 
-    def limit_delay_s(self, now: float) -> float:
-        """Return the time until the next call by the target's limit."""
-        if not self.min_interval_s:
-            return 0.0
-        return max(0.0, self.next_send_at - now)
+    def stated_delay_s(self, now: float) -> float:
+        """Return the time until the next call by what the target states."""
+        delay_s = max(0.0, self.held_until - now)
+        if self.min_interval_s:
+            delay_s = max(delay_s, self.next_send_at - now)
+        return delay_s
 
     def record_send(self, now: float) -> None:
         """Record a call, or the freeing of results."""
@@ -123,10 +127,10 @@
         )
 
     def may_free(self, now: float) -> bool:
-        """Return whether results may be freed by the target's limit."""
-        if not self.min_interval_s:
-            return True
-        return now >= self.next_free_at and self.limit_delay_s(now) <= 0
+        """Return whether results may be freed by what the target states."""
+        if self.stated_delay_s(now) > 0:
+            return False
+        return not self.min_interval_s or now >= self.next_free_at
 
     def record_free(self, now: float) -> None:
         """Record the freeing of results."""
--- a/walnutport/world/requests.py
+++ b/walnutport/world/requests.py
@@ -61,6 +61,8 @@
     :param rate_limit: requests a second that the target accepts from all hosts
         together; None if it states no limit.
     :param leaving: whether the target states that it is shutting down.
+    :param retry_after_s: how long the target wants no requests of this host,
+        after it has turned one away; None if it does not say.
     :param problems: descriptions of values that are invalid and ignored.
     """
 
@@ -70,4 +72,5 @@
     load: ResponseLoad | None
     rate_limit: float | None = None
     leaving: bool = False
+    retry_after_s: float | None = None
     problems: tuple[str, ...] = ()
