--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -223,6 +223,15 @@
             fleet.control_platform(states={action.location: action.variant})
         elif action.kind == 'return':
             fleet.control_platform(copy=True)
+        elif action.kind == 'state':
+            changes = {
+                'headers': {
+                    action.location: soak_schedule.STATEMENTS[action.variant]
+                }
+            }
+            if action.variant == 'wait':
+                changes['modes'] = {action.location: 'full'}
+            fleet.control_platform(**changes)
         else:
             self._version += 1
             fleet.control_platform(
@@ -241,6 +250,10 @@
             fleet.control_platform(states={action.location: 'ready'})
         elif action.kind == 'return':
             fleet.control_platform(return_older=float(action.variant))
+        elif action.kind == 'state':
+            fleet.control_platform(
+                headers={action.location: {}}, modes={action.location: 'ok'}
+            )
 
     def _disrupt_host(self, action: soak_schedule.FaultAction) -> None:
         number = int(action.location)
--- a/bench/soak_schedule.py
+++ b/bench/soak_schedule.py
@@ -5,7 +5,7 @@
 
 from standins import fault_proxy
 
-__all__ = ['ROUND_S', 'FaultAction', 'draw']
+__all__ = ['ROUND_S', 'STATEMENTS', 'FaultAction', 'draw']
 
 # Faults begin within this time; the last ones end a few seconds later.
 ROUND_S = 9.0
@@ -22,6 +22,22 @@
 # share of these in which it does so again.
 STORE_RETURN_SHARE = 0.5
 
+# Share of the rounds in which a target states something in its responses, and
+# the share of these in which another statement follows.
+STATEMENT_SHARE = 0.7
+
+#: Headers that a target adds to its responses, by variant.
+STATEMENTS = {
+    'limit': {'Server-Limit': '2.5'},
+    'wait': {'Retry-After': '0.7'},
+    'leaving': {'Server-Leaving': '1'},
+    'nonsense': {
+        'Server-Limit': 'nan',
+        'Server-Leaving': 'perhaps',
+        'Retry-After': '-1',
+    },
+}
+
 _NETWORK_FAULTS = ('delay', 'reset', 'silent', 'half_open', 'drip')
 _TARGET_MODES = (
     'fail',
@@ -50,8 +66,9 @@
     """A fault that is injected during a round.
 
     :param kind: ``network``, ``mode``, ``host``, ``store``, ``desired``,
-        ``leave`` or ``return``. With the last one, the store takes a copy at
-        the start and returns from it at the end.
+        ``leave``, ``return`` or ``state``. With ``return``, the store takes a
+        copy at the start and returns from it at the end. With ``state``, a
+        target states something in its responses.
     :param location: target id, host number or ``store``.
     :param variant: which fault of this kind.
     :param at_s: start, relative to the start of the round.
@@ -83,6 +100,7 @@
                 )
             )
     actions += _draw_store_returns(seed)
+    actions += _draw_statements(seed, target_ids)
     return sorted(actions, key=lambda action: action.at_s)
 
 
@@ -106,6 +124,33 @@
     return actions
 
 
+def _draw_statements(
+    seed: int, target_ids: tuple[str, ...]
+) -> list[FaultAction]:
+    """Return what targets state in their responses, and when.
+
+    A target that leaves does not come back, so that the first one of each
+    service never does.
+    """
+    rng = random.Random(f'{seed}/statements')
+    actions: list[FaultAction] = []
+    while rng.random() < STATEMENT_SHARE:
+        target_id = rng.choice(target_ids)
+        variant = rng.choice(tuple(STATEMENTS))
+        if variant == 'leaving' and target_id.endswith('-1'):
+            continue
+        actions.append(
+            FaultAction(
+                'state',
+                target_id,
+                variant,
+                round(rng.uniform(0.0, ROUND_S), 2),
+                round(rng.uniform(0.2, 4.0), 2),
+            )
+        )
+    return actions
+
+
 def _draw_fault(
     rng: random.Random, target_ids: tuple[str, ...], hosts: int
 ) -> FaultAction:
