Keep the outages of the store in a module of their own

An invalid header in each response of a target is a routine line, so that it cannot crowd out others. No other behaviour changes.

--- a/walnutport/gateway/feed_follower.py
+++ b/walnutport/gateway/feed_follower.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable
-import math
 import time
 
 from twisted.internet import defer
@@ -16,6 +15,7 @@
 from walnutport.gateway import peers
 from walnutport.membership import ranking
 from walnutport.membership import registry
+from walnutport.membership import store_outages
 from walnutport.peer import fleet_messages
 from walnutport.world import feeds
 from walnutport.world import routes
@@ -90,10 +90,7 @@
         self._targets_known = False
         self._targets_read_at = 0.0
         self._store_lost_at: float | None = None
-        # When this host or a peer last read targets from the store, and when
-        # such reads last went on after an outage.
-        self._fleet_read_at = -math.inf
-        self._outage_ended_at = -math.inf
+        self._outages = store_outages.StoreOutages()
         self._stopped = False
         # Peer that is known to be ahead, when this host first noticed, and
         # when it may next ask a peer.
@@ -142,7 +139,7 @@
         elif isinstance(message, fleet_messages.TargetUpdate):
             self._apply_targets(name, message, now)
         elif isinstance(message, fleet_messages.Heartbeat):
-            self._record_fleet_read(now - message.store_age_s, now)
+            self._outages.record_read(now - message.store_age_s, now)
             self._compare_offsets(name, message)
         elif isinstance(message, fleet_messages.UpdateRequest):
             self._send_updates(name, message)
@@ -158,7 +155,7 @@
         if message.era < self.registry.era:
             return
         self._enter_era(message.era, f'peer {name}')
-        if message.grace_s and self._outage_is_recent(now):
+        if message.grace_s and self._outages.is_recent(now):
             self.registry.extend_grace(message.grace_s, now)
         if message.after > self.registry.changes_end_offset:
             applied = self.registry.apply_partial(message.records, now)
@@ -317,7 +314,7 @@
         now = time.monotonic()
         before = self.registry.changes_end_offset
         self._targets_read_at = now
-        self._record_fleet_read(now, now)
+        self._outages.record_read(now, now)
         self._targets_known = True
         if full_read:
             applied = self.registry.replace(page, now)
@@ -441,9 +438,7 @@
             return
         now = time.monotonic()
         outage_s = now - self._store_lost_at
-        # The store may have refused this host alone; then the entries that are
-        # removed have not lapsed.
-        fleet_outage_s = min(outage_s, now - self._fleet_read_at)
+        fleet_outage_s = self._outages.duration_s(self._store_lost_at, now)
         self._store_lost_at = None
         self.registry.store_recovered(fleet_outage_s, now)
         self._log.notable(
@@ -452,22 +447,5 @@
             fleet_outage_s=round(fleet_outage_s, 3),
         )
 
-    def _record_fleet_read(self, read_at: float, now: float) -> None:
-        """Record that this host or a peer has read targets from the store."""
-        if read_at - self._fleet_read_at >= registry.MIN_OUTAGE_S:
-            self._outage_ended_at = now
-        self._fleet_read_at = max(self._fleet_read_at, read_at)
-
-    def _outage_is_recent(self, now: float) -> bool:
-        """Return whether entries may have lapsed as far as this host knows.
-
-        It has heard of no read of the store for a while, or did so until
-        recently. A peer that the store refused alone may think so wrongly.
-        """
-        return (
-            now - self._fleet_read_at >= registry.MIN_OUTAGE_S
-            or now - self._outage_ended_at <= registry.LAPSE_GRACE_S
-        )
-
     async def _pause(self, delay_s: float) -> None:
         await task.deferLater(self._reactor, delay_s)
--- a/walnutport/gateway/target_reports.py
+++ b/walnutport/gateway/target_reports.py
@@ -26,15 +26,15 @@
         log,
         mesh: peers.PeerMesh,
         pool: channel_pool.ChannelPool,
-        limits: backpressure.TargetBackpressure,
+        target_backpressure: backpressure.TargetBackpressure,
         find_target: Callable[[str], registrations.RegisteredTarget | None],
     ) -> None:
         self._log = log
         self._mesh = mesh
         self._pool = pool
-        self._limits = limits
+        self._backpressure = target_backpressure
         self._find_target = find_target
-        # Called with a target whose limit has changed.
+        # Called with a target that states something else than before.
         self.on_change: Callable[[registrations.RegisteredTarget], None] = (
             lambda target: None
         )
@@ -56,14 +56,14 @@
             return
         if fields.problems:
             self.invalid_count += len(fields.problems)
-            self._log.notable(
+            self._log.routine(
                 'target_header_invalid',
                 target=target.target_id,
                 problems=list(fields.problems),
             )
         now = time.monotonic()
         if fields.retry_after_s is not None:
-            is_new = self._limits.hold(target, fields.retry_after_s, now)
+            is_new = self._backpressure.hold(target, fields.retry_after_s, now)
             if is_new:
                 self._log.notable(
                     'target_held_back',
@@ -71,13 +71,13 @@
                     for_s=round(fields.retry_after_s, 3),
                 )
             self.on_change(target)
-        before = self._limits.rate_limit(target)
+        before = self._backpressure.rate_limit(target)
         is_marked = fields.sealed or fields.not_run or status == 200
         rate_limit = fields.rate_limit
         if rate_limit is None and (fields.problems or not is_marked):
             rate_limit = before
-        was_leaving = self._limits.is_leaving(target)
-        if self._limits.observe(target, rate_limit, fields.leaving, now):
+        was_leaving = self._backpressure.is_leaving(target)
+        if self._backpressure.observe(target, rate_limit, fields.leaving, now):
             self._record_change(target, before, was_leaving, 'response')
 
     def merge_report(
@@ -94,9 +94,9 @@
             target = self._find_target(report.target_id)
             if target is None:
                 continue
-            before = self._limits.rate_limit(target)
-            was_leaving = self._limits.is_leaving(target)
-            if self._limits.merge(target, report, now):
+            before = self._backpressure.rate_limit(target)
+            was_leaving = self._backpressure.is_leaving(target)
+            if self._backpressure.merge(target, report, now):
                 self._record_change(
                     target, before, was_leaving, f'peer {name}'
                 )
@@ -107,33 +107,33 @@
     def tick(self) -> None:
         """Tell the peers what has changed, and note which holds ended."""
         now = time.monotonic()
-        for target in self._limits.take_ended_holds(now):
+        for target in self._backpressure.take_ended_holds(now):
             self._log.notable('target_hold_ended', target=target.target_id)
-        reports = self._limits.take_reports(now)
+        reports = self._backpressure.take_reports(now)
         if reports:
             self._mesh.broadcast(fleet_messages.TargetReports(tuple(reports)))
 
     def is_leaving(self, target: registrations.RegisteredTarget) -> bool:
         """Return whether a target has stated that it is leaving."""
-        return self._limits.is_leaving(target)
+        return self._backpressure.is_leaving(target)
 
     def held_until(self, target: registrations.RegisteredTarget) -> float:
         """Return when the time ends that a target has asked for."""
-        return self._limits.held_until(target)
+        return self._backpressure.held_until(target)
 
     def accepts_none(self, target: registrations.RegisteredTarget) -> bool:
         """Return whether a target is leaving or has asked for time."""
-        return self._limits.accepts_none(target, time.monotonic())
+        return self._backpressure.accepts_none(target, time.monotonic())
 
     def gauges(self) -> dict[str, float]:
         """Return the gauges by name."""
-        return {'targets_held_back': self._limits.held_count}
+        return {'targets_held_back': self._backpressure.held_count}
 
     def totals(self) -> dict[str, float]:
         """Return the counters by name."""
         return {
             'target_headers_invalid_total': self.invalid_count,
-            'targets_passed_over_total': self._limits.held_back,
+            'targets_passed_over_total': self._backpressure.passed_over_count,
         }
 
     def min_interval_s(self, target: registrations.RegisteredTarget) -> float:
@@ -141,19 +141,19 @@
 
         :returns: 0 for a target without a limit.
         """
-        return self._limits.min_interval_s(target)
+        return self._backpressure.min_interval_s(target)
 
     def describe(
         self, target: registrations.RegisteredTarget, now: float
     ) -> dict[str, float | bool | None]:
         """Return what a target has stated, as shown to operators."""
-        if self._limits.is_leaving(target):
+        if self._backpressure.is_leaving(target):
             return {'leaving': True}
-        rate_limit = self._limits.rate_limit(target)
-        held_s = self._limits.held_until(target) - now
+        rate_limit = self._backpressure.rate_limit(target)
+        held_s = self._backpressure.held_until(target) - now
         if rate_limit is None and held_s <= 0:
             return {}
-        delay_s = self._limits.delay_s(target, now)
+        delay_s = self._backpressure.delay_s(target, now)
         return {
             'limit_per_s': rate_limit,
             'held_s': round(max(0.0, held_s), 2),
@@ -167,7 +167,7 @@
         was_leaving: bool,
         source: str,
     ) -> None:
-        rate_limit = self._limits.rate_limit(target)
+        rate_limit = self._backpressure.rate_limit(target)
         if rate_limit != before:
             self._log.notable(
                 'target_limit',
@@ -176,7 +176,7 @@
                 before=before,
                 source=source,
             )
-        if self._limits.is_leaving(target) and not was_leaving:
+        if self._backpressure.is_leaving(target) and not was_leaving:
             self._log.notable(
                 'target_leaving', target=target.target_id, source=source
             )
--- a/walnutport/routing/backpressure.py
+++ b/walnutport/routing/backpressure.py
@@ -62,7 +62,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _TargetState:
-    """Latest limit of one lifetime of a target.
+    """What one lifetime of a target has stated.
 
     :param next_send_at: earliest time of the next request of this host.
     :param held_until: end of the time that the target has asked for.
@@ -88,7 +88,8 @@
     :param own_name: name of this host.
     :param host_names: returns the names of all hosts that are up, including
         this one.
-    :ivar held_back: how often a target was passed over because of its limit.
+    :ivar passed_over_count: how often a target was not chosen because of what
+        it states.
     """
 
     def __init__(
@@ -99,9 +100,10 @@
         self._state_by_id: dict[str, _TargetState] = {}
         # Lifetimes of targets that leave, and when they may be forgotten.
         self._leaving_until: dict[_LifetimeKey, float] = {}
-        # Targets whose time was not seen to have passed.
+        # Targets that have asked for time and whose hold was not taken by
+        # ``take_ended_holds`` yet.
         self._held_ids: set[str] = set()
-        self.held_back = 0
+        self.passed_over_count = 0
 
     def observe(
         self,
@@ -271,7 +273,7 @@
         permitted = []
         for target in targets:
             if self.delay_s(target, now) > 0:
-                self.held_back += 1
+                self.passed_over_count += 1
             else:
                 permitted.append(target)
         return permitted
