Let explain read log lines whose fields have other types

The command ended with TypeError for a time or status that is no number, or a list that is none, as in lines of another program or version; all seven cases of the new test failed before. Such a number counts as 0, such a list as empty.

--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -2,6 +2,8 @@
 
 import json
 
+import pytest
+
 from walnutport.cli import explain
 
 
@@ -138,3 +140,27 @@
         ),
     )
     assert lines[-1].endswith('the caller had come back after a refusal')
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'time': 'yesterday'},
+        {'time': None},
+        {'status': 'five hundred', 'targets': ['t']},
+        {'status': 502, 'targets': 't'},
+        {'status': 502, 'targets': [1, None]},
+        {'ids': 7},
+        {'ids': None},
+    ],
+)
+def test_fields_of_other_types_do_not_end_the_command(fields):
+    """Guards against a traceback in place of the history of a request.
+
+    Lines of another program, or of another version, may be in the log.
+    """
+    finished = {'event': 'finished', 'id': 'a', 'outcome': 'answered'}
+    lines = explain.explain('a', log({'event': 'placed', 'id': 'a'}, finished))
+    assert len(lines) == 3
+    lines = explain.explain('a', log({**finished, **fields}, {'ids': 3}))
+    assert lines[-1].startswith('cause: ')
--- a/walnutport/cli/explain.py
+++ b/walnutport/cli/explain.py
@@ -73,11 +73,11 @@
             for record in _parse_records(log)
             if _mentions(record, request_id)
         ),
-        key=lambda record: record.get('time', 0.0),
+        key=lambda record: _number(record, 'time'),
     )
     if not records:
         return []
-    start = records[0].get('time', 0.0)
+    start = _number(records[0], 'time')
     lines = [_format_record(record, start) for record in records]
     lines.append(f'cause: {_cause(records)}')
     return lines
@@ -96,18 +96,33 @@
 
 
 def _mentions(record: dict, request_id: str) -> bool:
-    return record.get('id') == request_id or request_id in record.get(
-        'ids', ()
+    return record.get('id') == request_id or request_id in _texts(
+        record, 'ids'
     )
 
 
+def _number(record: dict, name: str) -> float:
+    """Return a field that should be a number; 0 if it is none.
+
+    The log may have lines of other programs or versions.
+    """
+    value = record.get(name)
+    return value if isinstance(value, int | float) else 0.0
+
+
+def _texts(record: dict, name: str) -> list[str]:
+    """Return a field that should be a list of texts; empty if it is none."""
+    value = record.get(name)
+    return [str(item) for item in value] if isinstance(value, list) else []
+
+
 def _format_record(record: dict, start: float) -> str:
     fields = ' '.join(
         f'{name}={value}'
         for name, value in record.items()
         if name not in _HIDDEN_FIELDS
     )
-    after_s = record.get('time', 0.0) - start
+    after_s = _number(record, 'time') - start
     return (
         f'{after_s:8.3f} s  {record.get("host", "?")}  '
         f'{record.get("event", "?")}  {fields}'
@@ -128,9 +143,9 @@
         return 'no end in this log; the host stopped or the line was dropped'
     outcome = str(finished[-1].get('outcome', ''))
     text = _CAUSE_BY_OUTCOME.get(outcome, f'outcome {outcome or "unknown"}')
-    status = finished[-1].get('status', 0)
+    status = _number(finished[-1], 'status')
     if outcome == 'answered' and status >= 500:
-        tried = ', '.join(finished[-1].get('targets', ()))
+        tried = ', '.join(_texts(finished[-1], 'targets'))
         text = f'failed: answered {status} by its last target of {tried}'
     failures = [
         record for record in records if record.get('event') == 'attempt_failed'
