Name a response that is too long for the command line

A document over 64 MiB was cut there and then reported as malformed JSON; the new test failed before (malformed instead of the limit).

--- a/walnutport/cli/fetch.py
+++ b/walnutport/cli/fetch.py
@@ -11,7 +11,7 @@
 __all__ = ['FetchError', 'fetch_json']
 
 _TIMEOUT_S = 5.0
-_MAX_RESPONSE_BYTES = 67_108_864
+MAX_RESPONSE_BYTES = 67_108_864
 
 
 class FetchError(exceptions.WalnutportError):
@@ -31,7 +31,12 @@
     try:
         data = None if body is None else msgspec.json.encode(body)
         with urllib.request.urlopen(url, data, _TIMEOUT_S) as reply:
-            text = reply.read(_MAX_RESPONSE_BYTES)
+            text = reply.read(MAX_RESPONSE_BYTES + 1)
+        if len(text) > MAX_RESPONSE_BYTES:
+            raise FetchError(
+                f'{address}: the response has more than '
+                f'{MAX_RESPONSE_BYTES} bytes'
+            )
         return msgspec.json.decode(text, type=response_type)
     except (urllib.error.URLError, OSError, client.HTTPException) as error:
         raise FetchError(f'{address}: {error}') from error
