Send what was written before a response is cut off

Cause: the target broke off in the moment of its first event, no other target was usable, and the host reset the caller's connection; a reset drops what the transport has not written yet.

Evidence: decision log of the request (first_s 0.29, finished as broken after 0.291 s); test_events_before_an_abort_are_not_dropped failed before. Ruled out: a connection that the host had closed before, as the request ran.

The last chunk is missing, so the response is as incomplete as before; the test for that now checks what follows the abort as well, and the end of the connection beside a caller that keeps its side open.

--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -145,15 +145,42 @@
 
 
 def test_aborted_stream_does_not_look_complete():
-    """Guards against sending the last chunk of a stream that was aborted."""
+    """Guards against sending the last chunk of a stream that was aborted.
+
+    Nothing more is sent, and the connection ends although the caller keeps
+    its side open.
+    """
     caller = Caller()
     caller.send(b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n')
     request = caller.requests[0]
     request.start(200, [])
     request.write(b'id: 1\n\n')
     request.abort()
-    assert caller.transport.aborted
+    assert caller.transport.disconnecting
     assert not caller.transport.value().endswith(b'0\r\n\r\n')
+    request.write(b'id: 2\n\n')
+    request.finish()
+    caller.channel.dataReceived(b'GET /b HTTP/1.1\r\nHost: h\r\n\r\n')
+    assert caller.transport.value().endswith(b'id: 1\n\n\r\n')
+    assert len(caller.requests) == 1
+    caller.clock.advance(server.LINGER_S)
+    assert caller.transport.aborted
+
+
+def test_events_before_an_abort_are_not_dropped():
+    """Guards against a caller that gets nothing of what was ready.
+
+    The target broke off in the moment in which its first event came, and a
+    reset drops what the transport has not written yet.
+    """
+    caller = Caller()
+    caller.send(b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n')
+    request = caller.requests[0]
+    request.start(200, [])
+    request.write(b'id: 1\n\n')
+    request.abort()
+    assert not caller.transport.aborted
+    assert caller.transport.disconnecting
 
 
 def test_disconnect_of_the_caller_is_reported():
--- a/walnutport/http1/server.py
+++ b/walnutport/http1/server.py
@@ -111,7 +111,7 @@
         self._channel.response_finished(self._keep_alive)
 
     def abort(self) -> None:
-        """Reset the connection, so that the response cannot look complete."""
+        """End the connection, so that the response cannot look complete."""
         if self.disconnected or self.response_ended:
             return
         self.response_ended = True
@@ -216,9 +216,12 @@
             self._start_timer(self.site.limits().idle_s)
 
     def abort(self) -> None:
-        """Reset the connection in the middle of a response."""
-        self._closing = True
-        self.transport.abortConnection()
+        """End the connection in the middle of a response.
+
+        The last chunk is missing, so the response is incomplete. What was
+        written before is sent; a reset would drop it.
+        """
+        self._linger()
 
     def close_idle(self) -> None:
         """Close a channel that has no request in progress."""
