End the caller stand-in with an error if it raises

A caller that raised printed the traceback and ended with 0, so that the tests that wait for its exit status took its load for sent.

--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -6,6 +6,7 @@
 import msgspec
 from twisted.internet import defer
 from twisted.internet import reactor
+from twisted.python import failure
 from twisted.web import server
 
 from standins import caller
@@ -100,7 +101,9 @@
     with ledger.Ledger(
         settings.ledger_folder, settings.source
     ) as event_ledger:
-        _run_caller(caller.Caller(settings, event_ledger))
+        succeeded = _run_caller(caller.Caller(settings, event_ledger))
+    if not succeeded:
+        sys.exit(1)
 
 
 _STARTERS_BY_KIND = {
@@ -116,14 +119,20 @@
 }
 
 
-def _run_caller(request_sender: caller.Caller) -> None:
+def _run_caller(request_sender: caller.Caller) -> bool:
+    """Send all requests; return whether no error ended the caller."""
+    failures: list[failure.Failure] = []
+
     def start() -> None:
         result = defer.Deferred.fromCoroutine(request_sender.run())
-        result.addErrback(lambda failure: failure.printTraceback())
+        result.addErrback(failures.append)
         result.addBoth(lambda _: reactor.stop())
 
     reactor.callWhenRunning(start)
     reactor.run()
+    for problem in failures:
+        problem.printTraceback()
+    return not failures
 
 
 def _serve(ip: str, port: int, standin) -> None:
