Keep the part of a body that a cut response delivered, in the stand-in

The caller of the platform's stand-in returned an empty body for every incomplete response, which hid whether events of a cut stream arrive. The new test failed before.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -262,7 +262,10 @@
             try:
                 data = response.read()
                 complete = True
-            except (http.client.IncompleteRead, ConnectionError):
+            except http.client.IncompleteRead as error:
+                data = error.partial
+                complete = False
+            except ConnectionError:
                 data = b''
                 complete = False
         return Answer(
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -361,3 +361,20 @@
     )
     assert completed.returncode == 0
     assert 'cause: failed: a target may have run it' in completed.stdout
+
+
+def test_events_of_a_stream_that_is_cut_reach_the_caller(tmp_path):
+    """Guards against a test caller that drops what it received.
+
+    The only engine breaks off after three events.
+    """
+    with platform_fleet.PlatformFleet(tmp_path) as fleet:
+        fleet.control_platform(
+            states={'llm-2': 'draining'}, modes={'llm-1': 'reset_midway'}
+        )
+        fleet.wait_for_event('target_draining', target='llm-2')
+        answer = fleet.call('write', 'id-1')
+        assert not answer.complete
+        assert answer.body.startswith(b'id: 1\n')
+        assert b'id: 3\n' in answer.body
+        assert b'id: 4\n' not in answer.body
