Keep reading the log when a follower raises

What callers see: a host that answers by an old catalogue or by old claims, while it reports the log as available.

Cause: an exception of one follower ended the coroutine that reads all streams; only the errback saw it, as trap() raises for other errors than a cancellation.

--- a/walnutport/service/records/log_reader.py
+++ b/walnutport/service/records/log_reader.py
@@ -1,5 +1,6 @@
 """Follows streams of the log service by long polling."""
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 import logging
 
@@ -79,13 +80,33 @@
             self.failures += 1
             return False
         now = self._clock.monotonic()
+        if not self._apply(result.ok, now):
+            self.available = False
+            self.failures += 1
+            return False
         if not self.available:
             LOG.info('%s log service is available', PREFIX)
         self.available = True
         self.last_success = now
-        for stream, page in result.ok.items():
+        return True
+
+    def _apply(
+        self, page_by_stream: Mapping[str, interfaces.StreamPage], now: float
+    ) -> bool:
+        """Pass on the pages; return whether every follower applied its own.
+
+        A follower that raises has not followed its stream. It gets the page
+        again after a pause, and the others go on.
+        """
+        succeeded = True
+        for stream, page in page_by_stream.items():
             follower = self._followers_by_stream.get(stream)
             # A response may name a stream that was not requested.
-            if follower is not None:
+            if follower is None:
+                continue
+            try:
                 follower.apply(page, now)
-        return True
+            except Exception:
+                LOG.exception('%s stream %s was not applied', PREFIX, stream)
+                succeeded = False
+        return succeeded
