--- a/tests/integration/test_fleet_soak.py
+++ b/tests/integration/test_fleet_soak.py
@@ -6,8 +6,10 @@
 
 # With one of these bugs injected, the named seed detects it: a false refusal
 # after a run (11), a second run of a request that must not be repeated (11), a
-# stream that continues after half an event (13).
-SEEDS = (11, 13)
+# stream that continues after half an event (13). Seed 213 has failed: a stream
+# that broke off right after its first events was reset, and its caller got
+# none of them.
+SEEDS = (11, 13, 213)
 
 
 @pytest.mark.parametrize('seed', SEEDS)
