Add failing tests of a started host whose peers the store lacks

Callers with a key that was taken away get 200 from a host that starts after the store has returned from a copy older than the records of all hosts. The list of hosts is empty, so there is nothing to compare the first desired state with.

--- a/tests/gateway/test_first_desired_state.py
+++ b/tests/gateway/test_first_desired_state.py
@@ -55,6 +55,27 @@
     assert fixture.follower.desired_version == 4
 
 
+def test_started_host_waits_for_peers_that_the_store_lacks(monkeypatch):
+    """Guards against an older state in force, as the peers are not listed.
+
+    The store has returned from a copy that is older than the records of all
+    hosts; these publish them again.
+    """
+    fixture = test_store_era.Fixture(monkeypatch)
+    fixture.write_desired(4)
+    fixture.store.take_copy()
+    fixture.store.return_older()
+    fixture.follower.start()
+    fixture.advance(1.0)
+    assert fixture.follower.desired is None
+    fixture.mesh.peer_by_name = {'peer': FakePeer(5)}
+    fixture.follower.handle_message(
+        'peer', test_feed_follower.desired_state_update(5)
+    )
+    fixture.advance(0.125)
+    assert fixture.follower.desired_version == 5
+
+
 def test_started_host_does_not_wait_for_long(monkeypatch):
     """Guards against a host that never serves, as a peer sends no update."""
     fixture = test_store_era.Fixture(monkeypatch)
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -1,5 +1,6 @@
 """Entry host processes on the platform stand-in."""
 
+import contextlib
 import signal
 import socket
 import subprocess
@@ -264,6 +265,42 @@
         assert fleet.call('pay', 'id-last', host=1).status == 401
 
 
+def test_host_that_finds_no_peer_in_an_older_store_takes_nothing_back(
+    tmp_path,
+):
+    """Guards against an older state in force, as the peers are not listed.
+
+    The store returns from a copy that is older than the records of all hosts,
+    and one of them starts again before the others have published theirs.
+    """
+    south = [{'name': 'south', 'apiKeys': ['key-south']}]
+    with platform_fleet.PlatformFleet(tmp_path, hosts=0) as fleet:
+        fleet.control_platform(
+            desired=platform_fleet.desired_state(version=5, tenants=south)
+        )
+        fleet.control_platform(copy=True)
+        for _ in range(3):
+            fleet.add_host()
+        fleet.control_platform(
+            desired=platform_fleet.desired_state(version=9)
+        )
+        for host in range(3):
+            fleet.wait_for_event('desired_applied', host, version=9)
+        fleet.hosts[0].signal(signal.SIGKILL)
+        fleet.control_platform(return_older=REWRITE_AFTER_S)
+        deadline = time.monotonic() + REWRITE_AFTER_S
+        fleet.restart(0)
+        statuses_by_key = {'key-south': set(), 'key-north': set()}
+        while time.monotonic() < deadline:
+            for key, statuses in statuses_by_key.items():
+                with contextlib.suppress(ConnectionRefusedError):
+                    statuses.add(fleet.call('pay', 'id', key=key).status)
+            time.sleep(0.05)
+        assert statuses_by_key['key-south'] <= {401, 503}
+        assert statuses_by_key['key-north'] <= {200, 503}
+        assert 200 in statuses_by_key['key-north']
+
+
 def test_hosts_share_calls_and_survive_a_lost_owner(tmp_path):
     """Guards against stages that stop when the owner of a cell is killed."""
     with platform_fleet.PlatformFleet(tmp_path, hosts=2) as fleet:
