Wait for evidence before a started host trusts the store's desired state

Callers saw: 200 for a key that was taken away (or 401 for a new one) from a host that started after the store had returned from an older copy, for up to 1.4 s.

Cause: the host compares the first desired state with those of its peers, which it finds in the store. A copy older than the records of the peers lists none, and that no peer was listed was taken for a proof that there is none. The peers published again within 2 s, and nobody read the list again. The class is a first observation that is taken for the present state.

Fix: records of hosts name the era in which they were published. Hosts publish again within 0.5 s instead of 2 s. Where the store counts no eras, and on the first start of an installation, nothing changes.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -192,7 +192,7 @@
         if self._proxy_control_port:
             self._start_proxy()
         for _ in range(self._initial_hosts):
-            self.add_host()
+            self.add_host(is_first_start=True)
         return self
 
     def __exit__(self, *exc_info) -> bool | None:
@@ -203,8 +203,12 @@
                     assert not events.schema_violations(line), line
         return result
 
-    def add_host(self) -> None:
-        """Start another entry host and wait until it is ready."""
+    def add_host(self, is_first_start: bool = False) -> None:
+        """Start another entry host and wait until it is ready.
+
+        :param is_first_start: whether its settings say that the installation
+            starts for the first time.
+        """
         number = len(self.hosts)
         self.caller_ports.append(processes.free_port(LOOPBACK_IP))
         self.ready_ports.append(processes.free_port(LOOPBACK_IP))
@@ -218,6 +222,7 @@
             f'platform.address={LOOPBACK_IP}:'
             f'{self.proxy_port_by_name.get("store", self.store_port)}\n'
             'heartbeatMs=1200\nnewField=1\n'
+            f'bootstrap={"true" if is_first_start else "false"}\n'
         )
         process = processes.ManagedProcess(
             ['walnutport', 'entry'],
--- a/tests/gateway/test_feed_follower.py
+++ b/tests/gateway/test_feed_follower.py
@@ -92,6 +92,7 @@
 
     reachable = True
     heartbeat = heartbeat(0)
+    record = fleet_messages.HostRecord('peer', 'i', '10.0.0.2', 1, 'a', 1.0)
 
 
 def test_applied_desired_state_is_not_broadcast():
--- a/tests/gateway/test_store_era.py
+++ b/tests/gateway/test_store_era.py
@@ -172,7 +172,9 @@
         self.new_eras = 0
         self.follower = self.make_follower(self.mesh)
 
-    def make_follower(self, mesh) -> feed_follower.FeedFollower:
+    def make_follower(
+        self, mesh, is_first_start: bool = True
+    ) -> feed_follower.FeedFollower:
         """Return another follower of the store, which is not started."""
         return feed_follower.FeedFollower(
             self.clock,
@@ -184,6 +186,7 @@
             lambda: None,
             mesh,
             self._new_era,
+            is_first_start,
         )
 
     def _new_era(self) -> None:
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -281,12 +281,10 @@
         fleet.control_platform(copy=True)
         for _ in range(3):
             fleet.add_host()
-        fleet.control_platform(
-            desired=platform_fleet.desired_state(version=9)
-        )
+        fleet.control_platform(desired=platform_fleet.desired_state(version=9))
         for host in range(3):
             fleet.wait_for_event('desired_applied', host, version=9)
-        fleet.hosts[0].signal(signal.SIGKILL)
+        fleet.hosts[0].kill()
         fleet.control_platform(return_older=REWRITE_AFTER_S)
         deadline = time.monotonic() + REWRITE_AFTER_S
         fleet.restart(0)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -20,6 +20,7 @@
 limits.cpuShare=0.5
 limits.cores=2
 somethingNew=yes
+bootstrap=false
 """
 
 
@@ -30,6 +31,11 @@
     assert found.data_centres == ('a', 'b')
     assert found.bounds.drain_s == 2.5
     assert found.cpu_share == 1.0
+    assert not found.is_first_start
+    first = settings.parse_settings(
+        TEXT.replace('bootstrap=false', 'bootstrap=true'), 'boot.conf'
+    )
+    assert first.is_first_start
 
 
 @pytest.mark.parametrize(
@@ -38,6 +44,7 @@
         ('ip=', 'boot.conf: ip is missing'),
         ('listen.front=10.1.0.41', 'boot.conf:6: listen.front'),
         ('portRange=7740', 'boot.conf:8: portRange'),
+        ('bootstrap=maybe', 'boot.conf:15: bootstrap: neither "true" nor'),
         ('limits.cores=two', 'boot.conf:13: limits.cores: not a number'),
         ('nodeName', 'boot.conf:1: no "="'),
     ],
--- a/walnutport/config/entry_settings.py
+++ b/walnutport/config/entry_settings.py
@@ -36,6 +36,8 @@
     :param cpu_share: processor cores that the host may use.
     :param link_mbps: bandwidth of the host's link.
     :param heartbeat_s: interval at which targets renew their registration.
+    :param is_first_start: whether the whole installation starts for the first
+        time.
     """
 
     name: str
@@ -51,3 +53,4 @@
     link_mbps: float
     heartbeat_s: float
     bounds: EntryBounds
+    is_first_start: bool = False
--- a/walnutport/gateway/events.py
+++ b/walnutport/gateway/events.py
@@ -31,7 +31,7 @@
     Event(
         'started',
         'the host started and listens for connections',
-        ('incarnation', 'data_centre', 'peer_port'),
+        ('incarnation', 'data_centre', 'peer_port', 'first_start'),
     ),
     Event(
         'stopping',
@@ -75,11 +75,17 @@
         'a desired state is older than the one in force, which stays',
         ('version', 'in_force', 'offset', 'source'),
     ),
+    Event(
+        'desired_confirmed',
+        'a started host applies the desired state of the store, as no peer '
+        'has a newer one',
+        ('version', 'era', 'waited_s', 'peers', 'ahead'),
+    ),
     Event(
         'desired_unconfirmed',
         'a started host applies the desired state of the store although peers '
         'did not answer in time, or are ahead',
-        ('version', 'ahead'),
+        ('version', 'era', 'waited_s', 'peers', 'ahead'),
     ),
     Event(
         'desired_expired',
--- a/walnutport/gateway/feed_follower.py
+++ b/walnutport/gateway/feed_follower.py
@@ -13,6 +13,7 @@
 from walnutport import exceptions
 from walnutport.gateway import desired_reader
 from walnutport.gateway import peers
+from walnutport.membership import first_state
 from walnutport.membership import ranking
 from walnutport.membership import registry
 from walnutport.membership import store_outages
@@ -35,10 +36,8 @@
 # state with many routes would saturate the links of small hosts.
 REQUEST_UPDATE_AFTER_S = 0.35
 REQUEST_UPDATE_INTERVAL_S = 0.6
-# A started host compares the first desired state that it reads with those of
-# its peers, for at most this long: dials end after 0.3 s, and a large desired
-# state takes half a second on the slowest links.
-FIRST_COMPARISON_LIMIT_S = 1.2
+# Interval at which a started host compares the first desired state that it
+# reads with those of its peers.
 FIRST_COMPARISON_INTERVAL_S = 0.02
 EXPIRED_RETRY_DELAY_S = 0.25
 
@@ -54,6 +53,8 @@
         targets.
     :param mesh: links to the other hosts.
     :param on_new_era: called when the store has returned from an older copy.
+    :param is_first_start: whether the whole installation starts for the first
+        time.
     :ivar desired_at: when the desired state was applied.
     """
 
@@ -68,6 +69,7 @@
         on_change: Callable[[], None],
         mesh: peers.PeerMesh,
         on_new_era: Callable[[], None],
+        is_first_start: bool = False,
     ) -> None:
         self._reactor = reactor
         self._log = log
@@ -76,6 +78,7 @@
         self._decode_desired = decode_desired
         self._on_change = on_change
         self._on_new_era = on_new_era
+        self._is_first_start = is_first_start
         # Era of the store as this host knows it, also from its peers.
         self.era = 0
         self.era_changes = 0
@@ -238,26 +241,50 @@
                 self._apply_desired(record, 'store')
 
     async def _compare_first(self, record: feeds.FeedRecord) -> None:
-        """Wait until no peer is known to have a newer desired state.
+        """Wait until the state is confirmed, or a peer has sent a newer one.
 
-        The store may have returned from an older copy, or answer with old
-        data, and this host does not know what was in force before it started.
+        ``first_state`` decides how long.
         """
         version = self._version_of(record)
-        give_up_at = time.monotonic() + FIRST_COMPARISON_LIMIT_S
+        started_at = time.monotonic()
         while self.desired is None and not self._stopped:
-            ahead = [
-                name
+            version_by_peer = {
+                name: peer.heartbeat.desired_version
                 for name, peer in self._mesh.peer_by_name.items()
                 if peer.heartbeat is not None
-                and peer.heartbeat.desired_version > version
-            ]
-            if not ahead and not self._mesh.awaits_peers:
-                return
+            }
+            known_peers = first_state.Peers(
+                tuple(version_by_peer.values()),
+                tuple(
+                    peer.record.era
+                    for peer in self._mesh.peer_by_name.values()
+                ),
+                self._mesh.awaits_peers,
+            )
             now = time.monotonic()
-            if now >= give_up_at:
+            waited_s = now - started_at
+            verdict = first_state.judge(
+                version,
+                self.era,
+                self._is_first_start,
+                known_peers,
+                waited_s,
+            )
+            ahead = [
+                name
+                for name, known in version_by_peer.items()
+                if known > version
+            ]
+            if verdict is not first_state.Verdict.WAIT:
                 self._log.notable(
-                    'desired_unconfirmed', version=version, ahead=ahead
+                    'desired_confirmed'
+                    if verdict is first_state.Verdict.CONFIRMED
+                    else 'desired_unconfirmed',
+                    version=version,
+                    era=self.era,
+                    waited_s=round(waited_s, 3),
+                    peers=len(version_by_peer),
+                    ahead=ahead,
                 )
                 return
             if ahead and now >= self._next_request_at:
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -123,6 +123,7 @@
             self._state_changed,
             self._mesh,
             lambda: self._directory.publish_again(),
+            settings.is_first_start,
         )
         self._backpressure = backpressure.TargetBackpressure(
             settings.name, self._mesh.live_names
@@ -245,6 +246,7 @@
             incarnation=self._incarnation,
             data_centre=settings.data_centre,
             peer_port=port,
+            first_start=settings.is_first_start,
         )
 
     def reload(self) -> None:
--- a/walnutport/gateway/host_directory.py
+++ b/walnutport/gateway/host_directory.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import random
 
+import msgspec
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -16,8 +17,9 @@
 # Limits the calls to the store when many hosts start while it is unavailable.
 RETRY_DELAY_S = 1.0
 # Hosts publish again within this time after the store has returned from an
-# older copy, so that their calls stay within its rates.
-PUBLISH_AGAIN_WITHIN_S = 2.0
+# older copy, so that their calls stay within its rates. Until then, a host
+# that starts cannot find them.
+PUBLISH_AGAIN_WITHIN_S = 0.5
 
 
 class HostDirectory:
@@ -50,7 +52,7 @@
         """Publish this host, then read the records of the others.
 
         In this order, at least one of two hosts that start at the same time
-        sees the other.
+        sees the other. A read before shows the era of the store.
         """
         self._start(0.0)
 
@@ -69,7 +71,6 @@
             defer.Deferred.fromCoroutine(self._synchronize(delay_s))
 
     async def _synchronize(self, delay_s: float) -> None:
-        own = self._mesh.own_record
         has_read = False
         while not self._is_stopping():
             if delay_s:
@@ -80,7 +81,7 @@
                     # Cleared first: a new era during the call needs another.
                     self._must_publish = False
                     has_read = False
-                    await self._publish(own)
+                    await self._publish()
                 if not has_read:
                     self._add_hosts(
                         await self._store.read_newest(feeds.Feed.HOSTS)
@@ -94,8 +95,14 @@
                 self._log.notable('hosts_unknown', problem=str(problem))
         self._is_running = False
 
-    async def _publish(self, own: fleet_messages.HostRecord) -> None:
+    async def _publish(self) -> None:
         try:
+            if not self._store.era:
+                await self._store.read_newest(feeds.Feed.HOSTS)
+            own = msgspec.structs.replace(
+                self._mesh.own_record, era=self._store.era
+            )
+            self._mesh.own_record = own
             await self._store.publish(
                 feeds.Feed.HOSTS, own.name, fleet_messages.encode_host(own)
             )
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -32,6 +32,8 @@
     """Address at which a host accepts messages of other hosts.
 
     :param work_share: capacity of the host for work of the fleet, as a weight.
+    :param era: era of the store in which the host has published the record;
+        0 if the store counts none.
     """
 
     name: str
@@ -40,6 +42,7 @@
     port: int
     data_centre: str
     work_share: float
+    era: int = 0
 
 
 class Hello(msgspec.Struct, frozen=True, tag='hello'):
--- a/walnutport/platform/settings.py
+++ b/walnutport/platform/settings.py
@@ -75,6 +75,7 @@
         link_mbps=lines.number('limits.linkMbps', 1000.0),
         heartbeat_s=lines.number('heartbeatMs', 1200.0) / 1000,
         bounds=bounds,
+        is_first_start=lines.flag('bootstrap'),
     )
 
 
@@ -112,6 +113,12 @@
         except ValueError:
             raise self._error(key, 'not a number') from None
 
+    def flag(self, key: str) -> bool:
+        value = self.value_by_key.get(key, '')
+        if value not in ('', 'false', 'true'):
+            raise self._error(key, 'neither "true" nor "false"')
+        return value == 'true'
+
     def address(self, key: str) -> tuple[str, int]:
         host, separator, port = self.text(key).rpartition(':')
         if not separator or not host or not port.isdigit():
