Log the software version of targets and the continuation of streams

The logs could not tell whether a stream that held events of two versions was continued by its host or by its caller: placed names the version of the target now, and stream_continued the attempt that began the stream. Nothing decides by these values yet.

--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -123,3 +123,19 @@
     route = found.route_for('h.example', '/a/b/c')
     assert route.kind is routes.RequestKind.AT_MOST_ONCE
     assert not route.repeatable
+
+
+@pytest.mark.parametrize(
+    'fields, expected',
+    [
+        ({}, ''),
+        ({'version': 'v1.1'}, 'v1.1'),
+        ({'version': 2}, 'invalid/i-1/1700000000000'),
+        ({'version': None}, 'invalid/i-1/1700000000000'),
+    ],
+)
+def test_software_version_of_a_target_is_decoded(fields, expected):
+    """Guards against targets that seem to run the same software."""
+    data = json.dumps({**ENTRY, **fields}).encode()
+    target = documents.decode_target('i-1', data)
+    assert target.software_version == expected
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -174,3 +174,21 @@
     found = headers.decode_response_headers(head)
     assert found.retry_after_s == expected
     assert len(found.problems) == problems
+
+
+def test_continuation_of_a_stream_is_decoded():
+    """Guards against a stream that goes on anywhere."""
+    fields = headers.decode_request_headers(
+        [
+            (b'walnutport-request-attempt-id', b'second'),
+            (b'last-event-id', b'7'),
+            (b'resumes', b'first'),
+        ]
+    )
+    assert fields.continues_stream
+    assert (fields.begun_by, fields.last_event_id) == ('first', 7)
+    new = headers.decode_request_headers(
+        [(b'walnutport-request-attempt-id', b'third')]
+    )
+    assert not new.continues_stream
+    assert new.begun_by == ''
--- a/walnutport/gateway/events.py
+++ b/walnutport/gateway/events.py
@@ -261,7 +261,12 @@
     Event(
         'placed',
         'an attempt at a target starts',
-        ('id', 'target', 'attempt', 'left_s', 'load'),
+        ('id', 'target', 'version', 'attempt', 'left_s', 'load'),
+    ),
+    Event(
+        'stream_continued',
+        'the caller goes on with a stream that an earlier attempt began',
+        ('id', 'begun_by', 'after'),
     ),
     Event(
         'attempt_failed',
--- a/walnutport/gateway/request_handler.py
+++ b/walnutport/gateway/request_handler.py
@@ -88,6 +88,13 @@
             self._responder.refuse(call, 'deadline')
             return
         self._forwarder.record_request(call)
+        if call.fields.continues_stream:
+            self._log.notable(
+                'stream_continued',
+                id=call.request_id,
+                begun_by=call.fields.begun_by,
+                after=call.fields.last_event_id,
+            )
         if call.route.stages:
             await self._serve_staged(call)
         elif call.route.kind is routes.RequestKind.STREAM:
--- a/walnutport/platform/documents.py
+++ b/walnutport/platform/documents.py
@@ -105,6 +105,8 @@
     born: Any = 0
     # Count of the entries that this run of the target has written.
     sequence: int = 0
+    # Version of its software, not of the weights of its models.
+    version: Any = ''
 
 
 _CONFIG_DECODER = msgspec.json.Decoder(_Config)
@@ -185,9 +187,21 @@
         draining=_DRAINING_BY_STATE[entry.state],
         warmup_s=entry.cold_ms / 1000,
         sequence=entry.sequence,
+        software_version=_decode_version(key, entry),
     )
 
 
+def _decode_version(key: str, entry: _Target) -> str:
+    """Return the software version of a target.
+
+    A version that is no text may stand for anything, so that it is that of
+    this run of the target alone.
+    """
+    if isinstance(entry.version, str):
+        return entry.version
+    return f'invalid/{key}/{entry.born}'
+
+
 def _build_route(route: _Route) -> routes.Route:
     weights = {part.service: part.weight for part in route.split}
     event_patience_ms = max(
--- a/walnutport/platform/headers.py
+++ b/walnutport/platform/headers.py
@@ -48,6 +48,7 @@
     wire.PIECES,
     wire.PIECE_KEY,
     wire.LAST_EVENT_ID,
+    wire.RESUMES,
 )
 
 
@@ -75,6 +76,8 @@
         piece_key=_decode_text(value_by_name, wire.PIECE_KEY),
         prompt=_parse_prompt(value_by_name),
         last_event_id=_parse_whole_number(value_by_name, wire.LAST_EVENT_ID),
+        continues_stream=wire.LAST_EVENT_ID in value_by_name,
+        begun_by=_decode_text(value_by_name, wire.RESUMES),
     )
 
 
--- a/walnutport/platform/wire.py
+++ b/walnutport/platform/wire.py
@@ -9,6 +9,9 @@
 TOKEN_COUNTS = b'walnutport-token-counts'
 PROMPT_PREFIX = b'walnutport-prompt-prefix'
 LAST_EVENT_ID = b'last-event-id'
+# Id of the caller's attempt that brought the first event of a stream which the
+# request goes on with.
+RESUMES = b'resumes'
 
 # Request headers for targets that only the system may set.
 TENANT = b'walnutport-tenant'
--- a/walnutport/world/registrations.py
+++ b/walnutport/world/registrations.py
@@ -19,6 +19,9 @@
     :param warmup_s: seconds after its start during which it is slow.
     :param sequence: count of the entries that this run has written, so that
         of two entries the later one is known.
+    :param software_version: version of the software of this run, which has no
+        order; what two versions write does not fit together. Empty if the
+        target does not publish it.
     """
 
     target_id: str
@@ -30,6 +33,7 @@
     draining: bool
     warmup_s: float
     sequence: int = 0
+    software_version: str = ''
 
     @property
     def incarnation_key(self) -> tuple[str, int, tuple[str, int]]:
--- a/walnutport/world/requests.py
+++ b/walnutport/world/requests.py
@@ -28,6 +28,12 @@
     :param api_key: API key of the caller's team; empty if missing.
     :param piece_counts: pieces of each stage; None if the header is missing.
     :param piece_key: key of the input that the first stages process.
+    :param last_event_id: id of the last event that the caller has; None if it
+        is missing or no number.
+    :param continues_stream: whether the caller has events of an earlier
+        attempt and asks for those after them.
+    :param begun_by: id of the attempt that brought the first event of that
+        stream; empty if the caller does not say.
     """
 
     request_id: str
@@ -37,6 +43,8 @@
     piece_key: str
     prompt: PromptShape | None
     last_event_id: int | None
+    continues_stream: bool = False
+    begun_by: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
