Add failing tests of streams that go on at another version

Callers get events of two software versions in one stream: after they take it up at another host, after that host was killed, and within one response.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -99,8 +99,14 @@
     }
 
 
-def target_plans() -> tuple[platform_server.TargetPlan, ...]:
-    """Return the plans of two targets for each service."""
+def target_plans(
+    engine_versions: tuple[str, ...] = ('v1', 'v1'),
+) -> tuple[platform_server.TargetPlan, ...]:
+    """Return the plans of two targets for each service but the engines.
+
+    :param engine_versions: software version of each engine.
+    """
+    versions_by_service = {'llm': engine_versions}
     kind_by_service = {
         'plain': 'plain',
         'llm': 'engine',
@@ -113,9 +119,12 @@
             service,
             kind,
             processes.free_port(LOOPBACK_IP),
+            version=version,
         )
         for service, kind in kind_by_service.items()
-        for number in (1, 2)
+        for number, version in enumerate(
+            versions_by_service.get(service, ('v1', 'v1')), 1
+        )
     )
 
 
@@ -141,6 +150,7 @@
     :param hosts: entry hosts to start.
     :param proxied: whether hosts reach the store and the targets through the
         fault proxy.
+    :param engine_versions: software version of each engine.
     :param platform_settings: further settings of the stand-in.
     """
 
@@ -149,12 +159,13 @@
         folder: pathlib.Path,
         hosts: int = 1,
         proxied: bool = False,
+        engine_versions: tuple[str, ...] = ('v1', 'v1'),
         **platform_settings,
     ) -> None:
         super().__init__()
         self.folder = folder
         self.store_port = processes.free_port(LOOPBACK_IP)
-        self.plans = target_plans()
+        self.plans = target_plans(engine_versions)
         # Listening port of the proxy by target id, or ``store``.
         self.proxy_port_by_name: dict[str, int] = {}
         self._proxy_control_port = (
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -41,6 +41,7 @@
     :param kind: ``plain``, ``engine`` or ``stage``.
     :param announced_port: port in the record of the target, such as that of a
         proxy; 0 for the port that the target listens on.
+    :param version: version of its software, in the record of the target.
     """
 
     target_id: str
@@ -50,6 +51,7 @@
     data_centre: str = 'a'
     slots: int = 4
     announced_port: int = 0
+    version: str = 'v1'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,7 +126,7 @@
                 f'{self.settings.ip}:{plan.announced_port or plan.port}'
             ),
             'zone': plan.data_centre,
-            'version': 'v1',
+            'version': plan.version,
             'slots': plan.slots,
             'state': state,
             'coldMs': 0,
--- /dev/null
+++ b/tests/integration/test_stream_versions.py
@@ -0,0 +1,164 @@
+"""Streams go on only at the software version that began them."""
+
+import contextlib
+import socket
+import time
+
+import pytest
+
+from standins import platform_fleet
+
+# Streams that callers take up again in one test.
+STREAMS = 12
+EVENTS = 30
+VERSIONS = ('v1', 'v2', 'v1', 'v2')
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    """Start three hosts beside engines of two versions."""
+    with versioned_fleet(tmp_path) as running:
+        yield running
+
+
+def versioned_fleet(
+    folder, hosts: int = 3, versions: tuple[str, ...] = VERSIONS
+) -> platform_fleet.PlatformFleet:
+    """Return a fleet with long streams, which is not started."""
+    return platform_fleet.PlatformFleet(
+        folder, hosts, engine_versions=versions, events=EVENTS
+    )
+
+
+def begin_stream(
+    fleet: platform_fleet.PlatformFleet,
+    request_id: str,
+    host: int = 0,
+    route: str = 'write',
+    extra: bytes = b'',
+) -> socket.socket:
+    """Return a connection on which two events of a stream have arrived."""
+    connection = socket.create_connection(
+        (platform_fleet.LOOPBACK_IP, fleet.caller_ports[host])
+    )
+    connection.settimeout(platform_fleet.TIMEOUT_S)
+    connection.sendall(
+        b'POST /%s/x HTTP/1.1\r\nHost: calls.example\r\n'
+        b'Walnutport-Request-Attempt-Id: %s\r\n%s'
+        b'Walnutport-Credential: key-north\r\nContent-Length: 0\r\n\r\n'
+        % (route.encode(), request_id.encode(), extra)
+    )
+    data = b''
+    while b'id: 2\n' not in data:
+        received = connection.recv(4096)
+        assert received, data
+        data += received
+    return connection
+
+
+def continue_stream(
+    fleet: platform_fleet.PlatformFleet,
+    begun_by: str,
+    host: int = 1,
+    route: str = 'write',
+    **headers: str,
+) -> platform_fleet.Answer:
+    """Take a stream up after its second event, as request ``again-ID``."""
+    return fleet.call(
+        route,
+        f'again-{begun_by}',
+        host,
+        Last_Event_Id='2',
+        Resumes=begun_by,
+        **headers,
+    )
+
+
+def versions_of_request(
+    fleet: platform_fleet.PlatformFleet, request_id: str
+) -> list[str]:
+    """Return the versions of the engines that have run a request."""
+    version_by_id = {plan.target_id: plan.version for plan in fleet.plans}
+    return [
+        version_by_id[run['target_id']]
+        for run in fleet.runs_of_request(request_id)
+        if run['stage'] < 0
+    ]
+
+
+def begin_streams(
+    fleet: platform_fleet.PlatformFleet, connections: contextlib.ExitStack
+) -> dict[str, str]:
+    """Begin streams at the first host and return their versions.
+
+    The last stream comes first, as the engines are chosen in turn and a choice
+    without knowledge would match by chance.
+
+    :param connections: closes the connections when it ends.
+    """
+    version_by_id = {}
+    for number in range(STREAMS):
+        request_id = f'begun-{number}'
+        connections.enter_context(begin_stream(fleet, request_id))
+        (version_by_id[request_id],) = versions_of_request(fleet, request_id)
+    assert set(version_by_id.values()) == {'v1', 'v2'}
+    return dict(reversed(version_by_id.items()))
+
+
+def test_caller_continues_a_stream_at_the_version_that_began_it(fleet):
+    """Guards against events of two versions over the tries of a caller."""
+    with contextlib.ExitStack() as connections:
+        version_by_id = begin_streams(fleet, connections)
+    for request_id, version in version_by_id.items():
+        answer = continue_stream(fleet, request_id)
+        assert answer.status == 200
+        assert versions_of_request(fleet, f'again-{request_id}') == [version]
+
+
+def test_streams_of_a_killed_host_go_on_at_their_version(fleet):
+    """Guards against knowledge that is lost with the host that began them."""
+    with contextlib.ExitStack() as connections:
+        version_by_id = begin_streams(fleet, connections)
+        time.sleep(0.2)
+        fleet.hosts[0].kill()
+        continued = 0
+        for request_id, version in version_by_id.items():
+            answer = continue_stream(fleet, request_id)
+            versions = versions_of_request(fleet, f'again-{request_id}')
+            assert set(versions) <= {version}
+            continued += answer.status == 200
+    assert continued > STREAMS / 2
+
+
+def test_broken_stream_resumes_at_its_version(tmp_path):
+    """Guards against events of two versions in one response."""
+    with versioned_fleet(tmp_path, 1, ('v1', 'v2', 'v1')) as fleet:
+        fleet.control_platform(
+            modes={'llm-1': 'reset_midway', 'llm-2': 'reset_midway'},
+            states={'llm-3': 'gone'},
+        )
+        fleet.wait_for_event('target_gone', target='llm-3')
+        with begin_stream(fleet, 'id-1') as connection:
+            assert versions_of_request(fleet, 'id-1') == ['v1']
+            fleet.control_platform(states={'llm-3': 'ready'})
+            while connection.recv(4096):
+                pass
+        assert versions_of_request(fleet, 'id-1') == ['v1', 'v1']
+
+
+def test_stream_of_a_version_that_is_gone_is_refused(fleet):
+    """Guards against another version where none of the first one is left."""
+    with contextlib.ExitStack() as connections:
+        version_by_id = begin_streams(fleet, connections)
+    fleet.control_platform(states={'llm-1': 'gone', 'llm-3': 'gone'})
+    for host in range(3):
+        for target in ('llm-1', 'llm-3'):
+            fleet.wait_for_event('target_gone', host, target=target)
+    for request_id, version in version_by_id.items():
+        answer = continue_stream(fleet, request_id)
+        versions = versions_of_request(fleet, f'again-{request_id}')
+        if version == 'v2':
+            assert (answer.status, versions) == (200, ['v2'])
+        else:
+            assert (answer.status, versions) == (503, [])
+            assert float(answer.headers['retry-after']) > 0
