Let streams go on only at the software version that began them

Cause: no host read the version of a target or the header that names where a stream began, and nothing remembered it beyond the request. Any engine of the service could go on. The class is state of a session that its continuation needs, kept by nobody.

Ruled out: targets that change their version under one id (each start has a new id). Staged streams do not resume within one response, as their inputs are freed at the first event; their callers take them up at other hosts.

Fix: the version that sent the first event binds every later attempt. While the origin of a route's streams is ambiguous (a second version, a split route, a service that the route has left, within the longest timeout), hosts tell their peers where each stream began: all of them in a full mesh, two hosts by the id in two data centres in a partial one. A host that does not know asks. Beside one version nothing is sent. An unknown origin, or one without targets, is refused at once with 503 instead of guessed; a host that is cut off trusts no sole version, and one that has just started asks or needs targets that have lived for longer than a stream. The owner of a cell recommends engines of the version only.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -63,6 +63,7 @@
     :param events: events of a complete stream.
     :param event_ms: time between two events of a stream.
     :param call_ms: duration of a call to a stage target.
+    :param unregistered: ids of targets without a record at the start.
     """
 
     port: int
@@ -73,6 +74,7 @@
     events: int = STREAM_EVENTS
     event_ms: float = 20.0
     call_ms: float = 40.0
+    unregistered: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,7 +117,8 @@
         )
         self._append('keyed.op', 'config', settings.desired)
         for plan in settings.targets:
-            self.write_target_record(plan, 'ready')
+            if plan.target_id not in settings.unregistered:
+                self.write_target_record(plan, 'ready')
             _Target(self, plan).listen()
 
     def write_target_record(self, plan: TargetPlan, state: str) -> None:
--- /dev/null
+++ b/tests/gateway/test_origin_exchange.py
@@ -0,0 +1,271 @@
+"""Tests of telling and asking the other hosts where streams began."""
+
+import types
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from tests.gateway import test_feed_follower
+from tests.routing import test_stream_origins
+from walnutport.gateway import origin_exchange
+from walnutport.membership import ranking
+from walnutport.peer import fleet_messages
+
+V1 = test_stream_origins.V1
+V2 = test_stream_origins.V2
+ROUTE = test_stream_origins.route('llm')
+
+
+class FakeMesh:
+    """Mesh whose messages tests deliver.
+
+    :param peers: names of the linked peers.
+    """
+
+    links_with_most = True
+    is_partial = False
+
+    def __init__(self, own_name: str, peers: tuple[str, ...]) -> None:
+        self.own_record = types.SimpleNamespace(name=own_name)
+        self.peer_by_name = dict.fromkeys(peers)
+        self.data_centres: dict[str, str] = {}
+        self.sent: list = []
+
+    def send(self, name, message) -> bool:
+        if name not in self.peer_by_name:
+            return False
+        self.sent.append((name, message))
+        return True
+
+    def data_centre_by_live_host(self) -> dict[str, str]:
+        return self.data_centres
+
+
+class Host:
+    """Exchange of one host with a view that tests change.
+
+    :param versions: versions of the targets that it knows.
+    """
+
+    def __init__(
+        self,
+        clock: task.Clock,
+        name: str = 'own',
+        peers: tuple[str, ...] = ('a', 'b'),
+        versions: tuple[str, ...] = ('v1',),
+        is_first_start: bool = True,
+    ) -> None:
+        self.log = test_feed_follower.FakeLog()
+        self.mesh = FakeMesh(name, peers)
+        self.view_age_s = 0.1
+        self.registry = types.SimpleNamespace(targets={})
+        follower = types.SimpleNamespace(
+            desired=types.SimpleNamespace(routes=(ROUTE,)),
+            is_initialized=True,
+            registry=self.registry,
+            view_age_s=lambda: self.view_age_s,
+        )
+        self.exchange = origin_exchange.OriginExchange(
+            clock,
+            self.log,
+            self.mesh,
+            follower,
+            test_stream_origins.INTERVAL_S,
+            is_first_start,
+        )
+        self.set_versions(*versions)
+
+    def set_versions(self, *versions: str, sequence: int = 0) -> None:
+        """Change the targets that the host knows."""
+        self.registry.targets = {
+            version: test_stream_origins.target(version, sequence=sequence)
+            for version in versions
+        }
+        self.exchange.state_changed()
+
+    def resolve(self, begun_by: str = 'x') -> defer.Deferred:
+        """Return the origin of a stream that a caller takes up."""
+        return defer.Deferred.fromCoroutine(
+            self.exchange.resolve(call('again', begun_by))
+        )
+
+    def sources(self) -> dict[str, int]:
+        """Return how often origins were known, by how."""
+        counts = self.exchange.continued_count_by_source
+        return {source: count for source, count in counts.items() if count}
+
+
+def call(request_id: str, begun_by: str = ''):
+    """Return a call of a stream."""
+    return types.SimpleNamespace(
+        request_id=request_id,
+        route=ROUTE,
+        fields=types.SimpleNamespace(begun_by=begun_by, last_event_id=3),
+    )
+
+
+def make_clock(monkeypatch) -> task.Clock:
+    """Return a clock that the exchanges use."""
+    clock = task.Clock()
+    monkeypatch.setattr(
+        origin_exchange.time, 'monotonic', lambda: clock.seconds()
+    )
+    return clock
+
+
+def begun_message(*ids: str, version: str = 'v1'):
+    """Return the message about streams that began."""
+    return fleet_messages.StreamsBegun('r', 'llm', version, ids)
+
+
+def test_nothing_is_told_beside_one_version(monkeypatch):
+    """Guards against messages for each stream of a quiet fleet."""
+    clock = make_clock(monkeypatch)
+    host = Host(clock)
+    for number in range(100):
+        host.exchange.begun(call(f'x{number}'), V1)
+    clock.advance(1.0)
+    assert host.mesh.sent == []
+
+
+def test_open_streams_are_told_when_a_second_version_appears(monkeypatch):
+    """Guards against streams whose origin dies with their host."""
+    clock = make_clock(monkeypatch)
+    host = Host(clock)
+    host.exchange.begun(call('x'), V1)
+    clock.advance(1.0)
+    host.set_versions('v1', 'v2')
+    host.exchange.begun(call('y'), V2)
+    clock.advance(origin_exchange.FLUSH_DELAY_S)
+    assert host.mesh.sent == [
+        (name, message)
+        for message in (
+            begun_message('x'),
+            begun_message('y', version='v2'),
+        )
+        for name in ('a', 'b')
+    ]
+
+
+def test_peer_that_was_told_needs_no_question(monkeypatch):
+    """Guards against a wait for each stream that is taken up."""
+    clock = make_clock(monkeypatch)
+    host = Host(clock, versions=('v1', 'v2'))
+    host.exchange.handle_message('a', begun_message('x', version='v2'))
+    assert host.resolve().result == V2
+    assert host.mesh.sent == []
+    assert host.sources() == {'own': 1}
+
+
+def test_peers_are_asked_and_the_first_answer_counts(monkeypatch):
+    """Guards against a host that started after the stream began."""
+    clock = make_clock(monkeypatch)
+    host = Host(clock, versions=('v1', 'v2'), is_first_start=False)
+    found = host.resolve()
+    assert not found.called
+    question = fleet_messages.OriginQuery('x', 'r')
+    assert host.mesh.sent == [('a', question), ('b', question)]
+    host.exchange.handle_message('a', fleet_messages.OriginReply('x'))
+    assert not found.called
+    host.exchange.handle_message(
+        'b', fleet_messages.OriginReply('x', True, 'llm', 'v2')
+    )
+    assert found.result == V2
+    assert host.sources() == {'peer': 1}
+    assert clock.getDelayedCalls() != [], 'other peers are told'
+
+
+def test_unknown_origin_is_no_version(monkeypatch):
+    """Guards against a guess, and against a wait for a silent peer."""
+    clock = make_clock(monkeypatch)
+    host = Host(clock, versions=('v1', 'v2'))
+    found = host.resolve()
+    for name in ('a', 'b'):
+        host.exchange.handle_message(name, fleet_messages.OriginReply('x'))
+    assert found.result is None
+    silent = host.resolve()
+    host.exchange.peer_lost('a')
+    assert not silent.called
+    clock.advance(origin_exchange.QUERY_LIMIT_S)
+    assert silent.result is None
+    assert host.resolve('').result is None
+    assert host.sources() == {'unknown': 3}
+
+
+def test_asked_host_answers_by_its_table_or_its_history(monkeypatch):
+    """Guards against refused streams at hosts that have just started."""
+    clock = make_clock(monkeypatch)
+    host = Host(clock)
+    question = fleet_messages.OriginQuery('x', 'r')
+    host.exchange.handle_message('a', question)
+    host.set_versions('v1', 'v2')
+    host.exchange.handle_message('a', question)
+    host.exchange.handle_message('a', begun_message('x', version='v2'))
+    host.exchange.handle_message('a', question)
+    assert [message for _, message in host.mesh.sent] == [
+        fleet_messages.OriginReply('x', True, 'llm', 'v1'),
+        fleet_messages.OriginReply('x'),
+        fleet_messages.OriginReply('x', True, 'llm', 'v2'),
+    ]
+
+
+def test_host_that_is_cut_off_trusts_no_sole_version(monkeypatch):
+    """Guards against a second version that a host has not heard of."""
+    clock = make_clock(monkeypatch)
+    host = Host(clock, peers=())
+    assert host.resolve().result == V1
+    host.view_age_s = origin_exchange.FRESH_VIEW_S
+    assert host.resolve('y').result == V1, 'most peers are linked'
+    host.mesh.links_with_most = False
+    assert host.resolve('z').result is None
+    host.exchange.handle_message('a', fleet_messages.OriginQuery('q', 'r'))
+    assert host.mesh.sent == []
+
+
+def test_restarted_fleet_lets_streams_go_on_beside_old_targets(monkeypatch):
+    """Guards against refusing all streams after a power cut of all hosts."""
+    clock = make_clock(monkeypatch)
+    host = Host(clock, peers=(), is_first_start=False)
+    assert host.resolve().result is None
+    host.set_versions('v1', sequence=40)
+    assert host.resolve().result == V1
+    host.set_versions('v1', 'v2', sequence=40)
+    assert host.resolve('y').result is None
+    assert host.sources() == {'unknown': 2, 'settled': 1}
+
+
+def test_cancelled_question_is_forgotten(monkeypatch):
+    """Guards against answers for a caller that has left."""
+    clock = make_clock(monkeypatch)
+    host = Host(clock, versions=('v1', 'v2'))
+    clock.advance(1.0)
+    found = host.resolve()
+    found.addErrback(lambda failure: failure.trap(defer.CancelledError))
+    found.cancel()
+    assert clock.getDelayedCalls() == []
+    host.exchange.handle_message(
+        'a', fleet_messages.OriginReply('x', True, 'llm', 'v2')
+    )
+
+
+def test_keepers_are_told_in_a_partial_mesh(monkeypatch):
+    """Guards against messages to every host of a large fleet."""
+    clock = make_clock(monkeypatch)
+    names = [f'host-{number}' for number in range(200)]
+    host = Host(clock, 'host-0', tuple(names[1:]), ('v1', 'v2'))
+    host.mesh.is_partial = True
+    host.mesh.data_centres = {
+        name: f'dc-{number % 6}' for number, name in enumerate(names)
+    }
+    ids = [f'x{number}' for number in range(50)]
+    for attempt_id in ids:
+        host.exchange.begun(call(attempt_id), V1)
+    clock.advance(origin_exchange.PARTIAL_MESH_FLUSH_DELAY_S)
+    told: dict[str, set[str]] = {}
+    for name, message in host.mesh.sent:
+        for attempt_id in message.attempt_ids:
+            told.setdefault(attempt_id, set()).add(name)
+    for attempt_id in ids:
+        keepers = ranking.origin_keepers(attempt_id, host.mesh.data_centres)
+        assert told[attempt_id] | {'host-0'} == {*keepers, 'host-0'}
+    assert len(host.mesh.sent) <= 4 * ranking.ORIGIN_KEEPERS
--- a/tests/membership/test_ranking.py
+++ b/tests/membership/test_ranking.py
@@ -37,3 +37,31 @@
     assert ranking.eligible_hosts(shares) == {'large': 2.0}
     equal = {'a': 0.2, 'b': 0.2}
     assert ranking.eligible_hosts(equal) == equal
+
+
+def test_keepers_of_origins_are_in_two_data_centres():
+    """Guards against streams that cannot go on after a data centre is lost."""
+    data_centre_by_name = {
+        f'host-{number}': f'dc-{number % 3}' for number in range(130)
+    }
+    shards = ranking.origin_shards(len(data_centre_by_name))
+    assert shards == 3
+    for shard in range(shards):
+        keepers = ranking.origin_keepers_of_shard(shard, data_centre_by_name)
+        assert len(set(keepers)) == ranking.ORIGIN_KEEPERS
+        assert len({data_centre_by_name[name] for name in keepers}) == 2
+    one = dict.fromkeys(('a', 'b', 'c'), 'dc')
+    assert len(set(ranking.origin_keepers_of_shard(0, one))) == 2
+    assert ranking.origin_keepers_of_shard(0, {'a': 'dc'}) == ['a']
+
+
+def test_lost_host_changes_no_keeper_but_itself():
+    """Guards against origins that are lost when any host is."""
+    data_centre_by_name = {
+        f'host-{number}': f'dc-{number % 3}' for number in range(40)
+    }
+    before = ranking.origin_keepers('x', data_centre_by_name)
+    for name in set(data_centre_by_name) - set(before):
+        remaining = dict(data_centre_by_name)
+        del remaining[name]
+        assert ranking.origin_keepers('x', remaining) == before
--- a/walnutport/cli/explain.py
+++ b/walnutport/cli/explain.py
@@ -31,6 +31,12 @@
     'targets_held_back': (
         'refused: all its targets asked for time or state limits used up'
     ),
+    'origin_unknown': (
+        'refused: no host knows which software version began its stream'
+    ),
+    'origin_gone': (
+        'refused: no target of the version that began its stream is left'
+    ),
     'quarantined': 'refused: it was running at two targets that crashed',
     'stage_failures': 'given up: too many of its stage pieces failed',
     'owner_unknown': 'no link to the host that runs its stages was up yet',
--- a/walnutport/gateway/calls.py
+++ b/walnutport/gateway/calls.py
@@ -6,6 +6,7 @@
 from walnutport.http1 import messages
 from walnutport.http1 import server
 from walnutport.platform import headers
+from walnutport.routing import stream_origins
 from walnutport.world import requests
 from walnutport.world import routes
 
@@ -39,6 +40,8 @@
         stages.
     :param engine_id: id of the engine that the owner of the cell recommends.
     :param first_event_at: when the first event was forwarded, 0 before.
+    :param origin: where the stream began, None before its first event. Only
+        targets of that service and version may go on with it.
     """
 
     request: server.ServerRequest
@@ -64,6 +67,7 @@
     stages_s: float = 0.0
     engine_id: str = ''
     first_event_at: float = 0.0
+    origin: stream_origins.StreamOrigin | None = None
 
     @property
     def request_id(self) -> str:
@@ -75,6 +79,14 @@
         """Whether a target may have run the request."""
         return self.possible_runs > 0
 
+    @property
+    def origin_version(self) -> str | None:
+        """Software version that has to go on with the stream.
+
+        None if any may.
+        """
+        return None if self.origin is None else self.origin.version
+
     def excluded_targets(self) -> set[str]:
         """Return the ids of the targets that are not tried again."""
         return self.unreachable.union(self.targets)
--- a/walnutport/gateway/events.py
+++ b/walnutport/gateway/events.py
@@ -266,7 +266,7 @@
     Event(
         'stream_continued',
         'the caller goes on with a stream that an earlier attempt began',
-        ('id', 'begun_by', 'after'),
+        ('id', 'begun_by', 'after', 'service', 'version', 'source'),
     ),
     Event(
         'attempt_failed',
--- a/walnutport/gateway/feed_follower.py
+++ b/walnutport/gateway/feed_follower.py
@@ -92,6 +92,8 @@
         )
         self._targets_known = False
         self._targets_read_at = 0.0
+        # When this host, or a peer that knows no more, read the targets.
+        self._view_at = 0.0
         self._store_lost_at: float | None = None
         self._outages = store_outages.StoreOutages()
         self._stopped = False
@@ -115,6 +117,13 @@
         """Return the seconds since this host read targets from the store."""
         return time.monotonic() - self._targets_read_at
 
+    def view_age_s(self) -> float:
+        """Return the age in seconds of what this host knows of the targets.
+
+        It may know as much from a peer as from the store.
+        """
+        return time.monotonic() - max(self._view_at, self._targets_read_at)
+
     def desired_read_age_s(self) -> float:
         """Return the seconds since the store answered for the desired state.
 
@@ -179,6 +188,7 @@
             heartbeat.targets_end,
         ) > (self.registry.era, self.registry.changes_end_offset)
         if not is_behind:
+            self._view_at = max(self._view_at, now - heartbeat.store_age_s)
             if self._peer_ahead == name:
                 self._peer_ahead = ''
             return
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -18,6 +18,7 @@
 from walnutport.gateway import host_status
 from walnutport.gateway import metrics
 from walnutport.gateway import operator_site
+from walnutport.gateway import origin_exchange
 from walnutport.gateway import peers
 from walnutport.gateway import request_handler
 from walnutport.gateway import responses
@@ -163,6 +164,14 @@
             self._create_budget,
             self._suspects.check_for_crash,
         )
+        self._origins = origin_exchange.OriginExchange(
+            reactor,
+            self.log,
+            self._mesh,
+            self._follower,
+            settings.heartbeat_s,
+            settings.is_first_start,
+        )
         entry_metrics = metrics.EntryMetrics()
         self._matcher = route_matcher.RouteMatcher(
             self.log, self._follower, entry_metrics, rng
@@ -175,6 +184,7 @@
             self._forwarder,
             responses.Responder(self.log, entry_metrics, rng),
             self._stages,
+            self._origins,
             entry_metrics,
         )
         self._host_status = host_status.HostStatus(
@@ -187,6 +197,7 @@
             self._mesh,
             self._outcomes,
             self._reports,
+            self._origins,
             self._stages,
             self._request_handler,
             self._forwarder,
@@ -345,6 +356,7 @@
         for target_id in self._known_target_ids - targets.keys():
             self._selector.forget(target_id)
         self._known_target_ids = set(targets)
+        self._origins.state_changed()
         if desired is None:
             return
         self._matcher.drop_missing_routes(desired)
@@ -398,11 +410,23 @@
             if name == self.settings.name
             or self._mesh.peer_by_name[name].failing_since is None
         }
+        data_centre_by_name = {
+            self.settings.name: self.settings.data_centre,
+            **{
+                name: peer.record.data_centre
+                for name, peer in self._mesh.peer_by_name.items()
+            },
+        }
         chosen: set[str] = set()
         for known in (shares, reachable_shares):
             chosen |= ranking.hosts_to_link(
                 self.settings.name, known, self._stages.cell_count
             )
+            data_centres = {name: data_centre_by_name[name] for name in known}
+            for shard in range(ranking.origin_shards(len(known))):
+                chosen.update(
+                    ranking.origin_keepers_of_shard(shard, data_centres)
+                )
             if len(reachable_shares) == len(shares):
                 break
         return chosen
@@ -430,11 +454,13 @@
         if isinstance(message, fleet_messages.TargetReports):
             self._reports.merge_report(name, message)
             return
+        self._origins.handle_message(name, message)
         self._follower.handle_message(name, message)
         self._stages.handle_message(name, message)
 
     def _peer_lost(self, name: str) -> None:
         self._stages.peer_lost(name)
+        self._origins.peer_lost(name)
 
     def _create_budget(self) -> window_budget.SlidingWindowBudget:
         bounds = self.settings.bounds
--- a/walnutport/gateway/host_status.py
+++ b/walnutport/gateway/host_status.py
@@ -6,6 +6,7 @@
 from walnutport.gateway import decision_log
 from walnutport.gateway import feed_follower
 from walnutport.gateway import forwarding
+from walnutport.gateway import origin_exchange
 from walnutport.gateway import peers
 from walnutport.gateway import request_handler
 from walnutport.gateway import stage_client
@@ -32,6 +33,7 @@
         mesh: peers.PeerMesh,
         target_outcomes: outcomes.TargetOutcomes,
         reports: target_reports.TargetReports,
+        origins: origin_exchange.OriginExchange,
         stages: stage_client.StageClient,
         handler: request_handler.RequestHandler,
         forwarder: forwarding.Forwarder,
@@ -46,6 +48,7 @@
         self._mesh = mesh
         self._outcomes = target_outcomes
         self._reports = reports
+        self._origins = origins
         self._stages = stages
         self._handler = handler
         self._forwarder = forwarder
@@ -68,6 +71,7 @@
             'targets': {
                 target.target_id: {
                     'service': target.service,
+                    'version': target.software_version,
                     'data_centre': target.data_centre,
                     'draining': target.draining,
                     **self._outcomes.describe(target, now),
@@ -105,6 +109,7 @@
             ),
             'loop_lag_seconds': self._lag_monitor.lag_s,
             **self._reports.gauges(),
+            **self._origins.gauges(),
         }
         for service, retries in self._forwarder.available_retries(now).items():
             values[f'retry_budget_left{{service="{service}"}}'] = retries
@@ -128,5 +133,6 @@
             'stage_calls_total': sum(owner.total_calls for owner in owners),
             'stage_pieces_total': sum(owner.total_pieces for owner in owners),
             **self._reports.totals(),
+            **self._origins.totals(),
             'log_lines_dropped_total': self._log.dropped_lines,
         }
--- /dev/null
+++ b/walnutport/gateway/origin_exchange.py
@@ -0,0 +1,311 @@
+"""Shares with the other hosts where streams began."""
+
+import dataclasses
+import time
+
+from twisted.internet import defer
+
+from walnutport.gateway import calls
+from walnutport.gateway import feed_follower
+from walnutport.gateway import peers
+from walnutport.membership import ranking
+from walnutport.peer import fleet_messages
+from walnutport.routing import stream_origins
+
+__all__ = ['OriginExchange']
+
+# Origins are collected for this long before they are sent. Streams of a host
+# that is killed within it cannot go on.
+FLUSH_DELAY_S = 0.02
+# The same in a partial mesh, where each host begins many streams.
+PARTIAL_MESH_FLUSH_DELAY_S = 0.5
+# Peers answer within some milliseconds, unless they stand still.
+QUERY_LIMIT_S = 0.25
+# A target that has started this long ago may be unknown to a host that is in
+# touch with the store, or with a peer that is.
+FRESH_VIEW_S = 2.5
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Query:
+    """A question to the peers.
+
+    :param awaited: names of the peers that have not answered.
+    """
+
+    attempt_id: str
+    awaited: set[str]
+    answered: defer.Deferred
+
+
+class OriginExchange:
+    """Origins of streams at this host, kept in sync with its peers.
+
+    In a full mesh, all peers are told; in a partial one, two hosts that the
+    id of the stream selects. They outlive the host that began the stream.
+
+    :param entry_interval_s: interval at which targets renew their entries.
+    :param is_first_start: whether the whole installation starts for the first
+        time.
+    :ivar continued_count_by_source: how often callers took up a stream, by how
+        its origin was known.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        log,
+        mesh: peers.PeerMesh,
+        follower: feed_follower.FeedFollower,
+        entry_interval_s: float,
+        is_first_start: bool,
+    ) -> None:
+        self._reactor = reactor
+        self._log = log
+        self._mesh = mesh
+        self._follower = follower
+        self._origins = stream_origins.StreamOrigins()
+        self._history = stream_origins.OriginHistory(
+            entry_interval_s, is_first_start
+        )
+        self._ambiguous_routes: set[str] = set()
+        self._flush_scheduled = False
+        self._queries: list[_Query] = []
+        self.continued_count_by_source = dict.fromkeys(
+            ('own', 'peer', 'sole', 'settled', 'unknown'), 0
+        )
+
+    def state_changed(self) -> None:
+        """Follow a change of the desired state or of the targets.
+
+        If a second origin becomes possible for a route, the streams that are
+        open are told to the peers.
+        """
+        now = time.monotonic()
+        follower = self._follower
+        if follower.desired is not None:
+            self._history.update_routes(follower.desired.routes, now)
+        if follower.is_initialized:
+            self._history.update_targets(
+                follower.registry.targets.values(), now
+            )
+        self._origins.retention_s = self._history.retention_s
+        before = self._ambiguous_routes
+        self._ambiguous_routes = self._history.ambiguous_routes(now)
+        if self._ambiguous_routes - before:
+            self._schedule_flush()
+
+    def begun(
+        self, call: calls.CallerCall, origin: stream_origins.StreamOrigin
+    ) -> None:
+        """Record that the first event of a call's stream has arrived."""
+        self._record(call.request_id, origin, call.route.name)
+
+    async def resolve(
+        self, call: calls.CallerCall
+    ) -> stream_origins.StreamOrigin | None:
+        """Return where the stream began that a caller takes up.
+
+        :returns: None if neither this host nor a peer can tell.
+        """
+        source, origin = await self._find(call)
+        self.continued_count_by_source[source] += 1
+        self._log.notable(
+            'stream_continued',
+            id=call.request_id,
+            begun_by=call.fields.begun_by,
+            after=call.fields.last_event_id,
+            service='' if origin is None else origin.service,
+            version='' if origin is None else origin.version,
+            source=source,
+        )
+        if origin is not None and call.fields.begun_by:
+            # Later attempts name the same stream.
+            self._record(call.fields.begun_by, origin, call.route.name)
+        return origin
+
+    def handle_message(
+        self, name: str, message: fleet_messages.FleetMessage
+    ) -> None:
+        """Handle a message of a peer."""
+        if isinstance(message, fleet_messages.StreamsBegun):
+            now = time.monotonic()
+            origin = stream_origins.StreamOrigin(
+                message.service, message.version
+            )
+            for attempt_id in message.attempt_ids:
+                self._origins.record(
+                    attempt_id, origin, message.route, now, is_own=False
+                )
+        elif isinstance(message, fleet_messages.OriginQuery):
+            self._answer(name, message)
+        elif isinstance(message, fleet_messages.OriginReply):
+            self._reply_received(name, message)
+
+    def peer_lost(self, name: str) -> None:
+        """Expect no answer of a lost peer."""
+        for query in list(self._queries):
+            self._not_known_by(query, name)
+
+    def gauges(self) -> dict[str, float]:
+        """Return the gauges by name."""
+        return {
+            'stream_origins': len(self._origins),
+            'ambiguous_routes': len(self._ambiguous_routes),
+        }
+
+    def totals(self) -> dict[str, float]:
+        """Return the counters by name."""
+        return {
+            'stream_origins_dropped_total': self._origins.dropped_count,
+            **{
+                f'streams_continued_{source}_total': count
+                for source, count in self.continued_count_by_source.items()
+            },
+        }
+
+    def _record(
+        self,
+        attempt_id: str,
+        origin: stream_origins.StreamOrigin,
+        route_name: str,
+    ) -> None:
+        now = time.monotonic()
+        self._origins.record(attempt_id, origin, route_name, now, is_own=True)
+        if self._history.sole_origin(route_name, now) is None:
+            self._ambiguous_routes.add(route_name)
+            self._schedule_flush()
+
+    async def _find(
+        self, call: calls.CallerCall
+    ) -> tuple[str, stream_origins.StreamOrigin | None]:
+        """Return how the origin is known, and the origin."""
+        now = time.monotonic()
+        begun_by = call.fields.begun_by
+        route_name = call.route.name
+        origin = self._origins.find(begun_by, now)
+        if origin is not None:
+            return 'own', origin
+        origin = self._sole_origin(route_name, now)
+        if origin is not None:
+            return 'sole', origin
+        if begun_by:
+            origin = await self._ask_peers(begun_by, route_name)
+            if origin is not None:
+                return 'peer', origin
+        origin = self._history.sole_origin(route_name, now)
+        if origin is not None and self._history.is_settled(
+            origin.service, self._follower.registry.targets.values()
+        ):
+            return 'settled', origin
+        return 'unknown', None
+
+    def _sole_origin(
+        self, route_name: str, now: float
+    ) -> stream_origins.StreamOrigin | None:
+        """Return the origin of all streams of a route, None if unsure.
+
+        A host that is cut off may not know the newest targets.
+        """
+        is_in_touch = (
+            self._follower.view_age_s() < FRESH_VIEW_S
+            or self._mesh.links_with_most
+        )
+        if is_in_touch and self._history.is_complete(now):
+            return self._history.sole_origin(route_name, now)
+        return None
+
+    async def _ask_peers(
+        self, attempt_id: str, route_name: str
+    ) -> stream_origins.StreamOrigin | None:
+        question = fleet_messages.OriginQuery(attempt_id, route_name)
+        asked = {
+            name
+            for name in self._keepers(attempt_id)
+            if self._mesh.send(name, question)
+        }
+        if not asked:
+            return None
+        answered: defer.Deferred = defer.Deferred()
+        query = _Query(attempt_id, asked, answered)
+        self._queries.append(query)
+        timer = self._reactor.callLater(QUERY_LIMIT_S, answered.callback, None)
+        try:
+            return await answered
+        finally:
+            self._queries.remove(query)
+            if timer.active():
+                timer.cancel()
+
+    def _answer(self, name: str, query: fleet_messages.OriginQuery) -> None:
+        now = time.monotonic()
+        origin = self._origins.find(query.attempt_id, now)
+        if origin is None:
+            origin = self._sole_origin(query.route, now)
+        self._mesh.send(
+            name,
+            fleet_messages.OriginReply(query.attempt_id)
+            if origin is None
+            else fleet_messages.OriginReply(
+                query.attempt_id, True, origin.service, origin.version
+            ),
+        )
+
+    def _reply_received(
+        self, name: str, reply: fleet_messages.OriginReply
+    ) -> None:
+        origin = stream_origins.StreamOrigin(reply.service, reply.version)
+        for query in list(self._queries):
+            if query.attempt_id != reply.attempt_id:
+                continue
+            if not reply.is_known:
+                self._not_known_by(query, name)
+            elif not query.answered.called:
+                query.answered.callback(origin)
+
+    @staticmethod
+    def _not_known_by(query: _Query, name: str) -> None:
+        query.awaited.discard(name)
+        if not query.awaited and not query.answered.called:
+            query.answered.callback(None)
+
+    def _schedule_flush(self) -> None:
+        if not self._flush_scheduled:
+            self._flush_scheduled = True
+            self._reactor.callLater(
+                PARTIAL_MESH_FLUSH_DELAY_S
+                if self._mesh.is_partial
+                else FLUSH_DELAY_S,
+                self._flush,
+            )
+
+    def _flush(self) -> None:
+        self._flush_scheduled = False
+        untold = self._origins.take_untold(
+            self._ambiguous_routes, time.monotonic()
+        )
+        for (route_name, origin), attempt_ids in untold.items():
+            ids_by_keeper: dict[str, list[str]] = {}
+            for attempt_id in attempt_ids:
+                for name in self._keepers(attempt_id):
+                    ids_by_keeper.setdefault(name, []).append(attempt_id)
+            for name, ids in ids_by_keeper.items():
+                self._mesh.send(
+                    name,
+                    fleet_messages.StreamsBegun(
+                        route_name, origin.service, origin.version, tuple(ids)
+                    ),
+                )
+
+    def _keepers(self, attempt_id: str) -> list[str]:
+        """Return the peers that are told and asked about a stream."""
+        if not self._mesh.is_partial:
+            return list(self._mesh.peer_by_name)
+        own_name = self._mesh.own_record.name
+        return [
+            name
+            for name in ranking.origin_keepers(
+                attempt_id, self._mesh.data_centre_by_live_host()
+            )
+            if name != own_name
+        ]
--- a/walnutport/gateway/peers.py
+++ b/walnutport/gateway/peers.py
@@ -217,6 +217,28 @@
             if peer.failing_since is None
         ]
 
+    @property
+    def links_with_most(self) -> bool:
+        """Whether at least half of the peers to link with are reachable."""
+        names = self.chosen_names()
+        linked = sum(
+            peer.reachable
+            for name in names
+            if (peer := self.peer_by_name.get(name)) is not None
+        )
+        return bool(names) and 2 * linked >= len(names)
+
+    def data_centre_by_live_host(self) -> dict[str, str]:
+        """Return the data centre of each host that may be up."""
+        return {
+            self.own_record.name: self.own_record.data_centre,
+            **{
+                name: peer.record.data_centre
+                for name, peer in self.peer_by_name.items()
+                if peer.failing_since is None
+            },
+        }
+
     def chosen_names(self) -> set[str]:
         """Return the names of the peers to link with."""
         if not self.is_partial:
--- a/walnutport/gateway/request_handler.py
+++ b/walnutport/gateway/request_handler.py
@@ -1,6 +1,7 @@
 """Handles the requests of callers, from routing to the response."""
 
 from collections.abc import Callable
+import functools
 import time
 
 from twisted.internet import defer
@@ -11,6 +12,7 @@
 from walnutport.gateway import calls
 from walnutport.gateway import forwarding
 from walnutport.gateway import metrics
+from walnutport.gateway import origin_exchange
 from walnutport.gateway import responses
 from walnutport.gateway import route_matcher
 from walnutport.gateway import stage_client
@@ -18,7 +20,9 @@
 from walnutport.http1 import server
 from walnutport.relay import resumable
 from walnutport.routing import first_event
+from walnutport.routing import stream_origins
 from walnutport.stages import pieces
+from walnutport.world import registrations
 from walnutport.world import routes
 
 __all__ = ['RequestHandler']
@@ -44,6 +48,7 @@
         forwarder: forwarding.Forwarder,
         responder: responses.Responder,
         stages: stage_client.StageClient,
+        origins: origin_exchange.OriginExchange,
         entry_metrics: metrics.EntryMetrics,
     ) -> None:
         self._reactor = reactor
@@ -53,6 +58,7 @@
         self._forwarder = forwarder
         self._responder = responder
         self._stages = stages
+        self._origins = origins
         self._metrics = entry_metrics
         self._forecast = first_event.FirstEventForecast()
         self.in_flight: set[calls.CallerCall] = set()
@@ -87,21 +93,36 @@
         if call.time_left_s() <= 0:
             self._responder.refuse(call, 'deadline')
             return
+        is_stream = call.route.kind is routes.RequestKind.STREAM
+        if is_stream and call.fields.continues_stream:
+            await self._find_origin(call)
+            if call.request.response_ended:
+                return
         self._forwarder.record_request(call)
-        if call.fields.continues_stream:
-            self._log.notable(
-                'stream_continued',
-                id=call.request_id,
-                begun_by=call.fields.begun_by,
-                after=call.fields.last_event_id,
-            )
         if call.route.stages:
             await self._serve_staged(call)
-        elif call.route.kind is routes.RequestKind.STREAM:
+        elif is_stream:
             await self._serve_stream(call)
         else:
             await self._serve_plain(call)
 
+    async def _find_origin(self, call: calls.CallerCall) -> None:
+        """Bind a stream that a caller takes up to where it began.
+
+        The caller is refused if that is not known, or if no target of that
+        service and version is left.
+        """
+        call.origin = await self._origins.resolve(call)
+        if call.origin is None:
+            self._responder.refuse(call, 'origin_unknown')
+            return
+        call.service = call.origin.service
+        if (
+            call.service not in call.route.weight_by_service
+            or self._selector.stated_delay_s(call) is None
+        ):
+            self._responder.refuse(call, 'origin_gone')
+
     async def _serve_plain(self, call: calls.CallerCall) -> None:
         result = None
         while True:
@@ -146,6 +167,7 @@
             prompt=call.fields.prompt,
             content=call.digest,
             spent_s=call.spent_s,
+            final_version=call.origin_version,
         )
         with stage_client.StageRun(self._stages, spec) as stage_run:
             try:
@@ -187,11 +209,13 @@
             target = self._selector.select_engine(call)
             if target is None:
                 break
-            started_at = time.monotonic()
-
-            def on_first_event() -> None:
-                self._record_first_event(call, started_at)
-                on_inputs_read()
+            on_first_event = functools.partial(
+                self._first_event_received,
+                call,
+                target,
+                time.monotonic(),
+                on_inputs_read,
+            )
 
             result = await self._forwarder.attempt(
                 call, target, relay, on_first_event, resume_after
@@ -234,15 +258,25 @@
             max(delay_s, responses.DEFAULT_RETRY_AFTER_S),
         )
 
-    def _record_first_event(
-        self, call: calls.CallerCall, attempt_started_at: float
+    def _first_event_received(
+        self,
+        call: calls.CallerCall,
+        target: registrations.RegisteredTarget,
+        attempt_started_at: float,
+        on_inputs_read: Callable[[], None],
     ) -> None:
-        """Record the time to the first event that is forwarded to the caller.
+        """Handle the first event of an attempt, before it is forwarded.
 
-        The first event of a resumed stream is not recorded.
+        The time to the first event of a resumed stream is not recorded.
 
-        :param attempt_started_at: when the attempt that sent it began.
+        :param attempt_started_at: when the attempt began.
         """
+        on_inputs_read()
+        if call.origin is None:
+            call.origin = stream_origins.StreamOrigin(
+                target.service, target.software_version
+            )
+            self._origins.begun(call, call.origin)
         if call.first_event_at:
             return
         call.first_event_at = time.monotonic()
--- a/walnutport/gateway/target_selector.py
+++ b/walnutport/gateway/target_selector.py
@@ -3,6 +3,7 @@
 import math
 import time
 
+from collections.abc import Iterable
 from walnutport.gateway import calls
 from walnutport.gateway import feed_follower
 from walnutport.routing import backpressure
@@ -58,7 +59,7 @@
         now = time.monotonic()
         targets = [
             target
-            for target in self._follower.registry.usable(call.service)
+            for target in self._usable(call.service, call.origin_version)
             if not self._limits.is_leaving(target)
         ]
         delays_s = [self._limits.delay_s(target, now) for target in targets]
@@ -84,6 +85,7 @@
         if (
             recommended is not None
             and not call.excluded_targets()
+            and call.origin_version in (None, recommended.software_version)
             and not recommended.draining
             and self._outcomes.stats(recommended).ejected_until <= now
             and self._limits.delay_s(recommended, now) <= 0
@@ -91,7 +93,7 @@
             return recommended
         engine = engines.choose_engine(
             self._limits.permitted(
-                self._follower.registry.usable(call.service), now
+                self._usable(call.service, call.origin_version), now
             ),
             self._outcomes,
             call.fields.prompt,
@@ -122,7 +124,7 @@
         now = time.monotonic()
         engine = engines.choose_engine(
             self._limits.recommendable(
-                self._follower.registry.usable(spec.final_service),
+                self._usable(spec.final_service, spec.final_version),
                 host_name,
                 now,
             ),
@@ -150,6 +152,19 @@
         self._limits.forget(target_id, time.monotonic())
         self._caches.forget(target_id)
 
+    def _usable(
+        self, service: str, version: str | None
+    ) -> Iterable[registrations.RegisteredTarget]:
+        """Return the targets that accept new work.
+
+        :param version: software version that they must have; None for any.
+        """
+        return [
+            target
+            for target in self._follower.registry.usable(service)
+            if version in (None, target.software_version)
+        ]
+
     def _record_prompt(
         self,
         prompt: requests.PromptShape | None,
--- a/walnutport/membership/ranking.py
+++ b/walnutport/membership/ranking.py
@@ -19,6 +19,9 @@
     'cell_targets',
     'rank_hosts',
     'hosts_to_link',
+    'origin_keepers',
+    'origin_keepers_of_shard',
+    'origin_shards',
 ]
 
 #: Key of the hosts that read the targets from the store.
@@ -34,6 +37,11 @@
 # Hosts to link with that follow this one in the order of names, which keeps
 # the fleet connected.
 LINKED_NEIGHBOURS = 3
+# Hosts whose streams share the same keepers of origins. Fewer keepers get more
+# origins each; more of them need more messages.
+HOSTS_PER_ORIGIN_SHARD = 64
+# Hosts that keep where a stream began, besides the one that began it.
+ORIGIN_KEEPERS = 2
 # Hosts with at least this fraction of the largest share may own cells.
 MIN_SHARE_FRACTION = 0.5
 # Cached scores: a thousand hosts for the keys of twenty cells.
@@ -131,3 +139,40 @@
     for step in range(1, LINKED_NEIGHBOURS + 1):
         linked.add(names[(position + step) % len(names)])
     return linked
+
+
+def origin_shards(host_count: int) -> int:
+    """Return the count of shards of the origins of streams."""
+    return max(1, -(-host_count // HOSTS_PER_ORIGIN_SHARD))
+
+
+def origin_keepers(
+    attempt_id: str, data_centre_by_name: dict[str, str]
+) -> list[str]:
+    """Return the hosts that keep where a stream began.
+
+    :param attempt_id: id of the attempt that began it.
+    :param data_centre_by_name: data centre of each host that is up.
+    """
+    digest = hashlib.blake2b(attempt_id.encode(), digest_size=8).digest()
+    shards = origin_shards(len(data_centre_by_name))
+    return origin_keepers_of_shard(
+        int.from_bytes(digest, 'big') % shards, data_centre_by_name
+    )
+
+
+def origin_keepers_of_shard(
+    shard: int, data_centre_by_name: dict[str, str]
+) -> list[str]:
+    """Return the hosts that keep a shard of the origins of streams.
+
+    They are in two data centres if there are as many.
+    """
+    equal_shares = dict.fromkeys(data_centre_by_name, 1.0)
+    ranked = rank_hosts(f'origins-{shard}', equal_shares)
+    keepers = ranked[:1]
+    used = {data_centre_by_name[name] for name in keepers}
+    elsewhere = [
+        name for name in ranked[1:] if data_centre_by_name[name] not in used
+    ]
+    return (keepers + elsewhere + ranked[1:])[:ORIGIN_KEEPERS]
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -16,11 +16,14 @@
     'Hello',
     'HostsUpdate',
     'Heartbeat',
+    'OriginQuery',
+    'OriginReply',
     'ReleaseStages',
     'RunStages',
     'StagesDone',
     'StagesFailed',
     'StagesRefused',
+    'StreamsBegun',
     'TargetReports',
     'TargetUpdate',
     'decode',
@@ -168,6 +171,34 @@
     reports: tuple[backpressure.TargetReport, ...]
 
 
+class StreamsBegun(msgspec.Struct, frozen=True, tag='begun'):
+    """Streams of a route that began at one service and software version.
+
+    :param attempt_ids: ids of the attempts that brought the first events.
+    """
+
+    route: str
+    service: str
+    version: str
+    attempt_ids: tuple[str, ...]
+
+
+class OriginQuery(msgspec.Struct, frozen=True, tag='origin'):
+    """Question where the stream began that an attempt brought."""
+
+    attempt_id: str
+    route: str
+
+
+class OriginReply(msgspec.Struct, frozen=True, tag='origin_known'):
+    """Answer to the question where a stream began."""
+
+    attempt_id: str
+    is_known: bool = False
+    service: str = ''
+    version: str = ''
+
+
 FleetMessage = (
     Hello
     | HostsUpdate
@@ -182,6 +213,9 @@
     | StagesRefused
     | CrashReport
     | TargetReports
+    | StreamsBegun
+    | OriginQuery
+    | OriginReply
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/walnutport/stages/pieces.py
+++ b/walnutport/stages/pieces.py
@@ -58,6 +58,8 @@
     :param deadline_s: remaining time within which an answer is of any use.
     :param final_s: expected duration of the request itself after its stages.
     :param final_service: service that runs the request itself.
+    :param final_version: software version of the targets that may run it;
+        None if any may.
     :param prompt: prompt of the request, if it has one.
     :param content: digest of the content of the request, by which a retry
         after a refusal is recognized.
@@ -79,6 +81,7 @@
     prompt: requests.PromptShape | None = None
     content: bytes = b''
     spent_s: float = 0.0
+    final_version: str | None = None
 
     @property
     def returned(self) -> bool:
