Ask peers for streams that callers do not name

Callers saw: 503 for a stream that they took up at a host that had started less than 20 s before, although one version served.

Cause: callers name the attempt that began a stream only where versions differ, and the host asked its peers about named streams only.

The history of versions no longer shrinks when a timeout is shortened, as streams may have begun under the longer one.

--- a/tests/routing/test_stream_origins.py
+++ b/tests/routing/test_stream_origins.py
@@ -1,5 +1,7 @@
 """Tests of where streams began, and when one version explains it."""
 
+import dataclasses
+
 import hypothesis
 from hypothesis import strategies as st
 import pytest
@@ -88,6 +90,15 @@
     )
 
 
+def test_shorter_timeout_does_not_shorten_the_history():
+    """Guards against streams that began under a longer timeout."""
+    found = history(target('v1'), target('v2'))
+    found.update_targets([target('v2')], 1.0)
+    short = dataclasses.replace(route('llm'), timeout_s=TIMEOUT_S / 2)
+    found.update_routes([short], 2.0)
+    assert found.sole_origin('r', TIMEOUT_S) is None
+
+
 def test_split_route_has_no_sole_origin():
     """Guards against a stream that goes on at another service."""
     found = history(
--- a/walnutport/gateway/origin_exchange.py
+++ b/walnutport/gateway/origin_exchange.py
@@ -189,10 +189,9 @@
         origin = self._sole_origin(route_name, now)
         if origin is not None:
             return 'sole', origin
-        if begun_by:
-            origin = await self._ask_peers(begun_by, route_name)
-            if origin is not None:
-                return 'peer', origin
+        origin = await self._ask_peers(begun_by, route_name)
+        if origin is not None:
+            return 'peer', origin
         origin = self._history.sole_origin(route_name, now)
         if origin is not None and self._history.is_settled(
             origin.service, self._follower.registry.targets.values()
@@ -218,6 +217,11 @@
     async def _ask_peers(
         self, attempt_id: str, route_name: str
     ) -> stream_origins.StreamOrigin | None:
+        """Ask where a stream began.
+
+        :param attempt_id: attempt that began it; if it is empty, peers only
+            know a sole origin.
+        """
         question = fleet_messages.OriginQuery(attempt_id, route_name)
         asked = {
             name
--- a/walnutport/routing/stream_origins.py
+++ b/walnutport/routing/stream_origins.py
@@ -20,8 +20,6 @@
 # passed since the stream began; the margin covers differences of clocks and
 # the delay until hosts know a change.
 RETENTION_MARGIN_S = 5.0
-# Longest timeout assumed while no route is known.
-DEFAULT_STREAM_TIMEOUT_S = 30.0
 # An entry takes some 150 bytes.
 MAX_ORIGINS = 100_000
 
@@ -46,11 +44,12 @@
 
     Times are seconds of a monotonic clock, passed in as ``now``.
 
+    :ivar retention_s: time for which an origin is kept.
     :ivar dropped_count: origins dropped before their time, for lack of room.
     """
 
     def __init__(self) -> None:
-        self.retention_s = DEFAULT_STREAM_TIMEOUT_S + RETENTION_MARGIN_S
+        self.retention_s = RETENTION_MARGIN_S
         self.dropped_count = 0
         self._recorded_by_id: collections.OrderedDict[str, _RecordedOrigin] = (
             collections.OrderedDict()
@@ -130,10 +129,12 @@
     :param entry_interval_s: interval at which targets renew their entries.
     :param is_complete: whether no stream can have begun before this host has
         started, as the whole installation starts for the first time.
+    :ivar retention_s: time for which a removed service or version counts. It
+        never falls, as streams may have begun under a longer timeout.
     """
 
     def __init__(self, entry_interval_s: float, is_complete: bool) -> None:
-        self.retention_s = DEFAULT_STREAM_TIMEOUT_S + RETENTION_MARGIN_S
+        self.retention_s = RETENTION_MARGIN_S
         self._entry_interval_s = entry_interval_s
         self._known_since = -math.inf if is_complete else math.inf
         self._services_by_route = _RecentSets()
@@ -148,10 +149,10 @@
             for route in desired_routes
             if route.kind is routes.RequestKind.STREAM
         ]
-        self.retention_s = RETENTION_MARGIN_S + max(
-            (route.timeout_s for route in stream_routes),
-            default=DEFAULT_STREAM_TIMEOUT_S,
-        )
+        for route in stream_routes:
+            self.retention_s = max(
+                self.retention_s, route.timeout_s + RETENTION_MARGIN_S
+            )
         self._services_by_route.update(
             {
                 route.name: frozenset(route.weight_by_service)
