Cut off responses without end

What callers would see: hosts that run out of memory, or stand still for up to a minute, beside a target, a stage target or a store whose bytes do not end.

Cause: the parser keeps a head until it ends, concatenating its parts, and receivers of bodies dropped what exceeded their limit but went on reading. Nothing bounded chunk extensions, trailers, interim responses, responses to other requests, or an event of a stream. Only the time limit of a call ended it.

An event without end is cut off after 256 KiB, a stream after 64 MiB.

Fix: the channel counts what it reads in one place. The receiver states how long a body may be. The channel is closed with a ChannelError that says oversized; the attempt counts as lost or broken, as after any malformed answer, is logged by attempt_failed, stage_call_failed or store_lost, and counted by responses_oversized_total. The client of the own interface closes the connection as well when a body is too long; its heads are bounded by the time limit of a call only.

--- a/tests/relay/test_resumable.py
+++ b/tests/relay/test_resumable.py
@@ -46,3 +46,12 @@
     """Guards against a stream that restarts for a caller that resumes."""
     relay = resumable.EventRelay(last_id=2)
     assert relay.feed(event(2) + event(3)) == event(3)
+
+
+def test_event_without_end_is_reported():
+    """Guards against an event that fills the memory of a host."""
+    relay = resumable.EventRelay()
+    relay.feed(b'id: 1\ndata: ' + b'x' * (resumable.MAX_EVENT_BYTES // 2))
+    assert not relay.is_oversized
+    relay.feed(b'x' * resumable.MAX_EVENT_BYTES)
+    assert relay.is_oversized
--- a/walnutport/adapters/http_client.py
+++ b/walnutport/adapters/http_client.py
@@ -7,6 +7,7 @@
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import interfaces as twisted_interfaces
+from twisted.internet import protocol
 from twisted.web import client
 from twisted.web import iweb
 from zope.interface import implementer
@@ -215,20 +216,53 @@
 async def read_bounded(response: iweb.IResponse, limit: int) -> bytes:
     """Read a response body of at most ``limit`` bytes.
 
+    The connection is closed as soon as the body is larger.
+
     :raises CodecError: if the body is larger.
     """
-    parts: list[bytes] = []
-    size = 0
-
-    def collect(data: bytes) -> None:
-        nonlocal size
-        size += len(data)
-        if size <= limit:
-            parts.append(data)
-
-    await treq.collect(response, collect)
-    if size > limit:
-        raise exceptions.CodecError(
-            f'response body of {size} bytes exceeds {limit}'
-        )
-    return b''.join(parts)
+    if response.length == 0:
+        # Twisted delivers no body then.
+        return b''
+    body = _BoundedBody(limit)
+    response.deliverBody(body)
+    return await body.complete
+
+
+class _BoundedBody(protocol.Protocol):
+    """Collects a response body up to a limit."""
+
+    def __init__(self, limit: int) -> None:
+        self.complete: defer.Deferred[bytes] = defer.Deferred(self._cancel)
+        self._limit = limit
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Collect a part of the body."""
+        self._parts.append(data)
+        self._size += len(data)
+        if self._size > self._limit and not self.complete.called:
+            self.complete.errback(
+                exceptions.CodecError(
+                    f'response body exceeds {self._limit} bytes'
+                )
+            )
+            self._close()
+
+    def connectionLost(  # noqa: N802
+        self, reason=protocol.connectionDone
+    ) -> None:
+        """Return the body if it is complete."""
+        if self.complete.called:
+            return
+        if reason.check(client.ResponseDone, client.PotentialDataLoss):
+            self.complete.callback(b''.join(self._parts))
+        else:
+            self.complete.errback(reason)
+
+    def _cancel(self, complete: defer.Deferred[bytes]) -> None:
+        self._close()
+
+    def _close(self) -> None:
+        if self.transport is not None:
+            self.transport.loseConnection()
--- a/walnutport/exceptions.py
+++ b/walnutport/exceptions.py
@@ -129,6 +129,7 @@
     :param written: whether any byte of the request was written.
     :param malformed: whether the received bytes were not a valid response.
     :param timed_out: whether the timeout for the response had passed.
+    :param oversized: whether the response was cut off as it exceeded a limit.
     """
 
     def __init__(
@@ -138,8 +139,10 @@
         written: bool,
         malformed: bool = False,
         timed_out: bool = False,
+        oversized: bool = False,
     ) -> None:
         super().__init__(message)
+        self.oversized = oversized
         self.written = written
         self.malformed = malformed
         self.timed_out = timed_out
--- a/walnutport/gateway/attempts.py
+++ b/walnutport/gateway/attempts.py
@@ -33,6 +33,8 @@
 # that was idle for at most this long, or else a new one: when an idle channel
 # is reset, it is unknown whether the request ran.
 NON_REPEATABLE_MAX_IDLE_S = 0.05
+# Bytes of a stream, which is forwarded as it arrives.
+MAX_STREAM_BYTES = 64 << 20
 # A target that does not accept a connection within this time counts as
 # unreachable.
 CONNECT_TIMEOUT_S = 0.6
@@ -119,7 +121,6 @@
         self._head = messages.EMPTY_HEAD
         self._fields = headers.decode_response_headers(messages.EMPTY_HEAD)
         self._body_parts: list[bytes] = []
-        self._body_size = 0
         self._streaming = False
         self._channel: client_channel.ClientChannel | None = None
         self.first_event_at = 0.0
@@ -129,6 +130,13 @@
         """Set the channel that carries the attempt."""
         self._channel = channel
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Bytes of the body after which the response is cut off."""
+        if self._streaming:
+            return MAX_STREAM_BYTES
+        return channel_pool.MAX_RESPONSE_BYTES
+
     def head_received(self, head: messages.ResponseHead) -> bool:
         fields = headers.decode_response_headers(head)
         if fields.request_id and fields.request_id != self._call.request_id:
@@ -143,13 +151,16 @@
 
     def body_received(self, data: bytes) -> None:
         if not self._streaming:
-            self._body_size += len(data)
-            if self._body_size <= channel_pool.MAX_RESPONSE_BYTES:
-                self._body_parts.append(data)
+            self._body_parts.append(data)
             return
         events = self._relay.feed(data)
-        if self._relay.has_gap:
-            self._complete(AttemptStatus.BROKEN, 'gap in the event stream')
+        if self._relay.has_gap or self._relay.is_oversized:
+            self._complete(
+                AttemptStatus.BROKEN,
+                'gap in the event stream'
+                if self._relay.has_gap
+                else f'event of more than {resumable.MAX_EVENT_BYTES} bytes',
+            )
             self._drop_channel()
             return
         if not events:
@@ -192,8 +203,6 @@
     def _classify_response(self) -> tuple[AttemptStatus, str]:
         """Return the status and the detail for a complete response."""
         status = self._head.status
-        if self._body_size > channel_pool.MAX_RESPONSE_BYTES:
-            return AttemptStatus.LOST, 'response exceeds the size limit'
         if self._fields.not_run:
             if status == 421:
                 return AttemptStatus.WRONG_TARGET, ''
--- a/walnutport/gateway/host_status.py
+++ b/walnutport/gateway/host_status.py
@@ -130,6 +130,9 @@
             'store_calls_total': self._store.call_count,
             'store_era_changes_total': self._follower.era_changes,
             'channels_opened_total': self._pool.opened_count,
+            'responses_oversized_total': (
+                self._pool.oversized_count + self._store.oversized_count
+            ),
             'stage_calls_total': sum(owner.total_calls for owner in owners),
             'stage_pieces_total': sum(owner.total_pieces for owner in owners),
             **self._reports.totals(),
--- a/walnutport/http1/channel_pool.py
+++ b/walnutport/http1/channel_pool.py
@@ -19,12 +19,13 @@
     :param accepts: returns whether a head belongs to this request.
     """
 
+    max_body_bytes = MAX_RESPONSE_BYTES
+
     def __init__(self, accepts=lambda head: True) -> None:
         self._head = messages.EMPTY_HEAD
         self.done: defer.Deferred = defer.Deferred()
         self._accepts = accepts
         self._parts: list[bytes] = []
-        self._size = 0
 
     def head_received(self, head: messages.ResponseHead) -> bool:
         if not self._accepts(head):
@@ -33,21 +34,10 @@
         return True
 
     def body_received(self, data: bytes) -> None:
-        self._size += len(data)
-        if self._size <= MAX_RESPONSE_BYTES:
-            self._parts.append(data)
+        self._parts.append(data)
 
     def finished(self) -> None:
-        if self.done.called:
-            return
-        if self._size > MAX_RESPONSE_BYTES:
-            self.done.errback(
-                exceptions.ChannelError(
-                    'response exceeds the size limit',
-                    written=True,
-                )
-            )
-        else:
+        if not self.done.called:
             self.done.callback(
                 messages.Response(self._head, b''.join(self._parts))
             )
@@ -62,6 +52,8 @@
 
     :param reactor: the Twisted reactor.
     :param max_idle: maximum number of idle channels for each address.
+    :ivar oversized_count: responses that were cut off as they exceeded a
+        limit.
     """
 
     def __init__(self, reactor, max_idle: int) -> None:
@@ -71,6 +63,7 @@
             client_channel.Address, list[client_channel.ClientChannel]
         ] = {}
         self.opened_count = 0
+        self.oversized_count = 0
 
     def take_idle(
         self,
@@ -103,7 +96,11 @@
         :raises ChannelError: if the peer cannot be reached.
         """
         self.opened_count += 1
-        return await client_channel.connect(self._reactor, address, timeout_s)
+        channel = await client_channel.connect(
+            self._reactor, address, timeout_s
+        )
+        channel.on_oversized = self._count_oversized
+        return channel
 
     def release(self, channel: client_channel.ClientChannel) -> None:
         """Return an idle channel to the pool for later requests."""
@@ -133,6 +130,9 @@
             else:
                 del self._idle_by_address[address]
 
+    def _count_oversized(self) -> None:
+        self.oversized_count += 1
+
 
 async def fetch(
     reactor,
--- a/walnutport/http1/client_channel.py
+++ b/walnutport/http1/client_channel.py
@@ -21,6 +21,8 @@
     'Address',
     'CONNECT_TIMEOUT_S',
     'ClientChannel',
+    'MAX_HEAD_BYTES',
+    'MAX_SKIPPED_BYTES',
     'ResponseReceiver',
     'connect',
 ]
@@ -41,11 +43,20 @@
 # A channel is not reused this shortly before the idle timeout of its peer.
 IDLE_MARGIN_S = 0.5
 CONNECT_TIMEOUT_S = 1.0
+# Bytes of a head with the interim responses before it, and between two parts
+# of a body: chunk sizes with their extensions, and trailers.
+MAX_HEAD_BYTES = 64 << 10
+# Bytes of bodies that belong to other requests.
+MAX_SKIPPED_BYTES = 16 << 20
 
 
 class ResponseReceiver(TypingProtocol):
     """Receives the response to one request."""
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Bytes of the body after which the response is cut off."""
+
     def head_received(self, head: messages.ResponseHead) -> bool:
         """Receive the head; return False if it answers another request."""
 
@@ -68,6 +79,8 @@
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.alive = False
         self.request_count = 0
+        # Called when a response is cut off as it exceeds a limit.
+        self.on_oversized: Callable[[], None] = lambda: None
         self._receiver: ResponseReceiver | None = None
         self._written = False
         self._keep_alive = True
@@ -120,6 +133,7 @@
             # No request is in flight, so the data cannot be a response.
             self._abort()
             return
+        self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as problem:
@@ -127,7 +141,13 @@
                 self._fail(f'malformed answer: {problem}', malformed=True)
                 return
             self._keep_alive = False
-        if self._response_complete:
+        if self._receiver is None:
+            return
+        excess = self._find_excess(self._receiver)
+        if excess:
+            self.on_oversized()
+            self._fail(excess, malformed=True, oversized=True)
+        elif self._response_complete:
             self._complete()
 
     def connectionLost(self, reason=protocol.connectionDone) -> None:
@@ -180,14 +200,16 @@
         self._parse_idle_limit(head)
 
     def on_body(self, data: bytes) -> None:
-        if (
-            self._skip_response
-            or self._response_complete
-            or self._receiver is None
-        ):
+        if self._response_complete or self._receiver is None:
             return
-        if self._head is not None:
-            self._receiver.body_received(data)
+        if self._skip_response:
+            self._head_bytes = 0
+            self._skipped_bytes += len(data)
+        elif self._head is not None:
+            self._head_bytes = 0
+            self._body_bytes += len(data)
+            if self._body_bytes <= self._receiver.max_body_bytes:
+                self._receiver.body_received(data)
 
     def on_message_complete(self) -> None:
         if self._parser.get_status_code() < 200:
@@ -200,6 +222,19 @@
             # parsed, since surplus data makes the channel unusable.
             self._response_complete = True
 
+    def _find_excess(self, receiver: ResponseReceiver) -> str:
+        """Return which limit the response exceeds, empty if none."""
+        if self._body_bytes > receiver.max_body_bytes:
+            return f'body of more than {receiver.max_body_bytes} bytes'
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            return (
+                f'more than {MAX_SKIPPED_BYTES} bytes of responses to other '
+                'requests'
+            )
+        if self._head_bytes > MAX_HEAD_BYTES and not self._response_complete:
+            return f'more than {MAX_HEAD_BYTES} bytes without a body'
+        return ''
+
     def _complete(self) -> None:
         receiver = self._receiver
         self._receiver = None
@@ -215,14 +250,19 @@
         if reusable and self._receiver is None:
             self._on_idle(self)
 
-    def _fail(self, reason: str, malformed: bool = False) -> None:
+    def _fail(
+        self, reason: str, malformed: bool = False, oversized: bool = False
+    ) -> None:
         receiver = self._receiver
         self._receiver = None
         self._abort()
         if receiver is not None:
             receiver.failed(
                 exceptions.ChannelError(
-                    reason, written=self._written, malformed=malformed
+                    reason,
+                    written=self._written,
+                    malformed=malformed,
+                    oversized=oversized,
                 )
             )
 
@@ -235,6 +275,10 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
         self._head = None
+        # Bytes that arrived since the last part of a body, about.
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._skipped_bytes = 0
         self._body_until_close = False
         self._response_complete = False
         self._skip_response = False
--- a/walnutport/platform/store.py
+++ b/walnutport/platform/store.py
@@ -72,6 +72,11 @@
         """Latest era that the store has named; 0 before the first."""
         return self._era
 
+    @property
+    def oversized_count(self) -> int:
+        """Responses of the store that were cut off."""
+        return self._pool.oversized_count
+
     async def read_newest(self, feed: feeds.Feed) -> feeds.FeedPage:
         """Return the newest record of every key of a feed."""
         records: list[feeds.FeedRecord] = []
--- a/walnutport/relay/resumable.py
+++ b/walnutport/relay/resumable.py
@@ -6,7 +6,10 @@
 are detected.
 """
 
-__all__ = ['EventRelay']
+__all__ = ['EventRelay', 'MAX_EVENT_BYTES']
+
+# An event holds some tokens; without a limit, one without end would be kept.
+MAX_EVENT_BYTES = 256 << 10
 
 _EVENT_END = b'\n\n'
 
@@ -28,6 +31,11 @@
         """Whether an event of the sequence is missing."""
         return self._gap
 
+    @property
+    def is_oversized(self) -> bool:
+        """Whether an event exceeds the size limit."""
+        return len(self._partial) > MAX_EVENT_BYTES
+
     @property
     def partial(self) -> bytes:
         """Bytes after the last complete event."""
