Tell hosts that join what targets state and which requests are suspects

Callers of a host that had just started saw requests refused by targets that were leaving or had a limit, and a request that crashes targets ran once more.

Cause: the class of the desired state of a started host: a first observation taken for the present state. Peers were told of changes only, so that a host knew nothing of what was stated before it joined. Limits were kept by others meanwhile, so that a started host could exceed them.

Fix: when a link is up, both hosts send each other all statements in force and up to 200 suspects. Reports on targets that a host has not read yet wait for them. Times that a target has asked one host for are still told to nobody, as the target may have room for others.

--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -147,6 +147,16 @@
     assert len(fixture.mesh.peer_by_name) == 38
 
 
+def test_link_that_is_up_is_announced_once(monkeypatch):
+    """Guards against a started host that its peers tell nothing."""
+    fixture = Fixture(monkeypatch)
+    joined: list[str] = []
+    fixture.mesh.on_joined = joined.append
+    fixture.connect(1)
+    fixture.advance(2.0)
+    assert joined == ['host-1']
+
+
 def test_failed_dial_leads_to_another_choice(monkeypatch):
     """Guards against a fleet whose links all wait for hosts that are gone."""
     fixture = Fixture(monkeypatch)
--- a/tests/gateway/test_suspect_exchange.py
+++ b/tests/gateway/test_suspect_exchange.py
@@ -22,6 +22,9 @@
     def broadcast(self, message) -> None:
         self.sent.append(message)
 
+    def send(self, name, message) -> None:
+        self.sent.append((name, message))
+
 
 @pytest.mark.parametrize('is_partial', [True, False])
 def test_new_report_reaches_hosts_without_a_link_to_its_sender(is_partial):
@@ -40,3 +43,19 @@
     assert (
         exchange.table.state(b'd', 0.0) is suspicion.SuspicionState.QUARANTINED
     )
+
+
+def test_host_that_joins_is_told_about_suspects():
+    """Guards against a request that crashes targets once more.
+
+    A host that had just started did not know the suspects of its peers.
+    """
+    mesh = FakeMesh(False)
+    exchange = suspect_exchange.SuspectExchange(
+        None, None, mesh, None, outcomes.TargetOutcomes(random.Random(1))
+    )
+    exchange.merge_report(REPORT)
+    cleared = fleet_messages.CrashReport(b'e', ('t1/1',), True)
+    exchange.merge_report(cleared)
+    exchange.peer_joined('started')
+    assert mesh.sent == [('started', REPORT)]
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -111,6 +111,7 @@
             self._peer_lost,
         )
         self._mesh.choose_peers = self._choose_peers
+        self._mesh.on_joined = self._peer_joined
         self._suspects = suspect_exchange.SuspectExchange(
             reactor, self.log, self._mesh, self._pool, self._outcomes
         )
@@ -357,6 +358,7 @@
             self._selector.forget(target_id)
         self._known_target_ids = set(targets)
         self._origins.state_changed()
+        self._reports.targets_changed()
         if desired is None:
             return
         self._matcher.drop_missing_routes(desired)
@@ -458,6 +460,10 @@
         self._follower.handle_message(name, message)
         self._stages.handle_message(name, message)
 
+    def _peer_joined(self, name: str) -> None:
+        self._reports.peer_joined(name)
+        self._suspects.peer_joined(name)
+
     def _peer_lost(self, name: str) -> None:
         self._stages.peer_lost(name)
         self._origins.peer_lost(name)
--- a/walnutport/gateway/peers.py
+++ b/walnutport/gateway/peers.py
@@ -102,6 +102,8 @@
         self.log = log
         self.own_record = own_record
         self.peer_by_name: dict[str, PeerState] = {}
+        # Called with the name of a peer once a link to it is up.
+        self.on_joined: Callable[[str], None] = lambda name: None
         # Returns the names of the peers to link with in a large installation.
         # Called again after ``links_changed``.
         self.choose_peers: Callable[[], set[str]] = set
@@ -357,6 +359,7 @@
                     )
                 )
             )
+        self.on_joined(name)
 
     def _interval_s(self) -> float:
         if self.is_partial:
--- a/walnutport/gateway/suspect_exchange.py
+++ b/walnutport/gateway/suspect_exchange.py
@@ -18,6 +18,8 @@
 # Timeout of the connection that checks whether a target crashed; the target
 # counts as crashed when the connection fails.
 CRASH_CHECK_TIMEOUT_S = 0.5
+# Suspects that a peer is told when it joins.
+MAX_REPORTS_ON_JOIN = 200
 
 
 class SuspectExchange:
@@ -56,6 +58,13 @@
         if is_changed and self._mesh.is_partial:
             self._mesh.broadcast(message)
 
+    def peer_joined(self, name: str) -> None:
+        """Tell a peer, which may have just started, about the suspects."""
+        for report in self.table.reports(
+            time.monotonic(), MAX_REPORTS_ON_JOIN
+        ):
+            self._mesh.send(name, _to_message(report))
+
     def check_for_crash(
         self, target: registrations.RegisteredTarget, attempt_id: str
     ) -> None:
@@ -90,8 +99,12 @@
             deaths=message.deaths,
             cleared=message.cleared,
         )
-        self._mesh.broadcast(
-            fleet_messages.CrashReport(
-                message.digest, tuple(message.deaths), message.cleared
-            )
-        )
+        self._mesh.broadcast(_to_message(message))
+
+
+def _to_message(
+    report: suspicion.SuspectReport,
+) -> fleet_messages.CrashReport:
+    return fleet_messages.CrashReport(
+        report.digest, tuple(report.deaths), report.cleared
+    )
--- a/walnutport/gateway/target_reports.py
+++ b/walnutport/gateway/target_reports.py
@@ -1,6 +1,7 @@
 """Evaluates what targets state in their responses, and tells the peers."""
 
 from collections.abc import Callable
+import dataclasses
 import math
 import time
 
@@ -14,6 +15,19 @@
 __all__ = ['TargetReports']
 
 
+# Reports on targets that this host does not know yet are kept this long: it
+# may have just started, or the peer has read a newer entry.
+PENDING_REPORT_S = 5.0
+MAX_PENDING_REPORTS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PendingReport:
+    peer: str
+    report: backpressure.TargetReport
+    received_at: float
+
+
 class TargetReports:
     """What targets have stated to this host, kept in sync with its peers.
 
@@ -39,6 +53,7 @@
             lambda target: None
         )
         self.invalid_count = 0
+        self._pending: list[_PendingReport] = []
 
     def response_received(
         self,
@@ -89,20 +104,21 @@
         link to the peer, so reports that change something are passed on.
         """
         now = time.monotonic()
-        changed = []
-        for report in message.reports:
-            target = self._find_target(report.target_id)
-            if target is None:
-                continue
-            before = self._backpressure.rate_limit(target)
-            was_leaving = self._backpressure.is_leaving(target)
-            if self._backpressure.merge(target, report, now):
-                self._record_change(
-                    target, before, was_leaving, f'peer {name}'
-                )
-                changed.append(report)
-        if changed and self._mesh.is_partial:
-            self._mesh.broadcast(fleet_messages.TargetReports(tuple(changed)))
+        self._merge(
+            [_PendingReport(name, report, now) for report in message.reports]
+        )
+
+    def peer_joined(self, name: str) -> None:
+        """Tell a peer, which may have just started, what targets state."""
+        reports = self._backpressure.current_reports(time.monotonic())
+        if reports:
+            self._mesh.send(name, fleet_messages.TargetReports(tuple(reports)))
+
+    def targets_changed(self) -> None:
+        """Merge the reports on targets that have become known."""
+        if self._pending:
+            pending, self._pending = self._pending, []
+            self._merge(pending)
 
     def tick(self) -> None:
         """Tell the peers what has changed, and note which holds ended."""
@@ -160,6 +176,31 @@
             'next_send_s': None if math.isinf(delay_s) else round(delay_s, 2),
         }
 
+    def _merge(self, received: list[_PendingReport]) -> None:
+        now = time.monotonic()
+        changed = []
+        for item in received:
+            waited_s = now - item.received_at
+            if waited_s >= PENDING_REPORT_S:
+                continue
+            target = self._find_target(item.report.target_id)
+            if target is None:
+                self._pending.append(item)
+                continue
+            before = self._backpressure.rate_limit(target)
+            was_leaving = self._backpressure.is_leaving(target)
+            report = dataclasses.replace(
+                item.report, age_s=item.report.age_s + waited_s
+            )
+            if self._backpressure.merge(target, report, now):
+                self._record_change(
+                    target, before, was_leaving, f'peer {item.peer}'
+                )
+                changed.append(report)
+        del self._pending[:-MAX_PENDING_REPORTS]
+        if changed and self._mesh.is_partial:
+            self._mesh.broadcast(fleet_messages.TargetReports(tuple(changed)))
+
     def _record_change(
         self,
         target: registrations.RegisteredTarget,
--- a/walnutport/quarantine/suspects.py
+++ b/walnutport/quarantine/suspects.py
@@ -98,6 +98,19 @@
                 digests[suspicion.SuspicionState.SUSPECT].append(digest)
         return digests
 
+    def reports(
+        self, now: float, max_count: int
+    ) -> list[suspicion.SuspectReport]:
+        """Return the suspects, at most the given number of recent ones."""
+        reports: list[suspicion.SuspectReport] = []
+        for digest, entry in reversed(self._entries.items()):
+            if len(reports) >= max_count:
+                break
+            deaths = entry.uncleared_deaths()
+            if deaths and now - entry.updated_at < ENTRY_TTL_S:
+                reports.append(suspicion.SuspectReport(digest, deaths))
+        return reports
+
     def attempt_started(
         self, digest: bytes, target_id: str, attempt_id: str, now: float
     ) -> None:
--- a/walnutport/routing/backpressure.py
+++ b/walnutport/routing/backpressure.py
@@ -226,6 +226,26 @@
                 )
         return reports
 
+    def current_reports(self, now: float) -> list[TargetReport]:
+        """Return all that a host should know that has just started."""
+        reports = {
+            (target_id, incarnation): TargetReport(
+                target_id, incarnation, None, True, 0.0
+            )
+            for target_id, incarnation, _ in self._leaving_until
+        }
+        for state in self._state_by_id.values():
+            target = state.target
+            if state.rate_limit is not None:
+                reports[target.target_id, target.incarnation] = TargetReport(
+                    target.target_id,
+                    target.incarnation,
+                    state.rate_limit,
+                    self.is_leaving(target),
+                    now - state.observed_at,
+                )
+        return list(reports.values())
+
     def is_leaving(self, target: registrations.RegisteredTarget) -> bool:
         """Return whether a target has stated that it is leaving."""
         return target.incarnation_key in self._leaving_until
