--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -16,6 +16,8 @@
 # Time until the operator writes again what a store that returned from an
 # older copy has lost; enough for a host to start.
 REWRITE_AFTER_S = 4.0
+# Time for which peers stand still while a host starts.
+PAUSE_S = 2.0
 
 
 @pytest.fixture
@@ -299,6 +301,40 @@
         assert 200 in statuses_by_key['key-north']
 
 
+def test_host_that_starts_beside_paused_peers_takes_nothing_back(tmp_path):
+    """Guards against an older state in force while the peers stand still.
+
+    The store returns from a copy that lists them.
+    """
+    south = [{'name': 'south', 'apiKeys': ['key-south']}]
+    with platform_fleet.PlatformFleet(tmp_path, hosts=2) as fleet:
+        fleet.control_platform(
+            desired=platform_fleet.desired_state(version=5, tenants=south),
+            copy=True,
+        )
+        fleet.control_platform(desired=platform_fleet.desired_state(version=9))
+        for host in (0, 1):
+            fleet.wait_for_event('desired_applied', host, version=9)
+        fleet.control_platform(return_older=REWRITE_AFTER_S)
+        for host in (0, 1):
+            fleet.hosts[host].signal(signal.SIGSTOP)
+        resume = threading.Timer(PAUSE_S, _continue, (fleet.hosts[:2],))
+        resume.start()
+        fleet.add_host()
+        statuses = set()
+        deadline = time.monotonic() + PAUSE_S
+        while time.monotonic() < deadline:
+            statuses.add(fleet.call('pay', 'id', 2, 'key-south').status)
+        resume.join()
+        assert statuses <= {401, 503}
+        assert fleet.call('pay', 'id-last', 2).status == 200
+
+
+def _continue(hosts: list[processes.ManagedProcess]) -> None:
+    for host in hosts:
+        host.signal(signal.SIGCONT)
+
+
 def test_hosts_share_calls_and_survive_a_lost_owner(tmp_path):
     """Guards against stages that stop when the owner of a cell is killed."""
     with platform_fleet.PlatformFleet(tmp_path, hosts=2) as fleet:
