Confirm lapsed targets with a reader before they are removed

Callers saw: 503 (no_target) from a host that had lost its targets while all others served, for as long as nothing else changed.

Cause: hosts that do not read the targets are told changes only. An entry that had lapsed in an outage and came back changed nothing for the reader, so nobody was told, and the others removed the target 2.3 s later. After a return of the store, a reader that has started since has seen the entries of the copy only, so that the ones written again change nothing for it; hosts that knew later entries wait for them in vain and remove all targets after 3.5 s. The class: what changes for the sender is taken for what the receiver lacks.

Ruled out: the store had all entries (hosts 0 and 2 served); the era was known.

Fix: an entry that had lapsed counts as a change, and a host asks the peer that has read the targets last for all of them before it removes any.

--- a/tests/integration/test_target_limits.py
+++ b/tests/integration/test_target_limits.py
@@ -128,6 +128,39 @@
         assert reasons == {'targets_held_back'}
 
 
+@pytest.mark.parametrize(
+    ('route', 'service', 'headers'),
+    [
+        pytest.param('write', 'llm', {}, id='stream'),
+        pytest.param('review', 'rank', STAGED_HEADERS, id='stage_calls'),
+    ],
+)
+def test_targets_that_state_limits_are_used(tmp_path, route, service, headers):
+    """Guards against targets that get nothing as they state a limit.
+
+    Both targets of the service state one, so that the choice between them
+    does not matter. Half of their turns have to be used at least.
+    """
+    limit = 3.0
+    names = (f'{service}-1', f'{service}-2')
+    with platform_fleet.PlatformFleet(tmp_path, hosts=HOSTS) as fleet:
+        for host in range(HOSTS):
+            fleet.wait_for_event('peer_joined', host)
+        fleet.control_platform(
+            headers={name: {'Server-Limit': str(limit)} for name in names}
+        )
+        started_at = time.monotonic()
+        answers = offer_load(fleet, route, **headers)
+        for name in names:
+            arrivals = fleet.arrivals(name)
+            late = [at for at in arrivals if at >= started_at + SETTLE_S]
+            assert len(late) >= limit * LOAD_S / 2
+            assert most_in_a_window(arrivals, started_at + SETTLE_S) <= (
+                LIMIT_RATIO * limit * WINDOW_S + LIMIT_SLACK
+            )
+        assert {answer.status for answer in answers} <= {200, 503}
+
+
 def test_lifted_limit_is_noticed_by_every_host(tmp_path):
     """Guards against hosts that hold back from a target for ever.
 
--- a/walnutport/gateway/feed_follower.py
+++ b/walnutport/gateway/feed_follower.py
@@ -40,6 +40,9 @@
 # reads with those of its peers.
 FIRST_COMPARISON_INTERVAL_S = 0.02
 EXPIRED_RETRY_DELAY_S = 0.25
+# Before a host removes targets whose entries have not come back, it asks a
+# peer that reads the targets; entries come back within two seconds.
+CONFIRM_LAPSE_WITHIN_S = 1.3
 
 
 class FeedFollower:
@@ -214,6 +217,27 @@
             ),
         )
 
+    def _request_all_targets(self, now: float) -> None:
+        """Ask the peer that has read the targets last for all of them.
+
+        Entries that it has seen again may change nothing for it, as it has
+        started since, so that it has told nobody.
+        """
+        age_by_name = {
+            name: peer.heartbeat.store_age_s
+            for name, peer in self._mesh.peer_by_name.items()
+            if peer.heartbeat is not None
+        }
+        if not age_by_name:
+            return
+        self._next_request_at = now + REQUEST_UPDATE_INTERVAL_S
+        self._mesh.send(
+            min(age_by_name, key=age_by_name.__getitem__),
+            fleet_messages.UpdateRequest(
+                self.desired_version, self.registry.era, 0
+            ),
+        )
+
     def _send_updates(
         self, name: str, request: fleet_messages.UpdateRequest
     ) -> None:
@@ -443,7 +467,12 @@
 
     def expire_targets(self) -> None:
         """Remove targets whose lapsed records did not reappear."""
-        changes = self.registry.remove_lapsed(time.monotonic())
+        now = time.monotonic()
+        if now >= self._next_request_at and self.registry.lapse_is_due(
+            now, CONFIRM_LAPSE_WITHIN_S
+        ):
+            self._request_all_targets(now)
+        changes = self.registry.remove_lapsed(now)
         if changes:
             self._log_changes(changes, [], source='lapse')
 
--- a/walnutport/membership/registry.py
+++ b/walnutport/membership/registry.py
@@ -158,6 +158,13 @@
             feeds.FeedPage(page.records + removed, page.end), now
         )
 
+    def lapse_is_due(self, now: float, within_s: float) -> bool:
+        """Return whether a lapsed target will be removed within a time."""
+        return any(
+            until - now <= within_s
+            for until in self._lapsed_until_by_id.values()
+        )
+
     def remove_lapsed(self, now: float) -> list[RegistryChange]:
         """Remove the targets whose lapsed entries were not restored."""
         changes: list[RegistryChange] = []
@@ -221,12 +228,13 @@
             return
         if self._is_superseded(target):
             return
-        self._lapsed_until_by_id.pop(record.key, None)
+        has_lapsed = self._lapsed_until_by_id.pop(record.key, None) is not None
         before = self._targets_by_id.get(record.key)
         self._targets_by_id[record.key] = target
         self._removed_by_id.pop(record.key, None)
         change = _change_kind(before, target)
-        if change or record.key not in self._changed_at_by_key:
+        # Hosts that are told changes only wait for a lapsed entry as well.
+        if change or has_lapsed or record.key not in self._changed_at_by_key:
             self._mark_changed(record)
         if change:
             changes.append(RegistryChange(record.key, change, record.offset))
