--- a/tests/integration/test_target_retries.py
+++ b/tests/integration/test_target_retries.py
@@ -7,26 +7,34 @@
 LEAVING = {'Server-Leaving': '1'}
 # Long enough for the test.
 WAIT = {'Retry-After': '20'}
-# A limit this low leaves no turn for a second request.
+# Once the saved turns are used, a limit this low leaves none during the test.
 LIMIT = {'Server-Limit': '0'}
+SAVED_TURNS = 2
 
 
 def state(
     fleet: platform_fleet.PlatformFleet,
     route: str,
     target_id: str,
+    other_id: str,
     statement: dict[str, str],
 ) -> None:
-    """Let the only host learn what a target states."""
+    """Let the only host learn what a target states.
+
+    :param other_id: the other target, which is full meanwhile, so that the
+        request goes on to the first one.
+    """
     fleet.control_platform(
         headers={target_id: statement},
-        modes={target_id: 'full'} if statement is WAIT else {},
+        modes={
+            other_id: 'full',
+            target_id: 'full' if statement is WAIT else 'ok',
+        },
     )
-    number = 0
-    while not fleet.arrivals(target_id):
-        number += 1
+    for number in range(SAVED_TURNS + 1):
         fleet.call(route, f'told-{number}')
-    fleet.control_platform(modes={target_id: 'ok'})
+    assert fleet.arrivals(target_id)
+    fleet.control_platform(modes={target_id: 'ok', other_id: 'ok'})
 
 
 @pytest.mark.parametrize(
@@ -54,7 +62,7 @@
     """
     failing, sparing = f'{service}-1', f'{service}-2'
     with platform_fleet.PlatformFleet(tmp_path) as fleet:
-        state(fleet, route, sparing, statement)
+        state(fleet, route, sparing, failing, statement)
         before = len(fleet.arrivals(sparing))
         fleet.control_platform(modes={failing: mode})
         answer = fleet.call(route, 'id')
