Tell hosts all targets where removals may be unknown

Callers saw: attempts at targets that had ended, from hosts that kept them for ever, after another host had restarted.

A restarted reader reads a list, which lacks removed keys, and sends it as all changes since offset 0. The others advance beyond a removal that they have not read. 2. The removal of an entry that only the copy of the store has changes nothing for hosts that knew the target had left, so that they tell nobody; a host that started from the copy keeps it. 3. A host that has read the list takes a target from the older list of a host that lags behind, although its own list lacked it.

Fix: an update says whether it lists all targets, and then what it lacks is removed; removals of known entries are always told; records older than the own list of keys that it lacked are ignored.

--- a/walnutport/gateway/feed_follower.py
+++ b/walnutport/gateway/feed_follower.py
@@ -172,11 +172,15 @@
         self._enter_era(message.era, f'peer {name}')
         if message.grace_s and self._outages.is_recent(now):
             self.registry.extend_grace(message.grace_s, now)
-        if message.after > self.registry.changes_end_offset:
+        page = feeds.FeedPage(message.records, message.end)
+        has_gap = message.after > self.registry.changes_end_offset
+        if message.lists_all:
+            applied = self.registry.replace(page, now)
+        elif has_gap:
             applied = self.registry.apply_partial(message.records, now)
         else:
-            page = feeds.FeedPage(message.records, message.end)
             applied = self.registry.apply(page, now)
+        if message.lists_all or not has_gap:
             self.registry.mark_caught_up(message.changed_end)
             self._targets_known = True
         self._log_changes(*applied, source=name)
@@ -256,13 +260,15 @@
             self._mesh.send(name, self._target_update(after))
 
     def _target_update(self, after: int) -> fleet_messages.TargetUpdate:
+        lists_all = after < self.registry.listed_end_offset
         return fleet_messages.TargetUpdate(
-            self.registry.changes_after(after),
+            self.registry.changes_after(0 if lists_all else after),
             self.registry.era,
             self.registry.end_offset,
             self.registry.changes_end_offset,
             self.registry.grace_left_s(time.monotonic()),
             after,
+            lists_all,
         )
 
     async def _apply_desired_page(self, page: feeds.FeedPage) -> None:
--- a/walnutport/membership/registry.py
+++ b/walnutport/membership/registry.py
@@ -77,6 +77,9 @@
         self.era = 0
         # Offset up to which the feed was read.
         self.end_offset = 0
+        # Offset up to which records were read as a list, so that keys which
+        # were removed before may be missing in ``changes_after``.
+        self.listed_end_offset = 0
         # Offset after the last record that changed a target; most records are
         # heartbeats, which change nothing.
         self.changes_end_offset = 0
@@ -115,6 +118,7 @@
         self._records_by_key.clear()
         self._changed_at_by_key.clear()
         self.end_offset = 0
+        self.listed_end_offset = 0
         self.changes_end_offset = 0
         self._grace_until = now + ERA_GRACE_S
         for target_id in self._targets_by_id:
@@ -154,9 +158,11 @@
             for key in self._records_by_key
             if key not in listed_keys
         )
-        return self.apply(
+        result = self.apply(
             feeds.FeedPage(page.records + removed, page.end), now
         )
+        self.listed_end_offset = max(self.listed_end_offset, page.end)
+        return result
 
     def lapse_is_due(self, now: float, within_s: float) -> bool:
         """Return whether a lapsed target will be removed within a time."""
@@ -176,7 +182,10 @@
         return changes
 
     def changes_after(self, offset: int) -> tuple[feeds.FeedRecord, ...]:
-        """Return the latest records of the keys changed since an offset."""
+        """Return the latest records of the keys changed since an offset.
+
+        Below ``listed_end_offset``, removed keys may be missing.
+        """
         return tuple(
             self._records_by_key[key]
             for key, changed_at in self._changed_at_by_key.items()
@@ -209,9 +218,17 @@
         previous = self._records_by_key.get(record.key)
         if previous is not None and previous.offset >= record.offset:
             return
+        if previous is None and record.offset < self.listed_end_offset:
+            # A key that the list lacked had been removed; the record is from a
+            # host that lags behind.
+            return
         self._records_by_key[record.key] = record
         if record.value is None:
             if record.key not in self._targets_by_id:
+                if previous is not None and previous.value is not None:
+                    # A host that has started since may take the entry before
+                    # for valid.
+                    self._mark_changed(record)
                 return
             self._mark_changed(record)
             if now < self._grace_until:
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -109,6 +109,8 @@
     :param grace_s: how long removed entries only count as lapsed.
     :param after: offset from which the message contains all changes; a host
         whose known offset is lower has missed some.
+    :param lists_all: whether the message contains all targets instead, so
+        that those which it lacks were removed.
     """
 
     records: tuple[feeds.FeedRecord, ...]
@@ -117,6 +119,7 @@
     changed_end: int
     grace_s: float
     after: int = 0
+    lists_all: bool = False
 
 
 class RunStages(msgspec.Struct, frozen=True, tag='run'):
