Find ambiguous routes in less time

Each change of a target rebuilt the services of all routes and compared sets for each of them: 14 ms for 1,600 routes (timeit), which stalls a host of half a core for 28 ms.

--- a/walnutport/gateway/origin_exchange.py
+++ b/walnutport/gateway/origin_exchange.py
@@ -11,6 +11,7 @@
 from walnutport.membership import ranking
 from walnutport.peer import fleet_messages
 from walnutport.routing import stream_origins
+from walnutport.world import routes
 
 __all__ = ['OriginExchange']
 
@@ -69,6 +70,7 @@
             entry_interval_s, is_first_start
         )
         self._ambiguous_routes: set[str] = set()
+        self._known_desired: routes.DesiredState | None = None
         self._flush_scheduled = False
         self._queries: list[_Query] = []
         # Valid for one state of the fleet, as the ranking takes a while.
@@ -87,8 +89,10 @@
         """
         now = time.monotonic()
         follower = self._follower
-        if follower.desired is not None:
-            self._history.update_routes(follower.desired.routes, now)
+        desired = follower.desired
+        if desired is not None and desired is not self._known_desired:
+            self._known_desired = desired
+            self._history.update_routes(desired.routes, now)
         if follower.is_initialized:
             self._history.update_targets(
                 follower.registry.targets.values(), now
--- a/walnutport/gateway/target_reports.py
+++ b/walnutport/gateway/target_reports.py
@@ -14,7 +14,6 @@
 
 __all__ = ['TargetReports']
 
-
 # Reports on targets that this host does not know yet are kept this long: it
 # may have just started, or the peer has read a newer entry.
 PENDING_REPORT_S = 5.0
--- a/walnutport/routing/stream_origins.py
+++ b/walnutport/routing/stream_origins.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
 import math
@@ -189,19 +190,15 @@
 
         This is only as true as the history is complete.
         """
-        services = self._services_by_route.recent(
+        service = self._services_by_route.sole_member(
             route_name, now, self.retention_s
         )
-        if len(services) != 1:
+        if service is None:
             return None
-        (service,) = services
-        versions = self._versions_by_service.recent(
+        version = self._versions_by_service.sole_member(
             service, now, self.retention_s
         )
-        if len(versions) != 1:
-            return None
-        (version,) = versions
-        return StreamOrigin(service, version)
+        return None if version is None else StreamOrigin(service, version)
 
     def is_settled(
         self,
@@ -221,10 +218,19 @@
 
     def ambiguous_routes(self, now: float) -> set[str]:
         """Return the routes whose streams may differ in their origin."""
+        clear_services = {
+            service
+            for service in self._versions_by_service.keys()
+            if self._versions_by_service.sole_member(
+                service, now, self.retention_s
+            )
+            is not None
+        }
         return {
             name
             for name in self._services_by_route.keys()
-            if self.sole_origin(name, now) is None
+            if self._services_by_route.sole_member(name, now, self.retention_s)
+            not in clear_services
         }
 
 
@@ -260,10 +266,19 @@
             if not removed:
                 del self._removed_at[key]
 
-    def recent(self, key: str, now: float, retention_s: float) -> set[str]:
-        """Return the members of a set, and those that were removed lately."""
-        return set(self._present.get(key, ())) | {
-            name
-            for name, removed_at in self._removed_at.get(key, {}).items()
-            if now - removed_at < retention_s
-        }
+    def sole_member(
+        self, key: str, now: float, retention_s: float
+    ) -> str | None:
+        """Return the only member of a set, None if there are none or several.
+
+        Those that were removed lately count.
+        """
+        members: Collection[str] = self._present.get(key, ())
+        removed_at_by_name = self._removed_at.get(key)
+        if removed_at_by_name:
+            members = set(members).union(
+                name
+                for name, removed_at in removed_at_by_name.items()
+                if now - removed_at < retention_s
+            )
+        return next(iter(members)) if len(members) == 1 else None
