--- a/walnutport/gateway/feed_follower.py
+++ b/walnutport/gateway/feed_follower.py
@@ -12,8 +12,8 @@
 
 from walnutport import exceptions
 from walnutport.gateway import desired_reader
+from walnutport.gateway import first_comparison
 from walnutport.gateway import peers
-from walnutport.membership import first_state
 from walnutport.membership import ranking
 from walnutport.membership import registry
 from walnutport.membership import store_outages
@@ -36,9 +36,6 @@
 # state with many routes would saturate the links of small hosts.
 REQUEST_UPDATE_AFTER_S = 0.35
 REQUEST_UPDATE_INTERVAL_S = 0.6
-# Interval at which a started host compares the first desired state that it
-# reads with those of its peers.
-FIRST_COMPARISON_INTERVAL_S = 0.02
 EXPIRED_RETRY_DELAY_S = 0.25
 # Before a host removes targets whose entries have not come back, it asks a
 # peer that reads the targets; entries come back within two seconds.
@@ -81,7 +78,9 @@
         self._decode_desired = decode_desired
         self._on_change = on_change
         self._on_new_era = on_new_era
-        self._is_first_start = is_first_start
+        self._first_comparison = first_comparison.FirstComparison(
+            reactor, log, mesh, is_first_start, self._request_from
+        )
         # Era of the store as this host knows it, also from its peers.
         self.era = 0
         self.era_changes = 0
@@ -209,6 +208,12 @@
             return
         self._request_update(name, now)
 
+    def _request_from(self, name: str) -> None:
+        """Ask a peer for what is newer, unless a request is on its way."""
+        now = time.monotonic()
+        if now >= self._next_request_at:
+            self._request_update(name, now)
+
     def _request_update(self, name: str, now: float) -> None:
         """Ask a peer for what is newer than what this host knows."""
         self._next_request_at = now + REQUEST_UPDATE_INTERVAL_S
@@ -277,60 +282,13 @@
         for record in page.records:
             if record.key == self._desired_key and record.value is not None:
                 if self.desired is None:
-                    await self._compare_first(record)
+                    await self._first_comparison.confirm(
+                        self._version_of(record),
+                        lambda: self.era,
+                        lambda: self.desired is None and not self._stopped,
+                    )
                 self._apply_desired(record, 'store')
 
-    async def _compare_first(self, record: feeds.FeedRecord) -> None:
-        """Wait until the state is confirmed, or a peer has sent a newer one.
-
-        ``first_state`` decides how long.
-        """
-        version = self._version_of(record)
-        started_at = time.monotonic()
-        while self.desired is None and not self._stopped:
-            version_by_peer = {
-                name: peer.heartbeat.desired_version
-                for name, peer in self._mesh.peer_by_name.items()
-                if peer.heartbeat is not None
-            }
-            known_peers = first_state.Peers(
-                tuple(version_by_peer.values()),
-                tuple(
-                    peer.record.era
-                    for peer in self._mesh.peer_by_name.values()
-                ),
-                self._mesh.awaits_peers,
-            )
-            now = time.monotonic()
-            waited_s = now - started_at
-            verdict = first_state.judge(
-                version,
-                self.era,
-                self._is_first_start,
-                known_peers,
-                waited_s,
-            )
-            ahead = [
-                name
-                for name, known in version_by_peer.items()
-                if known > version
-            ]
-            if verdict is not first_state.Verdict.WAIT:
-                self._log.notable(
-                    'desired_confirmed'
-                    if verdict is first_state.Verdict.CONFIRMED
-                    else 'desired_unconfirmed',
-                    version=version,
-                    era=self.era,
-                    waited_s=round(waited_s, 3),
-                    peers=len(version_by_peer),
-                    ahead=ahead,
-                )
-                return
-            if ahead and now >= self._next_request_at:
-                self._request_update(ahead[0], now)
-            await self._pause(FIRST_COMPARISON_INTERVAL_S)
-
     def _version_of(self, record: feeds.FeedRecord) -> int:
         """Return the version of a desired state, 0 if it is unreadable."""
         try:
