--- a/tests/integration/test_faults_targets.py
+++ b/tests/integration/test_faults_targets.py
@@ -16,6 +16,7 @@
     'dripped': {'drip_bytes': 64, 'drip_s': 0.01},
     'answers_lost': {'black_hole': True, 'direction': 'to_client'},
 }
+RESETS = 4
 FAULTY_TARGETS = ('retriever-1', 'engine-1', 'payments-1')
 
 
@@ -50,17 +51,23 @@
 
 
 def test_stream_reset_while_events_arrive(running: fleet.Fleet) -> None:
-    """Guards against lost or repeated events when a stream is resumed."""
+    """Guards against lost or repeated events when a stream is resumed.
+
+    The connections are reset several times: beside other load, the streams of
+    one time may be over before the reset.
+    """
     source = 'streams'
-    loads = (faults.load('summaries', 40, 40.0, stream=True),)
+    loads = (faults.load('summaries', RESETS * 40, 40.0, stream=True),)
     sender = running.start_caller(loads, source)
     wanted = {'kind': 'started', 'stage': 'generate', 'source': 'engine-2'}
-    faults.wait_count(running, source, 3, **wanted)
-    running.set_proxy_faults('engine-2', reset=True)
-    faults.wait_count(running, source, 25, kind='sent')
-    running.set_proxy_faults('engine-2')
+    for number in range(RESETS):
+        started = faults.count(running, source, **wanted)
+        faults.wait_count(running, source, started + 3, **wanted)
+        running.set_proxy_faults('engine-2', reset=True)
+        faults.wait_count(running, source, 25 + number * 40, kind='sent')
+        running.set_proxy_faults('engine-2')
     faults.finish(sender)
-    faults.verdict(running, source, 40)
+    faults.verdict(running, source, RESETS * 40)
     events = faults.events_of(running, source)
     started_nonces = [
         event.nonce
