--- a/tests/gateway/test_lapsed_targets.py
+++ b/tests/gateway/test_lapsed_targets.py
@@ -30,6 +30,12 @@
         self.reader = self.fixture.make_follower(self.reader_mesh)
         self.reader.start()
 
+    def end_outage(self) -> None:
+        """Let both hosts notice the end of an outage of the store."""
+        now = self.fixture.clock.seconds()
+        for follower in (self.reader, self.told):
+            follower.registry.store_recovered(3.0, now)
+
     def advance(self, seconds: float) -> None:
         """Advance the clock, and deliver the messages."""
         for _ in range(round(seconds / test_store_era.STEP_S)):
@@ -95,9 +101,7 @@
     fixture.write_target('t1', b'1')
     fleet.reader.start()
     fleet.advance(2.0)
-    now = fixture.clock.seconds()
-    for follower in (fleet.reader, fleet.told):
-        follower.registry.store_recovered(3.0, now)
+    fleet.end_outage()
     fixture.write_target('t1', None)
     fleet.advance(1.0)
     fixture.write_target('t1', b'1')
@@ -113,9 +117,7 @@
     fixture.write_target('t1', b'1')
     fleet.reader.start()
     fleet.advance(2.0)
-    now = fixture.clock.seconds()
-    for follower in (fleet.reader, fleet.told):
-        follower.registry.store_recovered(3.0, now)
+    fleet.end_outage()
     fixture.store.write(feeds.Feed.TARGETS, 't1', None)
     fleet.advance(feed_follower.registry.LAPSE_GRACE_S + 2.0)
     assert not fleet.reader.registry.targets
