--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -341,6 +341,13 @@
         """
         return self._records_of_targets()['arrivals'].get(target_id, [])
 
+    def crashes(self) -> list[float]:
+        """Return the times at which engines crashed.
+
+        :returns: seconds of the monotonic clock of the machine.
+        """
+        return self._records_of_targets()['crashes']
+
     def _records_of_targets(self) -> dict:
         return msgspec.json.decode(
             processes.http_request(
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -32,6 +32,7 @@
 _MAX_WAIT_S = 30.0
 _POLL_S = 0.02
 _REQUEST_ID_HEADER = 'walnutport-request-attempt-id'
+_PROMPT_HEADER = 'walnutport-prompt-prefix'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +65,7 @@
     :param event_ms: time between two events of a stream.
     :param call_ms: duration of a call to a stage target.
     :param unregistered: ids of targets without a record at the start.
+    :param crash_s: time until an engine that has crashed listens again.
     """
 
     port: int
@@ -75,6 +77,7 @@
     event_ms: float = 20.0
     call_ms: float = 40.0
     unregistered: tuple[str, ...] = ()
+    crash_s: float = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,6 +110,11 @@
         self.mode_by_target: dict[str, str] = {}
         # Headers that targets add to all their responses, by target.
         self.headers_by_target: dict[str, dict[str, str]] = {}
+        # Part of prompts that crashes each engine that begins to write an
+        # answer on it; empty for none.
+        self.crashing_part = ''
+        # Times at which engines crashed.
+        self.crashes: list[float] = []
         self.store_mode = 'ok'
         # Rises when the store returns from its copy.
         self.era = 1
@@ -121,8 +129,13 @@
                 self.write_target_record(plan, 'ready')
             _Target(self, plan).listen()
 
-    def write_target_record(self, plan: TargetPlan, state: str) -> None:
-        """Append the record with which a target announces itself."""
+    def write_target_record(
+        self, plan: TargetPlan, state: str, starts: int = 1
+    ) -> None:
+        """Append the record with which a target announces itself.
+
+        :param starts: how often the target was started.
+        """
         record = {
             'service': plan.service,
             'address': (
@@ -134,7 +147,7 @@
             'state': state,
             'coldMs': 0,
             'sequence': next(self._sequences),
-            'born': 1_700_000_000_000,
+            'born': 1_700_000_000_000 + starts,
         }
         self._append('keyed.servers', plan.target_id, record)
 
@@ -254,6 +267,7 @@
             self.return_older(changes['return_older'])
         if 'store' in changes:
             self.store_mode = changes['store']
+        self.crashing_part = changes.get('crashing_part', self.crashing_part)
         self.mode_by_target.update(changes.get('modes', {}))
         self.headers_by_target.update(changes.get('headers', {}))
         for plan in self.settings.targets:
@@ -266,12 +280,13 @@
 
     @app.route('/runs')
     def get_runs(self, request) -> bytes:
-        """Return runs, handles of freed results and times of arrivals."""
+        """Return runs, freed handles and times of arrivals and crashes."""
         return msgspec.json.encode(
             {
                 'runs': self.runs,
                 'freed': self.freed,
                 'arrivals': self.arrivals,
+                'crashes': self.crashes,
             }
         )
 
@@ -307,15 +322,36 @@
         self._platform = platform
         self._plan = plan
         self._handles: set[str] = set()
+        # Connections that have carried a request.
+        self._transports: set = set()
+        self._listener = None
+        self._starts = 1
 
     def listen(self) -> None:
         """Listen on the target's port."""
-        reactor.listenTCP(
+        self._listener = reactor.listenTCP(
             self._plan.port,
             server.Site(self.app.resource()),
             interface=self._platform.settings.ip,
         )
 
+    def _crash(self) -> None:
+        """Reset all channels and refuse new ones for some time."""
+        if self._listener is None:
+            return
+        self._platform.crashes.append(time.monotonic())
+        self._listener.stopListening()
+        self._listener = None
+        transports, self._transports = self._transports, set()
+        for transport in transports:
+            transport.abortConnection()
+        reactor.callLater(self._platform.settings.crash_s, self._start_again)
+
+    def _start_again(self) -> None:
+        self._starts += 1
+        self.listen()
+        self._platform.write_target_record(self._plan, 'ready', self._starts)
+
     @app.route('/stage-run', methods=['POST'])
     async def stage_run(self, request) -> bytes:
         """Run the stage pieces of a call."""
@@ -387,6 +423,16 @@
 
     async def _stream(self, request) -> bytes:
         request.setHeader('content-type', 'text/event-stream')
+        parts = [
+            part.partition(':')[0]
+            for part in (request.getHeader(_PROMPT_HEADER) or '').split(',')
+        ]
+        if self._platform.crashing_part in parts[:-1]:
+            await self._sleep(self._platform.settings.event_ms)
+            request.write(event_bytes(1, self._plan.version)[:8])
+            await self._sleep(self._platform.settings.event_ms / 2)
+            self._crash()
+            return server.NOT_DONE_YET
         after = int(request.getHeader('last-event-id') or 0)
         for number in range(after + 1, self._platform.settings.events + 1):
             await self._sleep(self._platform.settings.event_ms)
@@ -402,6 +448,7 @@
 
     def _accept_or_refuse(self, request) -> bool:
         self._platform.arrivals[self._plan.target_id].append(time.monotonic())
+        self._transports.add(request.transport)
         own_headers = self._platform.headers_by_target.get(
             self._plan.target_id, {}
         )
