Quarantine parts of prompts that crash targets

Cause: the suspect table knows one key, the digest of a whole request. Requests that share one part of their prompts and nothing else were each new to it, so each was sent, and crashed one more engine.

Deaths are now counted against the shared parts of all requests in flight, and cleared by any complete answer with the part. After three deaths without a success, requests with the part are refused but for one probe of the fleet at a time; failed probes become rarer. A retry waits until it is known whether the target has crashed. Targets that are only silent implicate no part.

--- a/tests/gateway/test_suspect_exchange.py
+++ b/tests/gateway/test_suspect_exchange.py
@@ -3,11 +3,17 @@
 import random
 
 import pytest
+from twisted.internet import error
+from twisted.internet import testing
+from twisted.python import failure
 
 from walnutport.gateway import suspect_exchange
+from walnutport.http1 import channel_pool
 from walnutport.peer import fleet_messages
+from walnutport.quarantine import prompt_parts
 from walnutport.quarantine import suspicion
 from walnutport.routing import outcomes
+from walnutport.world import registrations
 
 REPORT = fleet_messages.CrashReport(b'd', ('t1/1', 't2/1'), False)
 
@@ -59,3 +65,68 @@
     exchange.merge_report(cleared)
     exchange.peer_joined('started')
     assert mesh.sent == [('started', REPORT)]
+
+
+PART_REPORTS = fleet_messages.PartReports(
+    (prompt_parts.PartReport('p', {'t1/1': 0.0, 't2/1': 1.0, 't3/1': 2.0}),)
+)
+
+
+class SilentLog:
+    """Decision log that drops all lines."""
+
+    def notable(self, event: str, **fields: object) -> None:
+        """Drop a line."""
+
+
+@pytest.mark.parametrize('is_partial', [True, False])
+def test_new_report_on_a_part_reaches_hosts_without_a_link(is_partial):
+    """Guards against a part that crashes targets through host after host."""
+    mesh = FakeMesh(is_partial)
+    exchange = suspect_exchange.SuspectExchange(
+        None,
+        SilentLog(),
+        mesh,
+        None,
+        outcomes.TargetOutcomes(random.Random(1)),
+    )
+    exchange.merge_part_reports('peer', PART_REPORTS)
+    exchange.merge_part_reports('peer', PART_REPORTS)
+    assert mesh.sent == ([PART_REPORTS] if is_partial else [])
+    exchange.peer_joined('started')
+    ((name, message),) = mesh.sent[-1:]
+    assert name == 'started'
+    assert set(message.reports[0].death_ages) == {'t1/1', 't2/1', 't3/1'}
+
+
+TARGET = registrations.RegisteredTarget(
+    't1', 1, 'llm', ('10.0.0.1', 80), 'a', 4, False, 0.0
+)
+
+
+@pytest.mark.parametrize(
+    ('problem', 'is_implicated'),
+    [
+        pytest.param(error.ConnectionRefusedError(), True, id='refused'),
+        pytest.param(error.TimeoutError(), False, id='silent'),
+    ],
+)
+def test_silent_target_implicates_no_part(problem, is_implicated):
+    """Guards against parts that are blamed for a target that is cut off.
+
+    Such a target may run on, and so may one that is frozen for a moment.
+    """
+    reactor = testing.MemoryReactorClock()
+    exchange = suspect_exchange.SuspectExchange(
+        reactor,
+        SilentLog(),
+        FakeMesh(False),
+        channel_pool.ChannelPool(reactor, 1),
+        outcomes.TargetOutcomes(random.Random(1)),
+    )
+    exchange.parts.attempt_started('id/1', ('p',), 't1', '1', 0.0)
+    recorded = exchange.check_for_crash(TARGET, 'id/1')
+    factory = reactor.tcpClients[0][2]
+    factory.clientConnectionFailed(None, failure.Failure(problem))
+    assert recorded.called
+    assert len(exchange.parts) == is_implicated
--- a/walnutport/cli/explain.py
+++ b/walnutport/cli/explain.py
@@ -37,7 +37,10 @@
     'origin_gone': (
         'refused: no target of the version that began its stream is left'
     ),
-    'quarantined': 'refused: it was running at two targets that crashed',
+    'quarantined': (
+        'refused: it, or a part of its prompt, was running at several targets '
+        'that crashed'
+    ),
     'stage_failures': 'given up: too many of its stage pieces failed',
     'owner_unknown': 'no link to the host that runs its stages was up yet',
     'owners_lost': 'given up: hosts that ran its stages were lost',
@@ -153,6 +156,14 @@
     if outcome == 'answered' and status >= 500:
         tried = ', '.join(_texts(finished[-1], 'targets'))
         text = f'failed: answered {status} by its last target of {tried}'
+    refusals = [
+        record
+        for record in records
+        if record.get('event') == 'refused' and record.get('part')
+    ]
+    if refusals and outcome == 'quarantined':
+        last = refusals[-1]
+        text += f' (part {last["part"]}, {last.get("deaths")} crashes)'
     failures = [
         record for record in records if record.get('event') == 'attempt_failed'
     ]
--- a/walnutport/exceptions.py
+++ b/walnutport/exceptions.py
@@ -130,6 +130,7 @@
     :param malformed: whether the received bytes were not a valid response.
     :param timed_out: whether the timeout for the response had passed.
     :param oversized: whether the response was cut off as it exceeded a limit.
+    :param refused: whether the peer has refused the connection.
     """
 
     def __init__(
@@ -140,9 +141,11 @@
         malformed: bool = False,
         timed_out: bool = False,
         oversized: bool = False,
+        refused: bool = False,
     ) -> None:
         super().__init__(message)
         self.oversized = oversized
+        self.refused = refused
         self.written = written
         self.malformed = malformed
         self.timed_out = timed_out
--- a/walnutport/gateway/attempts.py
+++ b/walnutport/gateway/attempts.py
@@ -247,6 +247,8 @@
 
     :param pool: channels to targets.
     :param reports: evaluates what targets state in their responses.
+    :param admit: returns whether a call may be sent, as it does not crash its
+        targets.
     """
 
     def __init__(
@@ -254,8 +256,10 @@
         reactor,
         pool: channel_pool.ChannelPool,
         reports: target_reports.TargetReports,
+        admit: Callable[[calls.CallerCall], bool],
     ) -> None:
         self._reactor = reactor
+        self._admit = admit
         self._pool = pool
         self._reports = reports
 
@@ -297,6 +301,15 @@
                 detail='target accepts no requests',
                 is_deferred=True,
             )
+        if not self._admit(call):
+            # A peer may have said so while the channel was being opened.
+            self._release(target, channel)
+            return AttemptResult(
+                AttemptStatus.NOT_SENT,
+                target,
+                detail='quarantined',
+                is_deferred=True,
+            )
         receiver = AttemptReceiver(
             call,
             target,
--- a/walnutport/gateway/calls.py
+++ b/walnutport/gateway/calls.py
@@ -40,6 +40,8 @@
         stages.
     :param engine_id: id of the engine that the owner of the cell recommends.
     :param first_event_at: when the first event was forwarded, 0 before.
+    :param probed_parts: quarantined parts of the prompt that the request
+        probes, so that it is sent all the same.
     :param origin: where the stream began, None before its first event. Only
         targets of that service and version may go on with it.
     """
@@ -68,6 +70,7 @@
     engine_id: str = ''
     first_event_at: float = 0.0
     origin: stream_origins.StreamOrigin | None = None
+    probed_parts: tuple[str, ...] = ()
 
     @property
     def request_id(self) -> str:
--- a/walnutport/gateway/events.py
+++ b/walnutport/gateway/events.py
@@ -216,6 +216,20 @@
         'a request may have crashed a target, or was cleared of that',
         ('digest', 'deaths', 'cleared'),
     ),
+    Event(
+        'part_suspect',
+        'a part of prompts may have crashed a target, was cleared of that, or '
+        'is probed',
+        (
+            'part',
+            'deaths',
+            'cleared',
+            'count',
+            'quarantined',
+            'probe_s',
+            'source',
+        ),
+    ),
     # Cells and stages.
     Event(
         'fit',
@@ -263,6 +277,12 @@
         'an attempt at a target starts',
         ('id', 'target', 'version', 'attempt', 'left_s', 'load'),
     ),
+    Event(
+        'part_probe',
+        'the request is sent although parts of its prompt are quarantined, to '
+        'learn whether they still crash targets',
+        ('id', 'parts'),
+    ),
     Event(
         'stream_continued',
         'the caller goes on with a stream that an earlier attempt began',
@@ -272,6 +292,7 @@
         'attempt_failed',
         'an attempt got no complete or usable response',
         ('id', 'target', 'status', 'detail'),
+        ('parts',),
     ),
     Event(
         'repeat',
@@ -296,6 +317,8 @@
             'aim_left_s',
             'returned',
             'team_standing',
+            'part',
+            'deaths',
         ),
     ),
     Event(
--- a/walnutport/gateway/forwarding.py
+++ b/walnutport/gateway/forwarding.py
@@ -3,8 +3,11 @@
 from collections.abc import Callable
 import time
 
+from twisted.internet import defer
+
 from walnutport.gateway import attempts
 from walnutport.gateway import calls
+from walnutport.quarantine import prompt_parts
 from walnutport.quarantine import suspects
 from walnutport.quarantine import suspicion
 from walnutport.relay import resumable
@@ -16,6 +19,9 @@
 
 __all__ = ['Forwarder']
 
+# Parts of a prompt that are logged with a failed attempt.
+MAX_LOGGED_PARTS = 8
+
 _Status = attempts.AttemptStatus
 
 _END_BY_STATUS = {
@@ -33,8 +39,10 @@
     """Forwards calls to targets, within the retry budget of each service.
 
     :param create_budget: creates the retry budget of a service.
+    :param suspect_table: contents of requests that may crash targets.
+    :param parts: parts of prompts that may crash targets.
     :param check_for_crash: checks whether a target crashed during an attempt,
-        and records the end of the attempt in the suspect table.
+        and records the end of the attempt in both; the result fires then.
     """
 
     def __init__(
@@ -44,14 +52,18 @@
         target_outcomes: outcomes.TargetOutcomes,
         limits: backpressure.TargetBackpressure,
         suspect_table: suspects.SuspectTable,
+        parts: prompt_parts.PartTable,
         create_budget: Callable[[], window_budget.SlidingWindowBudget],
-        check_for_crash: Callable[[registrations.RegisteredTarget, str], None],
+        check_for_crash: Callable[
+            [registrations.RegisteredTarget, str], defer.Deferred
+        ],
     ) -> None:
         self._log = log
         self._sender = sender
         self._outcomes = target_outcomes
         self._limits = limits
         self._suspects = suspect_table
+        self._parts = parts
         self._create_budget = create_budget
         self._check_for_crash = check_for_crash
         self._budget_by_service: dict[
@@ -60,8 +72,38 @@
 
     def is_quarantined(self, call: calls.CallerCall) -> bool:
         """Return whether the content is suspected to crash its targets."""
-        state = self._suspects.state(call.digest, time.monotonic())
-        return state is suspicion.SuspicionState.QUARANTINED
+        now = time.monotonic()
+        state = self._suspects.state(call.digest, now)
+        return state is suspicion.SuspicionState.QUARANTINED or bool(
+            self.check_parts(call).blocked_by
+        )
+
+    def check_parts(self, call: calls.CallerCall) -> prompt_parts.PartDecision:
+        """Return whether the parts of the prompt let a request be sent."""
+        return self._parts.check(
+            call.request_id, call.fields.shared_parts, time.monotonic()
+        )
+
+    def admit(self, call: calls.CallerCall) -> bool:
+        """Return whether a request may be sent, be it as a probe.
+
+        This is asked at the arrival and before each send, as peers report
+        crashes at any time.
+        """
+        if self.is_quarantined(call):
+            return False
+        probes = self.check_parts(call).probes
+        if set(probes) - set(call.probed_parts):
+            call.probed_parts = probes
+            self._parts.begin_probe(call.request_id, probes, time.monotonic())
+            self._log.notable('part_probe', id=call.request_id, parts=probes)
+        return True
+
+    def end_probe(self, call: calls.CallerCall) -> None:
+        """Record the end of a request, which may have been a probe."""
+        self._parts.end_probe(
+            call.request_id, call.probed_parts, time.monotonic()
+        )
 
     def record_request(self, call: calls.CallerCall) -> None:
         """Count a request, which raises the retry budget of its service."""
@@ -99,7 +141,15 @@
         self._suspects.attempt_started(
             call.digest, target.target_id, attempt_id, started_at
         )
+        self._parts.attempt_started(
+            attempt_id,
+            call.fields.shared_parts,
+            target.target_id,
+            str(target.incarnation),
+            started_at,
+        )
         survived = False
+        completed = False
         reset = False
         try:
             result = await self._sender.send(
@@ -107,19 +157,21 @@
             )
             reset = result.reset
             survived = result.status in (_Status.ANSWERED, _Status.STREAMED)
+            completed = survived and result.head.status < 300
             if survived:
                 self._record_response(result, started_at)
             else:
                 self._record_failure(call, result)
-            return result
         finally:
             self._outcomes.attempt_finished(target)
-            if reset:
-                self._check_for_crash(target, attempt_id)
-            else:
-                self._suspects.attempt_finished(
-                    attempt_id, survived, time.monotonic()
-                )
+            if not reset:
+                now = time.monotonic()
+                self._suspects.attempt_finished(attempt_id, survived, now)
+                self._parts.attempt_finished(attempt_id, completed, now)
+        if reset:
+            # The choice of the next target depends on what is found.
+            await self._check_for_crash(target, attempt_id)
+        return result
 
     def try_acquire_retry(
         self, call: calls.CallerCall, result: attempts.AttemptResult
@@ -141,7 +193,9 @@
                 sent_count=len(call.targets),
                 max_targets=call.route.max_targets,
                 unreachable_count=len(call.unreachable),
-                quarantined=self.is_quarantined(call),
+                quarantined=self.is_quarantined(call)
+                or end is retry_eligibility.AttemptEnd.MAY_HAVE_RUN
+                and self._is_suspect(call),
             ),
         )
         if denial_reason:
@@ -185,6 +239,12 @@
             for service, budget in self._budget_by_service.items()
         }
 
+    def _is_suspect(self, call: calls.CallerCall) -> bool:
+        """Return whether a retry may crash one more target."""
+        return bool(call.probed_parts) or self._parts.is_suspect(
+            call.fields.shared_parts, time.monotonic()
+        )
+
     def _record_response(
         self, result: attempts.AttemptResult, started_at: float
     ) -> None:
@@ -216,6 +276,7 @@
             target=result.target.target_id,
             status=result.status.value,
             detail=result.detail,
+            parts=call.fields.shared_parts[:MAX_LOGGED_PARTS],
         )
 
     def _record_target_failure(
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -158,10 +158,16 @@
         self._reports.on_change = self._stages.target_changed
         self._forwarder = forwarding.Forwarder(
             self.log,
-            attempts.AttemptSender(reactor, self._pool, self._reports),
+            attempts.AttemptSender(
+                reactor,
+                self._pool,
+                self._reports,
+                lambda call: self._forwarder.admit(call),
+            ),
             self._outcomes,
             self._backpressure,
             self._suspects.table,
+            self._suspects.parts,
             self._create_budget,
             self._suspects.check_for_crash,
         )
@@ -451,6 +457,9 @@
         if isinstance(message, fleet_messages.CrashReport):
             self._suspects.merge_report(message)
             return
+        if isinstance(message, fleet_messages.PartReports):
+            self._suspects.merge_part_reports(name, message)
+            return
         if isinstance(message, fleet_messages.TargetReports):
             self._reports.merge_report(name, message)
             return
--- a/walnutport/gateway/request_handler.py
+++ b/walnutport/gateway/request_handler.py
@@ -87,12 +87,12 @@
         task.addBoth(lambda result: self._finish(call, timer))
 
     async def _serve(self, call: calls.CallerCall) -> None:
-        if self._forwarder.is_quarantined(call):
-            self._responder.refuse(call, 'quarantined', call.time_left_s())
-            return
         if call.time_left_s() <= 0:
             self._responder.refuse(call, 'deadline')
             return
+        if not self._forwarder.admit(call):
+            self._refuse_quarantined(call)
+            return
         is_stream = call.route.kind is routes.RequestKind.STREAM
         if is_stream and call.fields.continues_stream:
             await self._find_origin(call)
@@ -237,6 +237,13 @@
         self, call: calls.CallerCall, result: attempts.AttemptResult | None
     ) -> None:
         """Respond to a call that gets no further attempt."""
+        if (
+            not call.request.head_sent
+            and not call.may_have_run
+            and self._forwarder.is_quarantined(call)
+        ):
+            self._refuse_quarantined(call)
+            return
         delay_s = self._selector.stated_delay_s(call)
         was_sent = result is not None and not result.is_deferred
         if was_sent or call.may_have_run or delay_s is None:
@@ -244,6 +251,17 @@
         else:
             self._refuse_by_targets(call, delay_s)
 
+    def _refuse_quarantined(self, call: calls.CallerCall) -> None:
+        """Refuse a call that may crash its targets."""
+        decision = self._forwarder.check_parts(call)
+        self._responder.refuse(
+            call,
+            'quarantined',
+            decision.retry_after_s or call.time_left_s(),
+            part=decision.blocked_by,
+            deaths=decision.deaths,
+        )
+
     def _refuse_by_targets(
         self, call: calls.CallerCall, delay_s: float
     ) -> None:
@@ -310,4 +328,5 @@
         if timer.active():
             timer.cancel()
         self.in_flight.discard(call)
+        self._forwarder.end_probe(call)
         self._responder.finish(call)
--- a/walnutport/gateway/suspect_exchange.py
+++ b/walnutport/gateway/suspect_exchange.py
@@ -1,13 +1,16 @@
-"""Shares reports on requests that crash targets with the other hosts."""
+"""Shares reports on what crashes targets with the other hosts."""
 
 import time
 
 from twisted.internet import defer
+from twisted.python import failure as twisted_failure
 
+from walnutport import exceptions
 from walnutport.gateway import peers
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.peer import fleet_messages
+from walnutport.quarantine import prompt_parts
 from walnutport.quarantine import suspects
 from walnutport.quarantine import suspicion
 from walnutport.routing import outcomes
@@ -23,7 +26,11 @@
 
 
 class SuspectExchange:
-    """Suspect table of this host, kept in sync with its peers."""
+    """Suspects of this host, kept in sync with its peers.
+
+    :ivar table: contents of requests that may crash targets.
+    :ivar parts: parts of prompts that may crash targets.
+    """
 
     def __init__(
         self,
@@ -39,6 +46,7 @@
         self._pool = pool
         self._outcomes = target_outcomes
         self.table = suspects.SuspectTable(self._publish)
+        self.parts = prompt_parts.PartTable(self._publish_parts)
 
     def merge_report(self, message: fleet_messages.CrashReport) -> None:
         """Merge a report of a peer on a request into the table.
@@ -58,24 +66,50 @@
         if is_changed and self._mesh.is_partial:
             self._mesh.broadcast(message)
 
+    def merge_part_reports(
+        self, name: str, message: fleet_messages.PartReports
+    ) -> None:
+        """Merge the reports of a peer on parts of prompts.
+
+        In a partial mesh, what is new is passed on, as for requests.
+        """
+        now = time.monotonic()
+        new = []
+        for report in message.reports:
+            if self.parts.merge(report, now):
+                new.append(report)
+                self._log_part(report, f'peer {name}')
+        if new and self._mesh.is_partial:
+            self._mesh.broadcast(fleet_messages.PartReports(tuple(new)))
+
     def peer_joined(self, name: str) -> None:
         """Tell a peer, which may have just started, about the suspects."""
-        for report in self.table.reports(
-            time.monotonic(), MAX_REPORTS_ON_JOIN
-        ):
+        now = time.monotonic()
+        for report in self.table.reports(now, MAX_REPORTS_ON_JOIN):
             self._mesh.send(name, _to_message(report))
+        part_reports = self.parts.reports(now, MAX_REPORTS_ON_JOIN)
+        if part_reports:
+            self._mesh.send(
+                name, fleet_messages.PartReports(tuple(part_reports))
+            )
 
     def check_for_crash(
         self, target: registrations.RegisteredTarget, attempt_id: str
-    ) -> None:
+    ) -> defer.Deferred:
         """Record the end of an attempt, and whether its target crashed.
 
-        The target counts as crashed when a new connection to it fails.
+        The target counts as crashed when a new connection to it fails. Parts
+        of prompts are implicated only if it is refused: a target that cannot
+        be reached may run on.
+
+        :returns: fires when the end is recorded.
         """
+        recorded: defer.Deferred = defer.Deferred()
 
         def on_connected(channel: client_channel.ClientChannel) -> None:
             channel.close()
-            self.table.attempt_finished(attempt_id, False, time.monotonic())
+            self._attempt_finished(attempt_id)
+            recorded.callback(None)
 
         def on_failure(failure) -> None:
             now = time.monotonic()
@@ -84,13 +118,24 @@
             self.table.target_died(
                 target.target_id, now, str(target.incarnation)
             )
-            self.table.attempt_finished(attempt_id, False, now)
+            if _is_refused(failure):
+                self.parts.target_died(
+                    target.target_id, str(target.incarnation), now
+                )
+            self._attempt_finished(attempt_id)
+            recorded.callback(None)
 
         defer.Deferred.fromCoroutine(
             client_channel.connect(
                 self._reactor, target.address, CRASH_CHECK_TIMEOUT_S
             )
         ).addCallbacks(on_connected, on_failure)
+        return recorded
+
+    def _attempt_finished(self, attempt_id: str) -> None:
+        now = time.monotonic()
+        self.table.attempt_finished(attempt_id, False, now)
+        self.parts.attempt_finished(attempt_id, False, now)
 
     def _publish(self, message: suspicion.SuspectReport) -> None:
         self._log.notable(
@@ -101,6 +146,32 @@
         )
         self._mesh.broadcast(_to_message(message))
 
+    def _publish_parts(self, reports: list[prompt_parts.PartReport]) -> None:
+        for report in reports:
+            self._log_part(report, 'own')
+        self._mesh.broadcast(fleet_messages.PartReports(tuple(reports)))
+
+    def _log_part(self, report: prompt_parts.PartReport, source: str) -> None:
+        deaths = self.parts.death_count(report.part, time.monotonic())
+        self._log.notable(
+            'part_suspect',
+            part=report.part,
+            deaths=sorted(report.death_ages),
+            cleared=bool(report.cleared),
+            count=deaths,
+            quarantined=deaths >= prompt_parts.QUARANTINE_DEATHS,
+            probe_s=round(report.probe_s, 1),
+            source=source,
+        )
+
+
+def _is_refused(failure: twisted_failure.Failure) -> bool:
+    """Return whether a connection failed as nothing listens any more."""
+    return (
+        isinstance(failure.value, exceptions.ChannelError)
+        and failure.value.refused
+    )
+
 
 def _to_message(
     report: suspicion.SuspectReport,
--- a/walnutport/http1/client_channel.py
+++ b/walnutport/http1/client_channel.py
@@ -325,7 +325,9 @@
         if not self._cancelled:
             self.opened.errback(
                 exceptions.ChannelError(
-                    f'cannot connect: {reason.type.__name__}', written=False
+                    f'cannot connect: {reason.type.__name__}',
+                    written=False,
+                    refused=bool(reason.check(error.ConnectionRefusedError)),
                 )
             )
 
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from walnutport import exceptions
+from walnutport.quarantine import prompt_parts
 from walnutport.routing import backpressure
 from walnutport.stages import pieces
 from walnutport.world import feeds
@@ -18,6 +19,7 @@
     'Heartbeat',
     'OriginQuery',
     'OriginReply',
+    'PartReports',
     'ReleaseStages',
     'RunStages',
     'StagesDone',
@@ -168,6 +170,12 @@
     cleared: bool
 
 
+class PartReports(msgspec.Struct, frozen=True, tag='parts'):
+    """What the sender, or a peer of it, has learned of parts of prompts."""
+
+    reports: tuple[prompt_parts.PartReport, ...]
+
+
 class TargetReports(msgspec.Struct, frozen=True, tag='reports'):
     """What targets have stated to the sender, or to a peer of it."""
 
@@ -215,6 +223,7 @@
     | StagesFailed
     | StagesRefused
     | CrashReport
+    | PartReports
     | TargetReports
     | StreamsBegun
     | OriginQuery
--- a/walnutport/platform/headers.py
+++ b/walnutport/platform/headers.py
@@ -78,6 +78,7 @@
         last_event_id=_parse_whole_number(value_by_name, wire.LAST_EVENT_ID),
         continues_stream=wire.LAST_EVENT_ID in value_by_name,
         begun_by=_decode_text(value_by_name, wire.RESUMES),
+        shared_parts=_parse_shared_parts(value_by_name),
     )
 
 
@@ -202,6 +203,13 @@
     return tuple(int(part) for part in parts)
 
 
+def _parse_shared_parts(value_by_name: dict[bytes, bytes]) -> tuple[str, ...]:
+    """Return the ids of the parts of the prompt but the last, each once."""
+    prefix = _decode_text(value_by_name, wire.PROMPT_PREFIX)
+    part_ids = [part.partition(':')[0].strip() for part in prefix.split(',')]
+    return tuple(dict.fromkeys(part for part in part_ids[:-1] if part))
+
+
 def _parse_prompt(
     value_by_name: dict[bytes, bytes],
 ) -> requests.PromptShape | None:
--- /dev/null
+++ b/walnutport/quarantine/crash_evidence.py
@@ -0,0 +1,60 @@
+"""Crashes of targets that speak against a key, as hosts exchange them."""
+
+import dataclasses
+
+__all__ = ['MAX_DEATHS', 'CrashEvidence', 'death_id']
+
+# Limits the size of an entry; a few uncleared deaths already settle its state.
+MAX_DEATHS = 32
+
+
+def death_id(target_id: str, incarnation: str) -> str:
+    """Return the id of a target's death, which is the same on every host."""
+    return f'{target_id}/{incarnation}'
+
+
+@dataclasses.dataclass(slots=True)
+class CrashEvidence:
+    """Deaths during which a key was in flight, and those cleared since.
+
+    Both sets only grow, so that reports may arrive late, repeatedly or in any
+    order.
+
+    :param updated_at: when the last death became known or was cleared.
+    :param deaths: ids of the deaths, each with the time at which it happened
+        as far as this host knows.
+    :param cleared: ids of the deaths that a later success cleared.
+    """
+
+    updated_at: float
+    deaths: dict[str, float] = dataclasses.field(default_factory=dict)
+    cleared: dict[str, None] = dataclasses.field(default_factory=dict)
+
+    def uncleared_deaths(self) -> tuple[str, ...]:
+        """Return the ids of the deaths that no success has cleared."""
+        return tuple(sorted(self.deaths.keys() - self.cleared.keys()))
+
+    def add_death(self, death: str, died_at: float, now: float) -> bool:
+        """Record a death; return whether it is new."""
+        if death in self.deaths:
+            return False
+        self.deaths[death] = died_at
+        self._changed(now)
+        return True
+
+    def clear(self, death: str, now: float) -> bool:
+        """Record that a death is cleared; return whether that is new."""
+        if death in self.cleared:
+            return False
+        self.deaths.setdefault(death, now)
+        self.cleared[death] = None
+        self._changed(now)
+        return True
+
+    def _changed(self, now: float) -> None:
+        self.updated_at = now
+        while len(self.deaths) > MAX_DEATHS:
+            # Removes cleared deaths first; uncleared ones determine the state.
+            oldest = next(iter(self.cleared), None) or next(iter(self.deaths))
+            self.deaths.pop(oldest, None)
+            self.cleared.pop(oldest, None)
--- /dev/null
+++ b/walnutport/quarantine/prompt_parts.py
@@ -0,0 +1,353 @@
+"""Finds parts of prompts that crash the targets that answer on them.
+
+Covers requests that have nothing in common but one part of their prompts, so
+that each of them is new to the suspect table. All requests in flight at a
+target share its death, so that their other parts are implicated as well. A
+part that crashes targets is never answered completely, while other parts soon
+are: a part is quarantined after several deaths without a success since.
+
+Requests with a quarantined part are refused, but for a probe from time to
+time. A success of the probe clears the part, and each failed probe makes the
+next one rarer.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+
+from walnutport.quarantine import crash_evidence
+
+__all__ = ['MAX_ENTRIES', 'PartDecision', 'PartReport', 'PartTable']
+
+# Deaths without a success since, after which a request is not retried, and
+# after which the part is quarantined.
+SUSPECT_DEATHS = 2
+QUARANTINE_DEATHS = 3
+# Deaths closer together count once, as targets with a common fault die at the
+# same moment.
+MIN_DEATH_SPACING_S = 0.015
+# Time from the last evidence to the next probe, by the number of probes that
+# have failed. The last value holds for all later ones. The first probe comes
+# soon, as it clears the parts that were in flight at all deaths by chance.
+PROBE_DELAYS_S = (0.5, 30.0, 60.0)
+# A probe whose outcome is unknown after this time, as its host was lost, no
+# longer prevents the next one.
+PROBE_TIMEOUT_S = 5.0
+MAX_ENTRIES = 2_000
+ENTRY_TTL_S = 600.0
+# Callers may retry a refused request after this time at the earliest.
+MIN_RETRY_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartReport:
+    """What a host has learned of a part of prompts.
+
+    :param death_ages: time in seconds since each death, by its id.
+    :param cleared: ids of the deaths that a later success cleared.
+    :param failed_probes: ids of the deaths of targets that ran a probe of
+        this part and of no other one.
+    :param probe_s: time for which a probe is under way; 0 if none is.
+    :param probe_ended: whether a probe has ended without a result.
+    """
+
+    part: str
+    death_ages: dict[str, float] = dataclasses.field(default_factory=dict)
+    cleared: tuple[str, ...] = ()
+    failed_probes: tuple[str, ...] = ()
+    probe_s: float = 0.0
+    probe_ended: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartDecision:
+    """Whether a request may be sent, by the parts of its prompt.
+
+    :param blocked_by: quarantined part because of which the request is
+        refused; empty if it may be sent.
+    :param probes: quarantined parts that the request would probe.
+    :param deaths: number of deaths that speak against ``blocked_by``.
+    :param retry_after_s: time until the next probe of ``blocked_by``.
+    """
+
+    blocked_by: str = ''
+    probes: tuple[str, ...] = ()
+    deaths: int = 0
+    retry_after_s: float = 0.0
+
+
+_ALLOWED = PartDecision()
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    """Evidence against one part.
+
+    :param failed_probes: ids of deaths that ended a probe of this part alone.
+    :param probing_until: end of the time in which a probe is under way.
+    :param probe_id: id of the request of this host that probes the part.
+    """
+
+    evidence: crash_evidence.CrashEvidence
+    failed_probes: set[str] = dataclasses.field(default_factory=set)
+    probing_until: float = 0.0
+    probe_id: str = ''
+
+    def death_count(self) -> int:
+        """Return the number of uncleared deaths at different times."""
+        count = 0
+        counted_at = 0.0
+        for died_at in sorted(
+            self.evidence.deaths[death]
+            for death in self.evidence.uncleared_deaths()
+        ):
+            if not count or died_at - counted_at >= MIN_DEATH_SPACING_S:
+                count += 1
+                counted_at = died_at
+        return count
+
+    def next_probe_at(self) -> float:
+        """Return when a quarantined part may be probed again."""
+        uncleared = self.evidence.uncleared_deaths()
+        failed = len(self.failed_probes.intersection(uncleared))
+        delay_s = PROBE_DELAYS_S[min(failed, len(PROBE_DELAYS_S) - 1)]
+        last_death_at = max(
+            (self.evidence.deaths[death] for death in uncleared), default=0.0
+        )
+        return max(last_death_at + delay_s, self.probing_until)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Attempt:
+    parts: tuple[str, ...]
+    death: str
+    sole_probe: str
+
+
+class PartTable:
+    """Evidence against the parts of prompts, from this host and its peers.
+
+    Times are seconds of a monotonic clock, passed in as ``now``.
+
+    :param publish: called with the reports for the other hosts.
+    """
+
+    def __init__(
+        self,
+        publish: Callable[[list[PartReport]], None] = lambda reports: None,
+    ) -> None:
+        self._publish = publish
+        self._entry_by_part: collections.OrderedDict[str, _Entry] = (
+            collections.OrderedDict()
+        )
+        self._attempt_by_id: dict[str, _Attempt] = {}
+
+    def __len__(self) -> int:
+        return len(self._entry_by_part)
+
+    def death_count(self, part: str, now: float) -> int:
+        """Return the number of deaths that speak against a part."""
+        entry = self._find(part, now)
+        return 0 if entry is None else entry.death_count()
+
+    def quarantined_parts(self, now: float) -> list[str]:
+        """Return the parts that are quarantined."""
+        return [
+            part
+            for part in list(self._entry_by_part)
+            if self.death_count(part, now) >= QUARANTINE_DEATHS
+        ]
+
+    def is_suspect(self, parts: Iterable[str], now: float) -> bool:
+        """Return whether a request should not be retried after a failure."""
+        return any(
+            self.death_count(part, now) >= SUSPECT_DEATHS for part in parts
+        )
+
+    def check(
+        self, request_id: str, parts: Iterable[str], now: float
+    ) -> PartDecision:
+        """Return whether a request may be sent now.
+
+        :param request_id: id of the request, which may be a probe already.
+        """
+        probes = []
+        for part in parts:
+            entry = self._find(part, now)
+            if entry is None:
+                continue
+            deaths = entry.death_count()
+            if deaths < QUARANTINE_DEATHS:
+                continue
+            delay_s = entry.next_probe_at() - now
+            if entry.probe_id != request_id and delay_s > 0:
+                return PartDecision(
+                    part, (), deaths, max(MIN_RETRY_S, delay_s)
+                )
+            probes.append(part)
+        return PartDecision('', tuple(probes)) if probes else _ALLOWED
+
+    def begin_probe(
+        self, request_id: str, parts: Iterable[str], now: float
+    ) -> None:
+        """Reserve the next probe of quarantined parts for a request."""
+        reports = []
+        for part in parts:
+            entry = self._find(part, now)
+            if entry is not None and entry.probe_id != request_id:
+                entry.probe_id = request_id
+                entry.probing_until = now + PROBE_TIMEOUT_S
+                reports.append(PartReport(part, probe_s=PROBE_TIMEOUT_S))
+        if reports:
+            self._publish(reports)
+
+    def end_probe(
+        self, request_id: str, parts: Iterable[str], now: float
+    ) -> None:
+        """Release the reservation of a request that has ended."""
+        reports = []
+        for part in parts:
+            entry = self._find(part, now)
+            if entry is not None and entry.probe_id == request_id:
+                entry.probe_id = ''
+                if entry.probing_until > now:
+                    entry.probing_until = now
+                    reports.append(PartReport(part, probe_ended=True))
+        if reports:
+            self._publish(reports)
+
+    def attempt_started(
+        self,
+        attempt_id: str,
+        parts: tuple[str, ...],
+        target_id: str,
+        incarnation: str,
+        now: float,
+    ) -> None:
+        """Record that an attempt is in flight."""
+        if not parts:
+            return
+        quarantined = [
+            part
+            for part in parts
+            if self.death_count(part, now) >= QUARANTINE_DEATHS
+        ]
+        self._attempt_by_id[attempt_id] = _Attempt(
+            parts,
+            crash_evidence.death_id(target_id, incarnation),
+            quarantined[0] if len(quarantined) == 1 else '',
+        )
+
+    def attempt_finished(self, attempt_id: str, ok: bool, now: float) -> None:
+        """Record the end of an attempt.
+
+        :param ok: whether the answer was complete, which clears its parts.
+        """
+        attempt = self._attempt_by_id.pop(attempt_id, None)
+        if attempt is None or not ok:
+            return
+        reports = []
+        for part in attempt.parts:
+            entry = self._find(part, now)
+            if entry is None:
+                continue
+            uncleared = entry.evidence.uncleared_deaths()
+            if uncleared:
+                reports.append(PartReport(part, cleared=uncleared))
+        self._merge_and_publish(reports, now)
+
+    def target_died(
+        self, target_id: str, incarnation: str, now: float
+    ) -> None:
+        """Record a death against the parts of all requests in flight."""
+        death = crash_evidence.death_id(target_id, incarnation)
+        implicated: set[str] = set()
+        probed: set[str] = set()
+        for attempt in self._attempt_by_id.values():
+            if attempt.death == death:
+                implicated.update(attempt.parts)
+                probed.add(attempt.sole_probe)
+        self._merge_and_publish(
+            [
+                PartReport(
+                    part,
+                    {death: 0.0},
+                    failed_probes=(death,) if part in probed else (),
+                )
+                for part in sorted(implicated)
+            ],
+            now,
+        )
+
+    def merge(self, report: PartReport, now: float) -> bool:
+        """Merge a report; return whether it says anything new."""
+        entry = self._entry_by_part.get(report.part)
+        if entry is None:
+            entry = _Entry(crash_evidence.CrashEvidence(now))
+            self._entry_by_part[report.part] = entry
+            if len(self._entry_by_part) > MAX_ENTRIES:
+                self._entry_by_part.popitem(last=False)
+        is_new = False
+        for death, age_s in report.death_ages.items():
+            if entry.evidence.add_death(death, now - age_s, now):
+                is_new = True
+                entry.probing_until = now
+        for death in report.cleared:
+            is_new |= entry.evidence.clear(death, now)
+        for death in report.failed_probes:
+            is_new |= death not in entry.failed_probes
+            entry.failed_probes.add(death)
+        entry.failed_probes.intersection_update(entry.evidence.deaths)
+        if report.probe_ended and entry.probing_until > now:
+            entry.probing_until = now
+            is_new = True
+        if report.probe_s and entry.probing_until <= now:
+            entry.probing_until = now + report.probe_s
+            is_new = True
+        if is_new:
+            self._entry_by_part.move_to_end(report.part)
+        return is_new
+
+    def reports(self, now: float, max_count: int) -> list[PartReport]:
+        """Return what a host should know that has just started."""
+        reports: list[PartReport] = []
+        for part in reversed(list(self._entry_by_part)):
+            if len(reports) >= max_count:
+                break
+            entry = self._find(part, now)
+            if entry is None:
+                continue
+            evidence = entry.evidence
+            uncleared = evidence.uncleared_deaths()
+            if uncleared:
+                reports.append(
+                    PartReport(
+                        part,
+                        {
+                            death: now - evidence.deaths[death]
+                            for death in uncleared
+                        },
+                        failed_probes=tuple(
+                            sorted(entry.failed_probes.intersection(uncleared))
+                        ),
+                        probe_s=max(0.0, entry.probing_until - now),
+                    )
+                )
+        return reports
+
+    def _merge_and_publish(
+        self, reports: list[PartReport], now: float
+    ) -> None:
+        new = [report for report in reports if self.merge(report, now)]
+        if new:
+            self._publish(new)
+
+    def _find(self, part: str, now: float) -> _Entry | None:
+        entry = self._entry_by_part.get(part)
+        if entry is None:
+            return None
+        if now - entry.evidence.updated_at >= ENTRY_TTL_S:
+            del self._entry_by_part[part]
+            return None
+        return entry
--- a/walnutport/quarantine/suspects.py
+++ b/walnutport/quarantine/suspects.py
@@ -10,30 +10,14 @@
 from collections.abc import Callable
 import dataclasses
 
+from walnutport.quarantine import crash_evidence
 from walnutport.quarantine import suspicion
 
-__all__ = ['MAX_ENTRIES', 'SuspectTable', 'death_id']
+__all__ = ['MAX_ENTRIES', 'SuspectTable']
 
 MAX_ENTRIES = 10_000
 ENTRY_TTL_S = 3_600.0
 QUARANTINE_DEATHS = 2
-# Limits the size of an entry; two uncleared deaths already settle its state.
-MAX_DEATHS = 32
-
-
-def death_id(target_id: str, incarnation: str) -> str:
-    """Return the id of a target's death, which is the same on every host."""
-    return f'{target_id}/{incarnation}'
-
-
-@dataclasses.dataclass(slots=True)
-class _Entry:
-    updated_at: float
-    deaths: dict[str, None] = dataclasses.field(default_factory=dict)
-    cleared: dict[str, None] = dataclasses.field(default_factory=dict)
-
-    def uncleared_deaths(self) -> tuple[str, ...]:
-        return tuple(sorted(self.deaths.keys() - self.cleared.keys()))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,9 +42,9 @@
         self.publish = publish
         # Called with the digest when the entry of quarantined content changes.
         self.on_quarantined: Callable[[bytes], None] = lambda digest: None
-        self._entries: collections.OrderedDict[bytes, _Entry] = (
-            collections.OrderedDict()
-        )
+        self._entries: collections.OrderedDict[
+            bytes, crash_evidence.CrashEvidence
+        ] = collections.OrderedDict()
         self._attempts_by_id: dict[str, _AttemptInFlight] = {}
         self._incarnations_by_target: dict[str, str] = {}
 
@@ -152,7 +136,7 @@
         """
         if incarnation is None:
             incarnation = self.incarnation_of(target_id)
-        death = death_id(target_id, incarnation)
+        death = crash_evidence.death_id(target_id, incarnation)
         digests = {
             attempt.digest
             for attempt in self._attempts_by_id.values()
@@ -170,22 +154,21 @@
         """Merge a message from another host or from the log."""
         entry = self._find(message.digest, now)
         if entry is None:
-            entry = _Entry(now)
+            entry = crash_evidence.CrashEvidence(now)
             self._entries[message.digest] = entry
             if len(self._entries) > MAX_ENTRIES:
                 self._entries.popitem(last=False)
-        count_before = len(entry.deaths) + len(entry.cleared)
+        is_changed = False
         for death in message.deaths:
-            entry.deaths[death] = None
+            is_changed |= entry.add_death(death, now, now)
             if message.cleared:
-                entry.cleared[death] = None
-        if len(entry.deaths) + len(entry.cleared) > count_before:
-            entry.updated_at = now
-            _trim(entry)
-            if len(entry.uncleared_deaths()) >= QUARANTINE_DEATHS:
-                self.on_quarantined(message.digest)
-
-    def _find(self, digest: bytes, now: float) -> _Entry | None:
+                is_changed |= entry.clear(death, now)
+        if is_changed and len(entry.uncleared_deaths()) >= QUARANTINE_DEATHS:
+            self.on_quarantined(message.digest)
+
+    def _find(
+        self, digest: bytes, now: float
+    ) -> crash_evidence.CrashEvidence | None:
         entry = self._entries.get(digest)
         if entry is None:
             return None
@@ -194,11 +177,3 @@
             return None
         self._entries.move_to_end(digest)
         return entry
-
-
-def _trim(entry: _Entry) -> None:
-    while len(entry.deaths) > MAX_DEATHS:
-        # Removes cleared deaths first; uncleared ones determine the state.
-        oldest = next(iter(entry.cleared), None) or next(iter(entry.deaths))
-        entry.deaths.pop(oldest, None)
-        entry.cleared.pop(oldest, None)
--- a/walnutport/retries/retry_eligibility.py
+++ b/walnutport/retries/retry_eligibility.py
@@ -61,6 +61,8 @@
     """
     if not state.caller_waiting:
         return 'not_wanted'
+    if state.quarantined:
+        return 'quarantined'
     if end is AttemptEnd.UNSENT:
         if state.unreachable_count > MAX_UNREACHABLE:
             return 'unreachable'
@@ -71,6 +73,4 @@
         return 'not_repeatable'
     if end is AttemptEnd.INPUTS_GONE:
         return 'inputs_gone'
-    if state.quarantined:
-        return 'quarantined'
     return ''
--- a/walnutport/service/fleet/suspects.py
+++ b/walnutport/service/fleet/suspects.py
@@ -12,6 +12,7 @@
 from walnutport import exceptions
 from walnutport import interfaces
 from walnutport.peer import messages
+from walnutport.quarantine import crash_evidence
 from walnutport.quarantine import suspects
 from walnutport.routing import router as standard_router
 from walnutport import world
@@ -135,7 +136,9 @@
         )
         now = self._clock.monotonic()
         if crashed:
-            self._count_crash(suspects.death_id(target.target_id, incarnation))
+            self._count_crash(
+                crash_evidence.death_id(target.target_id, incarnation)
+            )
             self._router.target_down(target.target_id)
             self.table.target_died(target.target_id, now, incarnation)
             self._start_flush()
@@ -274,7 +277,7 @@
     for verdict in verdicts:
         if (
             len(verdict.digest) > _MAX_DIGEST_BYTES
-            or len(verdict.deaths) > suspects.MAX_DEATHS
+            or len(verdict.deaths) > crash_evidence.MAX_DEATHS
             or any(len(death) > _MAX_DEATH_CHARS for death in verdict.deaths)
         ):
             raise exceptions.CodecError(
--- a/walnutport/world/requests.py
+++ b/walnutport/world/requests.py
@@ -32,6 +32,8 @@
         is missing or no number.
     :param continues_stream: whether the caller has events of an earlier
         attempt and asks for those after them.
+    :param shared_parts: ids of the parts of the prompt but the last one, which
+        belongs to the request itself or to its session.
     :param begun_by: id of the attempt that brought the first event of that
         stream; empty if the caller does not say.
     """
@@ -45,6 +47,7 @@
     last_event_id: int | None
     continues_stream: bool = False
     begun_by: str = ''
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
