Check for a crash after a stream that ends inside an event

Cause: a response with neither a length nor chunks ends with its channel, so that a crash looks like the end of the response. It was recorded as a broken stream without a reset, and nobody checked whether its target had crashed: parts of its prompt were not implicated.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -113,6 +113,9 @@
         # Part of prompts that crashes each engine that begins to write an
         # answer on it; empty for none.
         self.crashing_part = ''
+        # Whether the answers of engines that crash have neither a length nor
+        # chunks, and end with their channel.
+        self.crashes_unframed = False
         # Times at which engines crashed.
         self.crashes: list[float] = []
         self.store_mode = 'ok'
@@ -268,6 +271,9 @@
         if 'store' in changes:
             self.store_mode = changes['store']
         self.crashing_part = changes.get('crashing_part', self.crashing_part)
+        self.crashes_unframed = changes.get(
+            'crashes_unframed', self.crashes_unframed
+        )
         self.mode_by_target.update(changes.get('modes', {}))
         self.headers_by_target.update(changes.get('headers', {}))
         for plan in self.settings.targets:
@@ -344,7 +350,10 @@
         self._listener = None
         transports, self._transports = self._transports, set()
         for transport in transports:
-            transport.abortConnection()
+            if self._platform.crashes_unframed:
+                transport.loseConnection()
+            else:
+                transport.abortConnection()
         reactor.callLater(self._platform.settings.crash_s, self._start_again)
 
     def _start_again(self) -> None:
@@ -429,7 +438,11 @@
         ]
         if self._platform.crashing_part in parts[:-1]:
             await self._sleep(self._platform.settings.event_ms)
-            request.write(event_bytes(1, self._plan.version)[:8])
+            begun = event_bytes(1, self._plan.version)[:8]
+            if self._platform.crashes_unframed:
+                request.transport.write(_unframed_head(request) + begun)
+            else:
+                request.write(begun)
             await self._sleep(self._platform.settings.event_ms / 2)
             self._crash()
             return server.NOT_DONE_YET
@@ -475,6 +488,16 @@
         await task.deferLater(reactor, duration_ms / 1000)
 
 
+def _unframed_head(request) -> bytes:
+    """Return the head of an answer that ends with its channel."""
+    headers = b''.join(
+        b'%s: %s\r\n' % (name, value)
+        for name, values in request.responseHeaders.getAllRawHeaders()
+        for value in values
+    )
+    return b'HTTP/1.1 200 OK\r\n' + headers + b'\r\n'
+
+
 def event_bytes(number: int, version: str = 'v1') -> bytes:
     """Return an event of an engine's stream, numbered from 1.
 
--- a/tests/integration/test_crashing_parts.py
+++ b/tests/integration/test_crashing_parts.py
@@ -84,14 +84,15 @@
 
 
 @pytest.mark.parametrize(
-    'crashing_parts',
+    ('crashing_parts', 'is_unframed'),
     [
-        pytest.param(('a1', CRASHING_PART), id='after_a_shared_part'),
-        pytest.param((CRASHING_PART, 'a1'), id='first_part'),
+        pytest.param(('a1', CRASHING_PART), False, id='after_a_shared_part'),
+        pytest.param((CRASHING_PART, 'a1'), False, id='first_part'),
+        pytest.param(('a1', CRASHING_PART), True, id='ended_by_close'),
     ],
 )
 def test_part_that_crashes_engines_is_refused_and_sound_requests_served(
-    tmp_path, crashing_parts
+    tmp_path, crashing_parts, is_unframed
 ):
     """Guards against different requests with one part that end all engines.
 
@@ -102,7 +103,9 @@
     ) as fleet:
         for host in range(HOSTS):
             fleet.wait_for_event('peer_joined', host)
-        fleet.control_platform(crashing_part=CRASHING_PART)
+        fleet.control_platform(
+            crashing_part=CRASHING_PART, crashes_unframed=is_unframed
+        )
         sent = send_requests(fleet, crashing_parts)
         crashes = fleet.crashes()
         arrivals = collections.Counter(
--- a/walnutport/gateway/attempts.py
+++ b/walnutport/gateway/attempts.py
@@ -184,6 +184,9 @@
                 self._complete(
                     AttemptStatus.BROKEN,
                     'event stream ended early (partial or no event)',
+                    # A response without a length ends with its channel, also
+                    # if its target has crashed.
+                    reset=True,
                 )
                 return
             self._complete(AttemptStatus.STREAMED)
