Clear parts of prompts after a few events and probe them alone first

Cause: each request in flight was implicated until its stream was complete, so that parts which most requests share were quarantined with the one that crashes engines. A probe of several quarantined parts told nothing and cost an engine.

A stream whose first events have come neither is implicated nor leaves its parts so: targets crash as they begin to answer. Requests with several quarantined parts probe them later than those with one, which clear all parts but the cause.

--- a/tests/quarantine/test_prompt_parts.py
+++ b/tests/quarantine/test_prompt_parts.py
@@ -57,6 +57,22 @@
         assert not fleet.blocked_by(SHARED, 'only1', host=host)
 
 
+def test_stream_that_is_being_answered_implicates_no_part():
+    """Guards against sound parts that are refused after a few crashes.
+
+    A target crashes as it begins to answer on a part, not later.
+    """
+    fleet = Fleet()
+    for number in range(3):
+        table = fleet.tables[0]
+        table.attempt_started('s', (SHARED,), f't{number}', '1', fleet.now)
+        table.attempt_answered('s', fleet.now)
+        fleet.crash(number, BAD)
+        table.attempt_finished('s', False, fleet.now)
+    assert fleet.blocked_by(BAD) == BAD
+    assert not fleet.tables[1].is_suspect([SHARED], fleet.now)
+
+
 def test_fewer_deaths_than_three_stop_no_request():
     """Guards against refusals after crashes that have other causes."""
     fleet = Fleet()
@@ -129,6 +145,10 @@
     for number in range(3):
         fleet.crash(number, SHARED, BAD)
     fleet.now += prompt_parts.PROBE_DELAYS_S[0]
+    assert not fleet.blocked_by(SHARED)
+    assert fleet.blocked_by(SHARED, BAD)
+    fleet.now += prompt_parts.JOINT_PROBE_DELAY_S
+    assert not fleet.blocked_by(SHARED, BAD)
     fleet.crash(10, SHARED, BAD, after_s=0.0)
     fleet.now += prompt_parts.PROBE_DELAYS_S[0]
     assert not fleet.blocked_by(SHARED)
--- a/walnutport/gateway/attempts.py
+++ b/walnutport/gateway/attempts.py
@@ -26,6 +26,9 @@
     'AttemptStatus',
 ]
 
+# Complete events of a stream after which its target does not crash because of
+# the prompt.
+PROVEN_EVENTS = 3
 # Subtracted from the deadline that a target gets, so that its response can
 # still reach the caller in time.
 RESPONSE_MARGIN_S = 0.01
@@ -102,6 +105,8 @@
         None collects the complete response first.
     :param on_first_event: called when the first event is forwarded.
     :param on_head: called with the fields and the status of a response.
+    :param on_proven: called once enough events have arrived to show that the
+        prompt does not crash the target.
     """
 
     def __init__(
@@ -111,11 +116,15 @@
         relay: resumable.EventRelay | None,
         on_first_event: Callable[[], None],
         on_head: Callable[[requests.ResponseFields, int], None],
+        on_proven: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_proven = on_proven
+        self._is_proven = False
         self._call = call
         self._target = target
         self._relay = relay or resumable.EventRelay()
         self._has_relay = relay is not None
+        self._events_before = self._relay.events
         self._on_first_event = on_first_event
         self._on_head = on_head
         self._head = messages.EMPTY_HEAD
@@ -165,6 +174,10 @@
             return
         if not events:
             return
+        arrived = self._relay.events - self._events_before
+        if arrived >= PROVEN_EVENTS and not self._is_proven:
+            self._is_proven = True
+            self._on_proven()
         if not self.first_event_at:
             self.first_event_at = time.monotonic()
             self._on_first_event()
@@ -274,6 +287,7 @@
         on_first_event: Callable[[], None] = lambda: None,
         resume_after: int | None = None,
         priority: int | None = None,
+        on_proven: Callable[[], None] = lambda: None,
     ) -> AttemptResult:
         """Send a request to a target and wait for its response.
 
@@ -282,6 +296,8 @@
         :param on_first_event: called when the first event is forwarded.
         :param resume_after: id of the event after which a stream resumes.
         :param priority: priority that the target is told.
+        :param on_proven: called once it is clear that the prompt does not
+            crash the target.
         """
         try:
             channel = await self._acquire_channel(call, target)
@@ -319,6 +335,7 @@
             relay,
             on_first_event,
             functools.partial(self._reports.response_received, target),
+            on_proven,
         )
         receiver.set_channel(channel)
         call.possible_runs += 1
--- a/walnutport/gateway/forwarding.py
+++ b/walnutport/gateway/forwarding.py
@@ -153,7 +153,14 @@
         reset = False
         try:
             result = await self._sender.send(
-                call, target, relay, on_first_event, resume_after
+                call,
+                target,
+                relay,
+                on_first_event,
+                resume_after,
+                on_proven=lambda: self._parts.attempt_answered(
+                    attempt_id, time.monotonic()
+                ),
             )
             reset = result.reset
             survived = result.status in (_Status.ANSWERED, _Status.STREAMED)
--- a/walnutport/quarantine/prompt_parts.py
+++ b/walnutport/quarantine/prompt_parts.py
@@ -3,8 +3,9 @@
 Covers requests that have nothing in common but one part of their prompts, so
 that each of them is new to the suspect table. All requests in flight at a
 target share its death, so that their other parts are implicated as well. A
-part that crashes targets is never answered completely, while other parts soon
-are: a part is quarantined after several deaths without a success since.
+part that crashes targets does so as they begin to answer, while other parts
+are soon answered: a part is quarantined after several deaths without a success
+since. A stream is a success after a few events already.
 
 Requests with a quarantined part are refused, but for a probe from time to
 time. A success of the probe clears the part, and each failed probe makes the
@@ -31,6 +32,10 @@
 # have failed. The last value holds for all later ones. The first probe comes
 # soon, as it clears the parts that were in flight at all deaths by chance.
 PROBE_DELAYS_S = (0.5, 30.0, 60.0)
+# Further time before a request with several quarantined parts probes them. Its
+# failure would not tell which part is the cause, and other requests may clear
+# all parts but one until then.
+JOINT_PROBE_DELAY_S = 2.5
 # A probe whose outcome is unknown after this time, as its host was lost, no
 # longer prevents the next one.
 PROBE_TIMEOUT_S = 5.0
@@ -77,9 +82,6 @@
     retry_after_s: float = 0.0
 
 
-_ALLOWED = PartDecision()
-
-
 @dataclasses.dataclass(slots=True)
 class _Entry:
     """Evidence against one part.
@@ -151,14 +153,6 @@
         entry = self._find(part, now)
         return 0 if entry is None else entry.death_count()
 
-    def quarantined_parts(self, now: float) -> list[str]:
-        """Return the parts that are quarantined."""
-        return [
-            part
-            for part in list(self._entry_by_part)
-            if self.death_count(part, now) >= QUARANTINE_DEATHS
-        ]
-
     def is_suspect(self, parts: Iterable[str], now: float) -> bool:
         """Return whether a request should not be retried after a failure."""
         return any(
@@ -172,21 +166,15 @@
 
         :param request_id: id of the request, which may be a probe already.
         """
-        probes = []
-        for part in parts:
-            entry = self._find(part, now)
-            if entry is None:
-                continue
-            deaths = entry.death_count()
-            if deaths < QUARANTINE_DEATHS:
-                continue
-            delay_s = entry.next_probe_at() - now
+        quarantined = self._quarantined(parts, now)
+        joint_delay_s = JOINT_PROBE_DELAY_S if len(quarantined) > 1 else 0.0
+        for part, entry in quarantined.items():
+            delay_s = entry.next_probe_at() + joint_delay_s - now
             if entry.probe_id != request_id and delay_s > 0:
                 return PartDecision(
-                    part, (), deaths, max(MIN_RETRY_S, delay_s)
+                    part, (), entry.death_count(), max(MIN_RETRY_S, delay_s)
                 )
-            probes.append(part)
-        return PartDecision('', tuple(probes)) if probes else _ALLOWED
+        return PartDecision('', tuple(quarantined))
 
     def begin_probe(
         self, request_id: str, parts: Iterable[str], now: float
@@ -228,20 +216,22 @@
         """Record that an attempt is in flight."""
         if not parts:
             return
-        quarantined = [
-            part
-            for part in parts
-            if self.death_count(part, now) >= QUARANTINE_DEATHS
-        ]
+        quarantined = list(self._quarantined(parts, now))
         self._attempt_by_id[attempt_id] = _Attempt(
             parts,
             crash_evidence.death_id(target_id, incarnation),
             quarantined[0] if len(quarantined) == 1 else '',
         )
 
+    def attempt_answered(self, attempt_id: str, now: float) -> None:
+        """Record that enough of an answer has come to clear its parts."""
+        self.attempt_finished(attempt_id, True, now)
+
     def attempt_finished(self, attempt_id: str, ok: bool, now: float) -> None:
         """Record the end of an attempt.
 
+        This has no effect on an attempt that was answered before.
+
         :param ok: whether the answer was complete, which clears its parts.
         """
         attempt = self._attempt_by_id.pop(attempt_id, None)
@@ -336,6 +326,17 @@
                 )
         return reports
 
+    def _quarantined(
+        self, parts: Iterable[str], now: float
+    ) -> dict[str, _Entry]:
+        """Return the entries of the quarantined parts, by part."""
+        entry_by_part = {part: self._find(part, now) for part in parts}
+        return {
+            part: entry
+            for part, entry in entry_by_part.items()
+            if entry is not None and entry.death_count() >= QUARANTINE_DEATHS
+        }
+
     def _merge_and_publish(
         self, reports: list[PartReport], now: float
     ) -> None:
