--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -11,6 +11,8 @@
 ``black_hole``  data is read and discarded, connections stay open
 ``half_open``   the target's side is closed, the client's stays open
 ``drip_bytes``  data arrives in chunks of this size every ``drip_s``
+``refuse``      new connections are refused, open ones stay
+``stall``       new connections are neither accepted nor refused
 ==============  ========================================================
 
 ``black_hole`` in one direction is one-way loss.
@@ -21,6 +23,7 @@
 import dataclasses
 import enum
 import functools
+import socket
 
 import klein
 import msgspec
@@ -62,26 +65,63 @@
     half_open: bool = False
     drip_bytes: int = 0
     drip_s: float = 0.01
+    refuse: bool = False
+    stall: bool = False
 
 
 class _Route:
     """Faults and open connections of one listening port."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, ip: str, listening_port: int, address: str) -> None:
+        self._ip = ip
+        self._listening_port = listening_port
+        self._listener = None
+        # Sockets that keep the queue of new connections full.
+        self._stalling_sockets: list[socket.socket] = []
         self.target_ip, _, port = address.partition(':')
         self.target_port = int(port)
         self.faults = Faults()
         self.connections: set[_ClientConnection] = set()
         self.passed_bytes = 0
 
+    def listen(self) -> None:
+        """Listen for connections of clients."""
+        self._listener = reactor.listenTCP(
+            self._listening_port, _RouteFactory(self), interface=self._ip
+        )
+
     def set_faults(self, faults: Faults) -> None:
         self.faults = faults
+        for stalling in self._stalling_sockets:
+            stalling.close()
+        self._stalling_sockets.clear()
+        if self._listener is not None and (faults.refuse or faults.stall):
+            self._listener.stopListening()
+            self._listener = None
+        if faults.stall:
+            # The listener closes its socket in the next turn of the loop.
+            reactor.callLater(0, self._stall)
+        elif self._listener is None and not faults.refuse:
+            reactor.callLater(0, self.listen)
         for client in list(self.connections):
             if faults.reset:
                 client.reset()
             elif faults.half_open:
                 client.close_target_side()
 
+    def _stall(self) -> None:
+        address = (self._ip, self._listening_port)
+        stalling = socket.socket()
+        stalling.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        stalling.bind(address)
+        stalling.listen(0)
+        self._stalling_sockets.append(stalling)
+        for _ in range(2):
+            filling = socket.socket()
+            filling.setblocking(False)
+            filling.connect_ex(address)
+            self._stalling_sockets.append(filling)
+
 
 class _Forwarder:
     """Forwards data of one direction in order, with the faults of the route.
@@ -230,12 +270,11 @@
 
     def __init__(self, settings: FaultProxySettings) -> None:
         self._routes_by_port = {
-            port: _Route(address) for port, address in settings.routes.items()
+            port: _Route(settings.ip, port, address)
+            for port, address in settings.routes.items()
         }
-        for port, route in self._routes_by_port.items():
-            reactor.listenTCP(
-                port, _RouteFactory(route), interface=settings.ip
-            )
+        for route in self._routes_by_port.values():
+            route.listen()
 
     @app.route('/control/<int:port>', methods=['POST'])
     def set_route_faults(self, request, port: int) -> bytes:
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -157,6 +157,8 @@
     :param proxied: whether hosts reach the store and the targets through the
         fault proxy.
     :param engine_versions: software version of each engine.
+    :param cut_hosts: hosts, from the first on, that reach the targets through
+        proxies of their own, so that they can be cut off from them.
     :param platform_settings: further settings of the stand-in.
     """
 
@@ -166,17 +168,31 @@
         hosts: int = 1,
         proxied: bool = False,
         engine_versions: tuple[str, ...] = ('v1', 'v1'),
+        cut_hosts: int = 0,
         **platform_settings,
     ) -> None:
         super().__init__()
+        self.cut_hosts = cut_hosts
         self.folder = folder
         self.store_port = processes.free_port(LOOPBACK_IP)
         self.plans = target_plans(engine_versions)
         # Listening port of the proxy by target id, or ``store``.
         self.proxy_port_by_name: dict[str, int] = {}
         self._proxy_control_port = (
-            processes.free_port(LOOPBACK_IP) if proxied else 0
+            processes.free_port(LOOPBACK_IP) if proxied or cut_hosts else 0
         )
+        # Listening port of the proxy for the hosts that can be cut off.
+        self._cut_port_by_id: dict[str, int] = {}
+        self._cut_store_port = 0
+        if cut_hosts:
+            self._cut_store_port = processes.free_port(LOOPBACK_IP)
+            self._cut_port_by_id = {
+                plan.target_id: processes.free_port(LOOPBACK_IP)
+                for plan in self.plans
+            }
+            platform_settings['views'] = {
+                self._cut_store_port: self._cut_port_by_id
+            }
         if proxied:
             names = [plan.target_id for plan in self.plans]
             self.proxy_port_by_name = {
@@ -230,14 +246,16 @@
         self.caller_ports.append(processes.free_port(LOOPBACK_IP))
         self.ready_ports.append(processes.free_port(LOOPBACK_IP))
         peer_port = processes.free_port(LOOPBACK_IP)
+        store_port = self.proxy_port_by_name.get('store', self.store_port)
+        if number < self.cut_hosts:
+            store_port = self._cut_store_port
         path = self.folder / f'boot-{number}.conf'
         path.write_text(
             f'nodeName=edge-{number}\nip={LOOPBACK_IP}\nzone=a\nzones.a=west\n'
             f'listen.front={LOOPBACK_IP}:{self.caller_ports[-1]}\n'
             f'listen.ready={LOOPBACK_IP}:{self.ready_ports[-1]}\n'
             f'portRange={peer_port},{peer_port}\n'
-            f'platform.address={LOOPBACK_IP}:'
-            f'{self.proxy_port_by_name.get("store", self.store_port)}\n'
+            f'platform.address={LOOPBACK_IP}:{store_port}\n'
             'heartbeatMs=1200\nnewField=1\n'
             f'bootstrap={"true" if is_first_start else "false"}\n'
         )
@@ -296,20 +314,32 @@
 
     def set_proxy_faults(self, name: str, faults: fault_proxy.Faults) -> None:
         """Set the faults of the proxy before a target or ``store``."""
-        port = self.proxy_port_by_name[name]
+        self._set_faults(self.proxy_port_by_name[name], faults)
+
+    def _set_faults(self, port: int, faults: fault_proxy.Faults) -> None:
         processes.http_request(
             f'http://{LOOPBACK_IP}:{self._proxy_control_port}/control/{port}',
             faults,
         )
 
+    def cut_targets(self, faults: fault_proxy.Faults) -> None:
+        """Set faults between all targets and the hosts that can be cut off."""
+        for port in self._cut_port_by_id.values():
+            self._set_faults(port, faults)
+
     def _start_proxy(self) -> None:
         port_by_name = {plan.target_id: plan.port for plan in self.plans}
         port_by_name['store'] = self.store_port
+        target_port_by_port = {
+            listening: port_by_name[name]
+            for ports in (self.proxy_port_by_name, self._cut_port_by_id)
+            for name, listening in ports.items()
+        }
         settings = fault_proxy.FaultProxySettings(
             self._proxy_control_port,
             {
-                self.proxy_port_by_name[name]: f'{LOOPBACK_IP}:{port}'
-                for name, port in port_by_name.items()
+                listening: f'{LOOPBACK_IP}:{port}'
+                for listening, port in target_port_by_port.items()
             },
         )
         self.enter_context(
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -66,6 +66,8 @@
     :param call_ms: duration of a call to a stage target.
     :param unregistered: ids of targets without a record at the start.
     :param crash_s: time until an engine that has crashed listens again.
+    :param views: further ports at which the store is reached. Each maps ids of
+        targets to the ports that their entries show there.
     """
 
     port: int
@@ -78,6 +80,7 @@
     call_ms: float = 40.0
     unregistered: tuple[str, ...] = ()
     crash_s: float = 3.0
+    views: dict[int, dict[str, int]] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,6 +134,12 @@
             if plan.target_id not in settings.unregistered:
                 self.write_target_record(plan, 'ready')
             _Target(self, plan).listen()
+        for port in settings.views:
+            reactor.listenTCP(
+                port,
+                server.Site(self.app.resource()),
+                interface=settings.ip,
+            )
 
     def write_target_record(
         self, plan: TargetPlan, state: str, starts: int = 1
@@ -188,6 +197,15 @@
                     value = msgspec.json.encode(entry)
                 self._records[topic].append((key, value))
 
+    def _viewed(self, request, key: str, value: bytes) -> bytes:
+        """Return a record as it is shown at the port of a request."""
+        port_by_id = self.settings.views.get(request.getHost().port, {})
+        if key not in port_by_id or not value:
+            return value
+        entry = msgspec.json.decode(value)
+        entry['address'] = f'{self.settings.ip}:{port_by_id[key]}'
+        return msgspec.json.encode(entry)
+
     @app.route('/log-newest')
     def read_newest(self, request) -> bytes:
         """Return the newest record of each key of a topic."""
@@ -199,7 +217,9 @@
         items = [
             {
                 'key': key,
-                'value': base64.b64encode(value).decode(),
+                'value': base64.b64encode(
+                    self._viewed(request, key, value)
+                ).decode(),
                 'offset': offset,
             }
             for key, (value, offset) in newest.items()
@@ -234,7 +254,8 @@
             return msgspec.json.encode({'first': 0})
         parts = [struct.pack('>QQ', len(records), 0)]
         for key, value in records[start:]:
-            content = bytes((len(key),)) + key.encode() + value
+            content = bytes((len(key),)) + key.encode()
+            content += self._viewed(request, key, value)
             parts.append(struct.pack('>I', len(content)) + content)
         return b''.join(parts)
 
