Serve callers through peers while a host reaches no target

Cause: a host sent to targets itself and only itself. When it was cut off from all of them, its callers were refused although its peers could serve them, and it ran the stages of others without reaching a stage target.

Ruled out: ejection (all failures were refused connections during the cut) and readiness alone (open channels stay, and a zone that is cut keeps its callers).

A failed connection starts dials to a sample of other targets. If none answers, the host is cut off: its requests go by one peer, which serves them as its own, it hands its cells over, blames no request and no part of a prompt for crashes, and dials samples until a target answers.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -16,6 +16,8 @@
 LOOPBACK_IP = '127.0.0.1'
 ROUTE_HOST = 'calls.example'
 TIMEOUT_S = 20.0
+# Further ports that a host may use if others have taken the first ones.
+PEER_PORTS = 9
 
 
 def stream_body(version: str = 'v1') -> bytes:
@@ -254,7 +256,7 @@
             f'nodeName=edge-{number}\nip={LOOPBACK_IP}\nzone=a\nzones.a=west\n'
             f'listen.front={LOOPBACK_IP}:{self.caller_ports[-1]}\n'
             f'listen.ready={LOOPBACK_IP}:{self.ready_ports[-1]}\n'
-            f'portRange={peer_port},{peer_port}\n'
+            f'portRange={peer_port},{peer_port + PEER_PORTS}\n'
             f'platform.address={LOOPBACK_IP}:{store_port}\n'
             'heartbeatMs=1200\nnewField=1\n'
             f'bootstrap={"true" if is_first_start else "false"}\n'
--- /dev/null
+++ b/tests/gateway/test_path_check.py
@@ -0,0 +1,124 @@
+"""Tests of the dials that tell whether a host is cut off."""
+
+import random
+
+from twisted.internet import error
+from twisted.internet import testing
+from twisted.python import failure
+
+from walnutport.gateway import path_check
+from walnutport.http1 import channel_pool
+from walnutport.world import registrations
+
+TARGETS = [
+    registrations.RegisteredTarget(
+        f't{number}',
+        0,
+        f's{number % 3}',
+        ('10.0.0.1', number),
+        'a',
+        4,
+        False,
+        0.0,
+    )
+    for number in range(6)
+]
+
+
+class SilentLog:
+    """Decision log that drops all lines."""
+
+    def notable(self, event: str, **fields: object) -> None:
+        """Drop a line."""
+
+    routine = notable
+
+
+class Host:
+    """Path check of a host on a simulated network."""
+
+    def __init__(self) -> None:
+        self.reactor = testing.MemoryReactorClock()
+        self.changes: list[bool] = []
+        self.check = path_check.PathCheck(
+            self.reactor,
+            SilentLog(),
+            channel_pool.ChannelPool(self.reactor, 4),
+            lambda: TARGETS,
+            random.Random(1),
+            lambda: self.changes.append(self.check.is_cut),
+        )
+
+    def take_dials(self) -> list:
+        """Return the factories of the dials since the last call."""
+        dials = [client[2] for client in self.reactor.tcpClients]
+        self.reactor.tcpClients.clear()
+        return dials
+
+    def refuse(self, dial) -> None:
+        """Refuse one dial."""
+        dial.clientConnectionFailed(
+            None, failure.Failure(error.ConnectionRefusedError())
+        )
+
+
+def connect(dial) -> None:
+    """Let one dial succeed."""
+    channel = dial.buildProtocol(None)
+    transport = testing.StringTransport()
+    transport.getHandle = lambda: _Socket()
+    transport.abortConnection = lambda: None
+    channel.makeConnection(transport)
+
+
+class _Socket:
+    def setsockopt(self, *args) -> None:
+        """Ignore the option."""
+
+
+def test_host_is_cut_off_when_the_whole_sample_fails():
+    """Guards against a host that takes its own cut for that of targets."""
+    host = Host()
+    verified = host.check.verify()
+    dials = host.take_dials()
+    assert len(dials) == 4
+    for dial in dials[:3]:
+        host.refuse(dial)
+    assert not verified.called
+    host.refuse(dials[3])
+    assert verified.result is True
+    assert host.changes == [True]
+
+
+def test_one_answer_of_the_sample_is_enough():
+    """Guards against requests that wait for dials that hang."""
+    host = Host()
+    verified = host.check.verify()
+    dials = host.take_dials()
+    host.refuse(dials[0])
+    connect(dials[1])
+    assert verified.result is False
+    host.refuse(dials[2])
+    host.refuse(dials[3])
+    assert not host.check.is_cut
+    assert host.changes == []
+
+
+def test_host_that_was_cut_off_finds_its_way_back():
+    """Guards against a detour that lasts as long as nobody sends directly."""
+    host = Host()
+    host.check.check()
+    for dial in host.take_dials():
+        host.refuse(dial)
+    assert host.check.is_cut
+    host.reactor.advance(path_check.RECHECK_INTERVAL_S)
+    connect(host.take_dials()[0])
+    assert host.changes == [True, False]
+
+
+def test_failed_dials_of_requests_start_one_check():
+    """Guards against a dial of each target for each failed request."""
+    host = Host()
+    for _ in range(5):
+        host.check.check()
+    assert len(host.take_dials()) == 4
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,10 +1,13 @@
 """Tests of the links between hosts, without a network."""
 
+import errno
 import itertools
 
+import pytest
 from twisted.internet import task
 from twisted.internet.testing import StringTransport
 
+from walnutport import exceptions
 from walnutport.gateway import peer_link
 from walnutport.gateway import peers
 from walnutport.peer import fleet_messages
@@ -293,3 +296,24 @@
     fixture.mesh.dial_failed(fixture.mesh.peer_by_name['host-1'])
     fixture.advance(1.0)
     assert 'host-1' not in fixture.mesh.peer_by_name
+
+
+class _BusyPorts:
+    """Reactor on a kernel that reports a port in use only at the listen."""
+
+    def __init__(self, used: set[int]) -> None:
+        self._used = used
+
+    def listenTCP(self, port, factory, interface) -> None:  # noqa: N802
+        """Listen on a port, unless it is in use."""
+        if port in self._used:
+            raise OSError(errno.EADDRINUSE, 'Address already in use')
+
+
+def test_port_that_is_in_use_only_at_the_listen_is_passed_over():
+    """Guards against a host that ends at its start as a port is taken."""
+    reactor = _BusyPorts({7100, 7101})
+    ports = (7100, 7103)
+    assert peers.listen_in_range(reactor, '10.0.0.1', ports, None) == 7102
+    with pytest.raises(exceptions.PeerError):
+        peers.listen_in_range(reactor, '10.0.0.1', (7100, 7101), None)
--- a/tests/gateway/test_suspect_exchange.py
+++ b/tests/gateway/test_suspect_exchange.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import testing
 from twisted.python import failure
@@ -41,7 +42,12 @@
     """
     mesh = FakeMesh(is_partial)
     exchange = suspect_exchange.SuspectExchange(
-        None, None, mesh, None, outcomes.TargetOutcomes(random.Random(1))
+        None,
+        None,
+        mesh,
+        None,
+        outcomes.TargetOutcomes(random.Random(1)),
+        lambda: defer.succeed(False),
     )
     exchange.merge_report(REPORT)
     exchange.merge_report(REPORT)
@@ -58,7 +64,12 @@
     """
     mesh = FakeMesh(False)
     exchange = suspect_exchange.SuspectExchange(
-        None, None, mesh, None, outcomes.TargetOutcomes(random.Random(1))
+        None,
+        None,
+        mesh,
+        None,
+        outcomes.TargetOutcomes(random.Random(1)),
+        lambda: defer.succeed(False),
     )
     exchange.merge_report(REPORT)
     cleared = fleet_messages.CrashReport(b'e', ('t1/1',), True)
@@ -89,6 +100,7 @@
         mesh,
         None,
         outcomes.TargetOutcomes(random.Random(1)),
+        lambda: defer.succeed(False),
     )
     exchange.merge_part_reports('peer', PART_REPORTS)
     exchange.merge_part_reports('peer', PART_REPORTS)
@@ -105,13 +117,20 @@
 
 
 @pytest.mark.parametrize(
-    ('problem', 'is_implicated'),
+    ('problem', 'is_cut', 'is_implicated'),
     [
-        pytest.param(error.ConnectionRefusedError(), True, id='refused'),
-        pytest.param(error.TimeoutError(), False, id='silent'),
+        pytest.param(
+            error.ConnectionRefusedError(), False, True, id='refused'
+        ),
+        pytest.param(error.TimeoutError(), False, False, id='silent'),
+        pytest.param(
+            error.ConnectionRefusedError(), True, False, id='cut_off'
+        ),
     ],
 )
-def test_silent_target_implicates_no_part(problem, is_implicated):
+def test_target_that_is_cut_off_implicates_no_part(
+    problem, is_cut, is_implicated
+):
     """Guards against parts that are blamed for a target that is cut off.
 
     Such a target may run on, and so may one that is frozen for a moment.
@@ -123,6 +142,7 @@
         FakeMesh(False),
         channel_pool.ChannelPool(reactor, 1),
         outcomes.TargetOutcomes(random.Random(1)),
+        lambda: defer.succeed(is_cut),
     )
     exchange.parts.attempt_started('id/1', ('p',), 't1', '1', 0.0)
     recorded = exchange.check_for_crash(TARGET, 'id/1')
--- a/walnutport/gateway/calls.py
+++ b/walnutport/gateway/calls.py
@@ -42,6 +42,8 @@
     :param first_event_at: when the first event was forwarded, 0 before.
     :param probed_parts: quarantined parts of the prompt that the request
         probes, so that it is sent all the same.
+    :param relayed_by: name of the peer that relays the request of its caller;
+        empty for the callers of this host.
     :param origin: where the stream began, None before its first event. Only
         targets of that service and version may go on with it.
     """
@@ -71,6 +73,7 @@
     first_event_at: float = 0.0
     origin: stream_origins.StreamOrigin | None = None
     probed_parts: tuple[str, ...] = ()
+    relayed_by: str = ''
 
     @property
     def request_id(self) -> str:
--- a/walnutport/gateway/events.py
+++ b/walnutport/gateway/events.py
@@ -271,6 +271,43 @@
         'the owner of a cell was lost; the stages are submitted again',
         ('id', 'lost_owner'),
     ),
+    # The path to the targets, and requests that go by a peer.
+    Event(
+        'targets_unreachable',
+        'no target of a sample could be connected to; callers are served by '
+        'peers',
+        ('dialled',),
+    ),
+    Event(
+        'targets_reachable',
+        'a target was connected to again; callers are served directly',
+        ('cut_s',),
+    ),
+    Event(
+        'path_dial_failed',
+        'a target of a sample could not be connected to',
+        ('address', 'problem'),
+    ),
+    Event(
+        'relay_port_missing',
+        'no port is free at which to serve requests of other hosts',
+        ('problem',),
+    ),
+    Event(
+        'relayed',
+        'a peer is to serve the request, as this host reaches no target',
+        ('id', 'peer', 'left_s'),
+    ),
+    Event(
+        'relay_received',
+        'a request of another host is served here',
+        ('id', 'peer', 'elapsed_s'),
+    ),
+    Event(
+        'relay_failed',
+        'a peer did not serve the request to its end',
+        ('id', 'peer', 'problem'),
+    ),
     # Requests.
     Event(
         'placed',
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -19,6 +19,8 @@
 from walnutport.gateway import metrics
 from walnutport.gateway import operator_site
 from walnutport.gateway import origin_exchange
+from walnutport.gateway import path_check
+from walnutport.gateway import peer_relay
 from walnutport.gateway import peers
 from walnutport.gateway import request_handler
 from walnutport.gateway import responses
@@ -112,8 +114,21 @@
         )
         self._mesh.choose_peers = self._choose_peers
         self._mesh.on_joined = self._peer_joined
+        self._path = path_check.PathCheck(
+            reactor,
+            self.log,
+            self._pool,
+            lambda: self._follower.registry.targets.values(),
+            rng,
+            self._path_changed,
+        )
         self._suspects = suspect_exchange.SuspectExchange(
-            reactor, self.log, self._mesh, self._pool, self._outcomes
+            reactor,
+            self.log,
+            self._mesh,
+            self._pool,
+            self._outcomes,
+            self._path.verify,
         )
         self._follower = feed_follower.FeedFollower(
             reactor,
@@ -183,6 +198,16 @@
         self._matcher = route_matcher.RouteMatcher(
             self.log, self._follower, entry_metrics, rng
         )
+        self._relay = peer_relay.PeerRelay(
+            reactor,
+            self.log,
+            self._mesh,
+            self._path,
+            settings.name,
+            lambda request, name: self._request_handler.handle(request, name),
+            lambda: self.ready,
+            self._limits,
+        )
         self._request_handler = request_handler.RequestHandler(
             reactor,
             self.log,
@@ -192,6 +217,7 @@
             responses.Responder(self.log, entry_metrics, rng),
             self._stages,
             self._origins,
+            self._relay,
             entry_metrics,
         )
         self._host_status = host_status.HostStatus(
@@ -209,6 +235,8 @@
             self._request_handler,
             self._forwarder,
             self._lag_monitor,
+            self._path,
+            self._relay,
         )
         self._caller_site = server.ServerSite(
             reactor,
@@ -253,7 +281,9 @@
                 (settings.ip, self._metrics_port), self._operator_site
             )
         port = self._mesh.listen(settings.peer_ports)
-        self._mesh.own_record = self._own_record(port)
+        self._mesh.own_record = self._own_record(
+            port, self._listen_relay(port + 1)
+        )
         self._mesh.start()
         self._follower.start()
         self._directory.join()
@@ -317,7 +347,7 @@
     def _has_jobs(self) -> bool:
         return any(
             owner.scheduler.job_count for owner in self._stages.local_owners()
-        )
+        ) or any(call.relayed_by for call in self._request_handler.in_flight)
 
     def _listen(self, address: client_channel.Address, site) -> None:
         self._listeners.append(
@@ -326,7 +356,26 @@
             )
         )
 
-    def _own_record(self, port: int) -> fleet_messages.HostRecord:
+    def _listen_relay(self, first_port: int) -> int:
+        """Listen for requests of other hosts' callers and return the port.
+
+        :param first_port: first port that is not in use by this host.
+        :returns: 0 if no port is free; this host then serves its own callers.
+        """
+        try:
+            return peers.listen_in_range(
+                self._reactor,
+                self.settings.ip,
+                (first_port, self.settings.peer_ports[1]),
+                self._relay.site,
+            )
+        except exceptions.PeerError as problem:
+            self.log.notable('relay_port_missing', problem=str(problem))
+            return 0
+
+    def _own_record(
+        self, port: int, relay_port: int = 0
+    ) -> fleet_messages.HostRecord:
         settings = self.settings
         return fleet_messages.HostRecord(
             settings.name,
@@ -335,6 +384,7 @@
             port,
             settings.data_centre,
             self._work_share,
+            relay_port=relay_port,
         )
 
     def _tick(self) -> None:
@@ -352,6 +402,16 @@
         self._stages.tick()
         self._reports.tick()
         self._pool.close_expired()
+        self._relay.close_expired()
+
+    def _path_changed(self) -> None:
+        """Hand work over when no target is reached, or take it up again."""
+        if self._path.is_cut:
+            self._pool.close_all()
+            self._stages.owner_cut(self.settings.name)
+        else:
+            self._outcomes.end_ejections()
+        self._mesh.send_heartbeat()
 
     def _state_changed(self) -> None:
         desired = self._follower.desired
@@ -385,7 +445,11 @@
         """Return the work shares of the hosts that accept work of others."""
         own = self.settings.name
         shares = {}
-        if self._lag_monitor.accepts_peer_work and not self._drain.started:
+        if (
+            self._lag_monitor.accepts_peer_work
+            and not self._drain.started
+            and not self._path.is_cut
+        ):
             shares[own] = self._work_share
         for name, peer in self._mesh.peer_by_name.items():
             if peer.accepts_work:
@@ -449,6 +513,7 @@
             self._lag_monitor.accepts_peer_work,
             self._drain.started,
             interval_s,
+            not self._path.is_cut,
         )
 
     def _handle_peer_message(
@@ -463,6 +528,11 @@
         if isinstance(message, fleet_messages.TargetReports):
             self._reports.merge_report(name, message)
             return
+        if (
+            isinstance(message, fleet_messages.Heartbeat)
+            and not message.reaches_targets
+        ):
+            self._stages.owner_cut(name)
         self._origins.handle_message(name, message)
         self._follower.handle_message(name, message)
         self._stages.handle_message(name, message)
--- a/walnutport/gateway/host_status.py
+++ b/walnutport/gateway/host_status.py
@@ -7,6 +7,8 @@
 from walnutport.gateway import feed_follower
 from walnutport.gateway import forwarding
 from walnutport.gateway import origin_exchange
+from walnutport.gateway import path_check
+from walnutport.gateway import peer_relay
 from walnutport.gateway import peers
 from walnutport.gateway import request_handler
 from walnutport.gateway import stage_client
@@ -38,7 +40,11 @@
         handler: request_handler.RequestHandler,
         forwarder: forwarding.Forwarder,
         lag_monitor: loop_lag.LoopLagMonitor,
+        path: path_check.PathCheck,
+        relay: peer_relay.PeerRelay,
     ) -> None:
+        self._path = path
+        self._relay = relay
         self._settings = settings
         self._incarnation = incarnation
         self._log = log
@@ -63,6 +69,7 @@
             'incarnation': self._incarnation,
             'fit': self._lag_monitor.accepts_peer_work,
             'in_flight': len(self._handler.in_flight),
+            'reaches_targets': not self._path.is_cut,
             'desired_version': desired.version if desired else None,
             'desired_age_s': round(now - self._follower.desired_at, 1),
             'desired_read_s': round(self._follower.desired_read_age_s(), 1),
@@ -107,6 +114,7 @@
             'peers': sum(
                 peer.reachable for peer in self._mesh.peer_by_name.values()
             ),
+            'targets_unreachable': float(self._path.is_cut),
             'loop_lag_seconds': self._lag_monitor.lag_s,
             **self._reports.gauges(),
             **self._origins.gauges(),
@@ -137,5 +145,6 @@
             'stage_pieces_total': sum(owner.total_pieces for owner in owners),
             **self._reports.totals(),
             **self._origins.totals(),
+            **self._relay.totals(),
             'log_lines_dropped_total': self._log.dropped_lines,
         }
--- /dev/null
+++ b/walnutport/gateway/path_check.py
@@ -0,0 +1,134 @@
+"""Dials targets to find out whether this host is cut off from all of them."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import random
+import time
+
+from twisted.internet import defer
+
+from walnutport import exceptions
+from walnutport.http1 import channel_pool
+from walnutport.http1 import client_channel
+from walnutport.membership import target_path
+from walnutport.world import registrations
+
+__all__ = ['PathCheck']
+
+# A target that does not accept a connection within this time counts as
+# unreachable; data centres are milliseconds apart.
+DIAL_TIMEOUT_S = 0.4
+# Interval at which a host that is cut off dials a sample again.
+RECHECK_INTERVAL_S = 0.4
+# A sample that took longer than its timeout by this much says nothing: this
+# host was suspended or slow meanwhile.
+STALL_MARGIN_S = 0.25
+
+
+class PathCheck:
+    """Whether this host reaches any target, checked after failures.
+
+    :param pool: channels to targets; all connections that it opens count.
+    :param targets: returns the registered targets.
+    :param on_change: called when the host was cut off, or no longer is.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        log,
+        pool: channel_pool.ChannelPool,
+        targets: Callable[[], Iterable[registrations.RegisteredTarget]],
+        rng: random.Random,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._reactor = reactor
+        self._log = log
+        self._pool = pool
+        self._targets = targets
+        self._on_change = on_change
+        self._path = target_path.TargetPath(rng)
+        self._is_checking = False
+        self._waiters: list[defer.Deferred] = []
+        pool.on_opened = self._connected
+        pool.on_open_failed = self.check
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether this host reaches no target."""
+        return self._path.is_cut
+
+    def check(self) -> None:
+        """Start a check after a failure, unless the path is clear."""
+        if self._path.needs_check(time.monotonic()):
+            self._start()
+
+    def verify(self) -> defer.Deferred:
+        """Check the path, unless it is clear.
+
+        :returns: fires with whether this host is cut off.
+        """
+        verified: defer.Deferred = defer.Deferred()
+        self.check()
+        if self._is_checking and not self._path.is_cut:
+            self._waiters.append(verified)
+        else:
+            verified.callback(self._path.is_cut)
+        return verified
+
+    def _start(self) -> None:
+        if self._is_checking:
+            return
+        self._is_checking = True
+        started_at = time.monotonic()
+        sample = self._path.sample(self._targets())
+        defer.DeferredList(
+            [
+                defer.Deferred.fromCoroutine(self._dial(target.address))
+                for target in sample
+            ]
+        ).addCallback(self._sample_done, len(sample), started_at)
+
+    async def _dial(self, address: client_channel.Address) -> None:
+        try:
+            channel = await self._pool.open(address, DIAL_TIMEOUT_S)
+        except exceptions.ChannelError as problem:
+            self._log.routine(
+                'path_dial_failed',
+                address=f'{address[0]}:{address[1]}',
+                problem=str(problem),
+            )
+            return
+        self._pool.release(channel)
+
+    def _sample_done(self, _: object, size: int, started_at: float) -> None:
+        self._is_checking = False
+        now = time.monotonic()
+        was_stalled = now - started_at > DIAL_TIMEOUT_S + STALL_MARGIN_S
+        if was_stalled and self._path.needs_check(now):
+            self._start()
+            return
+        if self._path.needs_check(now) and self._path.sample_failed(size, now):
+            self._log.notable('targets_unreachable', dialled=size)
+            self._on_change()
+        self._answer_waiters()
+        if self._path.is_cut:
+            self._reactor.callLater(RECHECK_INTERVAL_S, self._recheck)
+
+    def _recheck(self) -> None:
+        if self._path.is_cut:
+            self._start()
+
+    def _connected(self) -> None:
+        now = time.monotonic()
+        cut_s = now - self._path.changed_at
+        if self._path.connected(now):
+            self._log.notable('targets_reachable', cut_s=round(cut_s, 2))
+            self._on_change()
+        self._answer_waiters()
+
+    def _answer_waiters(self) -> None:
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.called:
+                waiter.callback(self._path.is_cut)
--- /dev/null
+++ b/walnutport/gateway/peer_relay.py
@@ -0,0 +1,290 @@
+"""Serves callers through peers while this host reaches no target.
+
+The peer gets the request as the caller sent it, with the time that has passed,
+and serves it as one of its own: it applies the desired state, limits and
+retries, and this host passes its response on. A request goes by one peer at
+most, as a peer serves it at targets only.
+"""
+
+from collections.abc import Callable
+import time
+
+from twisted.internet import defer
+
+from walnutport import exceptions
+from walnutport.gateway import calls
+from walnutport.gateway import path_check
+from walnutport.gateway import peers
+from walnutport.http1 import channel_pool
+from walnutport.http1 import client_channel
+from walnutport.http1 import messages
+from walnutport.http1 import server
+from walnutport.platform import headers
+
+__all__ = ['PeerRelay', 'RELAY_HEADER']
+
+#: Header between hosts: name of the host that relays the request, and the
+#: milliseconds since the request began to arrive there.
+RELAY_HEADER = b'x-walnutport-relay'
+# Added to the time that has passed, so that the peer's response arrives before
+# this host answers for it at the deadline.
+RELAY_MARGIN_S = 0.01
+# A peer answers with this status if it serves no requests of others, before it
+# has begun anything.
+NOT_TAKEN_STATUS = 421
+# Peers that are tried for one request, as long as none has begun it.
+MAX_PEERS = 3
+DIAL_TIMEOUT_S = 0.4
+# As for targets: a reset idle channel leaves unknown whether a request ran.
+NON_REPEATABLE_MAX_IDLE_S = 0.05
+MAX_IDLE_CHANNELS_PER_PEER = 8
+MAX_RESPONSE_BYTES = 64 << 20
+
+
+class _RelayReceiver:
+    """Passes the response of a peer on to the caller."""
+
+    max_body_bytes = MAX_RESPONSE_BYTES
+
+    def __init__(
+        self,
+        call: calls.CallerCall,
+        channel: client_channel.ClientChannel,
+    ) -> None:
+        self._call = call
+        self._channel = channel
+        self._head = messages.EMPTY_HEAD
+        self._body_parts: list[bytes] = []
+        self._is_stream = False
+        self.done: defer.Deferred = defer.Deferred(
+            lambda deferred: channel.cancel()
+        )
+
+    @property
+    def was_taken(self) -> bool:
+        """Whether the peer may have begun to serve the request."""
+        return self._head.status != NOT_TAKEN_STATUS
+
+    def head_received(self, head: messages.ResponseHead) -> bool:
+        self._head = head
+        self._is_stream = head.header(b'transfer-encoding') is not None
+        if self._is_stream:
+            self._call.status = head.status
+            self._call.request.start(
+                head.status, headers.forwarded_response_headers(head)
+            )
+        return True
+
+    def body_received(self, data: bytes) -> None:
+        if self._is_stream:
+            if not self._call.first_event_at:
+                self._call.first_event_at = time.monotonic()
+            self._call.request.write(data)
+        else:
+            self._body_parts.append(data)
+
+    def finished(self) -> None:
+        if self._is_stream:
+            self._call.request.finish()
+        elif self.was_taken:
+            self._call.forward_response(self._head, b''.join(self._body_parts))
+        if not self.done.called:
+            self.done.callback(None)
+
+    def failed(self, failure: exceptions.ChannelError) -> None:
+        if not self.done.called:
+            self.done.errback(failure)
+
+
+class PeerRelay:
+    """Sends requests to peers, and accepts those of peers.
+
+    :param path: whether this host reaches any target.
+    :param handle: serves a request of a peer, given its name.
+    :param accepts: returns whether requests of peers are accepted.
+    :ivar site: site that accepts requests of peers.
+    :ivar sent_count: requests that peers have served for this host.
+    :ivar received_count: requests of peers that this host has served.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        log,
+        mesh: peers.PeerMesh,
+        path: path_check.PathCheck,
+        own_name: str,
+        handle: Callable[[server.ServerRequest, str], None],
+        accepts: Callable[[], bool],
+        limits,
+    ) -> None:
+        self._log = log
+        self._mesh = mesh
+        self._path = path
+        self._own_name = own_name
+        self._handle = handle
+        self._accepts = accepts
+        self._pool = channel_pool.ChannelPool(
+            reactor, MAX_IDLE_CHANNELS_PER_PEER
+        )
+        self._in_flight_by_peer: dict[str, int] = {}
+        self.site = server.ServerSite(reactor, self._receive, limits)
+        self.sent_count = 0
+        self.received_count = 0
+
+    def applies(self, call: calls.CallerCall) -> bool:
+        """Return whether a request has to go by a peer, if by any way."""
+        return self._path.is_cut and self._may_relay(call)
+
+    async def verify(self, call: calls.CallerCall) -> bool:
+        """Return whether a request that could not be sent may go by a peer.
+
+        This waits until it is known whether the host is cut off.
+        """
+        if not self._may_relay(call):
+            return False
+        return await self._path.verify() and call.time_left_s() > 0
+
+    async def serve(self, call: calls.CallerCall) -> bool:
+        """Let a peer serve a request.
+
+        :returns: False if no peer has taken it.
+        """
+        tried: set[str] = set()
+        while len(tried) < MAX_PEERS and call.time_left_s() > 0:
+            name = self._choose_peer(tried)
+            if not name:
+                return False
+            tried.add(name)
+            if await self._send(call, name):
+                return True
+            if call.may_have_run and not call.route.repeatable:
+                return False
+        return False
+
+    @staticmethod
+    def _may_relay(call: calls.CallerCall) -> bool:
+        if call.relayed_by or call.request.head_sent:
+            return False
+        return call.route.repeatable or not call.may_have_run
+
+    def close_expired(self) -> None:
+        """Close the channels to peers that reached their idle limit."""
+        self._pool.close_expired()
+
+    def totals(self) -> dict[str, float]:
+        """Return the counters by name."""
+        return {
+            'requests_relayed_total': self.sent_count,
+            'requests_of_peers_total': self.received_count,
+        }
+
+    def _choose_peer(self, tried: set[str]) -> str:
+        """Return the least loaded peer that reaches targets, empty if none.
+
+        Peers that keep up with their own work come first, then those in the
+        data centre of this host.
+        """
+        data_centre = self._mesh.own_record.data_centre
+        candidates = [
+            (
+                not peer.accepts_work,
+                (self._in_flight_by_peer.get(name, 0) + 1)
+                / max(peer.record.work_share, 0.01),
+                peer.record.data_centre != data_centre,
+                name,
+            )
+            for name, peer in self._mesh.peer_by_name.items()
+            if name not in tried and peer.accepts_requests
+        ]
+        return min(candidates)[-1] if candidates else ''
+
+    async def _send(self, call: calls.CallerCall, name: str) -> bool:
+        """Send a request to a peer; return whether it has taken it."""
+        record = self._mesh.peer_by_name[name].record
+        address = (record.ip, record.relay_port)
+        self._in_flight_by_peer[name] = (
+            self._in_flight_by_peer.get(name, 0) + 1
+        )
+        self._log.routine(
+            'relayed',
+            id=call.request_id,
+            peer=name,
+            left_s=round(call.time_left_s(), 3),
+        )
+        try:
+            channel = self._pool.take_idle(
+                address,
+                None if call.route.repeatable else NON_REPEATABLE_MAX_IDLE_S,
+            )
+            if channel is None:
+                channel = await self._pool.open(
+                    address,
+                    min(DIAL_TIMEOUT_S, max(0.05, call.time_left_s())),
+                )
+            receiver = _RelayReceiver(call, channel)
+            call.possible_runs += 1
+            channel.send(
+                self._encode(call), receiver, on_idle=self._pool.release
+            )
+            await receiver.done
+        except exceptions.ChannelError as problem:
+            if not problem.written:
+                call.possible_runs = max(0, call.possible_runs - 1)
+            self._log.notable(
+                'relay_failed',
+                id=call.request_id,
+                peer=name,
+                problem=str(problem),
+            )
+            if call.request.head_sent:
+                call.outcome = 'broken'
+                call.request.abort()
+                return True
+            return False
+        finally:
+            self._in_flight_by_peer[name] -= 1
+        if not receiver.was_taken:
+            call.possible_runs -= 1
+            return False
+        self.sent_count += 1
+        call.outcome = 'relayed'
+        return True
+
+    def _encode(self, call: calls.CallerCall) -> bytes:
+        request = call.request
+        elapsed_s = time.monotonic() - call.arrived_at + RELAY_MARGIN_S
+        relayed_headers = [
+            header
+            for header in headers.relayed_request_headers(request.headers)
+            if header[0] != RELAY_HEADER
+        ]
+        relayed_headers.append(
+            (
+                RELAY_HEADER,
+                b'%s %d' % (self._own_name.encode(), elapsed_s * 1000),
+            )
+        )
+        return messages.encode_request(
+            request.method, request.target, relayed_headers, request.body
+        )
+
+    def _receive(self, request: server.ServerRequest) -> None:
+        """Serve a request of a peer."""
+        name, _, elapsed_ms = (
+            (request.header(RELAY_HEADER) or b'')
+            .decode('latin-1')
+            .partition(' ')
+        )
+        if not name or not elapsed_ms.isdigit():
+            request.respond(400, [], b'')
+            return
+        if self._path.is_cut or not self._accepts():
+            request.respond(NOT_TAKEN_STATUS, [], b'')
+            return
+        request.headers = [
+            header for header in request.headers if header[0] != RELAY_HEADER
+        ]
+        request.started_at -= int(elapsed_ms) / 1000
+        self.received_count += 1
+        self._handle(request, name)
--- a/walnutport/gateway/peers.py
+++ b/walnutport/gateway/peers.py
@@ -14,7 +14,7 @@
 from walnutport.gateway import peer_link
 from walnutport.peer import fleet_messages
 
-__all__ = ['PeerMesh', 'PeerState']
+__all__ = ['PeerMesh', 'PeerState', 'listen_in_range']
 
 HEARTBEAT_INTERVAL_S = 0.3
 # Interval in a partial mesh, where the owner of a cell has a link from every
@@ -76,6 +76,18 @@
             and self.heartbeat is not None
             and self.heartbeat.fit
             and not self.heartbeat.draining
+            and self.heartbeat.reaches_targets
+        )
+
+    @property
+    def accepts_requests(self) -> bool:
+        """Whether the peer may serve requests of other hosts' callers."""
+        return (
+            self.reachable
+            and self.heartbeat is not None
+            and self.heartbeat.reaches_targets
+            and not self.heartbeat.draining
+            and self.record.relay_port > 0
         )
 
 
@@ -120,7 +132,6 @@
         self._on_lost = on_lost
         self._tick_due_at = 0.0
         self._ticks_to_heartbeat = 0
-        self._listener = None
         self._timer = None
 
     def listen(self, ports: tuple[int, int]) -> int:
@@ -132,16 +143,8 @@
             lambda: peer_link.PeerLink(self, dialled=False)
         )
         factory.noisy = False
-        for port in range(ports[0], ports[1] + 1):
-            try:
-                self._listener = self._reactor.listenTCP(
-                    port, factory, interface=self.own_record.ip
-                )
-            except error.CannotListenError:
-                continue
-            return port
-        raise exceptions.PeerError(
-            f'no free port for peers in the range {ports}'
+        return listen_in_range(
+            self._reactor, self.own_record.ip, ports, factory
         )
 
     def start(self) -> None:
@@ -263,6 +266,10 @@
             self.own_record, needs_hosts=not self._hosts_known
         )
 
+    def send_heartbeat(self) -> None:
+        """Tell the linked peers at once what has changed."""
+        self.broadcast(self._create_heartbeat(self._interval_s()))
+
     def send(self, name: str, message: fleet_messages.FleetMessage) -> bool:
         """Send a message; return False when no link to the peer is up."""
         peer = self.peer_by_name.get(name)
@@ -457,6 +464,23 @@
         )
 
 
+def listen_in_range(
+    reactor, ip: str, ports: tuple[int, int], factory: protocol.Factory
+) -> int:
+    """Listen on the first free port of a range and return it.
+
+    :raises PeerError: when no port is free.
+    """
+    for port in range(ports[0], ports[1] + 1):
+        try:
+            reactor.listenTCP(port, factory, interface=ip)
+        except (error.CannotListenError, OSError):
+            # A port in use may be noticed only when the socket listens.
+            continue
+        return port
+    raise exceptions.PeerError(f'no free port for peers in the range {ports}')
+
+
 class _PeerDialler(protocol.ClientFactory):
     """Opens a link to one peer."""
 
--- a/walnutport/gateway/request_handler.py
+++ b/walnutport/gateway/request_handler.py
@@ -13,6 +13,7 @@
 from walnutport.gateway import forwarding
 from walnutport.gateway import metrics
 from walnutport.gateway import origin_exchange
+from walnutport.gateway import peer_relay
 from walnutport.gateway import responses
 from walnutport.gateway import route_matcher
 from walnutport.gateway import stage_client
@@ -49,6 +50,7 @@
         responder: responses.Responder,
         stages: stage_client.StageClient,
         origins: origin_exchange.OriginExchange,
+        relay: peer_relay.PeerRelay,
         entry_metrics: metrics.EntryMetrics,
     ) -> None:
         self._reactor = reactor
@@ -59,12 +61,19 @@
         self._responder = responder
         self._stages = stages
         self._origins = origins
+        self._relay = relay
         self._metrics = entry_metrics
         self._forecast = first_event.FirstEventForecast()
         self.in_flight: set[calls.CallerCall] = set()
 
-    def handle(self, request: server.ServerRequest) -> None:
-        """Serve one request."""
+    def handle(
+        self, request: server.ServerRequest, relayed_by: str = ''
+    ) -> None:
+        """Serve one request.
+
+        :param relayed_by: name of the peer that relays it; empty for a caller
+            of this host.
+        """
         try:
             call = self._matcher.match(request)
         except exceptions.WireError as problem:
@@ -73,6 +82,14 @@
             return
         if call is None:
             return
+        call.relayed_by = relayed_by
+        if relayed_by:
+            self._log.routine(
+                'relay_received',
+                id=call.request_id,
+                peer=relayed_by,
+                elapsed_s=round(time.monotonic() - call.arrived_at, 3),
+            )
         self._metrics.started(call)
         self.in_flight.add(call)
         task = defer.Deferred.fromCoroutine(self._serve(call))
@@ -93,6 +110,9 @@
         if not self._forwarder.admit(call):
             self._refuse_quarantined(call)
             return
+        if self._relay.applies(call):
+            await self._serve_by_peer(call)
+            return
         is_stream = call.route.kind is routes.RequestKind.STREAM
         if is_stream and call.fields.continues_stream:
             await self._find_origin(call)
@@ -106,6 +126,17 @@
         else:
             await self._serve_plain(call)
 
+    async def _serve_by_peer(self, call: calls.CallerCall) -> None:
+        """Let a peer serve a request, as this host reaches no target."""
+        if await self._relay.serve(call):
+            return
+        if call.may_have_run:
+            call.send_local_response(502, 'lost')
+        else:
+            self._responder.refuse(
+                call, 'cut_off', responses.NO_TARGET_RETRY_AFTER_S
+            )
+
     async def _find_origin(self, call: calls.CallerCall) -> None:
         """Bind a stream that a caller takes up to where it began.
 
@@ -126,6 +157,9 @@
     async def _serve_plain(self, call: calls.CallerCall) -> None:
         result = None
         while True:
+            if self._relay.applies(call):
+                await self._serve_by_peer(call)
+                return
             target = self._selector.select_target(call)
             if target is None:
                 break
@@ -134,7 +168,7 @@
                 call, result
             ):
                 break
-        self._give_up(call, result)
+        await self._give_up(call, result)
 
     async def _serve_staged(self, call: calls.CallerCall) -> None:
         counts = call.fields.piece_counts
@@ -206,6 +240,9 @@
         resume_after: int | None = None
         result = None
         while True:
+            if self._relay.applies(call):
+                await self._serve_by_peer(call)
+                return
             target = self._selector.select_engine(call)
             if target is None:
                 break
@@ -231,9 +268,9 @@
             relay.discard_partial()
             if call.request.head_sent and relay.last_id is not None:
                 resume_after = relay.last_id
-        self._give_up(call, result)
+        await self._give_up(call, result)
 
-    def _give_up(
+    async def _give_up(
         self, call: calls.CallerCall, result: attempts.AttemptResult | None
     ) -> None:
         """Respond to a call that gets no further attempt."""
@@ -244,6 +281,13 @@
         ):
             self._refuse_quarantined(call)
             return
+        if (
+            result is not None
+            and result.status is attempts.AttemptStatus.NOT_SENT
+            and await self._relay.verify(call)
+        ):
+            await self._serve_by_peer(call)
+            return
         delay_s = self._selector.stated_delay_s(call)
         was_sent = result is not None and not result.is_deferred
         if was_sent or call.may_have_run or delay_s is None:
--- a/walnutport/gateway/responses.py
+++ b/walnutport/gateway/responses.py
@@ -7,7 +7,7 @@
 from walnutport.gateway import metrics
 from walnutport.routing import engines
 
-__all__ = ['Responder']
+__all__ = ['NO_TARGET_RETRY_AFTER_S', 'Responder']
 
 # Delays after which refused callers may retry.
 DEFAULT_RETRY_AFTER_S = 0.15
--- a/walnutport/gateway/stage_client.py
+++ b/walnutport/gateway/stage_client.py
@@ -77,7 +77,8 @@
         self._send = send
         self._job_numbers = itertools.count(1)
         self._local_owner_by_cell: dict[int, cell_owner.CellOwner] = {}
-        self._pending_jobs: dict[str, tuple[str, defer.Deferred]] = {}
+        # Name of the owner, cell and reply of each job.
+        self._pending_jobs: dict[str, tuple[str, int, defer.Deferred]] = {}
         self._cell_count = 1
         self._owner_name_by_cell: dict[int, str] = {}
         self._rules_by_service: dict[str, routes.BatchRules] = {}
@@ -177,9 +178,20 @@
             'owners_lost', OWNERS_LOST_RETRY_AFTER_S
         )
 
-    def release_job(self, job_id: str, cell: int, owner: str) -> None:
-        """Cancel a job and free its results."""
-        self._pending_jobs.pop(job_id, None)
+    def release_job(
+        self,
+        job_id: str,
+        cell: int,
+        owner: str,
+        is_resubmitted: bool = False,
+    ) -> None:
+        """Cancel a job and free its results.
+
+        :param is_resubmitted: whether its reply is still awaited, as another
+            host is to run it.
+        """
+        if not is_resubmitted:
+            self._pending_jobs.pop(job_id, None)
         if owner == self._host_name:
             local = self._local_owner_by_cell.get(cell)
             if local is not None:
@@ -198,17 +210,24 @@
             if local is not None:
                 local.release_job(message.job_id)
         elif isinstance(message, fleet_messages.StagesDone):
-            self._resolve(message.result.job_id, message.result)
+            self._resolve(message.result.job_id, message.result, name)
         elif isinstance(message, fleet_messages.StagesFailed):
-            self._resolve(message.failure.job_id, message.failure)
+            self._resolve(message.failure.job_id, message.failure, name)
         elif isinstance(message, fleet_messages.StagesRefused):
-            self._resolve(message.job_id, message.refusal)
+            self._resolve(message.job_id, message.refusal, name)
+
+    def owner_cut(self, name: str) -> None:
+        """Resubmit the jobs of a host, or of this one, without any target."""
+        for job_id, (owner, cell, _) in list(self._pending_jobs.items()):
+            if owner == name:
+                self.release_job(job_id, cell, owner, is_resubmitted=True)
+                self._resolve(job_id, None, name)
 
     def peer_lost(self, name: str) -> None:
         """Resubmit the jobs that a lost host ran, and release its own."""
-        for job_id, (owner, _) in list(self._pending_jobs.items()):
+        for job_id, (owner, _, _) in list(self._pending_jobs.items()):
             if owner == name:
-                self._resolve(job_id, None)
+                self._resolve(job_id, None, name)
         for local in self._local_owner_by_cell.values():
             local.peer_lost(name)
 
@@ -240,19 +259,26 @@
         self, spec: pieces.JobSpec, cell: int, owner: str
     ) -> object:
         reply_deferred: defer.Deferred = defer.Deferred()
-        self._pending_jobs[spec.job_id] = (owner, reply_deferred)
+        self._pending_jobs[spec.job_id] = (owner, cell, reply_deferred)
         if owner == self._host_name:
             self._get_local_owner(cell).submit_job(
-                spec, '', lambda reply: self._resolve(spec.job_id, reply)
+                spec,
+                '',
+                lambda reply: self._resolve(spec.job_id, reply, owner),
             )
         elif not self._send(owner, fleet_messages.RunStages(spec, cell)):
             self._pending_jobs.pop(spec.job_id, None)
             return None
         return await reply_deferred
 
-    def _resolve(self, job_id: str, reply: object) -> None:
-        _, reply_deferred = self._pending_jobs.pop(job_id, ('', None))
-        if reply_deferred is not None and not reply_deferred.called:
+    def _resolve(self, job_id: str, reply: object, owner: str) -> None:
+        """Answer a job, unless another owner runs it by now."""
+        pending = self._pending_jobs.get(job_id)
+        if pending is None or pending[0] != owner:
+            return
+        del self._pending_jobs[job_id]
+        reply_deferred = pending[2]
+        if not reply_deferred.called:
             reply_deferred.callback(reply)
 
     def _run_for_peer(
--- a/walnutport/gateway/suspect_exchange.py
+++ b/walnutport/gateway/suspect_exchange.py
@@ -1,5 +1,6 @@
 """Shares reports on what crashes targets with the other hosts."""
 
+from collections.abc import Callable
 import time
 
 from twisted.internet import defer
@@ -28,6 +29,8 @@
 class SuspectExchange:
     """Suspects of this host, kept in sync with its peers.
 
+    :param verify_cut: returns a result that fires with whether this host is
+        cut off from all targets.
     :ivar table: contents of requests that may crash targets.
     :ivar parts: parts of prompts that may crash targets.
     """
@@ -39,7 +42,9 @@
         mesh: peers.PeerMesh,
         pool: channel_pool.ChannelPool,
         target_outcomes: outcomes.TargetOutcomes,
+        verify_cut: Callable[[], defer.Deferred],
     ) -> None:
+        self._verify_cut = verify_cut
         self._reactor = reactor
         self._log = log
         self._mesh = mesh
@@ -98,9 +103,9 @@
     ) -> defer.Deferred:
         """Record the end of an attempt, and whether its target crashed.
 
-        The target counts as crashed when a new connection to it fails. Parts
-        of prompts are implicated only if it is refused: a target that cannot
-        be reached may run on.
+        The target counts as crashed when a new connection to it fails, unless
+        this host reaches no target at all. Parts of prompts are implicated
+        only if it is refused: a target that cannot be reached may run on.
 
         :returns: fires when the end is recorded.
         """
@@ -112,6 +117,15 @@
             recorded.callback(None)
 
         def on_failure(failure) -> None:
+            self._verify_cut().addCallback(on_verified, failure)
+
+        def on_verified(
+            is_cut: bool, failure: twisted_failure.Failure
+        ) -> None:
+            if is_cut:
+                self._attempt_finished(attempt_id)
+                recorded.callback(None)
+                return
             now = time.monotonic()
             self._outcomes.record_failure(target, now, unreachable=True)
             self._pool.close_address(target.address)
--- a/walnutport/http1/channel_pool.py
+++ b/walnutport/http1/channel_pool.py
@@ -1,5 +1,6 @@
 """Pool of idle client channels, and fetching of complete responses."""
 
+from collections.abc import Callable
 import time
 
 from twisted.internet import defer
@@ -62,6 +63,9 @@
         self._idle_by_address: dict[
             client_channel.Address, list[client_channel.ClientChannel]
         ] = {}
+        # Called when a new channel is open, or could not be opened.
+        self.on_opened: Callable[[], None] = lambda: None
+        self.on_open_failed: Callable[[], None] = lambda: None
         self.opened_count = 0
         self.oversized_count = 0
 
@@ -96,9 +100,14 @@
         :raises ChannelError: if the peer cannot be reached.
         """
         self.opened_count += 1
-        channel = await client_channel.connect(
-            self._reactor, address, timeout_s
-        )
+        try:
+            channel = await client_channel.connect(
+                self._reactor, address, timeout_s
+            )
+        except exceptions.ChannelError:
+            self.on_open_failed()
+            raise
+        self.on_opened()
         channel.on_oversized = self._count_oversized
         return channel
 
@@ -114,6 +123,11 @@
         for channel in self._idle_by_address.pop(address, ()):
             channel.close()
 
+    def close_all(self) -> None:
+        """Close all idle channels."""
+        for address in list(self._idle_by_address):
+            self.close_address(address)
+
     def close_expired(self) -> None:
         """Close the channels that reached their idle limit."""
         now = time.monotonic()
--- /dev/null
+++ b/walnutport/membership/target_path.py
@@ -0,0 +1,90 @@
+"""Tells a host that is cut off from all targets from targets that are down.
+
+Covers a host that callers, peers and the store still reach while it reaches no
+target: connections are refused, or hang, or old ones live on while new ones
+fail. A failed connection alone says nothing, as the target may be down. The
+host then dials a sample of other targets, spread over the services: it is cut
+off if it reaches none of them.
+"""
+
+from collections.abc import Iterable
+import random
+
+from walnutport.world import registrations
+
+__all__ = ['TargetPath']
+
+# Targets to dial to find out whether this host is cut off. They are of
+# several services, as those of one may all be down at the same time.
+SAMPLE_SIZE = 4
+# A sample of fewer targets does not show that the host is cut off.
+MIN_SAMPLE_SIZE = 2
+# No check is made this soon after a new connection to a target.
+TRUST_S = 0.3
+
+
+class TargetPath:
+    """Whether this host reaches any target.
+
+    Times are seconds of a monotonic clock, passed in as ``now``.
+
+    :param rng: chooses the targets of a sample.
+    :ivar is_cut: whether the host reaches no target.
+    :ivar changed_at: when that has changed last.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._connected_at = float('-inf')
+        self.is_cut = False
+        self.changed_at = float('-inf')
+
+    def needs_check(self, now: float) -> bool:
+        """Return whether it is unclear if the host reaches any target."""
+        return not self.is_cut and now - self._connected_at >= TRUST_S
+
+    def sample(
+        self,
+        targets: Iterable[registrations.RegisteredTarget],
+        avoid: str = '',
+    ) -> list[registrations.RegisteredTarget]:
+        """Return targets to dial, of as many services as possible.
+
+        :param avoid: id of the target that failed.
+        """
+        by_service: dict[str, list[registrations.RegisteredTarget]] = {}
+        for target in targets:
+            if target.target_id != avoid and not target.draining:
+                by_service.setdefault(target.service, []).append(target)
+        groups = list(by_service.values())
+        for group in groups:
+            self._rng.shuffle(group)
+        self._rng.shuffle(groups)
+        chosen: list[registrations.RegisteredTarget] = []
+        while groups and len(chosen) < SAMPLE_SIZE:
+            for group in groups:
+                chosen.append(group.pop())
+            groups = [group for group in groups if group]
+        return chosen[:SAMPLE_SIZE]
+
+    def connected(self, now: float) -> bool:
+        """Record a new connection to a target.
+
+        :returns: whether it shows that the host is no longer cut off.
+        """
+        self._connected_at = now
+        return self._set_cut(False, now)
+
+    def sample_failed(self, size: int, now: float) -> bool:
+        """Record that no target of a sample could be connected to.
+
+        :returns: whether it shows that the host is cut off now.
+        """
+        return size >= MIN_SAMPLE_SIZE and self._set_cut(True, now)
+
+    def _set_cut(self, is_cut: bool, now: float) -> bool:
+        is_changed = is_cut is not self.is_cut
+        if is_changed:
+            self.is_cut = is_cut
+            self.changed_at = now
+        return is_changed
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -39,6 +39,8 @@
     :param work_share: capacity of the host for work of the fleet, as a weight.
     :param era: era of the store in which the host has published the record;
         0 if the store counts none.
+    :param relay_port: port at which it serves requests of other hosts'
+        callers; 0 if it serves none.
     """
 
     name: str
@@ -48,6 +50,7 @@
     data_centre: str
     work_share: float
     era: int = 0
+    relay_port: int = 0
 
 
 class Hello(msgspec.Struct, frozen=True, tag='hello'):
@@ -78,6 +81,7 @@
     :param fit: whether it keeps up with its own work and accepts that of
         others.
     :param interval_s: time until the next heartbeat of the sender.
+    :param reaches_targets: whether it reaches any target.
     """
 
     desired_version: int
@@ -87,6 +91,7 @@
     fit: bool
     draining: bool
     interval_s: float = 0.3
+    reaches_targets: bool = True
 
 
 class UpdateRequest(msgspec.Struct, frozen=True, tag='ask'):
--- a/walnutport/platform/headers.py
+++ b/walnutport/platform/headers.py
@@ -13,6 +13,7 @@
     'local_response_headers',
     'decode_request_headers',
     'forwarded_request_headers',
+    'relayed_request_headers',
 ]
 
 # A stated limit above this is taken for a fault of the target; a target serves
@@ -118,6 +119,13 @@
     return forwarded
 
 
+def relayed_request_headers(headers: messages.Headers) -> messages.Headers:
+    """Return the headers of a caller's request as a peer gets them."""
+    dropped = messages.HOP_BY_HOP_HEADERS | _connection_options(headers)
+    dropped |= {b'content-length', b'expect'}
+    return [header for header in headers if header[0] not in dropped]
+
+
 def decode_response_headers(
     head: messages.ResponseHead,
 ) -> requests.ResponseFields:
--- a/walnutport/routing/outcomes.py
+++ b/walnutport/routing/outcomes.py
@@ -88,6 +88,12 @@
         """Drop the statistics of a removed target."""
         self._stats_by_id.pop(target_id, None)
 
+    def end_ejections(self) -> None:
+        """Restore all targets, as their failures were those of the path."""
+        for stats in self._stats_by_id.values():
+            stats.ejected_until = 0.0
+            stats.failures_in_row = 0
+
     def attempt_started(self, target: registrations.RegisteredTarget) -> None:
         """Record the start of an attempt."""
         self.stats(target).in_flight += 1
