Share the slots of brittle targets among the hosts

Cause: nothing read Server-Brittle. Hosts found the room of a target by running into it, so that a target that falls over when it has to turn many requests away did so under any overload.

Each host has a share of the slots of such a target in flight at most, chosen alike on every host, and leaves it alone for a second after a rejection. The statement goes to all hosts with the others, also to those that join.

Before: both targets fell over and 0 of 240 requests were served in 6 s of twice the capacity; the test demands 72 with at most 2 crashes, and passes now.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -111,6 +111,8 @@
         # Times at which requests arrived, by target.
         self.arrivals: dict[str, list[float]] = collections.defaultdict(list)
         self.mode_by_target: dict[str, str] = {}
+        # Rejections a second above which a target crashes, by service.
+        self.rejection_limit_by_service: dict[str, int] = {}
         # Headers that targets add to all their responses, by target.
         self.headers_by_target: dict[str, dict[str, str]] = {}
         # Part of prompts that crashes each engine that begins to write an
@@ -292,6 +294,7 @@
         if 'store' in changes:
             self.store_mode = changes['store']
         self.crashing_part = changes.get('crashing_part', self.crashing_part)
+        self.rejection_limit_by_service.update(changes.get('brittle', {}))
         self.crashes_unframed = changes.get(
             'crashes_unframed', self.crashes_unframed
         )
@@ -353,6 +356,8 @@
         self._transports: set = set()
         self._listener = None
         self._starts = 1
+        self._running = 0
+        self._rejected_at: list[float] = []
 
     def listen(self) -> None:
         """Listen on the target's port."""
@@ -440,9 +445,13 @@
         request.setHeader(_REQUEST_ID_HEADER, request_id)
         request.setHeader('walnutport-response-seal', secrets.token_hex(4))
         request.setHeader('walnutport-server-load', f'1,0,{self._plan.slots}')
-        if self._plan.kind == 'engine':
-            return await self._stream(request)
-        await self._sleep(self._platform.settings.work_ms)
+        self._running += 1
+        try:
+            if self._plan.kind == 'engine':
+                return await self._stream(request)
+            await self._sleep(self._platform.settings.work_ms)
+        finally:
+            self._running -= 1
         if self._mode() == 'reset_after':
             request.transport.abortConnection()
             return b''
@@ -493,7 +502,7 @@
             request.setResponseCode(421)
             request.setHeader('walnutport-not-executed', '1')
             return False
-        if self._mode() == 'full':
+        if self._mode() == 'full' or self._is_full_and_brittle(request):
             request.setResponseCode(503)
             request.setHeader('walnutport-not-executed', '1')
             return False
@@ -502,6 +511,30 @@
             return False
         return True
 
+    def _is_full_and_brittle(self, request) -> bool:
+        """Return whether a brittle target has no room for a request.
+
+        The target crashes if it has to reject too many in a second.
+        """
+        limit = self._platform.rejection_limit_by_service.get(
+            self._plan.service
+        )
+        if limit is None:
+            return False
+        request.setHeader('server-brittle', str(limit))
+        if self._running < self._plan.slots:
+            return False
+        now = time.monotonic()
+        self._rejected_at = [
+            rejected_at
+            for rejected_at in [*self._rejected_at, now]
+            if now - rejected_at < 1.0
+        ]
+        if len(self._rejected_at) > limit:
+            self._rejected_at.clear()
+            reactor.callLater(0, self._crash)
+        return True
+
     def _mode(self) -> str:
         return self._platform.mode_by_target.get(self._plan.target_id, 'ok')
 
--- a/walnutport/gateway/events.py
+++ b/walnutport/gateway/events.py
@@ -143,6 +143,12 @@
         'states none any more',
         ('target', 'requests_per_s', 'before', 'source'),
     ),
+    Event(
+        'target_brittle',
+        'a target states how many requests a second it can turn away without '
+        'falling over, or states none any more',
+        ('target', 'rejections_per_s', 'before', 'source'),
+    ),
     Event(
         'target_leaving',
         'a target states that it is shutting down; it gets no more requests',
--- a/walnutport/gateway/target_reports.py
+++ b/walnutport/gateway/target_reports.py
@@ -91,8 +91,20 @@
         if rate_limit is None and (fields.problems or not is_marked):
             rate_limit = before
         was_leaving = self._backpressure.is_leaving(target)
-        if self._backpressure.observe(target, rate_limit, fields.leaving, now):
-            self._record_change(target, before, was_leaving, 'response')
+        rejections_before = self._backpressure.rejection_limit(target)
+        rejection_limit = fields.rejection_limit
+        if rejection_limit is None and (fields.problems or not is_marked):
+            rejection_limit = rejections_before
+        if rejection_limit is not None and status == 503 and fields.not_run:
+            self._backpressure.hold(
+                target, backpressure.REJECTION_PAUSE_S, now
+            )
+        if self._backpressure.observe(
+            target, rate_limit, fields.leaving, now, rejection_limit
+        ):
+            self._record_change(
+                target, before, rejections_before, was_leaving, 'response'
+            )
 
     def merge_report(
         self, name: str, message: fleet_messages.TargetReports
@@ -187,13 +199,18 @@
                 self._pending.append(item)
                 continue
             before = self._backpressure.rate_limit(target)
+            rejections_before = self._backpressure.rejection_limit(target)
             was_leaving = self._backpressure.is_leaving(target)
             report = dataclasses.replace(
                 item.report, age_s=item.report.age_s + waited_s
             )
             if self._backpressure.merge(target, report, now):
                 self._record_change(
-                    target, before, was_leaving, f'peer {item.peer}'
+                    target,
+                    before,
+                    rejections_before,
+                    was_leaving,
+                    f'peer {item.peer}',
                 )
                 changed.append(report)
         del self._pending[:-MAX_PENDING_REPORTS]
@@ -204,6 +221,7 @@
         self,
         target: registrations.RegisteredTarget,
         before: float | None,
+        rejections_before: float | None,
         was_leaving: bool,
         source: str,
     ) -> None:
@@ -216,6 +234,15 @@
                 before=before,
                 source=source,
             )
+        rejection_limit = self._backpressure.rejection_limit(target)
+        if rejection_limit != rejections_before:
+            self._log.notable(
+                'target_brittle',
+                target=target.target_id,
+                rejections_per_s=rejection_limit,
+                before=rejections_before,
+                source=source,
+            )
         if self._backpressure.is_leaving(target) and not was_leaving:
             self._log.notable(
                 'target_leaving', target=target.target_id, source=source
--- a/walnutport/gateway/target_selector.py
+++ b/walnutport/gateway/target_selector.py
@@ -44,7 +44,9 @@
         now = time.monotonic()
         return self._outcomes.choose(
             self._limits.permitted(
-                self._follower.registry.usable(call.service), now
+                self._follower.registry.usable(call.service),
+                now,
+                self._in_flight,
             ),
             now,
             call.excluded_targets(),
@@ -89,11 +91,16 @@
             and not recommended.draining
             and self._outcomes.stats(recommended).ejected_until <= now
             and self._limits.delay_s(recommended, now) <= 0
+            and self._limits.has_room(
+                recommended, self._in_flight(recommended)
+            )
         ):
             return recommended
         engine = engines.choose_engine(
             self._limits.permitted(
-                self._usable(call.service, call.origin_version), now
+                self._usable(call.service, call.origin_version),
+                now,
+                self._in_flight,
             ),
             self._outcomes,
             call.fields.prompt,
@@ -152,6 +159,10 @@
         self._limits.forget(target_id, time.monotonic())
         self._caches.forget(target_id)
 
+    def _in_flight(self, target: registrations.RegisteredTarget) -> int:
+        """Return the requests that this host has in flight at a target."""
+        return self._outcomes.stats(target).in_flight
+
     def _usable(
         self, service: str, version: str | None
     ) -> Iterable[registrations.RegisteredTarget]:
--- a/walnutport/platform/headers.py
+++ b/walnutport/platform/headers.py
@@ -38,6 +38,7 @@
         wire.NOT_EXECUTED,
         wire.RATE_LIMIT,
         wire.LEAVING,
+        wire.BRITTLE,
     )
 )
 # Headers that the system evaluates must not be repeated, as a target could
@@ -146,6 +147,9 @@
         not_run=head.header(wire.NOT_EXECUTED) is not None,
         load=_parse_load(head.header(wire.LOAD)),
         rate_limit=rate_limit,
+        rejection_limit=_parse_decimal(
+            head, wire.BRITTLE, MAX_RATE_LIMIT, problems
+        ),
         leaving=_parse_flag(head, wire.LEAVING, problems),
         retry_after_s=retry_after_s,
         problems=tuple(problems),
--- a/walnutport/platform/wire.py
+++ b/walnutport/platform/wire.py
@@ -43,6 +43,8 @@
 RATE_LIMIT = b'server-limit'
 # ``1`` in the responses of a target that is shutting down.
 LEAVING = b'server-leaving'
+# Requests a second that a target can turn away without falling over.
+BRITTLE = b'server-brittle'
 RETRY_AFTER = b'retry-after'
 STORE_ERA = b'store-era'
 
--- a/walnutport/routing/backpressure.py
+++ b/walnutport/routing/backpressure.py
@@ -6,6 +6,10 @@
 request: a few hosts, chosen alike on every host, share the limit evenly and
 space their requests, and the other hosts send none.
 
+Covers a target that falls over if it has to turn many requests away. Hosts
+send it no more than it can run: they share its slots, and leave it alone for a
+while after a rejection.
+
 Covers a target that turns a request away and asks this host for time: nothing
 is sent until the time has passed, and then requests come back step by step.
 
@@ -30,6 +34,9 @@
 TIME_RESOLUTION_S = 1e-6
 # Limits are passed on to other hosts at most once in this time.
 MIN_REPORT_INTERVAL_S = 0.5
+# A host sends nothing for this long to a target that may fall over and has
+# just turned a request of this host away. Its limit is for each second.
+REJECTION_PAUSE_S = 1.0
 # After the time that a target has asked for, this host spaces its requests to
 # it for a while.
 RESUME_S = 1.0
@@ -51,6 +58,8 @@
         target states no limit any more.
     :param leaving: whether the target is shutting down.
     :param age_s: seconds since the target stated it.
+    :param rejection_limit: requests a second that it can turn away without
+        falling over; None if it does not say so any more.
     """
 
     target_id: str
@@ -58,6 +67,7 @@
     rate_limit: float | None
     leaving: bool
     age_s: float
+    rejection_limit: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,6 +82,7 @@
 
     target: registrations.RegisteredTarget
     rate_limit: float | None = None
+    rejection_limit: float | None = None
     observed_at: float = -math.inf
     next_send_at: float = 0.0
     held_until: float = -math.inf
@@ -111,6 +122,7 @@
         rate_limit: float | None,
         leaving: bool,
         now: float,
+        rejection_limit: float | None = None,
     ) -> bool:
         """Record what a target stated in a response to this host.
 
@@ -122,14 +134,19 @@
         """
         if (
             rate_limit is None
+            and rejection_limit is None
             and not leaving
             and self._current_state(target) is None
         ):
             return False
         state = self._state(target)
-        changed = state.rate_limit != rate_limit
+        changed = (state.rate_limit, state.rejection_limit) != (
+            rate_limit,
+            rejection_limit,
+        )
         changed |= self._record_leaving(target, leaving)
         state.rate_limit = rate_limit
+        state.rejection_limit = rejection_limit
         state.observed_at = now
         state.must_report = state.must_report or changed
         return changed
@@ -149,14 +166,22 @@
         if report.incarnation != target.incarnation:
             return False
         changed = self._record_leaving(target, report.leaving)
-        if report.rate_limit is None and self._current_state(target) is None:
+        if (
+            report.rate_limit is None
+            and report.rejection_limit is None
+            and self._current_state(target) is None
+        ):
             return changed
         state = self._state(target)
         observed_at = now - report.age_s
         if observed_at <= state.observed_at:
             return changed
-        changed |= state.rate_limit != report.rate_limit
+        changed |= (state.rate_limit, state.rejection_limit) != (
+            report.rate_limit,
+            report.rejection_limit,
+        )
         state.rate_limit = report.rate_limit
+        state.rejection_limit = report.rejection_limit
         state.observed_at = observed_at
         return changed
 
@@ -222,6 +247,7 @@
                         state.rate_limit,
                         self.is_leaving(state.target),
                         now - state.observed_at,
+                        state.rejection_limit,
                     )
                 )
         return reports
@@ -236,13 +262,14 @@
         }
         for state in self._state_by_id.values():
             target = state.target
-            if state.rate_limit is not None:
+            if (state.rate_limit, state.rejection_limit) != (None, None):
                 reports[target.target_id, target.incarnation] = TargetReport(
                     target.target_id,
                     target.incarnation,
                     state.rate_limit,
                     self.is_leaving(target),
                     now - state.observed_at,
+                    state.rejection_limit,
                 )
         return list(reports.values())
 
@@ -257,6 +284,33 @@
         state = self._current_state(target)
         return None if state is None else state.rate_limit
 
+    def rejection_limit(
+        self, target: registrations.RegisteredTarget
+    ) -> float | None:
+        """Return the rejections a second that a target bears, None if any."""
+        state = self._current_state(target)
+        return None if state is None else state.rejection_limit
+
+    def has_room(
+        self, target: registrations.RegisteredTarget, in_flight: int
+    ) -> bool:
+        """Return whether this host may have one more request in flight.
+
+        Only a target that may fall over has its slots shared among the hosts.
+
+        :param in_flight: requests that this host has in flight at the target.
+        """
+        if self.rejection_limit(target) is None:
+            return True
+        hosts = dict.fromkeys(self._host_names(), 1.0)
+        ranked = ranking.rank_hosts(f'room/{target.target_id}', hosts)
+        if self._own_name not in ranked:
+            return False
+        share, further = divmod(target.slots, len(ranked))
+        if ranked.index(self._own_name) < further:
+            share += 1
+        return in_flight < share
+
     def min_interval_s(self, target: registrations.RegisteredTarget) -> float:
         """Return the time between requests that keeps the limit of a target.
 
@@ -287,12 +341,22 @@
         return delay_s if delay_s > TIME_RESOLUTION_S else 0.0
 
     def permitted(
-        self, targets: Iterable[registrations.RegisteredTarget], now: float
+        self,
+        targets: Iterable[registrations.RegisteredTarget],
+        now: float,
+        in_flight: Callable[
+            [registrations.RegisteredTarget], int
+        ] = lambda target: 0,
     ) -> list[registrations.RegisteredTarget]:
-        """Return the targets that this host may send to now."""
+        """Return the targets that this host may send to now.
+
+        :param in_flight: returns the requests of this host at a target.
+        """
         permitted = []
         for target in targets:
-            if self.delay_s(target, now) > 0:
+            if self.delay_s(target, now) > 0 or not self.has_room(
+                target, in_flight(target)
+            ):
                 self.passed_over_count += 1
             else:
                 permitted.append(target)
--- a/walnutport/world/requests.py
+++ b/walnutport/world/requests.py
@@ -71,6 +71,8 @@
     :param load: load of the target; None if missing or unreadable.
     :param rate_limit: requests a second that the target accepts from all hosts
         together; None if it states no limit.
+    :param rejection_limit: requests a second that the target can turn away
+        without falling over; None if it does not say.
     :param leaving: whether the target states that it is shutting down.
     :param retry_after_s: how long the target wants no requests of this host,
         after it has turned one away; None if it does not say.
@@ -82,6 +84,7 @@
     not_run: bool
     load: ResponseLoad | None
     rate_limit: float | None = None
+    rejection_limit: float | None = None
     leaving: bool = False
     retry_after_s: float | None = None
     problems: tuple[str, ...] = ()
