Break streams whose event ids are no counts

Cause: int() raises for more than 4,300 digits, in the middle of a response; the caller waited until its deadline. The new test failed with ValueError for 5,000 digits.

--- a/tests/relay/test_resumable.py
+++ b/tests/relay/test_resumable.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from walnutport.relay import resumable
 
@@ -55,3 +56,15 @@
     assert not relay.is_oversized
     relay.feed(b'x' * resumable.MAX_EVENT_BYTES)
     assert relay.is_oversized
+
+
+@pytest.mark.parametrize('digits', [13, 5000])
+def test_event_id_that_is_no_count_breaks_the_stream(digits):
+    """Guards against an exception in the middle of a response.
+
+    Python converts at most 4,300 digits to a number.
+    """
+    relay = resumable.EventRelay()
+    assert relay.feed(event(1))
+    assert not relay.feed(b'id: %s\ndata: token\n\n' % (b'9' * digits))
+    assert relay.has_gap
--- a/walnutport/relay/resumable.py
+++ b/walnutport/relay/resumable.py
@@ -10,6 +10,8 @@
 
 # An event holds some tokens; without a limit, one without end would be kept.
 MAX_EVENT_BYTES = 256 << 10
+# A number with more digits is no count of events.
+MAX_ID_DIGITS = 12
 
 _EVENT_END = b'\n\n'
 
@@ -28,7 +30,7 @@
 
     @property
     def has_gap(self) -> bool:
-        """Whether an event of the sequence is missing."""
+        """Whether an event of the sequence is missing, or its id is none."""
         return self._gap
 
     @property
@@ -66,6 +68,9 @@
         number = _event_id(event)
         if number is None:
             return True
+        if number < 0:
+            self._gap = True
+            return False
         if self.last_id is not None:
             if number <= self.last_id:
                 return False
@@ -76,8 +81,14 @@
 
 
 def _event_id(event: bytes) -> int | None:
+    """Return the id of an event.
+
+    :returns: None without a number, -1 if the number has too many digits.
+    """
     for line in event.split(b'\n'):
         if line.startswith(b'id:'):
             value = line[3:].strip()
+            if len(value) > MAX_ID_DIGITS and value.isdigit():
+                return -1
             return int(value) if value.isdigit() else None
     return None
