--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -192,3 +192,42 @@
     )
     assert not new.continues_stream
     assert new.begun_by == ''
+
+
+@pytest.mark.parametrize(
+    ('prefix', 'expected'),
+    [
+        (b'a:10,b:20,own:5', ('a', 'b')),
+        (b'a:10, b:20 ,a:10,own:5', ('a', 'b')),
+        (b'own:5', ()),
+        (b'a:10,', ('a',)),
+        (b'a,b,own', ('a', 'b')),
+    ],
+)
+def test_shared_parts_of_a_prompt_are_decoded(prefix, expected):
+    """Guards against the request's own part among the shared ones.
+
+    The counts of tokens may be missing; they are needed for routing only.
+    """
+    fields = headers.decode_request_headers(
+        [
+            (b'walnutport-request-attempt-id', b'id'),
+            (b'walnutport-prompt-prefix', prefix),
+        ]
+    )
+    assert fields.shared_parts == expected
+
+
+@pytest.mark.parametrize('value', [b'1,2', b'1,2,x', b'1,2,' + b'9' * 5000])
+def test_unreadable_load_of_a_target_is_ignored(value):
+    """Guards against an exception in the middle of a response."""
+    head = messages.ResponseHead(200, [(b'walnutport-server-load', value)])
+    assert headers.decode_response_headers(head).load is None
+
+
+@pytest.mark.parametrize(('value', 'expected'), [(b'5', 5.0), (b'x', None)])
+def test_rejection_limit_is_decoded_and_not_forwarded(value, expected):
+    """Guards against a statement to this system that callers get."""
+    head = messages.ResponseHead(200, [(b'server-brittle', value)])
+    assert headers.decode_response_headers(head).rejection_limit == expected
+    assert headers.forwarded_response_headers(head) == []
--- a/walnutport/platform/headers.py
+++ b/walnutport/platform/headers.py
@@ -21,6 +21,8 @@
 MAX_RATE_LIMIT = 1_000_000.0
 # A target that asks for more time than this is taken for a faulty one.
 MAX_RETRY_AFTER_S = 60.0
+# A number of requests with more digits is taken for a fault of the target.
+MAX_COUNT_DIGITS = 9
 # Bytes of an invalid value that are quoted in the log.
 MAX_QUOTED_BYTES = 40
 
@@ -253,7 +255,10 @@
     if value is None:
         return None
     parts = value.split(b',')
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    if len(parts) != 3 or not all(
+        part.strip().isdigit() and len(part) <= MAX_COUNT_DIGITS
+        for part in parts
+    ):
         return None
     running, waiting, slots = (int(part) for part in parts)
     return requests.ResponseLoad(running, waiting, slots)
