--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -164,3 +164,52 @@
     assert len(lines) == 3
     lines = explain.explain('a', log({**finished, **fields}, {'ids': 3}))
     assert lines[-1].startswith('cause: ')
+
+
+def test_relayed_request_ends_in_what_its_peer_did():
+    """Guards against a cause that stops at the host that was cut off."""
+    lines = explain.explain(
+        'a',
+        log(
+            {'host': 'h1', 'event': 'relayed', 'id': 'a', 'peer': 'h2'},
+            {'host': 'h2', 'event': 'relay_received', 'id': 'a', 'peer': 'h1'},
+            {
+                'host': 'h2',
+                'event': 'finished',
+                'id': 'a',
+                'outcome': 'overload',
+            },
+            {
+                'host': 'h1',
+                'event': 'finished',
+                'id': 'a',
+                'outcome': 'relayed',
+            },
+        ),
+    )
+    assert lines[-1].startswith('cause: refused: its stages')
+    assert lines[-1].endswith('h1 reached no target and sent it to h2')
+
+
+def test_quarantined_part_is_named():
+    """Guards against a refusal whose reason cannot be looked up."""
+    lines = explain.explain(
+        'a',
+        log(
+            {
+                'host': 'h',
+                'event': 'refused',
+                'id': 'a',
+                'reason': 'quarantined',
+                'part': '5c1e07a2',
+                'deaths': 3,
+            },
+            {
+                'host': 'h',
+                'event': 'finished',
+                'id': 'a',
+                'outcome': 'quarantined',
+            },
+        ),
+    )
+    assert lines[-1].endswith('(part 5c1e07a2, 3 crashes)')
--- a/walnutport/cli/explain.py
+++ b/walnutport/cli/explain.py
@@ -41,6 +41,8 @@
         'refused: it, or a part of its prompt, was running at several targets '
         'that crashed'
     ),
+    'cut_off': 'refused: neither the host nor a peer reached any target',
+    'relayed': 'a peer of the host served it, see the lines of that peer',
     'stage_failures': 'given up: too many of its stage pieces failed',
     'owner_unknown': 'no link to the host that runs its stages was up yet',
     'owners_lost': 'given up: hosts that ran its stages were lost',
@@ -150,6 +152,11 @@
                 f'{rejected[0].get("reason")}'
             )
         return 'no end in this log; the host stopped or the line was dropped'
+    # A host that relays a request ends it after the peer that serves it.
+    served = [
+        record for record in finished if record.get('outcome') != 'relayed'
+    ]
+    finished = served or finished
     outcome = str(finished[-1].get('outcome', ''))
     text = _CAUSE_BY_OUTCOME.get(outcome, f'outcome {outcome or "unknown"}')
     status = _number(finished[-1], 'status')
@@ -181,4 +188,10 @@
         )
         if finished[-1].get('returned'):
             text += ', and the caller had come back after a refusal'
+    relays = [r for r in records if r.get('event') == 'relayed']
+    if relays:
+        text += (
+            f'; {relays[-1].get("host")} reached no target and sent it to '
+            f'{relays[-1].get("peer")}'
+        )
     return text
