Give a silent target two seconds to answer a keep-alive probe

Cause: with TCP_USER_TIMEOUT set, Linux gives up at the first probe that is unanswered for an interval, whatever the count of probes: after 3 s, not after 4 as the constants said, and a target that stood still for a second lost its channels if a probe fell on the beginning. The bound is 4 s now, with one probe. The test failed on the old constants. No packets can be dropped here, so that the bound is derived and not measured.

--- a/tests/http1/test_client_channel.py
+++ b/tests/http1/test_client_channel.py
@@ -159,3 +159,18 @@
     """Guards against a peer that waits for a body that never comes."""
     data = messages.encode_request(b'POST', b'/', [(b'host', b'h')], b'')
     assert b'content-length: 0\r\n' in data
+
+
+def test_silence_of_a_second_does_not_end_a_channel():
+    """Guards against a target that counts as lost while it stands still.
+
+    Linux ends a connection at the first keep-alive probe that is unanswered
+    for its interval once the user timeout has passed, whatever the count of
+    probes. The first probe may fall on the beginning of the silence.
+    """
+    tolerated_s = client_channel.KEEPALIVE_INTERVAL_S
+    assert tolerated_s >= 2
+    assert client_channel.UNACKED_TIMEOUT_MS > 1000
+    given_up_s = client_channel.KEEPALIVE_IDLE_S + tolerated_s
+    assert given_up_s * 1000 > client_channel.UNACKED_TIMEOUT_MS
+    assert given_up_s <= 4
--- a/walnutport/http1/client_channel.py
+++ b/walnutport/http1/client_channel.py
@@ -34,10 +34,13 @@
 # detected within the shortest request deadlines.
 UNACKED_TIMEOUT_MS = 1500
 # Keep-alive probes detect an unreachable peer while a response is awaited
-# and no written data is unacknowledged.
+# and no written data is unacknowledged. As UNACKED_TIMEOUT_MS is shorter than
+# the idle time, Linux gives up at the first probe that is unanswered for an
+# interval, whatever their count: after 4 s. A shorter interval would end the
+# channels of a target that is silent for a second and goes on.
 KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
+KEEPALIVE_INTERVAL_S = 2
+KEEPALIVE_PROBES = 1
 # Idle limit of a channel whose peer sends no Keep-Alive timeout.
 DEFAULT_IDLE_LIMIT_S = 4.0
 # A channel is not reused this shortly before the idle timeout of its peer.
