--- a/walnutport/gateway/peer_relay.py
+++ b/walnutport/gateway/peer_relay.py
@@ -35,6 +35,8 @@
 # Peers that are tried for one request, as long as none has begun it.
 MAX_PEERS = 3
 DIAL_TIMEOUT_S = 0.4
+# Longer times have more digits than the milliseconds of any timeout.
+MAX_ELAPSED_DIGITS = 9
 # As for targets: a reset idle channel leaves unknown whether a request ran.
 NON_REPEATABLE_MAX_IDLE_S = 0.05
 MAX_IDLE_CHANNELS_PER_PEER = 8
@@ -276,7 +278,11 @@
             .decode('latin-1')
             .partition(' ')
         )
-        if not name or not elapsed_ms.isdigit():
+        if (
+            not name
+            or not elapsed_ms.isdigit()
+            or len(elapsed_ms) > MAX_ELAPSED_DIGITS
+        ):
             request.respond(400, [], b'')
             return
         if self._path.is_cut or not self._accepts():
