Let the soak cut hosts off from all targets

In half of the rounds, drawn so that the listed seeds stay as they are, two of three hosts lose all targets, once or several times: reset, refused with old channels alive, or silent.

--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -33,6 +33,8 @@
 CALLERS = 10
 # Share of the rounds in which the two engines differ in their version.
 MIXED_VERSIONS_SHARE = 0.5
+# Hosts that are cut off from all targets, in the rounds where that happens.
+CUT_HOSTS = 2
 # Service time at a plain target, long enough for resets to hit requests that
 # are running.
 WORK_MS = 50.0
@@ -110,11 +112,15 @@
         random.Random(f'{seed}/versions').random() < MIXED_VERSIONS_SHARE
     )
     versions = ('v1', 'v2') if is_mixed else ('v1', 'v1')
+    has_cuts = any(
+        action.kind == 'cut' for action in soak_schedule.draw(seed, ('',), 1)
+    )
     fleet = platform_fleet.PlatformFleet(
         folder,
         HOSTS,
         proxied=True,
         engine_versions=versions,
+        cut_hosts=CUT_HOSTS if has_cuts else 0,
         work_ms=WORK_MS,
     )
     with fleet:
@@ -234,6 +240,9 @@
             fleet.control_platform(states={action.location: action.variant})
         elif action.kind == 'return':
             fleet.control_platform(copy=True)
+        elif action.kind == 'cut':
+            for faults in soak_schedule.CUT_FAULTS[action.variant]:
+                fleet.cut_targets(faults)
         elif action.kind == 'state':
             changes = {
                 'headers': {
@@ -259,6 +268,8 @@
             fleet.control_platform(store='ok')
         elif action.kind == 'leave':
             fleet.control_platform(states={action.location: 'ready'})
+        elif action.kind == 'cut':
+            fleet.cut_targets(fault_proxy.Faults())
         elif action.kind == 'return':
             fleet.control_platform(return_older=float(action.variant))
         elif action.kind == 'state':
--- a/bench/soak_schedule.py
+++ b/bench/soak_schedule.py
@@ -5,7 +5,7 @@
 
 from standins import fault_proxy
 
-__all__ = ['ROUND_S', 'STATEMENTS', 'FaultAction', 'draw']
+__all__ = ['CUT_FAULTS', 'ROUND_S', 'STATEMENTS', 'FaultAction', 'draw']
 
 # Faults begin within this time; the last ones end a few seconds later.
 ROUND_S = 9.0
@@ -26,6 +26,20 @@
 # the share of these in which another statement follows.
 STATEMENT_SHARE = 0.7
 
+# Share of the rounds in which some hosts are cut off from all targets, and the
+# share of these in which they are so again.
+CUT_SHARE = 0.5
+
+#: Faults between these hosts and all targets, in order, by variant.
+CUT_FAULTS = {
+    'reset': (
+        fault_proxy.Faults(reset=True),
+        fault_proxy.Faults(refuse=True),
+    ),
+    'refuse': (fault_proxy.Faults(refuse=True),),
+    'silent': (fault_proxy.Faults(black_hole=True, stall=True),),
+}
+
 #: Headers that a target adds to its responses, by variant.
 STATEMENTS = {
     'limit': {'Server-Limit': '2.5'},
@@ -66,9 +80,9 @@
     """A fault that is injected during a round.
 
     :param kind: ``network``, ``mode``, ``host``, ``store``, ``desired``,
-        ``leave``, ``return`` or ``state``. With ``return``, the store takes a
-        copy at the start and returns from it at the end. With ``state``, a
-        target states something in its responses.
+        ``leave``, ``return``, ``state`` or ``cut``. With ``return``, the store
+        takes a copy at the start and returns from it at the end. With
+        ``state``, a target states something in its responses.
     :param location: target id, host number or ``store``.
     :param variant: which fault of this kind.
     :param at_s: start, relative to the start of the round.
@@ -101,6 +115,7 @@
             )
     actions += _draw_store_returns(seed)
     actions += _draw_statements(seed, target_ids)
+    actions += _draw_cuts(seed)
     return sorted(actions, key=lambda action: action.at_s)
 
 
@@ -124,6 +139,23 @@
     return actions
 
 
+def _draw_cuts(seed: int) -> list[FaultAction]:
+    """Return when some hosts are cut off from all targets, and how."""
+    rng = random.Random(f'{seed}/cuts')
+    actions: list[FaultAction] = []
+    while rng.random() < CUT_SHARE:
+        actions.append(
+            FaultAction(
+                'cut',
+                'targets',
+                rng.choice(tuple(CUT_FAULTS)),
+                round(rng.uniform(0.0, ROUND_S), 2),
+                round(rng.uniform(0.5, 4.0), 2),
+            )
+        )
+    return actions
+
+
 def _draw_statements(
     seed: int, target_ids: tuple[str, ...]
 ) -> list[FaultAction]:
--- a/tests/integration/test_fleet_soak.py
+++ b/tests/integration/test_fleet_soak.py
@@ -10,8 +10,9 @@
 # that broke off right after its first events was reset, and its caller got
 # none of them. Seed 300 has engines of two versions and detects streams that
 # go on at the other one. Seed 328 has failed: a host removed all targets after
-# returns of the store, as its peer had told it changes only.
-SEEDS = (11, 13, 213, 300, 328)
+# returns of the store, as its peer had told it changes only. In seed 403, two
+# hosts are cut off from all targets.
+SEEDS = (11, 13, 213, 300, 328, 403)
 
 
 @pytest.mark.parametrize('seed', SEEDS)
