Wait for the result of a crash check only before a retry, and not for long

Cause: each attempt whose channel was reset waited for the check, up to 0.9 s if the target does not answer; callers of requests that may run once waited for nothing. The test failed without the limit.

--- a/tests/gateway/test_suspect_exchange.py
+++ b/tests/gateway/test_suspect_exchange.py
@@ -150,3 +150,25 @@
     factory.clientConnectionFailed(None, failure.Failure(problem))
     assert recorded.called
     assert len(exchange.parts) == is_implicated
+
+
+def test_retry_does_not_wait_for_a_silent_target():
+    """Guards against callers who wait for a dial that is never answered."""
+    reactor = testing.MemoryReactorClock()
+    exchange = suspect_exchange.SuspectExchange(
+        reactor,
+        SilentLog(),
+        FakeMesh(False),
+        channel_pool.ChannelPool(reactor, 1),
+        outcomes.TargetOutcomes(random.Random(1)),
+        lambda: defer.succeed(False),
+    )
+    exchange.parts.attempt_started('id/1', ('p',), 't1', '1', 0.0)
+    recorded = exchange.check_for_crash(TARGET, 'id/1')
+    reactor.advance(suspect_exchange.MAX_RETRY_DELAY_S)
+    assert recorded.called
+    factory = reactor.tcpClients[0][2]
+    factory.clientConnectionFailed(
+        None, failure.Failure(error.ConnectionRefusedError())
+    )
+    assert len(exchange.parts) == 1
--- a/walnutport/gateway/forwarding.py
+++ b/walnutport/gateway/forwarding.py
@@ -176,8 +176,10 @@
                 self._suspects.attempt_finished(attempt_id, survived, now)
                 self._parts.attempt_finished(attempt_id, completed, now)
         if reset:
-            # The choice of the next target depends on what is found.
-            await self._check_for_crash(target, attempt_id)
+            checked = self._check_for_crash(target, attempt_id)
+            if call.route.repeatable:
+                # Whether the request is retried depends on what is found.
+                await checked
         return result
 
     def try_acquire_retry(
--- a/walnutport/gateway/suspect_exchange.py
+++ b/walnutport/gateway/suspect_exchange.py
@@ -22,6 +22,9 @@
 # Timeout of the connection that checks whether a target crashed; the target
 # counts as crashed when the connection fails.
 CRASH_CHECK_TIMEOUT_S = 0.5
+# A retry waits this long at most for the result. Most crashed targets refuse
+# the connection within milliseconds.
+MAX_RETRY_DELAY_S = 0.15
 # Suspects that a peer is told when it joins.
 MAX_REPORTS_ON_JOIN = 200
 
@@ -107,9 +110,13 @@
         this host reaches no target at all. Parts of prompts are implicated
         only if it is refused: a target that cannot be reached may run on.
 
-        :returns: fires when the end is recorded.
+        :returns: fires when the end is recorded, or after some time if that is
+            not clear by then.
         """
         recorded: defer.Deferred = defer.Deferred()
+        recorded.addTimeout(
+            MAX_RETRY_DELAY_S, self._reactor, lambda result, timeout: None
+        )
 
         def on_connected(channel: client_channel.ClientChannel) -> None:
             channel.close()
