--- a/walnutport/quarantine/prompt_parts.py
+++ b/walnutport/quarantine/prompt_parts.py
@@ -330,7 +330,11 @@
         self, parts: Iterable[str], now: float
     ) -> dict[str, _Entry]:
         """Return the entries of the quarantined parts, by part."""
-        entry_by_part = {part: self._find(part, now) for part in parts}
+        entry_by_part = {
+            part: self._find(part, now)
+            for part in parts
+            if part in self._entry_by_part
+        }
         return {
             part: entry
             for part, entry in entry_by_part.items()
