Do not count a peer that was not reached as a possible run

Cause: after a failed dial to a peer, the count of possible runs went down by one although it had not risen, so that an earlier attempt that was lost could be forgotten. A relayed request whose response was lost is not sent to another peer either, as nobody counts that as a retry. Found by reading; no test.

--- a/walnutport/gateway/peer_relay.py
+++ b/walnutport/gateway/peer_relay.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+import enum
 import time
 
 from twisted.internet import defer
@@ -20,6 +21,7 @@
 from walnutport.http1 import messages
 from walnutport.http1 import server
 from walnutport.platform import headers
+from walnutport.world import routes
 
 __all__ = ['PeerRelay', 'RELAY_HEADER']
 
@@ -43,6 +45,17 @@
 MAX_RESPONSE_BYTES = 64 << 20
 
 
+class _Outcome(enum.Enum):
+    """What has become of a request that was sent to a peer."""
+
+    #: The peer has served it; the caller has its response, or a part of it.
+    SERVED = 'served'
+    #: The peer has not begun to serve it.
+    NOT_TAKEN = 'not_taken'
+    #: The peer may have served it, and no whole response came.
+    LOST = 'lost'
+
+
 class _RelayReceiver:
     """Passes the response of a peer on to the caller."""
 
@@ -104,6 +117,7 @@
     :param path: whether this host reaches any target.
     :param handle: serves a request of a peer, given its name.
     :param accepts: returns whether requests of peers are accepted.
+    :param limits: returns the limits that requests of peers have to keep.
     :ivar site: site that accepts requests of peers.
     :ivar sent_count: requests that peers have served for this host.
     :ivar received_count: requests of peers that this host has served.
@@ -118,7 +132,7 @@
         own_name: str,
         handle: Callable[[server.ServerRequest, str], None],
         accepts: Callable[[], bool],
-        limits,
+        limits: Callable[[], routes.RequestLimits],
     ) -> None:
         self._log = log
         self._mesh = mesh
@@ -150,7 +164,8 @@
     async def serve(self, call: calls.CallerCall) -> bool:
         """Let a peer serve a request.
 
-        :returns: False if no peer has taken it.
+        :returns: False if the caller has no response, because no peer has
+            taken the request or because the response was lost.
         """
         tried: set[str] = set()
         while len(tried) < MAX_PEERS and call.time_left_s() > 0:
@@ -158,18 +173,11 @@
             if not name:
                 return False
             tried.add(name)
-            if await self._send(call, name):
-                return True
-            if call.may_have_run and not call.route.repeatable:
-                return False
+            outcome = await self._send(call, name)
+            if outcome is not _Outcome.NOT_TAKEN:
+                return outcome is _Outcome.SERVED
         return False
 
-    @staticmethod
-    def _may_relay(call: calls.CallerCall) -> bool:
-        if call.relayed_by or call.request.head_sent:
-            return False
-        return call.route.repeatable or not call.may_have_run
-
     def close_expired(self) -> None:
         """Close the channels to peers that reached their idle limit."""
         self._pool.close_expired()
@@ -181,6 +189,12 @@
             'requests_of_peers_total': self.received_count,
         }
 
+    @staticmethod
+    def _may_relay(call: calls.CallerCall) -> bool:
+        if call.relayed_by or call.request.head_sent:
+            return False
+        return call.route.repeatable or not call.may_have_run
+
     def _choose_peer(self, tried: set[str]) -> str:
         """Return the least loaded peer that reaches targets, empty if none.
 
@@ -201,8 +215,8 @@
         ]
         return min(candidates)[-1] if candidates else ''
 
-    async def _send(self, call: calls.CallerCall, name: str) -> bool:
-        """Send a request to a peer; return whether it has taken it."""
+    async def _send(self, call: calls.CallerCall, name: str) -> _Outcome:
+        """Send a request to a peer and pass its response on."""
         record = self._mesh.peer_by_name[name].record
         address = (record.ip, record.relay_port)
         self._in_flight_by_peer[name] = (
@@ -215,43 +229,56 @@
             left_s=round(call.time_left_s(), 3),
         )
         try:
-            channel = self._pool.take_idle(
-                address,
-                None if call.route.repeatable else NON_REPEATABLE_MAX_IDLE_S,
-            )
-            if channel is None:
-                channel = await self._pool.open(
-                    address,
-                    min(DIAL_TIMEOUT_S, max(0.05, call.time_left_s())),
-                )
+            channel = await self._acquire_channel(call, address)
             receiver = _RelayReceiver(call, channel)
-            call.possible_runs += 1
             channel.send(
                 self._encode(call), receiver, on_idle=self._pool.release
             )
+            call.possible_runs += 1
             await receiver.done
         except exceptions.ChannelError as problem:
-            if not problem.written:
-                call.possible_runs = max(0, call.possible_runs - 1)
-            self._log.notable(
-                'relay_failed',
-                id=call.request_id,
-                peer=name,
-                problem=str(problem),
-            )
-            if call.request.head_sent:
-                call.outcome = 'broken'
-                call.request.abort()
-                return True
-            return False
+            return self._relay_failed(call, name, problem)
         finally:
             self._in_flight_by_peer[name] -= 1
         if not receiver.was_taken:
             call.possible_runs -= 1
-            return False
+            return _Outcome.NOT_TAKEN
         self.sent_count += 1
         call.outcome = 'relayed'
-        return True
+        return _Outcome.SERVED
+
+    async def _acquire_channel(
+        self, call: calls.CallerCall, address: client_channel.Address
+    ) -> client_channel.ClientChannel:
+        channel = self._pool.take_idle(
+            address,
+            None if call.route.repeatable else NON_REPEATABLE_MAX_IDLE_S,
+        )
+        if channel is not None:
+            return channel
+        return await self._pool.open(
+            address, min(DIAL_TIMEOUT_S, max(0.05, call.time_left_s()))
+        )
+
+    def _relay_failed(
+        self,
+        call: calls.CallerCall,
+        name: str,
+        problem: exceptions.ChannelError,
+    ) -> _Outcome:
+        self._log.notable(
+            'relay_failed',
+            id=call.request_id,
+            peer=name,
+            problem=str(problem),
+        )
+        if not problem.written:
+            return _Outcome.NOT_TAKEN
+        if not call.request.head_sent:
+            return _Outcome.LOST
+        call.outcome = 'broken'
+        call.request.abort()
+        return _Outcome.SERVED
 
     def _encode(self, call: calls.CallerCall) -> bytes:
         request = call.request
