--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -29,11 +29,11 @@
 from walnutport.gateway import suspect_exchange
 from walnutport.gateway import target_reports
 from walnutport.gateway import target_selector
+from walnutport.gateway import work_sharing
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.http1 import server
 from walnutport.membership import loop_lag
-from walnutport.membership import ranking
 from walnutport.peer import fleet_messages
 from walnutport.platform import documents
 from walnutport.platform import store as platform_store
@@ -112,7 +112,10 @@
             self._handle_peer_message,
             self._peer_lost,
         )
-        self._mesh.choose_peers = self._choose_peers
+        self._work_sharing = work_sharing.WorkSharing(
+            self._mesh, self._accepts_work, lambda: self._stages.cell_count
+        )
+        self._mesh.choose_peers = self._work_sharing.choose_peers
         self._mesh.on_joined = self._peer_joined
         self._path = path_check.PathCheck(
             reactor,
@@ -164,8 +167,8 @@
             settings.name,
             self._incarnation,
             self._pool,
-            self._work_shares,
-            self._untried_shares,
+            self._work_sharing.work_shares,
+            self._work_sharing.untried_shares,
             self._mesh.send,
             self._selector.recommend_engine,
             self._reports,
@@ -441,65 +444,13 @@
         if self._stages.cell_count != cell_count:
             self._mesh.links_changed()
 
-    def _work_shares(self) -> dict[str, float]:
-        """Return the work shares of the hosts that accept work of others."""
-        own = self.settings.name
-        shares = {}
-        if (
+    def _accepts_work(self) -> bool:
+        """Return whether this host takes work of others."""
+        return (
             self._lag_monitor.accepts_peer_work
             and not self._drain.started
             and not self._path.is_cut
-        ):
-            shares[own] = self._work_share
-        for name, peer in self._mesh.peer_by_name.items():
-            if peer.accepts_work:
-                shares[name] = peer.record.work_share
-        return shares or {own: 1.0}
-
-    def _untried_shares(self) -> dict[str, float]:
-        """Return the work shares of the hosts whose links are not up yet."""
-        peer_by_name = self._mesh.peer_by_name
-        return {
-            name: peer_by_name[name].record.work_share
-            for name in self._mesh.chosen_names()
-            if name in peer_by_name and peer_by_name[name].is_untried
-        }
-
-    def _choose_peers(self) -> set[str]:
-        """Return the peers to link with in a large installation.
-
-        Hosts that cannot be reached are replaced by the next ones, but dialled
-        as well, since their links may fail in one direction only.
-        """
-        shares = {
-            name: peer.record.work_share
-            for name, peer in self._mesh.peer_by_name.items()
-        }
-        shares[self.settings.name] = self._work_share
-        reachable_shares = {
-            name: share
-            for name, share in shares.items()
-            if name == self.settings.name
-            or self._mesh.peer_by_name[name].failing_since is None
-        }
-        data_centre_by_name = {
-            self.settings.name: self.settings.data_centre,
-            **{
-                name: peer.record.data_centre
-                for name, peer in self._mesh.peer_by_name.items()
-            },
-        }
-        chosen: set[str] = set()
-        for known in (shares, reachable_shares):
-            chosen |= ranking.hosts_to_link(
-                self.settings.name, known, self._stages.cell_count
-            )
-            data_centres = {name: data_centre_by_name[name] for name in known}
-            for shard in range(ranking.origin_shards(len(known))):
-                chosen.update(ranking.origin_keepers(shard, data_centres))
-            if len(reachable_shares) == len(shares):
-                break
-        return chosen
+        )
 
     def _heartbeat(self, interval_s: float) -> fleet_messages.Heartbeat:
         return fleet_messages.Heartbeat(
