Keep new channels that carried no request

Cause: their time of becoming idle was 0, so that the pool closed them in its next tick; each dial that checks the path to the targets cost a connection.

--- a/tests/http1/test_channel_pool.py
+++ b/tests/http1/test_channel_pool.py
@@ -49,3 +49,16 @@
     assert transport.aborted
     assert clock.getDelayedCalls() == []
     assert pool.take_idle(ADDRESS) is None
+
+
+def test_channel_that_carried_no_request_can_be_used_later():
+    """Guards against one more connection for each dial that checks a path.
+
+    Such a channel looked as if it had been idle since the start of the clock.
+    """
+    pool = channel_pool.ChannelPool(task.Clock(), max_idle=2)
+    channel = client_channel.ClientChannel(ADDRESS)
+    channel.makeConnection(RecordingTransport())
+    pool.release(channel)
+    pool.close_expired()
+    assert pool.take_idle(ADDRESS) is channel
--- a/walnutport/http1/client_channel.py
+++ b/walnutport/http1/client_channel.py
@@ -98,6 +98,7 @@
 
     def connectionMade(self) -> None:
         self.alive = True
+        self.idle_since = time.monotonic()
         _set_socket_options(self.transport)
         self.on_open(self)
 
