--- a/walnutport/gateway/attempts.py
+++ b/walnutport/gateway/attempts.py
@@ -24,11 +24,14 @@
     'AttemptResult',
     'AttemptSender',
     'AttemptStatus',
+    'DEADLINE_DETAIL',
 ]
 
 # Complete events of a stream after which its target does not crash because of
 # the prompt.
 PROVEN_EVENTS = 3
+#: Detail of an attempt that was not sent as its time was over.
+DEADLINE_DETAIL = 'deadline'
 # Subtracted from the deadline that a target gets, so that its response can
 # still reach the caller in time.
 RESPONSE_MARGIN_S = 0.01
@@ -87,6 +90,15 @@
     load: requests.ResponseLoad | None = None
     is_deferred: bool = False
 
+    @property
+    def failed_to_connect(self) -> bool:
+        """Whether no connection to the target was possible."""
+        return (
+            self.status is AttemptStatus.NOT_SENT
+            and not self.is_deferred
+            and self.detail != DEADLINE_DETAIL
+        )
+
     @property
     def has_response(self) -> bool:
         """Whether a complete response came that may be forwarded."""
@@ -309,7 +321,7 @@
         if time_left_s <= 0 or call.request.disconnected:
             self._pool.release(channel)
             return AttemptResult(
-                AttemptStatus.NOT_SENT, target, detail='deadline'
+                AttemptStatus.NOT_SENT, target, detail=DEADLINE_DETAIL
             )
         if self._reports.accepts_none(target):
             # It has said so while the channel was being opened.
--- a/walnutport/gateway/forwarding.py
+++ b/walnutport/gateway/forwarding.py
@@ -273,7 +273,10 @@
     ) -> None:
         now = time.monotonic()
         self._outcomes.update_load(result.target, result.load, now)
-        if result.detail != 'deadline' and not result.is_deferred:
+        if (
+            result.detail != attempts.DEADLINE_DETAIL
+            and not result.is_deferred
+        ):
             unreachable = result.status in (
                 _Status.NOT_SENT,
                 _Status.WRONG_TARGET,
--- a/walnutport/gateway/request_handler.py
+++ b/walnutport/gateway/request_handler.py
@@ -283,7 +283,7 @@
             return
         if (
             result is not None
-            and result.status is attempts.AttemptStatus.NOT_SENT
+            and result.failed_to_connect
             and await self._relay.verify(call)
         ):
             await self._serve_by_peer(call)
