--- a/tests/gateway/test_suspect_exchange.py
+++ b/tests/gateway/test_suspect_exchange.py
@@ -48,6 +48,7 @@
         None,
         outcomes.TargetOutcomes(random.Random(1)),
         lambda: defer.succeed(False),
+        lambda target: False,
     )
     exchange.merge_report(REPORT)
     exchange.merge_report(REPORT)
@@ -70,6 +71,7 @@
         None,
         outcomes.TargetOutcomes(random.Random(1)),
         lambda: defer.succeed(False),
+        lambda target: False,
     )
     exchange.merge_report(REPORT)
     cleared = fleet_messages.CrashReport(b'e', ('t1/1',), True)
@@ -101,6 +103,7 @@
         None,
         outcomes.TargetOutcomes(random.Random(1)),
         lambda: defer.succeed(False),
+        lambda target: False,
     )
     exchange.merge_part_reports('peer', PART_REPORTS)
     exchange.merge_part_reports('peer', PART_REPORTS)
@@ -117,23 +120,27 @@
 
 
 @pytest.mark.parametrize(
-    ('problem', 'is_cut', 'is_implicated'),
+    ('problem', 'is_cut', 'is_leaving', 'is_implicated'),
     [
         pytest.param(
-            error.ConnectionRefusedError(), False, True, id='refused'
+            error.ConnectionRefusedError(), False, False, True, id='refused'
         ),
-        pytest.param(error.TimeoutError(), False, False, id='silent'),
+        pytest.param(error.TimeoutError(), False, False, False, id='silent'),
         pytest.param(
-            error.ConnectionRefusedError(), True, False, id='cut_off'
+            error.ConnectionRefusedError(), True, False, False, id='cut_off'
+        ),
+        pytest.param(
+            error.ConnectionRefusedError(), False, True, False, id='leaving'
         ),
     ],
 )
-def test_target_that_is_cut_off_implicates_no_part(
-    problem, is_cut, is_implicated
+def test_only_a_crash_implicates_parts(
+    problem, is_cut, is_leaving, is_implicated
 ):
     """Guards against parts that are blamed for a target that is cut off.
 
-    Such a target may run on, and so may one that is frozen for a moment.
+    Such a target may run on, and so may one that is frozen for a moment. One
+    that is shutting down ends without a fault.
     """
     reactor = testing.MemoryReactorClock()
     exchange = suspect_exchange.SuspectExchange(
@@ -143,6 +150,7 @@
         channel_pool.ChannelPool(reactor, 1),
         outcomes.TargetOutcomes(random.Random(1)),
         lambda: defer.succeed(is_cut),
+        lambda target: is_leaving,
     )
     exchange.parts.attempt_started('id/1', ('p',), 't1', '1', 0.0)
     recorded = exchange.check_for_crash(TARGET, 'id/1')
@@ -162,6 +170,7 @@
         channel_pool.ChannelPool(reactor, 1),
         outcomes.TargetOutcomes(random.Random(1)),
         lambda: defer.succeed(False),
+        lambda target: False,
     )
     exchange.parts.attempt_started('id/1', ('p',), 't1', '1', 0.0)
     recorded = exchange.check_for_crash(TARGET, 'id/1')
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -41,6 +41,7 @@
 from walnutport.retries import window_budget
 from walnutport.routing import backpressure
 from walnutport.routing import outcomes
+from walnutport.world import registrations
 from walnutport.world import routes
 
 __all__ = ['EntryHost']
@@ -132,6 +133,7 @@
             self._pool,
             self._outcomes,
             self._path.verify,
+            self._is_leaving,
         )
         self._follower = feed_follower.FeedFollower(
             reactor,
@@ -407,6 +409,12 @@
         self._pool.close_expired()
         self._relay.close_expired()
 
+    def _is_leaving(self, target: registrations.RegisteredTarget) -> bool:
+        """Return whether a target is shutting down, by its entry or itself."""
+        current = self._follower.registry.targets.get(target.target_id)
+        is_draining = current is not None and current.draining
+        return is_draining or self._reports.is_leaving(target)
+
     def _path_changed(self) -> None:
         """Hand work over when no target is reached, or take it up again."""
         if self._path.is_cut:
--- a/walnutport/gateway/suspect_exchange.py
+++ b/walnutport/gateway/suspect_exchange.py
@@ -34,6 +34,7 @@
 
     :param verify_cut: returns a result that fires with whether this host is
         cut off from all targets.
+    :param is_leaving: returns whether a target is shutting down.
     :ivar table: contents of requests that may crash targets.
     :ivar parts: parts of prompts that may crash targets.
     """
@@ -46,7 +47,9 @@
         pool: channel_pool.ChannelPool,
         target_outcomes: outcomes.TargetOutcomes,
         verify_cut: Callable[[], defer.Deferred],
+        is_leaving: Callable[[registrations.RegisteredTarget], bool],
     ) -> None:
+        self._is_leaving = is_leaving
         self._verify_cut = verify_cut
         self._reactor = reactor
         self._log = log
@@ -108,7 +111,8 @@
 
         The target counts as crashed when a new connection to it fails, unless
         this host reaches no target at all. Parts of prompts are implicated
-        only if it is refused: a target that cannot be reached may run on.
+        only if it is refused: a target that cannot be reached may run on, and
+        one that is shutting down ends by itself.
 
         :returns: fires when the end is recorded, or after some time if that is
             not clear by then.
@@ -139,7 +143,7 @@
             self.table.target_died(
                 target.target_id, now, str(target.incarnation)
             )
-            if _is_refused(failure):
+            if _is_refused(failure) and not self._is_leaving(target):
                 self.parts.target_died(
                     target.target_id, str(target.incarnation), now
                 )
