--- a/walnutport/gateway/forwarding.py
+++ b/walnutport/gateway/forwarding.py
@@ -176,8 +176,10 @@
                 self._suspects.attempt_finished(attempt_id, survived, now)
                 self._parts.attempt_finished(attempt_id, completed, now)
         if reset:
-            # The choice of the next target depends on what is found.
-            await self._check_for_crash(target, attempt_id)
+            checked = self._check_for_crash(target, attempt_id)
+            if call.route.repeatable:
+                # Whether the request is retried depends on what is found.
+                await checked
         return result
 
     def try_acquire_retry(
@@ -271,7 +273,10 @@
     ) -> None:
         now = time.monotonic()
         self._outcomes.update_load(result.target, result.load, now)
-        if result.detail != 'deadline' and not result.is_deferred:
+        if (
+            result.detail != attempts.DEADLINE_DETAIL
+            and not result.is_deferred
+        ):
             unreachable = result.status in (
                 _Status.NOT_SENT,
                 _Status.WRONG_TARGET,
--- a/walnutport/gateway/suspect_exchange.py
+++ b/walnutport/gateway/suspect_exchange.py
@@ -22,6 +22,9 @@
 # Timeout of the connection that checks whether a target crashed; the target
 # counts as crashed when the connection fails.
 CRASH_CHECK_TIMEOUT_S = 0.5
+# A retry waits this long at most for the result. Most crashed targets refuse
+# the connection within milliseconds.
+MAX_RETRY_DELAY_S = 0.15
 # Suspects that a peer is told when it joins.
 MAX_REPORTS_ON_JOIN = 200
 
@@ -31,6 +34,7 @@
 
     :param verify_cut: returns a result that fires with whether this host is
         cut off from all targets.
+    :param is_leaving: returns whether a target is shutting down.
     :ivar table: contents of requests that may crash targets.
     :ivar parts: parts of prompts that may crash targets.
     """
@@ -43,7 +47,9 @@
         pool: channel_pool.ChannelPool,
         target_outcomes: outcomes.TargetOutcomes,
         verify_cut: Callable[[], defer.Deferred],
+        is_leaving: Callable[[registrations.RegisteredTarget], bool],
     ) -> None:
+        self._is_leaving = is_leaving
         self._verify_cut = verify_cut
         self._reactor = reactor
         self._log = log
@@ -105,11 +111,16 @@
 
         The target counts as crashed when a new connection to it fails, unless
         this host reaches no target at all. Parts of prompts are implicated
-        only if it is refused: a target that cannot be reached may run on.
+        only if it is refused: a target that cannot be reached may run on, and
+        one that is shutting down ends by itself.
 
-        :returns: fires when the end is recorded.
+        :returns: fires when the end is recorded, or after some time if that is
+            not clear by then.
         """
         recorded: defer.Deferred = defer.Deferred()
+        recorded.addTimeout(
+            MAX_RETRY_DELAY_S, self._reactor, lambda result, timeout: None
+        )
 
         def on_connected(channel: client_channel.ClientChannel) -> None:
             channel.close()
@@ -132,7 +143,7 @@
             self.table.target_died(
                 target.target_id, now, str(target.incarnation)
             )
-            if _is_refused(failure):
+            if _is_refused(failure) and not self._is_leaving(target):
                 self.parts.target_died(
                     target.target_id, str(target.incarnation), now
                 )
