Trust only connections that were opened after a failure

Cause: a host that was cut off within 0.3 s after it had connected to a target took its own cut for two crashes: the path counted as clear. It told its peers, and the content in flight was refused by all hosts for as long as nobody ran it.

A check after a failure needs a connection that was opened since the failed attempt began; dials that began earlier are repeated.

--- a/tests/gateway/test_path_check.py
+++ b/tests/gateway/test_path_check.py
@@ -1,6 +1,7 @@
 """Tests of the dials that tell whether a host is cut off."""
 
 import random
+import time
 
 from twisted.internet import error
 from twisted.internet import testing
@@ -79,7 +80,7 @@
 def test_host_is_cut_off_when_the_whole_sample_fails():
     """Guards against a host that takes its own cut for that of targets."""
     host = Host()
-    verified = host.check.verify()
+    verified = host.check.verify(time.monotonic())
     dials = host.take_dials()
     assert len(dials) == 4
     for dial in dials[:3]:
@@ -93,7 +94,7 @@
 def test_one_answer_of_the_sample_is_enough():
     """Guards against requests that wait for dials that hang."""
     host = Host()
-    verified = host.check.verify()
+    verified = host.check.verify(time.monotonic())
     dials = host.take_dials()
     host.refuse(dials[0])
     connect(dials[1])
@@ -122,3 +123,38 @@
     for _ in range(5):
         host.check.check()
     assert len(host.take_dials()) == 4
+
+
+def test_connection_before_the_failure_does_not_clear_the_path():
+    """Guards against requests that are blamed for the crash of live targets.
+
+    A host was cut off right after it had connected to a target; two targets
+    whose channels were reset counted as crashed, and the content of a request
+    stayed quarantined on all hosts (seed 437 of the soak).
+    """
+    host = Host()
+    host.check.check()
+    for dial in host.take_dials():
+        connect(dial)
+    failed_at = time.monotonic()
+    verified = host.check.verify(failed_at)
+    dials = host.take_dials()
+    assert len(dials) == 4
+    for dial in dials:
+        host.refuse(dial)
+    assert verified.result is True
+
+
+def test_check_that_had_connected_before_the_failure_is_repeated():
+    """Guards against an answer from dials that were made too early."""
+    host = Host()
+    host.check.check()
+    early = host.take_dials()
+    connect(early[0])
+    verified = host.check.verify(time.monotonic())
+    for dial in early[1:]:
+        host.refuse(dial)
+    assert not verified.called
+    for dial in host.take_dials():
+        host.refuse(dial)
+    assert verified.result is True
--- a/tests/gateway/test_suspect_exchange.py
+++ b/tests/gateway/test_suspect_exchange.py
@@ -47,7 +47,7 @@
         mesh,
         None,
         outcomes.TargetOutcomes(random.Random(1)),
-        lambda: defer.succeed(False),
+        lambda since: defer.succeed(False),
         lambda target: False,
     )
     exchange.merge_report(REPORT)
@@ -70,7 +70,7 @@
         mesh,
         None,
         outcomes.TargetOutcomes(random.Random(1)),
-        lambda: defer.succeed(False),
+        lambda since: defer.succeed(False),
         lambda target: False,
     )
     exchange.merge_report(REPORT)
@@ -102,7 +102,7 @@
         mesh,
         None,
         outcomes.TargetOutcomes(random.Random(1)),
-        lambda: defer.succeed(False),
+        lambda since: defer.succeed(False),
         lambda target: False,
     )
     exchange.merge_part_reports('peer', PART_REPORTS)
@@ -149,7 +149,7 @@
         FakeMesh(False),
         channel_pool.ChannelPool(reactor, 1),
         outcomes.TargetOutcomes(random.Random(1)),
-        lambda: defer.succeed(is_cut),
+        lambda since: defer.succeed(is_cut),
         lambda target: is_leaving,
     )
     exchange.parts.attempt_started('id/1', ('p',), 't1', '1', 0.0)
@@ -169,7 +169,7 @@
         FakeMesh(False),
         channel_pool.ChannelPool(reactor, 1),
         outcomes.TargetOutcomes(random.Random(1)),
-        lambda: defer.succeed(False),
+        lambda since: defer.succeed(False),
         lambda target: False,
     )
     exchange.parts.attempt_started('id/1', ('p',), 't1', '1', 0.0)
--- a/tests/integration/test_fleet_soak.py
+++ b/tests/integration/test_fleet_soak.py
@@ -11,8 +11,9 @@
 # none of them. Seed 300 has engines of two versions and detects streams that
 # go on at the other one. Seed 328 has failed: a host removed all targets after
 # returns of the store, as its peer had told it changes only. In seed 403, two
-# hosts are cut off from all targets.
-SEEDS = (11, 13, 213, 300, 328, 403)
+# hosts are cut off from all targets. Seed 437 has failed: a host that was cut
+# off took the targets for crashed, and the content of a request was refused.
+SEEDS = (11, 13, 213, 300, 328, 403, 437)
 
 
 @pytest.mark.parametrize('seed', SEEDS)
--- a/tests/membership/test_target_path.py
+++ b/tests/membership/test_target_path.py
@@ -42,8 +42,8 @@
 def test_one_connection_shows_that_the_host_is_not_cut_off(path):
     """Guards against a cut that outlasts the fault, or a check each time."""
     assert path.needs_check(0.0)
-    assert path.sample_failed(4, 1.0)
-    assert not path.sample_failed(4, 1.5)
+    assert path.sample_failed(4, 0.9, 1.0)
+    assert not path.sample_failed(4, 1.4, 1.5)
     assert path.is_cut
     assert path.connected(2.0)
     assert not path.is_cut
@@ -53,5 +53,5 @@
 
 def test_a_single_failed_target_shows_nothing(path):
     """Guards against a host that hands all work over for one target."""
-    assert not path.sample_failed(1, 1.0)
+    assert not path.sample_failed(1, 0.9, 1.0)
     assert not path.is_cut
--- a/walnutport/gateway/calls.py
+++ b/walnutport/gateway/calls.py
@@ -42,6 +42,7 @@
     :param first_event_at: when the first event was forwarded, 0 before.
     :param probed_parts: quarantined parts of the prompt that the request
         probes, so that it is sent all the same.
+    :param last_attempt_at: when the last attempt began, 0 before the first.
     :param relayed_by: name of the peer that relays the request of its caller;
         empty for the callers of this host.
     :param origin: where the stream began, None before its first event. Only
@@ -73,6 +74,7 @@
     first_event_at: float = 0.0
     origin: stream_origins.StreamOrigin | None = None
     probed_parts: tuple[str, ...] = ()
+    last_attempt_at: float = 0.0
     relayed_by: str = ''
 
     @property
--- a/walnutport/gateway/forwarding.py
+++ b/walnutport/gateway/forwarding.py
@@ -125,6 +125,7 @@
         :param resume_after: id of the event after which a stream resumes.
         """
         started_at = time.monotonic()
+        call.last_attempt_at = started_at
         attempt_id = f'{call.request_id}/{len(call.targets) + 1}'
         load = self._outcomes.stats(target).expected_load(started_at)
         self._log.routine(
--- a/walnutport/gateway/path_check.py
+++ b/walnutport/gateway/path_check.py
@@ -63,17 +63,19 @@
         if self._path.needs_check(time.monotonic()):
             self._start()
 
-    def verify(self) -> defer.Deferred:
-        """Check the path, unless it is clear.
+    def verify(self, since: float) -> defer.Deferred:
+        """Find out whether a failure is one of the path.
 
+        :param since: when the attempt that failed began. A connection before
+            says nothing, as the host may have been cut off in between.
         :returns: fires with whether this host is cut off.
         """
         verified: defer.Deferred = defer.Deferred()
-        self.check()
-        if self._is_checking and not self._path.is_cut:
-            self._waiters.append(verified)
-        else:
+        if self._path.is_cut or self._path.connected_since(since):
             verified.callback(self._path.is_cut)
+        else:
+            self._waiters.append(verified)
+            self._start()
         return verified
 
     def _start(self) -> None:
@@ -105,12 +107,17 @@
         self._is_checking = False
         now = time.monotonic()
         was_stalled = now - started_at > DIAL_TIMEOUT_S + STALL_MARGIN_S
-        if was_stalled and self._path.needs_check(now):
+        if was_stalled and not self._path.connected_since(started_at):
             self._start()
             return
-        if self._path.needs_check(now) and self._path.sample_failed(size, now):
+        if self._path.sample_failed(size, started_at, now):
             self._log.notable('targets_unreachable', dialled=size)
             self._on_change()
+        if self._waiters and not self._path.is_cut:
+            if size >= target_path.MIN_SAMPLE_SIZE:
+                # The connection was opened before the failures in question.
+                self._start()
+                return
         self._answer_waiters()
         if self._path.is_cut:
             self._reactor.callLater(RECHECK_INTERVAL_S, self._recheck)
--- a/walnutport/gateway/peer_relay.py
+++ b/walnutport/gateway/peer_relay.py
@@ -152,14 +152,16 @@
         """Return whether a request has to go by a peer, if by any way."""
         return self._path.is_cut and self._may_relay(call)
 
-    async def verify(self, call: calls.CallerCall) -> bool:
+    async def verify(self, call: calls.CallerCall, since: float) -> bool:
         """Return whether a request that could not be sent may go by a peer.
 
         This waits until it is known whether the host is cut off.
+
+        :param since: when the attempt began that could not be sent.
         """
         if not self._may_relay(call):
             return False
-        return await self._path.verify() and call.time_left_s() > 0
+        return await self._path.verify(since) and call.time_left_s() > 0
 
     async def serve(self, call: calls.CallerCall) -> bool:
         """Let a peer serve a request.
--- a/walnutport/gateway/request_handler.py
+++ b/walnutport/gateway/request_handler.py
@@ -284,7 +284,7 @@
         if (
             result is not None
             and result.failed_to_connect
-            and await self._relay.verify(call)
+            and await self._relay.verify(call, call.last_attempt_at)
         ):
             await self._serve_by_peer(call)
             return
--- a/walnutport/gateway/suspect_exchange.py
+++ b/walnutport/gateway/suspect_exchange.py
@@ -33,7 +33,7 @@
     """Suspects of this host, kept in sync with its peers.
 
     :param verify_cut: returns a result that fires with whether this host is
-        cut off from all targets.
+        cut off from all targets, given when the attempt that failed began.
     :param is_leaving: returns whether a target is shutting down.
     :ivar table: contents of requests that may crash targets.
     :ivar parts: parts of prompts that may crash targets.
@@ -46,7 +46,7 @@
         mesh: peers.PeerMesh,
         pool: channel_pool.ChannelPool,
         target_outcomes: outcomes.TargetOutcomes,
-        verify_cut: Callable[[], defer.Deferred],
+        verify_cut: Callable[[float], defer.Deferred],
         is_leaving: Callable[[registrations.RegisteredTarget], bool],
     ) -> None:
         self._is_leaving = is_leaving
@@ -117,6 +117,7 @@
         :returns: fires when the end is recorded, or after some time if that is
             not clear by then.
         """
+        started_at = time.monotonic()
         recorded: defer.Deferred = defer.Deferred()
         recorded.addTimeout(
             MAX_RETRY_DELAY_S, self._reactor, lambda result, timeout: None
@@ -128,7 +129,7 @@
             recorded.callback(None)
 
         def on_failure(failure) -> None:
-            self._verify_cut().addCallback(on_verified, failure)
+            self._verify_cut(started_at).addCallback(on_verified, failure)
 
         def on_verified(
             is_cut: bool, failure: twisted_failure.Failure
--- a/walnutport/membership/target_path.py
+++ b/walnutport/membership/target_path.py
@@ -12,7 +12,7 @@
 
 from walnutport.world import registrations
 
-__all__ = ['TargetPath']
+__all__ = ['MIN_SAMPLE_SIZE', 'TargetPath']
 
 # Targets to dial to find out whether this host is cut off. They are of
 # several services, as those of one may all be down at the same time.
@@ -43,6 +43,10 @@
         """Return whether it is unclear if the host reaches any target."""
         return not self.is_cut and now - self._connected_at >= TRUST_S
 
+    def connected_since(self, at: float) -> bool:
+        """Return whether a new connection was opened at that time or later."""
+        return self._connected_at >= at
+
     def sample(
         self,
         targets: Iterable[registrations.RegisteredTarget],
@@ -75,12 +79,15 @@
         self._connected_at = now
         return self._set_cut(False, now)
 
-    def sample_failed(self, size: int, now: float) -> bool:
+    def sample_failed(self, size: int, started_at: float, now: float) -> bool:
         """Record that no target of a sample could be connected to.
 
+        :param started_at: when the dials began.
         :returns: whether it shows that the host is cut off now.
         """
-        return size >= MIN_SAMPLE_SIZE and self._set_cut(True, now)
+        if size < MIN_SAMPLE_SIZE or self.connected_since(started_at):
+            return False
+        return self._set_cut(True, now)
 
     def _set_cut(self, is_cut: bool, now: float) -> bool:
         is_changed = is_cut is not self.is_cut
