Retract crashes that were reported shortly before a host was cut off

Cause: a path may fail to one target after the other.

When a host finds that it is cut off, it clears what it reported in the 2 s before, on all hosts. The new test fails without it.

--- a/tests/gateway/test_suspect_exchange.py
+++ b/tests/gateway/test_suspect_exchange.py
@@ -1,6 +1,7 @@
 """Tests of the exchange of reports on requests that crash targets."""
 
 import random
+import time
 
 import pytest
 from twisted.internet import defer
@@ -181,3 +182,41 @@
         None, failure.Failure(error.ConnectionRefusedError())
     )
     assert len(exchange.parts) == 1
+
+
+def test_crashes_reported_before_a_cut_was_noticed_are_retracted():
+    """Guards against content that is refused after a path failed in steps.
+
+    Two targets were cut off from the host some 0.1 s before the others, and
+    counted as crashed (seed 403 of the soak).
+    """
+    mesh = FakeMesh(False)
+    exchange = suspect_exchange.SuspectExchange(
+        None,
+        SilentLog(),
+        mesh,
+        None,
+        outcomes.TargetOutcomes(random.Random(1)),
+        lambda since: defer.succeed(False),
+        lambda target: False,
+    )
+    now = time.monotonic()
+    for number in range(3):
+        target_id = f't{number}'
+        exchange.table.attempt_started(b'd', target_id, target_id, now)
+        exchange.table.target_died(target_id, now, '1')
+        exchange.table.incarnation_seen(target_id, '1')
+        exchange.table.attempt_started(b'd', target_id, target_id, now)
+        exchange.table.target_died(target_id, now, '1')
+        exchange.parts.attempt_started(target_id, ('p',), target_id, '1', now)
+        exchange.parts.target_died(target_id, '1', now)
+    assert exchange.table.state(b'd', now) is not (
+        suspicion.SuspicionState.CLEAR
+    )
+    exchange.retract_recent()
+    assert exchange.table.state(b'd', now) is suspicion.SuspicionState.CLEAR
+    assert exchange.parts.death_count('p', now) == 0
+    assert any(
+        isinstance(message, fleet_messages.CrashReport) and message.cleared
+        for message in mesh.sent
+    )
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -419,6 +419,7 @@
         """Hand work over when no target is reached, or take it up again."""
         if self._path.is_cut:
             self._pool.close_all()
+            self._suspects.retract_recent()
             self._stages.owner_cut(self.settings.name)
         else:
             self._outcomes.end_ejections()
--- a/walnutport/gateway/suspect_exchange.py
+++ b/walnutport/gateway/suspect_exchange.py
@@ -1,6 +1,7 @@
 """Shares reports on what crashes targets with the other hosts."""
 
 from collections.abc import Callable
+import dataclasses
 import time
 
 from twisted.internet import defer
@@ -25,6 +26,9 @@
 # A retry waits this long at most for the result. Most crashed targets refuse
 # the connection within milliseconds.
 MAX_RETRY_DELAY_S = 0.15
+# Crashes that this host has reported this shortly before it was cut off are
+# retracted: a path to several targets may fail one target after the other.
+RETRACT_S = 2.0
 # Suspects that a peer is told when it joins.
 MAX_REPORTS_ON_JOIN = 200
 
@@ -56,6 +60,9 @@
         self._mesh = mesh
         self._pool = pool
         self._outcomes = target_outcomes
+        # Reports of this host on crashes, with their times.
+        self._reported: list[tuple[float, suspicion.SuspectReport]] = []
+        self._reported_parts: list[tuple[float, prompt_parts.PartReport]] = []
         self.table = suspects.SuspectTable(self._publish)
         self.parts = prompt_parts.PartTable(self._publish_parts)
 
@@ -158,12 +165,39 @@
         ).addCallbacks(on_connected, on_failure)
         return recorded
 
+    def retract_recent(self) -> None:
+        """Retract recent reports, as this host is cut off from all targets."""
+        earliest = time.monotonic() - RETRACT_S
+        reported, self._reported = self._reported, []
+        for at, report in reported:
+            if at >= earliest:
+                message = dataclasses.replace(report, cleared=True)
+                self.table.merge(message, time.monotonic())
+                self._publish(message)
+        retracted = [
+            prompt_parts.PartReport(
+                part_report.part, cleared=tuple(part_report.death_ages)
+            )
+            for at, part_report in self._reported_parts
+            if at >= earliest
+        ]
+        self._reported_parts = []
+        for part_report in retracted:
+            self.parts.merge(part_report, time.monotonic())
+        if retracted:
+            self._publish_parts(retracted)
+
     def _attempt_finished(self, attempt_id: str) -> None:
         now = time.monotonic()
         self.table.attempt_finished(attempt_id, False, now)
         self.parts.attempt_finished(attempt_id, False, now)
 
     def _publish(self, message: suspicion.SuspectReport) -> None:
+        if not message.cleared:
+            self._reported = [
+                *self._reported[-MAX_REPORTS_ON_JOIN:],
+                (time.monotonic(), message),
+            ]
         self._log.notable(
             'suspect',
             digest=message.digest.hex(),
@@ -173,6 +207,11 @@
         self._mesh.broadcast(_to_message(message))
 
     def _publish_parts(self, reports: list[prompt_parts.PartReport]) -> None:
+        now = time.monotonic()
+        self._reported_parts = [
+            *self._reported_parts[-MAX_REPORTS_ON_JOIN:],
+            *((now, report) for report in reports if report.death_ages),
+        ]
         for report in reports:
             self._log_part(report, 'own')
         self._mesh.broadcast(fleet_messages.PartReports(tuple(reports)))
