--- a/tests/gateway/test_suspect_exchange.py
+++ b/tests/gateway/test_suspect_exchange.py
@@ -34,6 +34,28 @@
         self.sent.append((name, message))
 
 
+def create_exchange(
+    mesh: 'FakeMesh',
+    reactor=None,
+    is_cut: bool = False,
+    is_leaving: bool = False,
+) -> suspect_exchange.SuspectExchange:
+    """Return an exchange.
+
+    :param is_cut: whether its host is cut off from all targets.
+    :param is_leaving: whether targets are shutting down.
+    """
+    return suspect_exchange.SuspectExchange(
+        reactor,
+        SilentLog(),
+        mesh,
+        channel_pool.ChannelPool(reactor, 1),
+        outcomes.TargetOutcomes(random.Random(1)),
+        lambda since: defer.succeed(is_cut),
+        lambda target: is_leaving,
+    )
+
+
 @pytest.mark.parametrize('is_partial', [True, False])
 def test_new_report_reaches_hosts_without_a_link_to_its_sender(is_partial):
     """Guards against a request that crashes targets through host after host.
@@ -42,15 +64,7 @@
     Each of the others ran the request once more when its caller returned.
     """
     mesh = FakeMesh(is_partial)
-    exchange = suspect_exchange.SuspectExchange(
-        None,
-        None,
-        mesh,
-        None,
-        outcomes.TargetOutcomes(random.Random(1)),
-        lambda since: defer.succeed(False),
-        lambda target: False,
-    )
+    exchange = create_exchange(mesh)
     exchange.merge_report(REPORT)
     exchange.merge_report(REPORT)
     assert mesh.sent == ([REPORT] if is_partial else [])
@@ -65,15 +79,7 @@
     A host that had just started did not know the suspects of its peers.
     """
     mesh = FakeMesh(False)
-    exchange = suspect_exchange.SuspectExchange(
-        None,
-        None,
-        mesh,
-        None,
-        outcomes.TargetOutcomes(random.Random(1)),
-        lambda since: defer.succeed(False),
-        lambda target: False,
-    )
+    exchange = create_exchange(mesh)
     exchange.merge_report(REPORT)
     cleared = fleet_messages.CrashReport(b'e', ('t1/1',), True)
     exchange.merge_report(cleared)
@@ -97,15 +103,7 @@
 def test_new_report_on_a_part_reaches_hosts_without_a_link(is_partial):
     """Guards against a part that crashes targets through host after host."""
     mesh = FakeMesh(is_partial)
-    exchange = suspect_exchange.SuspectExchange(
-        None,
-        SilentLog(),
-        mesh,
-        None,
-        outcomes.TargetOutcomes(random.Random(1)),
-        lambda since: defer.succeed(False),
-        lambda target: False,
-    )
+    exchange = create_exchange(mesh)
     exchange.merge_part_reports('peer', PART_REPORTS)
     exchange.merge_part_reports('peer', PART_REPORTS)
     assert mesh.sent == ([PART_REPORTS] if is_partial else [])
@@ -144,14 +142,8 @@
     that is shutting down ends without a fault.
     """
     reactor = testing.MemoryReactorClock()
-    exchange = suspect_exchange.SuspectExchange(
-        reactor,
-        SilentLog(),
-        FakeMesh(False),
-        channel_pool.ChannelPool(reactor, 1),
-        outcomes.TargetOutcomes(random.Random(1)),
-        lambda since: defer.succeed(is_cut),
-        lambda target: is_leaving,
+    exchange = create_exchange(
+        FakeMesh(False), reactor, is_cut=is_cut, is_leaving=is_leaving
     )
     exchange.parts.attempt_started('id/1', ('p',), 't1', '1', 0.0)
     recorded = exchange.check_for_crash(TARGET, 'id/1')
@@ -164,15 +156,7 @@
 def test_retry_does_not_wait_for_a_silent_target():
     """Guards against callers who wait for a dial that is never answered."""
     reactor = testing.MemoryReactorClock()
-    exchange = suspect_exchange.SuspectExchange(
-        reactor,
-        SilentLog(),
-        FakeMesh(False),
-        channel_pool.ChannelPool(reactor, 1),
-        outcomes.TargetOutcomes(random.Random(1)),
-        lambda since: defer.succeed(False),
-        lambda target: False,
-    )
+    exchange = create_exchange(FakeMesh(False), reactor)
     exchange.parts.attempt_started('id/1', ('p',), 't1', '1', 0.0)
     recorded = exchange.check_for_crash(TARGET, 'id/1')
     reactor.advance(suspect_exchange.MAX_RETRY_DELAY_S)
@@ -191,15 +175,7 @@
     counted as crashed (seed 403 of the soak).
     """
     mesh = FakeMesh(False)
-    exchange = suspect_exchange.SuspectExchange(
-        None,
-        SilentLog(),
-        mesh,
-        None,
-        outcomes.TargetOutcomes(random.Random(1)),
-        lambda since: defer.succeed(False),
-        lambda target: False,
-    )
+    exchange = create_exchange(mesh)
     now = time.monotonic()
     for number in range(3):
         target_id = f't{number}'
