Group the modules of the gateway by job

Cause: 27 modules of one folder served seven jobs, and parts for evacuated data centres, cold targets and peers of other builds are about to be added.

Change: modules and their tests move to entry, targets, streams, peers, stages, state and operations; only imports and paths change. The test of the log events searches the subfolders.

Result: formatter, linter and the tests of tests/gateway, tests/docs, tests/cli and tests/platform pass.

--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -25,7 +25,7 @@
 from bench import soak_schedule
 from standins import fault_proxy
 from standins import platform_fleet
-from walnutport.gateway import events
+from walnutport.gateway.operations import events
 
 __all__ = ['main', 'run_round']
 
--- a/bench/idle_host.py
+++ b/bench/idle_host.py
@@ -20,7 +20,7 @@
 from standins import platform_fleet
 from standins import platform_server
 from standins import processes
-from walnutport.gateway import peers
+from walnutport.gateway.peers import peers
 from walnutport.membership import ranking
 from walnutport.peer import fleet_messages
 
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -11,7 +11,7 @@
 from standins import fault_proxy
 from standins import platform_server
 from standins import processes
-from walnutport.gateway import events
+from walnutport.gateway.operations import events
 
 LOOPBACK_IP = '127.0.0.1'
 ROUTE_HOST = 'calls.example'
--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -8,7 +8,7 @@
 import textwrap
 
 from tools import events_table
-from walnutport.gateway import events
+from walnutport.gateway.operations import events
 from walnutport.membership import registry
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -16,7 +16,7 @@
 SOURCES = ''.join(
     path.read_text()
     for folder in ('gateway', 'cli')
-    for path in (ROOT / 'walnutport' / folder).glob('*.py')
+    for path in (ROOT / 'walnutport' / folder).rglob('*.py')
 )
 
 
@@ -41,7 +41,7 @@
         with ``**``.
     """
     calls = []
-    for path in sorted((ROOT / 'walnutport' / 'gateway').glob('*.py')):
+    for path in sorted((ROOT / 'walnutport' / 'gateway').rglob('*.py')):
         for node in ast.walk(ast.parse(path.read_text())):
             if not isinstance(node, ast.Call):
                 continue
--- a/tests/gateway/test_route_matcher.py
+++ b/tests/gateway/entry/test_route_matcher.py
@@ -2,8 +2,8 @@
 
 import types
 
-from walnutport.gateway import metrics
-from walnutport.gateway import route_matcher
+from walnutport.gateway.entry import route_matcher
+from walnutport.gateway.operations import metrics
 
 
 class FakeLog:
--- a/tests/gateway/test_decision_log.py
+++ b/tests/gateway/operations/test_decision_log.py
@@ -2,7 +2,7 @@
 
 import json
 
-from walnutport.gateway import decision_log
+from walnutport.gateway.operations import decision_log
 
 
 class FakeStdout:
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/operations/test_metrics.py
@@ -2,8 +2,8 @@
 
 from prometheus_client import parser
 
-from walnutport.gateway import calls
-from walnutport.gateway import metrics
+from walnutport.gateway.entry import calls
+from walnutport.gateway.operations import metrics
 from walnutport.world import routes
 
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/peers/test_peers.py
@@ -8,8 +8,8 @@
 from twisted.internet.testing import StringTransport
 
 from walnutport import exceptions
-from walnutport.gateway import peer_link
-from walnutport.gateway import peers
+from walnutport.gateway.peers import peer_link
+from walnutport.gateway.peers import peers
 from walnutport.peer import fleet_messages
 
 # A power of two, so that the times of ticks are exact.
--- a/tests/gateway/test_suspect_exchange.py
+++ b/tests/gateway/peers/test_suspect_exchange.py
@@ -9,7 +9,7 @@
 from twisted.internet import testing
 from twisted.python import failure
 
-from walnutport.gateway import suspect_exchange
+from walnutport.gateway.peers import suspect_exchange
 from walnutport.http1 import channel_pool
 from walnutport.peer import fleet_messages
 from walnutport.quarantine import prompt_parts
--- a/tests/gateway/test_stage_client.py
+++ b/tests/gateway/stages/test_stage_client.py
@@ -6,10 +6,10 @@
 from twisted.internet import defer
 from twisted.internet import task
 
-from tests.gateway import test_feed_follower
+from tests.gateway.state import test_feed_follower
 from tests.stages import builders
 from walnutport import exceptions
-from walnutport.gateway import stage_client
+from walnutport.gateway.stages import stage_client
 from walnutport.membership import ranking
 from walnutport.peer import fleet_messages
 
--- a/tests/gateway/test_convergence.py
+++ b/tests/gateway/state/test_convergence.py
@@ -7,10 +7,10 @@
 import pytest
 from twisted.internet import task
 
-from tests.gateway import test_feed_follower
-from tests.gateway import test_store_era
+from tests.gateway.state import test_feed_follower
+from tests.gateway.state import test_store_era
 from walnutport import exceptions
-from walnutport.gateway import feed_follower
+from walnutport.gateway.state import feed_follower
 from walnutport.peer import fleet_messages
 from walnutport.world import feeds
 
--- a/tests/gateway/test_desired_reader.py
+++ b/tests/gateway/state/test_desired_reader.py
@@ -1,7 +1,7 @@
 """Tests of reading the desired state from a store that does not answer."""
 
-from tests.gateway import test_feed_follower
-from tests.gateway import test_store_era
+from tests.gateway.state import test_feed_follower
+from tests.gateway.state import test_store_era
 
 # Bounds of the users: a desired state is in force within the first one, for
 # hosts without a fault in the second one.
--- a/tests/gateway/test_feed_follower.py
+++ b/tests/gateway/state/test_feed_follower.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import task
 
-from walnutport.gateway import feed_follower
+from walnutport.gateway.state import feed_follower
 from walnutport.peer import fleet_messages
 from walnutport.world import feeds
 from walnutport.world import registrations
--- a/tests/gateway/test_first_desired_state.py
+++ b/tests/gateway/state/test_first_desired_state.py
@@ -3,8 +3,8 @@
 The store may have returned from an older copy, or answer with old data.
 """
 
-from tests.gateway import test_feed_follower
-from tests.gateway import test_store_era
+from tests.gateway.state import test_feed_follower
+from tests.gateway.state import test_store_era
 from walnutport.membership import first_state
 from walnutport.peer import fleet_messages
 
--- a/tests/gateway/test_lapsed_targets.py
+++ b/tests/gateway/state/test_lapsed_targets.py
@@ -3,9 +3,9 @@
 Hosts that do not read the targets get changes from those that do.
 """
 
-from tests.gateway import test_feed_follower
-from tests.gateway import test_store_era
-from walnutport.gateway import feed_follower
+from tests.gateway.state import test_feed_follower
+from tests.gateway.state import test_store_era
+from walnutport.gateway.state import feed_follower
 from walnutport.peer import fleet_messages
 from walnutport.world import feeds
 
--- a/tests/gateway/test_store_era.py
+++ b/tests/gateway/state/test_store_era.py
@@ -9,10 +9,10 @@
 from twisted.internet import defer
 from twisted.internet import task
 
-from tests.gateway import test_feed_follower
+from tests.gateway.state import test_feed_follower
 from walnutport import exceptions
-from walnutport.gateway import feed_follower
-from walnutport.gateway import host_directory
+from walnutport.gateway.peers import host_directory
+from walnutport.gateway.state import feed_follower
 from walnutport.peer import fleet_messages
 from walnutport.world import feeds
 from walnutport.world import registrations
--- a/tests/gateway/test_store_outage.py
+++ b/tests/gateway/state/test_store_outage.py
@@ -5,8 +5,8 @@
 some hosts cannot reach the store has not lapsed: its target is leaving.
 """
 
-from tests.gateway import test_feed_follower
-from tests.gateway import test_store_era
+from tests.gateway.state import test_feed_follower
+from tests.gateway.state import test_store_era
 from walnutport import exceptions
 from walnutport.peer import fleet_messages
 from walnutport.world import feeds
--- a/tests/gateway/test_origin_exchange.py
+++ b/tests/gateway/streams/test_origin_exchange.py
@@ -5,9 +5,9 @@
 from twisted.internet import defer
 from twisted.internet import task
 
-from tests.gateway import test_feed_follower
+from tests.gateway.state import test_feed_follower
 from tests.routing import test_stream_origins
-from walnutport.gateway import origin_exchange
+from walnutport.gateway.streams import origin_exchange
 from walnutport.membership import ranking
 from walnutport.peer import fleet_messages
 
--- a/tests/gateway/test_path_check.py
+++ b/tests/gateway/targets/test_path_check.py
@@ -7,7 +7,7 @@
 from twisted.internet import testing
 from twisted.python import failure
 
-from walnutport.gateway import path_check
+from walnutport.gateway.targets import path_check
 from walnutport.http1 import channel_pool
 from walnutport.world import registrations
 
--- a/tests/gateway/test_target_reports.py
+++ b/tests/gateway/targets/test_target_reports.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from tests.gateway import test_feed_follower
+from tests.gateway.state import test_feed_follower
 from tests.routing import test_backpressure
-from walnutport.gateway import target_reports
+from walnutport.gateway.targets import target_reports
 from walnutport.peer import fleet_messages
 from walnutport.routing import backpressure
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -9,15 +9,15 @@
 * added_latency_ms_p50, target at most 5
   command: python -m bench.run added_latency_ms_p50
 
-* tests/gateway/test_peers.py::test_one
-  seen: tests/gateway/test_peers.py::test_two passed.
+* tests/gateway/peers/test_peers.py::test_one
+  seen: tests/gateway/peers/test_peers.py::test_two passed.
 """
 
 
 def test_only_ids_at_the_start_of_an_entry_are_listed():
     """Guards against a test that is expected to fail by mistake."""
     assert known_red.listed_tests(LIST) == [
-        'tests/gateway/test_peers.py::test_one'
+        'tests/gateway/peers/test_peers.py::test_one'
     ]
 
 
--- a/tools/events_table.py
+++ b/tools/events_table.py
@@ -2,7 +2,7 @@
 
 import pathlib
 
-from walnutport.gateway import events
+from walnutport.gateway.operations import events
 
 __all__ = ['OPERATIONS_PAGE', 'replace_table', 'table']
 
--- /dev/null
+++ b/walnutport/gateway/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers: route and team, the way through, own responses."""
--- a/walnutport/gateway/request_handler.py
+++ b/walnutport/gateway/entry/request_handler.py
@@ -8,16 +8,16 @@
 from twisted.python import failure as twisted_failure
 
 from walnutport import exceptions
-from walnutport.gateway import attempts
-from walnutport.gateway import calls
-from walnutport.gateway import forwarding
-from walnutport.gateway import metrics
-from walnutport.gateway import origin_exchange
-from walnutport.gateway import peer_relay
-from walnutport.gateway import responses
-from walnutport.gateway import route_matcher
-from walnutport.gateway import stage_client
-from walnutport.gateway import target_selector
+from walnutport.gateway.entry import calls
+from walnutport.gateway.entry import responses
+from walnutport.gateway.entry import route_matcher
+from walnutport.gateway.operations import metrics
+from walnutport.gateway.peers import peer_relay
+from walnutport.gateway.stages import stage_client
+from walnutport.gateway.streams import origin_exchange
+from walnutport.gateway.targets import attempts
+from walnutport.gateway.targets import forwarding
+from walnutport.gateway.targets import target_selector
 from walnutport.http1 import server
 from walnutport.relay import resumable
 from walnutport.routing import first_event
--- a/walnutport/gateway/responses.py
+++ b/walnutport/gateway/entry/responses.py
@@ -2,9 +2,9 @@
 
 import time
 
-from walnutport.gateway import attempts
-from walnutport.gateway import calls
-from walnutport.gateway import metrics
+from walnutport.gateway.entry import calls
+from walnutport.gateway.operations import metrics
+from walnutport.gateway.targets import attempts
 from walnutport.routing import engines
 
 __all__ = ['NO_TARGET_RETRY_AFTER_S', 'Responder']
--- a/walnutport/gateway/route_matcher.py
+++ b/walnutport/gateway/entry/route_matcher.py
@@ -4,9 +4,9 @@
 import time
 
 from walnutport.admission import caller_retries
-from walnutport.gateway import calls
-from walnutport.gateway import feed_follower
-from walnutport.gateway import metrics
+from walnutport.gateway.entry import calls
+from walnutport.gateway.operations import metrics
+from walnutport.gateway.state import feed_follower
 from walnutport.http1 import server
 from walnutport.platform import headers
 from walnutport.world import requests
--- /dev/null
+++ b/walnutport/gateway/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and status for operators."""
--- a/walnutport/gateway/host_status.py
+++ b/walnutport/gateway/operations/host_status.py
@@ -3,16 +3,16 @@
 import time
 
 from walnutport.config import entry_settings
-from walnutport.gateway import decision_log
-from walnutport.gateway import feed_follower
-from walnutport.gateway import forwarding
-from walnutport.gateway import origin_exchange
-from walnutport.gateway import path_check
-from walnutport.gateway import peer_relay
-from walnutport.gateway import peers
-from walnutport.gateway import request_handler
-from walnutport.gateway import stage_client
-from walnutport.gateway import target_reports
+from walnutport.gateway.entry import request_handler
+from walnutport.gateway.operations import decision_log
+from walnutport.gateway.peers import peer_relay
+from walnutport.gateway.peers import peers
+from walnutport.gateway.stages import stage_client
+from walnutport.gateway.state import feed_follower
+from walnutport.gateway.streams import origin_exchange
+from walnutport.gateway.targets import forwarding
+from walnutport.gateway.targets import path_check
+from walnutport.gateway.targets import target_reports
 from walnutport.http1 import channel_pool
 from walnutport.membership import loop_lag
 from walnutport.platform import store as platform_store
--- a/walnutport/gateway/metrics.py
+++ b/walnutport/gateway/operations/metrics.py
@@ -3,7 +3,7 @@
 import bisect
 import collections
 
-from walnutport.gateway import calls
+from walnutport.gateway.entry import calls
 
 __all__ = ['EntryMetrics']
 
--- a/walnutport/gateway/operator_site.py
+++ b/walnutport/gateway/operations/operator_site.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from walnutport.gateway import metrics
+from walnutport.gateway.operations import metrics
 from walnutport.http1 import server
 from walnutport.platform import wire
 
--- /dev/null
+++ b/walnutport/gateway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links to the other hosts, and what they take over for each other."""
--- a/walnutport/gateway/host_directory.py
+++ b/walnutport/gateway/peers/host_directory.py
@@ -8,7 +8,7 @@
 from twisted.internet import task
 
 from walnutport import exceptions
-from walnutport.gateway import peers
+from walnutport.gateway.peers import peers
 from walnutport.peer import fleet_messages
 from walnutport.world import feeds
 
--- a/walnutport/gateway/peer_link.py
+++ b/walnutport/gateway/peers/peer_link.py
@@ -11,7 +11,7 @@
 from twisted.protocols import basic
 
 from walnutport import exceptions
-from walnutport.gateway import decision_log
+from walnutport.gateway.operations import decision_log
 from walnutport.peer import fleet_messages
 
 __all__ = ['LinkHandler', 'PeerLink']
--- a/walnutport/gateway/peer_relay.py
+++ b/walnutport/gateway/peers/peer_relay.py
@@ -13,9 +13,9 @@
 from twisted.internet import defer
 
 from walnutport import exceptions
-from walnutport.gateway import calls
-from walnutport.gateway import path_check
-from walnutport.gateway import peers
+from walnutport.gateway.entry import calls
+from walnutport.gateway.peers import peers
+from walnutport.gateway.targets import path_check
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.http1 import messages
--- a/walnutport/gateway/peers.py
+++ b/walnutport/gateway/peers/peers.py
@@ -11,7 +11,7 @@
 from twisted.internet import protocol
 
 from walnutport import exceptions
-from walnutport.gateway import peer_link
+from walnutport.gateway.peers import peer_link
 from walnutport.peer import fleet_messages
 
 __all__ = ['PeerMesh', 'PeerState', 'listen_in_range']
--- a/walnutport/gateway/suspect_exchange.py
+++ b/walnutport/gateway/peers/suspect_exchange.py
@@ -8,7 +8,7 @@
 from twisted.python import failure as twisted_failure
 
 from walnutport import exceptions
-from walnutport.gateway import peers
+from walnutport.gateway.peers import peers
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.peer import fleet_messages
--- a/walnutport/gateway/work_sharing.py
+++ b/walnutport/gateway/peers/work_sharing.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from walnutport.gateway import peers
+from walnutport.gateway.peers import peers
 from walnutport.membership import ranking
 
 __all__ = ['WorkSharing']
--- a/walnutport/gateway/cell_owner.py
+++ b/walnutport/gateway/stages/cell_owner.py
@@ -11,7 +11,7 @@
 from twisted.internet import defer
 
 from walnutport import exceptions
-from walnutport.gateway import target_reports
+from walnutport.gateway.targets import target_reports
 from walnutport.http1 import channel_pool
 from walnutport.http1 import messages
 from walnutport.platform import headers
--- a/walnutport/gateway/stage_client.py
+++ b/walnutport/gateway/stages/stage_client.py
@@ -9,8 +9,8 @@
 from twisted.internet import task
 
 from walnutport import exceptions
-from walnutport.gateway import cell_owner
-from walnutport.gateway import target_reports
+from walnutport.gateway.stages import cell_owner
+from walnutport.gateway.targets import target_reports
 from walnutport.http1 import channel_pool
 from walnutport.membership import ranking
 from walnutport.peer import fleet_messages
--- /dev/null
+++ b/walnutport/gateway/state/__init__.py
@@ -0,0 +1,1 @@
+"""The desired state and the targets as this host knows them."""
--- a/walnutport/gateway/feed_follower.py
+++ b/walnutport/gateway/state/feed_follower.py
@@ -11,9 +11,9 @@
 from twisted.internet import task
 
 from walnutport import exceptions
-from walnutport.gateway import desired_reader
-from walnutport.gateway import first_comparison
-from walnutport.gateway import peers
+from walnutport.gateway.peers import peers
+from walnutport.gateway.state import desired_reader
+from walnutport.gateway.state import first_comparison
 from walnutport.membership import ranking
 from walnutport.membership import registry
 from walnutport.membership import store_outages
--- a/walnutport/gateway/first_comparison.py
+++ b/walnutport/gateway/state/first_comparison.py
@@ -5,7 +5,7 @@
 
 from twisted.internet import task
 
-from walnutport.gateway import peers
+from walnutport.gateway.peers import peers
 from walnutport.membership import first_state
 
 __all__ = ['FirstComparison']
--- a/walnutport/gateway/origin_exchange.py
+++ b/walnutport/gateway/streams/origin_exchange.py
@@ -5,9 +5,9 @@
 
 from twisted.internet import defer
 
-from walnutport.gateway import calls
-from walnutport.gateway import feed_follower
-from walnutport.gateway import peers
+from walnutport.gateway.entry import calls
+from walnutport.gateway.peers import peers
+from walnutport.gateway.state import feed_follower
 from walnutport.membership import ranking
 from walnutport.peer import fleet_messages
 from walnutport.routing import stream_origins
--- /dev/null
+++ b/walnutport/gateway/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts at targets, and what the host learns of targets from them."""
--- a/walnutport/gateway/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -9,8 +9,8 @@
 from twisted.internet import defer
 
 from walnutport import exceptions
-from walnutport.gateway import calls
-from walnutport.gateway import target_reports
+from walnutport.gateway.entry import calls
+from walnutport.gateway.targets import target_reports
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.http1 import messages
--- a/walnutport/gateway/forwarding.py
+++ b/walnutport/gateway/targets/forwarding.py
@@ -5,8 +5,8 @@
 
 from twisted.internet import defer
 
-from walnutport.gateway import attempts
-from walnutport.gateway import calls
+from walnutport.gateway.entry import calls
+from walnutport.gateway.targets import attempts
 from walnutport.quarantine import prompt_parts
 from walnutport.quarantine import suspects
 from walnutport.quarantine import suspicion
--- a/walnutport/gateway/target_reports.py
+++ b/walnutport/gateway/targets/target_reports.py
@@ -5,7 +5,7 @@
 import math
 import time
 
-from walnutport.gateway import peers
+from walnutport.gateway.peers import peers
 from walnutport.http1 import channel_pool
 from walnutport.peer import fleet_messages
 from walnutport.routing import backpressure
--- a/walnutport/gateway/target_selector.py
+++ b/walnutport/gateway/targets/target_selector.py
@@ -4,8 +4,8 @@
 import time
 
 from collections.abc import Iterable
-from walnutport.gateway import calls
-from walnutport.gateway import feed_follower
+from walnutport.gateway.entry import calls
+from walnutport.gateway.state import feed_follower
 from walnutport.routing import backpressure
 from walnutport.routing import engines
 from walnutport.routing import outcomes
