Withhold messages from hosts of builds that do not know them

Cause: a host of an earlier build closes the link on a message of an unknown kind, so that no new kind of message could be sent during a rolling upgrade.

Change: hosts name their capabilities in their records; a message that needs one is withheld from peers without it, and a message of an unknown kind is skipped. Both are counted. PeerState and the choice of a port move out of peers.py.

--- a/tests/gateway/peers/test_peers.py
+++ b/tests/gateway/peers/test_peers.py
@@ -3,6 +3,8 @@
 import errno
 import itertools
 
+import msgspec
+from msgspec import structs
 import pytest
 from twisted.internet import task
 from twisted.internet.testing import StringTransport
@@ -10,6 +12,8 @@
 from walnutport import exceptions
 from walnutport.gateway.peers import peer_link
 from walnutport.gateway.peers import peers
+from walnutport.gateway.peers import ports as peer_ports
+from walnutport.peer import capabilities
 from walnutport.peer import fleet_messages
 
 # A power of two, so that the times of ticks are exact.
@@ -90,13 +94,14 @@
         for _ in range(round(seconds / STEP_S)):
             self.reactor.advance(STEP_S)
 
-    def connect(self, number: int, **fields) -> peer_link.PeerLink:
+    def connect(
+        self, number: int, capabilities: tuple[str, ...] = (), **fields
+    ) -> peer_link.PeerLink:
         """Return a link that a host has dialled."""
         link = peer_link.PeerLink(self.mesh, dialled=False)
         link.makeConnection(LinkTransport())
-        self.mesh.message_received(
-            link, fleet_messages.Hello(record(number), **fields)
-        )
+        host = structs.replace(record(number), capabilities=capabilities)
+        self.mesh.message_received(link, fleet_messages.Hello(host, **fields))
         link.transport.clear()
         return link
 
@@ -134,6 +139,47 @@
     assert set(fixture.reactor.dialled_ports) == {7001}
 
 
+def test_hosts_of_an_earlier_build_get_no_message_that_they_do_not_know(
+    monkeypatch,
+):
+    """Guards against links that close, as one host is of an earlier build."""
+    fixture = Fixture(monkeypatch)
+    earlier = fixture.connect(1)
+    later = fixture.connect(2, capabilities=('evacuations', 'of_the_future'))
+    update = fleet_messages.EvacuationUpdate(0, 1, ())
+    fixture.mesh.broadcast(update)
+    assert not fixture.mesh.send('host-1', update)
+    assert fixture.mesh.send('host-2', update)
+    assert sent(earlier) == [] and sent(later) == [update, update]
+    assert fixture.mesh.totals()['peer_messages_withheld_total'] == 2
+    needed = capabilities.Capability.EVACUATIONS
+    assert not fixture.mesh.all_support(needed)
+    fixture.mesh.link_lost(earlier)
+    assert fixture.mesh.all_support(needed)
+
+
+def test_a_message_of_a_later_build_is_skipped_and_counted(monkeypatch):
+    """Guards against links that close, as one host is of a later build."""
+    fixture = Fixture(monkeypatch)
+    link = fixture.connect(1)
+    unknown = msgspec.msgpack.encode({'type': 'of_the_future', 'field': 1})
+    for _ in range(3):
+        link.stringReceived(unknown)
+    assert not link.transport.disconnecting
+    assert fixture.log.events.count('peer_message_unknown') == 1
+    assert fixture.mesh.totals()['peer_messages_unknown_total'] == 3
+    assert fixture.mesh.peer_by_name['host-1'].link is link
+
+
+def test_a_known_message_with_invalid_fields_ends_the_link(monkeypatch):
+    """Guards against garbled messages that pass for those of a later build."""
+    fixture = Fixture(monkeypatch)
+    link = fixture.connect(1)
+    link.stringReceived(msgspec.msgpack.encode({'type': 'pulse', 'era': 'x'}))
+    assert fixture.log.events[-1] == 'peer_garbled'
+    assert fixture.mesh.totals()['peer_messages_unknown_total'] == 0
+
+
 def test_hosts_without_a_link_stay_known(monkeypatch):
     """Guards against hosts that rank the owners of cells differently.
 
@@ -314,6 +360,6 @@
     """Guards against a host that ends at its start as a port is taken."""
     reactor = _BusyPorts({7100, 7101})
     ports = (7100, 7103)
-    assert peers.listen_in_range(reactor, '10.0.0.1', ports, None) == 7102
+    assert peer_ports.listen_in_range(reactor, '10.0.0.1', ports, None) == 7102
     with pytest.raises(exceptions.PeerError):
-        peers.listen_in_range(reactor, '10.0.0.1', (7100, 7101), None)
+        peer_ports.listen_in_range(reactor, '10.0.0.1', (7100, 7101), None)
--- a/walnutport/exceptions.py
+++ b/walnutport/exceptions.py
@@ -44,6 +44,17 @@
     """Received bytes cannot be decoded as the expected message."""
 
 
+class UnknownMessage(CodecError):
+    """A message of a kind that only later builds know.
+
+    :param kind: kind that the message names.
+    """
+
+    def __init__(self, kind: str) -> None:
+        super().__init__(f'unknown kind of message: {kind!r}')
+        self.kind = kind
+
+
 class LogServiceError(WalnutportError):
     """Base class of the errors of the log service."""
 
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -20,6 +20,7 @@
 from walnutport.gateway.peers import host_directory
 from walnutport.gateway.peers import peer_relay
 from walnutport.gateway.peers import peers
+from walnutport.gateway.peers import ports
 from walnutport.gateway.peers import suspect_exchange
 from walnutport.gateway.peers import work_sharing
 from walnutport.gateway.stages import stage_client
@@ -34,6 +35,7 @@
 from walnutport.http1 import client_channel
 from walnutport.http1 import server
 from walnutport.membership import loop_lag
+from walnutport.peer import capabilities
 from walnutport.peer import fleet_messages
 from walnutport.platform import documents
 from walnutport.platform import store as platform_store
@@ -368,7 +370,7 @@
         :returns: 0 if no port is free; this host then serves its own callers.
         """
         try:
-            return peers.listen_in_range(
+            return ports.listen_in_range(
                 self._reactor,
                 self.settings.ip,
                 (first_port, self.settings.peer_ports[1]),
@@ -390,6 +392,7 @@
             settings.data_centre,
             self._work_share,
             relay_port=relay_port,
+            capabilities=capabilities.OWN_CAPABILITIES,
         )
 
     def _tick(self) -> None:
--- a/walnutport/gateway/operations/events.py
+++ b/walnutport/gateway/operations/events.py
@@ -207,6 +207,12 @@
         'a message from a peer could not be decoded; its link is closed',
         ('problem',),
     ),
+    Event(
+        'peer_message_unknown',
+        'a peer of a later build sent a message of a kind that this one does '
+        'not know; it is skipped, and the next ones are only counted',
+        ('peer', 'kind'),
+    ),
     Event(
         'hosts_unknown',
         'the host could not register, or read the list of hosts; it retries',
--- a/walnutport/gateway/operations/host_status.py
+++ b/walnutport/gateway/operations/host_status.py
@@ -143,6 +143,7 @@
             ),
             'stage_calls_total': sum(owner.total_calls for owner in owners),
             'stage_pieces_total': sum(owner.total_pieces for owner in owners),
+            **self._mesh.totals(),
             **self._reports.totals(),
             **self._origins.totals(),
             **self._relay.totals(),
--- a/walnutport/gateway/peers/peer_link.py
+++ b/walnutport/gateway/peers/peer_link.py
@@ -35,6 +35,9 @@
     ) -> None:
         """Handle a message that arrived on a link."""
 
+    def unknown_received(self, link: 'PeerLink', kind: str) -> None:
+        """Handle a message of a kind that only later builds know."""
+
     def link_lost(self, link: 'PeerLink') -> None:
         """Handle the end of a link."""
 
@@ -73,6 +76,9 @@
         self.last_received_at = time.monotonic()
         try:
             message = fleet_messages.decode(string)
+        except exceptions.UnknownMessage as problem:
+            self.mesh.unknown_received(self, problem.kind)
+            return
         except exceptions.CodecError as problem:
             self.mesh.log.notable('peer_garbled', problem=str(problem))
             self.transport.abortConnection()
--- a/walnutport/gateway/peers/peers.py
+++ b/walnutport/gateway/peers/peers.py
@@ -4,17 +4,17 @@
 """
 
 from collections.abc import Callable
-import dataclasses
 import time
 
-from twisted.internet import error
 from twisted.internet import protocol
 
-from walnutport import exceptions
 from walnutport.gateway.peers import peer_link
+from walnutport.gateway.peers import peer_state
+from walnutport.gateway.peers import ports as peer_ports
+from walnutport.peer import capabilities
 from walnutport.peer import fleet_messages
 
-__all__ = ['PeerMesh', 'PeerState', 'listen_in_range']
+__all__ = ['PeerMesh']
 
 HEARTBEAT_INTERVAL_S = 0.3
 # Interval in a partial mesh, where the owner of a cell has a link from every
@@ -25,7 +25,6 @@
 # When its own heartbeat is this late, this host was stalled and cannot tell
 # whether its peers are silent.
 STALL_THRESHOLD_S = 0.5
-INITIAL_REDIAL_DELAY_S = 0.1
 MAX_REDIAL_DELAY_S = 3.0
 # Data centres are milliseconds apart, and TCP repeats a lost SYN only after a
 # second: a new dial is quicker. After a power cut of all hosts, many dial
@@ -36,59 +35,8 @@
 # A host that knows at least this number of peers links with only some of
 # them.
 MIN_PARTIAL_MESH_PEERS = 16
-
-
-@dataclasses.dataclass(slots=True)
-class PeerState:
-    """State of a peer as this host knows it.
-
-    :param redial_at: earliest time of the next dial.
-    :param redial_delay_s: delay after the next failed dial.
-    :param failing_since: when the host became unreachable; None if it is
-        reachable, or was not dialled yet.
-    :param failed_dials: dials that failed since the host was reachable.
-    """
-
-    record: fleet_messages.HostRecord
-    link: peer_link.PeerLink | None = None
-    heartbeat: fleet_messages.Heartbeat | None = None
-    redial_at: float = 0.0
-    redial_delay_s: float = INITIAL_REDIAL_DELAY_S
-    dialling: bool = False
-    failing_since: float | None = None
-    failed_dials: int = 0
-
-    @property
-    def reachable(self) -> bool:
-        """Whether a link is up and a heartbeat was received on it."""
-        return self.link is not None and self.heartbeat is not None
-
-    @property
-    def is_untried(self) -> bool:
-        """Whether no link to the host was ever up or has failed."""
-        return self.link is None and self.failing_since is None
-
-    @property
-    def accepts_work(self) -> bool:
-        """Whether the peer accepts work of other hosts."""
-        return (
-            self.reachable
-            and self.heartbeat is not None
-            and self.heartbeat.fit
-            and not self.heartbeat.draining
-            and self.heartbeat.reaches_targets
-        )
-
-    @property
-    def accepts_requests(self) -> bool:
-        """Whether the peer may serve requests of other hosts' callers."""
-        return (
-            self.reachable
-            and self.heartbeat is not None
-            and self.heartbeat.reaches_targets
-            and not self.heartbeat.draining
-            and self.record.relay_port > 0
-        )
+# Bound of the names of peers and kinds that were logged once.
+MAX_LOGGED_UNKNOWN = 1000
 
 
 class PeerMesh:
@@ -113,7 +61,12 @@
     ) -> None:
         self.log = log
         self.own_record = own_record
-        self.peer_by_name: dict[str, PeerState] = {}
+        self.peer_by_name: dict[str, peer_state.PeerState] = {}
+        # Messages of later builds, and messages that were not sent as their
+        # receiver is of an earlier build.
+        self.unknown_count = 0
+        self.withheld_count = 0
+        self._logged_unknown: set[tuple[str, str]] = set()
         # Rises when a host becomes known or reachable, or the opposite.
         self.change_count = 0
         # Called with the name of a peer once a link to it is up.
@@ -143,7 +96,7 @@
             lambda: peer_link.PeerLink(self, dialled=False)
         )
         factory.noisy = False
-        return listen_in_range(
+        return peer_ports.listen_in_range(
             self._reactor, self.own_record.ip, ports, factory
         )
 
@@ -166,7 +119,7 @@
             return
         peer = self.peer_by_name.get(record.name)
         if peer is None:
-            self.peer_by_name[record.name] = PeerState(record)
+            self.peer_by_name[record.name] = peer_state.PeerState(record)
             self.links_changed()
         elif peer.link is None and peer.record != record:
             peer.record = record
@@ -204,7 +157,7 @@
             ):
                 self._dial(peer)
 
-    def dial_failed(self, peer: PeerState) -> None:
+    def dial_failed(self, peer: peer_state.PeerState) -> None:
         """Dial a host again after a while."""
         now = time.monotonic()
         peer.dialling = False
@@ -271,19 +224,55 @@
         self.broadcast(self._create_heartbeat(self._interval_s()))
 
     def send(self, name: str, message: fleet_messages.FleetMessage) -> bool:
-        """Send a message; return False when no link to the peer is up."""
+        """Send a message to a peer.
+
+        :returns: whether a link is up to a peer that understands the message.
+        """
         peer = self.peer_by_name.get(name)
         if peer is None or peer.link is None:
             return False
+        if not peer.supports(fleet_messages.required_capability(message)):
+            self.withheld_count += 1
+            return False
         peer.link.send(message)
         return True
 
     def broadcast(self, message: fleet_messages.FleetMessage) -> None:
-        """Send a message to every linked peer."""
+        """Send a message to every linked peer that understands it."""
         data = fleet_messages.encode(message)
+        capability = fleet_messages.required_capability(message)
         for peer in self.peer_by_name.values():
-            if peer.link is not None:
+            if peer.link is None:
+                continue
+            if peer.supports(capability):
                 peer.link.send_encoded(data)
+            else:
+                self.withheld_count += 1
+
+    def all_support(self, capability: capabilities.Capability) -> bool:
+        """Return whether all hosts that may be up understand a message."""
+        return all(
+            peer.supports(capability)
+            for peer in self.peer_by_name.values()
+            if peer.failing_since is None
+        )
+
+    def unknown_received(self, link: peer_link.PeerLink, kind: str) -> None:
+        """Count a message of a kind that only later builds know."""
+        self.unknown_count += 1
+        if (link.name, kind) in self._logged_unknown or (
+            len(self._logged_unknown) >= MAX_LOGGED_UNKNOWN
+        ):
+            return
+        self._logged_unknown.add((link.name, kind))
+        self.log.notable('peer_message_unknown', peer=link.name, kind=kind)
+
+    def totals(self) -> dict[str, float]:
+        """Return the counters by name."""
+        return {
+            'peer_messages_unknown_total': self.unknown_count,
+            'peer_messages_withheld_total': self.withheld_count,
+        }
 
     def message_received(
         self, link: peer_link.PeerLink, message: fleet_messages.FleetMessage
@@ -312,7 +301,7 @@
         peer.link = None
         peer.heartbeat = None
         peer.redial_at = 0.0
-        peer.redial_delay_s = INITIAL_REDIAL_DELAY_S
+        peer.redial_delay_s = peer_state.INITIAL_REDIAL_DELAY_S
         peer.failing_since = time.monotonic()
         self.links_changed()
         self.log.notable('peer_lost', peer=link.name)
@@ -328,7 +317,7 @@
         link.name = name
         peer = self.peer_by_name.get(name)
         if peer is None:
-            peer = PeerState(hello.host)
+            peer = peer_state.PeerState(hello.host)
             self.peer_by_name[name] = peer
             self._unannounced.append(hello.host)
             self.links_changed()
@@ -350,7 +339,7 @@
                 self._on_lost(name)
         peer.record = hello.host
         peer.link = link
-        peer.redial_delay_s = INITIAL_REDIAL_DELAY_S
+        peer.redial_delay_s = peer_state.INITIAL_REDIAL_DELAY_S
         peer.failed_dials = 0
         if peer.failing_since is not None:
             peer.failing_since = None
@@ -418,7 +407,7 @@
         self.dial_chosen()
         self._announce_hosts()
 
-    def _remove_or_dial(self, peer: PeerState) -> None:
+    def _remove_or_dial(self, peer: peer_state.PeerState) -> None:
         """Remove a host whose link is lost, unless it was never dialled.
 
         A host that had opened the link may live and link with others now.
@@ -431,7 +420,7 @@
 
     @staticmethod
     def _is_silent(
-        peer: PeerState, link: peer_link.PeerLink, now: float
+        peer: peer_state.PeerState, link: peer_link.PeerLink, now: float
     ) -> bool:
         interval_s = (
             peer.heartbeat.interval_s
@@ -452,7 +441,7 @@
             )
             self._unannounced.clear()
 
-    def _dial(self, peer: PeerState) -> None:
+    def _dial(self, peer: peer_state.PeerState) -> None:
         if peer.dialling or peer.link is not None:
             return
         peer.dialling = True
@@ -464,29 +453,12 @@
         )
 
 
-def listen_in_range(
-    reactor, ip: str, ports: tuple[int, int], factory: protocol.Factory
-) -> int:
-    """Listen on the first free port of a range and return it.
-
-    :raises PeerError: when no port is free.
-    """
-    for port in range(ports[0], ports[1] + 1):
-        try:
-            reactor.listenTCP(port, factory, interface=ip)
-        except (error.CannotListenError, OSError):
-            # A port in use may be noticed only when the socket listens.
-            continue
-        return port
-    raise exceptions.PeerError(f'no free port for peers in the range {ports}')
-
-
 class _PeerDialler(protocol.ClientFactory):
     """Opens a link to one peer."""
 
     noisy = False
 
-    def __init__(self, mesh: PeerMesh, peer: PeerState) -> None:
+    def __init__(self, mesh: PeerMesh, peer: peer_state.PeerState) -> None:
         self._mesh = mesh
         self._peer = peer
 
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -1,17 +1,27 @@
-"""Messages between entry hosts on a platform, and their encoding."""
+"""Messages between entry hosts on a platform, and their encoding.
+
+Fields that a message lacks take their default, and unknown fields are ignored.
+New fields have a default; a new kind of message belongs to a capability, see
+``capabilities``.
+"""
+
+import typing
 
 import msgspec
 
 from walnutport import exceptions
+from walnutport.peer import capabilities
 from walnutport.quarantine import prompt_parts
 from walnutport.routing import backpressure
 from walnutport.stages import pieces
+from walnutport.world import evacuations
 from walnutport.world import feeds
 
 __all__ = [
     'UpdateRequest',
     'CrashReport',
     'DesiredStateUpdate',
+    'EvacuationUpdate',
     'FleetMessage',
     'HostRecord',
     'Hello',
@@ -22,6 +32,8 @@
     'PartReports',
     'ReleaseStages',
     'RunStages',
+    'SendPermitReply',
+    'SendPermitRequest',
     'StagesDone',
     'StagesFailed',
     'StagesRefused',
@@ -30,6 +42,7 @@
     'TargetUpdate',
     'decode',
     'encode',
+    'required_capability',
 ]
 
 
@@ -41,6 +54,8 @@
         0 if the store counts none.
     :param relay_port: port at which it serves requests of other hosts'
         callers; 0 if it serves none.
+    :param capabilities: kinds of messages that it understands besides those of
+        the first builds.
     """
 
     name: str
@@ -51,6 +66,7 @@
     work_share: float
     era: int = 0
     relay_port: int = 0
+    capabilities: tuple[str, ...] = ()
 
 
 class Hello(msgspec.Struct, frozen=True, tag='hello'):
@@ -82,6 +98,8 @@
         others.
     :param interval_s: time until the next heartbeat of the sender.
     :param reaches_targets: whether it reaches any target.
+    :param evacuations_end: offset after the last change of an evacuation that
+        it knows, in the same era.
     """
 
     desired_version: int
@@ -92,6 +110,7 @@
     draining: bool
     interval_s: float = 0.3
     reaches_targets: bool = True
+    evacuations_end: int = 0
 
 
 class UpdateRequest(msgspec.Struct, frozen=True, tag='ask'):
@@ -215,6 +234,47 @@
     version: str = ''
 
 
+class EvacuationUpdate(msgspec.Struct, frozen=True, tag='evacuations'):
+    """Evacuations of data centres, complete up to an offset.
+
+    :param era: era of the store that the offsets belong to.
+    :param end: offset after the last change.
+    :param records: latest record of each data centre that was ever named.
+    """
+
+    era: int
+    end: int
+    records: tuple[evacuations.EvacuationRecord, ...]
+
+
+class SendPermitRequest(msgspec.Struct, frozen=True, tag='permit_ask'):
+    """Asks the issuer for a permit to send one request to a cold target.
+
+    :param number: identifies the request among those of the sender.
+    """
+
+    target_id: str
+    incarnation: int
+    number: int
+
+
+class SendPermitReply(msgspec.Struct, frozen=True, tag='permit'):
+    """Answers a request for a permit.
+
+    The permit ends a fixed time after the request for it was sent, on the
+    clock of the host that asked, so that a late reply permits nothing.
+
+    :param number: number of the request.
+    :param retry_after_s: time until the next permit if this one is denied.
+    """
+
+    target_id: str
+    incarnation: int
+    number: int
+    is_granted: bool
+    retry_after_s: float = 0.0
+
+
 FleetMessage = (
     Hello
     | HostsUpdate
@@ -233,10 +293,40 @@
     | StreamsBegun
     | OriginQuery
     | OriginReply
+    | EvacuationUpdate
+    | SendPermitRequest
+    | SendPermitReply
 )
 
+# Messages that the first builds do not understand, with the capability that
+# their receiver has to name.
+_CAPABILITY_BY_TYPE: dict[type, capabilities.Capability] = {
+    EvacuationUpdate: capabilities.Capability.EVACUATIONS,
+    SendPermitRequest: capabilities.Capability.SEND_PERMITS,
+    SendPermitReply: capabilities.Capability.SEND_PERMITS,
+}
+
+
+class _AnyMessage(msgspec.Struct):
+    """A message of any kind, also one of a later build."""
+
+    type: str
+
+
+_KNOWN_KINDS = frozenset(
+    typing.cast(msgspec.inspect.StructType, info).tag
+    for info in msgspec.inspect.multi_type_info(typing.get_args(FleetMessage))
+)
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(FleetMessage)
+_KIND_DECODER = msgspec.msgpack.Decoder(_AnyMessage)
+
+
+def required_capability(
+    message: FleetMessage,
+) -> capabilities.Capability | None:
+    """Return the capability that the receiver of a message needs, if any."""
+    return _CAPABILITY_BY_TYPE.get(type(message))
 
 
 def encode(message: FleetMessage) -> bytes:
@@ -247,16 +337,28 @@
 def decode(data: bytes) -> FleetMessage:
     """Decode a message.
 
+    :raises UnknownMessage: if it is of a kind that only later builds know.
     :raises CodecError: if the bytes are not a message.
     """
     try:
         return _DECODER.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        kind = _kind_of(data)
+        if kind is not None and kind not in _KNOWN_KINDS:
+            raise exceptions.UnknownMessage(kind) from error
         raise exceptions.CodecError(
             f'malformed fleet message: {error}'
         ) from error
 
 
+def _kind_of(data: bytes) -> str | None:
+    """Return the kind that a message names, None if it names none."""
+    try:
+        return _KIND_DECODER.decode(data).type
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
 _HOST_DECODER = msgspec.json.Decoder(HostRecord)
 
 
