--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -9,31 +9,33 @@
 
 from walnutport.config import entry_settings
 from walnutport import exceptions
-from walnutport.gateway import attempts
-from walnutport.gateway import decision_log
-from walnutport.gateway import drain
-from walnutport.gateway import feed_follower
-from walnutport.gateway import forwarding
-from walnutport.gateway import host_directory
-from walnutport.gateway import host_status
-from walnutport.gateway import metrics
-from walnutport.gateway import operator_site
-from walnutport.gateway import origin_exchange
-from walnutport.gateway import path_check
-from walnutport.gateway import peer_relay
-from walnutport.gateway import peers
-from walnutport.gateway import request_handler
-from walnutport.gateway import responses
-from walnutport.gateway import route_matcher
-from walnutport.gateway import stage_client
-from walnutport.gateway import suspect_exchange
-from walnutport.gateway import target_reports
-from walnutport.gateway import target_selector
-from walnutport.gateway import work_sharing
+from walnutport.gateway.entry import drain
+from walnutport.gateway.entry import request_handler
+from walnutport.gateway.entry import responses
+from walnutport.gateway.entry import route_matcher
+from walnutport.gateway.operations import decision_log
+from walnutport.gateway.operations import host_status
+from walnutport.gateway.operations import metrics
+from walnutport.gateway.operations import operator_site
+from walnutport.gateway.peers import host_directory
+from walnutport.gateway.peers import peer_relay
+from walnutport.gateway.peers import peers
+from walnutport.gateway.peers import ports
+from walnutport.gateway.peers import suspect_exchange
+from walnutport.gateway.peers import work_sharing
+from walnutport.gateway.stages import stage_client
+from walnutport.gateway.state import feed_follower
+from walnutport.gateway.streams import origin_exchange
+from walnutport.gateway.targets import attempts
+from walnutport.gateway.targets import forwarding
+from walnutport.gateway.targets import path_check
+from walnutport.gateway.targets import target_reports
+from walnutport.gateway.targets import target_selector
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.http1 import server
 from walnutport.membership import loop_lag
+from walnutport.peer import capabilities
 from walnutport.peer import fleet_messages
 from walnutport.platform import documents
 from walnutport.platform import store as platform_store
@@ -368,7 +370,7 @@
         :returns: 0 if no port is free; this host then serves its own callers.
         """
         try:
-            return peers.listen_in_range(
+            return ports.listen_in_range(
                 self._reactor,
                 self.settings.ip,
                 (first_port, self.settings.peer_ports[1]),
@@ -390,6 +392,7 @@
             settings.data_centre,
             self._work_share,
             relay_port=relay_port,
+            capabilities=capabilities.OWN_CAPABILITIES,
         )
 
     def _tick(self) -> None:
