--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -38,7 +38,16 @@
     return {
         name
         for name in found
-        if name.startswith(('walnutport-', '/stage', '/log-', 'keyed.', 'kv-'))
+        if name.startswith(
+            (
+                'walnutport-',
+                '/stage',
+                '/log-',
+                'keyed.',
+                'kv-',
+                'evacuate/',
+            )
+        )
     } - SHARED_NAMES
 
 
@@ -59,6 +68,12 @@
     text = path.read_text().lower()
     used = {name for name in wire_names() if f"'{name}'" in text}
     used |= {name for name in wire_names() if f"b'{name}'" in text}
+    # Prefixes of keys, which a name follows.
+    used |= {
+        name
+        for name in wire_names()
+        if name.endswith('/') and f"'{name}" in text
+    }
     assert not used
     assert not PLATFORM_FIELDS.search(path.read_text())
 
@@ -67,5 +82,6 @@
     """Guards against a check that passes because its set of names is empty."""
     names = wire_names()
     assert 'walnutport-response-seal' in names and 'keyed.servers' in names
+    assert 'evacuate/' in names
     settings = (PLATFORM / 'settings.py').read_text()
     assert PLATFORM_FIELDS.search(settings)
--- a/walnutport/platform/documents.py
+++ b/walnutport/platform/documents.py
@@ -1,14 +1,21 @@
-"""Decodes the operator's desired state and the entries of targets."""
+"""Decodes what the operator writes, and the entries of targets."""
 
+from collections.abc import Collection
 from typing import Any
 
 import msgspec
 
 from walnutport import exceptions
+from walnutport.platform import wire
 from walnutport.world import registrations
 from walnutport.world import routes
 
-__all__ = ['decode_desired_state', 'decode_target']
+__all__ = [
+    'decode_desired_state',
+    'decode_evacuation',
+    'decode_target',
+    'evacuated_data_centre',
+]
 
 _KIND_BY_NAME = {
     'idempotent': routes.RequestKind.REPEATABLE,
@@ -111,6 +118,8 @@
 
 _CONFIG_DECODER = msgspec.json.Decoder(_Config)
 _TARGET_DECODER = msgspec.json.Decoder(_Target)
+# The contents have no meaning yet.
+_EVACUATION_DECODER = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
 
 def decode_desired_state(data: bytes) -> routes.DesiredState:
@@ -147,6 +156,46 @@
     )
 
 
+def evacuated_data_centre(key: str) -> str | None:
+    """Return the data centre that the key of an evacuation names.
+
+    :returns: None if the key is not that of an evacuation.
+    """
+    if not key.startswith(wire.EVACUATE_PREFIX):
+        return None
+    return key.removeprefix(wire.EVACUATE_PREFIX)
+
+
+def decode_evacuation(
+    name: str, data: bytes | None, data_centres: Collection[str]
+) -> bool:
+    """Return whether a record evacuates a data centre or withdraws that.
+
+    :param name: data centre that its key names.
+    :param data: None if the record has no value.
+    :param data_centres: names of the data centres of the installation.
+    :raises WireError: if the record is unusable.
+    """
+    if name not in data_centres:
+        raise exceptions.WireError(
+            f'evacuation of {name!r}: unknown data centre; expected one of '
+            f'{", ".join(sorted(data_centres)) or "none"}'
+        )
+    if data is None:
+        return False
+    try:
+        _EVACUATION_DECODER.decode(data)
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as problem:
+        raise exceptions.WireError(
+            f'evacuation of {name!r}: {problem}; expected a JSON object'
+        ) from problem
+    return True
+
+
 def decode_target(key: str, data: bytes) -> registrations.RegisteredTarget:
     """Decode the entry that a target publishes about itself.
 
--- a/walnutport/platform/wire.py
+++ b/walnutport/platform/wire.py
@@ -65,6 +65,8 @@
 TARGETS_TOPIC = 'keyed.servers'
 HOSTS_TOPIC = 'keyed.walnutport-hosts'
 DESIRED_KEY = 'config'
+# Prefix of the keys of evacuations, before the name of a data centre.
+EVACUATE_PREFIX = 'evacuate/'
 
 # Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = 'WALNUTPORT_BOOT'
