--- a/walnutport/membership/ranking.py
+++ b/walnutport/membership/ranking.py
@@ -17,6 +17,7 @@
     'cell_for_content',
     'cell_key',
     'cell_targets',
+    'cell_targets_left',
     'rank_hosts',
     'hosts_to_link',
     'origin_keepers',
@@ -100,6 +101,26 @@
     }
 
 
+def cell_targets_left(
+    target_ids: Iterable[str],
+    evacuated_ids: set[str],
+    cell: int,
+    cells: int,
+) -> set[str]:
+    """Return the targets of one service in a cell while some get no new work.
+
+    The others are assigned anew, so that no cell is left without a target. If
+    there are fewer than cells, some belong to several cells.
+    """
+    ids = set(target_ids)
+    evacuated = ids & evacuated_ids
+    left = ids - evacuated
+    chosen = cell_targets(left, cell, cells)
+    if evacuated and left and not chosen:
+        chosen = cell_targets(left, cell % len(left), cells)
+    return chosen | cell_targets(evacuated, cell, cells)
+
+
 def cell_for_content(content: bytes, cells: int) -> int:
     """Return the cell whose owner runs the stages of a request.
 
--- /dev/null
+++ b/walnutport/routing/eligibility.py
@@ -0,0 +1,98 @@
+"""Decides whether a target may get new work.
+
+Covers a target that is about to end, by its entry or by its own statement, and
+a data centre that the operator evacuates while callers go on sending. This is
+asked at the selection of a target and again directly before the bytes of a
+request are written, as each of these may change while a connection opens.
+"""
+
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Iterable
+import enum
+
+from walnutport.world import registrations
+
+__all__ = ['Eligibility', 'Reason']
+
+
+class Reason(enum.Enum):
+    """Why a target gets no new work."""
+
+    #: Its entry in the store marks it as draining.
+    DRAINING = 'draining'
+    #: It has stated that it is leaving.
+    LEAVING = 'leaving'
+    #: The operator evacuates its data centre.
+    EVACUATED = 'evacuated'
+
+
+class Eligibility:
+    """Which targets may get new work, as this host knows.
+
+    :param find_target: returns the registered target with an id, or None. Its
+        entry counts, as that of a caller may be older.
+    :param is_leaving: returns whether a target has stated that it is leaving.
+    :param evacuated: names of the evacuated data centres; followed when it
+        changes.
+    """
+
+    def __init__(
+        self,
+        find_target: Callable[
+            [str], registrations.RegisteredTarget | None
+        ] = lambda target_id: None,
+        is_leaving: Callable[
+            [registrations.RegisteredTarget], bool
+        ] = lambda target: False,
+        evacuated: Collection[str] = (),
+    ) -> None:
+        self._find_target = find_target
+        self._is_leaving = is_leaving
+        self._evacuated = evacuated
+
+    def reason(self, target: registrations.RegisteredTarget) -> Reason | None:
+        """Return why a target may not get new work, None if it may."""
+        current = self._find_target(target.target_id)
+        if target.draining or (current is not None and current.draining):
+            return Reason.DRAINING
+        if self._is_leaving(target):
+            return Reason.LEAVING
+        if target.data_centre in self._evacuated:
+            return Reason.EVACUATED
+        return None
+
+    def accepts(self, target: registrations.RegisteredTarget) -> bool:
+        """Return whether a target may get new work."""
+        return self.reason(target) is None
+
+    def is_evacuated(self, target: registrations.RegisteredTarget) -> bool:
+        """Return whether only an evacuation keeps new work from a target."""
+        return self.reason(target) is Reason.EVACUATED
+
+    def is_shutting_down(self, target: registrations.RegisteredTarget) -> bool:
+        """Return whether a target is about to end."""
+        return self.reason(target) in (Reason.DRAINING, Reason.LEAVING)
+
+    def eligible(
+        self, targets: Iterable[registrations.RegisteredTarget]
+    ) -> list[registrations.RegisteredTarget]:
+        """Return the targets that may get new work."""
+        return [target for target in targets if self.accepts(target)]
+
+    def all_evacuated(
+        self, targets: Iterable[registrations.RegisteredTarget]
+    ) -> bool:
+        """Return whether no target is left, and evacuations have taken some.
+
+        :param targets: the targets that could serve a request.
+        """
+        if not self._evacuated:
+            return False
+        has_evacuated = False
+        for target in targets:
+            reason = self.reason(target)
+            if reason is None:
+                return False
+            has_evacuated |= reason is Reason.EVACUATED
+        return has_evacuated
