Send nothing new to evacuated data centres

Hosts read the records with the desired state, tell their peers, and ask the eligibility of a target at its selection and before each write.

--- a/tests/gateway/state/test_convergence.py
+++ b/tests/gateway/state/test_convergence.py
@@ -7,6 +7,7 @@
 import pytest
 from twisted.internet import task
 
+from tests.gateway.state import evacuation_builders
 from tests.gateway.state import test_feed_follower
 from tests.gateway.state import test_store_era
 from walnutport import exceptions
@@ -174,6 +175,7 @@
             lambda: None,
             mesh,
             lambda: None,
+            evacuation_builders.make_feed(test_feed_follower.FakeLog(), mesh),
         )
         self.follower_by_name[name] = follower
         follower.start()
--- a/tests/gateway/state/test_feed_follower.py
+++ b/tests/gateway/state/test_feed_follower.py
@@ -2,6 +2,7 @@
 
 from twisted.internet import task
 
+from tests.gateway.state import evacuation_builders
 from walnutport.gateway.state import feed_follower
 from walnutport.peer import fleet_messages
 from walnutport.world import feeds
@@ -15,6 +16,7 @@
         self.sent: list = []
         self.peer_by_name: dict = {}
         self.awaits_peers = False
+        self.is_partial = False
 
     def send(self, name, message) -> bool:
         self.sent.append((name, message))
@@ -67,6 +69,7 @@
         lambda: None,
         mesh,
         lambda: None,
+        evacuation_builders.make_feed(FakeLog(), mesh),
     )
 
 
--- a/tests/gateway/state/test_store_era.py
+++ b/tests/gateway/state/test_store_era.py
@@ -9,11 +9,13 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from tests.gateway.state import evacuation_builders
 from tests.gateway.state import test_feed_follower
 from walnutport import exceptions
 from walnutport.gateway.peers import host_directory
 from walnutport.gateway.state import feed_follower
 from walnutport.peer import fleet_messages
+from walnutport.routing import eligibility
 from walnutport.world import feeds
 from walnutport.world import registrations
 
@@ -186,6 +188,7 @@
             lambda: None,
             mesh,
             self._new_era,
+            evacuation_builders.make_feed(self.log, mesh),
             is_first_start,
         )
 
@@ -327,13 +330,16 @@
     fixture.advance(1.0)
     fixture.store.return_older()
     fixture.advance(1.5)
-    assert fixture.follower.registry.usable('llm') == []
+    known = fixture.follower.registry.targets.values()
+    assert eligibility.Eligibility().eligible(known) == []
     fixture.write_target('drained', b'3d')
     fixture.write_target('removed', b'2')
     fixture.advance(1.0)
     assert set(fixture.follower.registry.targets) == {'drained', 'removed'}
+    known = fixture.follower.registry.targets.values()
     assert [
-        target.target_id for target in fixture.follower.registry.usable('llm')
+        target.target_id
+        for target in eligibility.Eligibility().eligible(known)
     ] == ['removed'], 'a later entry of a target shows that it is back'
 
 
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -4,6 +4,7 @@
 
 from walnutport import exceptions
 from walnutport.membership import registry
+from walnutport.routing import eligibility
 from walnutport.world import feeds
 from walnutport.world import registrations
 
@@ -43,10 +44,19 @@
     return found
 
 
+def usable(target_registry: registry.TargetRegistry) -> list[str]:
+    """Return the ids of the targets that may get new work."""
+    targets = target_registry.targets.values()
+    return [
+        target.target_id
+        for target in eligibility.Eligibility().eligible(targets)
+    ]
+
+
 def test_draining_target_takes_no_work(target_registry):
     """Guards against new work for a target that is draining."""
     target_registry.apply(page(2, t1=b'1d'), 0.0)
-    assert target_registry.usable('llm') == []
+    assert usable(target_registry) == []
     assert 't1' in target_registry.targets
 
 
@@ -54,7 +64,7 @@
     """Guards against stale records from a peer that lags behind."""
     target_registry.apply(page(5, t1=b'1d'), 0.0)
     target_registry.apply(page(3, t1=b'1'), 0.0)
-    assert target_registry.usable('llm') == []
+    assert usable(target_registry) == []
 
 
 def test_removed_target_is_dropped_immediately(target_registry):
@@ -68,10 +78,10 @@
     """Guards against dropping every target after an outage of the store."""
     target_registry.store_recovered(outage_s=4.0, now=10.0)
     target_registry.apply(page(2, t1=None), 10.1)
-    assert target_registry.usable('llm')
+    assert usable(target_registry)
     target_registry.apply(page(3, t1=b'1'), 11.0)
     assert target_registry.remove_lapsed(13.0) == []
-    assert target_registry.usable('llm')
+    assert usable(target_registry)
 
 
 def test_lapsed_entry_is_dropped_after_the_grace_period(target_registry):
--- a/walnutport/cli/explain.py
+++ b/walnutport/cli/explain.py
@@ -41,6 +41,9 @@
         'refused: it, or a part of its prompt, was running at several targets '
         'that crashed'
     ),
+    'evacuated': (
+        'refused: the operator evacuates the data centres of all its targets'
+    ),
     'cut_off': 'refused: neither the host nor a peer reached any target',
     'relayed': 'a peer of the host served it, see the lines of that peer',
     'stage_failures': 'given up: too many of its stage pieces failed',
--- a/walnutport/gateway/entry/request_handler.py
+++ b/walnutport/gateway/entry/request_handler.py
@@ -148,7 +148,9 @@
             self._responder.refuse(call, 'origin_unknown')
             return
         call.service = call.origin.service
-        if (
+        if self._selector.is_evacuated(call):
+            self._refuse_evacuated(call)
+        elif (
             call.service not in call.route.weight_by_service
             or self._selector.stated_delay_s(call) is None
         ):
@@ -175,6 +177,9 @@
         if counts is None or len(counts) != len(call.route.stages):
             call.send_local_response(400, 'malformed')
             return
+        if self._selector.is_evacuated(call):
+            self._refuse_evacuated(call)
+            return
         delay_s = self._selector.stated_delay_s(call)
         if delay_s is not None and delay_s > call.time_left_s():
             self._refuse_by_targets(call, delay_s)
@@ -288,6 +293,15 @@
         ):
             await self._serve_by_peer(call)
             return
+        was_answered = result is not None and result.has_response
+        if (
+            not call.request.head_sent
+            and not call.may_have_run
+            and not was_answered
+            and self._selector.is_evacuated(call)
+        ):
+            self._refuse_evacuated(call)
+            return
         delay_s = self._selector.stated_delay_s(call)
         was_sent = result is not None and not result.is_deferred
         if was_sent or call.may_have_run or delay_s is None:
@@ -306,6 +320,12 @@
             deaths=decision.deaths,
         )
 
+    def _refuse_evacuated(self, call: calls.CallerCall) -> None:
+        """Refuse a call for which evacuations have left no target."""
+        self._responder.refuse(
+            call, 'evacuated', responses.NO_TARGET_RETRY_AFTER_S
+        )
+
     def _refuse_by_targets(
         self, call: calls.CallerCall, delay_s: float
     ) -> None:
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -1,6 +1,7 @@
 """Entry host on a platform: creates, starts and stops its components."""
 
 from collections.abc import Callable
+import functools
 import random
 import time
 import uuid
@@ -24,6 +25,7 @@
 from walnutport.gateway.peers import suspect_exchange
 from walnutport.gateway.peers import work_sharing
 from walnutport.gateway.stages import stage_client
+from walnutport.gateway.state import evacuation_feed
 from walnutport.gateway.state import feed_follower
 from walnutport.gateway.streams import origin_exchange
 from walnutport.gateway.targets import attempts
@@ -42,8 +44,8 @@
 from walnutport.platform import wire
 from walnutport.retries import window_budget
 from walnutport.routing import backpressure
+from walnutport.routing import eligibility
 from walnutport.routing import outcomes
-from walnutport.world import registrations
 from walnutport.world import routes
 
 __all__ = ['EntryHost']
@@ -128,6 +130,20 @@
             rng,
             self._path_changed,
         )
+        self._evacuations = evacuation_feed.EvacuationFeed(
+            self.log,
+            self._mesh,
+            documents.evacuated_data_centre,
+            functools.partial(
+                documents.decode_evacuation, data_centres=settings.data_centres
+            ),
+            self._state_changed,
+        )
+        self._eligibility = eligibility.Eligibility(
+            lambda target_id: self._follower.registry.targets.get(target_id),
+            lambda target: self._reports.is_leaving(target),
+            self._evacuations.state.known_since,
+        )
         self._suspects = suspect_exchange.SuspectExchange(
             reactor,
             self.log,
@@ -135,7 +151,7 @@
             self._pool,
             self._outcomes,
             self._path.verify,
-            self._is_leaving,
+            self._eligibility.is_shutting_down,
         )
         self._follower = feed_follower.FeedFollower(
             reactor,
@@ -147,6 +163,7 @@
             self._state_changed,
             self._mesh,
             lambda: self._directory.publish_again(),
+            self._evacuations,
             settings.is_first_start,
         )
         self._backpressure = backpressure.TargetBackpressure(
@@ -163,6 +180,7 @@
             self._follower,
             self._outcomes,
             self._backpressure,
+            self._eligibility,
             settings.data_centre,
         )
         self._stages = stage_client.StageClient(
@@ -176,6 +194,7 @@
             self._mesh.send,
             self._selector.recommend_engine,
             self._reports,
+            self._eligibility,
         )
         self._reports.on_change = self._stages.target_changed
         self._forwarder = forwarding.Forwarder(
@@ -185,6 +204,7 @@
                 self._pool,
                 self._reports,
                 lambda call: self._forwarder.admit(call),
+                self._eligibility,
             ),
             self._outcomes,
             self._backpressure,
@@ -412,12 +432,6 @@
         self._pool.close_expired()
         self._relay.close_expired()
 
-    def _is_leaving(self, target: registrations.RegisteredTarget) -> bool:
-        """Return whether a target is shutting down, by its entry or itself."""
-        current = self._follower.registry.targets.get(target.target_id)
-        is_draining = current is not None and current.draining
-        return is_draining or self._reports.is_leaving(target)
-
     def _path_changed(self) -> None:
         """Hand work over when no target is reached, or take it up again."""
         if self._path.is_cut:
@@ -477,6 +491,7 @@
             self._drain.started,
             interval_s,
             not self._path.is_cut,
+            self._evacuations.state.end,
         )
 
     def _handle_peer_message(
@@ -501,6 +516,7 @@
         self._stages.handle_message(name, message)
 
     def _peer_joined(self, name: str) -> None:
+        self._evacuations.send_update(name)
         self._reports.peer_joined(name)
         self._suspects.peer_joined(name)
 
--- a/walnutport/gateway/operations/events.py
+++ b/walnutport/gateway/operations/events.py
@@ -92,6 +92,22 @@
         'the next records in the store expired; the newest are read',
         ('offset',),
     ),
+    Event(
+        'evacuation_started',
+        'the operator evacuates a data centre; its targets get no new work',
+        ('data_centre', 'offset', 'era', 'age_s', 'source'),
+    ),
+    Event(
+        'evacuation_ended',
+        'an evacuation was withdrawn, or did not return with a store that '
+        'returned from an older copy',
+        ('data_centre', 'offset', 'era', 'age_s', 'source'),
+    ),
+    Event(
+        'evacuation_unusable',
+        'a record of an evacuation is unusable and skipped; logged once',
+        ('offset', 'problem'),
+    ),
     Event(
         'target_added',
         'a new target was registered',
--- a/walnutport/gateway/operations/host_status.py
+++ b/walnutport/gateway/operations/host_status.py
@@ -74,6 +74,7 @@
             'desired_age_s': round(now - self._follower.desired_at, 1),
             'desired_read_s': round(self._follower.desired_read_age_s(), 1),
             'store_era': self._follower.era,
+            'evacuated': self._follower.evacuations.describe(),
             'targets_read_s': round(self._follower.store_age_s(), 1),
             'targets': {
                 target.target_id: {
@@ -111,6 +112,9 @@
             'desired_read_age_seconds': self._follower.desired_read_age_s(),
             'targets': len(self._follower.registry.targets),
             'targets_age_seconds': self._follower.store_age_s(),
+            'data_centres_evacuated': len(
+                self._follower.evacuations.state.names
+            ),
             'peers': sum(
                 peer.reachable for peer in self._mesh.peer_by_name.values()
             ),
--- a/walnutport/gateway/stages/cell_owner.py
+++ b/walnutport/gateway/stages/cell_owner.py
@@ -16,6 +16,7 @@
 from walnutport.http1 import messages
 from walnutport.platform import headers
 from walnutport.platform import stage_calls
+from walnutport.routing import eligibility
 from walnutport.routing import engines
 from walnutport.stages import pieces
 from walnutport.stages import scheduler
@@ -56,6 +57,7 @@
     :param choose_engine: returns the id of the engine that should run a
         request after its stages.
     :param reports: evaluates what targets state in their responses.
+    :param target_eligibility: decides which targets may get new work.
     """
 
     def __init__(
@@ -70,7 +72,9 @@
             str,
         ],
         reports: target_reports.TargetReports,
+        target_eligibility: eligibility.Eligibility,
     ) -> None:
+        self._eligibility = target_eligibility
         self.cell = cell
         self._host_name = host_name
         self._reports = reports
@@ -79,7 +83,7 @@
         self._pool = pool
         self._choose_engine = choose_engine
         self._prefills = engines.PrefillTracker()
-        self.scheduler = scheduler.StageScheduler()
+        self.scheduler = scheduler.StageScheduler(target_eligibility)
         self._job_by_id: dict[str, _AcceptedJob] = {}
         self._free_timer = None
         self.total_calls = 0
@@ -131,6 +135,8 @@
         now = time.monotonic()
         refusal = self.scheduler.submit(spec, now)
         if refusal is not None:
+            if self.scheduler.is_evacuated(spec):
+                refusal = dataclasses.replace(refusal, reason='evacuated')
             reply(refusal)
             return
         self._log.routine(
@@ -203,6 +209,7 @@
                     list(call.pieces),
                 ),
                 call.timeout_s,
+                lambda: self._eligibility.accepts(call.target),
             )
             fields = headers.decode_response_headers(response.head)
             self._reports.response_received(
@@ -212,11 +219,13 @@
                 response, fields, len(call.pieces)
             )
         except exceptions.ChannelError as problem:
-            failure = (
-                stage_targets.CallFailure.TIMEOUT
-                if problem.timed_out
-                else stage_targets.CallFailure.LOST
-            )
+            if problem.timed_out:
+                failure = stage_targets.CallFailure.TIMEOUT
+            elif problem.written or self._eligibility.accepts(call.target):
+                failure = stage_targets.CallFailure.LOST
+            else:
+                # Nothing was sent, which counts against no job.
+                failure = stage_targets.CallFailure.BUSY
         now = time.monotonic()
         if failure is not None:
             self._log.notable(
--- a/walnutport/gateway/stages/stage_client.py
+++ b/walnutport/gateway/stages/stage_client.py
@@ -14,6 +14,7 @@
 from walnutport.http1 import channel_pool
 from walnutport.membership import ranking
 from walnutport.peer import fleet_messages
+from walnutport.routing import eligibility
 from walnutport.routing import engines
 from walnutport.stages import pieces
 from walnutport.world import registrations
@@ -47,6 +48,7 @@
     :param choose_engine: returns the id of the engine that should run a
         request after its stages.
     :param reports: evaluates what targets state in their responses.
+    :param target_eligibility: decides which targets may get new work.
     """
 
     def __init__(
@@ -64,7 +66,9 @@
             str,
         ],
         reports: target_reports.TargetReports,
+        target_eligibility: eligibility.Eligibility | None = None,
     ) -> None:
+        self._eligibility = target_eligibility or eligibility.Eligibility()
         self._choose_engine = choose_engine
         self._reports = reports
         self._reactor = reactor
@@ -309,6 +313,7 @@
                 self._pool,
                 self._choose_engine,
                 self._reports,
+                self._eligibility,
             )
             self._local_owner_by_cell[cell] = owner
             owner.update_targets(
@@ -322,13 +327,18 @@
         if self._cell_count == 1:
             return self._targets
         ids_by_service: dict[str, list[str]] = {}
+        evacuated_ids = set()
         for target in self._targets:
             ids_by_service.setdefault(target.service, []).append(
                 target.target_id
             )
+            if self._eligibility.is_evacuated(target):
+                evacuated_ids.add(target.target_id)
         chosen: set[str] = set()
         for ids in ids_by_service.values():
-            chosen |= ranking.cell_targets(ids, cell, self._cell_count)
+            chosen |= ranking.cell_targets_left(
+                ids, evacuated_ids, cell, self._cell_count
+            )
         return [
             target for target in self._targets if target.target_id in chosen
         ]
--- a/walnutport/gateway/state/desired_reader.py
+++ b/walnutport/gateway/state/desired_reader.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import time
 
 from twisted.internet import defer
@@ -145,9 +146,9 @@
         finally:
             self._read = None
         self._was_held = time.monotonic() - started_at > INITIAL_RETRY_DELAY_S
-        if offset is not None and page.era != self._era:
-            return None
-        return page
+        if offset is None:
+            return dataclasses.replace(page, lists_all=True)
+        return page if page.era == self._era else None
 
     async def _pause(self, delay_s: float) -> None:
         await task.deferLater(self._reactor, delay_s)
--- a/walnutport/gateway/state/feed_follower.py
+++ b/walnutport/gateway/state/feed_follower.py
@@ -1,4 +1,4 @@
-"""Follows the feeds of the desired state and the targets.
+"""Follows the feeds of the desired state, the evacuations and the targets.
 
 A few hosts read the targets from the store and forward the records to their
 peers; a host that the store refuses gets everything from its peers.
@@ -13,10 +13,13 @@
 from walnutport import exceptions
 from walnutport.gateway.peers import peers
 from walnutport.gateway.state import desired_reader
+from walnutport.gateway.state import desired_state
+from walnutport.gateway.state import evacuation_feed
 from walnutport.gateway.state import first_comparison
+from walnutport.gateway.state import store_contact
+from walnutport.gateway.state import update_requests
 from walnutport.membership import ranking
 from walnutport.membership import registry
-from walnutport.membership import store_outages
 from walnutport.peer import fleet_messages
 from walnutport.world import feeds
 from walnutport.world import routes
@@ -31,11 +34,6 @@
 READER_COUNT = 2
 # A host whose last read is older than this does not count as a reader.
 READER_TIMEOUT_S = 1.6
-# A host that lags behind a peer for this long asks it for an update. Most
-# hosts read the store themselves within that time, and broadcasting a desired
-# state with many routes would saturate the links of small hosts.
-REQUEST_UPDATE_AFTER_S = 0.35
-REQUEST_UPDATE_INTERVAL_S = 0.6
 EXPIRED_RETRY_DELAY_S = 0.25
 # Before a host removes targets whose entries have not come back, it asks a
 # peer that reads the targets; entries come back within two seconds.
@@ -53,9 +51,10 @@
         targets.
     :param mesh: links to the other hosts.
     :param on_new_era: called when the store has returned from an older copy.
+    :param evacuations: evacuated data centres, which share the feed of the
+        desired state.
     :param is_first_start: whether the whole installation starts for the first
         time.
-    :ivar desired_at: when the desired state was applied.
     """
 
     def __init__(
@@ -69,51 +68,62 @@
         on_change: Callable[[], None],
         mesh: peers.PeerMesh,
         on_new_era: Callable[[], None],
+        evacuations: evacuation_feed.EvacuationFeed,
         is_first_start: bool = False,
     ) -> None:
+        self.evacuations = evacuations
         self._reactor = reactor
         self._log = log
         self._store = store
         self._desired_key = desired_key
-        self._decode_desired = decode_desired
+        self._desired = desired_state.DesiredState(log, decode_desired)
         self._on_change = on_change
         self._on_new_era = on_new_era
+        self._requests = update_requests.UpdateRequests(
+            mesh,
+            lambda: fleet_messages.UpdateRequest(
+                self.desired_version,
+                self.registry.era,
+                self.registry.changes_end_offset,
+            ),
+        )
         self._first_comparison = first_comparison.FirstComparison(
-            reactor, log, mesh, is_first_start, self._request_from
+            reactor, log, mesh, is_first_start, self._requests.request_from
         )
         # Era of the store as this host knows it, also from its peers.
         self.era = 0
         self.era_changes = 0
-        self.desired: routes.DesiredState | None = None
-        self.desired_at = 0.0
         self.registry = registry.TargetRegistry(decode_target)
         self._mesh = mesh
-        self._desired_record: feeds.FeedRecord | None = None
+        self._contact = store_contact.StoreContact(log, self.registry)
         self._desired_reader = desired_reader.DesiredReader(
-            reactor, log, store, self._apply_desired_page, self._store_failed
+            reactor, log, store, self._apply_desired_page, self._contact.failed
         )
         self._targets_known = False
         self._targets_read_at = 0.0
         # When this host, or a peer that knows no more, read the targets.
         self._view_at = 0.0
-        self._store_lost_at: float | None = None
-        self._outages = store_outages.StoreOutages()
         self._stopped = False
-        # Peer that is known to be ahead, when this host first noticed, and
-        # when it may next ask a peer.
-        self._peer_ahead = ''
-        self._behind_since = 0.0
-        self._next_request_at = 0.0
 
     @property
     def is_initialized(self) -> bool:
         """Whether the desired state and the targets are known."""
         return self.desired is not None and self._targets_known
 
+    @property
+    def desired(self) -> routes.DesiredState | None:
+        """Desired state in force, None if none is known."""
+        return self._desired.current
+
+    @property
+    def desired_at(self) -> float:
+        """When the desired state was applied."""
+        return self._desired.applied_at
+
     @property
     def desired_version(self) -> int:
         """Version of the desired state, 0 if none is known."""
-        return 0 if self.desired is None else self.desired.version
+        return self._desired.version
 
     def store_age_s(self) -> float:
         """Return the seconds since this host read targets from the store."""
@@ -152,8 +162,12 @@
             self._apply_desired(message.record, f'peer {name}')
         elif isinstance(message, fleet_messages.TargetUpdate):
             self._apply_targets(name, message, now)
+        elif isinstance(message, fleet_messages.EvacuationUpdate):
+            self._enter_era(message.era, f'peer {name}')
+            self.evacuations.merge_update(name, message)
         elif isinstance(message, fleet_messages.Heartbeat):
-            self._outages.record_read(now - message.store_age_s, now)
+            self.evacuations.heartbeat_received(name, message)
+            self._contact.outages.record_read(now - message.store_age_s, now)
             self._compare_offsets(name, message)
         elif isinstance(message, fleet_messages.UpdateRequest):
             self._send_updates(name, message)
@@ -169,7 +183,7 @@
         if message.era < self.registry.era:
             return
         self._enter_era(message.era, f'peer {name}')
-        if message.grace_s and self._outages.is_recent(now):
+        if message.grace_s and self._contact.outages.is_recent(now):
             self.registry.extend_grace(message.grace_s, now)
         page = feeds.FeedPage(message.records, message.end)
         has_gap = message.after > self.registry.changes_end_offset
@@ -188,63 +202,12 @@
         self, name: str, heartbeat: fleet_messages.Heartbeat
     ) -> None:
         """Ask a peer for an update if this host still lags behind it."""
-        now = time.monotonic()
-        is_behind = heartbeat.desired_version > self.desired_version or (
-            heartbeat.era,
-            heartbeat.targets_end,
-        ) > (self.registry.era, self.registry.changes_end_offset)
-        if not is_behind:
-            self._view_at = max(self._view_at, now - heartbeat.store_age_s)
-            if self._peer_ahead == name:
-                self._peer_ahead = ''
-            return
-        if not self._peer_ahead:
-            self._peer_ahead = name
-            self._behind_since = now
-        if (
-            now - self._behind_since < REQUEST_UPDATE_AFTER_S
-            or now < self._next_request_at
-        ):
-            return
-        self._request_update(name, now)
-
-    def _request_from(self, name: str) -> None:
-        """Ask a peer for what is newer, unless a request is on its way."""
-        now = time.monotonic()
-        if now >= self._next_request_at:
-            self._request_update(name, now)
-
-    def _request_update(self, name: str, now: float) -> None:
-        """Ask a peer for what is newer than what this host knows."""
-        self._next_request_at = now + REQUEST_UPDATE_INTERVAL_S
-        self._mesh.send(
-            name,
-            fleet_messages.UpdateRequest(
-                self.desired_version,
-                self.registry.era,
-                self.registry.changes_end_offset,
-            ),
-        )
-
-    def _request_all_targets(self, now: float) -> None:
-        """Ask the peer that has read the targets last for all of them.
-
-        Entries that it has seen again may change nothing for it, as it has
-        started since, so that it has told nobody.
-        """
-        age_by_name = {
-            name: peer.heartbeat.store_age_s
-            for name, peer in self._mesh.peer_by_name.items()
-            if peer.heartbeat is not None
-        }
-        if not age_by_name:
+        if self._requests.is_behind(heartbeat):
+            self._requests.peer_ahead(name)
             return
-        self._next_request_at = now + REQUEST_UPDATE_INTERVAL_S
-        self._mesh.send(
-            min(age_by_name, key=age_by_name.__getitem__),
-            fleet_messages.UpdateRequest(
-                self.desired_version, self.registry.era, 0
-            ),
+        self._requests.peer_behind(name)
+        self._view_at = max(
+            self._view_at, time.monotonic() - heartbeat.store_age_s
         )
 
     def _send_updates(
@@ -252,11 +215,11 @@
     ) -> None:
         """Send a peer the updates that it lacks."""
         if (
-            self._desired_record is not None
+            self._desired.record is not None
             and request.desired_version < self.desired_version
         ):
             self._mesh.send(
-                name, fleet_messages.DesiredStateUpdate(self._desired_record)
+                name, fleet_messages.DesiredStateUpdate(self._desired.record)
             )
         if request.era > self.registry.era:
             return
@@ -277,26 +240,20 @@
         )
 
     async def _apply_desired_page(self, page: feeds.FeedPage) -> None:
-        self._store_succeeded()
+        self._contact.succeeded()
         self._enter_era(page.era, 'store')
+        # Before the first desired state, without which nothing is sent.
+        self.evacuations.apply_page(page)
         for record in page.records:
             if record.key == self._desired_key and record.value is not None:
                 if self.desired is None:
                     await self._first_comparison.confirm(
-                        self._version_of(record),
+                        self._desired.version_of(record),
                         lambda: self.era,
                         lambda: self.desired is None and not self._stopped,
                     )
                 self._apply_desired(record, 'store')
 
-    def _version_of(self, record: feeds.FeedRecord) -> int:
-        """Return the version of a desired state, 0 if it is unreadable."""
-        try:
-            return self._decode_desired(record.value or b'').version
-        except exceptions.WireError:
-            # Logged when the record is applied.
-            return 0
-
     async def _follow_targets(self) -> None:
         needs_full_read = True
         while not self._stopped:
@@ -320,7 +277,7 @@
                 await self._pause(EXPIRED_RETRY_DELAY_S)
                 continue
             except exceptions.LogServiceError as problem:
-                self._store_failed(problem)
+                self._contact.failed(problem)
             await self._pause(TARGETS_POLL_INTERVAL_S)
 
     async def _read_targets(self, full_read: bool) -> None:
@@ -331,7 +288,7 @@
             page = await self._store.read(
                 feeds.Feed.TARGETS, self.registry.end_offset, 0.0
             )
-        self._store_succeeded()
+        self._contact.succeeded()
         if page.era < self.registry.era or (not full_read and page.era != era):
             # The offset of the read, or the whole page, is of an era before.
             return
@@ -339,7 +296,7 @@
         now = time.monotonic()
         before = self.registry.changes_end_offset
         self._targets_read_at = now
-        self._outages.record_read(now, now)
+        self._contact.outages.record_read(now, now)
         self._targets_known = True
         if full_read:
             applied = self.registry.replace(page, now)
@@ -359,6 +316,7 @@
             return
         before = self.era
         self.era = era
+        self.evacuations.enter_era(era)
         if before == 0:
             # The first era that this host sees replaces no other.
             self.registry.era = era
@@ -387,55 +345,15 @@
         return self._mesh.own_record.name in ranked[:READER_COUNT]
 
     def _apply_desired(self, record: feeds.FeedRecord, source: str) -> None:
-        """Put a desired state in force if it has a higher version.
-
-        Its offset is no criterion: a store that returns from an older copy
-        assigns offsets again.
-        """
-        current = self._desired_record
-        if current is not None and record.value == current.value:
-            return
-        try:
-            desired = self._decode_desired(record.value or b'')
-        except exceptions.WireError as problem:
-            self._log.notable(
-                'desired_unreadable',
-                offset=record.offset,
-                problem=str(problem),
-            )
-            return
-        if (
-            self.desired is not None
-            and desired.version <= self.desired.version
-        ):
-            self._log.notable(
-                'desired_superseded',
-                version=desired.version,
-                in_force=self.desired.version,
-                offset=record.offset,
-                source=source,
-            )
-            return
-        self._desired_record = record
-        self.desired = desired
-        self.desired_at = time.monotonic()
-        self._log.notable(
-            'desired_applied',
-            version=desired.version,
-            offset=record.offset,
-            era=self.era,
-            source=source,
-            routes=len(desired.routes),
-        )
-        self._on_change()
+        if self._desired.apply(record, self.era, source):
+            self._on_change()
 
     def expire_targets(self) -> None:
         """Remove targets whose lapsed records did not reappear."""
+        self.evacuations.expire()
         now = time.monotonic()
-        if now >= self._next_request_at and self.registry.lapse_is_due(
-            now, CONFIRM_LAPSE_WITHIN_S
-        ):
-            self._request_all_targets(now)
+        if self.registry.lapse_is_due(now, CONFIRM_LAPSE_WITHIN_S):
+            self._requests.request_all_targets()
         changes = self.registry.remove_lapsed(now)
         if changes:
             self._log_changes(changes, [], source='lapse')
@@ -458,24 +376,5 @@
         if changes:
             self._on_change()
 
-    def _store_failed(self, problem: Exception) -> None:
-        if self._store_lost_at is None:
-            self._store_lost_at = time.monotonic()
-            self._log.notable('store_lost', problem=str(problem))
-
-    def _store_succeeded(self) -> None:
-        if self._store_lost_at is None:
-            return
-        now = time.monotonic()
-        outage_s = now - self._store_lost_at
-        fleet_outage_s = self._outages.duration_s(self._store_lost_at, now)
-        self._store_lost_at = None
-        self.registry.store_recovered(fleet_outage_s, now)
-        self._log.notable(
-            'store_regained',
-            outage_s=round(outage_s, 3),
-            fleet_outage_s=round(fleet_outage_s, 3),
-        )
-
     async def _pause(self, delay_s: float) -> None:
         await task.deferLater(self._reactor, delay_s)
--- /dev/null
+++ b/walnutport/gateway/state/update_requests.py
@@ -0,0 +1,87 @@
+"""Asks peers for what they know and this host does not."""
+
+from collections.abc import Callable
+import time
+
+from walnutport.gateway.peers import peers
+from walnutport.peer import fleet_messages
+
+__all__ = ['UpdateRequests']
+
+# A host that lags behind a peer for this long asks it for an update. Most
+# hosts read the store themselves within that time, and broadcasting a desired
+# state with many routes would saturate the links of small hosts.
+REQUEST_UPDATE_AFTER_S = 0.35
+REQUEST_UPDATE_INTERVAL_S = 0.6
+
+
+class UpdateRequests:
+    """Requests of this host for updates of its peers.
+
+    :param create_request: returns the request for what is newer than what this
+        host knows.
+    """
+
+    def __init__(
+        self,
+        mesh: peers.PeerMesh,
+        create_request: Callable[[], fleet_messages.UpdateRequest],
+    ) -> None:
+        self._mesh = mesh
+        self._create_request = create_request
+        # Peer that is known to be ahead, when this host first noticed, and
+        # when it may next ask a peer.
+        self._peer_ahead = ''
+        self._behind_since = 0.0
+        self._next_request_at = 0.0
+
+    def is_behind(self, heartbeat: fleet_messages.Heartbeat) -> bool:
+        """Return whether a peer knows more than this host."""
+        own = self._create_request()
+        return heartbeat.desired_version > own.desired_version or (
+            heartbeat.era,
+            heartbeat.targets_end,
+        ) > (own.era, own.targets_end)
+
+    def peer_behind(self, name: str) -> None:
+        """Record that a peer knows no more than this host."""
+        if self._peer_ahead == name:
+            self._peer_ahead = ''
+
+    def peer_ahead(self, name: str) -> None:
+        """Ask a peer for an update if this host still lags behind it."""
+        now = time.monotonic()
+        if not self._peer_ahead:
+            self._peer_ahead = name
+            self._behind_since = now
+        if now - self._behind_since >= REQUEST_UPDATE_AFTER_S:
+            self.request_from(name)
+
+    def request_from(self, name: str) -> None:
+        """Ask a peer for what is newer, unless a request is on its way."""
+        now = time.monotonic()
+        if now >= self._next_request_at:
+            self._next_request_at = now + REQUEST_UPDATE_INTERVAL_S
+            self._mesh.send(name, self._create_request())
+
+    def request_all_targets(self) -> None:
+        """Ask the peer that has read the targets last for all of them.
+
+        Entries that it has seen again may change nothing for it, as it has
+        started since, so that it has told nobody. Nothing is asked while a
+        request is on its way.
+        """
+        now = time.monotonic()
+        age_by_name = {
+            name: peer.heartbeat.store_age_s
+            for name, peer in self._mesh.peer_by_name.items()
+            if peer.heartbeat is not None
+        }
+        if not age_by_name or now < self._next_request_at:
+            return
+        self._next_request_at = now + REQUEST_UPDATE_INTERVAL_S
+        own = self._create_request()
+        self._mesh.send(
+            min(age_by_name, key=age_by_name.__getitem__),
+            fleet_messages.UpdateRequest(own.desired_version, own.era, 0),
+        )
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -16,6 +16,7 @@
 from walnutport.http1 import messages
 from walnutport.platform import headers
 from walnutport.relay import resumable
+from walnutport.routing import eligibility
 from walnutport.world import registrations
 from walnutport.world import requests
 
@@ -277,6 +278,7 @@
     :param reports: evaluates what targets state in their responses.
     :param admit: returns whether a call may be sent, as it does not crash its
         targets.
+    :param target_eligibility: decides which targets may get new work.
     """
 
     def __init__(
@@ -285,7 +287,9 @@
         pool: channel_pool.ChannelPool,
         reports: target_reports.TargetReports,
         admit: Callable[[calls.CallerCall], bool],
+        target_eligibility: eligibility.Eligibility,
     ) -> None:
+        self._eligibility = target_eligibility
         self._reactor = reactor
         self._admit = admit
         self._pool = pool
@@ -323,13 +327,16 @@
             return AttemptResult(
                 AttemptStatus.NOT_SENT, target, detail=DEADLINE_DETAIL
             )
-        if self._reports.accepts_none(target):
-            # It has said so while the channel was being opened.
+        reason = self._eligibility.reason(target)
+        if reason is not None or self._reports.is_held(target):
+            # This has changed while the channel was being opened.
             self._release(target, channel)
             return AttemptResult(
                 AttemptStatus.NOT_SENT,
                 target,
-                detail='target accepts no requests',
+                detail='target has asked for time'
+                if reason is None
+                else f'target is {reason.value}',
                 is_deferred=True,
             )
         if not self._admit(call):
--- a/walnutport/gateway/targets/target_reports.py
+++ b/walnutport/gateway/targets/target_reports.py
@@ -148,9 +148,9 @@
         """Return when the time ends that a target has asked for."""
         return self._backpressure.held_until(target)
 
-    def accepts_none(self, target: registrations.RegisteredTarget) -> bool:
-        """Return whether a target is leaving or has asked for time."""
-        return self._backpressure.accepts_none(target, time.monotonic())
+    def is_held(self, target: registrations.RegisteredTarget) -> bool:
+        """Return whether a target has asked for time that is not over."""
+        return self.held_until(target) > time.monotonic()
 
     def gauges(self) -> dict[str, float]:
         """Return the gauges by name."""
--- a/walnutport/gateway/targets/target_selector.py
+++ b/walnutport/gateway/targets/target_selector.py
@@ -7,6 +7,7 @@
 from walnutport.gateway.entry import calls
 from walnutport.gateway.state import feed_follower
 from walnutport.routing import backpressure
+from walnutport.routing import eligibility
 from walnutport.routing import engines
 from walnutport.routing import outcomes
 from walnutport.routing import prompt_caches
@@ -21,6 +22,7 @@
     """Selects targets for the calls of this host and for the cells it owns.
 
     :param limits: limits that targets state.
+    :param target_eligibility: decides which targets may get new work.
     :param data_centre: data centre of this host.
     """
 
@@ -29,9 +31,11 @@
         follower: feed_follower.FeedFollower,
         target_outcomes: outcomes.TargetOutcomes,
         limits: backpressure.TargetBackpressure,
+        target_eligibility: eligibility.Eligibility,
         data_centre: str,
     ) -> None:
         self._follower = follower
+        self._eligibility = target_eligibility
         self._outcomes = target_outcomes
         self._limits = limits
         self._data_centre = data_centre
@@ -44,7 +48,7 @@
         now = time.monotonic()
         return self._outcomes.choose(
             self._limits.permitted(
-                self._follower.registry.usable(call.service),
+                self._usable(call.service, None),
                 now,
                 self._in_flight,
             ),
@@ -59,11 +63,7 @@
         :returns: 0 if a target does now, None if there is none at all.
         """
         now = time.monotonic()
-        targets = [
-            target
-            for target in self._usable(call.service, call.origin_version)
-            if not self._limits.is_leaving(target)
-        ]
+        targets = self._usable(call.service, call.origin_version)
         delays_s = [self._limits.delay_s(target, now) for target in targets]
         if not delays_s:
             return None
@@ -74,6 +74,25 @@
             )
         return min(delays_s)
 
+    def is_evacuated(self, call: calls.CallerCall) -> bool:
+        """Return whether evacuations leave no target for a request.
+
+        They may also leave none for one of the stages that have not run.
+        """
+        services = {(call.service, call.origin_version)}
+        if call.inputs is None and call.fields.piece_counts is not None:
+            services |= {
+                (stage.service, None)
+                for stage, count in zip(
+                    call.route.stages, call.fields.piece_counts
+                )
+                if count
+            }
+        return any(
+            self._eligibility.all_evacuated(self._registered(*service))
+            for service in services
+        )
+
     def select_engine(
         self, call: calls.CallerCall
     ) -> registrations.RegisteredTarget | None:
@@ -88,7 +107,7 @@
             recommended is not None
             and not call.excluded_targets()
             and call.origin_version in (None, recommended.software_version)
-            and not recommended.draining
+            and self._eligibility.accepts(recommended)
             and self._outcomes.stats(recommended).ejected_until <= now
             and self._limits.delay_s(recommended, now) <= 0
             and self._limits.has_room(
@@ -165,16 +184,23 @@
 
     def _usable(
         self, service: str, version: str | None
+    ) -> list[registrations.RegisteredTarget]:
+        """Return the targets that accept new work; see ``_registered``."""
+        return self._eligibility.eligible(self._registered(service, version))
+
+    def _registered(
+        self, service: str, version: str | None
     ) -> Iterable[registrations.RegisteredTarget]:
-        """Return the targets that accept new work.
+        """Return the targets of a service.
 
         :param version: software version that they must have; None for any.
         """
-        return [
+        return (
             target
-            for target in self._follower.registry.usable(service)
-            if version in (None, target.software_version)
-        ]
+            for target in self._follower.registry.targets.values()
+            if target.service == service
+            and version in (None, target.software_version)
+        )
 
     def _record_prompt(
         self,
--- a/walnutport/http1/channel_pool.py
+++ b/walnutport/http1/channel_pool.py
@@ -154,11 +154,13 @@
     address: client_channel.Address,
     request: bytes,
     timeout_s: float,
+    may_send: Callable[[], bool] = lambda: True,
 ) -> messages.Response:
     """Send an idempotent request and return the complete response.
 
     Cancelling closes the channel.
 
+    :param may_send: asked directly before the request is written.
     :raises ChannelError: if no complete response arrives in time.
     """
     channel = pool.take_idle(address)
@@ -166,6 +168,9 @@
         channel = await pool.open(
             address, min(timeout_s, client_channel.CONNECT_TIMEOUT_S)
         )
+    if not may_send():
+        pool.release(channel)
+        raise exceptions.ChannelError('no longer to be sent', written=False)
     collector = ResponseCollector()
     timer = reactor.callLater(timeout_s, _abort_on_timeout, channel, collector)
     try:
--- a/walnutport/membership/registry.py
+++ b/walnutport/membership/registry.py
@@ -200,14 +200,6 @@
         """
         self.changes_end_offset = max(self.changes_end_offset, changed_end)
 
-    def usable(self, service: str) -> list[registrations.RegisteredTarget]:
-        """Return the targets of a service that accept new work."""
-        return [
-            target
-            for target in self._targets_by_id.values()
-            if target.service == service and not target.draining
-        ]
-
     def _apply_record(
         self,
         record: feeds.FeedRecord,
--- a/walnutport/routing/backpressure.py
+++ b/walnutport/routing/backpressure.py
@@ -227,12 +227,6 @@
         state = self._current_state(target)
         return -math.inf if state is None else state.held_until
 
-    def accepts_none(
-        self, target: registrations.RegisteredTarget, now: float
-    ) -> bool:
-        """Return whether a target is leaving or has asked for time."""
-        return self.is_leaving(target) or self.held_until(target) > now
-
     def take_reports(self, now: float) -> list[TargetReport]:
         """Return what has changed and peers should know."""
         reports = []
--- a/walnutport/stages/cell_targets.py
+++ b/walnutport/stages/cell_targets.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import dataclasses
 
+from walnutport.routing import eligibility
 from walnutport.stages import stage_targets
 from walnutport.world import registrations
 from walnutport.world import routes
@@ -24,9 +25,15 @@
 
 
 class CellTargets:
-    """Targets by id, each with its latest known lifetime."""
+    """Targets by id, each with its latest known lifetime.
 
-    def __init__(self) -> None:
+    :param target_eligibility: decides which targets may get new work.
+    """
+
+    def __init__(
+        self, target_eligibility: eligibility.Eligibility | None = None
+    ) -> None:
+        self._eligibility = target_eligibility or eligibility.Eligibility()
         self.by_id: dict[str, stage_targets.StageTarget] = {}
         self.rules_by_service: dict[str, routes.BatchRules] = {}
         self._listed_ids: set[str] = set()
@@ -58,17 +65,36 @@
             ):
                 known.info = info
                 known.rules = rules
-                known.usable = not info.draining
+                known.usable = True
+                self._check_eligibility(known)
                 continue
             if known is not None:
                 replaced.append(known)
-            self.by_id[info.target_id] = stage_targets.StageTarget(
-                info, rules, usable=not info.draining
-            )
+            added = stage_targets.StageTarget(info, rules)
+            self._check_eligibility(added)
+            self.by_id[info.target_id] = added
         for target_id in self.by_id.keys() - self._listed_ids:
             self.by_id[target_id].usable = False
         return replaced
 
+    def set_statement(
+        self,
+        info: registrations.RegisteredTarget,
+        min_interval_s: float,
+        held_until: float,
+        leaving: bool,
+    ) -> None:
+        """Record what a target states; see ``StageScheduler``."""
+        known = self.by_id.get(info.target_id)
+        if (
+            known is not None
+            and known.info.incarnation_key == info.incarnation_key
+        ):
+            known.min_interval_s = min_interval_s
+            known.held_until = held_until
+            known.leaving = leaving
+            self._check_eligibility(known)
+
     def remove_unused(self, holding_ids: set[str]) -> None:
         """Remove unlisted targets without running calls or held results.
 
@@ -113,6 +139,18 @@
             rules, len(usable) * rules.slots, len(usable) / total_speed
         )
 
+    def evacuated_services(self) -> set[str]:
+        """Return the services that evacuations have left without a target."""
+        return {
+            service
+            for service in self.rules_by_service
+            if self._eligibility.all_evacuated(
+                target.info
+                for target in self.by_id.values()
+                if target.info.service == service and target.usable
+            )
+        }
+
     def running_s(self, service: str, now: float) -> float:
         """Return the remaining time of all running calls of a service."""
         return sum(
@@ -139,3 +177,7 @@
             ),
             default=None,
         )
+
+    def _check_eligibility(self, target: stage_targets.StageTarget) -> None:
+        """Record whether a target may get new work, after a change."""
+        target.ineligible = self._eligibility.reason(target.info)
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -12,6 +12,7 @@
 import itertools
 
 from walnutport.admission import caller_retries
+from walnutport.routing import eligibility
 from walnutport.stages import admission
 from walnutport.stages import batching
 from walnutport.stages import cell_load
@@ -50,10 +51,14 @@
     """Schedules the jobs of one cell on its targets.
 
     Times are seconds of a monotonic clock, passed in as ``now``.
+
+    :param target_eligibility: decides which targets may get new work.
     """
 
-    def __init__(self) -> None:
-        self._targets = cell_targets.CellTargets()
+    def __init__(
+        self, target_eligibility: eligibility.Eligibility | None = None
+    ) -> None:
+        self._targets = cell_targets.CellTargets(target_eligibility)
         self._results = held_results.HeldResults(self._targets)
         self.cell_load = cell_load.CellLoad(self._targets)
         self._refused = caller_retries.RefusedRequests()
@@ -107,14 +112,17 @@
         :param held_until: end of the time for which it wants no calls.
         :param leaving: whether it is shutting down.
         """
-        known = self._targets.by_id.get(target.target_id)
-        if (
-            known is not None
-            and known.info.incarnation_key == target.incarnation_key
-        ):
-            known.min_interval_s = min_interval_s
-            known.held_until = held_until
-            known.leaving = leaving
+        self._targets.set_statement(
+            target, min_interval_s, held_until, leaving
+        )
+
+    def is_evacuated(self, spec: pieces.JobSpec) -> bool:
+        """Return whether evacuations leave no target for a stage of a job."""
+        evacuated = self._targets.evacuated_services()
+        return any(
+            count and stage.service in evacuated
+            for stage, count in zip(spec.stages, spec.piece_counts)
+        )
 
     def submit(
         self, spec: pieces.JobSpec, now: float
@@ -176,12 +184,21 @@
         return self._results.take_freed(now)
 
     def expire_jobs(self, now: float) -> None:
-        """Fail the jobs that can no longer meet their deadline."""
+        """Fail the jobs that can no longer meet their deadline.
+
+        So do jobs for which evacuations have left no target.
+        """
         if now < self._next_expiry_at:
             return
         self._next_expiry_at = now + EXPIRE_INTERVAL_S
+        evacuated = self._targets.evacuated_services()
         for job in list(self._job_by_id.values()):
-            if job.finished or now + EXPIRE_HORIZON_S < job.deadline_at:
+            if job.finished:
+                continue
+            if evacuated & job.backlog_s_by_service.keys():
+                self._fail_job(job, 'evacuated', now)
+                continue
+            if now + EXPIRE_HORIZON_S < job.deadline_at:
                 continue
             needed_s = timing.min_remaining_s(
                 job, self._targets.rules_by_service
--- a/walnutport/stages/stage_targets.py
+++ b/walnutport/stages/stage_targets.py
@@ -4,6 +4,7 @@
 import enum
 import math
 
+from walnutport.routing import eligibility
 from walnutport.stages import jobs
 from walnutport.world import registrations
 from walnutport.world import routes
@@ -61,13 +62,15 @@
     :param held_bytes: result memory that running calls and jobs occupy.
     :param slowness: measured duration of its calls divided by the expected
         one.
-    :param usable: whether it is listed, does not drain and is itself.
-    :param leaving: whether it has stated that it is shutting down.
+    :param usable: whether it is listed and is itself.
+    :param leaving: whether it has stated that it is shutting down, so that its
+        results end with it.
     :param min_interval_s: time between calls that keeps the limit that the
         target states; 0 without a limit.
     :param held_until: end of the time for which it wants no calls.
     :param next_send_at: earliest time of the next call by that limit.
     :param next_free_at: earliest time to free results by that limit.
+    :param ineligible: why it may not get new work, None if it may.
     """
 
     info: registrations.RegisteredTarget
@@ -83,11 +86,12 @@
     held_until: float = -math.inf
     next_send_at: float = 0.0
     next_free_at: float = 0.0
+    ineligible: eligibility.Reason | None = None
 
     @property
     def accepts_work(self) -> bool:
         """Whether the target can take calls now or later."""
-        return self.usable and not self.leaving
+        return self.usable and self.ineligible is None
 
     def is_free(self, now: float) -> bool:
         """Return whether the target can take a call."""
--- a/walnutport/world/feeds.py
+++ b/walnutport/world/feeds.py
@@ -40,11 +40,14 @@
 
     :param end: offset to read from next.
     :param era: era of the store; 0 if the store does not count eras.
+    :param lists_all: whether these are the newest records of all keys, which
+        need not include removed ones.
     """
 
     records: tuple[FeedRecord, ...]
     end: int
     era: int = 0
+    lists_all: bool = False
 
 
 class FeedStore(Protocol):
