--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -109,10 +109,12 @@
 
 def target_plans(
     engine_versions: tuple[str, ...] = ('v1', 'v1'),
+    data_centres: tuple[str, ...] = ('a',),
 ) -> tuple[platform_server.TargetPlan, ...]:
     """Return the plans of two targets for each service but the engines.
 
     :param engine_versions: software version of each engine.
+    :param data_centres: data centres of the targets of a service, in turn.
     """
     versions_by_service = {'llm': engine_versions}
     kind_by_service = {
@@ -128,6 +130,7 @@
             kind,
             processes.free_port(LOOPBACK_IP),
             version=version,
+            data_centre=data_centres[(number - 1) % len(data_centres)],
         )
         for service, kind in kind_by_service.items()
         for number, version in enumerate(
@@ -161,6 +164,7 @@
     :param engine_versions: software version of each engine.
     :param cut_hosts: hosts, from the first on, that reach the targets through
         proxies of their own, so that they can be cut off from them.
+    :param data_centres: data centres of the targets of a service, in turn.
     :param platform_settings: further settings of the stand-in.
     """
 
@@ -171,13 +175,15 @@
         proxied: bool = False,
         engine_versions: tuple[str, ...] = ('v1', 'v1'),
         cut_hosts: int = 0,
+        data_centres: tuple[str, ...] = ('a',),
         **platform_settings,
     ) -> None:
         super().__init__()
         self.cut_hosts = cut_hosts
         self.folder = folder
         self.store_port = processes.free_port(LOOPBACK_IP)
-        self.plans = target_plans(engine_versions)
+        self.data_centres = data_centres
+        self.plans = target_plans(engine_versions, data_centres)
         # Listening port of the proxy by target id, or ``store``.
         self.proxy_port_by_name: dict[str, int] = {}
         self._proxy_control_port = (
@@ -253,8 +259,9 @@
             store_port = self._cut_store_port
         path = self.folder / f'boot-{number}.conf'
         path.write_text(
-            f'nodeName=edge-{number}\nip={LOOPBACK_IP}\nzone=a\nzones.a=west\n'
-            f'listen.front={LOOPBACK_IP}:{self.caller_ports[-1]}\n'
+            f'nodeName=edge-{number}\nip={LOOPBACK_IP}\nzone=a\n'
+            + ''.join(f'zones.{name}=west\n' for name in self.data_centres)
+            + f'listen.front={LOOPBACK_IP}:{self.caller_ports[-1]}\n'
             f'listen.ready={LOOPBACK_IP}:{self.ready_ports[-1]}\n'
             f'portRange={peer_port},{peer_port + PEER_PORTS}\n'
             f'platform.address={LOOPBACK_IP}:{store_port}\n'
@@ -314,6 +321,38 @@
             response.status, dict(response.getheaders()), data, complete
         )
 
+    def evacuate(
+        self, data_centre: str, value: dict | list | None = None
+    ) -> None:
+        """Evacuate a data centre as the operator does.
+
+        :param value: value of the record; an empty object by default.
+        """
+        self.control_platform(
+            evacuations={data_centre: {} if value is None else value}
+        )
+
+    def withdraw_evacuation(self, data_centre: str) -> None:
+        """Withdraw the evacuation of a data centre."""
+        self.control_platform(evacuations={data_centre: None})
+
+    def runs_in(self, data_centre: str) -> int:
+        """Return the runs that the targets of a data centre have started."""
+        target_ids = {
+            plan.target_id
+            for plan in self.plans
+            if plan.data_centre == data_centre
+        }
+        return sum(run['target_id'] in target_ids for run in self.all_runs())
+
+    def set_store_mode(self, host: int, mode: str) -> None:
+        """Set how the store behaves for the hosts that can be cut off.
+
+        :param host: one of these hosts.
+        """
+        assert host < self.cut_hosts
+        self.control_platform(store_at={str(self._cut_store_port): mode})
+
     def set_proxy_faults(self, name: str, faults: fault_proxy.Faults) -> None:
         """Set the faults of the proxy before a target or ``store``."""
         self._set_faults(self.proxy_port_by_name[name], faults)
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -124,6 +124,8 @@
         # Times at which engines crashed.
         self.crashes: list[float] = []
         self.store_mode = 'ok'
+        # The same for the hosts that reach the store at a port.
+        self.store_mode_by_port: dict[int, str] = {}
         # Rises when the store returns from its copy.
         self.era = 1
         self._copy: dict[str, list[tuple[str, bytes]]] = {}
@@ -165,6 +167,17 @@
         }
         self._append('keyed.servers', plan.target_id, record)
 
+    def evacuate(self, data_centre: str, value: object) -> None:
+        """Append a record with which the operator evacuates a data centre.
+
+        :param value: None withdraws the evacuation.
+        """
+        key = f'evacuate/{data_centre}'
+        if value is None:
+            self._records['keyed.op'].append((key, b''))
+        else:
+            self._append('keyed.op', key, value)
+
     def take_copy(self) -> None:
         """Keep a copy of all records."""
         self._copy = {
@@ -250,7 +263,7 @@
             await task.deferLater(reactor, _POLL_S)
         # The store may have returned from its copy meanwhile.
         records = self._records[_query_argument(request, 'topic')]
-        request.setHeader('store-era', str(self.era))
+        self._apply_store_mode(request)
         if start > len(records):
             request.setResponseCode(410)
             return msgspec.json.encode({'first': 0})
@@ -285,6 +298,8 @@
         changes = msgspec.json.decode(request.content.read(), type=dict)
         if 'desired' in changes:
             self._append('keyed.op', 'config', changes['desired'])
+        for name, value in changes.get('evacuations', {}).items():
+            self.evacuate(name, value)
         for record in changes.get('hosts', ()):
             self._append('keyed.walnutport-hosts', record['name'], record)
         if changes.get('copy'):
@@ -293,6 +308,10 @@
             self.return_older(changes['return_older'])
         if 'store' in changes:
             self.store_mode = changes['store']
+        self.store_mode_by_port.update(
+            (int(port), mode)
+            for port, mode in changes.get('store_at', {}).items()
+        )
         self.crashing_part = changes.get('crashing_part', self.crashing_part)
         self.rejection_limit_by_service.update(changes.get('brittle', {}))
         self.crashes_unframed = changes.get(
@@ -320,15 +339,18 @@
             }
         )
 
-    def _append(self, topic: str, key: str, value: dict) -> None:
+    def _append(self, topic: str, key: str, value: object) -> None:
         self._records[topic].append((key, msgspec.json.encode(value)))
 
     def _apply_store_mode(self, request) -> None:
         request.setHeader('store-era', str(self.era))
-        if self.store_mode == 'busy':
+        mode = self.store_mode_by_port.get(
+            request.getHost().port, self.store_mode
+        )
+        if mode == 'busy':
             request.setResponseCode(503)
             raise _StoreFault
-        if self.store_mode == 'reset':
+        if mode == 'reset':
             request.transport.abortConnection()
             raise _StoreFault
 
