--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -40,10 +40,16 @@
 WORK_MS = 50.0
 # Time after the last fault within which the fleet must recover.
 RECOVERY_LIMIT_S = 4.0
+# The same after the store has returned from an older copy in a round with
+# evacuations: they are held over for 3.5 s, and end once the store, which some
+# hosts read every second, has confirmed that.
+HELD_OVER_LIMIT_S = 6.0
 # Requests to each route of each host that must succeed after the recovery, and
 # their deadline.
 FINAL_REQUESTS = 3
 FINAL_DEADLINE_S = 4.0
+# Time after which nothing may reach an evacuated data centre.
+EVACUATE_S = 5.0
 # A fault thread that has not finished by then hangs.
 THREAD_JOIN_TIMEOUT_S = 60.0
 
@@ -112,15 +118,16 @@
         random.Random(f'{seed}/versions').random() < MIXED_VERSIONS_SHARE
     )
     versions = ('v1', 'v2') if is_mixed else ('v1', 'v1')
-    has_cuts = any(
-        action.kind == 'cut' for action in soak_schedule.draw(seed, ('',), 1)
-    )
+    kinds = {action.kind for action in soak_schedule.draw(seed, ('',), 1)}
     fleet = platform_fleet.PlatformFleet(
         folder,
         HOSTS,
         proxied=True,
         engine_versions=versions,
-        cut_hosts=CUT_HOSTS if has_cuts else 0,
+        cut_hosts=CUT_HOSTS if 'cut' in kinds else 0,
+        data_centres=soak_schedule.DATA_CENTRES
+        if 'evacuate' in kinds
+        else ('a',),
         work_ms=WORK_MS,
     )
     with fleet:
@@ -129,9 +136,15 @@
         injector = _Injector(fleet)
         with soak_callers.Callers(fleet, seed, CALLERS) as callers:
             injector.inject_all(schedule)
-            time.sleep(RECOVERY_LIMIT_S)
+            time.sleep(
+                HELD_OVER_LIMIT_S
+                if {'evacuate', 'return'} <= kinds
+                else RECOVERY_LIMIT_S
+            )
         outcomes = list(callers.outcomes)
         problems = injector.problems + _final_requests(fleet, seed, outcomes)
+        if 'evacuate' in kinds:
+            problems += _final_evacuation(fleet, seed, outcomes)
         problems += soak_checks.violations(
             outcomes,
             fleet.all_runs(),
@@ -152,14 +165,37 @@
     return problems, len(outcomes)
 
 
+def _final_evacuation(
+    fleet: platform_fleet.PlatformFleet,
+    seed: int,
+    outcomes: list[soak_checks.Outcome],
+) -> list[str]:
+    """Check that hosts serve all routes without an evacuated data centre.
+
+    The targets of the other one never leave for good.
+    """
+    name = soak_schedule.DATA_CENTRES[-1]
+    fleet.evacuate(name)
+    time.sleep(EVACUATE_S)
+    before = fleet.runs_in(name)
+    problems = _final_requests(fleet, seed, outcomes, 'evacuated')
+    if fleet.runs_in(name) != before:
+        problems.append(f'requests have reached evacuated data centre {name}')
+    fleet.withdraw_evacuation(name)
+    return problems
+
+
 def _final_requests(
     fleet: platform_fleet.PlatformFleet,
     seed: int,
     outcomes: list[soak_checks.Outcome],
+    phase: str = 'final',
 ) -> list[str]:
     """Check that every host serves every route after the recovery.
 
     The outcomes of these requests are appended to ``outcomes``.
+
+    :param phase: part of the ids of the requests.
     """
     problems = []
     for host in range(HOSTS):
@@ -170,7 +206,7 @@
                     connection,
                     host,
                     route,
-                    f'{seed}-final-{host}-{route}-{number}',
+                    f'{seed}-{phase}-{host}-{route}-{number}',
                     FINAL_DEADLINE_S,
                 )
                 connection.close()
@@ -240,6 +276,8 @@
             fleet.control_platform(states={action.location: action.variant})
         elif action.kind == 'return':
             fleet.control_platform(copy=True)
+        elif action.kind == 'evacuate':
+            fleet.evacuate(action.location)
         elif action.kind == 'cut':
             for faults in soak_schedule.CUT_FAULTS[action.variant]:
                 fleet.cut_targets(faults)
@@ -270,6 +308,8 @@
             fleet.control_platform(states={action.location: 'ready'})
         elif action.kind == 'cut':
             fleet.cut_targets(fault_proxy.Faults())
+        elif action.kind == 'evacuate':
+            fleet.withdraw_evacuation(action.location)
         elif action.kind == 'return':
             fleet.control_platform(return_older=float(action.variant))
         elif action.kind == 'state':
--- a/bench/soak_schedule.py
+++ b/bench/soak_schedule.py
@@ -5,7 +5,14 @@
 
 from standins import fault_proxy
 
-__all__ = ['CUT_FAULTS', 'ROUND_S', 'STATEMENTS', 'FaultAction', 'draw']
+__all__ = [
+    'CUT_FAULTS',
+    'DATA_CENTRES',
+    'ROUND_S',
+    'STATEMENTS',
+    'FaultAction',
+    'draw',
+]
 
 # Faults begin within this time; the last ones end a few seconds later.
 ROUND_S = 9.0
@@ -30,6 +37,12 @@
 # share of these in which they are so again.
 CUT_SHARE = 0.5
 
+# Share of the rounds in which the operator evacuates data centres, and the
+# share of these in which it does so again.
+EVACUATION_SHARE = 0.5
+#: Data centres of the targets in these rounds.
+DATA_CENTRES = ('a', 'b')
+
 #: Faults between these hosts and all targets, in order, by variant.
 CUT_FAULTS = {
     'reset': (
@@ -80,9 +93,10 @@
     """A fault that is injected during a round.
 
     :param kind: ``network``, ``mode``, ``host``, ``store``, ``desired``,
-        ``leave``, ``return``, ``state`` or ``cut``. With ``return``, the store
-        takes a copy at the start and returns from it at the end. With
-        ``state``, a target states something in its responses.
+        ``leave``, ``return``, ``state``, ``cut`` or ``evacuate``. With
+        ``return``, the store takes a copy at the start and returns from it at
+        the end. With ``state``, a target states something in its responses.
+        An evacuation is withdrawn at the end.
     :param location: target id, host number or ``store``.
     :param variant: which fault of this kind.
     :param at_s: start, relative to the start of the round.
@@ -116,6 +130,7 @@
     actions += _draw_store_returns(seed)
     actions += _draw_statements(seed, target_ids)
     actions += _draw_cuts(seed)
+    actions += _draw_evacuations(seed)
     return sorted(actions, key=lambda action: action.at_s)
 
 
@@ -156,6 +171,23 @@
     return actions
 
 
+def _draw_evacuations(seed: int) -> list[FaultAction]:
+    """Return when the operator evacuates which data centres."""
+    rng = random.Random(f'{seed}/evacuations')
+    actions: list[FaultAction] = []
+    while rng.random() < EVACUATION_SHARE:
+        actions.append(
+            FaultAction(
+                'evacuate',
+                rng.choice(DATA_CENTRES),
+                'operator',
+                round(rng.uniform(0.0, ROUND_S), 2),
+                round(rng.uniform(0.1, 4.0), 2),
+            )
+        )
+    return actions
+
+
 def _draw_statements(
     seed: int, target_ids: tuple[str, ...]
 ) -> list[FaultAction]:
