--- a/tests/gateway/state/test_convergence.py
+++ b/tests/gateway/state/test_convergence.py
@@ -12,6 +12,7 @@
 from tests.gateway.state import test_store_era
 from walnutport import exceptions
 from walnutport.gateway.state import feed_follower
+from walnutport.peer import capabilities
 from walnutport.peer import fleet_messages
 from walnutport.world import feeds
 
@@ -79,6 +80,8 @@
                 'end_target',
                 'drain_target',
                 'desired',
+                'evacuate',
+                'withdraw',
             )
         ),
         st.integers(0, 3),
@@ -123,7 +126,13 @@
     def __init__(self, name: str) -> None:
         super().__init__()
         self.own_record = fleet_messages.HostRecord(
-            name, 'i', '10.0.0.1', 1, 'x', 1.0
+            name,
+            'i',
+            '10.0.0.1',
+            1,
+            'x',
+            1.0,
+            capabilities=capabilities.OWN_CAPABILITIES,
         )
 
 
@@ -147,6 +156,8 @@
         self._last_sequence_by_target: dict[str, int] = {}
         self.draining: set[str] = set()
         self.version = 1
+        # Latest request of the operator by data centre.
+        self.evacuations: dict[str, bool] = {}
         self._steps = 0
         self._renew_at = 0.0
         self.follower_by_name: dict[str, feed_follower.FeedFollower] = {}
@@ -181,11 +192,27 @@
         follower.start()
 
     def write_desired(self) -> None:
-        """Write the newest desired state, unless the store is down."""
+        """Write all records of the operator, unless the store is down."""
         if not self.is_down:
             self.store.write(
                 feeds.Feed.DESIRED, 'config', b'%d' % self.version
             )
+            for name in self.evacuations:
+                self._write_evacuation(name)
+
+    def evacuate(self, number: int, is_evacuated: bool) -> None:
+        """Evacuate a data centre or withdraw that."""
+        name = evacuation_builders.DATA_CENTRES[number % 3]
+        if not self.is_down:
+            self.evacuations[name] = is_evacuated
+            self._write_evacuation(name)
+
+    def _write_evacuation(self, name: str) -> None:
+        self.store.write(
+            feeds.Feed.DESIRED,
+            f'evacuate/{name}',
+            b'{}' if self.evacuations[name] else None,
+        )
 
     def start_target(self, number: int) -> None:
         """Start a target, unless it runs."""
@@ -268,6 +295,7 @@
                 min(999.0, follower.store_age_s()),
                 True,
                 False,
+                evacuations_end=follower.evacuations.state.end,
             )
             for other in HOSTS:
                 if other == name:
@@ -320,6 +348,8 @@
     elif kind == 'drain_target':
         if f't{number}' in fleet.sequence_by_target:
             fleet.draining.add(f't{number}')
+    elif kind in ('evacuate', 'withdraw'):
+        fleet.evacuate(number, kind == 'evacuate')
     elif kind == 'desired' and not fleet.is_down:
         fleet.version += 1
         fleet.write_desired()
@@ -341,6 +371,11 @@
             } == fleet.draining, name
             assert follower.desired_version == fleet.version, name
             assert follower.era == fleet.store_era, name
+            assert set(follower.evacuations.state.names) == {
+                data_centre
+                for data_centre, is_evacuated in fleet.evacuations.items()
+                if is_evacuated
+            }, name
 
 
 @pytest.mark.parametrize('name', SEQUENCES)
