--- a/tests/membership/test_ranking.py
+++ b/tests/membership/test_ranking.py
@@ -65,3 +65,18 @@
         remaining = dict(data_centre_by_name)
         del remaining[name]
         assert ranking.origin_keepers(0, remaining) == before
+
+
+def test_cells_share_the_targets_that_evacuations_leave():
+    """Guards against a cell without a target while others have some."""
+    ids = [f't{number}' for number in range(6)]
+    evacuated = {'t0', 't1', 't2', 't3', 'of another service'}
+    chosen = [
+        ranking.cell_targets_left(ids, evacuated, cell, 3) for cell in range(3)
+    ]
+    assert all(found & {'t4', 't5'} for found in chosen)
+    assert set().union(*chosen) == set(ids)
+    for cell in range(3):
+        assert ranking.cell_targets_left(
+            ids, set(), cell, 3
+        ) == ranking.cell_targets(ids, cell, 3)
--- a/walnutport/stages/cell_targets.py
+++ b/walnutport/stages/cell_targets.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from walnutport.routing import eligibility
+from walnutport.stages import pieces
 from walnutport.stages import stage_targets
 from walnutport.world import registrations
 from walnutport.world import routes
@@ -151,6 +152,14 @@
             )
         }
 
+    def is_evacuated(self, spec: pieces.JobSpec) -> bool:
+        """Return whether evacuations leave no target for a stage of a job."""
+        evacuated = self.evacuated_services()
+        return any(
+            count and stage.service in evacuated
+            for stage, count in zip(spec.stages, spec.piece_counts)
+        )
+
     def running_s(self, service: str, now: float) -> float:
         """Return the remaining time of all running calls of a service."""
         return sum(
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -18,6 +18,7 @@
 from walnutport.stages import cell_load
 from walnutport.stages import cell_targets
 from walnutport.stages import held_results
+from walnutport.stages import job_expiry
 from walnutport.stages import jobs
 from walnutport.stages import pieces
 from walnutport.stages import stage_targets
@@ -35,10 +36,8 @@
 MAX_JOB_FAILURES = 6
 # Network round trip to a target and processing time of the host.
 CALL_OVERHEAD_S = 0.01
-# Interval at which jobs close to their deadline are checked, and the time
-# before the deadline at which the checks begin.
+# Interval at which jobs are checked that may have to be given up.
 EXPIRE_INTERVAL_S = 0.1
-EXPIRE_HORIZON_S = 3.0
 # A caller whose job failed may retry after this fraction of the time left to
 # its deadline, which leaves time for another attempt.
 RETRY_AFTER_RATIO = 1 / 3
@@ -118,11 +117,7 @@
 
     def is_evacuated(self, spec: pieces.JobSpec) -> bool:
         """Return whether evacuations leave no target for a stage of a job."""
-        evacuated = self._targets.evacuated_services()
-        return any(
-            count and stage.service in evacuated
-            for stage, count in zip(spec.stages, spec.piece_counts)
-        )
+        return self._targets.is_evacuated(spec)
 
     def submit(
         self, spec: pieces.JobSpec, now: float
@@ -184,27 +179,17 @@
         return self._results.take_freed(now)
 
     def expire_jobs(self, now: float) -> None:
-        """Fail the jobs that can no longer meet their deadline.
-
-        So do jobs for which evacuations have left no target.
-        """
+        """Fail the jobs that can no longer be done; see ``job_expiry``."""
         if now < self._next_expiry_at:
             return
         self._next_expiry_at = now + EXPIRE_INTERVAL_S
         evacuated = self._targets.evacuated_services()
         for job in list(self._job_by_id.values()):
-            if job.finished:
-                continue
-            if evacuated & job.backlog_s_by_service.keys():
-                self._fail_job(job, 'evacuated', now)
-                continue
-            if now + EXPIRE_HORIZON_S < job.deadline_at:
-                continue
-            needed_s = timing.min_remaining_s(
-                job, self._targets.rules_by_service
+            reason = job_expiry.expiry_reason(
+                job, self._targets.rules_by_service, evacuated, now
             )
-            if now + needed_s > job.deadline_at:
-                self._fail_job(job, 'deadline', now)
+            if reason:
+                self._fail_job(job, reason, now)
 
     def next_calls(self, now: float) -> list[pieces.BatchCall]:
         """Return the calls to start now."""
