--- a/tests/integration/test_fleet_soak.py
+++ b/tests/integration/test_fleet_soak.py
@@ -13,7 +13,9 @@
 # returns of the store, as its peer had told it changes only. In seed 403, two
 # hosts are cut off from all targets. Seed 437 has failed: a host that was cut
 # off took the targets for crashed, and the content of a request was refused.
-SEEDS = (11, 13, 213, 300, 328, 403, 437)
+# In seed 529, both data centres are evacuated while the store returns from
+# older copies and hosts are cut off from all targets.
+SEEDS = (11, 13, 213, 300, 328, 403, 437, 529)
 
 
 @pytest.mark.parametrize('seed', SEEDS)
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -139,9 +139,12 @@
             ),
             self._state_changed,
         )
+        self._backpressure = backpressure.TargetBackpressure(
+            settings.name, self._mesh.live_names
+        )
         self._eligibility = eligibility.Eligibility(
             lambda target_id: self._follower.registry.targets.get(target_id),
-            lambda target: self._reports.is_leaving(target),
+            self._backpressure.is_leaving,
             self._evacuations.state.known_since,
         )
         self._suspects = suspect_exchange.SuspectExchange(
@@ -166,9 +169,6 @@
             self._evacuations,
             settings.is_first_start,
         )
-        self._backpressure = backpressure.TargetBackpressure(
-            settings.name, self._mesh.live_names
-        )
         self._reports = target_reports.TargetReports(
             self.log,
             self._mesh,
--- a/walnutport/routing/backpressure.py
+++ b/walnutport/routing/backpressure.py
@@ -269,7 +269,11 @@
 
     def is_leaving(self, target: registrations.RegisteredTarget) -> bool:
         """Return whether a target has stated that it is leaving."""
-        return target.incarnation_key in self._leaving_until
+        # Mostly none is, and this is asked for each target of a selection.
+        return (
+            bool(self._leaving_until)
+            and target.incarnation_key in self._leaving_until
+        )
 
     def rate_limit(
         self, target: registrations.RegisteredTarget
--- a/walnutport/routing/eligibility.py
+++ b/walnutport/routing/eligibility.py
@@ -54,13 +54,9 @@
     def reason(self, target: registrations.RegisteredTarget) -> Reason | None:
         """Return why a target may not get new work, None if it may."""
         current = self._find_target(target.target_id)
-        if target.draining or (current is not None and current.draining):
+        if current is not None and current.draining:
             return Reason.DRAINING
-        if self._is_leaving(target):
-            return Reason.LEAVING
-        if target.data_centre in self._evacuated:
-            return Reason.EVACUATED
-        return None
+        return self._reason_by_entry(target)
 
     def accepts(self, target: registrations.RegisteredTarget) -> bool:
         """Return whether a target may get new work."""
@@ -77,22 +73,41 @@
     def eligible(
         self, targets: Iterable[registrations.RegisteredTarget]
     ) -> list[registrations.RegisteredTarget]:
-        """Return the targets that may get new work."""
-        return [target for target in targets if self.accepts(target)]
+        """Return the targets that may get new work.
+
+        A selection takes at most 40 us for 100 targets, of which this may take
+        a part only, so that nothing is looked up.
+
+        :param targets: current entries of the targets.
+        """
+        reason = self._reason_by_entry
+        return [target for target in targets if reason(target) is None]
 
     def all_evacuated(
         self, targets: Iterable[registrations.RegisteredTarget]
     ) -> bool:
         """Return whether no target is left, and evacuations have taken some.
 
-        :param targets: the targets that could serve a request.
+        :param targets: current entries of those that could serve a request.
         """
         if not self._evacuated:
             return False
         has_evacuated = False
         for target in targets:
-            reason = self.reason(target)
+            reason = self._reason_by_entry(target)
             if reason is None:
                 return False
             has_evacuated |= reason is Reason.EVACUATED
         return has_evacuated
+
+    def _reason_by_entry(
+        self, target: registrations.RegisteredTarget
+    ) -> Reason | None:
+        """Return the reason for a target whose entry is the current one."""
+        if target.draining:
+            return Reason.DRAINING
+        if self._is_leaving(target):
+            return Reason.LEAVING
+        if target.data_centre in self._evacuated:
+            return Reason.EVACUATED
+        return None
