--- a/tests/integration/test_evacuations.py
+++ b/tests/integration/test_evacuations.py
@@ -1,6 +1,7 @@
 """Entry hosts whose operator evacuates data centres."""
 
 import concurrent.futures
+import contextlib
 import signal
 import threading
 import time
@@ -9,6 +10,7 @@
 
 from standins import platform_fleet
 from standins import processes
+from tests.integration import test_stream_versions
 
 DATA_CENTRES = ('a', 'b')
 HOSTS = 3
@@ -259,3 +261,55 @@
         fleet.withdraw_evacuation('b')
         for host in range(HOSTS):
             fleet.wait_for_event('evacuation_ended', host)
+
+
+def test_streams_of_a_version_that_is_evacuated(tmp_path):
+    """Guards against events of two versions, and against an exception.
+
+    One version runs in the evacuated data centre only. Streams that run there
+    go on, but none may be taken up there.
+    """
+    with test_stream_versions.versioned_fleet(
+        tmp_path,
+        hosts=2,
+        versions=('v1', 'v2'),
+        data_centres=DATA_CENTRES,
+        event_ms=100.0,
+    ) as fleet:
+        with contextlib.ExitStack() as connections:
+            running = {
+                f'begun-{number}': connections.enter_context(
+                    test_stream_versions.begin_stream(fleet, f'begun-{number}')
+                )
+                for number in range(4)
+            }
+            versions = {
+                request_id: test_stream_versions.versions_of_request(
+                    fleet, request_id
+                )
+                for request_id in running
+            }
+            assert sorted(versions.values()) == [['v1']] * 2 + [['v2']] * 2
+            fleet.evacuate('b')
+            wait_until_evacuated(fleet)
+            before = fleet.runs_in('b')
+            for request_id, (version,) in versions.items():
+                answer = test_stream_versions.continue_stream(
+                    fleet, request_id
+                )
+                assert answer.status == (200 if version == 'v1' else 503)
+                if version == 'v2':
+                    fleet.wait_for_event(
+                        'refused',
+                        1,
+                        id=f'again-{request_id}',
+                        reason='evacuated',
+                    )
+            for connection in running.values():
+                connection.settimeout(platform_fleet.TIMEOUT_S)
+                data = b''
+                while b'id: 20\n' not in data:
+                    received = connection.recv(4096)
+                    assert received, 'a running stream was cut'
+                    data += received
+            assert fleet.runs_in('b') == before
--- a/tests/integration/test_stream_versions.py
+++ b/tests/integration/test_stream_versions.py
@@ -26,12 +26,12 @@
     folder, hosts: int = 3, versions: tuple[str, ...] = VERSIONS, **settings
 ) -> platform_fleet.PlatformFleet:
     """Return a fleet with long streams, which is not started."""
+    settings.setdefault('event_ms', EVENT_MS)
     return platform_fleet.PlatformFleet(
         folder,
         hosts,
         engine_versions=versions,
         events=EVENTS,
-        event_ms=EVENT_MS,
         **settings,
     )
 
