--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -12,11 +12,13 @@
 import itertools
 
 from walnutport.admission import caller_retries
+from walnutport.routing import eligibility
 from walnutport.stages import admission
 from walnutport.stages import batching
 from walnutport.stages import cell_load
 from walnutport.stages import cell_targets
 from walnutport.stages import held_results
+from walnutport.stages import job_expiry
 from walnutport.stages import jobs
 from walnutport.stages import pieces
 from walnutport.stages import stage_targets
@@ -34,10 +36,8 @@
 MAX_JOB_FAILURES = 6
 # Network round trip to a target and processing time of the host.
 CALL_OVERHEAD_S = 0.01
-# Interval at which jobs close to their deadline are checked, and the time
-# before the deadline at which the checks begin.
+# Interval at which jobs are checked that may have to be given up.
 EXPIRE_INTERVAL_S = 0.1
-EXPIRE_HORIZON_S = 3.0
 # A caller whose job failed may retry after this fraction of the time left to
 # its deadline, which leaves time for another attempt.
 RETRY_AFTER_RATIO = 1 / 3
@@ -50,10 +50,14 @@
     """Schedules the jobs of one cell on its targets.
 
     Times are seconds of a monotonic clock, passed in as ``now``.
+
+    :param target_eligibility: decides which targets may get new work.
     """
 
-    def __init__(self) -> None:
-        self._targets = cell_targets.CellTargets()
+    def __init__(
+        self, target_eligibility: eligibility.Eligibility | None = None
+    ) -> None:
+        self._targets = cell_targets.CellTargets(target_eligibility)
         self._results = held_results.HeldResults(self._targets)
         self.cell_load = cell_load.CellLoad(self._targets)
         self._refused = caller_retries.RefusedRequests()
@@ -107,14 +111,13 @@
         :param held_until: end of the time for which it wants no calls.
         :param leaving: whether it is shutting down.
         """
-        known = self._targets.by_id.get(target.target_id)
-        if (
-            known is not None
-            and known.info.incarnation_key == target.incarnation_key
-        ):
-            known.min_interval_s = min_interval_s
-            known.held_until = held_until
-            known.leaving = leaving
+        self._targets.set_statement(
+            target, min_interval_s, held_until, leaving
+        )
+
+    def is_evacuated(self, spec: pieces.JobSpec) -> bool:
+        """Return whether evacuations leave no target for a stage of a job."""
+        return self._targets.is_evacuated(spec)
 
     def submit(
         self, spec: pieces.JobSpec, now: float
@@ -176,18 +179,17 @@
         return self._results.take_freed(now)
 
     def expire_jobs(self, now: float) -> None:
-        """Fail the jobs that can no longer meet their deadline."""
+        """Fail the jobs that can no longer be done; see ``job_expiry``."""
         if now < self._next_expiry_at:
             return
         self._next_expiry_at = now + EXPIRE_INTERVAL_S
+        evacuated = self._targets.evacuated_services()
         for job in list(self._job_by_id.values()):
-            if job.finished or now + EXPIRE_HORIZON_S < job.deadline_at:
-                continue
-            needed_s = timing.min_remaining_s(
-                job, self._targets.rules_by_service
+            reason = job_expiry.expiry_reason(
+                job, self._targets.rules_by_service, evacuated, now
             )
-            if now + needed_s > job.deadline_at:
-                self._fail_job(job, 'deadline', now)
+            if reason:
+                self._fail_job(job, reason, now)
 
     def next_calls(self, now: float) -> list[pieces.BatchCall]:
         """Return the calls to start now."""
