Accept evacuations that a peer told first in a test

The first host that reads an evacuation tells its peers, which may be quicker than their own reads.

Change: one of the hosts has to know it from the store, instead of host 0.

--- a/tests/integration/test_evacuations.py
+++ b/tests/integration/test_evacuations.py
@@ -126,8 +126,11 @@
             time.sleep(LOAD_S)
             assert fleet.runs_in('b') > before
         assert {answer.status for answer in load.answers} == {200}
-        line = fleet.wait_for_event('evacuation_started')
-        assert line['source'] == 'store'
+        # A host whose read is late learns of it from the first one.
+        assert 'store' in {
+            fleet.wait_for_event('evacuation_started', host)['source']
+            for host in range(HOSTS)
+        }
 
 
 def test_host_without_the_store_learns_from_its_peers(tmp_path):
