Tell peers what is held over when the store returns from a copy

A host that had not heard of an evacuation when the store lost it would have sent work there until the operator had written it again.

--- a/tests/gateway/state/test_evacuation_feed.py
+++ b/tests/gateway/state/test_evacuation_feed.py
@@ -159,7 +159,10 @@
     written it again while the host stood still.
     """
     fixture.read(('b', b'{}', 4))
+    fixture.mesh.sent.clear()
     fixture.feed.enter_era(2)
+    ((_, update),) = fixture.mesh.sent
+    assert update.records == (evacuations.EvacuationRecord('b', True, -1),)
     fixture.now += 30.0
     fixture.feed.expire()
     fixture.hear(5, era=2)
--- a/walnutport/gateway/state/evacuation_feed.py
+++ b/walnutport/gateway/state/evacuation_feed.py
@@ -53,8 +53,15 @@
         self._next_update_at: dict[str, float] = {}
 
     def enter_era(self, era: int) -> None:
-        """Follow the store into a new era, after it returned from a copy."""
-        self.state.enter_era(era, time.monotonic())
+        """Follow the store into a new era, after it returned from a copy.
+
+        Peers that had not heard of an evacuation when the store lost it are
+        told what is held over.
+        """
+        now = time.monotonic()
+        self.state.enter_era(era, now)
+        if self.state.has_records:
+            self._mesh.broadcast(self._create_update(now))
 
     def apply_page(self, page: feeds.FeedPage) -> None:
         """Apply the records of evacuations of a page from the store."""
