Decode the cold times and limits of targets

Services have coldS and coldPerS, the settings bounds.coldOver and bounds.coldSlack, entries coldMs, and answers Walnutport-Cold-Ms. An invalid time counts as not cold, so that the target stays in use. The header is not forwarded to callers. SendPermitRequest says how long the sender can wait, so that the issuer keeps places only for hosts that return.

--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -19,6 +19,7 @@
     r"""['"](
         latencyTargetMs|pathPrefix|maxAttempts|timeoutMs|apiKeys|itemMs|callMs
         |headroomMb|handleS|kvTokens|maxConns|nodeName|portRange|heartbeatMs
+        |coldS|coldPerS|coldMs|bounds\.cold(Over|Slack)
         |listen\.\w+|platform\.address|zones\.\w*|retryBudgetRatio
     )['"]""",
     re.VERBOSE,
--- a/walnutport/config/entry_settings.py
+++ b/walnutport/config/entry_settings.py
@@ -16,6 +16,9 @@
     :param retry_ratio: retries allowed per request to a service.
     :param retry_slack: additional retries allowed, over all hosts together.
     :param retry_window_s: sliding window over which retries are counted.
+    :param cold_ratio: part of the requests that a cold target sustains in a
+        second which it may receive, from all hosts together.
+    :param cold_slack: additional requests that it may receive in a second.
     """
 
     drain_s: float = 2.0
@@ -23,6 +26,8 @@
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
+    cold_ratio: float = 1.5
+    cold_slack: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -251,11 +251,14 @@
     """Asks the issuer for a permit to send one request to a cold target.
 
     :param number: identifies the request among those of the sender.
+    :param wait_s: how long the sender can wait for a permit, so that the
+        issuer keeps a place for it.
     """
 
     target_id: str
     incarnation: int
     number: int
+    wait_s: float = 0.0
 
 
 class SendPermitReply(msgspec.Struct, frozen=True, tag='permit'):
--- a/walnutport/platform/documents.py
+++ b/walnutport/platform/documents.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from walnutport import exceptions
+from walnutport.platform import wire
 from walnutport.world import registrations
 from walnutport.world import routes
 
@@ -17,6 +18,8 @@
 }
 _DRAINING_BY_STATE = {'ready': False, 'draining': True}
 _DEFAULT_EVENT_GAP_MS = 1000
+# Characters of an invalid value that are quoted in the log.
+MAX_QUOTED_CHARACTERS = 40
 # Callers leave a stream after the longest of these times without an event.
 _MIN_EVENT_PATIENCE_MS = 2000
 _EVENT_PATIENCE_LATENCY_TARGETS = 4
@@ -71,6 +74,8 @@
     max_conns: int = 100
     pieces: _Pieces | None = None
     engine: _Engine | None = None
+    cold_s: float = 0
+    cold_per_s: float = 0
 
 
 class _Limits(msgspec.Struct, rename='camel'):
@@ -100,7 +105,8 @@
     zone: str
     state: str
     slots: int = 1
-    cold_ms: float = 0
+    # Remaining time for which it is slow; missing if it does not say.
+    cold_ms: Any = None
     # Start of the target process, in Unix milliseconds.
     born: Any = 0
     # Count of the entries that this run of the target has written.
@@ -177,6 +183,7 @@
             f'target {key}: invalid number of slots {entry.slots}; '
             'expected at least 1'
         )
+    cold_s, cold_problem = _decode_cold_s(entry.cold_ms)
     return registrations.RegisteredTarget(
         target_id=key,
         incarnation=entry.born,
@@ -185,12 +192,26 @@
         data_centre=entry.zone,
         slots=entry.slots,
         draining=_DRAINING_BY_STATE[entry.state],
-        warmup_s=entry.cold_ms / 1000,
+        warmup_s=cold_s,
         sequence=entry.sequence,
         software_version=_decode_version(key, entry),
+        warmup_problem=cold_problem,
     )
 
 
+def _decode_cold_s(value: Any) -> tuple[float | None, str]:
+    """Return the remaining cold time, and a problem with it.
+
+    An invalid value counts as not cold: the target serves all the same.
+    """
+    if value is None:
+        return None, ''
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if is_number and 0 <= value <= wire.MAX_COLD_MS:
+        return value / 1000, ''
+    return 0.0, f'coldMs: {str(value)[:MAX_QUOTED_CHARACTERS]!r}'
+
+
 def _decode_version(key: str, entry: _Target) -> str:
     """Return the software version of a target.
 
@@ -250,4 +271,11 @@
         engine = routes.EngineRules(
             service.engine.slots, service.engine.kv_tokens
         )
-    return routes.Service(service.name, service.max_conns, batch, engine)
+    return routes.Service(
+        service.name,
+        service.max_conns,
+        batch,
+        engine,
+        max(0.0, service.cold_s),
+        max(0.0, service.cold_per_s),
+    )
--- a/walnutport/platform/headers.py
+++ b/walnutport/platform/headers.py
@@ -41,6 +41,7 @@
         wire.RATE_LIMIT,
         wire.LEAVING,
         wire.BRITTLE,
+        wire.COLD_MS,
     )
 )
 # Headers that the system evaluates must not be repeated, as a target could
@@ -143,6 +144,12 @@
         retry_after_s = _parse_decimal(
             head, wire.RETRY_AFTER, MAX_RETRY_AFTER_S, problems
         )
+    cold_problems: list[str] = []
+    cold_ms = _parse_decimal(
+        head, wire.COLD_MS, wire.MAX_COLD_MS, cold_problems
+    )
+    if cold_problems:
+        cold_ms = 0.0
     return requests.ResponseFields(
         request_id=request_id.decode('latin-1'),
         sealed=bool(head.header(wire.SEAL)),
@@ -155,6 +162,8 @@
         leaving=_parse_flag(head, wire.LEAVING, problems),
         retry_after_s=retry_after_s,
         problems=tuple(problems),
+        cold_s=None if cold_ms is None else cold_ms / 1000,
+        cold_problem=''.join(cold_problems),
     )
 
 
--- a/walnutport/platform/settings.py
+++ b/walnutport/platform/settings.py
@@ -53,6 +53,8 @@
         retry_window_s=lines.number(
             'bounds.budgetWindowS', defaults.retry_window_s
         ),
+        cold_ratio=lines.number('bounds.coldOver', defaults.cold_ratio),
+        cold_slack=lines.number('bounds.coldSlack', defaults.cold_slack),
     )
     first_port, last_port = lines.port_range('portRange')
     data_centres = tuple(
--- a/walnutport/platform/wire.py
+++ b/walnutport/platform/wire.py
@@ -45,6 +45,10 @@
 LEAVING = b'server-leaving'
 # Requests a second that a target can turn away without falling over.
 BRITTLE = b'server-brittle'
+# Milliseconds for which a target stays cold.
+COLD_MS = b'walnutport-cold-ms'
+# A longer cold time is taken for a fault of the target.
+MAX_COLD_MS = 600_000
 RETRY_AFTER = b'retry-after'
 STORE_ERA = b'store-era'
 
--- a/walnutport/world/registrations.py
+++ b/walnutport/world/registrations.py
@@ -16,12 +16,15 @@
     :param address: IP address and port.
     :param draining: whether it is shutting down and accepts no new work.
     :param slots: requests that it can run at the same time.
-    :param warmup_s: seconds after its start during which it is slow.
+    :param warmup_s: seconds for which it stayed cold when it wrote the entry;
+        None if it does not say.
     :param sequence: count of the entries that this run has written, so that
         of two entries the later one is known.
     :param software_version: version of the software of this run, which has no
         order; what two versions write does not fit together. Empty if the
         target does not publish it.
+    :param warmup_problem: description of an invalid cold time, which counts as
+        none; empty if it is valid.
     """
 
     target_id: str
@@ -31,9 +34,10 @@
     data_centre: str
     slots: int
     draining: bool
-    warmup_s: float
+    warmup_s: float | None
     sequence: int = 0
     software_version: str = ''
+    warmup_problem: str = ''
 
     @property
     def incarnation_key(self) -> tuple[str, int, tuple[str, int]]:
--- a/walnutport/world/requests.py
+++ b/walnutport/world/requests.py
@@ -77,6 +77,9 @@
     :param retry_after_s: how long the target wants no requests of this host,
         after it has turned one away; None if it does not say.
     :param problems: descriptions of values that are invalid and ignored.
+    :param cold_s: how long the target stays cold; None if it does not say.
+    :param cold_problem: description of an invalid cold time, which counts as
+        none; empty if it is valid.
     """
 
     request_id: str
@@ -88,3 +91,5 @@
     leaving: bool = False
     retry_after_s: float | None = None
     problems: tuple[str, ...] = ()
+    cold_s: float | None = None
+    cold_problem: str = ''
--- a/walnutport/world/routes.py
+++ b/walnutport/world/routes.py
@@ -123,12 +123,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """Service whose targets run requests or stages."""
+    """Service whose targets run requests or stages.
+
+    :param cold_s: time for which a target is cold after a start.
+    :param cold_per_s: requests a second that a cold target sustains; 0 if
+        there is no such limit.
+    """
 
     name: str
     max_channels: int
     batch: BatchRules | None = None
     engine: EngineRules | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
