--- a/walnutport/membership/registry.py
+++ b/walnutport/membership/registry.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from walnutport import exceptions
+from walnutport.routing import cold_targets
 from walnutport.world import feeds
 from walnutport.world import registrations
 
@@ -16,7 +17,7 @@
 ]
 
 #: Kinds of change of a target.
-CHANGE_KINDS = ('added', 'draining', 'ready', 'restarted', 'gone')
+CHANGE_KINDS = ('added', 'draining', 'ready', 'restarted', 'gone', 'cold_time')
 
 # After an outage of the store, live targets restore their lapsed entries
 # within about two seconds, according to the users.
@@ -70,6 +71,11 @@
         self._removed_by_id: dict[str, _RemovedTarget] = {}
         self._lapsed_until_by_id: dict[str, float] = {}
         self._grace_until = 0.0
+        # Ends of the cold times that other hosts were told, by target.
+        self._cold_until_by_id: dict[str, float] = {}
+        #: Services whose cold targets are limited; for the others, a change of
+        #: the cold time is none.
+        self.limited_services: frozenset[str] = frozenset()
         self._changed_at_by_key: dict[str, int] = {}
         # Earliest entry of each known target that is valid in this era.
         self._first_valid_by_id: dict[str, tuple[int, int]] = {}
@@ -250,12 +256,37 @@
         self._targets_by_id[record.key] = target
         self._removed_by_id.pop(record.key, None)
         change = _change_kind(before, target)
+        if target.service in self.limited_services and (
+            self._cold_time_changes(target, bool(change), now)
+        ):
+            change = change or 'cold_time'
         # Hosts that are told changes only wait for a lapsed entry as well.
         if change or has_lapsed or record.key not in self._changed_at_by_key:
             self._mark_changed(record)
         if change:
             changes.append(RegistryChange(record.key, change, record.offset))
 
+    def _cold_time_changes(
+        self,
+        target: registrations.RegisteredTarget,
+        is_told: bool,
+        now: float,
+    ) -> bool:
+        """Return whether hosts have to be told the cold time of an entry.
+
+        :param is_told: whether they are told the entry anyway.
+        """
+        until = self._cold_until_by_id.get(target.target_id)
+        if not is_told and not cold_targets.differs_from_known(
+            until, target.warmup_s, now
+        ):
+            return False
+        if target.warmup_s:
+            self._cold_until_by_id[target.target_id] = now + target.warmup_s
+        else:
+            self._cold_until_by_id.pop(target.target_id, None)
+        return True
+
     def _is_superseded(self, target: registrations.RegisteredTarget) -> bool:
         """Return whether a later entry of the target was seen before."""
         first_valid = self._first_valid_by_id.get(target.target_id)
@@ -282,6 +313,7 @@
         target = self._targets_by_id.pop(target_id, None)
         if target is not None:
             # Popped first, so that the targets are in the order of removal.
+            self._cold_until_by_id.pop(target_id, None)
             self._removed_by_id.pop(target_id, None)
             self._removed_by_id[target_id] = _RemovedTarget(
                 (target.incarnation, target.sequence + 1), now
