Ask for a permit before each send to a cold target

A cold target crashes if the hosts together exceed its rate. Forwarder asks PermitExchange before each send to one, and AttemptSender checks the permit directly before the bytes are written. Requests go to other targets without one; if all are cold, they wait within their aim or are refused with the reason targets_cold. The owner of a cell spaces the calls to a cold stage target.

--- a/tests/gateway/targets/test_target_reports.py
+++ b/tests/gateway/targets/test_target_reports.py
@@ -4,6 +4,7 @@
 
 from tests.gateway.state import test_feed_follower
 from tests.routing import test_backpressure
+from walnutport.gateway.targets import cold_watch
 from walnutport.gateway.targets import target_reports
 from walnutport.peer import fleet_messages
 from walnutport.routing import backpressure
@@ -37,6 +38,7 @@
             FakePool(),
             self.backpressure,
             lambda target_id: self.targets.get(target_id),
+            cold_watch.ColdWatch(test_feed_follower.FakeLog()),
         )
 
     def receive(self, *reports: backpressure.TargetReport) -> None:
--- a/walnutport/cli/explain.py
+++ b/walnutport/cli/explain.py
@@ -31,6 +31,10 @@
     'targets_held_back': (
         'refused: all its targets asked for time or state limits used up'
     ),
+    'targets_cold': (
+        'refused: only targets that are cold were left, and no permit to send '
+        'to one was due within its aim'
+    ),
     'origin_unknown': (
         'refused: no host knows which software version began its stream'
     ),
--- a/walnutport/gateway/entry/calls.py
+++ b/walnutport/gateway/entry/calls.py
@@ -7,6 +7,7 @@
 from walnutport.http1 import server
 from walnutport.platform import headers
 from walnutport.routing import stream_origins
+from walnutport.world import registrations
 from walnutport.world import requests
 from walnutport.world import routes
 
@@ -45,6 +46,10 @@
     :param last_attempt_at: when the last attempt began, 0 before the first.
     :param relayed_by: name of the peer that relays the request of its caller;
         empty for the callers of this host.
+    :param waits_for_permit: whether only cold targets are left, so that the
+        request waits for a permit while its aim allows.
+    :param cold_denied: targets, by id, that are cold and for which the request
+        got no permit.
     :param origin: where the stream began, None before its first event. Only
         targets of that service and version may go on with it.
     """
@@ -76,6 +81,10 @@
     probed_parts: tuple[str, ...] = ()
     last_attempt_at: float = 0.0
     relayed_by: str = ''
+    waits_for_permit: bool = False
+    cold_denied: dict[str, registrations.RegisteredTarget] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def request_id(self) -> str:
@@ -107,6 +116,20 @@
         self.aim_at += self.spent_s - spent_s
         self.spent_s = spent_s
 
+    def permit_wait_s(self) -> float:
+        """Return how long the request can wait for a permit.
+
+        A stream that has begun cannot be refused, and waits until its caller
+        would leave.
+        """
+        if not self.waits_for_permit:
+            return 0.0
+        now = time.monotonic()
+        until = self.aim_at
+        if self.request.head_sent:
+            until = now + self.route.event_patience_s
+        return max(0.0, min(until, self.deadline_at) - now)
+
     def time_left_s(self) -> float:
         """Return the time until the deadline."""
         return self.deadline_at - time.monotonic()
--- a/walnutport/gateway/entry/request_handler.py
+++ b/walnutport/gateway/entry/request_handler.py
@@ -163,7 +163,10 @@
             target = self._selector.select_target(call)
             if target is None:
                 break
-            result = await self._forwarder.attempt(call, target)
+            attempt = await self._forwarder.attempt(call, target)
+            if attempt.status is attempts.AttemptStatus.NO_PERMIT:
+                continue
+            result = attempt
             if result.is_final or not self._forwarder.try_acquire_retry(
                 call, result
             ):
@@ -180,6 +183,10 @@
             self._refuse_by_targets(call, delay_s)
             return
         now = time.monotonic()
+        delay_s = self._selector.permit_delay_s(call)
+        if delay_s > max(0.0, call.aim_at - now):
+            self._refuse_cold(call, delay_s)
+            return
         spec = pieces.JobSpec(
             job_id=self._stages.new_job_id(),
             request_id=call.request_id,
@@ -254,9 +261,12 @@
                 on_inputs_read,
             )
 
-            result = await self._forwarder.attempt(
+            attempt = await self._forwarder.attempt(
                 call, target, relay, on_first_event, resume_after
             )
+            if attempt.status is attempts.AttemptStatus.NO_PERMIT:
+                continue
+            result = attempt
             if result.status is attempts.AttemptStatus.STREAMED:
                 call.outcome = 'streamed'
                 call.request.finish()
@@ -292,6 +302,8 @@
         was_sent = result is not None and not result.is_deferred
         if was_sent or call.may_have_run or delay_s is None:
             self._responder.give_up(call, result)
+        elif call.cold_denied:
+            self._refuse_cold(call, self._selector.cold_retry_after_s(call))
         else:
             self._refuse_by_targets(call, delay_s)
 
@@ -320,6 +332,19 @@
             max(delay_s, responses.DEFAULT_RETRY_AFTER_S),
         )
 
+    def _refuse_cold(self, call: calls.CallerCall, delay_s: float) -> None:
+        """Refuse a call because no permit for a cold target is due in time.
+
+        :param delay_s: time until the next permit, or the end of the cold
+            time.
+        """
+        self._responder.refuse(
+            call,
+            'targets_cold',
+            max(delay_s, responses.DEFAULT_RETRY_AFTER_S),
+            cold_targets=sorted(call.cold_denied),
+        )
+
     def _first_event_received(
         self,
         call: calls.CallerCall,
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -27,8 +27,10 @@
 from walnutport.gateway.state import feed_follower
 from walnutport.gateway.streams import origin_exchange
 from walnutport.gateway.targets import attempts
+from walnutport.gateway.targets import cold_watch
 from walnutport.gateway.targets import forwarding
 from walnutport.gateway.targets import path_check
+from walnutport.gateway.targets import permit_exchange
 from walnutport.gateway.targets import target_reports
 from walnutport.gateway.targets import target_selector
 from walnutport.http1 import channel_pool
@@ -152,18 +154,29 @@
         self._backpressure = backpressure.TargetBackpressure(
             settings.name, self._mesh.live_names
         )
+        self._cold = cold_watch.ColdWatch(self.log)
+        self._permits = permit_exchange.PermitExchange(
+            reactor,
+            self._mesh,
+            self._cold,
+            self._work_sharing,
+            lambda: self._stages.cell_count,
+            lambda target_id: self._follower.registry.targets.get(target_id),
+        )
         self._reports = target_reports.TargetReports(
             self.log,
             self._mesh,
             self._pool,
             self._backpressure,
             lambda target_id: self._follower.registry.targets.get(target_id),
+            self._cold,
         )
         self._selector = target_selector.TargetSelector(
             self._follower,
             self._outcomes,
             self._backpressure,
             settings.data_centre,
+            self._permits,
         )
         self._stages = stage_client.StageClient(
             reactor,
@@ -178,6 +191,7 @@
             self._reports,
         )
         self._reports.on_change = self._stages.target_changed
+        self._cold.on_change = self._stages.target_changed
         self._forwarder = forwarding.Forwarder(
             self.log,
             attempts.AttemptSender(
@@ -185,6 +199,7 @@
                 self._pool,
                 self._reports,
                 lambda call: self._forwarder.admit(call),
+                self._permits.may_send,
             ),
             self._outcomes,
             self._backpressure,
@@ -192,6 +207,7 @@
             self._suspects.parts,
             self._create_budget,
             self._suspects.check_for_crash,
+            self._permits,
         )
         self._origins = origin_exchange.OriginExchange(
             reactor,
@@ -244,6 +260,8 @@
             self._lag_monitor,
             self._path,
             self._relay,
+            self._cold,
+            self._permits,
         )
         self._caller_site = server.ServerSite(
             reactor,
@@ -409,6 +427,8 @@
         self._forwarder.set_retry_slack(self._retry_slack())
         self._stages.tick()
         self._reports.tick()
+        self._cold.tick()
+        self._permits.tick()
         self._pool.close_expired()
         self._relay.close_expired()
 
@@ -426,6 +446,7 @@
             self._stages.owner_cut(self.settings.name)
         else:
             self._outcomes.end_ejections()
+            self._cold.path_restored()
         self._mesh.send_heartbeat()
 
     def _state_changed(self) -> None:
@@ -443,6 +464,8 @@
         if desired is None:
             return
         self._matcher.drop_missing_routes(desired)
+        self._cold.state_changed(desired, targets, self.settings.bounds)
+        self._follower.registry.limited_services = self._cold.limited_services
         rules = {
             service.name: service.batch
             for service in desired.service_by_name.values()
@@ -499,6 +522,7 @@
         self._origins.handle_message(name, message)
         self._follower.handle_message(name, message)
         self._stages.handle_message(name, message)
+        self._permits.handle_message(name, message)
 
     def _peer_joined(self, name: str) -> None:
         self._reports.peer_joined(name)
--- a/walnutport/gateway/operations/events.py
+++ b/walnutport/gateway/operations/events.py
@@ -112,6 +112,29 @@
         'a target restarted, or changed its address or service',
         ('target', 'offset', 'source'),
     ),
+    Event(
+        'target_cold_time',
+        'the cold time in the entry of a target differs from what was known',
+        ('target', 'offset', 'source'),
+    ),
+    Event(
+        'target_cold',
+        'a target is slow for some time and gets few requests a second; '
+        '`source` is `entry`, `header`, `start`, or `connection` for a target '
+        'that refuses connections',
+        ('target', 'left_s', 'source'),
+    ),
+    Event(
+        'target_warm',
+        'a target is no longer cold; `source` is `time` if its time has '
+        'passed',
+        ('target', 'source'),
+    ),
+    Event(
+        'target_cold_invalid',
+        'the cold time that a target states is ignored; once per start of it',
+        ('target', 'problem', 'source'),
+    ),
     Event(
         'target_gone',
         'a target was removed, or its entry expired',
@@ -343,6 +366,12 @@
         ('id', 'target', 'status', 'detail'),
         ('parts',),
     ),
+    Event(
+        'permit_missing',
+        'the request was not sent to a cold target: the permit was denied, or '
+        'ended before the request was written',
+        ('id', 'target', 'cause', 'waited'),
+    ),
     Event(
         'repeat',
         'the request is retried at another target',
@@ -368,6 +397,7 @@
             'team_standing',
             'part',
             'deaths',
+            'cold_targets',
         ),
     ),
     Event(
--- a/walnutport/gateway/operations/host_status.py
+++ b/walnutport/gateway/operations/host_status.py
@@ -10,8 +10,10 @@
 from walnutport.gateway.stages import stage_client
 from walnutport.gateway.state import feed_follower
 from walnutport.gateway.streams import origin_exchange
+from walnutport.gateway.targets import cold_watch
 from walnutport.gateway.targets import forwarding
 from walnutport.gateway.targets import path_check
+from walnutport.gateway.targets import permit_exchange
 from walnutport.gateway.targets import target_reports
 from walnutport.http1 import channel_pool
 from walnutport.membership import loop_lag
@@ -42,7 +44,11 @@
         lag_monitor: loop_lag.LoopLagMonitor,
         path: path_check.PathCheck,
         relay: peer_relay.PeerRelay,
+        cold: cold_watch.ColdWatch,
+        permits: permit_exchange.PermitExchange,
     ) -> None:
+        self._cold = cold
+        self._permits = permits
         self._path = path
         self._relay = relay
         self._settings = settings
@@ -83,6 +89,7 @@
                     'draining': target.draining,
                     **self._outcomes.describe(target, now),
                     **self._reports.describe(target, now),
+                    **self._permits.describe(target),
                 }
                 for target in self._follower.registry.targets.values()
             },
@@ -117,6 +124,7 @@
             'targets_unreachable': float(self._path.is_cut),
             'loop_lag_seconds': self._lag_monitor.lag_s,
             **self._reports.gauges(),
+            **self._cold.gauges(),
             **self._origins.gauges(),
         }
         for service, retries in self._forwarder.available_retries(now).items():
@@ -145,6 +153,7 @@
             'stage_pieces_total': sum(owner.total_pieces for owner in owners),
             **self._mesh.totals(),
             **self._reports.totals(),
+            **self._permits.totals(),
             **self._origins.totals(),
             **self._relay.totals(),
             'log_lines_dropped_total': self._log.dropped_lines,
--- a/walnutport/gateway/stages/cell_owner.py
+++ b/walnutport/gateway/stages/cell_owner.py
@@ -212,6 +212,8 @@
                 response, fields, len(call.pieces)
             )
         except exceptions.ChannelError as problem:
+            if problem.refused:
+                self._reports.connection_refused(call.target)
             failure = (
                 stage_targets.CallFailure.TIMEOUT
                 if problem.timed_out
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -16,6 +16,7 @@
 from walnutport.http1 import messages
 from walnutport.platform import headers
 from walnutport.relay import resumable
+from walnutport.routing import send_permits
 from walnutport.world import registrations
 from walnutport.world import requests
 
@@ -53,6 +54,8 @@
     ANSWERED = 'answered'
     #: Nothing was written to the target.
     NOT_SENT = 'not_sent'
+    #: Nothing was written, as the target is cold and there is no permit.
+    NO_PERMIT = 'no_permit'
     #: The target reported that it did not run the request.
     NOT_RUN = 'not_run'
     #: The address belongs to another target now.
@@ -277,6 +280,8 @@
     :param reports: evaluates what targets state in their responses.
     :param admit: returns whether a call may be sent, as it does not crash its
         targets.
+    :param may_send: returns whether a request may be sent with a permit or
+        without one, as the target is cold or not.
     """
 
     def __init__(
@@ -285,7 +290,12 @@
         pool: channel_pool.ChannelPool,
         reports: target_reports.TargetReports,
         admit: Callable[[calls.CallerCall], bool],
+        may_send: Callable[
+            [registrations.RegisteredTarget, send_permits.SendPermit | None],
+            bool,
+        ],
     ) -> None:
+        self._may_send = may_send
         self._reactor = reactor
         self._admit = admit
         self._pool = pool
@@ -300,6 +310,7 @@
         resume_after: int | None = None,
         priority: int | None = None,
         on_proven: Callable[[], None] = lambda: None,
+        permit: send_permits.SendPermit | None = None,
     ) -> AttemptResult:
         """Send a request to a target and wait for its response.
 
@@ -310,10 +321,13 @@
         :param priority: priority that the target is told.
         :param on_proven: called once it is clear that the prompt does not
             crash the target.
+        :param permit: permit to send to a cold target; None without one.
         """
         try:
             channel = await self._acquire_channel(call, target)
         except exceptions.ChannelError as problem:
+            if problem.refused:
+                self._reports.connection_refused(target)
             return AttemptResult(
                 AttemptStatus.NOT_SENT, target, detail=str(problem)
             )
@@ -350,27 +364,33 @@
             on_proven,
         )
         receiver.set_channel(channel)
-        call.possible_runs += 1
-        call.targets.append(target.target_id)
         request = call.request
-        channel.send(
-            messages.encode_request(
-                request.method,
-                request.target,
-                headers.forwarded_request_headers(
-                    request.headers,
-                    target_id=target.target_id,
-                    team=call.team,
-                    remaining_s=time_left_s,
-                    inputs=call.inputs,
-                    last_event_id=resume_after,
-                    priority=priority,
-                ),
-                request.body,
+        data = messages.encode_request(
+            request.method,
+            request.target,
+            headers.forwarded_request_headers(
+                request.headers,
+                target_id=target.target_id,
+                team=call.team,
+                remaining_s=time_left_s,
+                inputs=call.inputs,
+                last_event_id=resume_after,
+                priority=priority,
             ),
-            receiver,
-            functools.partial(self._release, target),
+            request.body,
         )
+        if not self._may_send(target, permit):
+            # The permit has ended, or the target has become cold meanwhile.
+            self._release(target, channel)
+            return AttemptResult(
+                AttemptStatus.NO_PERMIT,
+                target,
+                detail='no permit for a cold target',
+                is_deferred=True,
+            )
+        call.possible_runs += 1
+        call.targets.append(target.target_id)
+        channel.send(data, receiver, functools.partial(self._release, target))
         result = await receiver.done
         if result.status in (
             AttemptStatus.NOT_RUN,
--- a/walnutport/gateway/targets/forwarding.py
+++ b/walnutport/gateway/targets/forwarding.py
@@ -7,6 +7,7 @@
 
 from walnutport.gateway.entry import calls
 from walnutport.gateway.targets import attempts
+from walnutport.gateway.targets import permit_exchange
 from walnutport.quarantine import prompt_parts
 from walnutport.quarantine import suspects
 from walnutport.quarantine import suspicion
@@ -26,6 +27,7 @@
 
 _END_BY_STATUS = {
     _Status.NOT_SENT: retry_eligibility.AttemptEnd.UNSENT,
+    _Status.NO_PERMIT: retry_eligibility.AttemptEnd.UNSENT,
     _Status.NOT_RUN: retry_eligibility.AttemptEnd.NOT_RUN,
     _Status.WRONG_TARGET: retry_eligibility.AttemptEnd.NOT_RUN,
     _Status.INPUTS_GONE: retry_eligibility.AttemptEnd.INPUTS_GONE,
@@ -43,6 +45,7 @@
     :param parts: parts of prompts that may crash targets.
     :param check_for_crash: checks whether a target crashed during an attempt,
         and records the end of the attempt in both; the result fires then.
+    :param permits: permits to send to cold targets.
     """
 
     def __init__(
@@ -57,7 +60,9 @@
         check_for_crash: Callable[
             [registrations.RegisteredTarget, str], defer.Deferred
         ],
+        permits: permit_exchange.PermitExchange,
     ) -> None:
+        self._permits = permits
         self._log = log
         self._sender = sender
         self._outcomes = target_outcomes
@@ -119,11 +124,20 @@
     ) -> attempts.AttemptResult:
         """Send a request to a target and record the outcome for the target.
 
+        Without a permit for a cold target, nothing is sent or recorded.
+
         :param relay: splits a stream into events; None collects the complete
             response.
         :param on_first_event: called when the first event is forwarded.
         :param resume_after: id of the event after which a stream resumes.
         """
+        permit = None
+        if self._permits.is_needed(target):
+            end = await self._permits.acquire(target, call.permit_wait_s())
+            permit = end.permit
+            if permit is None and self._permits.is_needed(target):
+                call.cold_denied[target.target_id] = target
+                return self._no_permit(call, target, 'denied')
         started_at = time.monotonic()
         call.last_attempt_at = started_at
         attempt_id = f'{call.request_id}/{len(call.targets) + 1}'
@@ -162,7 +176,12 @@
                 on_proven=lambda: self._parts.attempt_answered(
                     attempt_id, time.monotonic()
                 ),
+                permit=permit,
             )
+            if result.status is _Status.NO_PERMIT:
+                if permit is not None and call.permit_wait_s() <= 0:
+                    call.cold_denied[target.target_id] = target
+                return self._no_permit(call, target, 'ended')
             reset = result.reset
             survived = result.status in (_Status.ANSWERED, _Status.STREAMED)
             completed = survived and result.head.status < 300
@@ -183,6 +202,27 @@
                 await checked
         return result
 
+    def _no_permit(
+        self,
+        call: calls.CallerCall,
+        target: registrations.RegisteredTarget,
+        cause: str,
+    ) -> attempts.AttemptResult:
+        """Record that a request was not sent, for want of a permit."""
+        self._log.routine(
+            'permit_missing',
+            id=call.request_id,
+            target=target.target_id,
+            cause=cause,
+            waited=call.waits_for_permit,
+        )
+        return attempts.AttemptResult(
+            _Status.NO_PERMIT,
+            target,
+            detail=f'permit {cause}',
+            is_deferred=True,
+        )
+
     def try_acquire_retry(
         self, call: calls.CallerCall, result: attempts.AttemptResult
     ) -> bool:
--- a/walnutport/gateway/targets/target_reports.py
+++ b/walnutport/gateway/targets/target_reports.py
@@ -6,6 +6,7 @@
 import time
 
 from walnutport.gateway.peers import peers
+from walnutport.gateway.targets import cold_watch
 from walnutport.http1 import channel_pool
 from walnutport.peer import fleet_messages
 from walnutport.routing import backpressure
@@ -31,6 +32,7 @@
     """What targets have stated to this host, kept in sync with its peers.
 
     :param find_target: returns the registered target with an id, or None.
+    :param cold: until when targets are cold.
     :ivar invalid_count: values of targets that were invalid.
     """
 
@@ -41,7 +43,9 @@
         pool: channel_pool.ChannelPool,
         target_backpressure: backpressure.TargetBackpressure,
         find_target: Callable[[str], registrations.RegisteredTarget | None],
+        cold: cold_watch.ColdWatch,
     ) -> None:
+        self._cold = cold
         self._log = log
         self._mesh = mesh
         self._pool = pool
@@ -75,6 +79,10 @@
                 target=target.target_id,
                 problems=list(fields.problems),
             )
+        if fields.cold_s is not None:
+            self._cold.response_received(
+                target, fields.cold_s, fields.cold_problem
+            )
         now = time.monotonic()
         if fields.retry_after_s is not None:
             is_new = self._backpressure.hold(target, fields.retry_after_s, now)
@@ -166,9 +174,18 @@
     def min_interval_s(self, target: registrations.RegisteredTarget) -> float:
         """Return the time between requests of the only host that sends any.
 
-        :returns: 0 for a target without a limit.
+        :returns: 0 for a target without a limit that is not cold.
         """
-        return self._backpressure.min_interval_s(target)
+        return max(
+            self._backpressure.min_interval_s(target),
+            self._cold.stage_interval_s(target),
+        )
+
+    def connection_refused(
+        self, target: registrations.RegisteredTarget
+    ) -> None:
+        """Record that a target has no process that listens."""
+        self._cold.connection_refused(target)
 
     def describe(
         self, target: registrations.RegisteredTarget, now: float
--- a/walnutport/gateway/targets/target_selector.py
+++ b/walnutport/gateway/targets/target_selector.py
@@ -1,11 +1,12 @@
 """Selects targets by their state and load as this host knows them."""
 
+from collections.abc import Iterable
 import math
 import time
 
-from collections.abc import Iterable
 from walnutport.gateway.entry import calls
 from walnutport.gateway.state import feed_follower
+from walnutport.gateway.targets import permit_exchange
 from walnutport.routing import backpressure
 from walnutport.routing import engines
 from walnutport.routing import outcomes
@@ -22,6 +23,7 @@
 
     :param limits: limits that targets state.
     :param data_centre: data centre of this host.
+    :param permits: permits to send to cold targets.
     """
 
     def __init__(
@@ -30,7 +32,9 @@
         target_outcomes: outcomes.TargetOutcomes,
         limits: backpressure.TargetBackpressure,
         data_centre: str,
+        permits: permit_exchange.PermitExchange,
     ) -> None:
+        self._permits = permits
         self._follower = follower
         self._outcomes = target_outcomes
         self._limits = limits
@@ -42,15 +46,22 @@
     ) -> registrations.RegisteredTarget | None:
         """Return the target for a request without a stream."""
         now = time.monotonic()
-        return self._outcomes.choose(
-            self._limits.permitted(
-                self._follower.registry.usable(call.service),
+        return self._chosen(
+            call,
+            self._outcomes.choose(
+                self._offered(
+                    call,
+                    self._limits.permitted(
+                        self._follower.registry.usable(call.service),
+                        now,
+                        self._in_flight,
+                    ),
+                    now,
+                ),
                 now,
-                self._in_flight,
+                call.excluded_targets(),
+                self._data_centre,
             ),
-            now,
-            call.excluded_targets(),
-            self._data_centre,
         )
 
     def stated_delay_s(self, call: calls.CallerCall) -> float | None:
@@ -94,13 +105,19 @@
             and self._limits.has_room(
                 recommended, self._in_flight(recommended)
             )
+            and recommended.target_id not in call.cold_denied
         ):
+            call.waits_for_permit = False
             return recommended
         engine = engines.choose_engine(
-            self._limits.permitted(
-                self._usable(call.service, call.origin_version),
+            self._offered(
+                call,
+                self._limits.permitted(
+                    self._usable(call.service, call.origin_version),
+                    now,
+                    self._in_flight,
+                ),
                 now,
-                self._in_flight,
             ),
             self._outcomes,
             call.fields.prompt,
@@ -111,7 +128,31 @@
         )
         if engine is not None:
             self._record_prompt(call.fields.prompt, engine)
-        return engine
+        return self._chosen(call, engine)
+
+    def permit_delay_s(self, call: calls.CallerCall) -> float:
+        """Return the time until a permit is due, 0 if none is needed."""
+        if not self._permits.may_be_needed:
+            return 0.0
+        return min(
+            (
+                self._permits.retry_after_s(target)
+                if self._permits.is_needed(target)
+                else 0.0
+                for target in self._usable(call.service, call.origin_version)
+            ),
+            default=0.0,
+        )
+
+    def cold_retry_after_s(self, call: calls.CallerCall) -> float:
+        """Return when a request without a permit may come back."""
+        return min(
+            (
+                self._permits.retry_after_s(target)
+                for target in call.cold_denied.values()
+            ),
+            default=0.0,
+        )
 
     def recommend_engine(
         self,
@@ -130,10 +171,12 @@
         """
         now = time.monotonic()
         engine = engines.choose_engine(
-            self._limits.recommendable(
-                self._usable(spec.final_service, spec.final_version),
-                host_name,
-                now,
+            self._recommendable(
+                self._limits.recommendable(
+                    self._usable(spec.final_service, spec.final_version),
+                    host_name,
+                    now,
+                )
             ),
             self._outcomes,
             spec.prompt,
@@ -145,6 +188,7 @@
         if engine is None:
             return ''
         self._limits.record_recommendation(engine, now)
+        self._permits.record_recommendation(engine)
         prefills.add(
             spec.job_id,
             engine.target_id,
@@ -163,6 +207,65 @@
         """Return the requests that this host has in flight at a target."""
         return self._outcomes.stats(target).in_flight
 
+    def _offered(
+        self,
+        call: calls.CallerCall,
+        targets: list[registrations.RegisteredTarget],
+        now: float,
+    ) -> list[registrations.RegisteredTarget]:
+        """Return the targets among which to choose for a request.
+
+        A cold target is among them when it may have a permit to spare. If only
+        cold ones are left, the request waits for the one that is due first.
+        """
+        call.waits_for_permit = False
+        if not self._permits.may_be_needed and not call.cold_denied:
+            return targets
+        excluded = call.excluded_targets().union(call.cold_denied)
+        left = self._outcomes.exclude_ejected(
+            [target for target in targets if target.target_id not in excluded],
+            now,
+        )
+        warm = [
+            target for target in left if not self._permits.is_needed(target)
+        ]
+        call.waits_for_permit = not warm
+        if not warm:
+            return sorted(left, key=self._permits.expected_wait_s)[:1]
+        return warm + [
+            target
+            for target in left
+            if self._permits.is_needed(target)
+            and self._permits.may_offer(target)
+        ]
+
+    def _chosen(
+        self,
+        call: calls.CallerCall,
+        target: registrations.RegisteredTarget | None,
+    ) -> registrations.RegisteredTarget | None:
+        """Record the choice of a target that may be cold."""
+        if (
+            target is not None
+            and not call.waits_for_permit
+            and self._permits.is_needed(target)
+        ):
+            self._permits.record_offer(target)
+        return target
+
+    def _recommendable(
+        self, engines_left: list[registrations.RegisteredTarget]
+    ) -> list[registrations.RegisteredTarget]:
+        """Leave out cold engines that can take no further request now."""
+        if not self._permits.may_be_needed:
+            return engines_left
+        return [
+            engine
+            for engine in engines_left
+            if not self._permits.is_needed(engine)
+            or self._permits.may_recommend(engine)
+        ]
+
     def _usable(
         self, service: str, version: str | None
     ) -> Iterable[registrations.RegisteredTarget]:
