Test cold targets with real hosts and stand-ins that crash

Stand-in targets are cold after a start or on request, write their entries with the remaining time, and crash above the bound.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -95,6 +95,21 @@
     }
 
 
+def cold_state(
+    version: int, services: tuple[str, ...], per_s: float, cold_s: float
+) -> dict:
+    """Return a desired state whose cold targets are limited.
+
+    :param services: services with the limit.
+    :param per_s: requests a second that a cold target sustains.
+    """
+    state = desired_state(version)
+    for service in state['services']:
+        if service['name'] in services:
+            service.update(coldPerS=per_s, coldS=cold_s)
+    return state
+
+
 def caller_headers(
     request_id: str, deadline_s: float = 4.0, key: str = 'key-north'
 ) -> dict[str, str]:
@@ -373,6 +388,20 @@
         """
         return self._records_of_targets()['arrivals'].get(target_id, [])
 
+    def cold_arrivals(self, target_id: str) -> list[float]:
+        """Return when requests arrived at a target while it was cold.
+
+        :returns: seconds of the monotonic clock of the machine.
+        """
+        return self._records_of_targets()['cold_arrivals'].get(target_id, [])
+
+    def status(self, host: int = 0) -> dict:
+        """Return the status of a host."""
+        port = self.ready_ports[host]
+        return msgspec.json.decode(
+            processes.http_request(f'http://{LOOPBACK_IP}:{port}/v1/status')
+        )
+
     def crashes(self) -> list[float]:
         """Return the times at which engines crashed.
 
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -30,6 +30,10 @@
 STREAM_EVENTS = 6
 
 _MAX_WAIT_S = 30.0
+# How often a cold target writes its entry again.
+_ENTRY_INTERVAL_S = 1.2
+# Work of a cold target takes this many times as long.
+_COLD_SLOWNESS = 2.0
 _POLL_S = 0.02
 _REQUEST_ID_HEADER = 'walnutport-request-attempt-id'
 _PROMPT_HEADER = 'walnutport-prompt-prefix'
@@ -113,6 +117,15 @@
         self.mode_by_target: dict[str, str] = {}
         # Rejections a second above which a target crashes, by service.
         self.rejection_limit_by_service: dict[str, int] = {}
+        # Requests in a second above which a cold target crashes, and the time
+        # for which it is cold after a crash, by service.
+        self.cold_rules_by_service: dict[str, tuple[float, float]] = {}
+        self.cold_until_by_target: dict[str, float] = {}
+        # Requests that arrived at cold targets but answers of 421, by target.
+        self.cold_arrivals: dict[str, list[float]] = collections.defaultdict(
+            list
+        )
+        self.starts_by_target: dict[str, int] = {}
         # Headers that targets add to all their responses, by target.
         self.headers_by_target: dict[str, dict[str, str]] = {}
         # Part of prompts that crashes each engine that begins to write an
@@ -159,12 +172,42 @@
             'version': plan.version,
             'slots': plan.slots,
             'state': state,
-            'coldMs': 0,
+            'coldMs': round(self.cold_left_s(plan.target_id) * 1000),
             'sequence': next(self._sequences),
             'born': 1_700_000_000_000 + starts,
         }
         self._append('keyed.servers', plan.target_id, record)
 
+    def cold_left_s(self, target_id: str) -> float:
+        """Return how long a target stays cold, 0 if it is not."""
+        until = self.cold_until_by_target.get(target_id, 0.0)
+        return max(0.0, until - time.monotonic())
+
+    def make_cold(
+        self, plan: TargetPlan, cold_s: float, starts: int = 1
+    ) -> None:
+        """Let a target be cold, and write its entries until it is warm."""
+        until = time.monotonic() + cold_s
+        self.cold_until_by_target[plan.target_id] = until
+        self._write_cold_record(plan, until, starts)
+
+    def _write_cold_record(
+        self, plan: TargetPlan, until: float, starts: int
+    ) -> None:
+        if self.cold_until_by_target.get(plan.target_id) != until:
+            # It has become cold again, or has crashed.
+            return
+        self.write_target_record(plan, 'ready', starts)
+        left_s = self.cold_left_s(plan.target_id)
+        if left_s:
+            reactor.callLater(
+                min(_ENTRY_INTERVAL_S, left_s + 0.01),
+                self._write_cold_record,
+                plan,
+                until,
+                starts,
+            )
+
     def take_copy(self) -> None:
         """Keep a copy of all records."""
         self._copy = {
@@ -298,6 +341,7 @@
         self.crashes_unframed = changes.get(
             'crashes_unframed', self.crashes_unframed
         )
+        self.cold_rules_by_service.update(changes.get('cold_rules', {}))
         self.mode_by_target.update(changes.get('modes', {}))
         self.headers_by_target.update(changes.get('headers', {}))
         for plan in self.settings.targets:
@@ -306,6 +350,12 @@
                 self._records['keyed.servers'].append((plan.target_id, b''))
             elif state:
                 self.write_target_record(plan, state)
+            if plan.target_id in changes.get('cold', {}):
+                self.make_cold(
+                    plan,
+                    changes['cold'][plan.target_id],
+                    self.starts_by_target.get(plan.target_id, 1),
+                )
         return b'{}'
 
     @app.route('/runs')
@@ -317,6 +367,7 @@
                 'freed': self.freed,
                 'arrivals': self.arrivals,
                 'crashes': self.crashes,
+                'cold_arrivals': self.cold_arrivals,
             }
         )
 
@@ -372,6 +423,7 @@
         if self._listener is None:
             return
         self._platform.crashes.append(time.monotonic())
+        self._platform.cold_until_by_target.pop(self._plan.target_id, None)
         self._listener.stopListening()
         self._listener = None
         transports, self._transports = self._transports, set()
@@ -384,8 +436,15 @@
 
     def _start_again(self) -> None:
         self._starts += 1
+        self._platform.starts_by_target[self._plan.target_id] = self._starts
         self.listen()
-        self._platform.write_target_record(self._plan, 'ready', self._starts)
+        rules = self._platform.cold_rules_by_service.get(self._plan.service)
+        if rules is None:
+            self._platform.write_target_record(
+                self._plan, 'ready', self._starts
+            )
+        else:
+            self._platform.make_cold(self._plan, rules[1], self._starts)
 
     @app.route('/stage-run', methods=['POST'])
     async def stage_run(self, request) -> bytes:
@@ -502,6 +561,9 @@
             request.setResponseCode(421)
             request.setHeader('walnutport-not-executed', '1')
             return False
+        if self._is_pushed_while_cold():
+            request.transport.abortConnection()
+            return False
         if self._mode() == 'full' or self._is_full_and_brittle(request):
             request.setResponseCode(503)
             request.setHeader('walnutport-not-executed', '1')
@@ -535,10 +597,26 @@
             reactor.callLater(0, self._crash)
         return True
 
+    def _is_pushed_while_cold(self) -> bool:
+        """Count a request at a cold target; return whether it crashes."""
+        target_id = self._plan.target_id
+        rules = self._platform.cold_rules_by_service.get(self._plan.service)
+        if rules is None or not self._platform.cold_left_s(target_id):
+            return False
+        now = time.monotonic()
+        arrivals = self._platform.cold_arrivals[target_id]
+        arrivals.append(now)
+        if sum(now - at < 1.0 for at in arrivals[-100:]) <= rules[0]:
+            return False
+        reactor.callLater(0, self._crash)
+        return True
+
     def _mode(self) -> str:
         return self._platform.mode_by_target.get(self._plan.target_id, 'ok')
 
     async def _sleep(self, duration_ms: float) -> None:
+        if self._platform.cold_left_s(self._plan.target_id):
+            duration_ms *= _COLD_SLOWNESS
         await task.deferLater(reactor, duration_ms / 1000)
 
 
