--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -139,3 +139,44 @@
     data = json.dumps({**ENTRY, **fields}).encode()
     target = documents.decode_target('i-1', data)
     assert target.software_version == expected
+
+
+@pytest.mark.parametrize(
+    ('value', 'expected', 'is_invalid'),
+    [
+        (0, 0.0, False),
+        (2500, 2.5, False),
+        (600_000, 600.0, False),
+        (600_001, 0.0, True),
+        (-1, 0.0, True),
+        ('soon', 0.0, True),
+        (True, 0.0, True),
+        ([1] * 5000, 0.0, True),
+    ],
+)
+def test_invalid_cold_time_of_a_target_counts_as_none(
+    value, expected, is_invalid
+):
+    """Guards against a target that is lost because of one invalid field."""
+    data = json.dumps({**ENTRY, 'coldMs': value}).encode()
+    target = documents.decode_target('i-1', data)
+    assert target.warmup_s == expected
+    assert bool(target.warmup_problem) is is_invalid
+    assert len(target.warmup_problem) < 100
+
+
+def test_cold_limits_of_a_service_are_decoded():
+    """Guards against a limit that is missing, or is there for all."""
+    limited = {'name': 'llm', 'coldS': 3.0, 'coldPerS': 9.9}
+    data = {**CONFIG, 'services': [*CONFIG['services'], limited]}
+    found = documents.decode_desired_state(json.dumps(data).encode())
+    service = found.service_by_name['llm']
+    assert (service.cold_s, service.cold_per_s) == (3.0, 9.9)
+    assert found.service_by_name['s'].cold_per_s == 0
+
+
+def test_entry_without_a_cold_time_is_told_apart():
+    """Guards against a started target that counts as warm."""
+    entry = {name: ENTRY[name] for name in ENTRY if name != 'coldMs'}
+    target = documents.decode_target('i-1', json.dumps(entry).encode())
+    assert target.warmup_s is None
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -231,3 +231,24 @@
     head = messages.ResponseHead(200, [(b'server-brittle', value)])
     assert headers.decode_response_headers(head).rejection_limit == expected
     assert headers.forwarded_response_headers(head) == []
+
+
+@pytest.mark.parametrize(
+    ('value', 'expected', 'is_invalid'),
+    [
+        (b'2500', 2.5, False),
+        (b'0', 0.0, False),
+        (b'nan', 0.0, True),
+        (b'-5', 0.0, True),
+        (b'700000', 0.0, True),
+        (b'soon', 0.0, True),
+    ],
+)
+def test_cold_time_is_decoded_and_not_forwarded(value, expected, is_invalid):
+    """Guards against a target that stays limited by an invalid value."""
+    head = messages.ResponseHead(200, [(b'walnutport-cold-ms', value)])
+    fields = headers.decode_response_headers(head)
+    assert fields.cold_s == expected
+    assert bool(fields.cold_problem) is is_invalid
+    assert headers.forwarded_response_headers(head) == []
+    assert headers.decode_response_headers(messages.EMPTY_HEAD).cold_s is None
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -17,6 +17,7 @@
 platform.address=10.200.1.7:8624
 bounds.drainMs=2500
 bounds.newOne=maybe
+bounds.coldOver=1.25
 limits.cpuShare=0.5
 limits.cores=2
 somethingNew=yes
@@ -30,6 +31,7 @@
     assert found.caller_address == ('10.1.0.41', 8625)
     assert found.data_centres == ('a', 'b')
     assert found.bounds.drain_s == 2.5
+    assert (found.bounds.cold_ratio, found.bounds.cold_slack) == (1.25, 5.0)
     assert found.cpu_share == 1.0
     assert not found.is_first_start
     first = settings.parse_settings(
@@ -44,8 +46,8 @@
         ('ip=', 'boot.conf: ip is missing'),
         ('listen.front=10.1.0.41', 'boot.conf:6: listen.front'),
         ('portRange=7740', 'boot.conf:8: portRange'),
-        ('bootstrap=maybe', 'boot.conf:15: bootstrap: neither "true" nor'),
-        ('limits.cores=two', 'boot.conf:13: limits.cores: not a number'),
+        ('bootstrap=maybe', 'boot.conf:16: bootstrap: neither "true" nor'),
+        ('limits.cores=two', 'boot.conf:14: limits.cores: not a number'),
         ('nodeName', 'boot.conf:1: no "="'),
     ],
 )
--- a/walnutport/gateway/targets/cold_watch.py
+++ b/walnutport/gateway/targets/cold_watch.py
@@ -99,7 +99,9 @@
 
     def is_cold(self, target: registrations.RegisteredTarget) -> bool:
         """Return whether sending to a target needs a permit."""
-        return self._cold.is_cold(target, time.monotonic())
+        return self._cold.count > 0 and self._cold.is_cold(
+            target, time.monotonic()
+        )
 
     def left_s(self, target: registrations.RegisteredTarget) -> float:
         """Return how long a target stays cold, 0 if it is not."""
--- a/walnutport/gateway/targets/forwarding.py
+++ b/walnutport/gateway/targets/forwarding.py
@@ -135,7 +135,7 @@
         if self._permits.is_needed(target):
             end = await self._permits.acquire(target, call.permit_wait_s())
             permit = end.permit
-            if permit is None and self._permits.is_needed(target):
+            if permit is None and not end.is_warm:
                 call.cold_denied[target.target_id] = target
                 return self._no_permit(call, target, 'denied')
         started_at = time.monotonic()
--- a/walnutport/gateway/targets/permit_exchange.py
+++ b/walnutport/gateway/targets/permit_exchange.py
@@ -100,6 +100,8 @@
     ) -> send_permits.WaiterEnd:
         """Wait for a permit, or for the reply that there is none.
 
+        A target that has left in the meantime counts as a denial.
+
         :param wait_s: how long the request can wait for a permit.
         """
         now = time.monotonic()
@@ -112,7 +114,15 @@
         self._waiters[waiter] = done
         self._advance(line)
         try:
-            return await done
+            end = await done
+            current = self._find_target(target.target_id)
+            if (
+                current is None
+                or current.draining
+                or current.incarnation_key != target.incarnation_key
+            ):
+                return send_permits.WaiterEnd(waiter)
+            return end
         finally:
             self._waiters.pop(waiter, None)
             line.holder.remove(waiter)
@@ -217,7 +227,7 @@
         now = time.monotonic()
         if not self._cold.is_cold(line.target):
             for waiter in line.holder.take_all():
-                self._end_wait(send_permits.WaiterEnd(waiter, None, 0.0))
+                self._end_wait(send_permits.WaiterEnd(waiter, is_warm=True))
         for denial in line.holder.take_denied(now):
             self._end_wait(denial)
         ask = line.holder.next_ask(now)
--- a/walnutport/routing/cold_targets.py
+++ b/walnutport/routing/cold_targets.py
@@ -197,8 +197,6 @@
         self, target: registrations.RegisteredTarget, now: float
     ) -> bool:
         """Return whether a target is cold."""
-        if not self._cold_by_id:
-            return False
         cold = self._cold_by_id.get(target.target_id)
         return cold is not None and cold.until > now
 
--- a/walnutport/routing/send_permits.py
+++ b/walnutport/routing/send_permits.py
@@ -186,11 +186,13 @@
 
     :param permit: None if the request is denied.
     :param retry_after_s: time until the next permit if it is denied.
+    :param is_warm: whether no permit is needed any more.
     """
 
     waiter: int
     permit: SendPermit | None = None
     retry_after_s: float = 0.0
+    is_warm: bool = False
 
 
 class PermitHolder:
