Let the soak make targets cold, and document cold targets

In half of the rounds, targets become cold and crash if they are pushed; the arrivals are checked against the bound where neither the store nor the network before the target is disturbed.

--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -38,6 +38,15 @@
 # Service time at a plain target, long enough for resets to hit requests that
 # are running.
 WORK_MS = 50.0
+# Requests a second that a cold target sustains, its cold time after a start,
+# and the bound above which it crashes; without an entry in the settings, the
+# bound is one and a half times the rate and five requests.
+COLD_PER_S = 4.0
+COLD_S = 2.0
+COLD_BOUND_PER_S = 1.5 * COLD_PER_S + 5
+# A host that reads the store, or is linked with one that does, knows by then
+# that a target has become cold.
+COLD_KNOWN_S = 2.5
 # Time after the last fault within which the fleet must recover.
 RECOVERY_LIMIT_S = 4.0
 # Requests to each route of each host that must succeed after the recovery, and
@@ -115,6 +124,12 @@
     has_cuts = any(
         action.kind == 'cut' for action in soak_schedule.draw(seed, ('',), 1)
     )
+    has_cold = any(
+        action.kind == 'cold'
+        for action in soak_schedule.draw(
+            seed, soak_schedule.COLD_PREFIXES, HOSTS
+        )
+    )
     fleet = platform_fleet.PlatformFleet(
         folder,
         HOSTS,
@@ -126,7 +141,7 @@
     with fleet:
         target_ids = tuple(plan.target_id for plan in fleet.plans)
         schedule = soak_schedule.draw(seed, target_ids, HOSTS)
-        injector = _Injector(fleet)
+        injector = _Injector(fleet, schedule, has_cold)
         with soak_callers.Callers(fleet, seed, CALLERS) as callers:
             injector.inject_all(schedule)
             time.sleep(RECOVERY_LIMIT_S)
@@ -138,6 +153,10 @@
             injector.disturbances,
             tuple(platform_fleet.stream_body(name) for name in versions),
         )
+        for cold in injector.cold_times:
+            problems += soak_checks.cold_violations(
+                cold, fleet.cold_arrivals(cold.target_id), COLD_BOUND_PER_S
+            )
     for number in range(HOSTS):
         problems += [
             f'host {number} logged an error or an invalid line: {line}'
@@ -190,8 +209,17 @@
 class _Injector:
     """Applies faults and clears them again."""
 
-    def __init__(self, fleet: platform_fleet.PlatformFleet) -> None:
+    def __init__(
+        self,
+        fleet: platform_fleet.PlatformFleet,
+        schedule: list[soak_schedule.FaultAction],
+        has_cold: bool,
+    ) -> None:
         self._fleet = fleet
+        self._schedule = schedule
+        self._has_cold = has_cold
+        # Times in which every host could know that a target is cold.
+        self.cold_times: list[soak_checks.ColdTime] = []
         self._host_locks = [threading.Lock() for _ in range(HOSTS)]
         self._version = 1
         self.disturbances: list[soak_checks.Disturbance] = []
@@ -199,6 +227,13 @@
 
     def inject_all(self, schedule: list[soak_schedule.FaultAction]) -> None:
         """Inject all faults and wait until they are cleared."""
+        if self._has_cold:
+            services = ('plain', 'llm', 'rank')
+            rules = (COLD_BOUND_PER_S, COLD_S)
+            self._fleet.control_platform(
+                cold_rules=dict.fromkeys(services, rules)
+            )
+            self._change_desired()
         started_at = time.monotonic()
         threads = [
             threading.Thread(
@@ -240,6 +275,17 @@
             fleet.control_platform(states={action.location: action.variant})
         elif action.kind == 'return':
             fleet.control_platform(copy=True)
+        elif action.kind == 'cold':
+            fleet.control_platform(cold={action.location: action.for_s})
+            now = time.monotonic()
+            if self._is_undisturbed(action):
+                self.cold_times.append(
+                    soak_checks.ColdTime(
+                        action.location,
+                        now + COLD_KNOWN_S,
+                        now + action.for_s,
+                    )
+                )
         elif action.kind == 'cut':
             for faults in soak_schedule.CUT_FAULTS[action.variant]:
                 fleet.cut_targets(faults)
@@ -253,10 +299,33 @@
                 changes['modes'] = {action.location: 'full'}
             fleet.control_platform(**changes)
         else:
-            self._version += 1
-            fleet.control_platform(
-                desired=platform_fleet.desired_state(self._version)
+            self._change_desired()
+
+    def _change_desired(self) -> None:
+        """Put another version of the desired state in force."""
+        self._version += 1
+        desired = platform_fleet.desired_state(self._version)
+        if self._has_cold:
+            desired = platform_fleet.cold_state(
+                self._version, ('plain', 'llm', 'rank'), COLD_PER_S, COLD_S
+            )
+        self._fleet.control_platform(desired=desired)
+
+    def _is_undisturbed(self, cold: soak_schedule.FaultAction) -> bool:
+        """Return whether hosts know of a cold target in time.
+
+        Requests that the network has held up may arrive together, too.
+        """
+        return not any(
+            (
+                action.kind in ('network', 'cut')
+                and action.location in (cold.location, 'store', 'targets')
+                or action.kind in ('store', 'return')
             )
+            and action.at_s < cold.at_s + cold.for_s
+            and action.at_s + action.for_s + COLD_KNOWN_S > cold.at_s
+            for action in self._schedule
+        )
 
     def _clear(self, action: soak_schedule.FaultAction) -> None:
         fleet = self._fleet
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -1,12 +1,15 @@
 """Checks of the entry hosts' guarantees against caller and target records."""
 
+import bisect
 from collections.abc import Iterable
 import dataclasses
 
 __all__ = [
     'STREAM_ROUTES',
+    'ColdTime',
     'Disturbance',
     'Outcome',
+    'cold_violations',
     'violations',
     'whole_events',
 ]
@@ -60,6 +63,32 @@
     begun: bytes = b''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdTime:
+    """Time in which a target was cold and all hosts could know it."""
+
+    target_id: str
+    begin: float
+    end: float
+
+
+def cold_violations(
+    cold: ColdTime, arrivals: list[float], bound_per_s: float
+) -> list[str]:
+    """Return each second in which a cold target got too many requests.
+
+    :param arrivals: times at which requests arrived, in order.
+    """
+    problems = []
+    for position, start in enumerate(arrivals):
+        count = bisect.bisect_left(arrivals, start + 1.0) - position
+        if cold.begin <= start <= cold.end - 1.0 and count > bound_per_s:
+            problems.append(
+                f'{cold} got {count} requests in the second from {start}'
+            )
+    return problems
+
+
 def whole_events(body: bytes) -> bytes:
     """Return the complete events at the start of a stream."""
     return body[: body.rfind(b'\n\n') + 2] if b'\n\n' in body else b''
--- a/bench/soak_schedule.py
+++ b/bench/soak_schedule.py
@@ -30,6 +30,12 @@
 # share of these in which they are so again.
 CUT_SHARE = 0.5
 
+# Share of the rounds in which targets become cold, and the share of these in
+# which another one does.
+COLD_SHARE = 0.5
+# Targets of these services crash if they are pushed while they are cold.
+COLD_PREFIXES = ('plain-', 'llm-', 'rank-')
+
 #: Faults between these hosts and all targets, in order, by variant.
 CUT_FAULTS = {
     'reset': (
@@ -80,9 +86,9 @@
     """A fault that is injected during a round.
 
     :param kind: ``network``, ``mode``, ``host``, ``store``, ``desired``,
-        ``leave``, ``return``, ``state`` or ``cut``. With ``return``, the store
-        takes a copy at the start and returns from it at the end. With
-        ``state``, a target states something in its responses.
+        ``leave``, ``return``, ``state``, ``cut`` or ``cold``. With
+        ``return``, the store takes a copy at the start and returns from it at
+        the end. With ``state``, a target states something in its responses.
     :param location: target id, host number or ``store``.
     :param variant: which fault of this kind.
     :param at_s: start, relative to the start of the round.
@@ -116,6 +122,7 @@
     actions += _draw_store_returns(seed)
     actions += _draw_statements(seed, target_ids)
     actions += _draw_cuts(seed)
+    actions += _draw_cold(seed, target_ids)
     return sorted(actions, key=lambda action: action.at_s)
 
 
@@ -156,6 +163,28 @@
     return actions
 
 
+def _draw_cold(seed: int, target_ids: tuple[str, ...]) -> list[FaultAction]:
+    """Return which targets become cold, when, and for how long."""
+    rng = random.Random(f'{seed}/cold')
+    actions: list[FaultAction] = []
+    limited = [
+        target_id
+        for target_id in target_ids
+        if target_id.startswith(COLD_PREFIXES)
+    ]
+    while limited and rng.random() < COLD_SHARE:
+        actions.append(
+            FaultAction(
+                'cold',
+                rng.choice(limited),
+                'cold',
+                round(rng.uniform(0.0, ROUND_S), 2),
+                round(rng.uniform(3.0, 6.0), 2),
+            )
+        )
+    return actions
+
+
 def _draw_statements(
     seed: int, target_ids: tuple[str, ...]
 ) -> list[FaultAction]:
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -349,7 +349,9 @@
             if state == 'gone':
                 self._records['keyed.servers'].append((plan.target_id, b''))
             elif state:
-                self.write_target_record(plan, state)
+                self.write_target_record(
+                    plan, state, self.starts_by_target.get(plan.target_id, 1)
+                )
             if plan.target_id in changes.get('cold', {}):
                 self.make_cold(
                     plan,
