Keep a later cold time against entries that were written before

An entry that was read late ended the cold time that a header had stated since. A target for which a request got no permit is chosen again once it is warm. The record of invalid times is dropped with the target.

--- a/tests/routing/test_cold_targets.py
+++ b/tests/routing/test_cold_targets.py
@@ -83,6 +83,8 @@
     (ended,) = cold.header_received(entry, 0.0, 1.5)
     assert ended.left_s == 0 and not cold.is_cold(entry, 1.5)
     (begun,) = cold.header_received(entry, 4.0, 9.0)
+    # Written before that, and read late.
+    cold.update_entries({'t': target(warmup_s=0.0, sequence=1)}, 9.5)
     assert begun.source == 'header' and cold.is_cold(entry, 12.9)
 
 
@@ -108,6 +110,8 @@
     assert cold.is_first_problem(target())
     assert not cold.is_first_problem(target())
     assert cold.is_first_problem(target(incarnation=2))
+    cold.update_entries({}, 1.0)
+    assert cold.is_first_problem(target()), 'forgotten with the target'
 
 
 def decode(key, value):
--- a/walnutport/gateway/entry/request_handler.py
+++ b/walnutport/gateway/entry/request_handler.py
@@ -335,8 +335,7 @@
     def _refuse_cold(self, call: calls.CallerCall, delay_s: float) -> None:
         """Refuse a call because no permit for a cold target is due in time.
 
-        :param delay_s: time until the next permit, or the end of the cold
-            time.
+        :param delay_s: time until the next permit or a warm target.
         """
         self._responder.refuse(
             call,
--- a/walnutport/gateway/targets/cold_watch.py
+++ b/walnutport/gateway/targets/cold_watch.py
@@ -73,6 +73,8 @@
         problem: str,
     ) -> None:
         """Evaluate the cold time that a target states in a response."""
+        if not self.is_active:
+            return
         if problem:
             self._record_problem(target, problem, 'header')
         self._record(
--- a/walnutport/gateway/targets/target_selector.py
+++ b/walnutport/gateway/targets/target_selector.py
@@ -221,7 +221,11 @@
         call.waits_for_permit = False
         if not self._permits.may_be_needed and not call.cold_denied:
             return targets
-        excluded = call.excluded_targets().union(call.cold_denied)
+        excluded = call.excluded_targets().union(
+            target.target_id
+            for target in call.cold_denied.values()
+            if self._permits.is_needed(target)
+        )
         left = self._outcomes.exclude_ejected(
             [target for target in targets if target.target_id not in excluded],
             now,
--- a/walnutport/routing/cold_targets.py
+++ b/walnutport/routing/cold_targets.py
@@ -145,6 +145,12 @@
         if not self.is_active:
             return changes
         is_first = not self._entry_by_id
+        if self._reported_lifetimes:
+            self._reported_lifetimes = {
+                key
+                for key in self._reported_lifetimes
+                if key[0] in target_by_id
+            }
         for target_id in self._entry_by_id.keys() - target_by_id.keys():
             del self._entry_by_id[target_id]
             self._cold_by_id.pop(target_id, None)
@@ -248,10 +254,11 @@
         if (
             source == 'entry'
             and known is not None
-            and known.source == 'connection'
+            and known.source in ('connection', 'header')
             and known.target.incarnation_key == target.incarnation_key
+            and now + cold_s <= known.until
         ):
-            # The entry was written before the process ended.
+            # The entry was written before that.
             return
         if cold_s <= 0:
             if known is not None:
