Determine the issuer of a cell once for each view of the fleet

With 730 hosts, ranking the hosts of a cell took 13 ms with an empty cache of scores on a busy machine, and a host that issues permits did so for each request and each view of the last second.

--- a/walnutport/routing/permit_issuers.py
+++ b/walnutport/routing/permit_issuers.py
@@ -5,6 +5,7 @@
 permits to those that its predecessor has just issued.
 """
 
+import dataclasses
 import hashlib
 
 from walnutport.membership import ranking
@@ -25,6 +26,29 @@
     return int.from_bytes(digest, 'big') % cells
 
 
+@dataclasses.dataclass(slots=True)
+class _View:
+    """Work shares that applied from some time on, and the issuers by them.
+
+    Issuers are determined when they are asked for: with 700 hosts, the first
+    one of a cell takes some milliseconds.
+    """
+
+    since: float
+    shares_by_name: dict[str, float]
+    issuer_by_cell: dict[int, str] = dataclasses.field(default_factory=dict)
+
+    def issuer(self, cell: int) -> str:
+        """Return the host that issues permits, empty if there is none."""
+        name = self.issuer_by_cell.get(cell)
+        if name is None:
+            eligible = ranking.eligible_hosts(self.shares_by_name)
+            ranked = ranking.rank_hosts(ranking.cell_key(cell), eligible)
+            name = ranked[0] if ranked else ''
+            self.issuer_by_cell[cell] = name
+        return name
+
+
 class IssuerRanking:
     """Issuers by the work shares of the hosts, and how long they were those.
 
@@ -33,49 +57,35 @@
 
     def __init__(self, own_name: str) -> None:
         self._own_name = own_name
-        # Shares with the time from which on they applied, the latest last.
-        self._history: list[tuple[float, dict[str, float]]] = []
+        # Views of the last ``TAKEOVER_S`` seconds, the current one last.
+        self._views: list[_View] = []
         self._updated_at = 0.0
-        # Issuers by the latest shares.
-        self._issuer_by_cell: dict[int, str] = {}
 
     def update(self, shares_by_name: dict[str, float], now: float) -> None:
         """Set the current work shares of the hosts that issue permits."""
         if now - self._updated_at > MAX_UPDATE_GAP_S:
-            self._history.clear()
+            self._views.clear()
         self._updated_at = now
-        if not self._history or self._history[-1][1] != shares_by_name:
-            self._history.append((now, shares_by_name))
-            self._issuer_by_cell.clear()
-        while len(self._history) > 1 and (
-            self._history[1][0] <= now - TAKEOVER_S
+        if not self._views or (
+            self._views[-1].shares_by_name != shares_by_name
         ):
-            del self._history[0]
+            self._views.append(_View(now, shares_by_name))
+        while len(self._views) > 1 and (
+            self._views[1].since <= now - TAKEOVER_S
+        ):
+            del self._views[0]
 
     def issuer(self, cell: int) -> str:
         """Return the host that issues permits, empty if there is none."""
-        name = self._issuer_by_cell.get(cell)
-        if name is None:
-            shares = self._history[-1][1] if self._history else {}
-            name = _first_host(cell, shares)
-            self._issuer_by_cell[cell] = name
-        return name
+        return self._views[-1].issuer(cell) if self._views else ''
 
     def is_settled(self, cell: int, now: float) -> bool:
         """Return whether this host has been the issuer for long enough."""
-        if (
-            now - self._updated_at > MAX_UPDATE_GAP_S
-            or not self._history
-            or self._history[0][0] > now - TAKEOVER_S
-        ):
-            return False
-        return self.issuer(cell) == self._own_name and all(
-            _first_host(cell, shares) == self._own_name
-            for _, shares in self._history[:-1]
+        return (
+            now - self._updated_at <= MAX_UPDATE_GAP_S
+            and bool(self._views)
+            and self._views[0].since <= now - TAKEOVER_S
+            and all(
+                view.issuer(cell) == self._own_name for view in self._views
+            )
         )
-
-
-def _first_host(cell: int, shares_by_name: dict[str, float]) -> str:
-    eligible = ranking.eligible_hosts(shares_by_name)
-    ranked = ranking.rank_hosts(ranking.cell_key(cell), eligible)
-    return ranked[0] if ranked else ''
