Crash a stand-in target on request in the test of restarts

The test passed without the rule that it guards, as the target was still cold from before its crash. With the rule disabled in a scratch copy, it fails now.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -126,6 +126,7 @@
             list
         )
         self.starts_by_target: dict[str, int] = {}
+        self._target_by_id: dict[str, _Target] = {}
         # Headers that targets add to all their responses, by target.
         self.headers_by_target: dict[str, dict[str, str]] = {}
         # Part of prompts that crashes each engine that begins to write an
@@ -148,7 +149,8 @@
         for plan in settings.targets:
             if plan.target_id not in settings.unregistered:
                 self.write_target_record(plan, 'ready')
-            _Target(self, plan).listen()
+            self._target_by_id[plan.target_id] = _Target(self, plan)
+            self._target_by_id[plan.target_id].listen()
         for port in settings.views:
             reactor.listenTCP(
                 port,
@@ -344,6 +346,8 @@
         self.cold_rules_by_service.update(changes.get('cold_rules', {}))
         self.mode_by_target.update(changes.get('modes', {}))
         self.headers_by_target.update(changes.get('headers', {}))
+        for target_id in changes.get('crash', ()):
+            self._target_by_id[target_id].crash()
         for plan in self.settings.targets:
             state = changes.get('states', {}).get(plan.target_id)
             if state == 'gone':
@@ -420,7 +424,7 @@
             interface=self._platform.settings.ip,
         )
 
-    def _crash(self) -> None:
+    def crash(self) -> None:
         """Reset all channels and refuse new ones for some time."""
         if self._listener is None:
             return
@@ -535,7 +539,7 @@
             else:
                 request.write(begun)
             await self._sleep(self._platform.settings.event_ms / 2)
-            self._crash()
+            self.crash()
             return server.NOT_DONE_YET
         after = int(request.getHeader('last-event-id') or 0)
         for number in range(after + 1, self._platform.settings.events + 1):
@@ -596,7 +600,7 @@
         ]
         if len(self._rejected_at) > limit:
             self._rejected_at.clear()
-            reactor.callLater(0, self._crash)
+            reactor.callLater(0, self.crash)
         return True
 
     def _is_pushed_while_cold(self) -> bool:
@@ -610,7 +614,7 @@
         arrivals.append(now)
         if sum(now - at < 1.0 for at in arrivals[-100:]) <= rules[0]:
             return False
-        reactor.callLater(0, self._crash)
+        reactor.callLater(0, self.crash)
         return True
 
     def _mode(self) -> str:
--- a/tests/integration/test_cold_targets.py
+++ b/tests/integration/test_cold_targets.py
@@ -170,14 +170,13 @@
 
     They wait for it, and reach it before its new entry is read.
     """
-    fleet.control_platform(cold={'plain-1': 5.0})
     with Load(fleet, 'check'):
-        # The target may crash before the hosts know that it is cold.
-        time.sleep(KNOWN_S)
-        known_at = time.monotonic()
+        time.sleep(1.0)
+        fleet.control_platform(crash=['plain-1'])
         time.sleep(8.0)
-    crashes = [at for at in fleet.crashes() if at > known_at]
-    assert not crashes, fleet.crashes()
+    assert fleet.cold_arrivals('plain-1')
+    assert len(fleet.crashes()) == 1
+    assert most_in_a_second(fleet.cold_arrivals('plain-1')) <= BOUND_PER_S
 
 
 def test_calls_to_a_cold_stage_target_are_spaced(fleet):
