Use the permits of all cold targets of a service

If only cold targets were left, each request waited at the one that seemed to be due first, which was the same one on every host, while others were idle. It asks for up to three before it waits.

--- a/tests/integration/test_cold_targets.py
+++ b/tests/integration/test_cold_targets.py
@@ -179,6 +179,28 @@
     assert most_in_a_second(fleet.cold_arrivals('plain-1')) <= BOUND_PER_S
 
 
+def test_rates_of_all_cold_targets_are_used(fleet):
+    """Guards against requests that wait for one of several cold targets."""
+    fleet.control_platform(states={'plain-2': 'ready'})
+    for host in range(HOSTS):
+        fleet.wait_for_event('target_added', host, target='plain-2')
+    targets = ('plain-1', 'plain-2')
+    fleet.control_platform(cold=dict.fromkeys(targets, 12.0))
+    for host in range(HOSTS):
+        for target in targets:
+            fleet.wait_for_event('target_cold', host, target=target)
+    with Load(fleet, 'check') as load:
+        time.sleep(KNOWN_S)
+        begin = time.monotonic()
+        time.sleep(4.0)
+        end = time.monotonic()
+    for target in targets:
+        arrivals = fleet.cold_arrivals(target)
+        assert most_in_a_second(arrivals) <= BOUND_PER_S
+        assert count(arrivals, begin, end) >= MIN_USE * PER_S * (end - begin)
+    assert load.statuses <= {200, 503}
+
+
 def test_calls_to_a_cold_stage_target_are_spaced(fleet):
     """Guards against the calls of a cell that crash its stage target."""
     make_cold(fleet, 'rank-1', 5.0)
--- a/walnutport/gateway/entry/calls.py
+++ b/walnutport/gateway/entry/calls.py
@@ -50,6 +50,8 @@
         request waits for a permit while its aim allows.
     :param cold_denied: targets, by id, that are cold and for which the request
         got no permit.
+    :param was_permit_refused: whether it has waited for a permit, or could
+        not, so that it is refused unless a warm target is left.
     :param origin: where the stream began, None before its first event. Only
         targets of that service and version may go on with it.
     """
@@ -85,6 +87,7 @@
     cold_denied: dict[str, registrations.RegisteredTarget] = dataclasses.field(
         default_factory=dict
     )
+    was_permit_refused: bool = False
 
     @property
     def request_id(self) -> str:
--- a/walnutport/gateway/targets/forwarding.py
+++ b/walnutport/gateway/targets/forwarding.py
@@ -137,6 +137,7 @@
             permit = end.permit
             if permit is None and not end.is_warm:
                 call.cold_denied[target.target_id] = target
+                call.was_permit_refused |= call.waits_for_permit
                 return self._no_permit(call, target, 'denied')
         started_at = time.monotonic()
         call.last_attempt_at = started_at
@@ -181,6 +182,7 @@
             if result.status is _Status.NO_PERMIT:
                 if permit is not None and call.permit_wait_s() <= 0:
                     call.cold_denied[target.target_id] = target
+                    call.was_permit_refused |= call.waits_for_permit
                 return self._no_permit(call, target, 'ended')
             reset = result.reset
             survived = result.status in (_Status.ANSWERED, _Status.STREAMED)
--- a/walnutport/gateway/targets/target_selector.py
+++ b/walnutport/gateway/targets/target_selector.py
@@ -17,6 +17,12 @@
 
 __all__ = ['TargetSelector']
 
+# Cold targets that are asked for in turn, if only cold ones are left, before a
+# request waits for one of them; each takes a round trip to another host.
+MAX_COLD_ASKS = 3
+# Cold targets whose permits are due within this time of each other are equal.
+SAME_DUE_S = 0.02
+
 
 class TargetSelector:
     """Selects targets for the calls of this host and for the cells it owns.
@@ -216,31 +222,48 @@
         """Return the targets among which to choose for a request.
 
         A cold target is among them when it may have a permit to spare. If only
-        cold ones are left, the request waits for the one that is due first.
+        cold ones are left, the request waits for one that is due first, unless
+        others are left to ask for.
         """
         call.waits_for_permit = False
         if not self._permits.may_be_needed and not call.cold_denied:
             return targets
-        excluded = call.excluded_targets().union(
-            target.target_id
-            for target in call.cold_denied.values()
-            if self._permits.is_needed(target)
-        )
+        excluded = call.excluded_targets()
         left = self._outcomes.exclude_ejected(
             [target for target in targets if target.target_id not in excluded],
             now,
         )
+        cold = [target for target in left if self._permits.is_needed(target)]
         warm = [
             target for target in left if not self._permits.is_needed(target)
         ]
-        call.waits_for_permit = not warm
-        if not warm:
-            return sorted(left, key=self._permits.expected_wait_s)[:1]
-        return warm + [
+        unasked = [
+            target
+            for target in cold
+            if target.target_id not in call.cold_denied
+        ]
+        if warm:
+            return warm + [
+                target for target in unasked if self._permits.may_offer(target)
+            ]
+        if call.was_permit_refused:
+            return []
+        if len(cold) > 1 and unasked and len(call.cold_denied) < MAX_COLD_ASKS:
+            cold = unasked
+        else:
+            call.waits_for_permit = True
+        return self._soonest(cold)
+
+    def _soonest(
+        self, cold: list[registrations.RegisteredTarget]
+    ) -> list[registrations.RegisteredTarget]:
+        """Return the cold targets whose permits are due first."""
+        waits_s = [self._permits.expected_wait_s(target) for target in cold]
+        latest_s = min(waits_s, default=0.0) + SAME_DUE_S
+        return [
             target
-            for target in left
-            if self._permits.is_needed(target)
-            and self._permits.may_offer(target)
+            for target, wait_s in zip(cold, waits_s)
+            if wait_s <= latest_s
         ]
 
     def _chosen(
