Let only the owners that all hosts link with issue permits

In a partial mesh a host knows the state of its linked peers only. If the first owners of a cell were of an earlier build, each host took one of its neighbours, or itself, for the issuer, and the hosts together exceeded the bound.

--- a/tests/gateway/targets/test_permit_exchange.py
+++ b/tests/gateway/targets/test_permit_exchange.py
@@ -23,14 +23,18 @@
 
     def __init__(self, own_name) -> None:
         super().__init__()
-        self.own_record = types.SimpleNamespace(name=own_name)
+        self.own_record = types.SimpleNamespace(name=own_name, work_share=1.0)
         self.links_with_most = True
+        self.is_partial = False
+        self.change_count = 0
 
     def add_peer(self, name, supports=True) -> None:
         """Add a peer whose build issues permits or not."""
         self.peer_by_name[name] = types.SimpleNamespace(
-            supports=lambda capability: supports
+            supports=lambda capability: supports,
+            record=types.SimpleNamespace(work_share=1.0),
         )
+        self.change_count += 1
 
     def live_names(self):
         """Return the names of all hosts."""
@@ -142,6 +146,21 @@
     assert host.exchange.totals()['send_permits_expired_total'] == 1
 
 
+def test_host_in_a_large_fleet_does_not_issue_for_itself(monkeypatch):
+    """Guards against as many issuers as hosts while builds are mixed.
+
+    The hosts that all others link with are of an earlier build.
+    """
+    host = Host(monkeypatch, 'edge-a')
+    for number in range(8):
+        host.mesh.add_peer(f'peer-{number}', supports=False)
+    host.run(1.2)
+    assert host.permit() is not None
+    host.mesh.is_partial = True
+    assert host.permit() is None
+    assert host.exchange.describe(TARGET)['permits_by'] is None
+
+
 def test_target_that_left_during_the_wait_gets_nothing(host):
     """Guards against a request to a target that drains by now."""
     host.permit()
--- a/walnutport/gateway/targets/permit_exchange.py
+++ b/walnutport/gateway/targets/permit_exchange.py
@@ -67,6 +67,9 @@
         self._line_by_id: dict[str, _Line] = {}
         self._waiters: dict[int, defer.Deferred] = {}
         self._waiter_ids = itertools.count(1)
+        # Owners by cell that all hosts link with, as of a change of the mesh.
+        self._owners_by_cell: dict[int, frozenset[str]] = {}
+        self._owners_change = -1
         # Whether this host has ever known a peer.
         self._had_peers = False
         self._expired_count = 0
@@ -320,6 +323,7 @@
         if (
             target is None
             or not self._has_links()
+            or not self._is_linked_owner(cell, self._own_name)
             or not self._ranking.is_settled(cell, now)
         ):
             return self._issuer.deny(send_permits.NO_ISSUER_RETRY_S)
@@ -342,9 +346,30 @@
         return self._mesh.links_with_most
 
     def _issuer_of(self, target_id: str) -> str:
-        return self._ranking.issuer(
-            permit_issuers.cell_of_target(target_id, self._cell_count())
-        )
+        cell = permit_issuers.cell_of_target(target_id, self._cell_count())
+        name = self._ranking.issuer(cell)
+        return name if self._is_linked_owner(cell, name) else ''
+
+    def _is_linked_owner(self, cell: int, name: str) -> bool:
+        """Return whether all hosts link with a host as owner of a cell."""
+        mesh = self._mesh
+        if not mesh.is_partial:
+            return True
+        if self._owners_change != mesh.change_count:
+            self._owners_change = mesh.change_count
+            self._owners_by_cell.clear()
+        owners = self._owners_by_cell.get(cell)
+        if owners is None:
+            shares = {
+                name: peer.record.work_share
+                for name, peer in mesh.peer_by_name.items()
+            }
+            shares[self._own_name] = mesh.own_record.work_share
+            owners = permit_issuers.linked_owners(
+                cell, shares, mesh.live_names()
+            )
+            self._owners_by_cell[cell] = owners
+        return name in owners
 
     def _issuer_shares(self) -> dict[str, float]:
         """Return the work shares of the hosts that issue permits."""
--- a/walnutport/routing/permit_issuers.py
+++ b/walnutport/routing/permit_issuers.py
@@ -5,12 +5,13 @@
 permits to those that its predecessor has just issued.
 """
 
+from collections.abc import Collection
 import dataclasses
 import hashlib
 
 from walnutport.membership import ranking
 
-__all__ = ['IssuerRanking', 'cell_of_target']
+__all__ = ['IssuerRanking', 'cell_of_target', 'linked_owners']
 
 # A host that has become the issuer issues nothing for this long: the permits
 # of its predecessor may still arrive within the same second.
@@ -26,6 +27,29 @@
     return int.from_bytes(digest, 'big') % cells
 
 
+def linked_owners(
+    cell: int,
+    shares_by_name: dict[str, float],
+    reachable_names: Collection[str],
+) -> frozenset[str]:
+    """Return the hosts that all others link with as owners of a cell.
+
+    In a large fleet, a host that is linked with none of them would take one
+    of its neighbours, or itself, for the issuer, and so would others.
+
+    :param shares_by_name: work share of each known host.
+    :param reachable_names: hosts that may be up.
+    """
+    reachable = {name: shares_by_name[name] for name in reachable_names}
+    return frozenset(
+        name
+        for shares in (shares_by_name, reachable)
+        for name in ranking.rank_hosts(
+            ranking.cell_key(cell), ranking.eligible_hosts(shares)
+        )[: ranking.LINKED_OWNERS]
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class _View:
     """Work shares that applied from some time on, and the issuers by them.
