--- a/tests/retries/test_window_budget.py
+++ b/tests/retries/test_window_budget.py
@@ -68,3 +68,14 @@
         allowed = ratio * sum(at >= start for at in firsts) + slack
         assert recent <= allowed
     assert len(retries) > 100, 'hardly any retry was allowed'
+
+
+def test_refused_request_allows_no_retry():
+    """Guards against retries in proportion to requests that were not sent."""
+    budget = window_budget.SlidingWindowBudget(1.0, 0.0, 10.0)
+    for _ in range(20):
+        budget.record_first_attempt(1.0)
+    allowed = budget.available(1.0)
+    budget.record_first_attempt(1.0)
+    budget.retract_first_attempt()
+    assert budget.available(1.0) == allowed
--- a/walnutport/gateway/entry/request_handler.py
+++ b/walnutport/gateway/entry/request_handler.py
@@ -333,10 +333,8 @@
         )
 
     def _refuse_cold(self, call: calls.CallerCall, delay_s: float) -> None:
-        """Refuse a call because no permit for a cold target is due in time.
-
-        :param delay_s: time until the next permit or a warm target.
-        """
+        """Refuse a call; a permit or a warm target is due after a delay."""
+        self._forwarder.retract_request(call)
         self._responder.refuse(
             call,
             'targets_cold',
--- a/walnutport/gateway/targets/forwarding.py
+++ b/walnutport/gateway/targets/forwarding.py
@@ -114,6 +114,11 @@
         """Count a request, which raises the retry budget of its service."""
         self._budget_for(call.service).record_first_attempt(time.monotonic())
 
+    def retract_request(self, call: calls.CallerCall) -> None:
+        """Uncount a request that is refused and was never sent."""
+        if not call.targets:
+            self._budget_for(call.service).retract_first_attempt()
+
     async def attempt(
         self,
         call: calls.CallerCall,
--- a/walnutport/retries/window_budget.py
+++ b/walnutport/retries/window_budget.py
@@ -35,6 +35,11 @@
         self._first_attempts.append(now)
         self._drop_expired(now)
 
+    def retract_first_attempt(self) -> None:
+        """Uncount a request that was refused before it was sent."""
+        if self._first_attempts:
+            self._first_attempts.pop()
+
     def try_acquire(self, now: float) -> bool:
         """Count one retry if the budget allows it."""
         self._drop_expired(now)
