--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -29,8 +29,10 @@
 from walnutport.gateway.state import feed_follower
 from walnutport.gateway.streams import origin_exchange
 from walnutport.gateway.targets import attempts
+from walnutport.gateway.targets import cold_watch
 from walnutport.gateway.targets import forwarding
 from walnutport.gateway.targets import path_check
+from walnutport.gateway.targets import permit_exchange
 from walnutport.gateway.targets import target_reports
 from walnutport.gateway.targets import target_selector
 from walnutport.http1 import channel_pool
@@ -169,12 +171,22 @@
             self._evacuations,
             settings.is_first_start,
         )
+        self._cold = cold_watch.ColdWatch(self.log)
+        self._permits = permit_exchange.PermitExchange(
+            reactor,
+            self._mesh,
+            self._cold,
+            self._work_sharing,
+            lambda: self._stages.cell_count,
+            lambda target_id: self._follower.registry.targets.get(target_id),
+        )
         self._reports = target_reports.TargetReports(
             self.log,
             self._mesh,
             self._pool,
             self._backpressure,
             lambda target_id: self._follower.registry.targets.get(target_id),
+            self._cold,
         )
         self._selector = target_selector.TargetSelector(
             self._follower,
@@ -182,6 +194,7 @@
             self._backpressure,
             self._eligibility,
             settings.data_centre,
+            self._permits,
         )
         self._stages = stage_client.StageClient(
             reactor,
@@ -197,6 +210,7 @@
             self._eligibility,
         )
         self._reports.on_change = self._stages.target_changed
+        self._cold.on_change = self._stages.target_changed
         self._forwarder = forwarding.Forwarder(
             self.log,
             attempts.AttemptSender(
@@ -205,6 +219,7 @@
                 self._reports,
                 lambda call: self._forwarder.admit(call),
                 self._eligibility,
+                self._permits.may_send,
             ),
             self._outcomes,
             self._backpressure,
@@ -212,6 +227,7 @@
             self._suspects.parts,
             self._create_budget,
             self._suspects.check_for_crash,
+            self._permits,
         )
         self._origins = origin_exchange.OriginExchange(
             reactor,
@@ -264,6 +280,8 @@
             self._lag_monitor,
             self._path,
             self._relay,
+            self._cold,
+            self._permits,
         )
         self._caller_site = server.ServerSite(
             reactor,
@@ -429,6 +447,8 @@
         self._forwarder.set_retry_slack(self._retry_slack())
         self._stages.tick()
         self._reports.tick()
+        self._cold.tick()
+        self._permits.tick()
         self._pool.close_expired()
         self._relay.close_expired()
 
@@ -440,6 +460,7 @@
             self._stages.owner_cut(self.settings.name)
         else:
             self._outcomes.end_ejections()
+            self._cold.path_restored()
         self._mesh.send_heartbeat()
 
     def _state_changed(self) -> None:
@@ -457,6 +478,8 @@
         if desired is None:
             return
         self._matcher.drop_missing_routes(desired)
+        self._cold.state_changed(desired, targets, self.settings.bounds)
+        self._follower.registry.limited_services = self._cold.limited_services
         rules = {
             service.name: service.batch
             for service in desired.service_by_name.values()
@@ -514,6 +537,7 @@
         self._origins.handle_message(name, message)
         self._follower.handle_message(name, message)
         self._stages.handle_message(name, message)
+        self._permits.handle_message(name, message)
 
     def _peer_joined(self, name: str) -> None:
         self._evacuations.send_update(name)
--- a/walnutport/gateway/stages/cell_owner.py
+++ b/walnutport/gateway/stages/cell_owner.py
@@ -219,6 +219,8 @@
                 response, fields, len(call.pieces)
             )
         except exceptions.ChannelError as problem:
+            if problem.refused:
+                self._reports.connection_refused(call.target)
             if problem.timed_out:
                 failure = stage_targets.CallFailure.TIMEOUT
             elif problem.written or self._eligibility.accepts(call.target):
