--- a/bench/soak_schedule.py
+++ b/bench/soak_schedule.py
@@ -43,6 +43,12 @@
 #: Data centres of the targets in these rounds.
 DATA_CENTRES = ('a', 'b')
 
+# Share of the rounds in which targets become cold, and the share of these in
+# which another one does.
+COLD_SHARE = 0.5
+# Targets of these services crash if they are pushed while they are cold.
+COLD_PREFIXES = ('plain-', 'llm-', 'rank-')
+
 #: Faults between these hosts and all targets, in order, by variant.
 CUT_FAULTS = {
     'reset': (
@@ -93,10 +99,10 @@
     """A fault that is injected during a round.
 
     :param kind: ``network``, ``mode``, ``host``, ``store``, ``desired``,
-        ``leave``, ``return``, ``state``, ``cut`` or ``evacuate``. With
-        ``return``, the store takes a copy at the start and returns from it at
-        the end. With ``state``, a target states something in its responses.
-        An evacuation is withdrawn at the end.
+        ``leave``, ``return``, ``state``, ``cut``, ``evacuate`` or ``cold``.
+        With ``return``, the store takes a copy at the start and returns from
+        it at the end. With ``state``, a target states something in its
+        responses. An evacuation is withdrawn at the end.
     :param location: target id, host number or ``store``.
     :param variant: which fault of this kind.
     :param at_s: start, relative to the start of the round.
@@ -131,6 +137,7 @@
     actions += _draw_statements(seed, target_ids)
     actions += _draw_cuts(seed)
     actions += _draw_evacuations(seed)
+    actions += _draw_cold(seed, target_ids)
     return sorted(actions, key=lambda action: action.at_s)
 
 
@@ -188,6 +195,28 @@
     return actions
 
 
+def _draw_cold(seed: int, target_ids: tuple[str, ...]) -> list[FaultAction]:
+    """Return which targets become cold, when, and for how long."""
+    rng = random.Random(f'{seed}/cold')
+    actions: list[FaultAction] = []
+    limited = [
+        target_id
+        for target_id in target_ids
+        if target_id.startswith(COLD_PREFIXES)
+    ]
+    while limited and rng.random() < COLD_SHARE:
+        actions.append(
+            FaultAction(
+                'cold',
+                rng.choice(limited),
+                'cold',
+                round(rng.uniform(0.0, ROUND_S), 2),
+                round(rng.uniform(3.0, 6.0), 2),
+            )
+        )
+    return actions
+
+
 def _draw_statements(
     seed: int, target_ids: tuple[str, ...]
 ) -> list[FaultAction]:
