--- a/tests/integration/test_fleet_soak.py
+++ b/tests/integration/test_fleet_soak.py
@@ -14,8 +14,9 @@
 # hosts are cut off from all targets. Seed 437 has failed: a host that was cut
 # off took the targets for crashed, and the content of a request was refused.
 # In seed 529, both data centres are evacuated while the store returns from
-# older copies and hosts are cut off from all targets.
-SEEDS = (11, 13, 213, 300, 328, 403, 437, 529)
+# older copies and hosts are cut off from all targets. Seed 572 makes targets
+# cold, and detects hosts that send without permits.
+SEEDS = (11, 13, 213, 300, 328, 403, 437, 529, 572)
 
 
 @pytest.mark.parametrize('seed', SEEDS)
