Reuse channels only after responses that name their request

Cause: channels to the store and to stage targets carried one request after the other, whose responses name no request, so that a second copy of a response was taken for the next one. The same held for refusals of targets without an id and for requests to peers.

Change: a channel is reused only if the response names its request and its receiver rejects the heads of others. The fault proxy can repeat responses.

--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -13,6 +13,7 @@
 ``drip_bytes``  data arrives in chunks of this size every ``drip_s``
 ``refuse``      new connections are refused, open ones stay
 ``stall``       new connections are neither accepted nor refused
+``repeat``      responses are sent a second time, see ``Repeat``
 ==============  ========================================================
 
 ``black_hole`` in one direction is one-way loss.
@@ -30,7 +31,7 @@
 from twisted.internet import protocol
 from twisted.internet import reactor
 
-__all__ = ['Direction', 'FaultProxy', 'FaultProxySettings', 'Faults']
+__all__ = ['Direction', 'FaultProxy', 'FaultProxySettings', 'Faults', 'Repeat']
 
 
 class Direction(enum.StrEnum):
@@ -41,6 +42,21 @@
     TO_CLIENT = 'to_client'
 
 
+class Repeat(enum.StrEnum):
+    """What follows a response on its connection.
+
+    The data to the client between two requests counts as one response.
+    """
+
+    NONE = ''
+    #: A copy of it, before the response to the next request.
+    BEFORE_NEXT = 'before_next'
+    #: A copy of it after ``repeat_s``.
+    LATE = 'late'
+    #: Its first byte, directly behind it.
+    BYTE = 'byte'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FaultProxySettings:
     """Settings of a proxy.
@@ -67,6 +83,8 @@
     drip_s: float = 0.01
     refuse: bool = False
     stall: bool = False
+    repeat: Repeat = Repeat.NONE
+    repeat_s: float = 0.0
 
 
 class _Route:
@@ -203,6 +221,8 @@
         self._target: _TargetConnection | None = None
         self._data_before_connect: list[bytes] = []
         self._half_open = False
+        # Data to the client since its last request.
+        self._response = b''
         self._to_target = _Forwarder(route, Direction.TO_TARGET)
         self._to_client = _Forwarder(route, Direction.TO_CLIENT)
 
@@ -225,6 +245,7 @@
         if self._target is None:
             self._data_before_connect.append(data)
             return
+        self._repeat_before_next()
         self._to_target.forward(data, self._target.transport)
 
     def connectionLost(self, reason=None) -> None:  # noqa: N802
@@ -246,6 +267,23 @@
 
     def target_data_received(self, data: bytes) -> None:
         self._to_client.forward(data, self.transport)
+        faults = self._route.faults
+        if not self._response and faults.repeat is Repeat.BYTE:
+            reactor.callLater(
+                0, self._to_client.forward, data[:1], self.transport
+            )
+        if not self._response and faults.repeat is Repeat.LATE:
+            reactor.callLater(faults.repeat_s, self._repeat_late)
+        self._response += data
+
+    def _repeat_before_next(self) -> None:
+        response, self._response = self._response, b''
+        if response and self._route.faults.repeat is Repeat.BEFORE_NEXT:
+            self._to_client.forward(response, self.transport)
+
+    def _repeat_late(self) -> None:
+        if self.transport is not None and self in self._route.connections:
+            self._to_client.forward(self._response, self.transport)
 
     def target_lost(self) -> None:
         if not self._half_open:
--- a/walnutport/gateway/peers/peer_relay.py
+++ b/walnutport/gateway/peers/peer_relay.py
@@ -80,7 +80,15 @@
         """Whether the peer may have begun to serve the request."""
         return self._head.status != NOT_TAKEN_STATUS
 
+    @property
+    def names_request(self) -> bool:
+        """Whether the head of the response names the request."""
+        return bool(headers.response_request_id(self._head))
+
     def head_received(self, head: messages.ResponseHead) -> bool:
+        request_id = headers.response_request_id(head)
+        if request_id and request_id != self._call.request_id:
+            return False
         self._head = head
         self._is_stream = head.header(b'transfer-encoding') is not None
         if self._is_stream:
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -158,6 +158,11 @@
             return MAX_STREAM_BYTES
         return channel_pool.MAX_RESPONSE_BYTES
 
+    @property
+    def names_request(self) -> bool:
+        """Whether the head of the response names the request."""
+        return bool(self._fields.request_id)
+
     def head_received(self, head: messages.ResponseHead) -> bool:
         fields = headers.decode_response_headers(head)
         if fields.request_id and fields.request_id != self._call.request_id:
--- a/walnutport/http1/channel_pool.py
+++ b/walnutport/http1/channel_pool.py
@@ -17,19 +17,23 @@
 class ResponseCollector:
     """Response receiver that collects the complete response.
 
-    :param accepts: returns whether a head belongs to this request.
+    :param accepts: returns whether a head belongs to this request; None if
+        heads do not name their request, so that the channel is not reused.
     """
 
     max_body_bytes = MAX_RESPONSE_BYTES
 
-    def __init__(self, accepts=lambda head: True) -> None:
+    def __init__(
+        self, accepts: Callable[[messages.ResponseHead], bool] | None = None
+    ) -> None:
+        self.names_request = accepts is not None
         self._head = messages.EMPTY_HEAD
         self.done: defer.Deferred = defer.Deferred()
         self._accepts = accepts
         self._parts: list[bytes] = []
 
     def head_received(self, head: messages.ResponseHead) -> bool:
-        if not self._accepts(head):
+        if self._accepts is not None and not self._accepts(head):
             return False
         self._head = head
         return True
--- a/walnutport/http1/client_channel.py
+++ b/walnutport/http1/client_channel.py
@@ -2,6 +2,10 @@
 
 A channel carries one request at a time. Its receiver gets the response or,
 on failure, an error that says whether any byte of the request was written.
+
+A peer may send a response a second time, at any later moment. Only a response
+that names its request can be told from the one to the next request, so a
+channel is reused only after such responses.
 """
 
 from collections.abc import Callable
@@ -60,6 +64,13 @@
     def max_body_bytes(self) -> int:
         """Bytes of the body after which the response is cut off."""
 
+    @property
+    def names_request(self) -> bool:
+        """Whether the head that was received names the request.
+
+        The receiver then rejects the heads that name another one.
+        """
+
     def head_received(self, head: messages.ResponseHead) -> bool:
         """Receive the head; return False if it answers another request."""
 
@@ -199,6 +210,7 @@
         self._keep_alive = (
             self._keep_alive
             and not self._body_until_close
+            and self._receiver.names_request
             and self._parser.should_keep_alive()
         )
         self._parse_idle_limit(head)
--- a/walnutport/platform/headers.py
+++ b/walnutport/platform/headers.py
@@ -14,6 +14,7 @@
     'decode_request_headers',
     'forwarded_request_headers',
     'relayed_request_headers',
+    'response_request_id',
 ]
 
 # A stated limit above this is taken for a fault of the target; a target serves
@@ -133,7 +134,6 @@
     head: messages.ResponseHead,
 ) -> requests.ResponseFields:
     """Decode a target's headers; an unreadable value counts as missing."""
-    request_id = head.header(wire.REQUEST_ID) or b''
     problems: list[str] = []
     rate_limit = _parse_decimal(
         head, wire.RATE_LIMIT, MAX_RATE_LIMIT, problems
@@ -144,7 +144,7 @@
             head, wire.RETRY_AFTER, MAX_RETRY_AFTER_S, problems
         )
     return requests.ResponseFields(
-        request_id=request_id.decode('latin-1'),
+        request_id=response_request_id(head),
         sealed=bool(head.header(wire.SEAL)),
         not_run=head.header(wire.NOT_EXECUTED) is not None,
         load=_parse_load(head.header(wire.LOAD)),
@@ -158,6 +158,11 @@
     )
 
 
+def response_request_id(head: messages.ResponseHead) -> str:
+    """Return the id of the request that a response names, empty if none."""
+    return (head.header(wire.REQUEST_ID) or b'').decode('latin-1')
+
+
 def forwarded_response_headers(
     head: messages.ResponseHead,
 ) -> messages.Headers:
