Answer requests that wait in the kernel before a planned stop

Cause: a stopping host closed idle channels and its port without a look at what the kernel held for them, and dropped requests that were pipelined behind a response with Connection: close.

Change: a channel with unread bytes is not idle, and keeps its connection until the last request that has arrived is answered. Queued connections are accepted before the port is closed.

--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -18,6 +18,13 @@
     def setTcpNoDelay(self, enabled) -> None:
         """Ignore the option."""
 
+    def getHandle(self):
+        return self
+
+    def recv(self, size: int, flags: int) -> bytes:
+        """Return what waits to be read: nothing."""
+        raise BlockingIOError
+
     def abortConnection(self) -> None:
         self.aborted = True
 
--- a/walnutport/gateway/entry/drain.py
+++ b/walnutport/gateway/entry/drain.py
@@ -1,6 +1,7 @@
 """Graceful shutdown of the traffic of an entry host."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import time
 
 from twisted.internet import defer
@@ -26,6 +27,7 @@
 
     :param caller_site: site that serves callers.
     :param is_busy: returns whether jobs of other hosts are in progress.
+    :param listeners: ports at which callers connect, filled at the start.
     :param grace_s: returns the time between the stop signal and the kill.
     """
 
@@ -35,7 +37,10 @@
         caller_site: server.ServerSite,
         is_busy: Callable[[], bool],
         grace_s: Callable[[], float],
+        listeners: Sequence = (),
     ) -> None:
+        self._listeners = listeners
+        self._is_listening = True
         self._reactor = reactor
         self._caller_site = caller_site
         self._is_busy = is_busy
@@ -62,8 +67,25 @@
         if elapsed_s > BALANCER_REMOVAL_S:
             self._caller_site.close_idle(DRAIN_IDLE_LIMIT_S)
             if not self._caller_site.channels and not self._is_busy():
-                finished = True
+                finished = not self._is_listening
+                self._stop_listening()
         if finished:
             self._done.callback(None)
         else:
             self._reactor.callLater(CHECK_INTERVAL_S, self._check)
+
+    def _stop_listening(self) -> None:
+        """Close the ports at which callers connect.
+
+        The kernel resets connections that it has queued for a port when the
+        port is closed, so they are accepted first.
+        """
+        if not self._is_listening:
+            return
+        self._is_listening = False
+        for listener in self._listeners:
+            count = -1
+            while count < len(self._caller_site.channels):
+                count = len(self._caller_site.channels)
+                listener.doRead()
+            listener.stopListening()
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -93,7 +93,7 @@
         rng = random.Random()
         self._lag_monitor = loop_lag.LoopLagMonitor()
         self._tick_due_at = 0.0
-        self._listeners: list = []
+        self._caller_listeners: list = []
         self._known_target_ids: set[str] = set()
         self.log = decision_log.DecisionLog(settings.name, reactor.callLater)
         self._pool = channel_pool.ChannelPool(
@@ -267,6 +267,7 @@
             self._caller_site,
             self._has_jobs,
             lambda: self.settings.bounds.grace_s,
+            self._caller_listeners,
         )
         self._directory = host_directory.HostDirectory(
             reactor,
@@ -281,7 +282,9 @@
     def start(self) -> None:
         """Listen, and start to follow the desired state and the targets."""
         settings = self.settings
-        self._listen(settings.caller_address, self._caller_site)
+        self._caller_listeners.append(
+            self._listen(settings.caller_address, self._caller_site)
+        )
         self._listen(settings.readiness_address, self._operator_site)
         if self._metrics_port:
             self._listen(
@@ -356,11 +359,9 @@
             owner.scheduler.job_count for owner in self._stages.local_owners()
         ) or any(call.relayed_by for call in self._request_handler.in_flight)
 
-    def _listen(self, address: client_channel.Address, site) -> None:
-        self._listeners.append(
-            self._reactor.listenTCP(
-                address[1], site, backlog=LISTEN_BACKLOG, interface=address[0]
-            )
+    def _listen(self, address: client_channel.Address, site):
+        return self._reactor.listenTCP(
+            address[1], site, backlog=LISTEN_BACKLOG, interface=address[0]
         )
 
     def _listen_relay(self, first_port: int) -> int:
--- a/walnutport/http1/server.py
+++ b/walnutport/http1/server.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import socket
 import time
 
 import httptools
@@ -125,7 +126,7 @@
                 self.on_disconnect()
 
     def _connection_headers(self) -> messages.Headers:
-        if self._channel.site.closing:
+        if self._channel.site.closing and not self._channel.has_more():
             self._keep_alive = False
         if self._keep_alive:
             return []
@@ -195,6 +196,21 @@
             and not self._in_body
         )
 
+    def has_more(self) -> bool:
+        """Return whether a request has arrived behind the active one.
+
+        It may still be unread, or partly read. A close would cut it off
+        without a response.
+        """
+        if self._pipelined or self._in_headers or self._in_body:
+            return True
+        if self._closing or self._discarding:
+            return False
+        try:
+            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def inactive_s(self) -> float:
         """Return the seconds since the last byte arrived or response ended."""
         return time.monotonic() - self._last_activity_at
@@ -369,7 +385,7 @@
             self._reject(408)
         elif self._in_body and self.inactive_s() < self.site.limits().idle_s:
             self._start_timer(self.site.limits().idle_s)
-        else:
+        elif self._in_body or not self.has_more():
             self._close()
 
 
@@ -404,5 +420,9 @@
     def close_idle(self, inactive_s: float) -> None:
         """Close the idle channels without activity for ``inactive_s``."""
         for channel in list(self.channels):
-            if channel.idle and channel.inactive_s() >= inactive_s:
+            if (
+                channel.idle
+                and channel.inactive_s() >= inactive_s
+                and not channel.has_more()
+            ):
                 channel.close_idle()
