Limit the time in which a whole request may arrive

Cause: a caller whose body brought a byte before each idle timeout kept its channel for as long as it liked. A comment of an engine counted as an event, so that results of stages were freed at it.

Change: a request that is not whole by the longest timeout of all routes is refused with 408. Comments are forwarded, but count as no events.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -21,6 +21,7 @@
 __all__ = [
     'PlatformSettings',
     'PlatformServer',
+    'STALLING_MODES',
     'STREAM_EVENTS',
     'TargetPlan',
     'event_bytes',
@@ -29,6 +30,9 @@
 #: Default length of a complete stream.
 STREAM_EVENTS = 6
 
+#: What an engine that brings no event sends again and again, by mode.
+STALLING_MODES = {'comments': b': wait\n\n', 'half_event': b'data: x\n'}
+
 _MAX_WAIT_S = 30.0
 _POLL_S = 0.02
 _REQUEST_ID_HEADER = 'walnutport-request-attempt-id'
@@ -476,6 +480,9 @@
             await self._sleep(self._platform.settings.event_ms / 2)
             self._crash()
             return server.NOT_DONE_YET
+        while self._mode() in STALLING_MODES:
+            request.write(STALLING_MODES[self._mode()])
+            await self._sleep(self._platform.settings.event_ms)
         after = int(request.getHeader('last-event-id') or 0)
         for number in range(after + 1, self._platform.settings.events + 1):
             await self._sleep(self._platform.settings.event_ms)
--- a/tests/relay/test_resumable.py
+++ b/tests/relay/test_resumable.py
@@ -68,3 +68,16 @@
     assert relay.feed(event(1))
     assert not relay.feed(b'id: %s\ndata: token\n\n' % (b'9' * digits))
     assert relay.has_gap
+
+
+def test_comments_are_forwarded_but_are_no_events():
+    """Guards against stage results that are freed at a keep-alive comment.
+
+    The first event shows that an engine has read them, and some events that
+    the prompt does not crash it.
+    """
+    relay = resumable.EventRelay()
+    assert relay.feed(b': wait\n\n') == b': wait\n\n'
+    assert relay.events == 0
+    relay.feed(b': note\ndata: x\n\n')
+    assert relay.events == 1
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -195,7 +195,7 @@
         if arrived >= PROVEN_EVENTS and not self._is_proven:
             self._is_proven = True
             self._on_proven()
-        if not self.first_event_at:
+        if arrived and not self.first_event_at:
             self.first_event_at = time.monotonic()
             self._on_first_event()
         request = self._call.request
--- a/walnutport/http1/server.py
+++ b/walnutport/http1/server.py
@@ -288,7 +288,7 @@
         expects = (self._first_value(b'expect') or b'').lower()
         if expects == b'100-continue' and self.active is None:
             self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-        self._start_timer(limits.idle_s)
+        self._wait_for_body()
 
     def on_body(self, data: bytes) -> None:
         if self._discarding:
@@ -366,6 +366,15 @@
             LINGER_S, self.transport.abortConnection
         )
 
+    def _wait_for_body(self) -> None:
+        """Limit the time for the body, also if bytes go on arriving."""
+        limits = self.site.limits()
+        read_s = time.monotonic() - self._request_started_at
+        if read_s < limits.request_s:
+            self._start_timer(min(limits.idle_s, limits.request_s - read_s))
+        elif self.active is None:
+            self._reject(408)
+
     def _cancel_timer(self) -> None:
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
@@ -384,7 +393,7 @@
         if self._in_headers:
             self._reject(408)
         elif self._in_body and self.inactive_s() < self.site.limits().idle_s:
-            self._start_timer(self.site.limits().idle_s)
+            self._wait_for_body()
         elif self._in_body or not self.has_more():
             self._close()
 
--- a/walnutport/platform/documents.py
+++ b/walnutport/platform/documents.py
@@ -142,6 +142,10 @@
             limits.body_bytes,
             limits.header_ms / 1000,
             limits.idle_ms / 1000,
+            max(
+                (route.timeout_ms / 1000 for route in config.routes),
+                default=routes.RequestLimits.request_s,
+            ),
         ),
         team_by_key=team_by_key,
     )
--- a/walnutport/relay/resumable.py
+++ b/walnutport/relay/resumable.py
@@ -20,6 +20,8 @@
     """Splits the bytes of one or more runs into complete events.
 
     :param last_id: id of the last event that the caller already has.
+    :ivar events: forwarded events. Comments, which targets send to keep a
+        channel open, are forwarded but are none.
     """
 
     def __init__(self, last_id: int | None = None) -> None:
@@ -60,8 +62,8 @@
             start = end + 2
             if self._accept(event):
                 forwarded.append(event)
+                self.events += not _is_comment(event)
         self._partial = data[start:]
-        self.events += len(forwarded)
         return b''.join(forwarded)
 
     def _accept(self, event: bytes) -> bool:
@@ -80,6 +82,11 @@
         return True
 
 
+def _is_comment(event: bytes) -> bool:
+    """Return whether all lines of an event are comments."""
+    return all(line.startswith(b':') for line in event.split(b'\n') if line)
+
+
 def _event_id(event: bytes) -> int | None:
     """Return the id of an event.
 
--- a/walnutport/world/routes.py
+++ b/walnutport/world/routes.py
@@ -147,12 +147,15 @@
     :param body_bytes: maximum size of the body.
     :param header_s: seconds within which the headers must arrive.
     :param idle_s: seconds for which a channel may stay idle.
+    :param request_s: seconds within which a whole request must arrive. After
+        the longest timeout of all routes, no response can be in time.
     """
 
     header_bytes: int = 16384
     body_bytes: int = 4 << 20
     header_s: float = 3.0
     idle_s: float = 15.0
+    request_s: float = 60.0
 
 
 @dataclasses.dataclass(frozen=True)
