Take only answers for a path to the targets

Cause: a connection that an intermediary accepts and then resets or leaves silent counted as a path, so that a host that was cut off in this way went on sending requests into it.

Change: a check sends requests that every target refuses with 421, and only an answer on a connection opened since proves a path.

--- a/tests/gateway/targets/test_path_check.py
+++ b/tests/gateway/targets/test_path_check.py
@@ -9,6 +9,7 @@
 
 from walnutport.gateway.targets import path_check
 from walnutport.http1 import channel_pool
+from walnutport.http1 import client_channel
 from walnutport.world import registrations
 
 TARGETS = [
@@ -63,13 +64,19 @@
         )
 
 
-def connect(dial) -> None:
-    """Let one dial succeed."""
+REFUSAL = b'HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n'
+
+
+def connect(dial, answer: bytes = REFUSAL) -> client_channel.ClientChannel:
+    """Let one dial succeed, and the target answer the probe on it."""
     channel = dial.buildProtocol(None)
     transport = testing.StringTransport()
     transport.getHandle = lambda: _Socket()
     transport.abortConnection = lambda: None
     channel.makeConnection(transport)
+    if answer:
+        channel.dataReceived(answer)
+    return channel
 
 
 class _Socket:
@@ -158,3 +165,34 @@
     for dial in host.take_dials():
         host.refuse(dial)
     assert verified.result is True
+
+
+def test_connections_that_an_intermediary_accepts_and_resets_prove_nothing():
+    """Guards against a host that takes a load balancer for its targets."""
+    host = Host()
+    host.check.check()
+    for dial in host.take_dials():
+        channel = connect(dial, answer=b'')
+        assert not host.check.is_cut
+        channel.connectionLost(failure.Failure(error.ConnectionLost()))
+    assert host.check.is_cut
+    host.reactor.advance(path_check.RECHECK_INTERVAL_S)
+    silent, answering, *_ = host.take_dials()
+    connect(silent, answer=b'')
+    assert host.check.is_cut
+    connect(answering)
+    assert host.changes == [True, False]
+
+
+def test_answer_on_a_connection_from_before_the_cut_does_not_end_it():
+    """Guards against a host that takes a stream that lives on for a path."""
+    host = Host()
+    host.check.check()
+    dials = host.take_dials()
+    early = connect(dials[0], answer=b'')
+    for dial in dials[1:]:
+        host.refuse(dial)
+    early.connectionLost(failure.Failure(error.ConnectionLost()))
+    assert host.check.is_cut
+    early.on_answered(early)
+    assert host.check.is_cut
--- a/tests/integration/test_cut_hosts.py
+++ b/tests/integration/test_cut_hosts.py
@@ -70,6 +70,13 @@
         pytest.param(
             (fault_proxy.Faults(black_hole=True, stall=True),), id='silent'
         ),
+        # The proxy stands for an intermediary that accepts connections.
+        pytest.param(
+            (fault_proxy.Faults(reset=True),), id='accepted_and_reset'
+        ),
+        pytest.param(
+            (fault_proxy.Faults(black_hole=True),), id='accepted_and_silent'
+        ),
     ],
 )
 def test_hosts_without_targets_serve_their_callers_through_peers(
--- a/tests/membership/test_target_path.py
+++ b/tests/membership/test_target_path.py
@@ -45,7 +45,7 @@
     assert path.sample_failed(4, 0.9, 1.0)
     assert not path.sample_failed(4, 1.4, 1.5)
     assert path.is_cut
-    assert path.connected(2.0)
+    assert path.answered(2.0, 2.0)
     assert not path.is_cut
     assert not path.needs_check(2.0 + target_path.TRUST_S / 2)
     assert path.needs_check(2.01 + target_path.TRUST_S)
--- a/walnutport/gateway/targets/path_check.py
+++ b/walnutport/gateway/targets/path_check.py
@@ -1,4 +1,4 @@
-"""Dials targets to find out whether this host is cut off from all of them."""
+"""Asks targets to find out whether this host is cut off from all of them."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -11,12 +11,14 @@
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.membership import target_path
+from walnutport.platform import target_probe
 from walnutport.world import registrations
 
 __all__ = ['PathCheck']
 
-# A target that does not accept a connection within this time counts as
-# unreachable; data centres are milliseconds apart.
+# A target that does not accept a connection within this time, or does not
+# answer within this time after that, counts as unreachable; data centres are
+# milliseconds apart, and targets refuse such requests at once.
 DIAL_TIMEOUT_S = 0.4
 # Interval at which a host that is cut off dials a sample again.
 RECHECK_INTERVAL_S = 0.4
@@ -28,7 +30,7 @@
 class PathCheck:
     """Whether this host reaches any target, checked after failures.
 
-    :param pool: channels to targets; all connections that it opens count.
+    :param pool: channels to targets; all answers on them count.
     :param targets: returns the registered targets.
     :param on_change: called when the host was cut off, or no longer is.
     """
@@ -49,9 +51,11 @@
         self._on_change = on_change
         self._path = target_path.TargetPath(rng)
         self._is_checking = False
-        self._waiters: list[defer.Deferred] = []
-        pool.on_opened = self._connected
-        pool.on_open_failed = self.check
+        # Start of the attempt that failed, and the result, of each request
+        # that waits for a check.
+        self._waiters: list[tuple[float, defer.Deferred]] = []
+        pool.on_answered = self._answered
+        pool.on_failed = self.check
 
     @property
     def is_cut(self) -> bool:
@@ -63,21 +67,31 @@
         if self._path.needs_check(time.monotonic()):
             self._start()
 
+    def tick(self) -> None:
+        """Start a check if requests wait and no target answers."""
+        if self._path.is_silent(self._pool.waiting_since, time.monotonic()):
+            self._start()
+
     def verify(self, since: float) -> defer.Deferred:
         """Find out whether a failure is one of the path.
 
-        :param since: when the attempt that failed began. A connection before
-            says nothing, as the host may have been cut off in between.
+        :param since: when the attempt that failed began. An answer on an
+            earlier connection says nothing, as the host may have been cut off
+            in between.
         :returns: fires with whether this host is cut off.
         """
         verified: defer.Deferred = defer.Deferred()
-        if self._path.is_cut or self._path.connected_since(since):
+        if self._path.is_cut or self._path.answered_since(since):
             verified.callback(self._path.is_cut)
         else:
-            self._waiters.append(verified)
+            self._waiters.append((since, verified))
             self._start()
         return verified
 
+    async def answers(self, target: registrations.RegisteredTarget) -> bool:
+        """Return whether a target answers on a new connection."""
+        return await self._dial(target.address)
+
     def _start(self) -> None:
         if self._is_checking:
             return
@@ -91,23 +105,30 @@
             ]
         ).addCallback(self._sample_done, len(sample), started_at)
 
-    async def _dial(self, address: client_channel.Address) -> None:
+    async def _dial(self, address: client_channel.Address) -> bool:
         try:
-            channel = await self._pool.open(address, DIAL_TIMEOUT_S)
+            await channel_pool.fetch(
+                self._reactor,
+                self._pool,
+                address,
+                target_probe.encode_probe(address),
+                DIAL_TIMEOUT_S,
+                is_new=True,
+            )
         except exceptions.ChannelError as problem:
             self._log.routine(
                 'path_dial_failed',
                 address=f'{address[0]}:{address[1]}',
                 problem=str(problem),
             )
-            return
-        self._pool.release(channel)
+            return False
+        return True
 
     def _sample_done(self, _: object, size: int, started_at: float) -> None:
         self._is_checking = False
         now = time.monotonic()
-        was_stalled = now - started_at > DIAL_TIMEOUT_S + STALL_MARGIN_S
-        if was_stalled and not self._path.connected_since(started_at):
+        was_stalled = now - started_at > 2 * DIAL_TIMEOUT_S + STALL_MARGIN_S
+        if was_stalled and not self._path.answered_since(started_at):
             self._start()
             return
         if self._path.sample_failed(size, started_at, now):
@@ -126,16 +147,23 @@
         if self._path.is_cut:
             self._start()
 
-    def _connected(self) -> None:
+    def _answered(self, channel: client_channel.ClientChannel) -> None:
         now = time.monotonic()
         cut_s = now - self._path.changed_at
-        if self._path.connected(now):
+        if self._path.answered(channel.opened_at, now):
             self._log.notable('targets_reachable', cut_s=round(cut_s, 2))
             self._on_change()
-        self._answer_waiters()
+        self._answer_waiters(opened_by=channel.opened_at)
 
-    def _answer_waiters(self) -> None:
+    def _answer_waiters(self, opened_by: float = float('inf')) -> None:
+        """Tell requests whether this host is cut off.
+
+        :param opened_by: when the connection was opened that shows it; it says
+            nothing about attempts that began later.
+        """
         waiters, self._waiters = self._waiters, []
-        for waiter in waiters:
-            if not waiter.called:
+        for since, waiter in waiters:
+            if since > opened_by:
+                self._waiters.append((since, waiter))
+            elif not waiter.called:
                 waiter.callback(self._path.is_cut)
--- a/walnutport/http1/channel_pool.py
+++ b/walnutport/http1/channel_pool.py
@@ -67,9 +67,15 @@
         self._idle_by_address: dict[
             client_channel.Address, list[client_channel.ClientChannel]
         ] = {}
-        # Called when a new channel is open, or could not be opened.
-        self.on_opened: Callable[[], None] = lambda: None
-        self.on_open_failed: Callable[[], None] = lambda: None
+        # Called with the channel at the head of a response.
+        self.on_answered: Callable[[client_channel.ClientChannel], None] = (
+            lambda channel: None
+        )
+        # Called when a new channel could not be opened, or has ended before
+        # its first response.
+        self.on_failed: Callable[[], None] = lambda: None
+        # When the first request was sent since the last response; 0 if none.
+        self.waiting_since = 0.0
         self.opened_count = 0
         self.oversized_count = 0
 
@@ -109,10 +115,12 @@
                 self._reactor, address, timeout_s
             )
         except exceptions.ChannelError:
-            self.on_open_failed()
+            self.on_failed()
             raise
-        self.on_opened()
         channel.on_oversized = self._count_oversized
+        channel.on_sent = self._sent
+        channel.on_answered = self._answered
+        channel.on_unanswered = self.on_failed
         return channel
 
     def release(self, channel: client_channel.ClientChannel) -> None:
@@ -148,6 +156,13 @@
             else:
                 del self._idle_by_address[address]
 
+    def _sent(self) -> None:
+        self.waiting_since = self.waiting_since or time.monotonic()
+
+    def _answered(self, channel: client_channel.ClientChannel) -> None:
+        self.waiting_since = 0.0
+        self.on_answered(channel)
+
     def _count_oversized(self) -> None:
         self.oversized_count += 1
 
@@ -158,14 +173,16 @@
     address: client_channel.Address,
     request: bytes,
     timeout_s: float,
+    is_new: bool = False,
 ) -> messages.Response:
     """Send an idempotent request and return the complete response.
 
     Cancelling closes the channel.
 
+    :param is_new: whether to open a new channel in any case.
     :raises ChannelError: if no complete response arrives in time.
     """
-    channel = pool.take_idle(address)
+    channel = None if is_new else pool.take_idle(address)
     if channel is None:
         channel = await pool.open(
             address, min(timeout_s, client_channel.CONNECT_TIMEOUT_S)
--- a/walnutport/http1/client_channel.py
+++ b/walnutport/http1/client_channel.py
@@ -93,6 +93,18 @@
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.alive = False
         self.request_count = 0
+        # Whether only the close has ended the last response, so that it may
+        # have broken off.
+        self.ended_by_close = False
+        self.opened_at = 0.0
+        # Called when a request is sent; with the channel at the head of a
+        # response; and when the channel ends before the first one.
+        self.on_sent: Callable[[], None] = lambda: None
+        self.on_answered: Callable[[ClientChannel], None] = lambda channel: (
+            None
+        )
+        self.on_unanswered: Callable[[], None] = lambda: None
+        self._was_answered = False
         # Called when a response is cut off as it exceeds a limit.
         self.on_oversized: Callable[[], None] = lambda: None
         self._receiver: ResponseReceiver | None = None
@@ -109,7 +121,7 @@
 
     def connectionMade(self) -> None:
         self.alive = True
-        self.idle_since = time.monotonic()
+        self.idle_since = self.opened_at = time.monotonic()
         _set_socket_options(self.transport)
         self.on_open(self)
 
@@ -132,6 +144,7 @@
         self._on_idle = on_idle
         self._written = True
         self.request_count += 1
+        self.on_sent()
         self.transport.write(data)
 
     def cancel(self) -> None:
@@ -174,6 +187,7 @@
             and self._head is not None
             and reason.check(error.ConnectionDone)
         ):
+            self.ended_by_close = True
             self._complete()
             return
         self._fail(f'channel lost: {reason.type.__name__}')
@@ -196,6 +210,8 @@
         if self._response_complete or self._receiver is None or status < 200:
             return
         head = messages.ResponseHead(status, self._headers)
+        self._was_answered = True
+        self.on_answered(self)
         if not self._receiver.head_received(head):
             self._skip_response = True
             self._keep_alive = False
@@ -272,6 +288,8 @@
         receiver = self._receiver
         self._receiver = None
         self._abort()
+        if not self._was_answered:
+            self.on_unanswered()
         if receiver is not None:
             receiver.failed(
                 exceptions.ChannelError(
--- a/walnutport/platform/documents.py
+++ b/walnutport/platform/documents.py
@@ -144,7 +144,7 @@
             limits.idle_ms / 1000,
             max(
                 (route.timeout_ms / 1000 for route in config.routes),
-                default=routes.RequestLimits.request_s,
+                default=routes.RequestLimits().request_s,
             ),
         ),
         team_by_key=team_by_key,
