Ask the target after an answer that only the close has ended

Cause: a response without a length or chunks ends with its channel, also if its target crashes in the middle of it, and was passed on as whole.

Change: such a response counts only if the target then answers a probe on a new connection; otherwise it has broken off, and a repeatable request or a stream goes on at another target. A peer's response without a length is never complete, as hosts frame all of theirs.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -6,6 +6,7 @@
 
 import base64
 import collections
+import contextlib
 import dataclasses
 import itertools
 import secrets
@@ -19,6 +20,7 @@
 from twisted.web import server
 
 __all__ = [
+    'CUT_MODES',
     'PlatformSettings',
     'PlatformServer',
     'STALLING_MODES',
@@ -33,6 +35,10 @@
 #: What an engine that brings no event sends again and again, by mode.
 STALLING_MODES = {'comments': b': wait\n\n', 'half_event': b'data: x\n'}
 
+#: Modes in which answers break off, by the framing of the answer: at its
+#: close, one byte before the end, and before the end of its last chunk.
+CUT_MODES = ('cut_close', 'cut_length', 'cut_chunks')
+
 _MAX_WAIT_S = 30.0
 _POLL_S = 0.02
 _REQUEST_ID_HEADER = 'walnutport-request-attempt-id'
@@ -451,6 +457,8 @@
         request.setHeader('walnutport-server-load', f'1,0,{self._plan.slots}')
         self._running += 1
         try:
+            if self._mode() in CUT_MODES:
+                return await self._cut_off(request)
             if self._plan.kind == 'engine':
                 return await self._stream(request)
             await self._sleep(self._platform.settings.work_ms)
@@ -464,6 +472,35 @@
             return b'failed'
         return f'{request_id} by {self._plan.target_id}'.encode()
 
+    async def _cut_off(self, request) -> bytes:
+        """Break off an answer, in the middle of it or just before its end."""
+        mode = self._mode()
+        if self._plan.kind == 'engine':
+            request.setHeader('content-type', 'text/event-stream')
+            body = event_bytes(1) + event_bytes(2) + event_bytes(3)
+        else:
+            body = b'half of an answer'
+        framing = {
+            'cut_length': b'Content-Length: %d\r\n' % (len(body) + 1),
+            'cut_chunks': b'Transfer-Encoding: chunked\r\n',
+        }.get(mode, b'')
+        if mode == 'cut_chunks':
+            body = b'%x\r\n%b\r\n0\r\n' % (len(body), body)
+        request.transport.write(_unframed_head(request)[:-2] + framing)
+        request.transport.write(b'\r\n' + body)
+        await self._sleep(self._platform.settings.event_ms)
+        if mode == 'cut_close':
+            self._platform.crashes_unframed = True
+            self._crash()
+        elif mode == 'cut_length':
+            request.transport.loseConnection()
+        else:
+            request.transport.abortConnection()
+        # Klein would finish the answer.
+        with contextlib.suppress(Exception):
+            await request.notifyFinish()
+        return b''
+
     async def _stream(self, request) -> bytes:
         request.setHeader('content-type', 'text/event-stream')
         parts = [
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -192,6 +192,7 @@
             self._suspects.parts,
             self._create_budget,
             self._suspects.check_for_crash,
+            self._path.answers,
         )
         self._origins = origin_exchange.OriginExchange(
             reactor,
--- a/walnutport/gateway/peers/peer_relay.py
+++ b/walnutport/gateway/peers/peer_relay.py
@@ -107,6 +107,10 @@
             self._body_parts.append(data)
 
     def finished(self) -> None:
+        if self._channel.ended_by_close:
+            # Peers frame all responses, so this one has broken off.
+            self.failed(exceptions.ChannelError('no length', written=True))
+            return
         if self._is_stream:
             self._call.request.finish()
         elif self.was_taken:
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -79,6 +79,8 @@
     :param load: load that the target reported with its response.
     :param is_deferred: whether the target has asked for time, or is leaving,
         so that the failure is none of its own.
+    :param ended_by_close: whether only the close of the channel has ended the
+        response, which is how a target that crashes ends it as well.
     """
 
     status: AttemptStatus
@@ -89,6 +91,7 @@
     reset: bool = False
     load: requests.ResponseLoad | None = None
     is_deferred: bool = False
+    ended_by_close: bool = False
 
     @property
     def failed_to_connect(self) -> bool:
@@ -104,6 +107,28 @@
         """Whether a complete response came that may be forwarded."""
         return self.status is AttemptStatus.ANSWERED
 
+    @property
+    def needs_check(self) -> bool:
+        """Whether it is complete only if its target goes on answering."""
+        return (
+            self.ended_by_close
+            and self.head.status < 300
+            and self.status in (AttemptStatus.ANSWERED, AttemptStatus.STREAMED)
+        )
+
+    def broken_off(self) -> 'AttemptResult':
+        """Return the result if the target answers no more after its end."""
+        return dataclasses.replace(
+            self,
+            status=(
+                AttemptStatus.BROKEN
+                if self.status is AttemptStatus.STREAMED
+                else AttemptStatus.LOST
+            ),
+            detail='response without a length from a target that is gone',
+            reset=True,
+        )
+
     @property
     def is_final(self) -> bool:
         """Whether a response came after which a retry would be useless."""
@@ -264,6 +289,7 @@
                 reset,
                 self._fields.load,
                 self._fields.leaving or self._fields.retry_after_s is not None,
+                self._channel is not None and self._channel.ended_by_close,
             )
         )
 
--- a/walnutport/gateway/targets/forwarding.py
+++ b/walnutport/gateway/targets/forwarding.py
@@ -1,6 +1,7 @@
 """Makes the attempts of a request and records their outcomes."""
 
 from collections.abc import Callable
+from collections.abc import Coroutine
 import time
 
 from twisted.internet import defer
@@ -43,6 +44,7 @@
     :param parts: parts of prompts that may crash targets.
     :param check_for_crash: checks whether a target crashed during an attempt,
         and records the end of the attempt in both; the result fires then.
+    :param answers: returns whether a target answers a new request.
     """
 
     def __init__(
@@ -57,6 +59,9 @@
         check_for_crash: Callable[
             [registrations.RegisteredTarget, str], defer.Deferred
         ],
+        answers: Callable[
+            [registrations.RegisteredTarget], Coroutine[object, object, bool]
+        ],
     ) -> None:
         self._log = log
         self._sender = sender
@@ -66,6 +71,7 @@
         self._parts = parts
         self._create_budget = create_budget
         self._check_for_crash = check_for_crash
+        self._answers = answers
         self._budget_by_service: dict[
             str, window_budget.SlidingWindowBudget
         ] = {}
@@ -163,6 +169,8 @@
                     attempt_id, time.monotonic()
                 ),
             )
+            if result.needs_check and not await self._answers(target):
+                result = result.broken_off()
             reset = result.reset
             survived = result.status in (_Status.ANSWERED, _Status.STREAMED)
             completed = survived and result.head.status < 300
