--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -161,6 +161,8 @@
     :param engine_versions: software version of each engine.
     :param cut_hosts: hosts, from the first on, that reach the targets through
         proxies of their own, so that they can be cut off from them.
+    :param builds: folder with the source of the build of each host, None for
+        the present one; hosts beyond the list are of the present build.
     :param platform_settings: further settings of the stand-in.
     """
 
@@ -171,10 +173,12 @@
         proxied: bool = False,
         engine_versions: tuple[str, ...] = ('v1', 'v1'),
         cut_hosts: int = 0,
+        builds: tuple[pathlib.Path | None, ...] = (),
         **platform_settings,
     ) -> None:
         super().__init__()
         self.cut_hosts = cut_hosts
+        self.builds = builds
         self.folder = folder
         self.store_port = processes.free_port(LOOPBACK_IP)
         self.plans = target_plans(engine_versions)
@@ -266,6 +270,8 @@
             self.folder / f'host-{number}.log',
             {'WALNUTPORT_BOOT': str(path)},
         )
+        if number < len(self.builds):
+            process.folder = self.builds[number]
         self.hosts.append(self.enter_context(process))
         self.wait_ready(number)
 
@@ -273,6 +279,18 @@
         """Restart a host that has ended, with the same settings."""
         self.hosts[number].start()
 
+    def replace(self, number: int, build: pathlib.Path | None) -> None:
+        """Stop a host as planned and start it with another build.
+
+        :param build: folder with the source of the build, None for the
+            present one.
+        """
+        process = self.hosts[number]
+        assert process.terminate() == 0
+        process.folder = build
+        process.start()
+        self.wait_ready(number)
+
     def wait_ready(self, number: int) -> None:
         """Wait until a host is ready for requests."""
         port = self.ready_ports[number]
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -89,11 +89,14 @@
     :param arguments: arguments after ``python -m``.
     :param output: file for standard output and standard error.
     :param environment: variables in addition to those of this process.
+    :param folder: folder with the source of the program; None for that of
+        this process.
     """
 
     arguments: list[str]
     output: pathlib.Path
     environment: dict[str, str] = dataclasses.field(default_factory=dict)
+    folder: pathlib.Path | None = None
     process: subprocess.Popen | None = None
 
     def __enter__(self) -> 'ManagedProcess':
@@ -110,7 +113,7 @@
                 [sys.executable, '-m', *self.arguments],
                 stdout=output,
                 stderr=output,
-                cwd=pathlib.Path(__file__).parent.parent,
+                cwd=self.folder or pathlib.Path(__file__).parent.parent,
                 env={
                     **os.environ,
                     'PYTHONUNBUFFERED': '1',
