Quarantine parts of prompts that crash engines in mid-stream

Cause: three events of a stream cleared all parts of its prompt, and a stream that had come so far was not implicated by the crash of its engine. A part that crashes engines after a second, with some events before, was never quarantined.

Change: such streams are implicated by a late death. Five deaths with the late ones quarantine a part, and only whole answers clear late ones.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -125,9 +125,12 @@
         self.rejection_limit_by_service: dict[str, int] = {}
         # Headers that targets add to all their responses, by target.
         self.headers_by_target: dict[str, dict[str, str]] = {}
-        # Part of prompts that crashes each engine that begins to write an
-        # answer on it; empty for none.
-        self.crashing_part = ''
+        # Parts of prompts that crash each engine that begins to write an
+        # answer on them, and how long after the begin.
+        self.crashing_parts: set[str] = set()
+        self.crash_delay_ms = settings.event_ms / 2
+        # Events that such an answer brings before.
+        self.events_before_crash = 0
         # Whether the answers of engines that crash have neither a length nor
         # chunks, and end with their channel.
         self.crashes_unframed = False
@@ -303,7 +306,14 @@
             self.return_older(changes['return_older'])
         if 'store' in changes:
             self.store_mode = changes['store']
-        self.crashing_part = changes.get('crashing_part', self.crashing_part)
+        if 'crashing_parts' in changes:
+            self.crashing_parts = set(changes['crashing_parts'])
+        self.crash_delay_ms = changes.get(
+            'crash_delay_ms', self.crash_delay_ms
+        )
+        self.events_before_crash = changes.get(
+            'events_before_crash', self.events_before_crash
+        )
         self.rejection_limit_by_service.update(changes.get('brittle', {}))
         self.crashes_unframed = changes.get(
             'crashes_unframed', self.crashes_unframed
@@ -507,14 +517,19 @@
             part.partition(':')[0]
             for part in (request.getHeader(_PROMPT_HEADER) or '').split(',')
         ]
-        if self._platform.crashing_part in parts[:-1]:
+        if self._platform.crashing_parts.intersection(parts[:-1]):
             await self._sleep(self._platform.settings.event_ms)
-            begun = event_bytes(1, self._plan.version)[:8]
+            for number in range(1, self._platform.events_before_crash + 1):
+                request.write(event_bytes(number, self._plan.version))
+                await self._sleep(self._platform.settings.event_ms)
+            begun = event_bytes(
+                self._platform.events_before_crash + 1, self._plan.version
+            )[:8]
             if self._platform.crashes_unframed:
                 request.transport.write(_unframed_head(request) + begun)
             else:
                 request.write(begun)
-            await self._sleep(self._platform.settings.event_ms / 2)
+            await self._sleep(self._platform.crash_delay_ms)
             self._crash()
             return server.NOT_DONE_YET
         while self._mode() in STALLING_MODES:
--- a/tests/integration/test_crashing_parts.py
+++ b/tests/integration/test_crashing_parts.py
@@ -10,7 +10,7 @@
 from standins import platform_fleet
 
 HOSTS = 3
-CRASHING_PART = 'bad0'
+CRASHING_PARTS = ('bad0', 'bad1')
 # Bounds of the platform: time after the fifth crash in which no more than
 # three requests with the part may reach engines, and the time from which sound
 # requests with the same first part or key have to be served again.
@@ -43,11 +43,11 @@
 
 
 def send_requests(
-    fleet: platform_fleet.PlatformFleet, crashing_parts: tuple[str, ...]
+    fleet: platform_fleet.PlatformFleet, prompts: tuple[tuple[str, ...], ...]
 ) -> list[Sent]:
-    """Send sound requests and such with the crashing part for some seconds.
+    """Send sound requests and such with crashing parts for some seconds.
 
-    :param crashing_parts: parts of the latter before their own.
+    :param prompts: parts of the latter before their own, in turn.
     """
 
     def send(number: int, is_sound: bool) -> Sent:
@@ -57,7 +57,7 @@
         if is_sound:
             parts = ('a1', f'b{number % 4}', own)
         else:
-            parts = (*crashing_parts, own)
+            parts = (*prompts[number % len(prompts)], own)
         sent_at = time.monotonic()
         answer = fleet.call(
             'write',
@@ -84,15 +84,31 @@
 
 
 @pytest.mark.parametrize(
-    ('crashing_parts', 'is_unframed'),
+    ('prompts', 'changes'),
     [
-        pytest.param(('a1', CRASHING_PART), False, id='after_a_shared_part'),
-        pytest.param((CRASHING_PART, 'a1'), False, id='first_part'),
-        pytest.param(('a1', CRASHING_PART), True, id='ended_by_close'),
+        pytest.param((('a1', 'bad0'),), {}, id='after_a_shared_part'),
+        pytest.param((('bad0', 'a1'),), {}, id='first_part'),
+        pytest.param(
+            (('a1', 'bad0'),), {'crashes_unframed': True}, id='ended_by_close'
+        ),
+        pytest.param((('a1', 'b0', 'bad0'),), {}, id='third_part'),
+        pytest.param(
+            (('a1', 'b0', 'bad0'), ('a1', 'b1', 'bad1')), {}, id='two_parts'
+        ),
+        pytest.param(
+            (('a1', 'b0', 'bad0'),),
+            {'crash_delay_ms': 1000.0},
+            id='after_a_second',
+        ),
+        pytest.param(
+            (('a1', 'b0', 'bad0'),),
+            {'crash_delay_ms': 900.0, 'events_before_crash': 5},
+            id='after_five_events',
+        ),
     ],
 )
 def test_part_that_crashes_engines_is_refused_and_sound_requests_served(
-    tmp_path, crashing_parts, is_unframed
+    tmp_path, prompts, changes
 ):
     """Guards against different requests with one part that end all engines.
 
@@ -103,10 +119,8 @@
     ) as fleet:
         for host in range(HOSTS):
             fleet.wait_for_event('peer_joined', host)
-        fleet.control_platform(
-            crashing_part=CRASHING_PART, crashes_unframed=is_unframed
-        )
-        sent = send_requests(fleet, crashing_parts)
+        fleet.control_platform(crashing_parts=CRASHING_PARTS, **changes)
+        sent = send_requests(fleet, prompts)
         crashes = fleet.crashes()
         arrivals = collections.Counter(
             run['request_id'] for run in fleet.all_runs()
--- a/tests/quarantine/test_prompt_parts.py
+++ b/tests/quarantine/test_prompt_parts.py
@@ -73,6 +73,23 @@
     assert not fleet.tables[1].is_suspect([SHARED], fleet.now)
 
 
+def test_part_that_crashes_targets_in_the_middle_of_streams():
+    """Guards against events before a crash that clear the part each time."""
+    fleet = Fleet()
+    for number in range(5):
+        assert not fleet.blocked_by(BAD)
+        table = fleet.tables[number % 2]
+        table.attempt_started('b', (BAD,), f't{number}', '1', fleet.now)
+        table.attempt_answered('b', fleet.now)
+        fleet.now += 1.0
+        table.target_died(f't{number}', '1', fleet.now)
+        table.attempt_finished('b', False, fleet.now)
+    for host in range(2):
+        assert fleet.blocked_by(BAD, host=host) == BAD
+    fleet.succeed(BAD)
+    assert not fleet.blocked_by(BAD, host=1)
+
+
 def test_fewer_deaths_than_three_stop_no_request():
     """Guards against refusals after crashes that have other causes."""
     fleet = Fleet()
--- a/walnutport/gateway/peers/suspect_exchange.py
+++ b/walnutport/gateway/peers/suspect_exchange.py
@@ -224,7 +224,9 @@
             deaths=sorted(report.death_ages),
             cleared=bool(report.cleared),
             count=deaths,
-            quarantined=deaths >= prompt_parts.QUARANTINE_DEATHS,
+            quarantined=self.parts.is_quarantined(
+                report.part, time.monotonic()
+            ),
             probe_s=round(report.probe_s, 1),
             source=source,
         )
--- a/walnutport/quarantine/prompt_parts.py
+++ b/walnutport/quarantine/prompt_parts.py
@@ -3,9 +3,14 @@
 Covers requests that have nothing in common but one part of their prompts, so
 that each of them is new to the suspect table. All requests in flight at a
 target share its death, so that their other parts are implicated as well. A
-part that crashes targets does so as they begin to answer, while other parts
-are soon answered: a part is quarantined after several deaths without a success
-since. A stream is a success after a few events already.
+part that crashes targets mostly does so as they begin to answer, while other
+parts are soon answered: a part is quarantined after several deaths without a
+success since. A stream is a success after a few events already.
+
+Covers as well parts that crash targets later, in the middle of a stream. A
+stream that has brought some events is implicated by a late death. Long sound
+streams are so as well, thus more late deaths are needed, and only a whole
+answer clears them.
 
 Requests with a quarantined part are refused, but for a probe from time to
 time. A success of the probe clears the part, and each failed probe makes the
@@ -25,6 +30,13 @@
 # after which the part is quarantined.
 SUSPECT_DEATHS = 2
 QUARANTINE_DEATHS = 3
+# The same, with the late deaths. Parts of streams that run for long are in
+# flight at more deaths by chance; after the fifth crash, no more requests with
+# the part may reach targets.
+LATE_SUSPECT_DEATHS = 4
+LATE_QUARANTINE_DEATHS = 5
+# End of the ids of late deaths.
+LATE_SUFFIX = '#late'
 # Deaths closer together count once, as targets with a common fault die at the
 # same moment.
 MIN_DEATH_SPACING_S = 0.015
@@ -96,19 +108,31 @@
     probing_until: float = 0.0
     probe_id: str = ''
 
-    def death_count(self) -> int:
+    def death_count(self, with_late: bool = True) -> int:
         """Return the number of uncleared deaths at different times."""
         count = 0
         counted_at = 0.0
         for died_at in sorted(
             self.evidence.deaths[death]
             for death in self.evidence.uncleared_deaths()
+            if with_late or not death.endswith(LATE_SUFFIX)
         ):
             if not count or died_at - counted_at >= MIN_DEATH_SPACING_S:
                 count += 1
                 counted_at = died_at
         return count
 
+    def has_deaths(self, early: int, late: int) -> bool:
+        """Return whether so many deaths, or with the late ones, are known."""
+        return (
+            self.death_count(with_late=False) >= early
+            or self.death_count() >= late
+        )
+
+    def is_quarantined(self) -> bool:
+        """Return whether the part is quarantined."""
+        return self.has_deaths(QUARANTINE_DEATHS, LATE_QUARANTINE_DEATHS)
+
     def next_probe_at(self) -> float:
         """Return when a quarantined part may be probed again."""
         uncleared = self.evidence.uncleared_deaths()
@@ -120,11 +144,17 @@
         return max(last_death_at + delay_s, self.probing_until)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class _Attempt:
+    """Attempt in flight.
+
+    :param is_answered: whether some events of its answer have come.
+    """
+
     parts: tuple[str, ...]
     death: str
     sole_probe: str
+    is_answered: bool = False
 
 
 class PartTable:
@@ -156,9 +186,16 @@
     def is_suspect(self, parts: Iterable[str], now: float) -> bool:
         """Return whether a request should not be retried after a failure."""
         return any(
-            self.death_count(part, now) >= SUSPECT_DEATHS for part in parts
+            entry.has_deaths(SUSPECT_DEATHS, LATE_SUSPECT_DEATHS)
+            for part in parts
+            if (entry := self._find(part, now)) is not None
         )
 
+    def is_quarantined(self, part: str, now: float) -> bool:
+        """Return whether requests with a part are refused, but for probes."""
+        entry = self._find(part, now)
+        return entry is not None and entry.is_quarantined()
+
     def check(
         self, request_id: str, parts: Iterable[str], now: float
     ) -> PartDecision:
@@ -224,48 +261,45 @@
         )
 
     def attempt_answered(self, attempt_id: str, now: float) -> None:
-        """Record that enough of an answer has come to clear its parts."""
-        self.attempt_finished(attempt_id, True, now)
+        """Record that enough of an answer has come to clear its parts.
+
+        Late deaths are not cleared, as they come after as many events.
+        """
+        attempt = self._attempt_by_id.get(attempt_id)
+        if attempt is not None:
+            attempt.is_answered = True
+            self._clear(attempt.parts, now, with_late=False)
 
     def attempt_finished(self, attempt_id: str, ok: bool, now: float) -> None:
         """Record the end of an attempt.
 
-        This has no effect on an attempt that was answered before.
-
         :param ok: whether the answer was complete, which clears its parts.
         """
         attempt = self._attempt_by_id.pop(attempt_id, None)
-        if attempt is None or not ok:
-            return
-        reports = []
-        for part in attempt.parts:
-            entry = self._find(part, now)
-            if entry is None:
-                continue
-            uncleared = entry.evidence.uncleared_deaths()
-            if uncleared:
-                reports.append(PartReport(part, cleared=uncleared))
-        self._merge_and_publish(reports, now)
+        if attempt is not None and ok:
+            self._clear(attempt.parts, now, with_late=True)
 
     def target_died(
         self, target_id: str, incarnation: str, now: float
     ) -> None:
         """Record a death against the parts of all requests in flight."""
         death = crash_evidence.death_id(target_id, incarnation)
-        implicated: set[str] = set()
-        probed: set[str] = set()
+        deaths_by_part: dict[str, set[str]] = {}
+        probed: dict[str, str] = {}
         for attempt in self._attempt_by_id.values():
             if attempt.death == death:
-                implicated.update(attempt.parts)
-                probed.add(attempt.sole_probe)
+                own = death + LATE_SUFFIX if attempt.is_answered else death
+                for part in attempt.parts:
+                    deaths_by_part.setdefault(part, set()).add(own)
+                probed[attempt.sole_probe] = own
         self._merge_and_publish(
             [
                 PartReport(
                     part,
-                    {death: 0.0},
-                    failed_probes=(death,) if part in probed else (),
+                    dict.fromkeys(sorted(deaths), 0.0),
+                    failed_probes=(probed[part],) if part in probed else (),
                 )
-                for part in sorted(implicated)
+                for part, deaths in sorted(deaths_by_part.items())
             ],
             now,
         )
@@ -338,9 +372,27 @@
         return {
             part: entry
             for part, entry in entry_by_part.items()
-            if entry is not None and entry.death_count() >= QUARANTINE_DEATHS
+            if entry is not None and entry.is_quarantined()
         }
 
+    def _clear(
+        self, parts: Iterable[str], now: float, with_late: bool
+    ) -> None:
+        """Clear the deaths that speak against some parts."""
+        reports = []
+        for part in parts:
+            entry = self._find(part, now)
+            if entry is None:
+                continue
+            cleared = tuple(
+                death
+                for death in entry.evidence.uncleared_deaths()
+                if with_late or not death.endswith(LATE_SUFFIX)
+            )
+            if cleared:
+                reports.append(PartReport(part, cleared=cleared))
+        self._merge_and_publish(reports, now)
+
     def _merge_and_publish(
         self, reports: list[PartReport], now: float
     ) -> None:
