--- a/tests/integration/test_crashing_parts.py
+++ b/tests/integration/test_crashing_parts.py
@@ -3,10 +3,12 @@
 import collections
 import concurrent.futures
 import dataclasses
+import threading
 import time
 
 import pytest
 
+from standins import fault_proxy
 from standins import platform_fleet
 
 HOSTS = 3
@@ -108,19 +110,30 @@
     ],
 )
 def test_part_that_crashes_engines_is_refused_and_sound_requests_served(
-    tmp_path, prompts, changes
+    tmp_path, prompts, changes, cuts=()
 ):
     """Guards against different requests with one part that end all engines.
 
     No two of them are alike, so that each was new to the suspect table.
     """
     with platform_fleet.PlatformFleet(
-        tmp_path, HOSTS, engine_versions=('v1',) * 5
+        tmp_path,
+        HOSTS,
+        engine_versions=('v1',) * 5,
+        cut_hosts=1 if cuts else 0,
     ) as fleet:
         for host in range(HOSTS):
             fleet.wait_for_event('peer_joined', host)
         fleet.control_platform(crashing_parts=CRASHING_PARTS, **changes)
+        timers = [
+            threading.Timer(at_s, fleet.cut_targets, [faults])
+            for at_s, faults in cuts
+        ]
+        for timer in timers:
+            timer.start()
         sent = send_requests(fleet, prompts)
+        for timer in timers:
+            timer.join()
         crashes = fleet.crashes()
         arrivals = collections.Counter(
             run['request_id'] for run in fleet.all_runs()
@@ -142,3 +155,18 @@
     ]
     assert len(again) >= 20
     assert sum(again) > SOUND_SHARE * len(again), (sum(again), len(again))
+
+
+@pytest.mark.parametrize(
+    'faults',
+    [fault_proxy.Faults(reset=True), fault_proxy.Faults(black_hole=True)],
+    ids=['reset', 'silent'],
+)
+def test_cut_while_a_part_is_under_suspicion(tmp_path, faults):
+    """Guards against a host that takes its own cut for crashes by a part."""
+    test_part_that_crashes_engines_is_refused_and_sound_requests_served(
+        tmp_path,
+        (('a1', 'b0', 'bad0'),),
+        {},
+        ((0.5, faults), (3.0, fault_proxy.Faults())),
+    )
