Count only peers that were heard lately as in touch

Cause: a host that went on after a pause counted its links as before until it had read that they had ended, or 0.95 s had passed. In touch, it answered alone for where a stream had begun.

Change: a heartbeat counts for its interval and two more, by the clock of the host that received it.

Failed before: tests/gateway/peers/test_peers.py, test_host_that_was_paused_is_in_touch_only_after_new_heartbeats.

--- a/tests/gateway/peers/test_peers.py
+++ b/tests/gateway/peers/test_peers.py
@@ -344,6 +344,27 @@
     assert 'host-1' not in fixture.mesh.peer_by_name
 
 
+def test_host_that_was_paused_is_in_touch_only_after_new_heartbeats(
+    monkeypatch,
+):
+    """Guards against a host that trusts what it knew before a pause.
+
+    Its links look as before until it reads that they have ended.
+    """
+    fixture = Fixture(monkeypatch)
+    links = [fixture.connect(number) for number in (1, 2)]
+    for link in links:
+        fixture.mesh.message_received(link, heartbeat(0.3))
+    assert fixture.mesh.links_with_most
+    # The clock goes on without any tick.
+    fixture.reactor.rightNow += 3.0
+    assert not fixture.mesh.links_with_most
+    fixture.advance(STEP_S)
+    assert not fixture.mesh.links_with_most
+    fixture.mesh.message_received(links[0], heartbeat(0.3))
+    assert fixture.mesh.links_with_most
+
+
 class _BusyPorts:
     """Reactor on a kernel that reports a port in use only at the listen."""
 
--- a/walnutport/gateway/peers/peer_state.py
+++ b/walnutport/gateway/peers/peer_state.py
@@ -15,6 +15,7 @@
 class PeerState:
     """State of a peer as this host knows it.
 
+    :param heartbeat_at: when the last heartbeat arrived.
     :param redial_at: earliest time of the next dial.
     :param redial_delay_s: delay after the next failed dial.
     :param failing_since: when the host became unreachable; None if it is
@@ -25,6 +26,7 @@
     record: fleet_messages.HostRecord
     link: peer_link.PeerLink | None = None
     heartbeat: fleet_messages.Heartbeat | None = None
+    heartbeat_at: float = 0.0
     redial_at: float = 0.0
     redial_delay_s: float = INITIAL_REDIAL_DELAY_S
     dialling: bool = False
--- a/walnutport/gateway/peers/peers.py
+++ b/walnutport/gateway/peers/peers.py
@@ -179,10 +179,17 @@
 
     @property
     def links_with_most(self) -> bool:
-        """Whether at least half of the peers to link with are reachable."""
+        """Whether at least half of the peers to link with were heard lately.
+
+        A host that goes on after a pause has heard none until their next
+        heartbeats, whatever links it still has.
+        """
+        now = time.monotonic()
         names = self.chosen_names()
         linked = sum(
-            peer.reachable
+            peer.heartbeat is not None
+            and now - peer.heartbeat_at
+            <= peer.heartbeat.interval_s * MISSED_HEARTBEATS
             for name in names
             if (peer := self.peer_by_name.get(name)) is not None
         )
@@ -291,6 +298,7 @@
             return
         if isinstance(message, fleet_messages.Heartbeat):
             peer.heartbeat = message
+            peer.heartbeat_at = time.monotonic()
         self._on_message(link.name, message)
 
     def link_lost(self, link: peer_link.PeerLink) -> None:
