--- a/tests/quarantine/test_prompt_parts.py
+++ b/tests/quarantine/test_prompt_parts.py
@@ -3,6 +3,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
+from walnutport.quarantine import part_entry
 from walnutport.quarantine import prompt_parts
 
 BAD = 'bad'
@@ -114,7 +115,7 @@
     for number in range(3):
         fleet.crash(number, BAD)
     assert fleet.blocked_by(BAD) == BAD
-    fleet.now += prompt_parts.PROBE_DELAYS_S[0]
+    fleet.now += part_entry.PROBE_DELAYS_S[0]
     decision = fleet.tables[0].check('probe', [BAD], fleet.now)
     assert decision.probes == (BAD,)
     fleet.tables[0].begin_probe('probe', decision.probes, fleet.now)
@@ -130,7 +131,7 @@
     fleet = Fleet()
     for number in range(3):
         fleet.crash(number, BAD)
-    fleet.now += prompt_parts.PROBE_DELAYS_S[0]
+    fleet.now += part_entry.PROBE_DELAYS_S[0]
     fleet.succeed(BAD, host=1)
     for host in range(2):
         assert not fleet.blocked_by(BAD, host=host)
@@ -161,17 +162,17 @@
     fleet = Fleet()
     for number in range(3):
         fleet.crash(number, SHARED, BAD)
-    fleet.now += prompt_parts.PROBE_DELAYS_S[0]
+    fleet.now += part_entry.PROBE_DELAYS_S[0]
     assert not fleet.blocked_by(SHARED)
     assert fleet.blocked_by(SHARED, BAD)
     fleet.now += prompt_parts.JOINT_PROBE_DELAY_S
     assert not fleet.blocked_by(SHARED, BAD)
     fleet.crash(10, SHARED, BAD, after_s=0.0)
-    fleet.now += prompt_parts.PROBE_DELAYS_S[0]
+    fleet.now += part_entry.PROBE_DELAYS_S[0]
     assert not fleet.blocked_by(SHARED)
     fleet.succeed(SHARED)
     fleet.crash(11, SHARED, BAD, after_s=0.0)
-    fleet.now += prompt_parts.PROBE_DELAYS_S[0]
+    fleet.now += part_entry.PROBE_DELAYS_S[0]
     assert fleet.blocked_by(BAD) == BAD
     assert not fleet.blocked_by(SHARED)
 
@@ -181,7 +182,7 @@
     fleet = Fleet()
     for number in range(3):
         fleet.crash(number, BAD)
-    fleet.now += prompt_parts.PROBE_DELAYS_S[0]
+    fleet.now += part_entry.PROBE_DELAYS_S[0]
     fleet.crash(10, BAD)
     started = prompt_parts.PartTable()
     for report in fleet.tables[1].reports(fleet.now, 100):
--- a/walnutport/quarantine/prompt_parts.py
+++ b/walnutport/quarantine/prompt_parts.py
@@ -23,27 +23,10 @@
 import dataclasses
 
 from walnutport.quarantine import crash_evidence
+from walnutport.quarantine import part_entry
 
 __all__ = ['MAX_ENTRIES', 'PartDecision', 'PartReport', 'PartTable']
 
-# Deaths without a success since, after which a request is not retried, and
-# after which the part is quarantined.
-SUSPECT_DEATHS = 2
-QUARANTINE_DEATHS = 3
-# The same, with the late deaths. Parts of streams that run for long are in
-# flight at more deaths by chance; after the fifth crash, no more requests with
-# the part may reach targets.
-LATE_SUSPECT_DEATHS = 4
-LATE_QUARANTINE_DEATHS = 5
-# End of the ids of late deaths.
-LATE_SUFFIX = '#late'
-# Deaths closer together count once, as targets with a common fault die at the
-# same moment.
-MIN_DEATH_SPACING_S = 0.015
-# Time from the last evidence to the next probe, by the number of probes that
-# have failed. The last value holds for all later ones. The first probe comes
-# soon, as it clears the parts that were in flight at all deaths by chance.
-PROBE_DELAYS_S = (0.5, 30.0, 60.0)
 # Further time before a request with several quarantined parts probes them. Its
 # failure would not tell which part is the cause, and other requests may clear
 # all parts but one until then.
@@ -94,56 +77,6 @@
     retry_after_s: float = 0.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Entry:
-    """Evidence against one part.
-
-    :param failed_probes: ids of deaths that ended a probe of this part alone.
-    :param probing_until: end of the time in which a probe is under way.
-    :param probe_id: id of the request of this host that probes the part.
-    """
-
-    evidence: crash_evidence.CrashEvidence
-    failed_probes: set[str] = dataclasses.field(default_factory=set)
-    probing_until: float = 0.0
-    probe_id: str = ''
-
-    def death_count(self, with_late: bool = True) -> int:
-        """Return the number of uncleared deaths at different times."""
-        count = 0
-        counted_at = 0.0
-        for died_at in sorted(
-            self.evidence.deaths[death]
-            for death in self.evidence.uncleared_deaths()
-            if with_late or not death.endswith(LATE_SUFFIX)
-        ):
-            if not count or died_at - counted_at >= MIN_DEATH_SPACING_S:
-                count += 1
-                counted_at = died_at
-        return count
-
-    def has_deaths(self, early: int, late: int) -> bool:
-        """Return whether so many deaths, or with the late ones, are known."""
-        return (
-            self.death_count(with_late=False) >= early
-            or self.death_count() >= late
-        )
-
-    def is_quarantined(self) -> bool:
-        """Return whether the part is quarantined."""
-        return self.has_deaths(QUARANTINE_DEATHS, LATE_QUARANTINE_DEATHS)
-
-    def next_probe_at(self) -> float:
-        """Return when a quarantined part may be probed again."""
-        uncleared = self.evidence.uncleared_deaths()
-        failed = len(self.failed_probes.intersection(uncleared))
-        delay_s = PROBE_DELAYS_S[min(failed, len(PROBE_DELAYS_S) - 1)]
-        last_death_at = max(
-            (self.evidence.deaths[death] for death in uncleared), default=0.0
-        )
-        return max(last_death_at + delay_s, self.probing_until)
-
-
 @dataclasses.dataclass(slots=True)
 class _Attempt:
     """Attempt in flight.
@@ -170,9 +103,9 @@
         publish: Callable[[list[PartReport]], None] = lambda reports: None,
     ) -> None:
         self._publish = publish
-        self._entry_by_part: collections.OrderedDict[str, _Entry] = (
-            collections.OrderedDict()
-        )
+        self._entry_by_part: collections.OrderedDict[
+            str, part_entry.PartEntry
+        ] = collections.OrderedDict()
         self._attempt_by_id: dict[str, _Attempt] = {}
 
     def __len__(self) -> int:
@@ -186,7 +119,9 @@
     def is_suspect(self, parts: Iterable[str], now: float) -> bool:
         """Return whether a request should not be retried after a failure."""
         return any(
-            entry.has_deaths(SUSPECT_DEATHS, LATE_SUSPECT_DEATHS)
+            entry.has_deaths(
+                part_entry.SUSPECT_DEATHS, part_entry.LATE_SUSPECT_DEATHS
+            )
             for part in parts
             if (entry := self._find(part, now)) is not None
         )
@@ -288,7 +223,11 @@
         probed: dict[str, str] = {}
         for attempt in self._attempt_by_id.values():
             if attempt.death == death:
-                own = death + LATE_SUFFIX if attempt.is_answered else death
+                own = (
+                    death + part_entry.LATE_SUFFIX
+                    if attempt.is_answered
+                    else death
+                )
                 for part in attempt.parts:
                     deaths_by_part.setdefault(part, set()).add(own)
                 probed[attempt.sole_probe] = own
@@ -308,7 +247,7 @@
         """Merge a report; return whether it says anything new."""
         entry = self._entry_by_part.get(report.part)
         if entry is None:
-            entry = _Entry(crash_evidence.CrashEvidence(now))
+            entry = part_entry.PartEntry(crash_evidence.CrashEvidence(now))
             self._entry_by_part[report.part] = entry
             if len(self._entry_by_part) > MAX_ENTRIES:
                 self._entry_by_part.popitem(last=False)
@@ -362,7 +301,7 @@
 
     def _quarantined(
         self, parts: Iterable[str], now: float
-    ) -> dict[str, _Entry]:
+    ) -> dict[str, part_entry.PartEntry]:
         """Return the entries of the quarantined parts, by part."""
         entry_by_part = {
             part: self._find(part, now)
@@ -387,7 +326,7 @@
             cleared = tuple(
                 death
                 for death in entry.evidence.uncleared_deaths()
-                if with_late or not death.endswith(LATE_SUFFIX)
+                if with_late or not death.endswith(part_entry.LATE_SUFFIX)
             )
             if cleared:
                 reports.append(PartReport(part, cleared=cleared))
@@ -400,7 +339,7 @@
         if new:
             self._publish(new)
 
-    def _find(self, part: str, now: float) -> _Entry | None:
+    def _find(self, part: str, now: float) -> part_entry.PartEntry | None:
         entry = self._entry_by_part.get(part)
         if entry is None:
             return None
