Stop all targets and let bytes trickle in the soak

Rounds now stop the process of the targets and the store, let bytes arrive one by one, and repeat responses. A test shows that a host that goes on after a pause keeps the limit of a target; it passed before any change.

--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -193,6 +193,7 @@
     def __init__(self, fleet: platform_fleet.PlatformFleet) -> None:
         self._fleet = fleet
         self._host_locks = [threading.Lock() for _ in range(HOSTS)]
+        self._platform_lock = threading.Lock()
         self._version = 1
         self.disturbances: list[soak_checks.Disturbance] = []
         self.problems: list[str] = []
@@ -221,6 +222,12 @@
             if action.kind == 'host':
                 self._disrupt_host(action)
                 return
+            if action.kind == 'freeze':
+                with self._platform_lock:
+                    self._apply(action)
+                    time.sleep(action.for_s)
+                    self._clear(action)
+                return
             self._apply(action)
             time.sleep(action.for_s)
             self._clear(action)
@@ -240,6 +247,8 @@
             fleet.control_platform(states={action.location: action.variant})
         elif action.kind == 'return':
             fleet.control_platform(copy=True)
+        elif action.kind == 'freeze':
+            fleet.platform.signal(signal.SIGSTOP)
         elif action.kind == 'cut':
             for faults in soak_schedule.CUT_FAULTS[action.variant]:
                 fleet.cut_targets(faults)
@@ -268,6 +277,8 @@
             fleet.control_platform(store='ok')
         elif action.kind == 'leave':
             fleet.control_platform(states={action.location: 'ready'})
+        elif action.kind == 'freeze':
+            fleet.platform.signal(signal.SIGCONT)
         elif action.kind == 'cut':
             fleet.cut_targets(fault_proxy.Faults())
         elif action.kind == 'return':
--- a/bench/soak_schedule.py
+++ b/bench/soak_schedule.py
@@ -30,6 +30,13 @@
 # share of these in which they are so again.
 CUT_SHARE = 0.5
 
+# Share of the rounds in which all targets and the store stand still for a
+# while, and the share of these in which they do so again.
+FREEZE_SHARE = 0.4
+# Share of the rounds in which bytes arrive one by one, or responses a second
+# time, and the share of these in which it happens once more.
+TRICKLE_SHARE = 0.6
+
 #: Faults between these hosts and all targets, in order, by variant.
 CUT_FAULTS = {
     'reset': (
@@ -80,8 +87,8 @@
     """A fault that is injected during a round.
 
     :param kind: ``network``, ``mode``, ``host``, ``store``, ``desired``,
-        ``leave``, ``return``, ``state`` or ``cut``. With ``return``, the store
-        takes a copy at the start and returns from it at the end. With
+        ``leave``, ``return``, ``state``, ``cut`` or ``freeze``. With
+        ``return``, the store takes a copy at the start and returns from it at the end. With
         ``state``, a target states something in its responses.
     :param location: target id, host number or ``store``.
     :param variant: which fault of this kind.
@@ -116,6 +123,8 @@
     actions += _draw_store_returns(seed)
     actions += _draw_statements(seed, target_ids)
     actions += _draw_cuts(seed)
+    actions += _draw_freezes(seed)
+    actions += _draw_trickles(seed, target_ids)
     return sorted(actions, key=lambda action: action.at_s)
 
 
@@ -156,6 +165,50 @@
     return actions
 
 
+def _draw_freezes(seed: int) -> list[FaultAction]:
+    """Return when the process of the targets and the store is stopped."""
+    rng = random.Random(f'{seed}/freezes')
+    actions: list[FaultAction] = []
+    while rng.random() < FREEZE_SHARE:
+        actions.append(
+            FaultAction(
+                'freeze',
+                'targets',
+                'stop',
+                round(rng.uniform(0.0, ROUND_S), 2),
+                round(rng.uniform(0.1, 1.4), 2),
+            )
+        )
+    return actions
+
+
+def _draw_trickles(
+    seed: int, target_ids: tuple[str, ...]
+) -> list[FaultAction]:
+    """Return where bytes arrive one by one, or responses a second time."""
+    rng = random.Random(f'{seed}/trickles')
+    actions: list[FaultAction] = []
+    while rng.random() < TRICKLE_SHARE:
+        variant = rng.choice(('trickle', *fault_proxy.Repeat))
+        faults = fault_proxy.Faults(drip_bytes=1, drip_s=0.004)
+        if variant != 'trickle':
+            faults = fault_proxy.Faults(
+                repeat=fault_proxy.Repeat(variant),
+                repeat_s=rng.uniform(0.0, 0.3),
+            )
+        actions.append(
+            FaultAction(
+                'network',
+                rng.choice(('store', *target_ids)),
+                variant or 'none',
+                round(rng.uniform(0.0, ROUND_S), 2),
+                round(rng.uniform(0.5, 3.0), 2),
+                faults,
+            )
+        )
+    return actions
+
+
 def _draw_statements(
     seed: int, target_ids: tuple[str, ...]
 ) -> list[FaultAction]:
--- a/tests/integration/test_silent_machines.py
+++ b/tests/integration/test_silent_machines.py
@@ -6,6 +6,7 @@
 import time
 
 from standins import platform_fleet
+from tests.integration import test_target_limits
 
 # The silence is longer than the user timeout of connections.
 SILENCE_S = 1.8
@@ -81,3 +82,39 @@
     for name, answer in answers.items():
         assert answer.status == 200 and answer.complete, (name, answer)
         assert runs[name] == 1, (name, runs)
+
+
+def test_host_that_goes_on_keeps_the_limit_of_a_target(tmp_path):
+    """Guards against turns of a limit that a host has saved up in a pause.
+
+    Requests have arrived at the host meanwhile, and its peer has sent.
+    """
+    limit = 2.0
+    with platform_fleet.PlatformFleet(tmp_path, 2) as fleet:
+        fleet.wait_for_event('peer_joined', 0)
+        fleet.control_platform(headers={'plain-1': {'Server-Limit': '2'}})
+        for number in range(8):
+            fleet.call('check', f'first-{number}', number % 2)
+        for host in range(2):
+            fleet.wait_for_event('target_limit', host, target='plain-1')
+        since = time.monotonic()
+        with concurrent.futures.ThreadPoolExecutor(60) as pool:
+            fleet.hosts[0].signal(signal.SIGSTOP)
+            futures = []
+            for number in range(40):
+                futures.append(
+                    pool.submit(
+                        fleet.call, 'check', f'id-{number}', number % 2
+                    )
+                )
+                time.sleep(SILENCE_S / 40)
+            fleet.hosts[0].signal(signal.SIGCONT)
+            for future in futures:
+                assert future.result().status in (200, 503)
+        arrivals = fleet.arrivals('plain-1')
+    assert any(arrival >= since for arrival in arrivals)
+    # The bound of the users.
+    assert test_target_limits.most_in_a_window(arrivals, since) <= (
+        test_target_limits.LIMIT_RATIO * limit * test_target_limits.WINDOW_S
+        + test_target_limits.LIMIT_SLACK
+    )
