--- a/bench/soak_schedule.py
+++ b/bench/soak_schedule.py
@@ -88,8 +88,9 @@
 
     :param kind: ``network``, ``mode``, ``host``, ``store``, ``desired``,
         ``leave``, ``return``, ``state``, ``cut`` or ``freeze``. With
-        ``return``, the store takes a copy at the start and returns from it at the end. With
-        ``state``, a target states something in its responses.
+        ``return``, the store takes a copy at the start and returns from it at
+        the end. With ``state``, a target states something in its responses.
+        With ``freeze``, the process of all targets and the store is stopped.
     :param location: target id, host number or ``store``.
     :param variant: which fault of this kind.
     :param at_s: start, relative to the start of the round.
