--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -6,6 +6,7 @@
 
 import base64
 import collections
+import contextlib
 import dataclasses
 import itertools
 import secrets
@@ -19,8 +20,10 @@
 from twisted.web import server
 
 __all__ = [
+    'CUT_MODES',
     'PlatformSettings',
     'PlatformServer',
+    'STALLING_MODES',
     'STREAM_EVENTS',
     'TargetPlan',
     'event_bytes',
@@ -29,6 +32,13 @@
 #: Default length of a complete stream.
 STREAM_EVENTS = 6
 
+#: What an engine that brings no event sends again and again, by mode.
+STALLING_MODES = {'comments': b': wait\n\n', 'half_event': b'data: x\n'}
+
+#: Modes in which answers break off, by the framing of the answer: at its
+#: close, one byte before the end, and before the end of its last chunk.
+CUT_MODES = ('cut_close', 'cut_length', 'cut_chunks')
+
 _MAX_WAIT_S = 30.0
 # How often a cold target writes its entry again.
 _ENTRY_INTERVAL_S = 1.2
@@ -129,9 +139,12 @@
         self._target_by_id: dict[str, _Target] = {}
         # Headers that targets add to all their responses, by target.
         self.headers_by_target: dict[str, dict[str, str]] = {}
-        # Part of prompts that crashes each engine that begins to write an
-        # answer on it; empty for none.
-        self.crashing_part = ''
+        # Parts of prompts that crash each engine that begins to write an
+        # answer on them, and how long after the begin.
+        self.crashing_parts: set[str] = set()
+        self.crash_delay_ms = settings.event_ms / 2
+        # Events that such an answer brings before.
+        self.events_before_crash = 0
         # Whether the answers of engines that crash have neither a length nor
         # chunks, and end with their channel.
         self.crashes_unframed = False
@@ -357,7 +370,14 @@
             (int(port), mode)
             for port, mode in changes.get('store_at', {}).items()
         )
-        self.crashing_part = changes.get('crashing_part', self.crashing_part)
+        if 'crashing_parts' in changes:
+            self.crashing_parts = set(changes['crashing_parts'])
+        self.crash_delay_ms = changes.get(
+            'crash_delay_ms', self.crash_delay_ms
+        )
+        self.events_before_crash = changes.get(
+            'events_before_crash', self.events_before_crash
+        )
         self.rejection_limit_by_service.update(changes.get('brittle', {}))
         self.crashes_unframed = changes.get(
             'crashes_unframed', self.crashes_unframed
@@ -534,6 +554,8 @@
         request.setHeader('walnutport-server-load', f'1,0,{self._plan.slots}')
         self._running += 1
         try:
+            if self._mode() in CUT_MODES:
+                return await self._cut_off(request)
             if self._plan.kind == 'engine':
                 return await self._stream(request)
             await self._sleep(self._platform.settings.work_ms)
@@ -547,22 +569,59 @@
             return b'failed'
         return f'{request_id} by {self._plan.target_id}'.encode()
 
+    async def _cut_off(self, request) -> bytes:
+        """Break off an answer, in the middle of it or just before its end."""
+        mode = self._mode()
+        if self._plan.kind == 'engine':
+            request.setHeader('content-type', 'text/event-stream')
+            body = event_bytes(1) + event_bytes(2) + event_bytes(3)
+        else:
+            body = b'half of an answer'
+        framing = {
+            'cut_length': b'Content-Length: %d\r\n' % (len(body) + 1),
+            'cut_chunks': b'Transfer-Encoding: chunked\r\n',
+        }.get(mode, b'')
+        if mode == 'cut_chunks':
+            body = b'%x\r\n%b\r\n0\r\n' % (len(body), body)
+        request.transport.write(_unframed_head(request)[:-2] + framing)
+        request.transport.write(b'\r\n' + body)
+        await self._sleep(self._platform.settings.event_ms)
+        if mode == 'cut_close':
+            self._platform.crashes_unframed = True
+            self.crash()
+        elif mode == 'cut_length':
+            request.transport.loseConnection()
+        else:
+            request.transport.abortConnection()
+        # Klein would finish the answer.
+        with contextlib.suppress(Exception):
+            await request.notifyFinish()
+        return b''
+
     async def _stream(self, request) -> bytes:
         request.setHeader('content-type', 'text/event-stream')
         parts = [
             part.partition(':')[0]
             for part in (request.getHeader(_PROMPT_HEADER) or '').split(',')
         ]
-        if self._platform.crashing_part in parts[:-1]:
+        if self._platform.crashing_parts.intersection(parts[:-1]):
             await self._sleep(self._platform.settings.event_ms)
-            begun = event_bytes(1, self._plan.version)[:8]
+            for number in range(1, self._platform.events_before_crash + 1):
+                request.write(event_bytes(number, self._plan.version))
+                await self._sleep(self._platform.settings.event_ms)
+            begun = event_bytes(
+                self._platform.events_before_crash + 1, self._plan.version
+            )[:8]
             if self._platform.crashes_unframed:
                 request.transport.write(_unframed_head(request) + begun)
             else:
                 request.write(begun)
-            await self._sleep(self._platform.settings.event_ms / 2)
+            await self._sleep(self._platform.crash_delay_ms)
             self.crash()
             return server.NOT_DONE_YET
+        while self._mode() in STALLING_MODES:
+            request.write(STALLING_MODES[self._mode()])
+            await self._sleep(self._platform.settings.event_ms)
         after = int(request.getHeader('last-event-id') or 0)
         for number in range(after + 1, self._platform.settings.events + 1):
             await self._sleep(self._platform.settings.event_ms)
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -83,6 +83,8 @@
     :param load: load that the target reported with its response.
     :param is_deferred: whether the target has asked for time, or is leaving,
         so that the failure is none of its own.
+    :param ended_by_close: whether only the close of the channel has ended the
+        response, which is how a target that crashes ends it as well.
     """
 
     status: AttemptStatus
@@ -93,6 +95,7 @@
     reset: bool = False
     load: requests.ResponseLoad | None = None
     is_deferred: bool = False
+    ended_by_close: bool = False
 
     @property
     def failed_to_connect(self) -> bool:
@@ -108,6 +111,28 @@
         """Whether a complete response came that may be forwarded."""
         return self.status is AttemptStatus.ANSWERED
 
+    @property
+    def needs_check(self) -> bool:
+        """Whether it is complete only if its target goes on answering."""
+        return (
+            self.ended_by_close
+            and self.head.status < 300
+            and self.status in (AttemptStatus.ANSWERED, AttemptStatus.STREAMED)
+        )
+
+    def broken_off(self) -> 'AttemptResult':
+        """Return the result if the target answers no more after its end."""
+        return dataclasses.replace(
+            self,
+            status=(
+                AttemptStatus.BROKEN
+                if self.status is AttemptStatus.STREAMED
+                else AttemptStatus.LOST
+            ),
+            detail='response without a length from a target that is gone',
+            reset=True,
+        )
+
     @property
     def is_final(self) -> bool:
         """Whether a response came after which a retry would be useless."""
@@ -162,6 +187,11 @@
             return MAX_STREAM_BYTES
         return channel_pool.MAX_RESPONSE_BYTES
 
+    @property
+    def names_request(self) -> bool:
+        """Whether the head of the response names the request."""
+        return bool(self._fields.request_id)
+
     def head_received(self, head: messages.ResponseHead) -> bool:
         fields = headers.decode_response_headers(head)
         if fields.request_id and fields.request_id != self._call.request_id:
@@ -194,7 +224,7 @@
         if arrived >= PROVEN_EVENTS and not self._is_proven:
             self._is_proven = True
             self._on_proven()
-        if not self.first_event_at:
+        if arrived and not self.first_event_at:
             self.first_event_at = time.monotonic()
             self._on_first_event()
         request = self._call.request
@@ -263,6 +293,7 @@
                 reset,
                 self._fields.load,
                 self._fields.leaving or self._fields.retry_after_s is not None,
+                self._channel is not None and self._channel.ended_by_close,
             )
         )
 
--- a/walnutport/gateway/targets/forwarding.py
+++ b/walnutport/gateway/targets/forwarding.py
@@ -1,6 +1,7 @@
 """Makes the attempts of a request and records their outcomes."""
 
 from collections.abc import Callable
+from collections.abc import Coroutine
 import time
 
 from twisted.internet import defer
@@ -46,6 +47,7 @@
     :param check_for_crash: checks whether a target crashed during an attempt,
         and records the end of the attempt in both; the result fires then.
     :param permits: permits to send to cold targets.
+    :param answers: returns whether a target answers a new request.
     """
 
     def __init__(
@@ -61,6 +63,9 @@
             [registrations.RegisteredTarget, str], defer.Deferred
         ],
         permits: permit_exchange.PermitExchange,
+        answers: Callable[
+            [registrations.RegisteredTarget], Coroutine[object, object, bool]
+        ],
     ) -> None:
         self._permits = permits
         self._log = log
@@ -71,6 +76,7 @@
         self._parts = parts
         self._create_budget = create_budget
         self._check_for_crash = check_for_crash
+        self._answers = answers
         self._budget_by_service: dict[
             str, window_budget.SlidingWindowBudget
         ] = {}
@@ -189,6 +195,8 @@
                     call.cold_denied[target.target_id] = target
                     call.was_permit_refused |= call.waits_for_permit
                 return self._no_permit(call, target, 'ended')
+            if result.needs_check and not await self._answers(target):
+                result = result.broken_off()
             reset = result.reset
             survived = result.status in (_Status.ANSWERED, _Status.STREAMED)
             completed = survived and result.head.status < 300
--- a/walnutport/http1/channel_pool.py
+++ b/walnutport/http1/channel_pool.py
@@ -17,19 +17,23 @@
 class ResponseCollector:
     """Response receiver that collects the complete response.
 
-    :param accepts: returns whether a head belongs to this request.
+    :param accepts: returns whether a head belongs to this request; None if
+        heads do not name their request, so that the channel is not reused.
     """
 
     max_body_bytes = MAX_RESPONSE_BYTES
 
-    def __init__(self, accepts=lambda head: True) -> None:
+    def __init__(
+        self, accepts: Callable[[messages.ResponseHead], bool] | None = None
+    ) -> None:
+        self.names_request = accepts is not None
         self._head = messages.EMPTY_HEAD
         self.done: defer.Deferred = defer.Deferred()
         self._accepts = accepts
         self._parts: list[bytes] = []
 
     def head_received(self, head: messages.ResponseHead) -> bool:
-        if not self._accepts(head):
+        if self._accepts is not None and not self._accepts(head):
             return False
         self._head = head
         return True
@@ -63,9 +67,15 @@
         self._idle_by_address: dict[
             client_channel.Address, list[client_channel.ClientChannel]
         ] = {}
-        # Called when a new channel is open, or could not be opened.
-        self.on_opened: Callable[[], None] = lambda: None
-        self.on_open_failed: Callable[[], None] = lambda: None
+        # Called with the channel at the head of a response.
+        self.on_answered: Callable[[client_channel.ClientChannel], None] = (
+            lambda channel: None
+        )
+        # Called when a new channel could not be opened, or has ended before
+        # its first response.
+        self.on_failed: Callable[[], None] = lambda: None
+        # When the first request was sent since the last response; 0 if none.
+        self.waiting_since = 0.0
         self.opened_count = 0
         self.oversized_count = 0
 
@@ -105,10 +115,12 @@
                 self._reactor, address, timeout_s
             )
         except exceptions.ChannelError:
-            self.on_open_failed()
+            self.on_failed()
             raise
-        self.on_opened()
         channel.on_oversized = self._count_oversized
+        channel.on_sent = self._sent
+        channel.on_answered = self._answered
+        channel.on_unanswered = self.on_failed
         return channel
 
     def release(self, channel: client_channel.ClientChannel) -> None:
@@ -144,6 +156,13 @@
             else:
                 del self._idle_by_address[address]
 
+    def _sent(self) -> None:
+        self.waiting_since = self.waiting_since or time.monotonic()
+
+    def _answered(self, channel: client_channel.ClientChannel) -> None:
+        self.waiting_since = 0.0
+        self.on_answered(channel)
+
     def _count_oversized(self) -> None:
         self.oversized_count += 1
 
@@ -155,15 +174,17 @@
     request: bytes,
     timeout_s: float,
     may_send: Callable[[], bool] = lambda: True,
+    is_new: bool = False,
 ) -> messages.Response:
     """Send an idempotent request and return the complete response.
 
     Cancelling closes the channel.
 
     :param may_send: asked directly before the request is written.
+    :param is_new: whether to open a new channel in any case.
     :raises ChannelError: if no complete response arrives in time.
     """
-    channel = pool.take_idle(address)
+    channel = None if is_new else pool.take_idle(address)
     if channel is None:
         channel = await pool.open(
             address, min(timeout_s, client_channel.CONNECT_TIMEOUT_S)
--- a/walnutport/http1/server.py
+++ b/walnutport/http1/server.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import socket
 import time
 
 import httptools
@@ -125,7 +126,7 @@
                 self.on_disconnect()
 
     def _connection_headers(self) -> messages.Headers:
-        if self._channel.site.closing:
+        if self._channel.site.closing and not self._channel.has_more():
             self._keep_alive = False
         if self._keep_alive:
             return []
@@ -195,6 +196,21 @@
             and not self._in_body
         )
 
+    def has_more(self) -> bool:
+        """Return whether a request has arrived behind the active one.
+
+        It may still be unread, or partly read. A close would cut it off
+        without a response.
+        """
+        if self._pipelined or self._in_headers or self._in_body:
+            return True
+        if self._closing or self._discarding:
+            return False
+        try:
+            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def inactive_s(self) -> float:
         """Return the seconds since the last byte arrived or response ended."""
         return time.monotonic() - self._last_activity_at
@@ -272,7 +288,7 @@
         expects = (self._first_value(b'expect') or b'').lower()
         if expects == b'100-continue' and self.active is None:
             self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-        self._start_timer(limits.idle_s)
+        self._wait_for_body()
 
     def on_body(self, data: bytes) -> None:
         if self._discarding:
@@ -350,6 +366,15 @@
             LINGER_S, self.transport.abortConnection
         )
 
+    def _wait_for_body(self) -> None:
+        """Limit the time for the body, also if bytes go on arriving."""
+        limits = self.site.limits()
+        read_s = time.monotonic() - self._request_started_at
+        if read_s < limits.request_s:
+            self._start_timer(min(limits.idle_s, limits.request_s - read_s))
+        elif self.active is None:
+            self._reject(408)
+
     def _cancel_timer(self) -> None:
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
@@ -368,8 +393,8 @@
         if self._in_headers:
             self._reject(408)
         elif self._in_body and self.inactive_s() < self.site.limits().idle_s:
-            self._start_timer(self.site.limits().idle_s)
-        else:
+            self._wait_for_body()
+        elif self._in_body or not self.has_more():
             self._close()
 
 
@@ -404,5 +429,9 @@
     def close_idle(self, inactive_s: float) -> None:
         """Close the idle channels without activity for ``inactive_s``."""
         for channel in list(self.channels):
-            if channel.idle and channel.inactive_s() >= inactive_s:
+            if (
+                channel.idle
+                and channel.inactive_s() >= inactive_s
+                and not channel.has_more()
+            ):
                 channel.close_idle()
--- a/walnutport/quarantine/prompt_parts.py
+++ b/walnutport/quarantine/prompt_parts.py
@@ -3,9 +3,14 @@
 Covers requests that have nothing in common but one part of their prompts, so
 that each of them is new to the suspect table. All requests in flight at a
 target share its death, so that their other parts are implicated as well. A
-part that crashes targets does so as they begin to answer, while other parts
-are soon answered: a part is quarantined after several deaths without a success
-since. A stream is a success after a few events already.
+part that crashes targets mostly does so as they begin to answer, while other
+parts are soon answered: a part is quarantined after several deaths without a
+success since. A stream is a success after a few events already.
+
+Covers as well parts that crash targets later, in the middle of a stream. A
+stream that has brought some events is implicated by a late death. Long sound
+streams are so as well, thus more late deaths are needed, and only a whole
+answer clears them.
 
 Requests with a quarantined part are refused, but for a probe from time to
 time. A success of the probe clears the part, and each failed probe makes the
@@ -18,20 +23,10 @@
 import dataclasses
 
 from walnutport.quarantine import crash_evidence
+from walnutport.quarantine import part_entry
 
 __all__ = ['MAX_ENTRIES', 'PartDecision', 'PartReport', 'PartTable']
 
-# Deaths without a success since, after which a request is not retried, and
-# after which the part is quarantined.
-SUSPECT_DEATHS = 2
-QUARANTINE_DEATHS = 3
-# Deaths closer together count once, as targets with a common fault die at the
-# same moment.
-MIN_DEATH_SPACING_S = 0.015
-# Time from the last evidence to the next probe, by the number of probes that
-# have failed. The last value holds for all later ones. The first probe comes
-# soon, as it clears the parts that were in flight at all deaths by chance.
-PROBE_DELAYS_S = (0.5, 30.0, 60.0)
 # Further time before a request with several quarantined parts probes them. Its
 # failure would not tell which part is the cause, and other requests may clear
 # all parts but one until then.
@@ -83,48 +78,16 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Entry:
-    """Evidence against one part.
+class _Attempt:
+    """Attempt in flight.
 
-    :param failed_probes: ids of deaths that ended a probe of this part alone.
-    :param probing_until: end of the time in which a probe is under way.
-    :param probe_id: id of the request of this host that probes the part.
+    :param is_answered: whether some events of its answer have come.
     """
 
-    evidence: crash_evidence.CrashEvidence
-    failed_probes: set[str] = dataclasses.field(default_factory=set)
-    probing_until: float = 0.0
-    probe_id: str = ''
-
-    def death_count(self) -> int:
-        """Return the number of uncleared deaths at different times."""
-        count = 0
-        counted_at = 0.0
-        for died_at in sorted(
-            self.evidence.deaths[death]
-            for death in self.evidence.uncleared_deaths()
-        ):
-            if not count or died_at - counted_at >= MIN_DEATH_SPACING_S:
-                count += 1
-                counted_at = died_at
-        return count
-
-    def next_probe_at(self) -> float:
-        """Return when a quarantined part may be probed again."""
-        uncleared = self.evidence.uncleared_deaths()
-        failed = len(self.failed_probes.intersection(uncleared))
-        delay_s = PROBE_DELAYS_S[min(failed, len(PROBE_DELAYS_S) - 1)]
-        last_death_at = max(
-            (self.evidence.deaths[death] for death in uncleared), default=0.0
-        )
-        return max(last_death_at + delay_s, self.probing_until)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Attempt:
     parts: tuple[str, ...]
     death: str
     sole_probe: str
+    is_answered: bool = False
 
 
 class PartTable:
@@ -140,9 +103,9 @@
         publish: Callable[[list[PartReport]], None] = lambda reports: None,
     ) -> None:
         self._publish = publish
-        self._entry_by_part: collections.OrderedDict[str, _Entry] = (
-            collections.OrderedDict()
-        )
+        self._entry_by_part: collections.OrderedDict[
+            str, part_entry.PartEntry
+        ] = collections.OrderedDict()
         self._attempt_by_id: dict[str, _Attempt] = {}
 
     def __len__(self) -> int:
@@ -156,9 +119,18 @@
     def is_suspect(self, parts: Iterable[str], now: float) -> bool:
         """Return whether a request should not be retried after a failure."""
         return any(
-            self.death_count(part, now) >= SUSPECT_DEATHS for part in parts
+            entry.has_deaths(
+                part_entry.SUSPECT_DEATHS, part_entry.LATE_SUSPECT_DEATHS
+            )
+            for part in parts
+            if (entry := self._find(part, now)) is not None
         )
 
+    def is_quarantined(self, part: str, now: float) -> bool:
+        """Return whether requests with a part are refused, but for probes."""
+        entry = self._find(part, now)
+        return entry is not None and entry.is_quarantined()
+
     def check(
         self, request_id: str, parts: Iterable[str], now: float
     ) -> PartDecision:
@@ -224,48 +196,49 @@
         )
 
     def attempt_answered(self, attempt_id: str, now: float) -> None:
-        """Record that enough of an answer has come to clear its parts."""
-        self.attempt_finished(attempt_id, True, now)
+        """Record that enough of an answer has come to clear its parts.
+
+        Late deaths are not cleared, as they come after as many events.
+        """
+        attempt = self._attempt_by_id.get(attempt_id)
+        if attempt is not None:
+            attempt.is_answered = True
+            self._clear(attempt.parts, now, with_late=False)
 
     def attempt_finished(self, attempt_id: str, ok: bool, now: float) -> None:
         """Record the end of an attempt.
 
-        This has no effect on an attempt that was answered before.
-
         :param ok: whether the answer was complete, which clears its parts.
         """
         attempt = self._attempt_by_id.pop(attempt_id, None)
-        if attempt is None or not ok:
-            return
-        reports = []
-        for part in attempt.parts:
-            entry = self._find(part, now)
-            if entry is None:
-                continue
-            uncleared = entry.evidence.uncleared_deaths()
-            if uncleared:
-                reports.append(PartReport(part, cleared=uncleared))
-        self._merge_and_publish(reports, now)
+        if attempt is not None and ok:
+            self._clear(attempt.parts, now, with_late=True)
 
     def target_died(
         self, target_id: str, incarnation: str, now: float
     ) -> None:
         """Record a death against the parts of all requests in flight."""
         death = crash_evidence.death_id(target_id, incarnation)
-        implicated: set[str] = set()
-        probed: set[str] = set()
+        deaths_by_part: dict[str, set[str]] = {}
+        probed: dict[str, str] = {}
         for attempt in self._attempt_by_id.values():
             if attempt.death == death:
-                implicated.update(attempt.parts)
-                probed.add(attempt.sole_probe)
+                own = (
+                    death + part_entry.LATE_SUFFIX
+                    if attempt.is_answered
+                    else death
+                )
+                for part in attempt.parts:
+                    deaths_by_part.setdefault(part, set()).add(own)
+                probed[attempt.sole_probe] = own
         self._merge_and_publish(
             [
                 PartReport(
                     part,
-                    {death: 0.0},
-                    failed_probes=(death,) if part in probed else (),
+                    dict.fromkeys(sorted(deaths), 0.0),
+                    failed_probes=(probed[part],) if part in probed else (),
                 )
-                for part in sorted(implicated)
+                for part, deaths in sorted(deaths_by_part.items())
             ],
             now,
         )
@@ -274,7 +247,7 @@
         """Merge a report; return whether it says anything new."""
         entry = self._entry_by_part.get(report.part)
         if entry is None:
-            entry = _Entry(crash_evidence.CrashEvidence(now))
+            entry = part_entry.PartEntry(crash_evidence.CrashEvidence(now))
             self._entry_by_part[report.part] = entry
             if len(self._entry_by_part) > MAX_ENTRIES:
                 self._entry_by_part.popitem(last=False)
@@ -328,7 +301,7 @@
 
     def _quarantined(
         self, parts: Iterable[str], now: float
-    ) -> dict[str, _Entry]:
+    ) -> dict[str, part_entry.PartEntry]:
         """Return the entries of the quarantined parts, by part."""
         entry_by_part = {
             part: self._find(part, now)
@@ -338,9 +311,27 @@
         return {
             part: entry
             for part, entry in entry_by_part.items()
-            if entry is not None and entry.death_count() >= QUARANTINE_DEATHS
+            if entry is not None and entry.is_quarantined()
         }
 
+    def _clear(
+        self, parts: Iterable[str], now: float, with_late: bool
+    ) -> None:
+        """Clear the deaths that speak against some parts."""
+        reports = []
+        for part in parts:
+            entry = self._find(part, now)
+            if entry is None:
+                continue
+            cleared = tuple(
+                death
+                for death in entry.evidence.uncleared_deaths()
+                if with_late or not death.endswith(part_entry.LATE_SUFFIX)
+            )
+            if cleared:
+                reports.append(PartReport(part, cleared=cleared))
+        self._merge_and_publish(reports, now)
+
     def _merge_and_publish(
         self, reports: list[PartReport], now: float
     ) -> None:
@@ -348,7 +339,7 @@
         if new:
             self._publish(new)
 
-    def _find(self, part: str, now: float) -> _Entry | None:
+    def _find(self, part: str, now: float) -> part_entry.PartEntry | None:
         entry = self._entry_by_part.get(part)
         if entry is None:
             return None
