Reuse connections of the own interface after named responses only

Cause: a response that names no request cannot be told from a late second copy of the one before, so that channels are no longer reused after it; the calls of stages would have opened a connection each.

Change: a call may name the header that its response repeats. Stage calls name the id of the attempt, and responses to other attempts are skipped.

--- a/tests/adapters/test_http_client.py
+++ b/tests/adapters/test_http_client.py
@@ -53,7 +53,7 @@
             'POST',
             URL,
             b'{}',
-            {'X-Attempt': 'a'},
+            {'x-attempt': 'a'},
             on_sent=lambda: sent.append(True),
             **options,
         )
@@ -63,19 +63,26 @@
 
 def answer(body: bytes) -> bytes:
     """Return the bytes of a response."""
-    return b'HTTP/1.1 200 OK\r\nX-Load: 3\r\nContent-Length: %d\r\n\r\n%b' % (
-        len(body),
-        body,
+    return (
+        b'HTTP/1.1 200 OK\r\nX-Attempt: a\r\nContent-Length: %d\r\n\r\n%b'
+        % (
+            len(body),
+            body,
+        )
     )
 
 
 def test_connections_are_reused_only_where_requests_may_be_repeated():
     """Guards against a lost request on a connection that was closed."""
-    for persistent, connections in ((True, 1), (False, 2)):
+    for persistent, echoed_header, connections in (
+        (True, 'x-attempt', 1),
+        (True, '', 2),
+        (False, 'x-attempt', 2),
+    ):
         reactor = FakeReactor()
         client = http_client.HttpClient(reactor, persistent=persistent)
         for _ in range(2):
-            pending, sent = started(client)
+            pending, sent = started(client, echoed_header=echoed_header)
             assert sent == [True]
             channel = reactor.channels[-1]
             assert b'POST /v1/run?wait_ms=5 HTTP/1.1\r\n' in (
@@ -83,11 +90,24 @@
             )
             channel.dataReceived(answer(b'x'))
             assert pending.result == http_client.HttpReply(
-                200, {'x-load': '3', 'content-length': '1'}, b'x'
+                200, {'x-attempt': 'a', 'content-length': '1'}, b'x'
             )
         assert len(reactor.channels) == connections
 
 
+def test_response_to_an_earlier_call_is_skipped():
+    """Guards against a late second copy that answers the next call."""
+    reactor = FakeReactor()
+    pending, _ = started(
+        http_client.HttpClient(reactor), echoed_header='x-attempt'
+    )
+    channel = reactor.channels[0]
+    channel.dataReceived(answer(b'other').replace(b': a', b': b'))
+    assert not pending.called
+    channel.dataReceived(answer(b'own'))
+    assert pending.result.body == b'own' and not channel.alive
+
+
 def test_body_up_to_the_limit_is_returned():
     """Guards against a limit that is too low by one."""
     reactor = FakeReactor()
--- a/walnutport/adapters/http_client.py
+++ b/walnutport/adapters/http_client.py
@@ -65,13 +65,18 @@
         *,
         on_sent: Callable[[], None] = lambda: None,
         max_body_bytes: int = MAX_BODY_BYTES,
+        echoed_header: str = '',
     ) -> HttpReply:
         """Send a request and read the complete response.
 
-        Cancelling closes the connection.
+        Cancelling closes the connection. It is reused only after a response
+        that names its request, as a server may send a response twice.
 
         :param url: URL whose host is an IP address.
         :param on_sent: called before the first byte goes to a connection.
+        :param echoed_header: lower-case name of the request header that a
+            response repeats; responses with another value are skipped. Empty
+            if responses name no request.
         :raises ChannelError: if no complete response arrives; says whether
             any byte of the request was written.
         :raises CodecError: if the body is larger than ``max_body_bytes``.
@@ -90,7 +95,8 @@
             body,
         )
         channel = await self._acquire(address)
-        collector = channel_pool.ResponseCollector()
+        echoed = (headers or {}).get(echoed_header, '').encode('latin-1')
+        collector = _EchoCollector(echoed_header.encode('ascii'), echoed)
         collector.max_body_bytes = max_body_bytes
         on_sent()
         try:
@@ -174,3 +180,25 @@
             )
         )
         return pending.addTimeout(self._timeout_s + wait_s, self._reactor)
+
+
+class _EchoCollector(channel_pool.ResponseCollector):
+    """Collects the response that repeats a header of its request.
+
+    :param name: lower-case name of the header.
+    :param value: value of the request; empty if responses repeat none.
+    """
+
+    def __init__(self, name: bytes, value: bytes) -> None:
+        super().__init__(self._may_answer)
+        self.names_request = False
+        self._name = name
+        self._value = value
+
+    def _may_answer(self, head: messages.ResponseHead) -> bool:
+        if not self._value:
+            return True
+        echoed = head.header(self._name)
+        self.names_request = echoed == self._value
+        # The caller decides on a response without the header.
+        return echoed is None or self.names_request
--- a/walnutport/adapters/stage_client.py
+++ b/walnutport/adapters/stage_client.py
@@ -99,6 +99,7 @@
                 encode_request_body(call),
                 request_headers(call),
                 on_sent=on_sent,
+                echoed_header=HEADER_ATTEMPT,
             )
         except exceptions.ChannelError as error:
             if not error.written:
