Take the first byte of an answer for a path to the targets

Cause: a host whose targets all answered slowly took itself for cut off, as no probe had its whole head within 0.4 s, and refused its callers.

Change: the first byte of an answer proves the path.

Failed before, since: tests/integration/test_slow_transfers.py, test_slow_but_healthy_answers_are_whole.

--- a/walnutport/http1/channel_pool.py
+++ b/walnutport/http1/channel_pool.py
@@ -67,7 +67,7 @@
         self._idle_by_address: dict[
             client_channel.Address, list[client_channel.ClientChannel]
         ] = {}
-        # Called with the channel at the head of a response.
+        # Called with the channel at the first byte of a response.
         self.on_answered: Callable[[client_channel.ClientChannel], None] = (
             lambda channel: None
         )
--- a/walnutport/http1/client_channel.py
+++ b/walnutport/http1/client_channel.py
@@ -97,14 +97,15 @@
         # have broken off.
         self.ended_by_close = False
         self.opened_at = 0.0
-        # Called when a request is sent; with the channel at the head of a
-        # response; and when the channel ends before the first one.
+        # Called when a request is sent; with the channel at the first byte of
+        # a response; and when the channel ends before the first one.
         self.on_sent: Callable[[], None] = lambda: None
         self.on_answered: Callable[[ClientChannel], None] = lambda channel: (
             None
         )
         self.on_unanswered: Callable[[], None] = lambda: None
         self._was_answered = False
+        self._awaits_answer = False
         # Called when a response is cut off as it exceeds a limit.
         self.on_oversized: Callable[[], None] = lambda: None
         self._receiver: ResponseReceiver | None = None
@@ -144,6 +145,7 @@
         self._on_idle = on_idle
         self._written = True
         self.request_count += 1
+        self._awaits_answer = True
         self.on_sent()
         self.transport.write(data)
 
@@ -161,6 +163,10 @@
             # No request is in flight, so the data cannot be a response.
             self._abort()
             return
+        if self._awaits_answer:
+            self._awaits_answer = False
+            self._was_answered = True
+            self.on_answered(self)
         self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -210,8 +216,6 @@
         if self._response_complete or self._receiver is None or status < 200:
             return
         head = messages.ResponseHead(status, self._headers)
-        self._was_answered = True
-        self.on_answered(self)
         if not self._receiver.head_received(head):
             self._skip_response = True
             self._keep_alive = False
