Reserve places for the returns of refused stage jobs

Refused callers returned together and were refused again. A refusal now reserves a place that is spread over the capacity set aside for returns, and a return that is late for its aim is served within its deadline.

--- a/walnutport/stages/admission.py
+++ b/walnutport/stages/admission.py
@@ -37,6 +37,7 @@
     job: jobs.Job,
     load_of: Callable[[str], forecast.ServiceLoad | None],
     standing: team_shares.Standing = team_shares.Standing.FAIR,
+    is_return: bool | None = None,
 ) -> pieces.Refusal | None:
     """Return the refusal of a job, or None if it is admitted.
 
@@ -56,7 +57,9 @@
         return pieces.Refusal(
             'deadline', retry_after_s(estimate.wait_s), total_s
         )
-    margin = _margin_ratio(spec.returned, standing)
+    if is_return is None:
+        is_return = spec.returned
+    margin = _margin_ratio(is_return, standing)
     excess_s = total_s + margin * spec.aim_s - spec.aim_s
     if excess_s > 0 and estimate.wait_s > TOLERATED_WAIT_S:
         return pieces.Refusal(
--- a/walnutport/stages/backlog.py
+++ b/walnutport/stages/backlog.py
@@ -8,7 +8,10 @@
 from walnutport.stages import jobs
 from walnutport.world import routes
 
-__all__ = ['Backlog', 'cost_by_service', 'piece_cost_s']
+__all__ = ['LATE_RANK', 'Backlog', 'cost_by_service', 'piece_cost_s']
+
+#: Rank of jobs that are late for their aim, behind every urgency.
+LATE_RANK = 1_000_000
 
 
 class Backlog:
@@ -25,11 +28,12 @@
         remaining_s = cost_by_service(job, rules_by_service)
         for service in remaining_s.keys() | job.backlog_s_by_service.keys():
             by_rank = self._seconds.setdefault(service, {})
+            rank = LATE_RANK if job.late else spec.urgency
             change = remaining_s.get(
                 service, 0.0
             ) - job.backlog_s_by_service.get(service, 0.0)
-            total = by_rank.get(spec.urgency, 0.0) + change
-            by_rank[spec.urgency] = max(0.0, total)
+            total = by_rank.get(rank, 0.0) + change
+            by_rank[rank] = max(0.0, total)
         job.backlog_s_by_service = remaining_s
 
     def queued_s(self, service: str, urgency: int | None = None) -> float:
@@ -44,6 +48,10 @@
             if urgency is None or rank <= urgency
         )
 
+    def late_s(self, service: str) -> float:
+        """Return the seconds of queued work that is late for its aim."""
+        return self._seconds.get(service, {}).get(LATE_RANK, 0.0)
+
 
 def cost_by_service(
     job: jobs.Job, rules_by_service: dict[str, routes.BatchRules]
--- a/walnutport/stages/cell_load.py
+++ b/walnutport/stages/cell_load.py
@@ -10,10 +10,15 @@
 from walnutport.stages import forecast
 from walnutport.stages import jobs
 from walnutport.stages import pieces
+from walnutport.stages import returns
 from walnutport.stages import team_shares
+from walnutport.stages import timing
 
 __all__ = ['CellLoad', 'StageLoad']
 
+# A return counts as early if it comes more than this before its time.
+EARLY_TOLERANCE_S = 0.02
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StageLoad:
@@ -39,6 +44,7 @@
         self._targets = targets
         self._backlog = backlog.Backlog()
         self._shares = team_shares.TeamShares()
+        self.returns = returns.ReturnPlaces()
         self._calls_by_service: collections.Counter = collections.Counter()
         self._pieces_by_service: collections.Counter = collections.Counter()
 
@@ -57,14 +63,84 @@
         )
         if not spec.returned:
             self._shares.record_demand(spec.team, cost_by_service, now)
+        place = self.returns.find(spec.content, now)
+        is_early = place is not None and now < place.due_at - EARLY_TOLERANCE_S
         refusal = admission.check_job(
             job,
             lambda service: self._service_load(service, spec.urgency, now),
             self._standing(spec.team, cost_by_service, now),
+            spec.returned and not is_early,
+        )
+        if refusal is not None:
+            if refusal.reason == 'no_target':
+                return refusal
+            if place is not None and is_early:
+                return dataclasses.replace(
+                    refusal, retry_after_s=place.due_at - now, reserved=True
+                )
+            if not self._may_be_late(job, place, cost_by_service, now):
+                return self._refuse(job, refusal, now)
+            job.late = True
+        self.returns.take(spec.content)
+        self._shares.record_admitted(spec.team, cost_by_service, now)
+        return None
+
+    def _refuse(
+        self, job: jobs.Job, refusal: pieces.Refusal, now: float
+    ) -> pieces.Refusal:
+        """Return a refusal with the time of a place, if there is one."""
+        place = self.reserve_return(job, now)
+        if place is None:
+            return refusal
+        return dataclasses.replace(
+            refusal, retry_after_s=place.due_at - now, reserved=True
+        )
+
+    def _may_be_late(
+        self,
+        job: jobs.Job,
+        place: returns.Place | None,
+        cost_by_service: dict[str, float],
+        now: float,
+    ) -> bool:
+        """Return whether a returning job is served after its aim."""
+        if not job.spec.returned:
+            return False
+        rules = self._targets.rules_by_service
+        spare_s = (
+            job.deadline_at
+            - now
+            - (timing.full_calls_s(job, rules) + job.spec.final_s)
+        )
+        slots_by_service = self._slots_by_service(cost_by_service, now)
+        return all(
+            self._backlog.late_s(service)
+            + (0.0 if place else self.returns.reserved_s(service))
+            + cost_s
+            <= (1.0 if place else returns.RETURN_RATIO)
+            * slots_by_service.get(service, 0.0)
+            * spare_s
+            for service, cost_s in cost_by_service.items()
+        )
+
+    def reserve_return(
+        self, job: jobs.Job, now: float
+    ) -> returns.Place | None:
+        """Reserve a place for the return of a refused job."""
+        rules = self._targets.rules_by_service
+        cost_by_service = backlog.cost_by_service(job, rules)
+        return self.returns.reserve(
+            job.spec.content,
+            cost_by_service,
+            self._slots_by_service(cost_by_service, now),
+            {
+                service: self._backlog.late_s(service)
+                for service in cost_by_service
+            },
+            timing.full_calls_s(job, rules) + job.spec.final_s,
+            job.deadline_at - now,
+            now,
         )
-        if refusal is None:
-            self._shares.record_admitted(spec.team, cost_by_service, now)
-        return refusal
 
     def update_job(self, job: jobs.Job) -> None:
         """Update the part of a job in the backlog."""
@@ -93,12 +169,19 @@
         self, team: str, services: Iterable[str], now: float
     ) -> team_shares.Standing:
         """Return the standing of a team over the given services."""
+        return self._shares.standing(
+            team, self._slots_by_service(services, now), now
+        )
+
+    def _slots_by_service(
+        self, services: Iterable[str], now: float
+    ) -> dict[str, float]:
         slots_by_service = {}
         for service in services:
             capacity = self._targets.capacity(service, now)
             if capacity is not None:
                 slots_by_service[service] = capacity.slots / capacity.slowness
-        return self._shares.standing(team, slots_by_service, now)
+        return slots_by_service
 
     def _service_load(
         self, service: str, urgency: int, now: float
--- a/walnutport/stages/jobs.py
+++ b/walnutport/stages/jobs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import math
 
 from walnutport.stages import pieces
 
@@ -36,6 +37,12 @@
         # Forecast time until the answer, in seconds from the admission.
         self.forecast_s = 0.0
         self.finished = False
+        # Whether it is served after its aim, within its deadline.
+        self.late = False
+        # Whether any of its pieces was sent to a target.
+        self.started = False
+        # Latest start that meets the aim, known once it is admitted.
+        self.latest_start_at = math.inf
         # Unstarted work in seconds by service, as counted in the backlog.
         self.backlog_s_by_service: dict[str, float] = {}
         self.stages = [
@@ -105,6 +112,7 @@
     def start_piece(self, piece_id: PieceId) -> None:
         """Move a piece from waiting to running."""
         stage, piece = piece_id
+        self.started = True
         waiting_pieces = self.waiting[stage]
         waiting_pieces.discard(piece)
         if not waiting_pieces:
--- a/walnutport/stages/pieces.py
+++ b/walnutport/stages/pieces.py
@@ -65,6 +65,8 @@
         after a refusal is recognized.
     :param spent_s: time that earlier attempts of the request took; 0 if none
         is known. ``aim_s`` is shorter by that time.
+    :param route: route of the request, which is its kind; empty from hosts of
+        earlier builds, whose requests count as one kind.
     """
 
     job_id: str
@@ -82,6 +84,7 @@
     content: bytes = b''
     spent_s: float = 0.0
     final_version: str | None = None
+    route: str = ''
 
     @property
     def returned(self) -> bool:
@@ -122,11 +125,13 @@
     """Failure of a job that had been admitted.
 
     :param retry_after_s: time after which the caller may retry.
+    :param reserved: as in a refusal.
     """
 
     job_id: str
     reason: str
     retry_after_s: float
+    reserved: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,6 +143,9 @@
         did not affect the decision.
     :param spent_s: time that earlier attempts of the request took; 0 if none
         is known.
+    :param reserved: whether a place is held until ``retry_after_s`` is over.
+    :param kind_standing: demand of its kind relative to its share; empty if
+        it did not affect the decision.
     """
 
     reason: str
@@ -145,6 +153,8 @@
     forecast_s: float
     standing: str = ''
     spent_s: float = 0.0
+    reserved: bool = False
+    kind_standing: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -135,6 +135,9 @@
         if refusal is not None:
             self._refused.record(spec.content, now)
             return dataclasses.replace(refusal, spent_s=spec.spent_s)
+        job.latest_start_at = timing.latest_start(
+            job, self._targets.rules_by_service
+        )
         self._job_by_id[spec.job_id] = job
         self._advance_job(job, now)
         return None
--- a/walnutport/stages/timing.py
+++ b/walnutport/stages/timing.py
@@ -9,6 +9,7 @@
 from walnutport.world import routes
 
 __all__ = [
+    'full_calls_s',
     'latest_start',
     'latest_start_of_full_calls',
     'min_remaining_s',
@@ -18,6 +19,9 @@
 # The remaining time is an estimate; a job counts as late only when its latest
 # start has passed by this margin.
 LATE_MARGIN_S = 0.1
+# A late job goes first this long before its latest start by the deadline: it
+# may have to wait for a full call at each of three stages.
+DEADLINE_MARGIN_S = 0.9
 
 _Rules = dict[str, routes.BatchRules]
 
@@ -48,6 +52,11 @@
     return job.aim_at - chain_s - job.spec.final_s
 
 
+def full_calls_s(job: jobs.Job, rules_by_service: _Rules) -> float:
+    """Return the duration of the unfinished stages if all calls are full."""
+    return _longest_chain_s(job, rules_by_service, full_calls=True)
+
+
 def _longest_chain_s(
     job: jobs.Job, rules_by_service: _Rules, full_calls: bool
 ) -> float:
@@ -73,8 +82,11 @@
 ) -> tuple[bool, float]:
     """Return the sort key by which jobs are scheduled.
 
-    Jobs with the earliest latest start go first, and jobs that can no longer
-    meet their aim go last. Urgency only affects which jobs are admitted.
+    Jobs with the earliest latest start go first. Jobs that can no longer meet
+    their aim go last, until their deadline requires them to start.
     """
     latest_start_at = latest_start(job, rules_by_service)
-    return (now > latest_start_at + LATE_MARGIN_S, latest_start_at)
+    if not job.late and now <= latest_start_at + LATE_MARGIN_S:
+        return False, latest_start_at
+    due_at = job.deadline_at - (job.aim_at - latest_start_at)
+    return now < due_at - DEADLINE_MARGIN_S, due_at
