Share contended stage services among kinds of requests

Shares covered teams only, and a job with three stages was refused where a job with one stage that arrived later was admitted. Kinds (route and urgency) now have weighted max-min shares; a kind over its share keeps a part of the queue free. Admitted jobs are ordered by their latest start with full calls and by urgency where these are close; a return comes back within its aim where that is possible; a job that missed its aim unstarted releases its place.

--- a/tests/stages/replay.py
+++ b/tests/stages/replay.py
@@ -177,8 +177,9 @@
         """Return one line of figures by kind."""
         return ' | '.join(
             f'{name}: value {self.value(kind=name):.3f} served '
-            f'{self.served(kind=name):.3f} refused {self.refused(1, kind=name)}'
-            f' twice {self.refused(2, kind=name)}'
+            f'{self.served(kind=name):.3f} '
+            f'refused {self.refused(1, kind=name)} '
+            f'twice {self.refused(2, kind=name)}'
             f' of {len(self.select(kind=name))}'
             for name in sorted({item.kind.name for item in self.requests})
         )
--- a/tests/stages/test_team_shares.py
+++ b/tests/stages/test_team_shares.py
@@ -35,7 +35,7 @@
 
 def test_bursting_team_is_over_its_share_and_others_under():
     """Replays a team that asks for four times the capacity of a target."""
-    shares = team_shares.TeamShares()
+    shares = team_shares.Shares()
     for step in range(100):
         now = step * 0.05
         shares.record_demand('north', {'encode': 0.2}, now)
@@ -52,7 +52,7 @@
 
 def test_shares_do_not_apply_without_contention():
     """Guards against limiting a team to its share on idle targets."""
-    shares = team_shares.TeamShares()
+    shares = team_shares.Shares()
     shares.record_demand('north', {'encode': 1.0}, 0.0)
     shares.record_admitted('north', {'encode': 1.0}, 0.0)
     for team in ('north', 'south'):
@@ -61,7 +61,7 @@
 
 def test_demand_of_a_burst_decays():
     """Guards against penalising a team long after its burst has ended."""
-    shares = team_shares.TeamShares()
+    shares = team_shares.Shares()
     for team in ('north', 'south'):
         shares.record_demand(team, {'encode': 9.0}, 0.0)
     shares.record_admitted('north', {'encode': 9.0}, 0.0)
@@ -73,7 +73,7 @@
 
 def test_demand_for_removed_services_is_dropped():
     """Guards against memory growth with each renamed service."""
-    shares = team_shares.TeamShares()
+    shares = team_shares.Shares()
     for team in ('north', 'south'):
         shares.record_demand(team, {'old': 9.0, 'encode': 9.0}, 0.0)
         shares.record_admitted(team, {'old': 5.0, 'encode': 5.0}, 0.0)
--- a/walnutport/exceptions.py
+++ b/walnutport/exceptions.py
@@ -176,6 +176,9 @@
         owner measured it; empty if unknown.
     :param spent_s: time that earlier attempts of the request took; 0 if none
         is known.
+    :param reserved: whether the owner holds a place for the return.
+    :param kind_standing: demand of the kind of request relative to its share;
+        empty if unknown.
     """
 
     def __init__(
@@ -185,6 +188,8 @@
         forecast_s: float = 0.0,
         team_standing: str = '',
         spent_s: float = 0.0,
+        reserved: bool = False,
+        kind_standing: str = '',
     ) -> None:
         super().__init__(reason)
         self.reason = reason
@@ -192,3 +197,5 @@
         self.forecast_s = forecast_s
         self.team_standing = team_standing
         self.spent_s = spent_s
+        self.reserved = reserved
+        self.kind_standing = kind_standing
--- a/walnutport/gateway/entry/request_handler.py
+++ b/walnutport/gateway/entry/request_handler.py
@@ -202,6 +202,7 @@
             content=call.digest,
             spent_s=call.spent_s,
             final_version=call.origin_version,
+            route=call.route.name,
         )
         with stage_client.StageRun(self._stages, spec) as stage_run:
             try:
@@ -212,12 +213,15 @@
                     call,
                     problem.reason,
                     problem.retry_after_s,
+                    is_exact=problem.reserved,
                     cell=stage_run.cell,
                     owner=stage_run.owner,
                     forecast_s=round(problem.forecast_s, 3),
                     aim_left_s=round(call.aim_at - time.monotonic(), 3),
                     returned=call.spent_s > 0,
                     team_standing=problem.team_standing,
+                    kind_standing=problem.kind_standing,
+                    reserved=problem.reserved,
                 )
                 return
             call.stages_s = time.monotonic() - now
--- a/walnutport/gateway/entry/responses.py
+++ b/walnutport/gateway/entry/responses.py
@@ -55,16 +55,21 @@
         call: calls.CallerCall,
         reason: str,
         retry_after_s: float = DEFAULT_RETRY_AFTER_S,
+        is_exact: bool = False,
         **log_fields: object,
     ) -> None:
         """Respond that the request did not run and when to retry.
 
+        :param is_exact: whether a place is held for the caller at that time,
+            so that the delay gets no jitter.
         :param log_fields: values that led to the refusal, for the log.
         """
         max_delay_s = max(0.0, call.time_left_s() * MAX_RETRY_AFTER_SHARE)
-        jitter = self._rng.uniform(
-            1 - RETRY_AFTER_JITTER, 1 + RETRY_AFTER_JITTER
-        )
+        jitter = 1.0
+        if not is_exact:
+            jitter = self._rng.uniform(
+                1 - RETRY_AFTER_JITTER, 1 + RETRY_AFTER_JITTER
+            )
         delay_s = min(retry_after_s * jitter, max_delay_s)
         self._log.notable(
             'refused',
--- a/walnutport/gateway/operations/events.py
+++ b/walnutport/gateway/operations/events.py
@@ -366,6 +366,8 @@
             'aim_left_s',
             'returned',
             'team_standing',
+            'kind_standing',
+            'reserved',
             'part',
             'deaths',
         ),
--- a/walnutport/gateway/stages/stage_client.py
+++ b/walnutport/gateway/stages/stage_client.py
@@ -165,10 +165,14 @@
                     reply.forecast_s,
                     reply.standing,
                     reply.spent_s,
+                    reply.reserved,
+                    reply.kind_standing,
                 )
             if isinstance(reply, pieces.JobFailure):
                 raise exceptions.StagesRefused(
-                    reply.reason, reply.retry_after_s
+                    reply.reason,
+                    reply.retry_after_s,
+                    reserved=reply.reserved,
                 )
             # The owner was lost; its successor runs the stages again.
             self._log.notable(
--- a/walnutport/stages/admission.py
+++ b/walnutport/stages/admission.py
@@ -27,7 +27,7 @@
 PREFERRED_MARGIN_RATIO = 0.02
 # The same fraction for a team that used more than its share. More than twice
 # the usual margin keeps capacity in the queue for the other teams.
-OVER_SHARE_MARGIN_RATIO = 0.3
+OVER_SHARE_MARGIN_RATIO = 0.2
 # Bounds of the time after which a refused caller may retry.
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 4.0
@@ -38,6 +38,7 @@
     load_of: Callable[[str], forecast.ServiceLoad | None],
     standing: team_shares.Standing = team_shares.Standing.FAIR,
     is_return: bool | None = None,
+    kind_standing: team_shares.Standing = team_shares.Standing.FAIR,
 ) -> pieces.Refusal | None:
     """Return the refusal of a job, or None if it is admitted.
 
@@ -59,20 +60,29 @@
         )
     if is_return is None:
         is_return = spec.returned
-    margin = _margin_ratio(is_return, standing)
+    margin = _margin_ratio(is_return, standing, kind_standing)
     excess_s = total_s + margin * spec.aim_s - spec.aim_s
     if excess_s > 0 and estimate.wait_s > TOLERATED_WAIT_S:
         return pieces.Refusal(
-            'overload', retry_after_s(excess_s), total_s, standing.value
+            'overload',
+            retry_after_s(excess_s),
+            total_s,
+            standing.value,
+            kind_standing=kind_standing.value,
         )
     return None
 
 
-def _margin_ratio(is_retry: bool, standing: team_shares.Standing) -> float:
+def _margin_ratio(
+    is_return: bool,
+    standing: team_shares.Standing,
+    kind_standing: team_shares.Standing,
+) -> float:
     """Return the fraction of the time left to the aim that stays unused."""
-    if standing is team_shares.Standing.OVER:
-        return AIM_MARGIN_RATIO if is_retry else OVER_SHARE_MARGIN_RATIO
-    if is_retry or standing is team_shares.Standing.UNDER:
+    standings = (standing, kind_standing)
+    if team_shares.Standing.OVER in standings:
+        return AIM_MARGIN_RATIO if is_return else OVER_SHARE_MARGIN_RATIO
+    if is_return or team_shares.Standing.UNDER in standings:
         return PREFERRED_MARGIN_RATIO
     return AIM_MARGIN_RATIO
 
--- a/walnutport/stages/cell_load.py
+++ b/walnutport/stages/cell_load.py
@@ -18,6 +18,7 @@
 
 # A return counts as early if it comes more than this before its time.
 EARLY_TOLERANCE_S = 0.02
+URGENCY_WEIGHT = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,14 +44,16 @@
     def __init__(self, targets: cell_targets.CellTargets) -> None:
         self._targets = targets
         self._backlog = backlog.Backlog()
-        self._shares = team_shares.TeamShares()
+        self._teams = team_shares.Shares()
+        self._kinds = team_shares.Shares(min_claimants=2)
         self.returns = returns.ReturnPlaces()
         self._calls_by_service: collections.Counter = collections.Counter()
         self._pieces_by_service: collections.Counter = collections.Counter()
 
     def retain_services(self) -> None:
         """Drop the demand for services that no longer exist."""
-        self._shares.retain_services(self._targets.rules_by_service)
+        for shares in (self._teams, self._kinds):
+            shares.retain_services(self._targets.rules_by_service)
 
     def check_job(self, job: jobs.Job, now: float) -> pieces.Refusal | None:
         """Record the demand of a new job and check its admission.
@@ -61,15 +64,24 @@
         cost_by_service = backlog.cost_by_service(
             job, self._targets.rules_by_service
         )
+        kind = f'{spec.urgency}/{spec.route}'
         if not spec.returned:
-            self._shares.record_demand(spec.team, cost_by_service, now)
+            self._teams.record_demand(spec.team, cost_by_service, now)
+            self._kinds.record_demand(
+                kind,
+                cost_by_service,
+                now,
+                _kind_weight(spec.urgency),
+            )
+        slots_by_service = self._slots_by_service(cost_by_service, now)
         place = self.returns.find(spec.content, now)
         is_early = place is not None and now < place.due_at - EARLY_TOLERANCE_S
         refusal = admission.check_job(
             job,
             lambda service: self._service_load(service, spec.urgency, now),
-            self._standing(spec.team, cost_by_service, now),
+            self._teams.standing(spec.team, slots_by_service, now),
             spec.returned and not is_early,
+            self._kinds.standing(kind, slots_by_service, now),
         )
         if refusal is not None:
             if refusal.reason == 'no_target':
@@ -78,11 +90,12 @@
                 return dataclasses.replace(
                     refusal, retry_after_s=place.due_at - now, reserved=True
                 )
-            if not self._may_be_late(job, place, cost_by_service, now):
+            if not spec.returned or not self.may_be_late(job, now, place):
                 return self._refuse(job, refusal, now)
             job.late = True
         self.returns.take(spec.content)
-        self._shares.record_admitted(spec.team, cost_by_service, now)
+        self._teams.record_admitted(spec.team, cost_by_service, now)
+        self._kinds.record_admitted(kind, cost_by_service, now)
         return None
 
     def _refuse(
@@ -96,33 +109,30 @@
             refusal, retry_after_s=place.due_at - now, reserved=True
         )
 
-    def _may_be_late(
+    def may_be_late(
         self,
         job: jobs.Job,
-        place: returns.Place | None,
-        cost_by_service: dict[str, float],
         now: float,
+        place: returns.Place | None = None,
     ) -> bool:
-        """Return whether a returning job is served after its aim."""
-        if not job.spec.returned:
-            return False
+        """Return whether a job can be served within its deadline.
+
+        :param place: place that its return holds.
+        """
         rules = self._targets.rules_by_service
-        spare_s = (
-            job.deadline_at
-            - now
-            - (timing.full_calls_s(job, rules) + job.spec.final_s)
-        )
-        slots_by_service = self._slots_by_service(cost_by_service, now)
-        return all(
-            self._backlog.late_s(service)
-            + (0.0 if place else self.returns.reserved_s(service))
-            + cost_s
-            <= (1.0 if place else returns.RETURN_RATIO)
-            * slots_by_service.get(service, 0.0)
-            * spare_s
-            for service, cost_s in cost_by_service.items()
+        cost_by_service = backlog.cost_by_service(job, rules)
+        needed_s = timing.full_calls_s(job, rules) + job.spec.final_s
+        return self.returns.has_room(
+            cost_by_service,
+            self._slots_by_service(cost_by_service, now),
+            self._late_by_service(cost_by_service),
+            job.deadline_at - now - needed_s,
+            place,
         )
 
+    def _late_by_service(self, services: Iterable[str]) -> dict[str, float]:
+        return {service: self._backlog.late_s(service) for service in services}
+
     def reserve_return(
         self, job: jobs.Job, now: float
     ) -> returns.Place | None:
@@ -133,11 +143,9 @@
             job.spec.content,
             cost_by_service,
             self._slots_by_service(cost_by_service, now),
-            {
-                service: self._backlog.late_s(service)
-                for service in cost_by_service
-            },
+            self._late_by_service(cost_by_service),
             timing.full_calls_s(job, rules) + job.spec.final_s,
+            job.aim_at - now,
             job.deadline_at - now,
             now,
         )
@@ -165,14 +173,6 @@
             )
         return load_by_service
 
-    def _standing(
-        self, team: str, services: Iterable[str], now: float
-    ) -> team_shares.Standing:
-        """Return the standing of a team over the given services."""
-        return self._shares.standing(
-            team, self._slots_by_service(services, now), now
-        )
-
     def _slots_by_service(
         self, services: Iterable[str], now: float
     ) -> dict[str, float]:
@@ -198,3 +198,8 @@
             ahead_s + self._targets.running_s(service, now),
             capacity.slowness,
         )
+
+
+def _kind_weight(urgency: int) -> float:
+    """Return the weight of a kind of request in its fair share."""
+    return URGENCY_WEIGHT**-urgency
--- a/walnutport/stages/returns.py
+++ b/walnutport/stages/returns.py
@@ -14,7 +14,7 @@
 
 # Fraction of the capacity until its deadline that may be promised to refused
 # requests. The rest serves new requests, which can still meet their aim.
-RETURN_RATIO = 0.5
+RETURN_RATIO = 0.4
 # Callers honour a Retry-After of at most a third of the time that they have
 # left; the rest covers the way to the caller.
 MAX_DELAY_RATIO = 0.32
@@ -81,6 +81,30 @@
                 0.0, self._reserved_s[service] - cost_s
             )
 
+    def has_room(
+        self,
+        cost_by_service: Mapping[str, float],
+        slots_by_service: Mapping[str, float],
+        late_by_service: Mapping[str, float],
+        spare_s: float,
+        place: Place | None = None,
+    ) -> bool:
+        """Return whether work can be promised within a time.
+
+        :param spare_s: time until it must start to meet its deadline.
+        :param place: place that the request holds; it may use all capacity,
+            as targets may have been lost since it was promised.
+        """
+        ratio = RETURN_RATIO if place is None else 1.0
+        for service, cost_s in cost_by_service.items():
+            promised_s = late_by_service.get(service, 0.0) + cost_s
+            if place is None:
+                promised_s += self.reserved_s(service)
+            slots = slots_by_service.get(service, 0.0)
+            if promised_s > ratio * slots * spare_s:
+                return False
+        return True
+
     def reserve(
         self,
         content: bytes,
@@ -88,6 +112,7 @@
         slots_by_service: Mapping[str, float],
         late_by_service: Mapping[str, float],
         needed_s: float,
+        aim_left_s: float,
         left_s: float,
         now: float,
     ) -> Place | None:
@@ -101,25 +126,26 @@
         :returns: None if a return cannot be promised to be in time.
         """
         self._expire(now)
+        self.take(content)
         if not content or len(self._place_by_content) >= MAX_PLACES:
             return None
         spare_s = left_s - needed_s
         max_delay_s = left_s * MAX_DELAY_RATIO
         if max_delay_s < MIN_DELAY_S or spare_s < MIN_DELAY_S:
             return None
-        due_at = now + MIN_DELAY_S
-        for service, cost_s in cost_by_service.items():
-            slots = slots_by_service.get(service, 0.0)
-            promised_s = (
-                self.reserved_s(service)
-                + late_by_service.get(service, 0.0)
-                + cost_s
-            )
-            if promised_s > RETURN_RATIO * slots * spare_s:
-                return None
-            due_at = max(due_at, self._given_until.get(service, 0.0))
+        if not self.has_room(
+            cost_by_service, slots_by_service, late_by_service, spare_s
+        ):
+            return None
+        due_at = max(
+            now + MIN_DELAY_S,
+            *(self._given_until.get(name, 0.0) for name in cost_by_service),
+        )
         latest_at = now + min(max_delay_s, spare_s)
-        if due_at > latest_at:
+        timely_s = min(max_delay_s, aim_left_s - needed_s)
+        if timely_s >= MIN_DELAY_S:
+            latest_at = now + timely_s
+        if timely_s >= MIN_DELAY_S or due_at > latest_at:
             self._position = (self._position + GOLDEN_RATIO) % 1.0
             due_at = latest_at - self._position * (
                 latest_at - now - MIN_DELAY_S
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -184,7 +184,12 @@
             return
         self._next_expiry_at = now + EXPIRE_INTERVAL_S
         for job in list(self._job_by_id.values()):
-            if job.finished or now + EXPIRE_HORIZON_S < job.deadline_at:
+            if job.finished:
+                continue
+            if job.latest_start_at < now and not job.started and not job.late:
+                self._miss_aim(job, now)
+                continue
+            if now + EXPIRE_HORIZON_S < job.deadline_at:
                 continue
             needed_s = timing.min_remaining_s(
                 job, self._targets.rules_by_service
@@ -192,6 +197,18 @@
             if now + needed_s > job.deadline_at:
                 self._fail_job(job, 'deadline', now)
 
+    def _miss_aim(self, job: jobs.Job, now: float) -> None:
+        """Release the place of an unstarted job that cannot meet its aim.
+
+        It is served within its deadline if that can be promised, and refused
+        otherwise.
+        """
+        if self.cell_load.may_be_late(job, now):
+            job.late = True
+            self._update_job(job)
+        else:
+            self._fail_job(job, 'aim_missed', now)
+
     def next_calls(self, now: float) -> list[pieces.BatchCall]:
         """Return the calls to start now."""
         calls: list[pieces.BatchCall] = []
@@ -380,12 +397,22 @@
     def _fail_job(self, job: jobs.Job, reason: str, now: float) -> None:
         job_id = job.spec.job_id
         self._refused.record(job.spec.content, now)
+        place = None
+        if not job.started:
+            place = self.cell_load.reserve_return(job, now)
         self.release(job_id)
         remaining_s = max(0.0, job.deadline_at - now)
-        retry_after_s = admission.retry_after_s(
-            remaining_s * RETRY_AFTER_RATIO
+        if place is not None:
+            retry_after_s = place.due_at - now
+        else:
+            retry_after_s = admission.retry_after_s(
+                remaining_s * RETRY_AFTER_RATIO
+            )
+        self._outcomes.append(
+            pieces.JobFailure(
+                job_id, reason, retry_after_s, reserved=place is not None
+            )
         )
-        self._outcomes.append(pieces.JobFailure(job_id, reason, retry_after_s))
 
     def _discard_lifetime(
         self, target: stage_targets.StageTarget, now: float
--- a/walnutport/stages/team_shares.py
+++ b/walnutport/stages/team_shares.py
@@ -1,22 +1,22 @@
-"""Demand of each team relative to its fair share of a service.
-
-When one team sends several times its usual traffic to shared stage targets,
-refusing requests by arrival order would refuse the other teams as often as
-the one that causes the burst. Shares are max-min fair: capacity that a team
-does not demand goes to teams that demand more, so none is left idle.
+"""Demand of kinds of requests and of teams relative to their fair shares.
+
+When one team or one kind sends several times its usual traffic to shared stage
+targets, refusing requests by arrival order would refuse the others as often as
+the one that causes the burst, and long jobs more often than short ones. Shares
+are weighted max-min fair: capacity that a claimant does not demand goes to
+those that demand more, so none is left idle, and each claimant is guaranteed
+the part of its weight.
 """
 
 from collections.abc import Collection
-from collections.abc import Iterable
-import dataclasses
 import enum
 import math
 
-__all__ = ['Standing', 'TeamShares', 'fair_level']
+__all__ = ['Shares', 'Standing', 'fair_level']
 
 # Time constant of the decay of demand. Recorded bursts last about 3 to 9 s. A
-# much shorter window would forget which team caused the burst; a longer one
-# would penalise a team after its burst has ended.
+# much shorter window would forget who caused the burst; a longer one would
+# penalise a claimant after its burst has ended.
 WINDOW_S = 2.0
 # A service is contended if the refused work exceeds this fraction of its
 # capacity per window. A single refusal of a large request does not indicate
@@ -24,10 +24,13 @@
 CONTENDED_RATIO = 0.05
 # Decayed demand below this many seconds of a target is dropped.
 MIN_DEMAND_S = 1e-3
+# The sums of a service are rescaled after this many windows, so that the
+# factor that they share stays within the range of floats.
+RESCALE_WINDOWS = 50.0
 
 
 class Standing(enum.Enum):
-    """Demand of a team relative to its share."""
+    """Demand of a claimant relative to its share."""
 
     #: Its whole demand fits into its share of every contended service.
     UNDER = 'under'
@@ -38,69 +41,151 @@
     OVER = 'over'
 
 
-@dataclasses.dataclass(slots=True)
-class _DecayingSum:
-    """Sum whose terms decay exponentially with time."""
-
-    value: float = 0.0
-    updated_at: float = 0.0
-
-    def read(self, now: float) -> float:
-        return self.value * math.exp((self.updated_at - now) / WINDOW_S)
-
-    def add(self, amount: float, now: float) -> None:
-        self.value = self.read(now) + amount
-        self.updated_at = now
-
-
-def fair_level(demands: Iterable[float], capacity: float) -> float:
-    """Return the max-min fair upper bound on the share of a team.
+def fair_level(
+    demands: Collection[float],
+    capacity: float,
+    weights: Collection[float] | None = None,
+) -> float:
+    """Return the max-min fair upper bound on the share of a claimant.
 
+    :param weights: the bound is for a weight of 1 and is multiplied by the
+        weight of a claimant; all 1 if omitted.
     :returns: infinite if the capacity covers all demands.
     """
+    if sum(demands) <= capacity:
+        return math.inf
+    pairs = sorted(
+        (demand / weight, weight)
+        for demand, weight in zip(demands, weights or [1.0] * len(demands))
+    )
     remaining = capacity
-    ascending = sorted(demands)
-    for number, demand in enumerate(ascending):
-        level = remaining / (len(ascending) - number)
-        if demand > level:
+    remaining_weight = sum(weight for _, weight in pairs)
+    for relative, weight in pairs:
+        level = remaining / remaining_weight
+        if relative > level:
             return level
-        remaining -= demand
+        remaining -= relative * weight
+        remaining_weight -= weight
     return math.inf
 
 
-class TeamShares:
-    """Demanded and admitted work of each team by service.
+class _DecayingSums:
+    """Sums by claimant whose terms decay exponentially with time.
+
+    All sums share one factor, so that reading them needs one exponential.
+    """
+
+    def __init__(self) -> None:
+        self._scaled: dict[str, float] = {}
+        self._started_at = 0.0
+
+    def add(self, name: str, amount: float, now: float) -> None:
+        if now - self._started_at > RESCALE_WINDOWS * WINDOW_S:
+            self._scaled = {
+                known: seconds
+                for known, seconds in self.read(now).items()
+                if seconds >= MIN_DEMAND_S
+            }
+            self._started_at = now
+        self._scaled[name] = self._scaled.get(name, 0.0) + amount * math.exp(
+            (now - self._started_at) / WINDOW_S
+        )
+
+    def total(self, now: float) -> float:
+        return sum(self._scaled.values()) * self._factor(now)
+
+    def read(self, now: float) -> dict[str, float]:
+        factor = self._factor(now)
+        return {name: scaled * factor for name, scaled in self._scaled.items()}
+
+    def _factor(self, now: float) -> float:
+        return math.exp((self._started_at - now) / WINDOW_S)
+
+
+class Shares:
+    """Demanded and admitted work of each claimant by service.
 
     Work is in seconds of one target. Times are seconds of a monotonic clock,
     passed in as ``now``.
+
+    :param min_claimants: with fewer claimants, no share is computed.
     """
 
-    def __init__(self) -> None:
-        self._demand: dict[str, dict[str, _DecayingSum]] = {}
-        self._admitted: dict[str, dict[str, _DecayingSum]] = {}
+    def __init__(self, min_claimants: int = 1) -> None:
+        self._min_claimants = min_claimants
+        self._demand: dict[str, _DecayingSums] = {}
+        self._admitted: dict[str, _DecayingSums] = {}
+        self._weight_by_service: dict[str, dict[str, float]] = {}
 
     def record_demand(
-        self, team: str, cost_by_service: dict[str, float], now: float
+        self,
+        name: str,
+        cost_by_service: dict[str, float],
+        now: float,
+        weight: float = 1.0,
     ) -> None:
-        """Count the work of a request that a team submits."""
-        _add_cost(self._demand, team, cost_by_service, now)
+        """Count the work of a request that a claimant submits.
+
+        :param weight: weight of the claimant; latest value counts.
+        """
+        for service, cost_s in cost_by_service.items():
+            sums = self._demand.get(service)
+            if sums is None:
+                sums = self._demand[service] = _DecayingSums()
+            sums.add(name, cost_s, now)
+            self._weight_by_service.setdefault(service, {})[name] = weight
 
     def record_admitted(
-        self, team: str, cost_by_service: dict[str, float], now: float
+        self, name: str, cost_by_service: dict[str, float], now: float
     ) -> None:
         """Count the work of a request that was admitted."""
-        _add_cost(self._admitted, team, cost_by_service, now)
+        for service, cost_s in cost_by_service.items():
+            sums = self._admitted.get(service)
+            if sums is None:
+                sums = self._admitted[service] = _DecayingSums()
+            sums.add(name, cost_s, now)
 
     def retain_services(self, services: Collection[str]) -> None:
         """Drop the demand for services that no longer exist."""
-        for totals in (self._demand, self._admitted):
+        for totals in (self._demand, self._admitted, self._weight_by_service):
             for service in totals.keys() - set(services):
                 del totals[service]
 
+    def share_by_name(
+        self, service: str, slots: float, now: float
+    ) -> dict[str, tuple[float, float]] | None:
+        """Return demand and share of each claimant if a service is contended.
+
+        :param slots: seconds of work that the service completes per second.
+        :returns: seconds in the window; None if the service is not contended.
+        """
+        demand = self._demand.get(service)
+        admitted = self._admitted.get(service)
+        if demand is None:
+            return None
+        admitted_s = admitted.total(now) if admitted is not None else 0.0
+        capacity = slots * WINDOW_S
+        if demand.total(now) - admitted_s < CONTENDED_RATIO * capacity:
+            return None
+        demand_by_name = demand.read(now)
+        if len(demand_by_name) < self._min_claimants:
+            return None
+        weight_by_name = self._weight_by_service[service]
+        weights = [weight_by_name[name] for name in demand_by_name]
+        # At the start of a burst the admitted work is still below the
+        # capacity of a window.
+        level = fair_level(
+            demand_by_name.values(), min(capacity, admitted_s), weights
+        )
+        return {
+            name: (seconds, level * weight)
+            for (name, seconds), weight in zip(demand_by_name.items(), weights)
+        }
+
     def standing(
-        self, team: str, slots_by_service: dict[str, float], now: float
+        self, name: str, slots_by_service: dict[str, float], now: float
     ) -> Standing:
-        """Return the standing of a team over the services of a request.
+        """Return the standing of a claimant over the services of a request.
 
         :param slots_by_service: seconds of work that each service completes
             per second.
@@ -108,45 +193,18 @@
         contended = False
         under = True
         for service, slots in slots_by_service.items():
-            demand_by_team = _read_by_team(self._demand, service, now)
-            admitted_by_team = _read_by_team(self._admitted, service, now)
-            admitted = sum(admitted_by_team.values())
-            refused = sum(demand_by_team.values()) - admitted
-            capacity = slots * WINDOW_S
-            if refused < CONTENDED_RATIO * capacity:
+            shares = self.share_by_name(service, slots, now)
+            if shares is None:
                 continue
-            # At the start of a burst the admitted work is still below the
-            # capacity of a window.
-            level = fair_level(
-                demand_by_team.values(), min(capacity, admitted)
-            )
             contended = True
-            if demand_by_team.get(team, 0.0) <= level:
+            demand_s, share_s = shares.get(name, (0.0, math.inf))
+            if demand_s <= share_s:
                 continue
             under = False
-            if admitted_by_team.get(team, 0.0) > level:
+            admitted = self._admitted.get(service)
+            if (
+                admitted is not None
+                and admitted.read(now).get(name, 0.0) > share_s
+            ):
                 return Standing.OVER
         return Standing.UNDER if contended and under else Standing.FAIR
-
-
-def _read_by_team(
-    totals: dict[str, dict[str, _DecayingSum]], service: str, now: float
-) -> dict[str, float]:
-    return {
-        team: total.read(now)
-        for team, total in totals.get(service, {}).items()
-    }
-
-
-def _add_cost(
-    totals: dict[str, dict[str, _DecayingSum]],
-    team: str,
-    cost_by_service: dict[str, float],
-    now: float,
-) -> None:
-    for service, cost_s in cost_by_service.items():
-        by_team = totals.setdefault(service, {})
-        for name, total in list(by_team.items()):
-            if total.read(now) < MIN_DEMAND_S:
-                del by_team[name]
-        by_team.setdefault(team, _DecayingSum()).add(cost_s, now)
--- a/walnutport/stages/timing.py
+++ b/walnutport/stages/timing.py
@@ -21,7 +21,10 @@
 LATE_MARGIN_S = 0.1
 # A late job goes first this long before its latest start by the deadline: it
 # may have to wait for a full call at each of three stages.
-DEADLINE_MARGIN_S = 0.9
+DEADLINE_MARGIN_S = 0.4
+# Jobs whose latest starts differ by less than this start in the order of their
+# urgency. With 0.05 s and more, the least urgent jobs missed their aim.
+URGENCY_STEP_S = 0.03
 
 _Rules = dict[str, routes.BatchRules]
 
@@ -87,6 +90,9 @@
     """
     latest_start_at = latest_start(job, rules_by_service)
     if not job.late and now <= latest_start_at + LATE_MARGIN_S:
-        return False, latest_start_at
+        return False, (
+            latest_start_of_full_calls(job, rules_by_service)
+            + job.spec.urgency * URGENCY_STEP_S
+        )
     due_at = job.deadline_at - (job.aim_at - latest_start_at)
     return now < due_at - DEADLINE_MARGIN_S, due_at
