--- a/walnutport/stages/cell_load.py
+++ b/walnutport/stages/cell_load.py
@@ -16,10 +16,16 @@
 
 __all__ = ['CellLoad', 'StageLoad']
 
+# The capacity of a service is computed anew after this time, and after each
+# call that starts or ends. It needs a pass over all targets of the cell.
+CAPACITY_AGE_S = 0.02
 # A return counts as early if it comes more than this before its time.
 EARLY_TOLERANCE_S = 0.02
 URGENCY_WEIGHT = 2.0
 
+#: Capacity of a service, None without targets, and the time of running calls.
+_Known = tuple[cell_targets.ServiceCapacity | None, float]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StageLoad:
@@ -47,6 +53,8 @@
         self._teams = team_shares.Shares()
         self._kinds = team_shares.Shares(min_claimants=2)
         self.returns = returns.ReturnPlaces()
+        # Time until which a capacity and the work that runs are known.
+        self._known: dict[str, tuple[float, _Known]] = {}
         self._calls_by_service: collections.Counter = collections.Counter()
         self._pieces_by_service: collections.Counter = collections.Counter()
 
@@ -94,8 +102,9 @@
                 return self._refuse(job, refusal, now)
             job.late = True
         self.returns.take(spec.content)
-        self._teams.record_admitted(spec.team, cost_by_service, now)
-        self._kinds.record_admitted(kind, cost_by_service, now)
+        if not job.late:
+            self._teams.record_admitted(spec.team, cost_by_service, now)
+            self._kinds.record_admitted(kind, cost_by_service, now)
         return None
 
     def _refuse(
@@ -154,8 +163,13 @@
         """Update the part of a job in the backlog."""
         self._backlog.update(job, self._targets.rules_by_service)
 
+    def targets_changed(self) -> None:
+        """Compute the capacity of all services anew."""
+        self._known.clear()
+
     def call_started(self, service: str, piece_count: int) -> None:
         """Count a call and its pieces."""
+        self._known.pop(service, None)
         self._calls_by_service[service] += 1
         self._pieces_by_service[service] += piece_count
 
@@ -173,12 +187,26 @@
             )
         return load_by_service
 
+    def _capacity(self, service: str, now: float) -> _Known:
+        """Return the capacity of a service and the work that runs there."""
+        known = self._known.get(service)
+        if known is None or not 0 <= now - known[0] < CAPACITY_AGE_S:
+            known = (
+                now,
+                (
+                    self._targets.capacity(service, now),
+                    self._targets.running_s(service, now),
+                ),
+            )
+            self._known[service] = known
+        return known[1]
+
     def _slots_by_service(
         self, services: Iterable[str], now: float
     ) -> dict[str, float]:
         slots_by_service = {}
         for service in services:
-            capacity = self._targets.capacity(service, now)
+            capacity, _ = self._capacity(service, now)
             if capacity is not None:
                 slots_by_service[service] = capacity.slots / capacity.slowness
         return slots_by_service
@@ -187,7 +215,7 @@
         self, service: str, urgency: int, now: float
     ) -> forecast.ServiceLoad | None:
         """Return the work ahead of a new job at a service."""
-        capacity = self._targets.capacity(service, now)
+        capacity, running_s = self._capacity(service, now)
         if capacity is None:
             return None
         # The expected time of running calls already includes the slowness.
@@ -195,7 +223,7 @@
         return forecast.ServiceLoad(
             capacity.rules,
             capacity.slots,
-            ahead_s + self._targets.running_s(service, now),
+            ahead_s + running_s,
             capacity.slowness,
         )
 
--- a/walnutport/stages/forecast.py
+++ b/walnutport/stages/forecast.py
@@ -57,20 +57,12 @@
         load = load_of(job.spec.stages[stage].service)
         if load is None or load.slots == 0:
             return None
-        ready_s = max(
-            (
-                end_by_stage[predecessor]
-                for predecessor in job.predecessors(stage)
-            ),
-            default=0.0,
-        )
-        ready_unloaded_s = max(
-            (
-                unloaded_end_by_stage[predecessor]
-                for predecessor in job.predecessors(stage)
-            ),
-            default=0.0,
-        )
+        ready_s = ready_unloaded_s = 0.0
+        for predecessor in job.predecessors(stage):
+            ready_s = max(ready_s, end_by_stage[predecessor])
+            ready_unloaded_s = max(
+                ready_unloaded_s, unloaded_end_by_stage[predecessor]
+            )
         rules = load.rules
         wait_s = load.backlog_s / load.slots
         count = job.piece_count(stage)
--- a/walnutport/stages/jobs.py
+++ b/walnutport/stages/jobs.py
@@ -81,6 +81,8 @@
 
     def unstarted_pieces(self, stage: int) -> int:
         """Return the number of pieces of a stage that must still start."""
+        if not self.started:
+            return self.spec.piece_counts[stage]
         if not self._is_needed(stage):
             return 0
         return (
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -85,6 +85,7 @@
         for replaced in self._targets.update(rules_by_service, targets):
             self._discard_lifetime(replaced, now)
         self.cell_load.retain_services()
+        self.cell_load.targets_changed()
         self._targets.remove_unused(
             {
                 placed.target_id
@@ -115,6 +116,7 @@
             known.min_interval_s = min_interval_s
             known.held_until = held_until
             known.leaving = leaving
+            self.cell_load.targets_changed()
 
     def submit(
         self, spec: pieces.JobSpec, now: float
@@ -255,6 +257,7 @@
             return
         call.target.calls.pop(call_id, None)
         call.target.record_answer(call, now)
+        self.cell_load.targets_changed()
         for (job, piece_id), outcome in zip(call.pieces, outcomes):
             self._record_outcome(job, piece_id, call.target, outcome, now)
         for job in call.jobs():
@@ -269,6 +272,7 @@
             return
         call.target.calls.pop(call_id, None)
         call.target.record_failure(failure, now)
+        self.cell_load.targets_changed()
         for job, (stage, piece) in call.pieces:
             call.target.release_memory(job.spec.stages[stage].result_bytes)
             job.running[stage].discard(piece)
--- a/walnutport/stages/team_shares.py
+++ b/walnutport/stages/team_shares.py
@@ -77,6 +77,7 @@
 
     def __init__(self) -> None:
         self._scaled: dict[str, float] = {}
+        self._scaled_total = 0.0
         self._started_at = 0.0
 
     def add(self, name: str, amount: float, now: float) -> None:
@@ -87,12 +88,16 @@
                 if seconds >= MIN_DEMAND_S
             }
             self._started_at = now
-        self._scaled[name] = self._scaled.get(name, 0.0) + amount * math.exp(
-            (now - self._started_at) / WINDOW_S
-        )
+            self._scaled_total = sum(self._scaled.values())
+        scaled = amount * math.exp((now - self._started_at) / WINDOW_S)
+        self._scaled[name] = self._scaled.get(name, 0.0) + scaled
+        self._scaled_total += scaled
 
     def total(self, now: float) -> float:
-        return sum(self._scaled.values()) * self._factor(now)
+        return self._scaled_total * self._factor(now)
+
+    def value(self, name: str, now: float) -> float:
+        return self._scaled.get(name, 0.0) * self._factor(now)
 
     def read(self, now: float) -> dict[str, float]:
         factor = self._factor(now)
@@ -202,9 +207,6 @@
                 continue
             under = False
             admitted = self._admitted.get(service)
-            if (
-                admitted is not None
-                and admitted.read(now).get(name, 0.0) > share_s
-            ):
+            if admitted is not None and admitted.value(name, now) > share_s:
                 return Standing.OVER
         return Standing.UNDER if contended and under else Standing.FAIR
--- a/walnutport/stages/timing.py
+++ b/walnutport/stages/timing.py
@@ -66,10 +66,9 @@
     """Return the duration of the longest chain of unfinished stages."""
     end_by_stage: dict[int, float] = {}
     for stage in job.stages:
-        start_s = max(
-            (end_by_stage[number] for number in job.predecessors(stage)),
-            default=0.0,
-        )
+        start_s = 0.0
+        for number in job.predecessors(stage):
+            start_s = max(start_s, end_by_stage[number])
         rules = rules_by_service.get(job.spec.stages[stage].service)
         call_s = 0.0
         if rules is not None and job.unstarted_pieces(stage) > 0:
