Report the admission of stage jobs to operators

Counts by route, team and event, shares of contended services, late and reserved work are in the metrics and in status.

--- a/walnutport/gateway/operations/host_status.py
+++ b/walnutport/gateway/operations/host_status.py
@@ -5,6 +5,7 @@
 from walnutport.config import entry_settings
 from walnutport.gateway.entry import request_handler
 from walnutport.gateway.operations import decision_log
+from walnutport.gateway.operations import stage_report
 from walnutport.gateway.peers import peer_relay
 from walnutport.gateway.peers import peers
 from walnutport.gateway.stages import stage_client
@@ -98,6 +99,7 @@
                 str(cell): owner
                 for cell, owner in self._stages.known_owners().items()
             },
+            'stages': stage_report.status(self._stages.local_owners(), now),
         }
 
     def gauges(self) -> dict[str, float]:
@@ -121,14 +123,7 @@
         }
         for service, retries in self._forwarder.available_retries(now).items():
             values[f'retry_budget_left{{service="{service}"}}'] = retries
-        for owner in self._stages.local_owners():
-            for (
-                service,
-                stage_load,
-            ) in owner.scheduler.cell_load.load_by_service(now).items():
-                labels = f'{{cell="{owner.cell}",service="{service}"}}'
-                values['stage_backlog_seconds' + labels] = stage_load.backlog_s
-                values['stage_batch_fill' + labels] = stage_load.batch_fill
+        values |= stage_report.gauges(self._stages.local_owners(), now)
         return values
 
     def totals(self) -> dict[str, float]:
@@ -141,6 +136,7 @@
             'responses_oversized_total': (
                 self._pool.oversized_count + self._store.oversized_count
             ),
+            **stage_report.totals(owners),
             'stage_calls_total': sum(owner.total_calls for owner in owners),
             'stage_pieces_total': sum(owner.total_pieces for owner in owners),
             **self._mesh.totals(),
--- a/walnutport/stages/cell_load.py
+++ b/walnutport/stages/cell_load.py
@@ -35,10 +35,14 @@
         target.
     :param batch_fill: pieces of all calls divided by the capacity of these
         calls.
+    :param late_s: part of the backlog that is served after its aim.
+    :param reserved_s: work for whose return a place is held.
     """
 
     backlog_s: float
     batch_fill: float
+    late_s: float = 0.0
+    reserved_s: float = 0.0
 
 
 class CellLoad:
@@ -184,9 +188,29 @@
                 self._pieces_by_service[service] / capacity
                 if capacity
                 else 0.0,
+                self._backlog.late_s(service),
+                self.returns.reserved_s(service),
             )
         return load_by_service
 
+    def shares_by_kind(
+        self, now: float
+    ) -> dict[str, dict[str, tuple[float, float]]]:
+        """Return demand and share of each kind at contended services.
+
+        :returns: seconds of one target in the window of the shares, by
+            service and kind.
+        """
+        found = {}
+        for service in self._targets.rules_by_service:
+            slots = self._slots_by_service((service,), now).get(service)
+            if slots is None:
+                continue
+            shares = self._kinds.share_by_name(service, slots, now)
+            if shares is not None:
+                found[service] = shares
+        return found
+
     def _capacity(self, service: str, now: float) -> _Known:
         """Return the capacity of a service and the work that runs there."""
         known = self._known.get(service)
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -1,22 +1,20 @@
 """Scheduling of the jobs and calls of one cell.
 
 The owner of a cell asks the scheduler which calls to start and reports their
-outcomes. The policies are separate: ``cell_load`` decides with ``admission``
-and ``forecast`` which jobs are admitted, ``timing`` defines their order,
-``batching`` the contents of calls, and ``cell_targets`` the capacity of
-targets.
+outcomes. The policies are separate: ``job_gate`` decides with ``cell_load``,
+``admission`` and ``forecast`` which jobs are admitted, ``timing`` defines
+their order, ``batching`` the contents of calls, and ``cell_targets`` the
+capacity of targets.
 """
 
 from collections.abc import Iterable
-import dataclasses
 import itertools
 
-from walnutport.admission import caller_retries
-from walnutport.stages import admission
 from walnutport.stages import batching
 from walnutport.stages import cell_load
 from walnutport.stages import cell_targets
 from walnutport.stages import held_results
+from walnutport.stages import job_gate
 from walnutport.stages import jobs
 from walnutport.stages import pieces
 from walnutport.stages import stage_targets
@@ -38,10 +36,6 @@
 # before the deadline at which the checks begin.
 EXPIRE_INTERVAL_S = 0.1
 EXPIRE_HORIZON_S = 3.0
-# A caller whose job failed may retry after this fraction of the time left to
-# its deadline, which leaves time for another attempt.
-RETRY_AFTER_RATIO = 1 / 3
-
 #: Id of a job and index of a stage.
 _StageKey = tuple[str, int]
 
@@ -56,7 +50,7 @@
         self._targets = cell_targets.CellTargets()
         self._results = held_results.HeldResults(self._targets)
         self.cell_load = cell_load.CellLoad(self._targets)
-        self._refused = caller_retries.RefusedRequests()
+        self.gate = job_gate.JobGate(self.cell_load)
         self._job_by_id: dict[str, jobs.Job] = {}
         self._call_by_id: dict[int, stage_targets.RunningCall] = {}
         # Jobs with waiting pieces, by service.
@@ -125,23 +119,12 @@
 
         :returns: the refusal of the job, or None if it is admitted.
         """
-        spent_s = self._refused.spent_s(spec.content, now)
-        if spent_s > spec.spent_s:
-            spec = dataclasses.replace(
-                spec,
-                aim_s=spec.aim_s + spec.spent_s - spent_s,
-                spent_s=spent_s,
-            )
-        job = jobs.Job(spec, now)
-        refusal = self.cell_load.check_job(job, now)
-        if refusal is not None:
-            self._refused.record(spec.content, now)
-            return dataclasses.replace(refusal, spent_s=spec.spent_s)
-        job.latest_start_at = timing.latest_start(
-            job, self._targets.rules_by_service
-        )
-        self._job_by_id[spec.job_id] = job
-        self._advance_job(job, now)
+        rules = self._targets.rules_by_service
+        admitted = self.gate.admit(spec, rules, now)
+        if isinstance(admitted, pieces.Refusal):
+            return admitted
+        self._job_by_id[spec.job_id] = admitted
+        self._advance_job(admitted, now)
         return None
 
     def forecast_s(self, job_id: str) -> float:
@@ -189,7 +172,10 @@
             if job.finished:
                 continue
             if job.latest_start_at < now and not job.started and not job.late:
-                self._miss_aim(job, now)
+                if self.gate.miss_aim(job, now):
+                    self._update_job(job)
+                else:
+                    self._fail_job(job, 'aim_missed', now)
                 continue
             if now + EXPIRE_HORIZON_S < job.deadline_at:
                 continue
@@ -199,18 +185,6 @@
             if now + needed_s > job.deadline_at:
                 self._fail_job(job, 'deadline', now)
 
-    def _miss_aim(self, job: jobs.Job, now: float) -> None:
-        """Release the place of an unstarted job that cannot meet its aim.
-
-        It is served within its deadline if that can be promised, and refused
-        otherwise.
-        """
-        if self.cell_load.may_be_late(job, now):
-            job.late = True
-            self._update_job(job)
-        else:
-            self._fail_job(job, 'aim_missed', now)
-
     def next_calls(self, now: float) -> list[pieces.BatchCall]:
         """Return the calls to start now."""
         calls: list[pieces.BatchCall] = []
@@ -385,6 +359,7 @@
             return
         job.finished = True
         self._update_job(job)
+        self.gate.served(job)
         self._outcomes.append(
             pieces.JobResult(
                 job.spec.job_id,
@@ -399,24 +374,9 @@
         )
 
     def _fail_job(self, job: jobs.Job, reason: str, now: float) -> None:
-        job_id = job.spec.job_id
-        self._refused.record(job.spec.content, now)
-        place = None
-        if not job.started:
-            place = self.cell_load.reserve_return(job, now)
-        self.release(job_id)
-        remaining_s = max(0.0, job.deadline_at - now)
-        if place is not None:
-            retry_after_s = place.due_at - now
-        else:
-            retry_after_s = admission.retry_after_s(
-                remaining_s * RETRY_AFTER_RATIO
-            )
-        self._outcomes.append(
-            pieces.JobFailure(
-                job_id, reason, retry_after_s, reserved=place is not None
-            )
-        )
+        failure = self.gate.give_up(job, reason, now)
+        self.release(job.spec.job_id)
+        self._outcomes.append(failure)
 
     def _discard_lifetime(
         self, target: stage_targets.StageTarget, now: float
