--- a/walnutport/stages/admission.py
+++ b/walnutport/stages/admission.py
@@ -25,9 +25,10 @@
 # would leave no time for a third attempt, and for a team that demands less
 # than its share.
 PREFERRED_MARGIN_RATIO = 0.02
-# The same fraction for a team that used more than its share. More than twice
-# the usual margin keeps capacity in the queue for the other teams.
-OVER_SHARE_MARGIN_RATIO = 0.2
+# The same fraction for a kind or team that used more than its share, which
+# keeps a part of the queue free for the others. With 0.3, the replays of five
+# loads left targets without full calls and gave all kinds less value.
+OVER_SHARE_MARGIN_RATIO = 0.16
 # Bounds of the time after which a refused caller may retry.
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 4.0
--- a/walnutport/stages/cell_load.py
+++ b/walnutport/stages/cell_load.py
@@ -18,9 +18,11 @@
 
 # The capacity of a service is computed anew after this time, and after each
 # call that starts or ends. It needs a pass over all targets of the cell.
-CAPACITY_AGE_S = 0.02
+CAPACITY_AGE_S = 0.01
 # A return counts as early if it comes more than this before its time.
 EARLY_TOLERANCE_S = 0.02
+# Ratio of the weights of a kind and of the next less urgent one. The least of
+# three ranks thus keeps at least a seventh of a contended service.
 URGENCY_WEIGHT = 2.0
 
 #: Capacity of a service, None without targets, and the time of running calls.
