--- a/walnutport/stages/cell_load.py
+++ b/walnutport/stages/cell_load.py
@@ -105,7 +105,9 @@
                     refusal, retry_after_s=place.due_at - now, reserved=True
                 )
             if not spec.returned or not self.may_be_late(job, now, place):
-                return self._refuse(job, refusal, now)
+                return self._refuse(
+                    job, refusal, cost_by_service, slots_by_service, now
+                )
             job.late = True
         self.returns.take(spec.content)
         if not job.late:
@@ -114,14 +116,24 @@
         return None
 
     def _refuse(
-        self, job: jobs.Job, refusal: pieces.Refusal, now: float
+        self,
+        job: jobs.Job,
+        refusal: pieces.Refusal,
+        cost_by_service: dict[str, float],
+        slots_by_service: dict[str, float],
+        now: float,
     ) -> pieces.Refusal:
         """Return a refusal with the time of a place, if there is one."""
-        place = self.reserve_return(job, now)
+        place = self._reserve(job, cost_by_service, slots_by_service, now)
         if place is None:
             return refusal
-        return dataclasses.replace(
-            refusal, retry_after_s=place.due_at - now, reserved=True
+        return pieces.Refusal(
+            refusal.reason,
+            place.due_at - now,
+            refusal.forecast_s,
+            refusal.standing,
+            reserved=True,
+            kind_standing=refusal.kind_standing,
         )
 
     def may_be_late(
@@ -151,13 +163,25 @@
     def reserve_return(
         self, job: jobs.Job, now: float
     ) -> returns.Place | None:
-        """Reserve a place for the return of a refused job."""
+        """Reserve a place for the return of a job that is given up."""
+        cost_by_service = backlog.cost_by_service(
+            job, self._targets.rules_by_service
+        )
+        slots_by_service = self._slots_by_service(cost_by_service, now)
+        return self._reserve(job, cost_by_service, slots_by_service, now)
+
+    def _reserve(
+        self,
+        job: jobs.Job,
+        cost_by_service: dict[str, float],
+        slots_by_service: dict[str, float],
+        now: float,
+    ) -> returns.Place | None:
         rules = self._targets.rules_by_service
-        cost_by_service = backlog.cost_by_service(job, rules)
         return self.returns.reserve(
             job.spec.content,
             cost_by_service,
-            self._slots_by_service(cost_by_service, now),
+            slots_by_service,
             self._late_by_service(cost_by_service),
             timing.full_calls_s(job, rules) + job.spec.final_s,
             job.aim_at - now,
--- a/walnutport/stages/team_shares.py
+++ b/walnutport/stages/team_shares.py
@@ -24,6 +24,9 @@
 CONTENDED_RATIO = 0.05
 # Decayed demand below this many seconds of a target is dropped.
 MIN_DEMAND_S = 1e-3
+# The level of a service is computed anew after this time; it needs all
+# claimants, and changes little within it.
+LEVEL_AGE_S = 0.01
 # The sums of a service are rescaled after this many windows, so that the
 # factor that they share stays within the range of floats.
 RESCALE_WINDOWS = 50.0
@@ -121,6 +124,7 @@
         self._demand: dict[str, _DecayingSums] = {}
         self._admitted: dict[str, _DecayingSums] = {}
         self._weight_by_service: dict[str, dict[str, float]] = {}
+        self._level_by_service: dict[str, tuple[float, float | None]] = {}
 
     def record_demand(
         self,
@@ -152,9 +156,15 @@
 
     def retain_services(self, services: Collection[str]) -> None:
         """Drop the demand for services that no longer exist."""
-        for totals in (self._demand, self._admitted, self._weight_by_service):
-            for service in totals.keys() - set(services):
-                del totals[service]
+        tables: tuple[dict, ...] = (
+            self._demand,
+            self._admitted,
+            self._weight_by_service,
+            self._level_by_service,
+        )
+        for table in tables:
+            for service in table.keys() - set(services):
+                del table[service]
 
     def share_by_name(
         self, service: str, slots: float, now: float
@@ -164,27 +174,13 @@
         :param slots: seconds of work that the service completes per second.
         :returns: seconds in the window; None if the service is not contended.
         """
-        demand = self._demand.get(service)
-        admitted = self._admitted.get(service)
-        if demand is None:
-            return None
-        admitted_s = admitted.total(now) if admitted is not None else 0.0
-        capacity = slots * WINDOW_S
-        if demand.total(now) - admitted_s < CONTENDED_RATIO * capacity:
-            return None
-        demand_by_name = demand.read(now)
-        if len(demand_by_name) < self._min_claimants:
+        level = self._level(service, slots, now)
+        if level is None:
             return None
         weight_by_name = self._weight_by_service[service]
-        weights = [weight_by_name[name] for name in demand_by_name]
-        # At the start of a burst the admitted work is still below the
-        # capacity of a window.
-        level = fair_level(
-            demand_by_name.values(), min(capacity, admitted_s), weights
-        )
         return {
-            name: (seconds, level * weight)
-            for (name, seconds), weight in zip(demand_by_name.items(), weights)
+            name: (seconds, level * weight_by_name[name])
+            for name, seconds in self._demand[service].read(now).items()
         }
 
     def standing(
@@ -198,15 +194,47 @@
         contended = False
         under = True
         for service, slots in slots_by_service.items():
-            shares = self.share_by_name(service, slots, now)
-            if shares is None:
+            level = self._level(service, slots, now)
+            if level is None:
                 continue
             contended = True
-            demand_s, share_s = shares.get(name, (0.0, math.inf))
-            if demand_s <= share_s:
+            share_s = level * self._weight_by_service[service].get(name, 1.0)
+            if self._demand[service].value(name, now) <= share_s:
                 continue
             under = False
             admitted = self._admitted.get(service)
             if admitted is not None and admitted.value(name, now) > share_s:
                 return Standing.OVER
         return Standing.UNDER if contended and under else Standing.FAIR
+
+    def _level(self, service: str, slots: float, now: float) -> float | None:
+        """Return the share of a weight of 1, or None without contention."""
+        known = self._level_by_service.get(service)
+        if known is not None and 0 <= now - known[0] < LEVEL_AGE_S:
+            return known[1]
+        level = self._compute_level(service, slots, now)
+        self._level_by_service[service] = (now, level)
+        return level
+
+    def _compute_level(
+        self, service: str, slots: float, now: float
+    ) -> float | None:
+        demand = self._demand.get(service)
+        if demand is None:
+            return None
+        admitted = self._admitted.get(service)
+        admitted_s = admitted.total(now) if admitted is not None else 0.0
+        capacity = slots * WINDOW_S
+        if demand.total(now) - admitted_s < CONTENDED_RATIO * capacity:
+            return None
+        demand_by_name = demand.read(now)
+        if len(demand_by_name) < self._min_claimants:
+            return None
+        weight_by_name = self._weight_by_service[service]
+        # At the start of a burst the admitted work is still below the
+        # capacity of a window.
+        return fair_level(
+            demand_by_name.values(),
+            min(capacity, admitted_s),
+            [weight_by_name[name] for name in demand_by_name],
+        )
