--- a/tests/gateway/stages/test_stage_client.py
+++ b/tests/gateway/stages/test_stage_client.py
@@ -2,6 +2,7 @@
 
 import time
 
+import msgspec
 import pytest
 from twisted.internet import defer
 from twisted.internet import task
@@ -89,3 +90,20 @@
     fixture.untried = dict.fromkeys(untried, 1.0)
     fixture.run()
     assert [name for name, _ in fixture.sent] == [RANKED[0]]
+
+
+def test_returning_request_reaches_the_owner_that_refused_it():
+    """Guards against a return at a cell that holds no place for it."""
+    digests = [bytes([number]) * 16 for number in range(20)]
+    cells = [ranking.cell_for_content(digest, 4) for digest in digests]
+    assert cells == [ranking.cell_for_content(item, 4) for item in digests]
+    assert set(cells) == set(range(4))
+
+
+def test_job_of_an_earlier_build_has_no_route():
+    """Guards against a link that closes as a field of a job is missing."""
+    message = fleet_messages.RunStages(builders.job_spec('1'), 0)
+    fields = msgspec.msgpack.decode(fleet_messages.encode(message))
+    del fields['order']['route']
+    decoded = fleet_messages.decode(msgspec.msgpack.encode(fields))
+    assert decoded == message and decoded.order.route == ''
--- a/tests/stages/test_replays.py
+++ b/tests/stages/test_replays.py
@@ -7,10 +7,13 @@
 
 import functools
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from tests.stages import replay
 from walnutport.stages import admission
+from walnutport.stages import batching
 from walnutport.stages import returns
 from walnutport.stages import scheduler
 from walnutport.stages import team_shares
@@ -105,3 +108,45 @@
     cell.cell_load.returns = NoPlaces()
     cell.cell_load._kinds = team_shares.Shares(min_claimants=1_000)
     return cell
+
+
+class CheckedReplay(replay.Replay):
+    """Replay that checks after each event that no target idles."""
+
+    def _advance(self) -> None:
+        super()._advance()
+        targets = self.cell._targets
+        for service, free in targets.free_by_service(self.now).items():
+            ready = self.cell._ready_by_service.get(service, {})
+            for (_, stage), job in ready.items():
+                if batching.WaitingPieces(job, stage, []).data_centres:
+                    # It may wait for a target near its inputs.
+                    continue
+                rules = targets.rules_by_service[service]
+                assert all(
+                    target.held_bytes + 3_000_000 > rules.memory_bytes
+                    for target in free
+                ), (service, stage)
+
+
+# A failure is shown as found; shrinking a replay takes minutes.
+@hypothesis.settings(
+    max_examples=4, deadline=None, phases=[hypothesis.Phase.generate]
+)
+@hypothesis.given(st.tuples(*[st.floats(0.0, 4.0)] * 3), st.integers(0, 2**16))
+def test_random_loads_leave_no_target_idle_and_no_job_behind(factors, seed):
+    """Guards against idle targets, and against jobs that never end."""
+    by_name = dict(zip('ABC', factors))
+
+    def factor(kind: replay.Kind, team: str, at: float) -> float:
+        return by_name[kind.name]
+
+    found = CheckedReplay(
+        scheduler.StageScheduler(), factor, 1.5, seed=seed
+    ).run()
+    assert found.cell.job_count == 0
+    for request in found.requests:
+        assert request.done_at is not None or request.refusals > 0
+    for kind in 'ABC':
+        if len(found.select(kind=kind)) > 50:
+            assert found.served(kind=kind) >= 0.5 * found.served()
--- a/tests/stages/test_team_shares.py
+++ b/tests/stages/test_team_shares.py
@@ -33,6 +33,24 @@
         assert abs(given_out - capacity) < 1e-6 * capacity
 
 
+@given(
+    st.lists(
+        st.tuples(st.floats(0.0, 100.0), st.floats(0.1, 4.0)),
+        min_size=1,
+        max_size=20,
+    ),
+    st.floats(0.1, 200.0),
+)
+def test_weight_guarantees_a_minimum(claims, capacity):
+    """Guards against a kind or team that is starved by the others."""
+    demands, weights = zip(*claims)
+    level = team_shares.fair_level(demands, capacity, weights)
+    for demand, weight in claims:
+        minimum = capacity * weight / sum(weights)
+        share = min(demand, level * weight)
+        assert share >= min(demand, minimum) * 0.999999
+
+
 def test_bursting_team_is_over_its_share_and_others_under():
     """Replays a team that asks for four times the capacity of a target."""
     shares = team_shares.Shares()
--- a/walnutport/stages/timing.py
+++ b/walnutport/stages/timing.py
@@ -19,8 +19,8 @@
 # The remaining time is an estimate; a job counts as late only when its latest
 # start has passed by this margin.
 LATE_MARGIN_S = 0.1
-# A late job goes first this long before its latest start by the deadline: it
-# may have to wait for a full call at each of three stages.
+# A late job goes first this long before its latest start by the deadline, as
+# it may have to wait for the end of a full call of some 0.28 s.
 DEADLINE_MARGIN_S = 0.4
 # Jobs whose latest starts differ by less than this start in the order of their
 # urgency. With 0.05 s and more, the least urgent jobs missed their aim.
