--- a/tests/stages/test_team_shares.py
+++ b/tests/stages/test_team_shares.py
@@ -33,9 +33,27 @@
         assert abs(given_out - capacity) < 1e-6 * capacity
 
 
+@given(
+    st.lists(
+        st.tuples(st.floats(0.0, 100.0), st.floats(0.1, 4.0)),
+        min_size=1,
+        max_size=20,
+    ),
+    st.floats(0.1, 200.0),
+)
+def test_weight_guarantees_a_minimum(claims, capacity):
+    """Guards against a kind or team that is starved by the others."""
+    demands, weights = zip(*claims)
+    level = team_shares.fair_level(demands, capacity, weights)
+    for demand, weight in claims:
+        minimum = capacity * weight / sum(weights)
+        share = min(demand, level * weight)
+        assert share >= min(demand, minimum) * 0.999999
+
+
 def test_bursting_team_is_over_its_share_and_others_under():
     """Replays a team that asks for four times the capacity of a target."""
-    shares = team_shares.TeamShares()
+    shares = team_shares.Shares()
     for step in range(100):
         now = step * 0.05
         shares.record_demand('north', {'encode': 0.2}, now)
@@ -52,7 +70,7 @@
 
 def test_shares_do_not_apply_without_contention():
     """Guards against limiting a team to its share on idle targets."""
-    shares = team_shares.TeamShares()
+    shares = team_shares.Shares()
     shares.record_demand('north', {'encode': 1.0}, 0.0)
     shares.record_admitted('north', {'encode': 1.0}, 0.0)
     for team in ('north', 'south'):
@@ -61,7 +79,7 @@
 
 def test_demand_of_a_burst_decays():
     """Guards against penalising a team long after its burst has ended."""
-    shares = team_shares.TeamShares()
+    shares = team_shares.Shares()
     for team in ('north', 'south'):
         shares.record_demand(team, {'encode': 9.0}, 0.0)
     shares.record_admitted('north', {'encode': 9.0}, 0.0)
@@ -73,7 +91,7 @@
 
 def test_demand_for_removed_services_is_dropped():
     """Guards against memory growth with each renamed service."""
-    shares = team_shares.TeamShares()
+    shares = team_shares.Shares()
     for team in ('north', 'south'):
         shares.record_demand(team, {'old': 9.0, 'encode': 9.0}, 0.0)
         shares.record_admitted(team, {'old': 5.0, 'encode': 5.0}, 0.0)
--- a/walnutport/stages/cell_load.py
+++ b/walnutport/stages/cell_load.py
@@ -10,10 +10,24 @@
 from walnutport.stages import forecast
 from walnutport.stages import jobs
 from walnutport.stages import pieces
+from walnutport.stages import returns
 from walnutport.stages import team_shares
+from walnutport.stages import timing
 
 __all__ = ['CellLoad', 'StageLoad']
 
+# The capacity of a service is computed anew after this time, and after each
+# call that starts or ends. It needs a pass over all targets of the cell.
+CAPACITY_AGE_S = 0.01
+# A return counts as early if it comes more than this before its time.
+EARLY_TOLERANCE_S = 0.02
+# Ratio of the weights of a kind and of the next less urgent one. The least of
+# three ranks thus keeps at least a seventh of a contended service.
+URGENCY_WEIGHT = 2.0
+
+#: Capacity of a service, None without targets, and the time of running calls.
+_Known = tuple[cell_targets.ServiceCapacity | None, float]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StageLoad:
@@ -23,10 +37,14 @@
         target.
     :param batch_fill: pieces of all calls divided by the capacity of these
         calls.
+    :param late_s: part of the backlog that is served after its aim.
+    :param reserved_s: work for whose return a place is held.
     """
 
     backlog_s: float
     batch_fill: float
+    late_s: float = 0.0
+    reserved_s: float = 0.0
 
 
 class CellLoad:
@@ -38,13 +56,18 @@
     def __init__(self, targets: cell_targets.CellTargets) -> None:
         self._targets = targets
         self._backlog = backlog.Backlog()
-        self._shares = team_shares.TeamShares()
+        self._teams = team_shares.Shares()
+        self._kinds = team_shares.Shares(min_claimants=2)
+        self.returns = returns.ReturnPlaces()
+        # Time until which a capacity and the work that runs are known.
+        self._known: dict[str, tuple[float, _Known]] = {}
         self._calls_by_service: collections.Counter = collections.Counter()
         self._pieces_by_service: collections.Counter = collections.Counter()
 
     def retain_services(self) -> None:
         """Drop the demand for services that no longer exist."""
-        self._shares.retain_services(self._targets.rules_by_service)
+        for shares in (self._teams, self._kinds):
+            shares.retain_services(self._targets.rules_by_service)
 
     def check_job(self, job: jobs.Job, now: float) -> pieces.Refusal | None:
         """Record the demand of a new job and check its admission.
@@ -55,23 +78,148 @@
         cost_by_service = backlog.cost_by_service(
             job, self._targets.rules_by_service
         )
+        kind = f'{spec.urgency}/{spec.route}'
         if not spec.returned:
-            self._shares.record_demand(spec.team, cost_by_service, now)
+            self._teams.record_demand(spec.team, cost_by_service, now)
+            self._kinds.record_demand(
+                kind,
+                cost_by_service,
+                now,
+                _kind_weight(spec.urgency),
+            )
+        slots_by_service = self._slots_by_service(cost_by_service, now)
+        place = self.returns.find(spec.content, now)
+        is_early = place is not None and now < place.due_at - EARLY_TOLERANCE_S
+        team_standing = self._teams.standing(spec.team, slots_by_service, now)
+        is_bursting = (
+            team_standing is team_shares.Standing.OVER
+            and self._teams.is_bursting(spec.team, slots_by_service, now)
+        )
         refusal = admission.check_job(
             job,
             lambda service: self._service_load(service, spec.urgency, now),
-            self._standing(spec.team, cost_by_service, now),
+            team_standing,
+            spec.returned and not is_early,
+            self._kinds.standing(kind, slots_by_service, now),
+        )
+        if refusal is not None:
+            if refusal.reason == 'no_target':
+                return refusal
+            if place is not None and is_early:
+                return dataclasses.replace(
+                    refusal, retry_after_s=place.due_at - now, reserved=True
+                )
+            if not spec.returned or not self.may_be_late(
+                job, now, place, is_bursting
+            ):
+                return self._refuse(
+                    job,
+                    refusal,
+                    cost_by_service,
+                    slots_by_service,
+                    now,
+                    is_bursting,
+                )
+            job.late = True
+        self.returns.take(spec.content)
+        if not job.late:
+            self._teams.record_admitted(spec.team, cost_by_service, now)
+            self._kinds.record_admitted(kind, cost_by_service, now)
+        return None
+
+    def _refuse(
+        self,
+        job: jobs.Job,
+        refusal: pieces.Refusal,
+        cost_by_service: dict[str, float],
+        slots_by_service: dict[str, float],
+        now: float,
+        is_bursting: bool,
+    ) -> pieces.Refusal:
+        """Return a refusal with the time of a place, if there is one."""
+        place = self._reserve(
+            job, cost_by_service, slots_by_service, now, is_bursting
+        )
+        if place is None:
+            return refusal
+        return pieces.Refusal(
+            refusal.reason,
+            place.due_at - now,
+            refusal.forecast_s,
+            refusal.standing,
+            reserved=True,
+            kind_standing=refusal.kind_standing,
+        )
+
+    def may_be_late(
+        self,
+        job: jobs.Job,
+        now: float,
+        place: returns.Place | None = None,
+        is_bursting: bool = False,
+    ) -> bool:
+        """Return whether a job can be served within its deadline.
+
+        :param place: place that its return holds.
+        :param is_bursting: whether its team causes the burst.
+        """
+        rules = self._targets.rules_by_service
+        cost_by_service = backlog.cost_by_service(job, rules)
+        needed_s = timing.full_calls_s(job, rules) + job.spec.final_s
+        return self.returns.has_room(
+            cost_by_service,
+            self._slots_by_service(cost_by_service, now),
+            self._late_by_service(cost_by_service),
+            job.deadline_at - now - needed_s,
+            place,
+            is_bursting,
+        )
+
+    def _late_by_service(self, services: Iterable[str]) -> dict[str, float]:
+        return {service: self._backlog.late_s(service) for service in services}
+
+    def reserve_return(
+        self, job: jobs.Job, now: float
+    ) -> returns.Place | None:
+        """Reserve a place for the return of a job that is given up."""
+        cost_by_service = backlog.cost_by_service(
+            job, self._targets.rules_by_service
+        )
+        slots_by_service = self._slots_by_service(cost_by_service, now)
+        return self._reserve(job, cost_by_service, slots_by_service, now)
+
+    def _reserve(
+        self,
+        job: jobs.Job,
+        cost_by_service: dict[str, float],
+        slots_by_service: dict[str, float],
+        now: float,
+        is_bursting: bool = False,
+    ) -> returns.Place | None:
+        rules = self._targets.rules_by_service
+        return self.returns.reserve(
+            job.spec.content,
+            cost_by_service,
+            slots_by_service,
+            self._late_by_service(cost_by_service),
+            timing.full_calls_s(job, rules) + job.spec.final_s,
+            job.aim_at - now,
+            job.deadline_at - now,
+            now,
+            is_bursting,
         )
-        if refusal is None:
-            self._shares.record_admitted(spec.team, cost_by_service, now)
-        return refusal
 
     def update_job(self, job: jobs.Job) -> None:
         """Update the part of a job in the backlog."""
         self._backlog.update(job, self._targets.rules_by_service)
 
+    def targets_changed(self) -> None:
+        """Compute the capacity of all services anew."""
+        self._known.clear()
+
     def call_started(self, service: str, piece_count: int) -> None:
         """Count a call and its pieces."""
+        self._known.pop(service, None)
         self._calls_by_service[service] += 1
         self._pieces_by_service[service] += piece_count
 
@@ -86,25 +234,58 @@
                 self._pieces_by_service[service] / capacity
                 if capacity
                 else 0.0,
+                self._backlog.late_s(service),
+                self.returns.reserved_s(service),
             )
         return load_by_service
 
-    def _standing(
-        self, team: str, services: Iterable[str], now: float
-    ) -> team_shares.Standing:
-        """Return the standing of a team over the given services."""
+    def shares_by_kind(
+        self, now: float
+    ) -> dict[str, dict[str, tuple[float, float]]]:
+        """Return demand and share of each kind at contended services.
+
+        :returns: seconds of one target in the window of the shares, by
+            service and kind.
+        """
+        found = {}
+        for service in self._targets.rules_by_service:
+            slots = self._slots_by_service((service,), now).get(service)
+            if slots is None:
+                continue
+            shares = self._kinds.share_by_name(service, slots, now)
+            if shares is not None:
+                found[service] = shares
+        return found
+
+    def _capacity(self, service: str, now: float) -> _Known:
+        """Return the capacity of a service and the work that runs there."""
+        known = self._known.get(service)
+        if known is None or not 0 <= now - known[0] < CAPACITY_AGE_S:
+            known = (
+                now,
+                (
+                    self._targets.capacity(service, now),
+                    self._targets.running_s(service, now),
+                ),
+            )
+            self._known[service] = known
+        return known[1]
+
+    def _slots_by_service(
+        self, services: Iterable[str], now: float
+    ) -> dict[str, float]:
         slots_by_service = {}
         for service in services:
-            capacity = self._targets.capacity(service, now)
+            capacity, _ = self._capacity(service, now)
             if capacity is not None:
                 slots_by_service[service] = capacity.slots / capacity.slowness
-        return self._shares.standing(team, slots_by_service, now)
+        return slots_by_service
 
     def _service_load(
         self, service: str, urgency: int, now: float
     ) -> forecast.ServiceLoad | None:
         """Return the work ahead of a new job at a service."""
-        capacity = self._targets.capacity(service, now)
+        capacity, running_s = self._capacity(service, now)
         if capacity is None:
             return None
         # The expected time of running calls already includes the slowness.
@@ -112,6 +293,11 @@
         return forecast.ServiceLoad(
             capacity.rules,
             capacity.slots,
-            ahead_s + self._targets.running_s(service, now),
+            ahead_s + running_s,
             capacity.slowness,
         )
+
+
+def _kind_weight(urgency: int) -> float:
+    """Return the weight of a kind of request in its fair share."""
+    return URGENCY_WEIGHT**-urgency
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -1,24 +1,22 @@
 """Scheduling of the jobs and calls of one cell.
 
 The owner of a cell asks the scheduler which calls to start and reports their
-outcomes. The policies are separate: ``cell_load`` decides with ``admission``
-and ``forecast`` which jobs are admitted, ``timing`` defines their order,
-``batching`` the contents of calls, and ``cell_targets`` the capacity of
-targets.
+outcomes. The policies are separate: ``job_gate`` decides with ``cell_load``,
+``admission`` and ``forecast`` which jobs are admitted, ``timing`` defines
+their order, ``batching`` the contents of calls, and ``cell_targets`` the
+capacity of targets.
 """
 
 from collections.abc import Iterable
-import dataclasses
 import itertools
 
-from walnutport.admission import caller_retries
 from walnutport.routing import eligibility
-from walnutport.stages import admission
 from walnutport.stages import batching
 from walnutport.stages import cell_load
 from walnutport.stages import cell_targets
 from walnutport.stages import held_results
 from walnutport.stages import job_expiry
+from walnutport.stages import job_gate
 from walnutport.stages import jobs
 from walnutport.stages import pieces
 from walnutport.stages import stage_targets
@@ -38,10 +36,6 @@
 CALL_OVERHEAD_S = 0.01
 # Interval at which jobs are checked that may have to be given up.
 EXPIRE_INTERVAL_S = 0.1
-# A caller whose job failed may retry after this fraction of the time left to
-# its deadline, which leaves time for another attempt.
-RETRY_AFTER_RATIO = 1 / 3
-
 #: Id of a job and index of a stage.
 _StageKey = tuple[str, int]
 
@@ -60,7 +54,7 @@
         self._targets = cell_targets.CellTargets(target_eligibility)
         self._results = held_results.HeldResults(self._targets)
         self.cell_load = cell_load.CellLoad(self._targets)
-        self._refused = caller_retries.RefusedRequests()
+        self.gate = job_gate.JobGate(self.cell_load)
         self._job_by_id: dict[str, jobs.Job] = {}
         self._call_by_id: dict[int, stage_targets.RunningCall] = {}
         # Jobs with waiting pieces, by service.
@@ -89,6 +83,7 @@
         for replaced in self._targets.update(rules_by_service, targets):
             self._discard_lifetime(replaced, now)
         self.cell_load.retain_services()
+        self.cell_load.targets_changed()
         self._targets.remove_unused(
             {
                 placed.target_id
@@ -114,6 +109,7 @@
         self._targets.set_statement(
             target, min_interval_s, held_until, leaving
         )
+        self.cell_load.targets_changed()
 
     def is_evacuated(self, spec: pieces.JobSpec) -> bool:
         """Return whether evacuations leave no target for a stage of a job."""
@@ -126,20 +122,12 @@
 
         :returns: the refusal of the job, or None if it is admitted.
         """
-        spent_s = self._refused.spent_s(spec.content, now)
-        if spent_s > spec.spent_s:
-            spec = dataclasses.replace(
-                spec,
-                aim_s=spec.aim_s + spec.spent_s - spent_s,
-                spent_s=spent_s,
-            )
-        job = jobs.Job(spec, now)
-        refusal = self.cell_load.check_job(job, now)
-        if refusal is not None:
-            self._refused.record(spec.content, now)
-            return dataclasses.replace(refusal, spent_s=spec.spent_s)
-        self._job_by_id[spec.job_id] = job
-        self._advance_job(job, now)
+        rules = self._targets.rules_by_service
+        admitted = self.gate.admit(spec, rules, now)
+        if isinstance(admitted, pieces.Refusal):
+            return admitted
+        self._job_by_id[spec.job_id] = admitted
+        self._advance_job(admitted, now)
         return None
 
     def forecast_s(self, job_id: str) -> float:
@@ -188,6 +176,11 @@
             reason = job_expiry.expiry_reason(
                 job, self._targets.rules_by_service, evacuated, now
             )
+            if reason == job_expiry.AIM_MISSED and self.gate.miss_aim(
+                job, now
+            ):
+                self._update_job(job)
+                continue
             if reason:
                 self._fail_job(job, reason, now)
 
@@ -237,6 +230,7 @@
             return
         call.target.calls.pop(call_id, None)
         call.target.record_answer(call, now)
+        self.cell_load.targets_changed()
         for (job, piece_id), outcome in zip(call.pieces, outcomes):
             self._record_outcome(job, piece_id, call.target, outcome, now)
         for job in call.jobs():
@@ -251,6 +245,7 @@
             return
         call.target.calls.pop(call_id, None)
         call.target.record_failure(failure, now)
+        self.cell_load.targets_changed()
         for job, (stage, piece) in call.pieces:
             call.target.release_memory(job.spec.stages[stage].result_bytes)
             job.running[stage].discard(piece)
@@ -363,6 +358,7 @@
             return
         job.finished = True
         self._update_job(job)
+        self.gate.served(job)
         self._outcomes.append(
             pieces.JobResult(
                 job.spec.job_id,
@@ -377,14 +373,9 @@
         )
 
     def _fail_job(self, job: jobs.Job, reason: str, now: float) -> None:
-        job_id = job.spec.job_id
-        self._refused.record(job.spec.content, now)
-        self.release(job_id)
-        remaining_s = max(0.0, job.deadline_at - now)
-        retry_after_s = admission.retry_after_s(
-            remaining_s * RETRY_AFTER_RATIO
-        )
-        self._outcomes.append(pieces.JobFailure(job_id, reason, retry_after_s))
+        failure = self.gate.give_up(job, reason, now)
+        self.release(job.spec.job_id)
+        self._outcomes.append(failure)
 
     def _discard_lifetime(
         self, target: stage_targets.StageTarget, now: float
