Estimate the speed of targets from what they report

Cause: work on a machine takes 2.5 times as long for some 600 ms at a time, which own measurements show too late. Targets of some installations report it as the fourth figure of their load. Change: TargetSpeed is the only estimate of the speed of a target. It weighs the figure by its age and own measurements, and is used by the choice of plain targets and by the slowness of stage targets. The load counts from the head of a response on. Costs of targets are kept between choices.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -231,3 +231,38 @@
     head = messages.ResponseHead(200, [(b'server-brittle', value)])
     assert headers.decode_response_headers(head).rejection_limit == expected
     assert headers.forwarded_response_headers(head) == []
+
+
+@pytest.mark.parametrize(
+    ('value', 'expected'),
+    [
+        (b'1,2,8,100', 1.0),
+        (b'1, 2, 8, 62.5', 0.625),
+        (b'1,2,8,10000', 100.0),
+        (b'1,2,8', None),
+    ],
+)
+def test_slowness_of_a_target_is_decoded(value, expected):
+    """Guards against a figure that is read as a share instead of percent."""
+    head = messages.ResponseHead(200, [(b'walnutport-server-load', value)])
+    fields = headers.decode_response_headers(head)
+    assert fields.load.slowness == expected
+    assert not fields.slowness_problem
+
+
+@pytest.mark.parametrize(
+    'figure', [b'', b'x', b'-1', b'10001', b'nan', b'1e3', b'0000000100', b'.']
+)
+def test_absurd_slowness_is_reported_and_leaves_the_load(figure):
+    """Guards against an absurd figure that hides the rest of the load.
+
+    It must not count as a problem of what the target states either, as a
+    limit that the target has lifted would then be kept.
+    """
+    head = messages.ResponseHead(
+        200, [(b'walnutport-server-load', b'1,2,8,' + figure)]
+    )
+    fields = headers.decode_response_headers(head)
+    assert (fields.load.running, fields.load.queued) == (1, 2)
+    assert fields.load.slowness is None
+    assert fields.slowness_problem and not fields.problems
--- a/tests/stages/test_cell_targets.py
+++ b/tests/stages/test_cell_targets.py
@@ -65,3 +65,13 @@
     cell.by_id['t3'].record_failure(stage_targets.CallFailure.TIMEOUT, 0.0)
     assert cell.capacity('encode', 0.0).slots == 1
     assert cell.capacity('rank', 0.0) is None
+
+
+def test_reported_slowness_orders_free_targets():
+    """Guards against a call to a target in a slow spell beside a fast one."""
+    cell = make_cell_targets(builders.target('t1'), builders.target('t2'))
+    cell.by_id['t1'].speed.report(2.5, 1.0)
+    free = cell.free_by_service(1.0)['encode']
+    assert [target.info.target_id for target in free] == ['t2', 't1']
+    assert cell.by_id['t1'].slowness_at(1.0) == 2.5
+    assert cell.by_id['t1'].slowness_at(3.0) == 1.0
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -178,6 +178,7 @@
             self._reports,
         )
         self._reports.on_change = self._stages.target_changed
+        self._reports.on_load = self._outcomes.update_load
         self._forwarder = forwarding.Forwarder(
             self.log,
             attempts.AttemptSender(
--- a/walnutport/gateway/stages/cell_owner.py
+++ b/walnutport/gateway/stages/cell_owner.py
@@ -205,9 +205,7 @@
                 call.timeout_s,
             )
             fields = headers.decode_response_headers(response.head)
-            self._reports.response_received(
-                call.target, fields, response.status
-            )
+            self._record_response(call.target, fields, response.status)
             failure, outcomes = _decode_response(
                 response, fields, len(call.pieces)
             )
@@ -239,6 +237,16 @@
             self.scheduler.call_done(call.call_id, outcomes, now)
         self._advance_jobs()
 
+    def _record_response(
+        self,
+        target: registrations.RegisteredTarget,
+        fields: requests.ResponseFields,
+        status: int,
+    ) -> None:
+        self._reports.response_received(target, fields, status)
+        if fields.load is not None and status != 421:
+            self.scheduler.record_load(target, fields.load, time.monotonic())
+
     def _free_results(self) -> None:
         self._free_timer = None
         for target, handles in self.scheduler.take_freed_handles(
@@ -261,7 +269,7 @@
                 ),
                 FREE_TIMEOUT_S,
             )
-            self._reports.response_received(
+            self._record_response(
                 target,
                 headers.decode_response_headers(response.head),
                 response.status,
--- a/walnutport/gateway/targets/target_reports.py
+++ b/walnutport/gateway/targets/target_reports.py
@@ -51,6 +51,11 @@
         self.on_change: Callable[[registrations.RegisteredTarget], None] = (
             lambda target: None
         )
+        # Called with a target and the load that it has reported.
+        self.on_load: Callable[
+            [registrations.RegisteredTarget, requests.ResponseLoad, float],
+            None,
+        ] = lambda target, load, now: None
         self.invalid_count = 0
         self._pending: list[_PendingReport] = []
 
@@ -76,6 +81,7 @@
                 problems=list(fields.problems),
             )
         now = time.monotonic()
+        self._record_load(target, fields, now)
         if fields.retry_after_s is not None:
             is_new = self._backpressure.hold(target, fields.retry_after_s, now)
             if is_new:
@@ -187,6 +193,22 @@
             'next_send_s': None if math.isinf(delay_s) else round(delay_s, 2),
         }
 
+    def _record_load(
+        self,
+        target: registrations.RegisteredTarget,
+        fields: requests.ResponseFields,
+        now: float,
+    ) -> None:
+        if fields.slowness_problem:
+            self.invalid_count += 1
+            self._log.routine(
+                'target_header_invalid',
+                target=target.target_id,
+                problems=[fields.slowness_problem],
+            )
+        if fields.load is not None:
+            self.on_load(target, fields.load, now)
+
     def _merge(self, received: list[_PendingReport]) -> None:
         now = time.monotonic()
         changed = []
--- a/walnutport/platform/headers.py
+++ b/walnutport/platform/headers.py
@@ -23,6 +23,9 @@
 MAX_RETRY_AFTER_S = 60.0
 # A number of requests with more digits is taken for a fault of the target.
 MAX_COUNT_DIGITS = 9
+# A duration of work above this, in percent of the usual one, is taken for a
+# fault of the target.
+MAX_SLOWNESS_PERCENT = 10_000.0
 # Bytes of an invalid value that are quoted in the log.
 MAX_QUOTED_BYTES = 40
 
@@ -135,6 +138,7 @@
     """Decode a target's headers; an unreadable value counts as missing."""
     request_id = head.header(wire.REQUEST_ID) or b''
     problems: list[str] = []
+    load, slowness_problem = _parse_load(head.header(wire.LOAD))
     rate_limit = _parse_decimal(
         head, wire.RATE_LIMIT, MAX_RATE_LIMIT, problems
     )
@@ -147,7 +151,7 @@
         request_id=request_id.decode('latin-1'),
         sealed=bool(head.header(wire.SEAL)),
         not_run=head.header(wire.NOT_EXECUTED) is not None,
-        load=_parse_load(head.header(wire.LOAD)),
+        load=load,
         rate_limit=rate_limit,
         rejection_limit=_parse_decimal(
             head, wire.BRITTLE, MAX_RATE_LIMIT, problems
@@ -155,6 +159,7 @@
         leaving=_parse_flag(head, wire.LEAVING, problems),
         retry_after_s=retry_after_s,
         problems=tuple(problems),
+        slowness_problem=slowness_problem,
     )
 
 
@@ -251,17 +256,39 @@
         return None
 
 
-def _parse_load(value: bytes | None) -> requests.ResponseLoad | None:
+def _parse_load(
+    value: bytes | None,
+) -> tuple[requests.ResponseLoad | None, str]:
+    """Return the load of a target and the problem of its slowness, if any.
+
+    An invalid slowness does not affect the other figures.
+    """
     if value is None:
-        return None
-    parts = value.split(b',')
-    if len(parts) != 3 or not all(
-        part.strip().isdigit() and len(part) <= MAX_COUNT_DIGITS
-        for part in parts
+        return None, ''
+    parts = [part.strip() for part in value.split(b',')]
+    if len(parts) not in (3, 4) or not all(
+        part.isdigit() and len(part) <= MAX_COUNT_DIGITS for part in parts[:3]
     ):
+        return None, ''
+    slowness = None
+    problem = ''
+    if len(parts) == 4:
+        slowness = _parse_slowness(parts[3])
+        if slowness is None:
+            problem = _describe_invalid(wire.LOAD, value)
+    running, waiting, slots = (int(part) for part in parts[:3])
+    return requests.ResponseLoad(running, waiting, slots, slowness), problem
+
+
+def _parse_slowness(value: bytes) -> float | None:
+    """Return a duration in percent of the usual one as a multiple of it."""
+    if len(value) > MAX_COUNT_DIGITS:
+        return None
+    whole, _, fraction = value.partition(b'.')
+    if not whole.isdigit() or not (fraction or b'0').isdigit():
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return requests.ResponseLoad(running, waiting, slots)
+    percent = float(value)
+    return percent / 100 if percent <= MAX_SLOWNESS_PERCENT else None
 
 
 def _parse_flag(
--- a/walnutport/routing/outcomes.py
+++ b/walnutport/routing/outcomes.py
@@ -7,8 +7,10 @@
 
 from collections.abc import Iterable
 import dataclasses
+import math
 import random
 
+from walnutport.routing import target_speed
 from walnutport.world import registrations
 from walnutport.world import requests
 
@@ -26,7 +28,15 @@
 # A failure share of 1 makes a target count as this many times slower.
 FAILURE_WEIGHT = 8.0
 # Reported load is ignored after this time.
-REPORT_TTL_S = 1.5
+REPORT_TTL_S = target_speed.REPORT_TTL_S
+# Additional relative load that a target of another data centre counts as, and
+# the upper bound of the random one that breaks ties.
+REMOTE_LOAD = 0.02
+MAX_RANDOM_LOAD = 0.2
+# All costs are computed again after this time, as reports age and ejections
+# end. In between, only those of targets with news are, so that a choice among
+# 100 targets takes less than 40 us.
+COST_TTL_S = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -35,7 +45,11 @@
 
     incarnation_key: tuple
     in_flight: int = 0
-    latency_s: float = INITIAL_LATENCY_S
+    speed: target_speed.TargetSpeed = dataclasses.field(
+        default_factory=lambda: target_speed.TargetSpeed(
+            INITIAL_LATENCY_S, SMOOTHING
+        )
+    )
     samples: int = 0
     failure_share: float = 0.0
     failures_in_row: int = 0
@@ -44,6 +58,10 @@
     awaits_success: bool = False
     load: requests.ResponseLoad | None = None
     load_at: float = 0.0
+    # Cost of the target, in seconds: the part that is certain, which is
+    # -inf after a change, and that per random load.
+    certain_cost: float = -math.inf
+    cost_per_load: float = 0.0
 
     def expected_load(self, now: float) -> float:
         """Return the count of requests expected at the target."""
@@ -52,6 +70,33 @@
         reported = self.load.running + self.load.queued
         return max(float(self.in_flight), float(reported))
 
+    def update_cost(
+        self,
+        target: registrations.RegisteredTarget,
+        now: float,
+        own_data_centre: str,
+    ) -> None:
+        """Compute the cost of the target, in seconds."""
+        relative_load = self.expected_load(now) / target.slots
+        latency_s = self.speed.expected(now)
+        if self.speed.is_reported(now):
+            latency_s *= target_speed.crowding_factor(relative_load)
+        self.cost_per_load = latency_s * (
+            1 + FAILURE_WEIGHT * self.failure_share
+        )
+        remote_load = (
+            0.0 if target.data_centre == own_data_centre else REMOTE_LOAD
+        )
+        self.certain_cost = self.cost_per_load * (
+            1 + relative_load + remote_load
+        )
+        if self.ejected_until > now:
+            self.certain_cost = math.inf
+
+    def changed(self) -> None:
+        """Have the cost computed again at the next choice."""
+        self.certain_cost = -math.inf
+
 
 class TargetOutcomes:
     """Statistics of each target, and the choice among them.
@@ -62,6 +107,9 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._stats_by_id: dict[str, TargetStats] = {}
+        # Data centre for which the costs were computed, and when all were.
+        self._cost_data_centre = ''
+        self._costs_at = -math.inf
 
     def stats(self, target: registrations.RegisteredTarget) -> TargetStats:
         """Return the statistics of the current lifetime of a target."""
@@ -79,7 +127,8 @@
         return {
             'in_flight': stats.in_flight,
             'load': round(stats.expected_load(now), 1),
-            'latency_s': round(stats.latency_s, 3),
+            'latency_s': round(stats.speed.expected(now), 3),
+            'slowness': round(stats.speed.slowness(now), 2),
             'failure_share': round(stats.failure_share, 2),
             'ejected_s': round(max(0.0, stats.ejected_until - now), 1),
         }
@@ -93,15 +142,19 @@
         for stats in self._stats_by_id.values():
             stats.ejected_until = 0.0
             stats.failures_in_row = 0
+            stats.changed()
 
     def attempt_started(self, target: registrations.RegisteredTarget) -> None:
         """Record the start of an attempt."""
-        self.stats(target).in_flight += 1
+        stats = self.stats(target)
+        stats.in_flight += 1
+        stats.changed()
 
     def attempt_finished(self, target: registrations.RegisteredTarget) -> None:
         """Record the end of an attempt, whatever its outcome."""
         stats = self.stats(target)
         stats.in_flight = max(0, stats.in_flight - 1)
+        stats.changed()
 
     def record_success(
         self,
@@ -114,14 +167,16 @@
 
         :returns: whether it restores the target after an ejection.
         """
+        self.update_load(target, load, now)
         stats = self.stats(target)
         if stats.samples == 0:
-            stats.latency_s = latency_s
-        stats.latency_s += SMOOTHING * (latency_s - stats.latency_s)
+            stats.speed.replace(latency_s, now)
+        else:
+            stats.speed.measure(latency_s, now)
         stats.samples += 1
         stats.failure_share *= 1 - SMOOTHING
         stats.failures_in_row = 0
-        self.update_load(target, load, now)
+        stats.changed()
         is_restored = stats.awaits_success and now >= stats.ejected_until
         if is_restored:
             stats.awaits_success = False
@@ -133,11 +188,16 @@
         load: requests.ResponseLoad | None,
         now: float,
     ) -> None:
-        """Update the load that a target reports, if any."""
-        if load is not None:
-            stats = self.stats(target)
+        """Update the load that a target reports, if any.
+
+        A stream that ends does not renew the load that its head reported.
+        """
+        stats = self.stats(target)
+        if load is not None and load is not stats.load:
             stats.load = load
             stats.load_at = now
+            stats.speed.report(load.slowness, now)
+            stats.changed()
 
     def record_failure(
         self,
@@ -153,6 +213,7 @@
         stats = self.stats(target)
         stats.failure_share += SMOOTHING * (1 - stats.failure_share)
         stats.failures_in_row += 1
+        stats.changed()
         if stats.failures_in_row < EJECTION_FAILURES and not unreachable:
             return False
         stats.awaits_success = True
@@ -177,28 +238,71 @@
         :param own_data_centre: data centre of this host, whose targets are
             preferred slightly.
         """
-        candidates = [
-            target for target in targets if target.target_id not in avoid
-        ]
-        candidates = self.exclude_ejected(candidates, now)
-        if not candidates:
-            return None
-
-        def cost(target: registrations.RegisteredTarget) -> float:
-            stats = self.stats(target)
-            relative_load = stats.expected_load(now) / target.slots
-            failure_factor = 1 + FAILURE_WEIGHT * stats.failure_share
-            remote_penalty = (
-                0.0 if target.data_centre == own_data_centre else 0.02
+        if (
+            own_data_centre != self._cost_data_centre
+            or not 0 <= now - self._costs_at < COST_TTL_S
+        ):
+            self._cost_data_centre = own_data_centre
+            self._costs_at = now
+            for stats in self._stats_by_id.values():
+                stats.changed()
+        candidates = list(targets)
+        if avoid:
+            candidates = [
+                target
+                for target in candidates
+                if target.target_id not in avoid
+            ]
+        chosen = self._choose_cheapest(candidates, now)
+        while chosen is not None and self._has_restarted(chosen):
+            # The cost was that of an earlier lifetime.
+            self.stats(chosen)
+            chosen = self._choose_cheapest(candidates, now)
+        if chosen is None and candidates:
+            # All are ejected, so that ejections say nothing.
+            return min(
+                candidates, key=lambda target: self._cost_if_ejected(target)
             )
-            jitter = self._rng.random() * 0.2
-            return (
-                stats.latency_s
-                * (1 + relative_load + remote_penalty + jitter)
-                * failure_factor
+        return chosen
+
+    def _choose_cheapest(
+        self, candidates: list[registrations.RegisteredTarget], now: float
+    ) -> registrations.RegisteredTarget | None:
+        """Return the target with the lowest cost, if one is not ejected."""
+        chosen = None
+        lowest_cost = math.inf
+        stats_by_id = self._stats_by_id
+        next_random = self._rng.random
+        for target in candidates:
+            stats = stats_by_id.get(target.target_id)
+            if stats is None:
+                stats = self.stats(target)
+            if stats.certain_cost >= lowest_cost:
+                continue
+            if stats.certain_cost == -math.inf:
+                stats = self.stats(target)
+                stats.update_cost(target, now, self._cost_data_centre)
+            cost = (
+                stats.certain_cost
+                + stats.cost_per_load * MAX_RANDOM_LOAD * next_random()
             )
+            if cost < lowest_cost:
+                lowest_cost = cost
+                chosen = target
+        return chosen
+
+    def _has_restarted(self, target: registrations.RegisteredTarget) -> bool:
+        stats = self._stats_by_id[target.target_id]
+        return stats.incarnation_key != target.incarnation_key
 
-        return min(candidates, key=cost)
+    def _cost_if_ejected(
+        self, target: registrations.RegisteredTarget
+    ) -> float:
+        stats = self.stats(target)
+        relative_load = stats.in_flight / target.slots
+        return stats.cost_per_load * (
+            1 + relative_load + MAX_RANDOM_LOAD * self._rng.random()
+        )
 
     def exclude_ejected(
         self, targets: list[registrations.RegisteredTarget], now: float
--- a/walnutport/stages/cell_targets.py
+++ b/walnutport/stages/cell_targets.py
@@ -89,7 +89,7 @@
                     target
                 )
         for free in targets_by_service.values():
-            free.sort(key=lambda target: target.slowness)
+            free.sort(key=lambda target: target.slowness_at(now))
         return targets_by_service
 
     def capacity(self, service: str, now: float) -> ServiceCapacity | None:
@@ -108,7 +108,9 @@
         if not usable:
             return None
         # Faster targets run more calls, so the mean is taken over the speeds.
-        total_speed = sum(1 / target.effective_slowness for target in usable)
+        total_speed = sum(
+            1 / target.effective_slowness(now) for target in usable
+        )
         return ServiceCapacity(
             rules, len(usable) * rules.slots, len(usable) / total_speed
         )
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -22,6 +22,7 @@
 from walnutport.stages import stage_targets
 from walnutport.stages import timing
 from walnutport.world import registrations
+from walnutport.world import requests
 from walnutport.world import routes
 
 __all__ = ['StageScheduler']
@@ -116,6 +117,20 @@
             known.held_until = held_until
             known.leaving = leaving
 
+    def record_load(
+        self,
+        target: registrations.RegisteredTarget,
+        load: requests.ResponseLoad,
+        now: float,
+    ) -> None:
+        """Record how long work takes at a target by its own report."""
+        known = self._targets.by_id.get(target.target_id)
+        if (
+            known is not None
+            and known.info.incarnation_key == target.incarnation_key
+        ):
+            known.speed.report(load.slowness, now)
+
     def submit(
         self, spec: pieces.JobSpec, now: float
     ) -> pieces.Refusal | None:
@@ -279,8 +294,9 @@
         expected_s = (
             rules.call_s + len(call_pieces) * rules.piece_s + CALL_OVERHEAD_S
         )
+        slowness = target.slowness_at(now)
         call = stage_targets.RunningCall(
-            target, call_pieces, now, expected_s * target.slowness
+            target, call_pieces, now, expected_s * slowness, slowness
         )
         call_id = next(self._call_ids)
         self._call_by_id[call_id] = call
--- a/walnutport/stages/stage_targets.py
+++ b/walnutport/stages/stage_targets.py
@@ -4,6 +4,7 @@
 import enum
 import math
 
+from walnutport.routing import target_speed
 from walnutport.stages import jobs
 from walnutport.world import registrations
 from walnutport.world import routes
@@ -42,12 +43,15 @@
     :param target: target lifetime that runs the call.
     :param pieces: pieces of the call, each with its job.
     :param expected_s: expected duration at this target, slowness included.
+    :param slowness: slowness that was expected at the start; None for the
+        measured one.
     """
 
     target: 'StageTarget'
     pieces: list[tuple[jobs.Job, jobs.PieceId]]
     started_at: float
     expected_s: float
+    slowness: float | None = None
 
     def jobs(self) -> list[jobs.Job]:
         """Return the distinct jobs that have pieces in the call."""
@@ -59,8 +63,7 @@
     """One lifetime of a stage target.
 
     :param held_bytes: result memory that running calls and jobs occupy.
-    :param slowness: measured duration of its calls divided by the expected
-        one.
+    :param speed: duration of its calls divided by the expected one.
     :param usable: whether it is listed, does not drain and is itself.
     :param leaving: whether it has stated that it is shutting down.
     :param min_interval_s: time between calls that keeps the limit that the
@@ -74,7 +77,9 @@
     rules: routes.BatchRules
     calls: dict[int, RunningCall] = dataclasses.field(default_factory=dict)
     held_bytes: float = 0.0
-    slowness: float = 1.0
+    speed: target_speed.TargetSpeed = dataclasses.field(
+        default_factory=lambda: target_speed.TargetSpeed(1.0, SLOWNESS_GAIN)
+    )
     paused_until: float = 0.0
     failures: int = 0
     usable: bool = True
@@ -138,12 +143,20 @@
         self.next_free_at = now + FREE_SPACING * self.min_interval_s
 
     @property
-    def effective_slowness(self) -> float:
-        """Slowness of full calls, with the wait between them."""
+    def slowness(self) -> float:
+        """Measured duration of its calls divided by the expected one."""
+        return self.speed.measured
+
+    def slowness_at(self, now: float) -> float:
+        """Return the slowness of a call that starts now."""
+        return min(MAX_SLOWNESS, max(MIN_SLOWNESS, self.speed.expected(now)))
+
+    def effective_slowness(self, now: float) -> float:
+        """Return the slowness of full calls, with the wait between them."""
         full_call_s = (
             self.rules.call_s + self.rules.max_pieces * self.rules.piece_s
         )
-        return max(self.slowness, self.min_interval_s / full_call_s)
+        return max(self.slowness_at(now), self.min_interval_s / full_call_s)
 
     def release_memory(self, size: float) -> None:
         """Subtract the size of a released result."""
@@ -152,12 +165,12 @@
     def record_answer(self, call: RunningCall, now: float) -> None:
         """Update the slowness from an answered call."""
         self.failures = 0
-        expected_s = call.expected_s / self.slowness
+        expected_s = call.expected_s / (call.slowness or self.slowness)
         measured_slowness = (now - call.started_at) / expected_s
         measured_slowness = min(
             MAX_SLOWNESS, max(MIN_SLOWNESS, measured_slowness)
         )
-        self.slowness += SLOWNESS_GAIN * (measured_slowness - self.slowness)
+        self.speed.measure(measured_slowness, now)
 
     def record_failure(self, failure: CallFailure, now: float) -> None:
         """Pause the target after a failed call."""
@@ -165,7 +178,9 @@
             self.paused_until = now + BUSY_PAUSE_S
             return
         if failure is CallFailure.TIMEOUT:
-            self.slowness = min(MAX_SLOWNESS, self.slowness * 2)
+            self.speed.replace(
+                min(MAX_SLOWNESS, self.slowness_at(now) * 2), now
+            )
         pause_s = min(MAX_FAILURE_PAUSE_S, FAILURE_PAUSE_S * 2**self.failures)
         self.failures += 1
         self.paused_until = now + pause_s
--- a/walnutport/world/requests.py
+++ b/walnutport/world/requests.py
@@ -52,11 +52,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseLoad:
-    """Load of a target, from the headers of its response."""
+    """Load of a target, from the headers of its response.
+
+    :param slowness: how long work currently takes on the machine of the
+        target, divided by the usual time; None if it does not say.
+    """
 
     running: int
     queued: int
     slots: int
+    slowness: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,6 +82,9 @@
     :param retry_after_s: how long the target wants no requests of this host,
         after it has turned one away; None if it does not say.
     :param problems: descriptions of values that are invalid and ignored.
+    :param slowness_problem: description of an invalid slowness; empty if it is
+        valid. Unlike the other problems it casts no doubt on what the target
+        states in the same response.
     """
 
     request_id: str
@@ -88,3 +96,4 @@
     leaving: bool = False
     retry_after_s: float | None = None
     problems: tuple[str, ...] = ()
+    slowness_problem: str = ''
