Place prompts by the price of reading their parts again

Cause: a request left the engine that holds its parts as soon as that engine read one other prompt, and the record of the caches dropped parts that engines still held. Engines with popular parts got 1.4 times the mean of the requests. Change: a token to read has a price besides the wait for it, the record covers the whole memory, and the recent share of requests above the mean has a price, which moves the requests with few shared tokens first. The engines of each prefix are indexed, and costs are kept between choices.

--- a/walnutport/gateway/targets/target_selector.py
+++ b/walnutport/gateway/targets/target_selector.py
@@ -10,6 +10,7 @@
 from walnutport.routing import engines
 from walnutport.routing import outcomes
 from walnutport.routing import prompt_caches
+from walnutport.routing import request_shares
 from walnutport.stages import pieces
 from walnutport.world import registrations
 from walnutport.world import requests
@@ -36,6 +37,7 @@
         self._limits = limits
         self._data_centre = data_centre
         self._caches = prompt_caches.PromptCaches()
+        self._shares = request_shares.RequestShares()
 
     def select_target(
         self, call: calls.CallerCall
@@ -108,9 +110,10 @@
             now,
             call.excluded_targets(),
             caches=self._caches,
+            shares=self._shares,
         )
         if engine is not None:
-            self._record_prompt(call.fields.prompt, engine)
+            self._record_prompt(call.fields.prompt, engine, now)
         return engine
 
     def recommend_engine(
@@ -139,8 +142,9 @@
             spec.prompt,
             pieces.bytes_by_data_centre(result.results),
             now,
-            pending_tokens=prefills.pending_tokens,
+            pending_tokens=prefills.tokens_by_engine,
             caches=self._caches,
+            shares=self._shares,
         )
         if engine is None:
             return ''
@@ -150,7 +154,7 @@
             engine.target_id,
             engines.uncached_tokens(spec.prompt, engine, self._caches),
         )
-        self._record_prompt(spec.prompt, engine)
+        self._record_prompt(spec.prompt, engine, now)
         return engine.target_id
 
     def forget(self, target_id: str) -> None:
@@ -158,6 +162,7 @@
         self._outcomes.forget(target_id)
         self._limits.forget(target_id, time.monotonic())
         self._caches.forget(target_id)
+        self._shares.forget(target_id)
 
     def _in_flight(self, target: registrations.RegisteredTarget) -> int:
         """Return the requests that this host has in flight at a target."""
@@ -180,7 +185,10 @@
         self,
         prompt: requests.PromptShape | None,
         engine: registrations.RegisteredTarget,
+        now: float,
     ) -> None:
+        self._shares.record(engine.target_id, now)
+        self._outcomes.stats(engine).changed()
         if prompt is None:
             return
         capacity_tokens = prompt_caches.DEFAULT_CACHE_TOKENS
--- a/walnutport/routing/engines.py
+++ b/walnutport/routing/engines.py
@@ -6,13 +6,18 @@
 therefore go to an engine that holds these while its load allows.
 """
 
-from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
+import functools
 import hashlib
+import math
+import operator
 
 from walnutport.routing import outcomes
 from walnutport.routing import prompt_caches
+from walnutport.routing import request_shares
+from walnutport.routing import target_speed
 from walnutport.world import registrations
 from walnutport.world import requests
 
@@ -30,71 +35,249 @@
 FULL_LOAD_COST_S = 0.6
 # Additional cost of an engine with waiting requests, which is more than full.
 QUEUE_COST_S = 1.0
-# Prefill rate of an engine, in order of magnitude.
-PREFILL_TOKENS_PER_S = 40_000.0
+# Prefill rate of an engine of usual speed.
+PREFILL_TOKENS_PER_S = 92_000.0
+# Price of a token that an engine reads, besides the wait for it: it delays the
+# requests behind it too, and displaces other parts. Without a price, sessions
+# leave their engine whenever it reads one other prompt.
+READ_PRICE_S = 2.0 / PREFILL_TOKENS_PER_S
 # Bytes sent between data centres that cost one second; all requests share the
 # links.
 CROSS_LINK_BYTES_PER_S = 40e6
 # Average fraction of the shared tokens that an engine has to prefill.
 SHARED_PREFILL_FRACTION = 0.3
-# The engine that all hosts prefer for a shared part may hold it already, as
-# the owner of another cell may have sent it there.
+# The engine that all hosts prefer for a shared part that none holds may hold
+# it already, as the owner of another cell may have sent it there.
 PREFERRED_PREFILL_FRACTION = 0.7
+# Digests of engines that are kept for rendezvous hashing.
+MAX_KEPT_DIGESTS = 8192
+# Odd factor that spreads the difference of two digests over all bits, modulo
+# 2**64.
+HASH_FACTOR = 0x9E3779B97F4A7C15
+HASH_MASK = (1 << 64) - 1
+
+
+_TARGET_ID = operator.attrgetter('target_id')
+
+
+@functools.lru_cache(MAX_KEPT_DIGESTS)
+def _digest(text: str) -> int:
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, 'big')
 
 
 def rendezvous_weight(part_id: str, target_id: str) -> int:
     """Return the rendezvous hashing weight of an engine for a prompt part."""
-    digest = hashlib.blake2b(
-        f'{part_id}/{target_id}'.encode(), digest_size=8
-    ).digest()
-    return int.from_bytes(digest, 'big')
+    mixed = (_digest(part_id) ^ _digest(target_id)) * HASH_FACTOR
+    return mixed & HASH_MASK
 
 
 def choose_engine(
     engines: Iterable[registrations.RegisteredTarget],
     target_outcomes: outcomes.TargetOutcomes,
     prompt: requests.PromptShape | None,
-    input_bytes_by_data_centre: dict[str, int],
+    input_bytes_by_data_centre: Mapping[str, int],
     now: float,
     avoid: set[str] | frozenset[str] = frozenset(),
-    pending_tokens: Callable[[str], float] = lambda target_id: 0.0,
+    pending_tokens: Mapping[str, float] | None = None,
     caches: prompt_caches.PromptCaches | None = None,
+    shares: request_shares.RequestShares | None = None,
 ) -> registrations.RegisteredTarget | None:
     """Return the engine with the lowest expected cost, None without engines.
 
     :param input_bytes_by_data_centre: bytes of the inputs in each data centre.
     :param avoid: ids of engines that were tried already.
-    :param pending_tokens: returns the tokens that an engine still has to
-        prefill for earlier requests.
+    :param pending_tokens: tokens that each engine still has to prefill for
+        earlier requests.
     :param caches: expected contents of the caches of the engines.
+    :param shares: recent requests of the engines.
     """
-    candidates = target_outcomes.exclude_ejected(
-        [engine for engine in engines if engine.target_id not in avoid], now
-    )
+    listed = list(engines)
+    candidates = dict(zip(map(_TARGET_ID, listed), listed))
+    for target_id in avoid:
+        candidates.pop(target_id, None)
     if not candidates:
         return None
-    total_bytes = sum(input_bytes_by_data_centre.values())
-    preferred_id = _preferred_engine(candidates, prompt)
+    target_outcomes.expire_costs(now)
+    if shares is not None:
+        service = next(iter(candidates.values())).service
+        if shares.is_mean_old(service, now):
+            shares.update_mean(service, candidates, now)
+    costs = _EngineCosts(
+        candidates,
+        target_outcomes,
+        pending_tokens or {},
+        shares,
+        input_bytes_by_data_centre,
+        now,
+    )
+    while True:
+        groups = _group_by_reading(candidates, prompt, caches)
+        chosen = costs.cheapest(groups)
+        if chosen is None:
+            chosen = costs.cheapest(groups, with_ejected=True)
+        if chosen is None or caches is None or caches.is_current(chosen):
+            return chosen
+        # Its cache was that of an earlier lifetime.
+        caches.forget(chosen.target_id)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Group:
+    """Engines that need to read equally many tokens of a prompt.
+
+    :param tokens: tokens that they lack.
+    """
+
+    target_ids: Iterable[str]
+    tokens: float
+
+
+def _group_by_reading(
+    candidates: Mapping[str, registrations.RegisteredTarget],
+    prompt: requests.PromptShape | None,
+    caches: prompt_caches.PromptCaches | None,
+) -> list[_Group]:
+    """Return all engines, those that need to read the least first.
+
+    Engines of one group are in all later ones as well.
+    """
+    total = float(prompt.input_tokens) if prompt is not None else 0.0
+    groups = [_Group(candidates, total)]
+    if prompt is None:
+        return groups
+    if caches is not None:
+        groups += [
+            _Group(holders, total - cached)
+            for holders, cached in caches.holders_of_prefixes(prompt)
+        ]
+    if len(prompt.part_ids) > 1:
+        shared_part = prompt.part_ids[-2]
+        if caches is None or not caches.is_held(shared_part):
+            preferred_id = _preferred_engine(candidates, shared_part)
+            lacking = next(
+                group.tokens
+                for group in reversed(groups)
+                if preferred_id in group.target_ids
+            )
+            own = prompt.part_tokens[-1]
+            shared = PREFERRED_PREFILL_FRACTION * max(0.0, lacking - own)
+            groups.append(_Group((preferred_id,), own + shared))
+    groups.sort(key=lambda group: group.tokens)
+    return groups
+
+
+class _EngineCosts:
+    """Costs of one request at the engines of its service.
+
+    An engine reads the tokens that it lacks after those of earlier requests.
+    The time of both depends on its present speed. What it reads has a price
+    besides, which does not: a slow spell is over sooner than the part is read
+    at another engine.
+    """
 
-    def cost(engine: registrations.RegisteredTarget) -> float:
-        stats = target_outcomes.stats(engine)
+    def __init__(
+        self,
+        candidates: Mapping[str, registrations.RegisteredTarget],
+        target_outcomes: outcomes.TargetOutcomes,
+        pending_tokens: Mapping[str, float],
+        shares: request_shares.RequestShares | None,
+        input_bytes_by_data_centre: Mapping[str, int],
+        now: float,
+    ) -> None:
+        self._candidates = candidates
+        self._outcomes = target_outcomes
+        self._pending_tokens = pending_tokens
+        self._shares = shares
+        self._now = now
+        total_bytes = sum(input_bytes_by_data_centre.values())
+        self._far_s = total_bytes / CROSS_LINK_BYTES_PER_S
+        self._transfer_s = {
+            data_centre: (total_bytes - size) / CROSS_LINK_BYTES_PER_S
+            for data_centre, size in input_bytes_by_data_centre.items()
+        }
+
+    def cheapest(
+        self, groups: list[_Group], with_ejected: bool = False
+    ) -> registrations.RegisteredTarget | None:
+        """Return the engine with the lowest cost, if one may be used.
+
+        Engines that cannot have the lowest cost are passed over quickly.
+        """
+        chosen = None
+        lowest_s = math.inf
+        get_stats = self._outcomes.stats_by_id.get
+        get_pending = self._pending_tokens.get
+        min_transfer_s = min(self._transfer_s.values(), default=0.0)
+        for group in groups:
+            tokens = group.tokens
+            price_s = READ_PRICE_S * tokens + min_transfer_s
+            min_cost_s = price_s + self._min_token_cost() * tokens
+            if min_cost_s >= lowest_s:
+                break
+            limit_s = lowest_s - min_cost_s
+            for target_id in group.target_ids:
+                stats = get_stats(target_id)
+                if stats is None or stats.engine_cost == -math.inf:
+                    stats = self._update(target_id)
+                    if stats is None:
+                        continue
+                if stats.engine_cost >= limit_s:
+                    continue
+                cost_s = (
+                    stats.engine_cost
+                    + price_s
+                    + stats.token_cost * (tokens + get_pending(target_id, 0.0))
+                )
+                if cost_s >= lowest_s:
+                    continue
+                engine = self._candidates.get(target_id)
+                if engine is None:
+                    continue
+                if stats.ejected_until > self._now and not with_ejected:
+                    continue
+                if self._transfer_s:
+                    cost_s += (
+                        self._transfer_s.get(engine.data_centre, self._far_s)
+                        - min_transfer_s
+                    )
+                if cost_s < lowest_s:
+                    lowest_s = cost_s
+                    limit_s = lowest_s - min_cost_s
+                    chosen = engine
+        return chosen
+
+    def _min_token_cost(self) -> float:
+        """Return the lowest cost per token, 0 if it is not known yet."""
+        known = self._outcomes.min_token_cost
+        return known if known < math.inf else 0.0
+
+    def _update(self, target_id: str) -> outcomes.TargetStats | None:
+        """Compute the parts of the cost that all prompts share.
+
+        :returns: None if the engine is no candidate.
+        """
+        engine = self._candidates.get(target_id)
+        if engine is None:
+            return None
+        now = self._now
+        stats = self._outcomes.stats(engine)
         load = stats.expected_load(now) / engine.slots
-        total_s = FULL_LOAD_COST_S * load * load
+        cost_s = FULL_LOAD_COST_S * load * load
         if stats.load is not None and stats.load.queued:
-            total_s += QUEUE_COST_S
-        total_s += stats.failure_share
-        remote_bytes = total_bytes - input_bytes_by_data_centre.get(
-            engine.data_centre, 0
+            cost_s += QUEUE_COST_S
+        cost_s += stats.failure_share
+        if self._shares is not None:
+            cost_s += self._shares.price_s(target_id, engine.service, now)
+        slowness = stats.speed.slowness(now)
+        if stats.speed.is_reported(now):
+            slowness *= target_speed.crowding_factor(load)
+        stats.engine_cost = cost_s
+        stats.token_cost = slowness / PREFILL_TOKENS_PER_S
+        self._outcomes.min_token_cost = min(
+            self._outcomes.min_token_cost, stats.token_cost
         )
-        total_s += remote_bytes / CROSS_LINK_BYTES_PER_S
-        tokens = float(uncached_tokens(prompt, engine, caches))
-        if engine.target_id == preferred_id:
-            tokens *= PREFERRED_PREFILL_FRACTION
-        tokens += pending_tokens(engine.target_id)
-        total_s += tokens / PREFILL_TOKENS_PER_S
-        return total_s
-
-    return min(candidates, key=lambda engine: (cost(engine), engine.target_id))
+        return stats
 
 
 def unshared_tokens(prompt: requests.PromptShape | None) -> int:
@@ -131,6 +314,11 @@
         self._requests_by_job: dict[str, _PlacedRequest] = {}
         self._tokens_by_engine: dict[str, float] = {}
 
+    @property
+    def tokens_by_engine(self) -> Mapping[str, float]:
+        """Tokens that each engine still has to prefill, if any."""
+        return self._tokens_by_engine
+
     def pending_tokens(self, target_id: str) -> float:
         """Return the tokens that an engine still has to prefill."""
         return self._tokens_by_engine.get(target_id, 0.0)
@@ -171,19 +359,19 @@
     )
 
 
-def _preferred_engine(
-    engines: list[registrations.RegisteredTarget],
-    prompt: requests.PromptShape | None,
-) -> str:
+def _preferred_engine(target_ids: Iterable[str], shared_part: str) -> str:
     """Return the id of the engine for a shared part that none holds yet.
 
     All hosts name the same engine, so that owners of several cells send the
     requests that share the part to it.
     """
-    if prompt is None or len(prompt.part_ids) < 2:
-        return ''
-    shared_part = prompt.part_ids[-2]
+    part_digest = _digest(shared_part)
     return max(
-        engines,
-        key=lambda engine: rendezvous_weight(shared_part, engine.target_id),
-    ).target_id
+        [
+            (
+                (part_digest ^ _digest(target_id)) * HASH_FACTOR & HASH_MASK,
+                target_id,
+            )
+            for target_id in target_ids
+        ]
+    )[1]
--- a/walnutport/routing/outcomes.py
+++ b/walnutport/routing/outcomes.py
@@ -33,6 +33,8 @@
 # the upper bound of the random one that breaks ties.
 REMOTE_LOAD = 0.02
 MAX_RANDOM_LOAD = 0.2
+# Changes of the reported load below this share of the slots are small.
+SMALL_LOAD_CHANGE = 0.125
 # All costs are computed again after this time, as reports age and ejections
 # end. In between, only those of targets with news are, so that a choice among
 # 100 targets takes less than 40 us.
@@ -62,6 +64,10 @@
     # -inf after a change, and that per random load.
     certain_cost: float = -math.inf
     cost_per_load: float = 0.0
+    # Cost of a prompt that the target has read already, as an engine, which
+    # is -inf after a change, and that per token to read; both in seconds.
+    engine_cost: float = -math.inf
+    token_cost: float = 0.0
 
     def expected_load(self, now: float) -> float:
         """Return the count of requests expected at the target."""
@@ -96,6 +102,7 @@
     def changed(self) -> None:
         """Have the cost computed again at the next choice."""
         self.certain_cost = -math.inf
+        self.engine_cost = -math.inf
 
 
 class TargetOutcomes:
@@ -106,17 +113,20 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
-        self._stats_by_id: dict[str, TargetStats] = {}
+        # Those of earlier lifetimes are replaced by ``stats``.
+        self.stats_by_id: dict[str, TargetStats] = {}
         # Data centre for which the costs were computed, and when all were.
         self._cost_data_centre = ''
         self._costs_at = -math.inf
+        # Lowest cost per token of all engines since then.
+        self.min_token_cost = math.inf
 
     def stats(self, target: registrations.RegisteredTarget) -> TargetStats:
         """Return the statistics of the current lifetime of a target."""
-        stats = self._stats_by_id.get(target.target_id)
+        stats = self.stats_by_id.get(target.target_id)
         if stats is None or stats.incarnation_key != target.incarnation_key:
             stats = TargetStats(target.incarnation_key)
-            self._stats_by_id[target.target_id] = stats
+            self.stats_by_id[target.target_id] = stats
         return stats
 
     def describe(
@@ -135,11 +145,11 @@
 
     def forget(self, target_id: str) -> None:
         """Drop the statistics of a removed target."""
-        self._stats_by_id.pop(target_id, None)
+        self.stats_by_id.pop(target_id, None)
 
     def end_ejections(self) -> None:
         """Restore all targets, as their failures were those of the path."""
-        for stats in self._stats_by_id.values():
+        for stats in self.stats_by_id.values():
             stats.ejected_until = 0.0
             stats.failures_in_row = 0
             stats.changed()
@@ -194,10 +204,16 @@
         """
         stats = self.stats(target)
         if load is not None and load is not stats.load:
+            before = stats.load
             stats.load = load
             stats.load_at = now
             stats.speed.report(load.slowness, now)
-            stats.changed()
+            if before is None or _differs_much(before, load):
+                stats.changed()
+            else:
+                # The cost as an engine waits for ``expire_costs``, as engines
+                # report often.
+                stats.certain_cost = -math.inf
 
     def record_failure(
         self,
@@ -238,14 +254,10 @@
         :param own_data_centre: data centre of this host, whose targets are
             preferred slightly.
         """
-        if (
-            own_data_centre != self._cost_data_centre
-            or not 0 <= now - self._costs_at < COST_TTL_S
-        ):
+        if own_data_centre != self._cost_data_centre:
             self._cost_data_centre = own_data_centre
-            self._costs_at = now
-            for stats in self._stats_by_id.values():
-                stats.changed()
+            self._costs_at = -math.inf
+        self.expire_costs(now)
         candidates = list(targets)
         if avoid:
             candidates = [
@@ -265,13 +277,26 @@
             )
         return chosen
 
+    def expire_costs(self, now: float) -> bool:
+        """Have old costs computed again.
+
+        :returns: whether they were old.
+        """
+        if 0 <= now - self._costs_at < COST_TTL_S:
+            return False
+        self._costs_at = now
+        self.min_token_cost = math.inf
+        for stats in self.stats_by_id.values():
+            stats.changed()
+        return True
+
     def _choose_cheapest(
         self, candidates: list[registrations.RegisteredTarget], now: float
     ) -> registrations.RegisteredTarget | None:
         """Return the target with the lowest cost, if one is not ejected."""
         chosen = None
         lowest_cost = math.inf
-        stats_by_id = self._stats_by_id
+        stats_by_id = self.stats_by_id
         next_random = self._rng.random
         for target in candidates:
             stats = stats_by_id.get(target.target_id)
@@ -292,7 +317,7 @@
         return chosen
 
     def _has_restarted(self, target: registrations.RegisteredTarget) -> bool:
-        stats = self._stats_by_id[target.target_id]
+        stats = self.stats_by_id[target.target_id]
         return stats.incarnation_key != target.incarnation_key
 
     def _cost_if_ejected(
@@ -314,3 +339,14 @@
             if self.stats(target).ejected_until <= now
         ]
         return kept or targets
+
+
+def _differs_much(
+    before: requests.ResponseLoad, load: requests.ResponseLoad
+) -> bool:
+    """Return whether an engine can no longer be chosen by its earlier load."""
+    return (
+        bool(before.queued) != bool(load.queued)
+        or abs(before.running - load.running) > SMALL_LOAD_CHANGE * load.slots
+        or (before.slowness is None) != (load.slowness is None)
+    )
