Begin stage jobs only with room for their results

Cause: results of first stages wait for memory at the next stage until their job is late, and are then thrown away. Change: a job has its first call when all its results find room at its services and it can still finish; it keeps its place while it waits. The room that begun jobs will need is reserved. Jobs that cannot finish fail before anything of them has run. Three metrics show this.

--- a/walnutport/gateway/operations/host_status.py
+++ b/walnutport/gateway/operations/host_status.py
@@ -129,6 +129,10 @@
                 labels = f'{{cell="{owner.cell}",service="{service}"}}'
                 values['stage_backlog_seconds' + labels] = stage_load.backlog_s
                 values['stage_batch_fill' + labels] = stage_load.batch_fill
+                rules = owner.scheduler.begin_rules
+                values['stage_room_reserved_bytes' + labels] = (
+                    rules.reserved_bytes(service)
+                )
         return values
 
     def totals(self) -> dict[str, float]:
@@ -143,6 +147,12 @@
             ),
             'stage_calls_total': sum(owner.total_calls for owner in owners),
             'stage_pieces_total': sum(owner.total_pieces for owner in owners),
+            'stage_jobs_not_begun_total': sum(
+                owner.scheduler.begin_rules.not_begun_count for owner in owners
+            ),
+            'stage_seconds_discarded_total': sum(
+                owner.scheduler.begin_rules.discarded_s for owner in owners
+            ),
             **self._mesh.totals(),
             **self._reports.totals(),
             **self._origins.totals(),
--- a/walnutport/stages/cell_targets.py
+++ b/walnutport/stages/cell_targets.py
@@ -5,10 +5,14 @@
 
 from walnutport.stages import stage_targets
 from walnutport.world import registrations
+from walnutport.world import requests
 from walnutport.world import routes
 
 __all__ = ['CellTargets', 'ServiceCapacity']
 
+# Slowness of a service without targets, for which no job is given up.
+MAX_ASSUMED_SLOWNESS = 1.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceCapacity:
@@ -69,6 +73,20 @@
             self.by_id[target_id].usable = False
         return replaced
 
+    def record_load(
+        self,
+        info: registrations.RegisteredTarget,
+        load: requests.ResponseLoad,
+        now: float,
+    ) -> None:
+        """Record how long work takes at a target by its own report."""
+        known = self.by_id.get(info.target_id)
+        if (
+            known is not None
+            and known.info.incarnation_key == info.incarnation_key
+        ):
+            known.speed.report(load.slowness, now)
+
     def remove_unused(self, holding_ids: set[str]) -> None:
         """Remove unlisted targets without running calls or held results.
 
@@ -115,6 +133,19 @@
             rules, len(usable) * rules.slots, len(usable) / total_speed
         )
 
+    def min_slowness(self, service: str, now: float) -> tuple[float, bool]:
+        """Return the slowness of the fastest target of a service, 1 or more.
+
+        :returns: the slowness, and whether no target is free.
+        """
+        lowest = MAX_ASSUMED_SLOWNESS
+        is_busy = True
+        for target in self.by_id.values():
+            if target.info.service == service and target.accepts_work:
+                lowest = min(lowest, target.slowness_at(now))
+                is_busy = is_busy and not target.is_free(now)
+        return max(1.0, lowest), is_busy
+
     def running_s(self, service: str, now: float) -> float:
         """Return the remaining time of all running calls of a service."""
         return sum(
--- a/walnutport/stages/jobs.py
+++ b/walnutport/stages/jobs.py
@@ -36,6 +36,8 @@
         # Forecast time until the answer, in seconds from the admission.
         self.forecast_s = 0.0
         self.finished = False
+        # Whether any piece has been sent to a target.
+        self.has_begun = False
         # Unstarted work in seconds by service, as counted in the backlog.
         self.backlog_s_by_service: dict[str, float] = {}
         self.stages = [
@@ -110,6 +112,7 @@
         if not waiting_pieces:
             del self.waiting[stage]
         self.running[stage].add(piece)
+        self.has_begun = True
 
     def inputs(self, stage: int) -> tuple[PlacedResult, ...]:
         """Return the results that the pieces of a stage need."""
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -14,6 +14,7 @@
 from walnutport.admission import caller_retries
 from walnutport.stages import admission
 from walnutport.stages import batching
+from walnutport.stages import begin_rules
 from walnutport.stages import cell_load
 from walnutport.stages import cell_targets
 from walnutport.stages import held_results
@@ -22,7 +23,6 @@
 from walnutport.stages import stage_targets
 from walnutport.stages import timing
 from walnutport.world import registrations
-from walnutport.world import requests
 from walnutport.world import routes
 
 __all__ = ['StageScheduler']
@@ -35,10 +35,8 @@
 MAX_JOB_FAILURES = 6
 # Network round trip to a target and processing time of the host.
 CALL_OVERHEAD_S = 0.01
-# Interval at which jobs close to their deadline are checked, and the time
-# before the deadline at which the checks begin.
+# Interval at which jobs close to their deadline are checked.
 EXPIRE_INTERVAL_S = 0.1
-EXPIRE_HORIZON_S = 3.0
 # A caller whose job failed may retry after this fraction of the time left to
 # its deadline, which leaves time for another attempt.
 RETRY_AFTER_RATIO = 1 / 3
@@ -55,6 +53,8 @@
 
     def __init__(self) -> None:
         self._targets = cell_targets.CellTargets()
+        self.record_load = self._targets.record_load
+        self.begin_rules = begin_rules.BeginRules(self._targets)
         self._results = held_results.HeldResults(self._targets)
         self.cell_load = cell_load.CellLoad(self._targets)
         self._refused = caller_retries.RefusedRequests()
@@ -117,20 +117,6 @@
             known.held_until = held_until
             known.leaving = leaving
 
-    def record_load(
-        self,
-        target: registrations.RegisteredTarget,
-        load: requests.ResponseLoad,
-        now: float,
-    ) -> None:
-        """Record how long work takes at a target by its own report."""
-        known = self._targets.by_id.get(target.target_id)
-        if (
-            known is not None
-            and known.info.incarnation_key == target.incarnation_key
-        ):
-            known.speed.report(load.slowness, now)
-
     def submit(
         self, spec: pieces.JobSpec, now: float
     ) -> pieces.Refusal | None:
@@ -196,18 +182,14 @@
             return
         self._next_expiry_at = now + EXPIRE_INTERVAL_S
         for job in list(self._job_by_id.values()):
-            if job.finished or now + EXPIRE_HORIZON_S < job.deadline_at:
-                continue
-            needed_s = timing.min_remaining_s(
-                job, self._targets.rules_by_service
-            )
-            if now + needed_s > job.deadline_at:
+            if not job.finished and not self.begin_rules.can_finish(job, now):
                 self._fail_job(job, 'deadline', now)
 
     def next_calls(self, now: float) -> list[pieces.BatchCall]:
         """Return the calls to start now."""
         calls: list[pieces.BatchCall] = []
         rules = self._targets.rules_by_service
+        self.begin_rules.blocked_services.clear()
         for service, free in self._targets.free_by_service(now).items():
             ready = self._ready_by_service.get(service)
             if not ready:
@@ -221,7 +203,7 @@
             )
             builder = batching.CallBuilder(
                 self._targets,
-                entries,
+                self.begin_rules.select(entries, now),
                 lambda job: timing.latest_start_of_full_calls(job, rules),
                 now,
             )
@@ -233,6 +215,9 @@
                 call_pieces = builder.take_pieces(chosen)
                 if call_pieces:
                     calls.append(self._start_call(chosen, call_pieces, now))
+        for job in self.begin_rules.take_late():
+            if not job.finished:
+                self._fail_job(job, 'deadline', now)
         return calls
 
     def call_done(
@@ -283,6 +268,7 @@
             else:
                 ready.pop(key, None)
         self.cell_load.update_job(job)
+        self.begin_rules.update_job(job)
 
     def _start_call(
         self,
@@ -393,6 +379,7 @@
     def _fail_job(self, job: jobs.Job, reason: str, now: float) -> None:
         job_id = job.spec.job_id
         self._refused.record(job.spec.content, now)
+        self.begin_rules.record_failed(job)
         self.release(job_id)
         remaining_s = max(0.0, job.deadline_at - now)
         retry_after_s = admission.retry_after_s(
