Run uneven stand-in targets against real hosts

Cause: nothing showed that hosts decode the fourth figure of the load and place work well while engines of uneven speed fail. Change: targets of the stand-in platform have lasting speeds and slow spells, report them or nonsense, can be killed and can freeze.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -18,6 +18,8 @@
 from twisted.internet import task
 from twisted.web import server
 
+from standins import machine_speed
+
 __all__ = [
     'PlatformSettings',
     'PlatformServer',
@@ -31,6 +33,8 @@
 
 _MAX_WAIT_S = 30.0
 _POLL_S = 0.02
+# A frozen target answers nothing for this time.
+_FROZEN_S = 60.0
 _REQUEST_ID_HEADER = 'walnutport-request-attempt-id'
 _PROMPT_HEADER = 'walnutport-prompt-prefix'
 
@@ -111,6 +115,8 @@
         # Times at which requests arrived, by target.
         self.arrivals: dict[str, list[float]] = collections.defaultdict(list)
         self.mode_by_target: dict[str, str] = {}
+        self.speeds = machine_speed.MachineSpeeds()
+        self._target_by_id: dict[str, _Target] = {}
         # Rejections a second above which a target crashes, by service.
         self.rejection_limit_by_service: dict[str, int] = {}
         # Headers that targets add to all their responses, by target.
@@ -135,7 +141,9 @@
         for plan in settings.targets:
             if plan.target_id not in settings.unregistered:
                 self.write_target_record(plan, 'ready')
-            _Target(self, plan).listen()
+            target = _Target(self, plan)
+            self._target_by_id[plan.target_id] = target
+            target.listen()
         for port in settings.views:
             reactor.listenTCP(
                 port,
@@ -299,6 +307,12 @@
             'crashes_unframed', self.crashes_unframed
         )
         self.mode_by_target.update(changes.get('modes', {}))
+        if 'speeds' in changes:
+            self.speeds.plan = msgspec.convert(
+                changes['speeds'], machine_speed.SpeedPlan
+            )
+        for target_id in changes.get('kill', ()):
+            self._target_by_id[target_id].crash()
         self.headers_by_target.update(changes.get('headers', {}))
         for plan in self.settings.targets:
             state = changes.get('states', {}).get(plan.target_id)
@@ -367,7 +381,7 @@
             interface=self._platform.settings.ip,
         )
 
-    def _crash(self) -> None:
+    def crash(self) -> None:
         """Reset all channels and refuse new ones for some time."""
         if self._listener is None:
             return
@@ -405,6 +419,7 @@
                 )
             )
         await self._sleep(self._platform.settings.call_ms)
+        self._set_load(request)
         outcomes = []
         for item in items:
             handle = (
@@ -444,9 +459,11 @@
         )
         request.setHeader(_REQUEST_ID_HEADER, request_id)
         request.setHeader('walnutport-response-seal', secrets.token_hex(4))
-        request.setHeader('walnutport-server-load', f'1,0,{self._plan.slots}')
+        self._set_load(request)
         self._running += 1
         try:
+            if self._mode() == 'frozen':
+                await task.deferLater(reactor, _FROZEN_S)
             if self._plan.kind == 'engine':
                 return await self._stream(request)
             await self._sleep(self._platform.settings.work_ms)
@@ -474,7 +491,7 @@
             else:
                 request.write(begun)
             await self._sleep(self._platform.settings.event_ms / 2)
-            self._crash()
+            self.crash()
             return server.NOT_DONE_YET
         after = int(request.getHeader('last-event-id') or 0)
         for number in range(after + 1, self._platform.settings.events + 1):
@@ -532,14 +549,26 @@
         ]
         if len(self._rejected_at) > limit:
             self._rejected_at.clear()
-            reactor.callLater(0, self._crash)
+            reactor.callLater(0, self.crash)
         return True
 
     def _mode(self) -> str:
         return self._platform.mode_by_target.get(self._plan.target_id, 'ok')
 
     async def _sleep(self, duration_ms: float) -> None:
-        await task.deferLater(reactor, duration_ms / 1000)
+        slowness = self._platform.speeds.slowness(
+            self._plan.target_id, time.monotonic()
+        )
+        await task.deferLater(reactor, slowness * duration_ms / 1000)
+
+    def _set_load(self, request) -> None:
+        """Add the load to the headers of a response."""
+        figure = self._platform.speeds.load_figure(
+            self._plan.target_id, time.monotonic()
+        )
+        request.setHeader(
+            'walnutport-server-load', f'1,0,{self._plan.slots}{figure}'
+        )
 
 
 def _unframed_head(request) -> bytes:
