Spread the first requests of all hosts over the engines

Cause: after all hosts lost power, none knows any load, and requests without shared parts went to the engine with the smallest id from every host. Change: each host draws a small difference between engines that are otherwise equal. Load that engines report counts from the first head on. Measured (tests/routing/test_engines.py): 195 hosts place their first request on more than 30 of 36 engines, none gets three times the mean.

--- a/tests/routing/test_engines.py
+++ b/tests/routing/test_engines.py
@@ -1,5 +1,6 @@
 """Tests of the choice of a model engine."""
 
+import collections
 import random
 
 from walnutport.routing import engines
@@ -71,3 +72,40 @@
         tried,
     )
     assert chosen is ENGINES[8]
+
+
+def test_first_requests_of_all_hosts_spread_over_the_engines():
+    """Guards against one engine for the first request of each host.
+
+    After all hosts lost power, none knows any load. 195 hosts are 5.4 requests
+    for each of 36 engines.
+    """
+    pool = [engine(f'e{number}', 'abcd'[number % 4]) for number in range(36)]
+    own_prompt = requests.PromptShape(900, 50, ('x',), (900,))
+    for prompt in (None, own_prompt):
+        counts = collections.Counter(
+            engines.choose_engine(
+                pool,
+                outcomes.TargetOutcomes(random.Random(host)),
+                prompt,
+                {},
+                0.0,
+            ).target_id
+            for host in range(195)
+        )
+        assert len(counts) > 30
+        assert max(counts.values()) < 3 * 195 / 36
+
+
+def test_reported_load_places_the_next_requests():
+    """Guards against first requests at engines that have reported a queue."""
+    target_outcomes = outcomes.TargetOutcomes(random.Random(1))
+    for loaded in ENGINES[:6]:
+        target_outcomes.update_load(
+            loaded, requests.ResponseLoad(60, 3, 64), 0.0
+        )
+    for number in range(20):
+        chosen = engines.choose_engine(
+            ENGINES, target_outcomes, PROMPT, {}, 0.001 * number
+        )
+        assert chosen in ENGINES[6:]
--- a/walnutport/routing/engines.py
+++ b/walnutport/routing/engines.py
@@ -263,7 +263,7 @@
         now = self._now
         stats = self._outcomes.stats(engine)
         load = stats.expected_load(now) / engine.slots
-        cost_s = FULL_LOAD_COST_S * load * load
+        cost_s = stats.tie_breaker + FULL_LOAD_COST_S * load * load
         if stats.load is not None and stats.load.queued:
             cost_s += QUEUE_COST_S
         cost_s += stats.failure_share
--- a/walnutport/routing/outcomes.py
+++ b/walnutport/routing/outcomes.py
@@ -33,6 +33,10 @@
 # the upper bound of the random one that breaks ties.
 REMOTE_LOAD = 0.02
 MAX_RANDOM_LOAD = 0.2
+# After all hosts lost power, none knows any load. Without a difference between
+# them, the first requests of all hosts would go to the same engine. It is
+# smaller than the reading of a short part of a prompt.
+MAX_TIE_BREAKER_S = 0.0002
 # Changes of the reported load below this share of the slots are small.
 SMALL_LOAD_CHANGE = 0.125
 # All costs are computed again after this time, as reports age and ejections
@@ -68,6 +72,9 @@
     # is -inf after a change, and that per token to read; both in seconds.
     engine_cost: float = -math.inf
     token_cost: float = 0.0
+    # Part of that cost which differs between hosts, for engines that are
+    # otherwise equal.
+    tie_breaker: float = 0.0
 
     def expected_load(self, now: float) -> float:
         """Return the count of requests expected at the target."""
@@ -125,7 +132,10 @@
         """Return the statistics of the current lifetime of a target."""
         stats = self.stats_by_id.get(target.target_id)
         if stats is None or stats.incarnation_key != target.incarnation_key:
-            stats = TargetStats(target.incarnation_key)
+            stats = TargetStats(
+                target.incarnation_key,
+                tie_breaker=MAX_TIE_BREAKER_S * self._rng.random(),
+            )
             self.stats_by_id[target.target_id] = stats
         return stats
 
