Show how uneven requests and speeds of targets are

Cause: a figure of one target among thousands does not show which service or data centre is uneven. Change: metrics and status give the busiest target of each service, and share and reported slowness by data centre, and count the tokens that engines are expected to read.

--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -237,6 +237,7 @@
             self._follower,
             self._mesh,
             self._outcomes,
+            self._selector,
             self._reports,
             self._origins,
             self._stages,
--- a/walnutport/gateway/operations/host_status.py
+++ b/walnutport/gateway/operations/host_status.py
@@ -5,6 +5,7 @@
 from walnutport.config import entry_settings
 from walnutport.gateway.entry import request_handler
 from walnutport.gateway.operations import decision_log
+from walnutport.gateway.operations import skew
 from walnutport.gateway.peers import peer_relay
 from walnutport.gateway.peers import peers
 from walnutport.gateway.stages import stage_client
@@ -13,6 +14,7 @@
 from walnutport.gateway.targets import forwarding
 from walnutport.gateway.targets import path_check
 from walnutport.gateway.targets import target_reports
+from walnutport.gateway.targets import target_selector
 from walnutport.http1 import channel_pool
 from walnutport.membership import loop_lag
 from walnutport.platform import store as platform_store
@@ -34,6 +36,7 @@
         follower: feed_follower.FeedFollower,
         mesh: peers.PeerMesh,
         target_outcomes: outcomes.TargetOutcomes,
+        selector: target_selector.TargetSelector,
         reports: target_reports.TargetReports,
         origins: origin_exchange.OriginExchange,
         stages: stage_client.StageClient,
@@ -53,6 +56,7 @@
         self._follower = follower
         self._mesh = mesh
         self._outcomes = target_outcomes
+        self._selector = selector
         self._reports = reports
         self._origins = origins
         self._stages = stages
@@ -64,6 +68,7 @@
         """Return the status, ready to be encoded as JSON."""
         now = time.monotonic()
         desired = self._follower.desired
+        skew_by_service = self._skew_by_service(now)
         return {
             'host': self._settings.name,
             'incarnation': self._incarnation,
@@ -81,11 +86,21 @@
                     'version': target.software_version,
                     'data_centre': target.data_centre,
                     'draining': target.draining,
+                    'share': round(
+                        skew_by_service[target.service].share_by_target[
+                            target.target_id
+                        ],
+                        2,
+                    ),
                     **self._outcomes.describe(target, now),
                     **self._reports.describe(target, now),
                 }
                 for target in self._follower.registry.targets.values()
             },
+            'services': {
+                service: found.describe()
+                for service, found in skew_by_service.items()
+            },
             'peers': {
                 name: {
                     'data_centre': peer.record.data_centre,
@@ -119,6 +134,17 @@
             **self._reports.gauges(),
             **self._origins.gauges(),
         }
+        for service, found in self._skew_by_service(now).items():
+            values[f'target_share_max{{service="{service}"}}'] = found.busiest[
+                1
+            ]
+            for name, value_by_data_centre in (
+                ('target_share', found.share_by_data_centre),
+                ('target_slowness', found.slowness_by_data_centre),
+            ):
+                for data_centre, value in value_by_data_centre.items():
+                    labels = f'service="{service}",data_centre="{data_centre}"'
+                    values[f'{name}{{{labels}}}'] = value
         for service, retries in self._forwarder.available_retries(now).items():
             values[f'retry_budget_left{{service="{service}"}}'] = retries
         for owner in self._stages.local_owners():
@@ -135,6 +161,15 @@
                 )
         return values
 
+    def _skew_by_service(self, now: float) -> dict[str, skew.ServiceSkew]:
+        targets = self._follower.registry.targets.values()
+        return {
+            service: skew.describe_service(
+                found, self._outcomes, self._selector.shares, now
+            )
+            for service, found in skew.group_by_service(targets).items()
+        }
+
     def totals(self) -> dict[str, float]:
         """Return the counters by name."""
         owners = self._stages.local_owners()
@@ -145,6 +180,8 @@
             'responses_oversized_total': (
                 self._pool.oversized_count + self._store.oversized_count
             ),
+            'prompt_tokens_placed_total': self._selector.placed_tokens,
+            'prompt_tokens_read_total': self._selector.read_tokens,
             'stage_calls_total': sum(owner.total_calls for owner in owners),
             'stage_pieces_total': sum(owner.total_pieces for owner in owners),
             'stage_jobs_not_begun_total': sum(
--- a/walnutport/gateway/targets/target_selector.py
+++ b/walnutport/gateway/targets/target_selector.py
@@ -37,14 +37,18 @@
         self._limits = limits
         self._data_centre = data_centre
         self._caches = prompt_caches.PromptCaches()
-        self._shares = request_shares.RequestShares()
+        self.shares = request_shares.RequestShares()
+        # Tokens of prompts that were placed, and those of them that engines
+        # are expected to read.
+        self.placed_tokens = 0
+        self.read_tokens = 0
 
     def select_target(
         self, call: calls.CallerCall
     ) -> registrations.RegisteredTarget | None:
         """Return the target for a request without a stream."""
         now = time.monotonic()
-        return self._outcomes.choose(
+        target = self._outcomes.choose(
             self._limits.permitted(
                 self._follower.registry.usable(call.service),
                 now,
@@ -54,6 +58,9 @@
             call.excluded_targets(),
             self._data_centre,
         )
+        if target is not None:
+            self.shares.record(target.target_id, now)
+        return target
 
     def stated_delay_s(self, call: calls.CallerCall) -> float | None:
         """Return the time until a target accepts a request, as targets state.
@@ -110,7 +117,7 @@
             now,
             call.excluded_targets(),
             caches=self._caches,
-            shares=self._shares,
+            shares=self.shares,
         )
         if engine is not None:
             self._record_prompt(call.fields.prompt, engine, now)
@@ -144,7 +151,7 @@
             now,
             pending_tokens=prefills.tokens_by_engine,
             caches=self._caches,
-            shares=self._shares,
+            shares=self.shares,
         )
         if engine is None:
             return ''
@@ -162,7 +169,7 @@
         self._outcomes.forget(target_id)
         self._limits.forget(target_id, time.monotonic())
         self._caches.forget(target_id)
-        self._shares.forget(target_id)
+        self.shares.forget(target_id)
 
     def _in_flight(self, target: registrations.RegisteredTarget) -> int:
         """Return the requests that this host has in flight at a target."""
@@ -187,10 +194,14 @@
         engine: registrations.RegisteredTarget,
         now: float,
     ) -> None:
-        self._shares.record(engine.target_id, now)
+        self.shares.record(engine.target_id, now)
         self._outcomes.stats(engine).changed()
         if prompt is None:
             return
+        self.placed_tokens += prompt.input_tokens
+        self.read_tokens += engines.uncached_tokens(
+            prompt, engine, self._caches
+        )
         capacity_tokens = prompt_caches.DEFAULT_CACHE_TOKENS
         desired = self._follower.desired
         if desired is not None:
--- a/walnutport/routing/request_shares.py
+++ b/walnutport/routing/request_shares.py
@@ -83,6 +83,18 @@
             self._mean_by_service.get(service, 0.0) + prior
         )
 
+    def ratios(
+        self, target_ids: Collection[str], now: float
+    ) -> dict[str, float]:
+        """Return the recent requests of some targets, relative to the mean."""
+        prior = PRIOR_REQUESTS * self._weight(now)
+        counts = {
+            target_id: self._count_by_id.get(target_id, 0.0) + prior
+            for target_id in target_ids
+        }
+        mean = sum(counts.values()) / max(1, len(counts))
+        return {target_id: count / mean for target_id, count in counts.items()}
+
     def price_s(self, target_id: str, service: str, now: float) -> float:
         """Return the price of one more request at an engine, in seconds."""
         excess = self.ratio(target_id, service, now) - 1 - FREE_EXCESS
