Merge the speed of targets and the placement of prompts

Conflicts: jobs are given up by one function that asks the begin rules, and stage targets take statements and reported speeds by the same look-up.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -19,6 +19,8 @@
 from twisted.internet import task
 from twisted.web import server
 
+from standins import machine_speed
+
 __all__ = [
     'CUT_MODES',
     'PlatformSettings',
@@ -45,6 +47,8 @@
 # Work of a cold target takes this many times as long.
 _COLD_SLOWNESS = 2.0
 _POLL_S = 0.02
+# A frozen target answers nothing for this time.
+_FROZEN_S = 60.0
 _REQUEST_ID_HEADER = 'walnutport-request-attempt-id'
 _PROMPT_HEADER = 'walnutport-prompt-prefix'
 
@@ -125,6 +129,8 @@
         # Times at which requests arrived, by target.
         self.arrivals: dict[str, list[float]] = collections.defaultdict(list)
         self.mode_by_target: dict[str, str] = {}
+        self.speeds = machine_speed.MachineSpeeds()
+        self._target_by_id: dict[str, _Target] = {}
         # Rejections a second above which a target crashes, by service.
         self.rejection_limit_by_service: dict[str, int] = {}
         # Requests in a second above which a cold target crashes, and the time
@@ -136,7 +142,6 @@
             list
         )
         self.starts_by_target: dict[str, int] = {}
-        self._target_by_id: dict[str, _Target] = {}
         # Headers that targets add to all their responses, by target.
         self.headers_by_target: dict[str, dict[str, str]] = {}
         # Parts of prompts that crash each engine that begins to write an
@@ -164,8 +169,9 @@
         for plan in settings.targets:
             if plan.target_id not in settings.unregistered:
                 self.write_target_record(plan, 'ready')
-            self._target_by_id[plan.target_id] = _Target(self, plan)
-            self._target_by_id[plan.target_id].listen()
+            target = _Target(self, plan)
+            self._target_by_id[plan.target_id] = target
+            target.listen()
         for port in settings.views:
             reactor.listenTCP(
                 port,
@@ -384,6 +390,12 @@
         )
         self.cold_rules_by_service.update(changes.get('cold_rules', {}))
         self.mode_by_target.update(changes.get('modes', {}))
+        if 'speeds' in changes:
+            self.speeds.plan = msgspec.convert(
+                changes['speeds'], machine_speed.SpeedPlan
+            )
+        for target_id in changes.get('kill', ()):
+            self._target_by_id[target_id].crash()
         self.headers_by_target.update(changes.get('headers', {}))
         for target_id in changes.get('crash', ()):
             self._target_by_id[target_id].crash()
@@ -512,6 +524,7 @@
                 )
             )
         await self._sleep(self._platform.settings.call_ms)
+        self._set_load(request)
         outcomes = []
         for item in items:
             handle = (
@@ -551,11 +564,13 @@
         )
         request.setHeader(_REQUEST_ID_HEADER, request_id)
         request.setHeader('walnutport-response-seal', secrets.token_hex(4))
-        request.setHeader('walnutport-server-load', f'1,0,{self._plan.slots}')
+        self._set_load(request)
         self._running += 1
         try:
             if self._mode() in CUT_MODES:
                 return await self._cut_off(request)
+            if self._mode() == 'frozen':
+                await task.deferLater(reactor, _FROZEN_S)
             if self._plan.kind == 'engine':
                 return await self._stream(request)
             await self._sleep(self._platform.settings.work_ms)
@@ -702,9 +717,21 @@
         return self._platform.mode_by_target.get(self._plan.target_id, 'ok')
 
     async def _sleep(self, duration_ms: float) -> None:
+        slowness = self._platform.speeds.slowness(
+            self._plan.target_id, time.monotonic()
+        )
         if self._platform.cold_left_s(self._plan.target_id):
-            duration_ms *= _COLD_SLOWNESS
-        await task.deferLater(reactor, duration_ms / 1000)
+            slowness *= _COLD_SLOWNESS
+        await task.deferLater(reactor, slowness * duration_ms / 1000)
+
+    def _set_load(self, request) -> None:
+        """Add the load to the headers of a response."""
+        figure = self._platform.speeds.load_figure(
+            self._plan.target_id, time.monotonic()
+        )
+        request.setHeader(
+            'walnutport-server-load', f'1,0,{self._plan.slots}{figure}'
+        )
 
 
 def _unframed_head(request) -> bytes:
--- a/walnutport/gateway/operations/stage_report.py
+++ b/walnutport/gateway/operations/stage_report.py
@@ -46,6 +46,9 @@
             values['stage_batch_fill' + labels] = stage_load.batch_fill
             values['stage_late_seconds' + labels] = stage_load.late_s
             values['stage_reserved_seconds' + labels] = stage_load.reserved_s
+            values['stage_room_reserved_bytes' + labels] = (
+                owner.scheduler.begin_rules.reserved_bytes(service)
+            )
         values[f'stage_return_places{{{cell}}}'] = len(load.returns)
         for service, shares in load.shares_by_kind(now).items():
             for kind, (demand_s, share_s) in shares.items():
--- a/walnutport/gateway/targets/target_selector.py
+++ b/walnutport/gateway/targets/target_selector.py
@@ -12,6 +12,7 @@
 from walnutport.routing import engines
 from walnutport.routing import outcomes
 from walnutport.routing import prompt_caches
+from walnutport.routing import request_shares
 from walnutport.stages import pieces
 from walnutport.world import registrations
 from walnutport.world import requests
@@ -50,29 +51,36 @@
         self._limits = limits
         self._data_centre = data_centre
         self._caches = prompt_caches.PromptCaches()
+        # Number of cells, whose owners place requests independently.
+        self.cell_count = 1
+        self.shares = request_shares.RequestShares()
+        # Tokens of prompts that were placed, and those of them that engines
+        # are expected to read.
+        self.placed_tokens = 0
+        self.read_tokens = 0
 
     def select_target(
         self, call: calls.CallerCall
     ) -> registrations.RegisteredTarget | None:
         """Return the target for a request without a stream."""
         now = time.monotonic()
-        return self._chosen(
-            call,
-            self._outcomes.choose(
-                self._offered(
-                    call,
-                    self._limits.permitted(
-                        self._usable(call.service, None),
-                        now,
-                        self._in_flight,
-                    ),
+        target = self._outcomes.choose(
+            self._offered(
+                call,
+                self._limits.permitted(
+                    self._usable(call.service, None),
                     now,
+                    self._in_flight,
                 ),
                 now,
-                call.excluded_targets(),
-                self._data_centre,
             ),
+            now,
+            call.excluded_targets(),
+            self._data_centre,
         )
+        if target is not None:
+            self.shares.record(target.target_id, now)
+        return self._chosen(call, target)
 
     def stated_delay_s(self, call: calls.CallerCall) -> float | None:
         """Return the time until a target accepts a request, as targets state.
@@ -150,9 +158,11 @@
             now,
             call.excluded_targets(),
             caches=self._caches,
+            shares=self.shares,
+            preferred_fraction=engines.UNSEEN_PREFILL_FRACTION,
         )
         if engine is not None:
-            self._record_prompt(call.fields.prompt, engine)
+            self._record_prompt(call.fields.prompt, engine, now)
         return self._chosen(call, engine)
 
     def permit_delay_s(self, call: calls.CallerCall) -> float:
@@ -207,8 +217,14 @@
             spec.prompt,
             pieces.bytes_by_data_centre(result.results),
             now,
-            pending_tokens=prefills.pending_tokens,
+            pending_tokens=prefills.tokens_by_engine,
             caches=self._caches,
+            shares=self.shares,
+            preferred_fraction=(
+                engines.PREFERRED_PREFILL_FRACTION
+                if self.cell_count == 1
+                else engines.UNSEEN_PREFILL_FRACTION
+            ),
         )
         if engine is None:
             return ''
@@ -219,7 +235,7 @@
             engine.target_id,
             engines.uncached_tokens(spec.prompt, engine, self._caches),
         )
-        self._record_prompt(spec.prompt, engine)
+        self._record_prompt(spec.prompt, engine, now)
         return engine.target_id
 
     def forget(self, target_id: str) -> None:
@@ -227,6 +243,7 @@
         self._outcomes.forget(target_id)
         self._limits.forget(target_id, time.monotonic())
         self._caches.forget(target_id)
+        self.shares.forget(target_id)
 
     def _in_flight(self, target: registrations.RegisteredTarget) -> int:
         """Return the requests that this host has in flight at a target."""
@@ -336,9 +353,16 @@
         self,
         prompt: requests.PromptShape | None,
         engine: registrations.RegisteredTarget,
+        now: float,
     ) -> None:
+        self.shares.record(engine.target_id, now)
+        self._outcomes.stats(engine).changed()
         if prompt is None:
             return
+        self.placed_tokens += prompt.input_tokens
+        self.read_tokens += engines.uncached_tokens(
+            prompt, engine, self._caches
+        )
         capacity_tokens = prompt_caches.DEFAULT_CACHE_TOKENS
         desired = self._follower.desired
         if desired is not None:
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -12,6 +12,7 @@
 
 from walnutport.routing import eligibility
 from walnutport.stages import batching
+from walnutport.stages import begin_rules
 from walnutport.stages import cell_load
 from walnutport.stages import cell_targets
 from walnutport.stages import held_results
@@ -52,6 +53,8 @@
         self, target_eligibility: eligibility.Eligibility | None = None
     ) -> None:
         self._targets = cell_targets.CellTargets(target_eligibility)
+        self.record_load = self._targets.record_load
+        self.begin_rules = begin_rules.BeginRules(self._targets)
         self._results = held_results.HeldResults(self._targets)
         self.cell_load = cell_load.CellLoad(self._targets)
         self.gate = job_gate.JobGate(self.cell_load)
@@ -174,7 +177,7 @@
         evacuated = self._targets.evacuated_services()
         for job in list(self._job_by_id.values()):
             reason = job_expiry.expiry_reason(
-                job, self._targets.rules_by_service, evacuated, now
+                job, evacuated, self.begin_rules.can_finish, now
             )
             if reason == job_expiry.AIM_MISSED and self.gate.miss_aim(
                 job, now
@@ -188,6 +191,7 @@
         """Return the calls to start now."""
         calls: list[pieces.BatchCall] = []
         rules = self._targets.rules_by_service
+        self.begin_rules.blocked_services.clear()
         for service, free in self._targets.free_by_service(now).items():
             ready = self._ready_by_service.get(service)
             if not ready:
@@ -201,7 +205,7 @@
             )
             builder = batching.CallBuilder(
                 self._targets,
-                entries,
+                self.begin_rules.select(entries, now),
                 lambda job: timing.latest_start_of_full_calls(job, rules),
                 now,
             )
@@ -213,6 +217,9 @@
                 call_pieces = builder.take_pieces(chosen)
                 if call_pieces:
                     calls.append(self._start_call(chosen, call_pieces, now))
+        for job in self.begin_rules.take_late():
+            if not job.finished:
+                self._fail_job(job, 'deadline', now)
         return calls
 
     def call_done(
@@ -265,6 +272,7 @@
             else:
                 ready.pop(key, None)
         self.cell_load.update_job(job)
+        self.begin_rules.update_job(job)
 
     def _start_call(
         self,
@@ -276,8 +284,9 @@
         expected_s = (
             rules.call_s + len(call_pieces) * rules.piece_s + CALL_OVERHEAD_S
         )
+        slowness = target.slowness_at(now)
         call = stage_targets.RunningCall(
-            target, call_pieces, now, expected_s * target.slowness
+            target, call_pieces, now, expected_s * slowness, slowness
         )
         call_id = next(self._call_ids)
         self._call_by_id[call_id] = call
@@ -374,6 +383,7 @@
 
     def _fail_job(self, job: jobs.Job, reason: str, now: float) -> None:
         failure = self.gate.give_up(job, reason, now)
+        self.begin_rules.record_failed(job)
         self.release(job.spec.job_id)
         self._outcomes.append(failure)
 
--- a/walnutport/world/requests.py
+++ b/walnutport/world/requests.py
@@ -52,11 +52,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseLoad:
-    """Load of a target, from the headers of its response."""
+    """Load of a target, from the headers of its response.
+
+    :param slowness: how long work currently takes on the machine of the
+        target, divided by the usual time; None if it does not say.
+    """
 
     running: int
     queued: int
     slots: int
+    slowness: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +85,9 @@
     :param cold_s: how long the target stays cold; None if it does not say.
     :param cold_problem: description of an invalid cold time, which counts as
         none; empty if it is valid.
+    :param slowness_problem: description of an invalid slowness; empty if it is
+        valid. Unlike the other problems it casts no doubt on what the target
+        states in the same response.
     """
 
     request_id: str
@@ -93,3 +101,4 @@
     problems: tuple[str, ...] = ()
     cold_s: float | None = None
     cold_problem: str = ''
+    slowness_problem: str = ''
