Promise a tenth of the capacity to late returns, not two fifths

Change: RETURN_RATIO 0.1 and 0.05 for the team of a burst; jobs are ordered by the latest start of almost empty calls again, with the step of urgency.

--- a/walnutport/stages/returns.py
+++ b/walnutport/stages/returns.py
@@ -13,11 +13,12 @@
 __all__ = ['Place', 'ReturnPlaces']
 
 # Fraction of the capacity until its deadline that may be promised to refused
-# requests. The rest serves new requests, which can still meet their aim.
-RETURN_RATIO = 0.4
+# requests. The rest serves new requests, which can still meet their aim. With
+# two fifths, late answers displaced timely ones in long overload.
+RETURN_RATIO = 0.1
 # The same fraction for callers of a team that causes the burst, so that it
 # does not displace the new requests of the others.
-BURSTING_RETURN_RATIO = 0.1
+BURSTING_RETURN_RATIO = 0.05
 # Callers honour a Retry-After of at most a third of the time that they have
 # left; the rest covers the way to the caller.
 MAX_DELAY_RATIO = 0.32
--- a/walnutport/stages/timing.py
+++ b/walnutport/stages/timing.py
@@ -89,9 +89,6 @@
     """
     latest_start_at = latest_start(job, rules_by_service)
     if not job.late and now <= latest_start_at + LATE_MARGIN_S:
-        return False, (
-            latest_start_of_full_calls(job, rules_by_service)
-            + job.spec.urgency * URGENCY_STEP_S
-        )
+        return False, (latest_start_at + job.spec.urgency * URGENCY_STEP_S)
     due_at = job.deadline_at - (job.aim_at - latest_start_at)
     return now < due_at - DEADLINE_MARGIN_S, due_at
