--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -211,6 +211,7 @@
         )
         self._reports.on_change = self._stages.target_changed
         self._cold.on_change = self._stages.target_changed
+        self._reports.on_load = self._outcomes.update_load
         self._forwarder = forwarding.Forwarder(
             self.log,
             attempts.AttemptSender(
@@ -273,6 +274,7 @@
             self._follower,
             self._mesh,
             self._outcomes,
+            self._selector,
             self._reports,
             self._origins,
             self._stages,
@@ -493,6 +495,7 @@
             rules,
             [target for target in targets.values() if target.service in rules],
         )
+        self._selector.cell_count = self._stages.cell_count
         if self._stages.cell_count != cell_count:
             self._mesh.links_changed()
 
--- a/walnutport/gateway/operations/host_status.py
+++ b/walnutport/gateway/operations/host_status.py
@@ -5,6 +5,7 @@
 from walnutport.config import entry_settings
 from walnutport.gateway.entry import request_handler
 from walnutport.gateway.operations import decision_log
+from walnutport.gateway.operations import skew
 from walnutport.gateway.operations import stage_report
 from walnutport.gateway.peers import peer_relay
 from walnutport.gateway.peers import peers
@@ -16,6 +17,7 @@
 from walnutport.gateway.targets import path_check
 from walnutport.gateway.targets import permit_exchange
 from walnutport.gateway.targets import target_reports
+from walnutport.gateway.targets import target_selector
 from walnutport.http1 import channel_pool
 from walnutport.membership import loop_lag
 from walnutport.platform import store as platform_store
@@ -37,6 +39,7 @@
         follower: feed_follower.FeedFollower,
         mesh: peers.PeerMesh,
         target_outcomes: outcomes.TargetOutcomes,
+        selector: target_selector.TargetSelector,
         reports: target_reports.TargetReports,
         origins: origin_exchange.OriginExchange,
         stages: stage_client.StageClient,
@@ -60,6 +63,7 @@
         self._follower = follower
         self._mesh = mesh
         self._outcomes = target_outcomes
+        self._selector = selector
         self._reports = reports
         self._origins = origins
         self._stages = stages
@@ -71,6 +75,7 @@
         """Return the status, ready to be encoded as JSON."""
         now = time.monotonic()
         desired = self._follower.desired
+        skew_by_service = self._skew_by_service(now)
         return {
             'host': self._settings.name,
             'incarnation': self._incarnation,
@@ -89,12 +94,22 @@
                     'version': target.software_version,
                     'data_centre': target.data_centre,
                     'draining': target.draining,
+                    'share': round(
+                        skew_by_service[target.service].share_by_target[
+                            target.target_id
+                        ],
+                        2,
+                    ),
                     **self._outcomes.describe(target, now),
                     **self._reports.describe(target, now),
                     **self._permits.describe(target),
                 }
                 for target in self._follower.registry.targets.values()
             },
+            'services': {
+                service: found.describe()
+                for service, found in skew_by_service.items()
+            },
             'peers': {
                 name: {
                     'data_centre': peer.record.data_centre,
@@ -133,11 +148,31 @@
             **self._cold.gauges(),
             **self._origins.gauges(),
         }
+        for service, found in self._skew_by_service(now).items():
+            values[f'target_share_max{{service="{service}"}}'] = found.busiest[
+                1
+            ]
+            for name, value_by_data_centre in (
+                ('target_share', found.share_by_data_centre),
+                ('target_slowness', found.slowness_by_data_centre),
+            ):
+                for data_centre, value in value_by_data_centre.items():
+                    labels = f'service="{service}",data_centre="{data_centre}"'
+                    values[f'{name}{{{labels}}}'] = value
         for service, retries in self._forwarder.available_retries(now).items():
             values[f'retry_budget_left{{service="{service}"}}'] = retries
         values |= stage_report.gauges(self._stages.local_owners(), now)
         return values
 
+    def _skew_by_service(self, now: float) -> dict[str, skew.ServiceSkew]:
+        targets = self._follower.registry.targets.values()
+        return {
+            service: skew.describe_service(
+                found, self._outcomes, self._selector.shares, now
+            )
+            for service, found in skew.group_by_service(targets).items()
+        }
+
     def totals(self) -> dict[str, float]:
         """Return the counters by name."""
         owners = self._stages.local_owners()
@@ -149,8 +184,16 @@
                 self._pool.oversized_count + self._store.oversized_count
             ),
             **stage_report.totals(owners),
+            'prompt_tokens_placed_total': self._selector.placed_tokens,
+            'prompt_tokens_read_total': self._selector.read_tokens,
             'stage_calls_total': sum(owner.total_calls for owner in owners),
             'stage_pieces_total': sum(owner.total_pieces for owner in owners),
+            'stage_jobs_not_begun_total': sum(
+                owner.scheduler.begin_rules.not_begun_count for owner in owners
+            ),
+            'stage_seconds_discarded_total': sum(
+                owner.scheduler.begin_rules.discarded_s for owner in owners
+            ),
             **self._mesh.totals(),
             **self._reports.totals(),
             **self._permits.totals(),
--- a/walnutport/stages/cell_targets.py
+++ b/walnutport/stages/cell_targets.py
@@ -7,10 +7,14 @@
 from walnutport.stages import pieces
 from walnutport.stages import stage_targets
 from walnutport.world import registrations
+from walnutport.world import requests
 from walnutport.world import routes
 
 __all__ = ['CellTargets', 'ServiceCapacity']
 
+# Slowness of a service without targets, for which no job is given up.
+MAX_ASSUMED_SLOWNESS = 1.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceCapacity:
@@ -86,16 +90,33 @@
         leaving: bool,
     ) -> None:
         """Record what a target states; see ``StageScheduler``."""
-        known = self.by_id.get(info.target_id)
-        if (
-            known is not None
-            and known.info.incarnation_key == info.incarnation_key
-        ):
+        known = self._known(info)
+        if known is not None:
             known.min_interval_s = min_interval_s
             known.held_until = held_until
             known.leaving = leaving
             self._check_eligibility(known)
 
+    def record_load(
+        self,
+        info: registrations.RegisteredTarget,
+        load: requests.ResponseLoad,
+        now: float,
+    ) -> None:
+        """Record how long work takes at a target by its own report."""
+        known = self._known(info)
+        if known is not None:
+            known.speed.report(load.slowness, now)
+
+    def _known(
+        self, info: registrations.RegisteredTarget
+    ) -> stage_targets.StageTarget | None:
+        """Return the present lifetime of a target, None if it is another."""
+        known = self.by_id.get(info.target_id)
+        if known is None or known.info.incarnation_key != info.incarnation_key:
+            return None
+        return known
+
     def remove_unused(self, holding_ids: set[str]) -> None:
         """Remove unlisted targets without running calls or held results.
 
@@ -116,7 +137,7 @@
                     target
                 )
         for free in targets_by_service.values():
-            free.sort(key=lambda target: target.slowness)
+            free.sort(key=lambda target: target.slowness_at(now))
         return targets_by_service
 
     def capacity(self, service: str, now: float) -> ServiceCapacity | None:
@@ -135,7 +156,9 @@
         if not usable:
             return None
         # Faster targets run more calls, so the mean is taken over the speeds.
-        total_speed = sum(1 / target.effective_slowness for target in usable)
+        total_speed = sum(
+            1 / target.effective_slowness(now) for target in usable
+        )
         return ServiceCapacity(
             rules, len(usable) * rules.slots, len(usable) / total_speed
         )
@@ -160,6 +183,19 @@
             for stage, count in zip(spec.stages, spec.piece_counts)
         )
 
+    def min_slowness(self, service: str, now: float) -> tuple[float, bool]:
+        """Return the slowness of the fastest target of a service, 1 or more.
+
+        :returns: the slowness, and whether no target is free.
+        """
+        lowest = MAX_ASSUMED_SLOWNESS
+        is_busy = True
+        for target in self.by_id.values():
+            if target.info.service == service and target.accepts_work:
+                lowest = min(lowest, target.slowness_at(now))
+                is_busy = is_busy and not target.is_free(now)
+        return max(1.0, lowest), is_busy
+
     def running_s(self, service: str, now: float) -> float:
         """Return the remaining time of all running calls of a service."""
         return sum(
