Ask the eligibility of a cold target after the wait for a permit

Cause: the wait for a permit checked by itself whether the target drains, and did not notice an evacuation or a target that states that it is leaving.

Change: it asks the function that decides for all senders.

--- a/tests/gateway/targets/test_permit_exchange.py
+++ b/tests/gateway/targets/test_permit_exchange.py
@@ -69,6 +69,7 @@
             sharing,
             lambda: 1,
             lambda target_id: self.targets.get(target_id),
+            lambda target: not target.draining,
         )
         self.run(2.0)
 
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -179,6 +179,7 @@
             self._work_sharing,
             lambda: self._stages.cell_count,
             lambda target_id: self._follower.registry.targets.get(target_id),
+            self._eligibility.accepts,
         )
         self._reports = target_reports.TargetReports(
             self.log,
--- a/walnutport/gateway/targets/permit_exchange.py
+++ b/walnutport/gateway/targets/permit_exchange.py
@@ -43,6 +43,7 @@
     :param sharing: which hosts accept work of others.
     :param cell_count: returns the number of cells.
     :param find_target: returns the registered target with an id, or None.
+    :param accepts_work: returns whether a target may get new work.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         sharing: work_sharing.WorkSharing,
         cell_count: Callable[[], int],
         find_target: Callable[[str], registrations.RegisteredTarget | None],
+        accepts_work: Callable[[registrations.RegisteredTarget], bool],
     ) -> None:
         self._reactor = reactor
         self._mesh = mesh
@@ -60,6 +62,7 @@
         self._sharing = sharing
         self._cell_count = cell_count
         self._find_target = find_target
+        self._accepts_work = accepts_work
         self._own_name = mesh.own_record.name
         self._ranking = permit_issuers.IssuerRanking(self._own_name)
         self._issuer = send_permits.PermitIssuer()
@@ -121,7 +124,7 @@
             current = self._find_target(target.target_id)
             if (
                 current is None
-                or current.draining
+                or not self._accepts_work(current)
                 or current.incarnation_key != target.incarnation_key
             ):
                 return send_permits.WaiterEnd(waiter)
