--- a/walnutport/stages/backlog.py
+++ b/walnutport/stages/backlog.py
@@ -26,21 +26,15 @@
         """Replace the counted work of a job by its unstarted work."""
         spec = job.spec
         remaining_s = cost_by_service(job, rules_by_service)
-        rank = LATE_RANK if job.late else spec.urgency
-        # A job that gives up its place changes its rank.
-        self._add(job.backlog_s_by_service, job.backlog_rank, -1)
-        self._add(remaining_s, rank, 1)
-        job.backlog_rank = rank
-        job.backlog_s_by_service = remaining_s
-
-    def _add(
-        self, cost_by_service: dict[str, float], rank: int, sign: int
-    ) -> None:
-        for service, cost_s in cost_by_service.items():
+        for service in remaining_s.keys() | job.backlog_s_by_service.keys():
             by_rank = self._seconds.setdefault(service, {})
-            total = by_rank.get(rank, 0.0) + sign * cost_s
-            # Rounding must not leave work of jobs that have ended.
+            rank = LATE_RANK if job.late else spec.urgency
+            change = remaining_s.get(
+                service, 0.0
+            ) - job.backlog_s_by_service.get(service, 0.0)
+            total = by_rank.get(rank, 0.0) + change
             by_rank[rank] = max(0.0, total)
+        job.backlog_s_by_service = remaining_s
 
     def queued_s(self, service: str, urgency: int | None = None) -> float:
         """Return the seconds of queued work of a service.
--- a/walnutport/stages/job_expiry.py
+++ b/walnutport/stages/job_expiry.py
@@ -10,7 +10,10 @@
 
 from walnutport.stages import jobs
 
-__all__ = ['expiry_reason', 'has_missed_aim']
+__all__ = ['AIM_MISSED', 'expiry_reason']
+
+#: Reason of a job that has not started and can no longer meet its aim.
+AIM_MISSED = 'aim_missed'
 
 
 def expiry_reason(
@@ -29,17 +32,6 @@
         return ''
     if evacuated_services & job.backlog_s_by_service.keys():
         return 'evacuated'
+    if job.latest_start_at < now and not job.started and not job.late:
+        return AIM_MISSED
     return '' if can_finish(job, now) else 'deadline'
-
-
-def has_missed_aim(job: jobs.Job, now: float) -> bool:
-    """Return whether a job that has not started gives up its place.
-
-    It can no longer meet its aim, and goes behind the jobs that can.
-    """
-    return (
-        not job.finished
-        and not job.started
-        and not job.late
-        and job.latest_start_at < now
-    )
--- a/walnutport/stages/job_gate.py
+++ b/walnutport/stages/job_gate.py
@@ -70,6 +70,14 @@
         """Count a job whose stages are complete."""
         self._count(job, JobEvent.SERVED)
 
+    def miss_aim(self, job: jobs.Job, now: float) -> bool:
+        """Release the place of an unstarted job that cannot meet its aim.
+
+        :returns: whether it can be served within its deadline instead.
+        """
+        job.late = self._load.may_be_late(job, now)
+        return job.late
+
     def give_up(
         self, job: jobs.Job, reason: str, now: float
     ) -> pieces.JobFailure:
--- a/walnutport/stages/jobs.py
+++ b/walnutport/stages/jobs.py
@@ -45,8 +45,6 @@
         self.latest_start_at = math.inf
         # Unstarted work in seconds by service, as counted in the backlog.
         self.backlog_s_by_service: dict[str, float] = {}
-        # Rank under which it is counted there.
-        self.backlog_rank = spec.urgency
         self.stages = [
             number
             for number, count in enumerate(spec.piece_counts)
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -179,11 +179,13 @@
             reason = job_expiry.expiry_reason(
                 job, evacuated, self.begin_rules.can_finish, now
             )
+            if reason == job_expiry.AIM_MISSED and self.gate.miss_aim(
+                job, now
+            ):
+                self._update_job(job)
+                continue
             if reason:
                 self._fail_job(job, reason, now)
-            elif job_expiry.has_missed_aim(job, now):
-                job.late = True
-                self._update_job(job)
 
     def next_calls(self, now: float) -> list[pieces.BatchCall]:
         """Return the calls to start now."""
