Add tests of requests that a stopping host takes and cuts off

Cause: a host that got SIGTERM takes requests, passes them on and cuts them off when its drain ends. The stand-in fleet takes further lines of the settings of hosts. Seen, each hypothesis is true: (1) a request 0.1 s before the known end of the host is passed on; with a real host, a stream of 2.4 s that came 1.8 s before the end was cut off (IncompleteRead). (2) The connection of a stream that began before the signal stays open; the host closed it 0.8 s after the stream, as it was idle.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -189,6 +189,7 @@
     :param builds: folder with the source of the build of each host, None for
         the present one; hosts beyond the list are of the present build.
     :param more_plans: plans of further targets.
+    :param host_settings: further lines of the settings of each host.
     :param platform_settings: further settings of the stand-in.
     """
 
@@ -202,11 +203,13 @@
         data_centres: tuple[str, ...] = ('a',),
         builds: tuple[pathlib.Path | None, ...] = (),
         more_plans: tuple[platform_config.TargetPlan, ...] = (),
+        host_settings: tuple[str, ...] = (),
         **platform_settings,
     ) -> None:
         super().__init__()
         self.cut_hosts = cut_hosts
         self.builds = builds
+        self.host_settings = host_settings
         self.folder = folder
         self.store_port = processes.free_port(LOOPBACK_IP)
         self.data_centres = data_centres
@@ -295,6 +298,7 @@
             f'platform.address={LOOPBACK_IP}:{store_port}\n'
             'heartbeatMs=1200\nnewField=1\n'
             f'bootstrap={"true" if is_first_start else "false"}\n'
+            + ''.join(f'{line}\n' for line in self.host_settings)
         )
         process = processes.ManagedProcess(
             self._entry_arguments(number),
--- a/tests/gateway/fake_host.py
+++ b/tests/gateway/fake_host.py
@@ -16,6 +16,7 @@
 from walnutport.gateway.targets import attempts
 from walnutport.gateway.targets import forwarding
 from walnutport.http1 import messages
+from walnutport.lifecycle import host_end
 from walnutport.quarantine import prompt_parts
 from walnutport.quarantine import suspects
 from walnutport.relay import resumable
@@ -32,8 +33,8 @@
 class FakeChannel:
     """Channel whose target answers at once.
 
-    :param status: status of the response; with 200 a stream of one event, and
-        otherwise the request did not run.
+    :param status: status of the response; with 200 a stream of one event, with
+        0 a reset, and otherwise the request did not run.
     :param on_response: called before the response.
     """
 
@@ -45,6 +46,9 @@
 
     def send(self, data, receiver, on_free) -> None:
         self._on_response()
+        if not self._status:
+            receiver.failed(exceptions.ChannelError('reset', written=True))
+            return
         ran = self._status == 200
         name = (
             b'walnutport-response-seal'
@@ -144,11 +148,15 @@
 
     :ivar statuses: status of each response of the targets, in order.
     :ivar on_response: called before each response.
+    :ivar on_channel: called when an attempt gets a channel.
+    :ivar host_end: end of the host, which a test sets as a stop signal does.
     """
 
     def __init__(self, *engines: registrations.RegisteredTarget) -> None:
         self.statuses: list[int] = []
         self.on_response = lambda: None
+        self.on_channel = lambda: None
+        self.host_end = host_end.HostEnd()
         self.log = call_builders.FakeLog()
         self.stages = FakeStages()
         self.origins = FakeOrigins()
@@ -200,16 +208,20 @@
         )
         return done.result
 
+    def _take_channel(self) -> FakeChannel:
+        self.on_channel()
+        return FakeChannel(self.statuses.pop(0), lambda: self.on_response())
+
     def _create_forwarder(self) -> forwarding.Forwarder:
         sender = attempts.AttemptSender(
             task.Clock(),
             types.SimpleNamespace(
-                take_idle=lambda *_: FakeChannel(
-                    self.statuses.pop(0), lambda: self.on_response()
-                )
+                take_idle=lambda *_: self._take_channel(),
+                release=lambda channel: None,
             ),
             types.SimpleNamespace(
                 is_held=lambda target: False,
+                is_leaving=lambda target: False,
                 response_received=lambda *_: None,
             ),
             lambda call: True,
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -209,3 +209,49 @@
     caller.requests[0].respond(200, [], b'ok')
     assert b'connection: close' in caller.transport.value()
     assert caller.transport.disconnecting
+
+
+def test_stream_that_began_before_the_stop_closes_its_channel():
+    """Guards against callers who go on using a channel of a stopping host.
+
+    The head of the response was written when the channel was to be kept.
+    """
+    caller = Caller()
+    caller.send(b'GET /1 HTTP/1.1\r\nHost: h\r\n\r\n')
+    (request,) = caller.requests
+    request.start(200, [])
+    assert b'connection: close' not in caller.transport.value().lower()
+    caller.site.closing = True
+    request.write(b'event')
+    assert not caller.transport.disconnecting
+    request.finish()
+    assert caller.transport.disconnecting
+
+
+def test_request_behind_such_a_stream_is_answered_before_the_close():
+    """Guards against a request that is cut off as the stream before it ends."""
+    caller = Caller()
+    caller.send(b'GET /1 HTTP/1.1\r\nHost: h\r\n\r\n')
+    caller.requests[0].start(200, [])
+    caller.site.closing = True
+    caller.send(b'GET /2 HTTP/1.1\r\nHost: h\r\n\r\n')
+    caller.requests[0].finish()
+    assert not caller.transport.disconnecting
+    caller.transport.clear()
+    caller.requests[1].respond(200, [], b'two')
+    assert b'connection: close' in caller.transport.value().lower()
+    assert caller.transport.disconnecting
+
+
+def test_request_partly_read_behind_such_a_stream_is_answered():
+    """Guards against a close while a request of the caller is on its way."""
+    caller = Caller()
+    caller.send(b'GET /1 HTTP/1.1\r\nHost: h\r\n\r\n')
+    caller.requests[0].start(200, [])
+    caller.site.closing = True
+    caller.send(b'GET /2 HTTP/1.1\r\nHo')
+    caller.requests[0].finish()
+    assert not caller.transport.disconnecting
+    caller.send(b'st: h\r\n\r\n')
+    caller.requests[1].respond(200, [], b'two')
+    assert caller.transport.disconnecting
