Close the connection of a response that ends after the stop signal

Callers of a host that stops went on using their connections for seconds. Cause: Connection: close is decided when the head of a response is written, so that a stream that began before the signal left its connection open; an idle connection was closed 2.6 s after the signal at the earliest. Change: while the site closes, the channel closes with the response, unless a further request has arrived behind it, which is answered with Connection: close. A caller that sends its next request after it has read the response finds the connection closed, and its request was not read.

--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -229,7 +229,7 @@
 
 
 def test_request_behind_such_a_stream_is_answered_before_the_close():
-    """Guards against a request that is cut off as the stream before it ends."""
+    """Guards against a request that is cut off as a stream before it ends."""
     caller = Caller()
     caller.send(b'GET /1 HTTP/1.1\r\nHost: h\r\n\r\n')
     caller.requests[0].start(200, [])
--- a/walnutport/http1/server.py
+++ b/walnutport/http1/server.py
@@ -220,10 +220,15 @@
         self.transport.write(data)
 
     def response_finished(self, keep_alive: bool) -> None:
-        """Handle the end of the response to the active request."""
+        """Handle the end of the response to the active request.
+
+        While the site closes, the channel closes with the response even if
+        its head did not say so, unless a further request has arrived.
+        """
         self.active = None
         self._last_activity_at = time.monotonic()
-        if not keep_alive or self._closing:
+        is_last = self.site.closing and not self.has_more()
+        if not keep_alive or self._closing or is_last:
             self._close()
             return
         if self._pipelined:
