Refuse a request at its arrival if it cannot end before the host

Callers of a stopping host lost requests that came long after SIGTERM. Cause: RequestHandler compared a request with its own deadline only, although the end of the host is known from the signal on. Change: StopDecisions compares HostEnd with the forecast of RemainingTime: the longest chain of stages at idle targets or their measured duration, the time to the first event, and the rest of the stream per output token; the measured duration for other requests; at most the request's own deadline. What can end in time is served. Each decision has a log line and a counter.

--- a/tests/gateway/fake_host.py
+++ b/tests/gateway/fake_host.py
@@ -10,8 +10,10 @@
 from tests.gateway import call_builders
 from walnutport import exceptions
 from walnutport.gateway.entry import calls
+from walnutport.gateway.entry import remaining_time
 from walnutport.gateway.entry import request_handler
 from walnutport.gateway.entry import responses
+from walnutport.gateway.entry import stop_decisions
 from walnutport.gateway.operations import metrics
 from walnutport.gateway.targets import attempts
 from walnutport.gateway.targets import forwarding
@@ -150,6 +152,8 @@
     :ivar on_response: called before each response.
     :ivar on_channel: called when an attempt gets a channel.
     :ivar host_end: end of the host, which a test sets as a stop signal does.
+    :ivar remaining: forecast of the end of requests.
+    :ivar has_other_host: whether another host takes callers.
     """
 
     def __init__(self, *engines: registrations.RegisteredTarget) -> None:
@@ -163,8 +167,21 @@
         self.claims = FakeClaims()
         self.targets = {item.target_id: item for item in engines or ENGINES}
         self.selector = call_builders.selector(self.targets)
-        self.forwarder = self._create_forwarder()
         entry_metrics = metrics.EntryMetrics()
+        responder = responses.Responder(
+            self.log, entry_metrics, random.Random(1)
+        )
+        self.remaining = remaining_time.RemainingTime(lambda: {})
+        self.has_other_host = True
+        self.stop = stop_decisions.StopDecisions(
+            self.log,
+            self.host_end,
+            self.remaining,
+            responder,
+            entry_metrics,
+            lambda: self.has_other_host,
+        )
+        self.forwarder = self._create_forwarder()
         self._matcher = types.SimpleNamespace(match=lambda call: call)
         self.handler = request_handler.RequestHandler(
             task.Clock(),
@@ -172,7 +189,7 @@
             self._matcher,
             self.selector,
             self.forwarder,
-            responses.Responder(self.log, entry_metrics, random.Random(1)),
+            responder,
             self.stages,
             self.origins,
             self.claims,
@@ -181,6 +198,8 @@
                 verify=lambda call, since: defer.succeed(False),
             ),
             entry_metrics,
+            self.remaining,
+            self.stop,
         )
 
     def serve(self, call: calls.CallerCall, *statuses: int) -> None:
--- a/walnutport/gateway/entry/calls.py
+++ b/walnutport/gateway/entry/calls.py
@@ -42,6 +42,8 @@
     :param status: status of the response; 0 before it is sent.
     :param stages_s: time that the stages of the request took; 0 without
         stages.
+    :param stages_begun_at: when the stages began that are running, 0 while
+        none are.
     :param engine_id: id of the engine that the owner of the cell recommends.
     :param first_event_at: when the first event was forwarded, 0 before.
     :param probed_parts: quarantined parts of the prompt that the request
@@ -83,6 +85,7 @@
     outcome: str = ''
     status: int = 0
     stages_s: float = 0.0
+    stages_begun_at: float = 0.0
     engine_id: str = ''
     first_event_at: float = 0.0
     origin: stream_origins.StreamOrigin | None = None
--- a/walnutport/gateway/entry/request_handler.py
+++ b/walnutport/gateway/entry/request_handler.py
@@ -7,8 +7,10 @@
 
 from walnutport import exceptions
 from walnutport.gateway.entry import calls
+from walnutport.gateway.entry import remaining_time
 from walnutport.gateway.entry import responses
 from walnutport.gateway.entry import route_matcher
+from walnutport.gateway.entry import stop_decisions
 from walnutport.gateway.entry import stream_server
 from walnutport.gateway.entry import unserved_calls
 from walnutport.gateway.operations import metrics
@@ -31,6 +33,8 @@
 class RequestHandler:
     """Serves the requests of callers.
 
+    :param remaining: forecast of the end of requests.
+    :param stop: decides which requests a host that stops can still serve.
     :ivar in_flight: calls whose response is not complete.
     """
 
@@ -47,6 +51,8 @@
         claims: stream_claims.StreamClaims,
         relay: peer_relay.PeerRelay,
         entry_metrics: metrics.EntryMetrics,
+        remaining: remaining_time.RemainingTime,
+        stop: stop_decisions.StopDecisions,
     ) -> None:
         self._reactor = reactor
         self._log = log
@@ -57,6 +63,8 @@
         self._origins = origins
         self._claims = claims
         self._metrics = entry_metrics
+        self._remaining = remaining
+        self._stop = stop
         self._unserved = unserved_calls.UnservedCalls(
             selector, forwarder, responder, relay
         )
@@ -68,6 +76,7 @@
             origins,
             claims,
             entry_metrics,
+            remaining,
         )
         self.in_flight: set[calls.CallerCall] = set()
 
@@ -119,6 +128,8 @@
         if not self._forwarder.admit(call):
             self._unserved.refuse_quarantined(call)
             return
+        if self._stop.turn_away(call, stop_decisions.Place.ARRIVAL):
+            return
         if self._unserved.goes_by_peer(call):
             await self._unserved.serve_by_peer(call)
             return
@@ -165,13 +176,16 @@
             target = self._selector.select_target(call)
             if target is None:
                 break
+            begun_at = time.monotonic()
             attempt = await self._forwarder.attempt(call, target)
             if attempt.status is attempts.AttemptStatus.NO_PERMIT:
                 continue
             result = attempt
-            if result.is_final or not self._forwarder.try_acquire_retry(
-                call, result
-            ):
+            if result.is_final:
+                if result.head.status < 300:
+                    self._remaining.answered(call, time.monotonic() - begun_at)
+                break
+            if not self._forwarder.try_acquire_retry(call, result):
                 break
         await self._unserved.give_up(call, result)
 
--- a/walnutport/gateway/entry/responses.py
+++ b/walnutport/gateway/entry/responses.py
@@ -7,7 +7,7 @@
 from walnutport.gateway.targets import attempts
 from walnutport.routing import engines
 
-__all__ = ['NO_TARGET_RETRY_AFTER_S', 'Responder']
+__all__ = ['NO_TARGET_RETRY_AFTER_S', 'RETRY_AFTER_JITTER', 'Responder']
 
 # Delays after which refused callers may retry.
 DEFAULT_RETRY_AFTER_S = 0.15
--- a/walnutport/gateway/entry/stream_server.py
+++ b/walnutport/gateway/entry/stream_server.py
@@ -7,6 +7,7 @@
 from walnutport import exceptions
 from walnutport.gateway.entry import calls
 from walnutport.gateway.entry import job_specs
+from walnutport.gateway.entry import remaining_time
 from walnutport.gateway.entry import responses
 from walnutport.gateway.entry import unserved_calls
 from walnutport.gateway.operations import metrics
@@ -17,7 +18,6 @@
 from walnutport.gateway.targets import forwarding
 from walnutport.gateway.targets import target_selector
 from walnutport.relay import resumable
-from walnutport.routing import first_event
 from walnutport.routing import stream_origins
 from walnutport.stages import pieces
 from walnutport.world import registrations
@@ -37,6 +37,7 @@
         origins: origin_exchange.OriginExchange,
         claims: stream_claims.StreamClaims,
         entry_metrics: metrics.EntryMetrics,
+        remaining: remaining_time.RemainingTime,
     ) -> None:
         self._selector = selector
         self._forwarder = forwarder
@@ -45,7 +46,7 @@
         self._origins = origins
         self._claims = claims
         self._metrics = entry_metrics
-        self._forecast = first_event.FirstEventForecast()
+        self._remaining = remaining
         # Stages of streams that only targets of one version may go on with.
         self._continued_runs: dict[
             calls.CallerCall, stage_client.StageRun
@@ -100,11 +101,12 @@
             gone when the engine asked for them.
         """
         now = time.monotonic()
+        call.stages_begun_at = now
         spec = job_specs.job_spec(
             call,
             piece_counts,
             self._stages.new_job_id(),
-            self._forecast.expected_s(call.fields.prompt),
+            self._remaining.first_events.expected_s(call.fields.prompt),
             now,
             was_admitted=is_repeat,
         )
@@ -118,7 +120,10 @@
                 return False
             finally:
                 self._continued_runs.pop(call, None)
-            call.stages_s += time.monotonic() - now
+                call.stages_begun_at = 0.0
+            took_s = time.monotonic() - now
+            call.stages_s += took_s
+            self._remaining.stages_ended(call, took_s)
             call.record_earlier_attempts(result.spent_s)
             call.engine_id = result.target_id
             call.inputs = tuple(
@@ -170,6 +175,7 @@
             if result.status is attempts.AttemptStatus.STREAMED:
                 call.outcome = 'streamed'
                 call.request.finish()
+                self._remaining.stream_ended(call, time.monotonic())
                 return False
             relay.discard_partial()
             if (
@@ -208,7 +214,7 @@
         if call.first_event_at:
             return
         call.first_event_at = time.monotonic()
-        self._forecast.observe(
+        self._remaining.first_events.observe(
             call.fields.prompt, call.first_event_at - attempt_started_at
         )
         self._metrics.first_event(call, call.first_event_at)
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -11,9 +11,11 @@
 from walnutport.config import entry_settings
 from walnutport import exceptions
 from walnutport.gateway.entry import drain
+from walnutport.gateway.entry import remaining_time
 from walnutport.gateway.entry import request_handler
 from walnutport.gateway.entry import responses
 from walnutport.gateway.entry import route_matcher
+from walnutport.gateway.entry import stop_decisions
 from walnutport.gateway.operations import decision_log
 from walnutport.gateway.operations import host_status
 from walnutport.gateway.operations import metrics
@@ -280,18 +282,34 @@
         self._claims = stream_claims.StreamClaims(
             reactor, self.log, self._mesh
         )
+        responder = responses.Responder(self.log, entry_metrics, rng)
+        remaining = remaining_time.RemainingTime(
+            lambda: self._stages.rules_by_service
+        )
+        self._stop = stop_decisions.StopDecisions(
+            self.log,
+            self._host_end,
+            remaining,
+            responder,
+            entry_metrics,
+            lambda: stop_decisions.has_host_for_callers(
+                self._mesh.peer_by_name.values()
+            ),
+        )
         self._request_handler = request_handler.RequestHandler(
             reactor,
             self.log,
             self._matcher,
             self._selector,
             self._forwarder,
-            responses.Responder(self.log, entry_metrics, rng),
+            responder,
             self._stages,
             self._origins,
             self._claims,
             self._relay,
             entry_metrics,
+            remaining,
+            self._stop,
         )
         self._host_status = host_status.HostStatus(
             settings,
--- a/walnutport/gateway/operations/events.py
+++ b/walnutport/gateway/operations/events.py
@@ -495,8 +495,15 @@
             'part',
             'deaths',
             'cold_targets',
+            'expected_s',
+            'host_left_s',
         ),
     ),
+    Event(
+        'stop_checked',
+        'a stopping host compared the expected end of a request with its own',
+        ('id', 'place', 'fits', 'expected_s', 'host_left_s'),
+    ),
     Event(
         'rejected',
         'no route matches the request, or the API key is unknown',
--- a/walnutport/gateway/operations/metrics.py
+++ b/walnutport/gateway/operations/metrics.py
@@ -28,6 +28,7 @@
         self._outcomes: collections.Counter = collections.Counter()
         self._streams: collections.Counter = collections.Counter()
         self._rejected: collections.Counter = collections.Counter()
+        self._stop_checks: collections.Counter = collections.Counter()
         self._requests = _Histogram(
             'walnutport_request_seconds', 'Time to the end of the answer.'
         )
@@ -50,6 +51,10 @@
         """Count a request that matched no route or no team."""
         self._rejected[reason] += 1
 
+    def stop_checked(self, place: str, fits: bool) -> None:
+        """Count a decision whether a request will end before the host."""
+        self._stop_checks[(place, fits)] += 1
+
     def first_event(self, call: calls.CallerCall, now: float) -> None:
         """Record the time to the first event of a stream."""
         self._first_events.observe(_request_key(call), now - call.arrived_at)
@@ -100,6 +105,15 @@
                 for reason, value in self._rejected.items()
             },
         )
+        _render_counter(
+            lines,
+            'walnutport_stop_checks_total',
+            'Decisions of a stopping host whether a request ends before it.',
+            {
+                f'place="{place}",fits="{str(fits).lower()}"': value
+                for (place, fits), value in self._stop_checks.items()
+            },
+        )
         for histogram in (self._requests, self._first_events, self._stages):
             histogram.render(lines)
         _render_values(lines, 'counter', self.totals)
--- a/walnutport/gateway/stages/stage_client.py
+++ b/walnutport/gateway/stages/stage_client.py
@@ -92,6 +92,11 @@
         """Number of cells that share the stage targets."""
         return self._cell_count
 
+    @property
+    def rules_by_service(self) -> dict[str, routes.BatchRules]:
+        """Batch rules of the stage services."""
+        return self._rules_by_service
+
     def new_job_id(self) -> str:
         """Return a job id that is unique among all hosts."""
         return (
--- a/walnutport/stages/timing.py
+++ b/walnutport/stages/timing.py
@@ -5,11 +5,15 @@
 that can still be on time.
 """
 
+from collections.abc import Mapping
+from collections.abc import Sequence
+
 from walnutport.stages import jobs
 from walnutport.world import routes
 
 __all__ = [
     'full_calls_s',
+    'idle_chain_s',
     'latest_start',
     'latest_start_of_full_calls',
     'min_remaining_s',
@@ -29,6 +33,30 @@
 _Rules = dict[str, routes.BatchRules]
 
 
+def idle_chain_s(
+    stages: Sequence[routes.StageSpec],
+    piece_counts: Sequence[int],
+    rules_by_service: Mapping[str, routes.BatchRules],
+) -> float:
+    """Return how long the stages of a request take at idle targets.
+
+    :param piece_counts: number of pieces of each stage; 0 omits a stage.
+    """
+    end_by_stage: dict[int, float] = {}
+    for number, (stage, count) in enumerate(zip(stages, piece_counts)):
+        start_s = max(
+            (end_by_stage.get(before, 0.0) for before in stage.after),
+            default=0.0,
+        )
+        rules = rules_by_service.get(stage.service)
+        call_s = 0.0
+        if rules is not None and count > 0:
+            pieces = min(count, rules.max_pieces)
+            call_s = rules.call_s + pieces * rules.piece_s
+        end_by_stage[number] = start_s + call_s
+    return max(end_by_stage.values(), default=0.0)
+
+
 def min_remaining_s(job: jobs.Job, rules_by_service: _Rules) -> float:
     """Return the minimum time that a job still needs, in seconds.
 
