Ask again while a request waits whether it can end before the host

Requests that came in time were passed on late and cut off: after stages of some seconds, waits for permits and channels, retries, or a second run of the stages. Cause: nothing compared the request with the end of the host again. Change: StopDecisions is asked before the stages are submitted, before each attempt and each retry, and by AttemptSender directly before the bytes are written. The tick refuses calls that wait and no longer fit, and cancels their work. A request that may have run gets its response or 502. The job of the stages has a deadline by which a first event lets the stream end before the host; if the owner of the cell gives it up for that deadline, the refusal is stopping too.

--- a/tests/gateway/fake_host.py
+++ b/tests/gateway/fake_host.py
@@ -244,6 +244,7 @@
                 response_received=lambda *_: None,
             ),
             lambda call: True,
+            lambda call: self.stop.can_end(call, stop_decisions.Place.SEND),
             eligibility.Eligibility(),
             lambda target, permit: True,
         )
--- a/walnutport/gateway/entry/calls.py
+++ b/walnutport/gateway/entry/calls.py
@@ -44,6 +44,8 @@
         stages.
     :param stages_begun_at: when the stages began that are running, 0 while
         none are.
+    :param is_underway: whether a target or a peer has the request, and its
+        response is awaited.
     :param engine_id: id of the engine that the owner of the cell recommends.
     :param first_event_at: when the first event was forwarded, 0 before.
     :param probed_parts: quarantined parts of the prompt that the request
@@ -86,6 +88,7 @@
     status: int = 0
     stages_s: float = 0.0
     stages_begun_at: float = 0.0
+    is_underway: bool = False
     engine_id: str = ''
     first_event_at: float = 0.0
     origin: stream_origins.StreamOrigin | None = None
--- a/walnutport/gateway/entry/job_specs.py
+++ b/walnutport/gateway/entry/job_specs.py
@@ -1,5 +1,7 @@
 """Specification of the stages of a caller's request."""
 
+import math
+
 from walnutport.gateway.entry import calls
 from walnutport.stages import pieces
 
@@ -16,6 +18,7 @@
     final_s: float,
     now: float,
     was_admitted: bool,
+    limit_s: float = math.inf,
 ) -> pieces.JobSpec:
     """Return the specification of the stages of a request.
 
@@ -23,6 +26,8 @@
     :param final_s: expected duration of the request after its stages.
     :param now: present time of the monotonic clock.
     :param was_admitted: whether the stages ran before, for this call.
+    :param limit_s: time after which the first event is of no use any more, as
+        the host ends before the stream.
     """
     # The patience counts from the last event that the caller got.
     idle_since = now if call.request.head_sent else call.arrived_at
@@ -35,8 +40,11 @@
         piece_counts=piece_counts,
         urgency=call.priority,
         aim_s=call.aim_at - now,
-        deadline_s=min(call.deadline_at, leaves_at - EVENT_PATIENCE_MARGIN_S)
-        - now,
+        deadline_s=min(
+            call.deadline_at - now,
+            leaves_at - EVENT_PATIENCE_MARGIN_S - now,
+            limit_s,
+        ),
         final_s=final_s,
         team=call.team or '',
         final_service=call.service,
--- a/walnutport/gateway/entry/request_handler.py
+++ b/walnutport/gateway/entry/request_handler.py
@@ -77,8 +77,10 @@
             claims,
             entry_metrics,
             remaining,
+            stop,
         )
         self.in_flight: set[calls.CallerCall] = set()
+        self._task_by_call: dict[calls.CallerCall, defer.Deferred] = {}
 
     def handle(
         self, request: server.ServerRequest, relayed_by: str = ''
@@ -107,6 +109,7 @@
         self._metrics.started(call)
         self.in_flight.add(call)
         task = defer.Deferred.fromCoroutine(self._serve(call))
+        self._task_by_call[call] = task
         timer = self._reactor.callLater(
             max(0.0, call.deadline_at - time.monotonic()),
             self._expire,
@@ -118,8 +121,26 @@
         task.addBoth(lambda result: self._finish(call, timer))
 
     def tick(self) -> None:
-        """End work for calls that no target can serve any more."""
+        """End work for calls that no target can serve any more.
+
+        While the host stops, calls that wait and would be cut off are refused.
+        """
         self._streams.tick()
+        for call, task in list(self._task_by_call.items()):
+            if self._waits(call) and self._stop.turn_away(
+                call, stop_decisions.Place.WAIT
+            ):
+                task.cancel()
+
+    @staticmethod
+    def _waits(call: calls.CallerCall) -> bool:
+        """Return whether neither a target nor a peer works on a call."""
+        return not (
+            call.request.response_ended
+            or call.request.disconnected
+            or call.is_underway
+            and call.may_have_run
+        )
 
     async def _serve(self, call: calls.CallerCall) -> None:
         if call.time_left_s() <= 0:
@@ -170,6 +191,10 @@
     async def _serve_plain(self, call: calls.CallerCall) -> None:
         result = None
         while True:
+            if self._stop.turn_away(
+                call, stop_decisions.Place.ATTEMPT, result
+            ):
+                return
             if self._unserved.goes_by_peer(call):
                 await self._unserved.serve_by_peer(call)
                 return
@@ -185,6 +210,8 @@
                 if result.head.status < 300:
                     self._remaining.answered(call, time.monotonic() - begun_at)
                 break
+            if self._stop.turn_away(call, stop_decisions.Place.RETRY, result):
+                return
             if not self._forwarder.try_acquire_retry(call, result):
                 break
         await self._unserved.give_up(call, result)
@@ -214,5 +241,6 @@
         if timer.active():
             timer.cancel()
         self.in_flight.discard(call)
+        self._task_by_call.pop(call, None)
         self._forwarder.end_probe(call)
         self._responder.finish(call)
--- a/walnutport/gateway/entry/stop_decisions.py
+++ b/walnutport/gateway/entry/stop_decisions.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import enum
+import math
 import time
 
 from walnutport.gateway.entry import calls
@@ -28,6 +29,16 @@
     """Where a decision is taken on the way of a request."""
 
     ARRIVAL = 'arrival'
+    #: Before the stages are submitted, for the first or the second time.
+    STAGES = 'stages'
+    #: Before a target is selected.
+    ATTEMPT = 'attempt'
+    #: Before the budget of retries is asked for another attempt.
+    RETRY = 'retry'
+    #: Directly before the request is written to a target.
+    SEND = 'send'
+    #: At each tick, while the request waits.
+    WAIT = 'wait'
 
 
 class StopDecisions:
@@ -65,6 +76,9 @@
         now = time.monotonic()
         expected_s = self._remaining.expected_s(call, now)
         fits = self._end.fits(expected_s, now)
+        if fits and place is Place.WAIT:
+            # This is asked at each tick.
+            return True
         self._metrics.stop_checked(place, fits)
         self._log.routine(
             'stop_checked',
@@ -110,6 +124,21 @@
             host_left_s=round(self._end.left_s(now), 3),
         )
 
+    def first_event_limit_s(self, call: calls.CallerCall) -> float:
+        """Return the time in which the first event of a stream must come.
+
+        :returns: ``math.inf`` if the stream has begun, or if its deadline ends
+            it before the host.
+        """
+        now = time.monotonic()
+        if call.request.head_sent or self._end.fits(call.time_left_s(), now):
+            return math.inf
+        return (
+            self._end.left_s(now)
+            - host_end.DELIVERY_MARGIN_S
+            - self._remaining.events_s(call)
+        )
+
     def _retry_after_s(self, now: float) -> float:
         """Return the time until another host, or the next one, takes callers.
 
--- a/walnutport/gateway/entry/stream_server.py
+++ b/walnutport/gateway/entry/stream_server.py
@@ -9,6 +9,7 @@
 from walnutport.gateway.entry import job_specs
 from walnutport.gateway.entry import remaining_time
 from walnutport.gateway.entry import responses
+from walnutport.gateway.entry import stop_decisions
 from walnutport.gateway.entry import unserved_calls
 from walnutport.gateway.operations import metrics
 from walnutport.gateway.stages import stage_client
@@ -38,6 +39,7 @@
         claims: stream_claims.StreamClaims,
         entry_metrics: metrics.EntryMetrics,
         remaining: remaining_time.RemainingTime,
+        stop: stop_decisions.StopDecisions,
     ) -> None:
         self._selector = selector
         self._forwarder = forwarder
@@ -47,6 +49,7 @@
         self._claims = claims
         self._metrics = entry_metrics
         self._remaining = remaining
+        self._stop = stop
         # Stages of streams that only targets of one version may go on with.
         self._continued_runs: dict[
             calls.CallerCall, stage_client.StageRun
@@ -102,6 +105,9 @@
         """
         now = time.monotonic()
         call.stages_begun_at = now
+        if self._stop.turn_away(call, stop_decisions.Place.STAGES):
+            return False
+        limit_s = self._stop.first_event_limit_s(call)
         spec = job_specs.job_spec(
             call,
             piece_counts,
@@ -109,6 +115,7 @@
             self._remaining.first_events.expected_s(call.fields.prompt),
             now,
             was_admitted=is_repeat,
+            limit_s=limit_s,
         )
         with stage_client.StageRun(self._stages, spec) as stage_run:
             if call.origin is not None:
@@ -116,7 +123,11 @@
             try:
                 result = await stage_run.run()
             except exceptions.StagesRefused as problem:
-                self._unserved.refuse_stages(call, stage_run, problem)
+                if problem.reason == 'deadline' and spec.deadline_s == limit_s:
+                    # The end of the host is the deadline.
+                    self._stop.refuse(call)
+                else:
+                    self._unserved.refuse_stages(call, stage_run, problem)
                 return False
             finally:
                 self._continued_runs.pop(call, None)
@@ -152,6 +163,10 @@
         """
         result = None
         while True:
+            if self._stop.turn_away(
+                call, stop_decisions.Place.ATTEMPT, result
+            ):
+                return False
             if self._unserved.goes_by_peer(call):
                 await self._unserved.serve_by_peer(call)
                 return False
@@ -178,6 +193,10 @@
                 self._remaining.stream_ended(call, time.monotonic())
                 return False
             relay.discard_partial()
+            if not result.is_final and self._stop.turn_away(
+                call, stop_decisions.Place.RETRY, result
+            ):
+                return False
             if (
                 may_run_stages
                 and result.status is attempts.AttemptStatus.INPUTS_GONE
--- a/walnutport/gateway/entry/unserved_calls.py
+++ b/walnutport/gateway/entry/unserved_calls.py
@@ -39,8 +39,12 @@
 
     async def serve_by_peer(self, call: calls.CallerCall) -> None:
         """Let a peer serve a request, as this host reaches no target."""
-        if await self._relay.serve(call):
-            return
+        call.is_underway = True
+        try:
+            if await self._relay.serve(call):
+                return
+        finally:
+            call.is_underway = False
         if call.may_have_run:
             call.send_local_response(502, 'lost')
         else:
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -229,6 +229,9 @@
                 self._pool,
                 self._reports,
                 lambda call: self._forwarder.admit(call),
+                lambda call: self._stop.can_end(
+                    call, stop_decisions.Place.SEND
+                ),
                 self._eligibility,
                 self._permits.may_send,
             ),
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -27,6 +27,7 @@
     'AttemptSender',
     'AttemptStatus',
     'DEADLINE_DETAIL',
+    'STOPPING_DETAIL',
 ]
 
 # Complete events of a stream after which its target does not crash because of
@@ -34,6 +35,8 @@
 PROVEN_EVENTS = 3
 #: Detail of an attempt that was not sent as its time was over.
 DEADLINE_DETAIL = 'deadline'
+#: Detail of an attempt that was not sent as it would not end before the host.
+STOPPING_DETAIL = 'host is stopping'
 # Subtracted from the deadline that a target gets, so that its response can
 # still reach the caller in time.
 RESPONSE_MARGIN_S = 0.01
@@ -312,6 +315,7 @@
     :param reports: evaluates what targets state in their responses.
     :param admit: returns whether a call may be sent, as it does not crash its
         targets.
+    :param can_end: returns whether a call will end before the host.
     :param target_eligibility: decides which targets may get new work.
     :param may_send: returns whether a request may be sent with a permit or
         without one, as the target is cold or not.
@@ -323,6 +327,7 @@
         pool: channel_pool.ChannelPool,
         reports: target_reports.TargetReports,
         admit: Callable[[calls.CallerCall], bool],
+        can_end: Callable[[calls.CallerCall], bool],
         target_eligibility: eligibility.Eligibility,
         may_send: Callable[
             [registrations.RegisteredTarget, send_permits.SendPermit | None],
@@ -333,6 +338,7 @@
         self._may_send = may_send
         self._reactor = reactor
         self._admit = admit
+        self._can_end = can_end
         self._pool = pool
         self._reports = reports
 
@@ -393,6 +399,15 @@
                 detail='quarantined',
                 is_deferred=True,
             )
+        if not self._can_end(call):
+            # The waits for a permit and a channel have used up the time.
+            self._release(target, channel)
+            return AttemptResult(
+                AttemptStatus.NOT_SENT,
+                target,
+                detail=STOPPING_DETAIL,
+                is_deferred=True,
+            )
         receiver = AttemptReceiver(
             call,
             target,
@@ -427,6 +442,7 @@
                 is_deferred=True,
             )
         call.record_send(target.target_id)
+        call.is_underway = True
         channel.send(data, receiver, functools.partial(self._release, target))
         result = await receiver.done
         if result.status in (
--- a/walnutport/gateway/targets/forwarding.py
+++ b/walnutport/gateway/targets/forwarding.py
@@ -208,6 +208,7 @@
             else:
                 self._record_failure(call, result)
         finally:
+            call.is_underway = False
             self._outcomes.attempt_finished(target)
             if not reset:
                 now = time.monotonic()
