Answer unfinished requests as the host ends

Requests whose target did not answer by the end of the drain got no answer: their connections were closed with the process. Cause: the drain ended with whatever was in flight. Change: at the end, a request without a part of a response gets 502, or 503 if no target may have run it; a stream that has begun is broken off. The exit code still tells that requests were unfinished. explain knows the outcomes stopping and cut_at_stop. Measured: with a real host and a request of 3.8 s at its target, the caller saw RemoteDisconnected before and gets 502 now; the host exits with 1 as before.

--- a/tests/integration/test_stop_of_streams.py
+++ b/tests/integration/test_stop_of_streams.py
@@ -1,4 +1,4 @@
-"""A planned stop beside streams that cannot end before the host does."""
+"""A planned stop beside requests that cannot end before the host does."""
 
 import contextlib
 import http.client
@@ -35,7 +35,7 @@
         )
 
     def send(self, request_id: str, path: str = '/write/x') -> None:
-        """Send a request for a stream."""
+        """Send a request, by default for a stream."""
         headers = platform_fleet.caller_headers(request_id)
         lines = [f'POST {path} HTTP/1.1', 'Content-Length: 4']
         lines += [f'{name}: {value}' for name, value in headers.items()]
@@ -131,3 +131,30 @@
         assert time.monotonic() - ended_at < 0.2
     assert host.process is not None
     assert host.process.wait(LIMIT_S) == 0
+
+
+def test_request_at_a_target_gets_an_answer_as_the_host_ends(tmp_path):
+    """Guards against a connection that closes without any answer.
+
+    The host has not measured such a request, and expects it to end in time.
+    """
+    with platform_fleet.PlatformFleet(
+        tmp_path, work_ms=3800.0, host_settings=('bounds.graceS=3',)
+    ) as fleet:
+        host = fleet.hosts[0]
+        with Connection(fleet) as connection:
+            connection.send('long', '/check/x')
+            time.sleep(0.3)
+            host.signal(signal.SIGTERM)
+            response, body = connection.read()
+            assert (response.status, body) == (502, b'')
+            assert connection.is_closed()
+        assert host.process is not None
+        assert host.process.wait(LIMIT_S) == 1
+        (stopped,) = [
+            line for line in fleet.log_lines() if line['event'] == 'stopped'
+        ]
+        assert stopped['in_flight'] == 1
+        (after_s,) = stopped['cut_after_s']
+        assert -1.0 < after_s < 0.0
+        fleet.wait_for_event('finished', id='long', outcome='cut_at_stop')
--- a/walnutport/cli/explain.py
+++ b/walnutport/cli/explain.py
@@ -60,6 +60,13 @@
     'lost': 'failed: a target may have run it and gave no whole answer',
     'timeout': 'failed: a target had it and did not answer in time',
     'broken': 'cut: its stream broke off and no other target may resume it',
+    'stopping': (
+        'refused: it could not be done before its host ended, which had got '
+        'the signal to stop'
+    ),
+    'cut_at_stop': (
+        'cut: its host ended, see how long after the signal to stop it came'
+    ),
     'cut_at_deadline': 'cut: its stream was not over at its deadline',
     'caller_left': 'the caller closed the channel before the answer',
     'error': 'failed: an error of the host, see its trace',
--- a/walnutport/gateway/entry/request_handler.py
+++ b/walnutport/gateway/entry/request_handler.py
@@ -132,6 +132,13 @@
             ):
                 task.cancel()
 
+    def cut_off(self) -> None:
+        """Respond to all calls that are unfinished, as the host ends."""
+        for call, task in list(self._task_by_call.items()):
+            if not call.request.response_ended:
+                self._responder.cut_off(call)
+                task.cancel()
+
     @staticmethod
     def _waits(call: calls.CallerCall) -> bool:
         """Return whether neither a target nor a peer works on a call."""
--- a/walnutport/gateway/entry/responses.py
+++ b/walnutport/gateway/entry/responses.py
@@ -7,12 +7,18 @@
 from walnutport.gateway.targets import attempts
 from walnutport.routing import engines
 
-__all__ = ['NO_TARGET_RETRY_AFTER_S', 'RETRY_AFTER_JITTER', 'Responder']
+__all__ = [
+    'NO_TARGET_RETRY_AFTER_S',
+    'RETRY_AFTER_JITTER',
+    'STOPPING_RETRY_AFTER_S',
+    'Responder',
+]
 
 # Delays after which refused callers may retry.
 DEFAULT_RETRY_AFTER_S = 0.15
 NO_TARGET_RETRY_AFTER_S = 0.4
 ERROR_RETRY_AFTER_S = 0.2
+STOPPING_RETRY_AFTER_S = 0.02
 # Callers honour a delay of at most a third of their remaining time.
 MAX_RETRY_AFTER_SHARE = 0.33
 # Relative jitter of the delays, so that callers refused at the same time do
@@ -93,6 +99,16 @@
         else:
             self.refuse(call, 'deadline', 0.0)
 
+    def cut_off(self, call: calls.CallerCall) -> None:
+        """Respond to a call that is unfinished as the host ends."""
+        if call.request.head_sent:
+            call.outcome = 'cut_at_stop'
+            call.request.abort()
+        elif call.may_have_run:
+            call.send_local_response(502, 'cut_at_stop')
+        else:
+            self.refuse(call, 'stopping', STOPPING_RETRY_AFTER_S)
+
     def fail(self, call: calls.CallerCall, error: str, trace: str) -> None:
         """Respond to a call that failed because of an internal error.
 
--- a/walnutport/gateway/entry/stop_decisions.py
+++ b/walnutport/gateway/entry/stop_decisions.py
@@ -21,9 +21,6 @@
 
 __all__ = ['Place', 'StopDecisions', 'has_host_for_callers']
 
-# Delay after which a refused caller may try another host.
-RETRY_AFTER_S = 0.02
-
 
 class Place(enum.StrEnum):
     """Where a decision is taken on the way of a request."""
@@ -145,8 +142,8 @@
         The jitter of the responder does not bring it before the end.
         """
         if self._others_take_callers():
-            return RETRY_AFTER_S
-        left_s = max(RETRY_AFTER_S, self._end.left_s(now))
+            return responses.STOPPING_RETRY_AFTER_S
+        left_s = max(responses.STOPPING_RETRY_AFTER_S, self._end.left_s(now))
         return left_s / (1 - responses.RETRY_AFTER_JITTER)
 
 
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -73,6 +73,9 @@
 # Upper bound on the time since the last read of targets from the store, as
 # heartbeats report it.
 MAX_REPORTED_STORE_AGE_S = 999.0
+# Time in which the responses to requests that are cut off are written, within
+# ``drain.KILL_MARGIN_S``.
+LAST_RESPONSES_S = 0.1
 # Connections that may wait to be accepted while the event loop is busy; in a
 # burst, a few hundred arrive.
 LISTEN_BACKLOG = 512
@@ -436,19 +439,26 @@
         }
 
     def _finish_stop(self, _: None) -> None:
+        unfinished = list(self._request_handler.in_flight)
         self.log.notable(
             'stopped',
-            in_flight=len(self._request_handler.in_flight),
+            in_flight=len(unfinished),
             channels=len(self._caller_site.channels),
             cut_after_s=self._drain.arrivals_s(
-                call.arrived_at for call in self._request_handler.in_flight
+                call.arrived_at for call in unfinished
             ),
         )
+        self._request_handler.cut_off()
         self._follower.stop()
         self._history_record.stop()
         self._mesh.stop()
+        self._reactor.callLater(
+            LAST_RESPONSES_S if unfinished else 0.0, self._end, not unfinished
+        )
+
+    def _end(self, drained: bool) -> None:
         self.log.flush()
-        self._stopped.callback(not self._request_handler.in_flight)
+        self._stopped.callback(drained)
 
     def _has_jobs(self) -> bool:
         return any(
