--- a/tests/stages/test_timing.py
+++ b/tests/stages/test_timing.py
@@ -3,6 +3,7 @@
 from tests.stages import builders
 from walnutport.stages import jobs
 from walnutport.stages import timing
+from walnutport.world import routes
 
 
 def job(job_id: str, **changes) -> jobs.Job:
@@ -39,3 +40,21 @@
     timely = job('timely', aim_s=1.5)
     assert ranked_job_ids(0.0, timely, late) == ['late', 'timely']
     assert ranked_job_ids(0.6, timely, late) == ['timely', 'late']
+
+
+def test_chain_at_idle_targets_is_the_longest_one():
+    """Guards against stages that run beside each other and are added up."""
+    stages = (
+        routes.StageSpec('a', (), 1),
+        routes.StageSpec('b', (), 1),
+        routes.StageSpec('c', (0, 1), 1),
+    )
+    rules = {
+        'a': routes.BatchRules(1, 2, 4, 0.2, 0.1, 1.0),
+        'b': routes.BatchRules(1, 2, 4, 0.5, 0.1, 1.0),
+        'c': routes.BatchRules(1, 2, 4, 0.1, 0.0, 1.0),
+    }
+    chain_s = timing.idle_chain_s(stages, (9, 1, 1), rules)
+    assert round(chain_s, 3) == 0.7
+    assert round(timing.idle_chain_s(stages, (1, 0, 0), rules), 3) == 0.3
+    assert timing.idle_chain_s(stages, (1, 1, 1), {}) == 0.0
