--- a/tests/gateway/entry/test_stopping.py
+++ b/tests/gateway/entry/test_stopping.py
@@ -3,6 +3,7 @@
 import time
 
 import pytest
+from twisted.internet import defer
 
 from tests.gateway import call_builders
 from tests.gateway import fake_host
@@ -88,6 +89,20 @@
     assert host.stages.released == 1 and not host.handler.in_flight
 
 
+def test_request_that_waits_for_a_permit_is_refused_at_the_next_tick(host):
+    """Guards against a wait for a permit that cannot be used any more."""
+    host.permits.is_needed = lambda target: True
+    host.permits.acquire = lambda target, wait_s: defer.Deferred()
+    call = call_builders.caller_call(call_builders.stream_route(stages=()))
+    host.serve(call, 200)
+    host.handler.tick()
+    assert not call.request.response_ended
+    end_soon(host)
+    host.handler.tick()
+    assert refusals(host) == ['stopping']
+    assert call.targets == [] and not host.handler.in_flight
+
+
 def test_request_that_may_have_run_is_not_said_not_to_have_run(host):
     """Guards against a broken promise, and a retry that is cut off."""
     host.on_response = lambda: end_soon(host)
