--- a/tests/gateway/fake_host.py
+++ b/tests/gateway/fake_host.py
@@ -10,12 +10,15 @@
 from tests.gateway import call_builders
 from walnutport import exceptions
 from walnutport.gateway.entry import calls
+from walnutport.gateway.entry import remaining_time
 from walnutport.gateway.entry import request_handler
 from walnutport.gateway.entry import responses
+from walnutport.gateway.entry import stop_decisions
 from walnutport.gateway.operations import metrics
 from walnutport.gateway.targets import attempts
 from walnutport.gateway.targets import forwarding
 from walnutport.http1 import messages
+from walnutport.lifecycle import host_end
 from walnutport.quarantine import prompt_parts
 from walnutport.quarantine import suspects
 from walnutport.relay import resumable
@@ -32,8 +35,8 @@
 class FakeChannel:
     """Channel whose target answers at once.
 
-    :param status: status of the response; with 200 a stream of one event, and
-        otherwise the request did not run.
+    :param status: status of the response; with 200 a stream of one event, with
+        0 a reset, and otherwise the request did not run.
     :param on_response: called before the response.
     """
 
@@ -45,6 +48,9 @@
 
     def send(self, data, receiver, on_free) -> None:
         self._on_response()
+        if not self._status:
+            receiver.failed(exceptions.ChannelError('reset', written=True))
+            return
         ran = self._status == 200
         name = (
             b'walnutport-response-seal'
@@ -144,19 +150,40 @@
 
     :ivar statuses: status of each response of the targets, in order.
     :ivar on_response: called before each response.
+    :ivar on_channel: called when an attempt gets a channel.
+    :ivar host_end: end of the host, which a test sets as a stop signal does.
+    :ivar permits: permits to send to cold targets.
+    :ivar remaining: forecast of the end of requests.
+    :ivar has_other_host: whether another host takes callers.
     """
 
     def __init__(self, *engines: registrations.RegisteredTarget) -> None:
         self.statuses: list[int] = []
         self.on_response = lambda: None
+        self.on_channel = lambda: None
+        self.host_end = host_end.HostEnd()
         self.log = call_builders.FakeLog()
         self.stages = FakeStages()
         self.origins = FakeOrigins()
         self.claims = FakeClaims()
         self.targets = {item.target_id: item for item in engines or ENGINES}
         self.selector = call_builders.selector(self.targets)
-        self.forwarder = self._create_forwarder()
         entry_metrics = metrics.EntryMetrics()
+        responder = responses.Responder(
+            self.log, entry_metrics, random.Random(1)
+        )
+        self.remaining = remaining_time.RemainingTime(lambda: {})
+        self.has_other_host = True
+        self.stop = stop_decisions.StopDecisions(
+            self.log,
+            self.host_end,
+            self.remaining,
+            responder,
+            entry_metrics,
+            lambda: self.has_other_host,
+        )
+        self.permits = types.SimpleNamespace(is_needed=lambda target: False)
+        self.forwarder = self._create_forwarder()
         self._matcher = types.SimpleNamespace(match=lambda call: call)
         self.handler = request_handler.RequestHandler(
             task.Clock(),
@@ -164,7 +191,7 @@
             self._matcher,
             self.selector,
             self.forwarder,
-            responses.Responder(self.log, entry_metrics, random.Random(1)),
+            responder,
             self.stages,
             self.origins,
             self.claims,
@@ -173,6 +200,8 @@
                 verify=lambda call, since: defer.succeed(False),
             ),
             entry_metrics,
+            self.remaining,
+            self.stop,
         )
 
     def serve(self, call: calls.CallerCall, *statuses: int) -> None:
@@ -200,19 +229,24 @@
         )
         return done.result
 
+    def _take_channel(self) -> FakeChannel:
+        self.on_channel()
+        return FakeChannel(self.statuses.pop(0), lambda: self.on_response())
+
     def _create_forwarder(self) -> forwarding.Forwarder:
         sender = attempts.AttemptSender(
             task.Clock(),
             types.SimpleNamespace(
-                take_idle=lambda *_: FakeChannel(
-                    self.statuses.pop(0), lambda: self.on_response()
-                )
+                take_idle=lambda *_: self._take_channel(),
+                release=lambda channel: None,
             ),
             types.SimpleNamespace(
                 is_held=lambda target: False,
+                is_leaving=lambda target: False,
                 response_received=lambda *_: None,
             ),
             lambda call: True,
+            lambda call: self.stop.can_end(call, stop_decisions.Place.SEND),
             eligibility.Eligibility(),
             lambda target, permit: True,
         )
@@ -225,6 +259,6 @@
             prompt_parts.PartTable(),
             lambda: window_budget.SlidingWindowBudget(0.1, 10.0, 10.0),
             lambda target, attempt_id: defer.succeed(None),
-            types.SimpleNamespace(is_needed=lambda target: False),
+            self.permits,
             lambda target: defer.succeed(True),
         )
--- a/walnutport/gateway/entry/request_handler.py
+++ b/walnutport/gateway/entry/request_handler.py
@@ -7,8 +7,10 @@
 
 from walnutport import exceptions
 from walnutport.gateway.entry import calls
+from walnutport.gateway.entry import remaining_time
 from walnutport.gateway.entry import responses
 from walnutport.gateway.entry import route_matcher
+from walnutport.gateway.entry import stop_decisions
 from walnutport.gateway.entry import stream_server
 from walnutport.gateway.entry import unserved_calls
 from walnutport.gateway.operations import metrics
@@ -31,6 +33,8 @@
 class RequestHandler:
     """Serves the requests of callers.
 
+    :param remaining: forecast of the end of requests.
+    :param stop: decides which requests a host that stops can still serve.
     :ivar in_flight: calls whose response is not complete.
     """
 
@@ -47,6 +51,8 @@
         claims: stream_claims.StreamClaims,
         relay: peer_relay.PeerRelay,
         entry_metrics: metrics.EntryMetrics,
+        remaining: remaining_time.RemainingTime,
+        stop: stop_decisions.StopDecisions,
     ) -> None:
         self._reactor = reactor
         self._log = log
@@ -57,6 +63,8 @@
         self._origins = origins
         self._claims = claims
         self._metrics = entry_metrics
+        self._remaining = remaining
+        self._stop = stop
         self._unserved = unserved_calls.UnservedCalls(
             selector, forwarder, responder, relay
         )
@@ -68,8 +76,11 @@
             origins,
             claims,
             entry_metrics,
+            remaining,
+            stop,
         )
         self.in_flight: set[calls.CallerCall] = set()
+        self._task_by_call: dict[calls.CallerCall, defer.Deferred] = {}
 
     def handle(
         self, request: server.ServerRequest, relayed_by: str = ''
@@ -98,6 +109,7 @@
         self._metrics.started(call)
         self.in_flight.add(call)
         task = defer.Deferred.fromCoroutine(self._serve(call))
+        self._task_by_call[call] = task
         timer = self._reactor.callLater(
             max(0.0, call.deadline_at - time.monotonic()),
             self._expire,
@@ -109,8 +121,33 @@
         task.addBoth(lambda result: self._finish(call, timer))
 
     def tick(self) -> None:
-        """End work for calls that no target can serve any more."""
+        """End work for calls that no target can serve any more.
+
+        While the host stops, calls that wait and would be cut off are refused.
+        """
         self._streams.tick()
+        for call, task in list(self._task_by_call.items()):
+            if self._waits(call) and self._stop.turn_away(
+                call, stop_decisions.Place.WAIT
+            ):
+                task.cancel()
+
+    def cut_off(self) -> None:
+        """Respond to all calls that are unfinished, as the host ends."""
+        for call, task in list(self._task_by_call.items()):
+            if not call.request.response_ended:
+                self._responder.cut_off(call)
+                task.cancel()
+
+    @staticmethod
+    def _waits(call: calls.CallerCall) -> bool:
+        """Return whether neither a target nor a peer works on a call."""
+        return not (
+            call.request.response_ended
+            or call.request.disconnected
+            or call.is_underway
+            and call.may_have_run
+        )
 
     async def _serve(self, call: calls.CallerCall) -> None:
         if call.time_left_s() <= 0:
@@ -119,6 +156,8 @@
         if not self._forwarder.admit(call):
             self._unserved.refuse_quarantined(call)
             return
+        if self._stop.turn_away(call, stop_decisions.Place.ARRIVAL):
+            return
         if self._unserved.goes_by_peer(call):
             await self._unserved.serve_by_peer(call)
             return
@@ -159,19 +198,28 @@
     async def _serve_plain(self, call: calls.CallerCall) -> None:
         result = None
         while True:
+            if self._stop.turn_away(
+                call, stop_decisions.Place.ATTEMPT, result
+            ):
+                return
             if self._unserved.goes_by_peer(call):
                 await self._unserved.serve_by_peer(call)
                 return
             target = self._selector.select_target(call)
             if target is None:
                 break
+            begun_at = time.monotonic()
             attempt = await self._forwarder.attempt(call, target)
             if attempt.status is attempts.AttemptStatus.NO_PERMIT:
                 continue
             result = attempt
-            if result.is_final or not self._forwarder.try_acquire_retry(
-                call, result
-            ):
+            if result.is_final:
+                if result.head.status < 300:
+                    self._remaining.answered(call, time.monotonic() - begun_at)
+                break
+            if self._stop.turn_away(call, stop_decisions.Place.RETRY, result):
+                return
+            if not self._forwarder.try_acquire_retry(call, result):
                 break
         await self._unserved.give_up(call, result)
 
@@ -200,5 +248,6 @@
         if timer.active():
             timer.cancel()
         self.in_flight.discard(call)
+        self._task_by_call.pop(call, None)
         self._forwarder.end_probe(call)
         self._responder.finish(call)
--- a/walnutport/gateway/entry/stream_server.py
+++ b/walnutport/gateway/entry/stream_server.py
@@ -7,7 +7,9 @@
 from walnutport import exceptions
 from walnutport.gateway.entry import calls
 from walnutport.gateway.entry import job_specs
+from walnutport.gateway.entry import remaining_time
 from walnutport.gateway.entry import responses
+from walnutport.gateway.entry import stop_decisions
 from walnutport.gateway.entry import unserved_calls
 from walnutport.gateway.operations import metrics
 from walnutport.gateway.stages import stage_client
@@ -17,7 +19,6 @@
 from walnutport.gateway.targets import forwarding
 from walnutport.gateway.targets import target_selector
 from walnutport.relay import resumable
-from walnutport.routing import first_event
 from walnutport.routing import stream_origins
 from walnutport.stages import pieces
 from walnutport.world import registrations
@@ -37,6 +38,8 @@
         origins: origin_exchange.OriginExchange,
         claims: stream_claims.StreamClaims,
         entry_metrics: metrics.EntryMetrics,
+        remaining: remaining_time.RemainingTime,
+        stop: stop_decisions.StopDecisions,
     ) -> None:
         self._selector = selector
         self._forwarder = forwarder
@@ -45,7 +48,8 @@
         self._origins = origins
         self._claims = claims
         self._metrics = entry_metrics
-        self._forecast = first_event.FirstEventForecast()
+        self._remaining = remaining
+        self._stop = stop
         # Stages of streams that only targets of one version may go on with.
         self._continued_runs: dict[
             calls.CallerCall, stage_client.StageRun
@@ -100,13 +104,18 @@
             gone when the engine asked for them.
         """
         now = time.monotonic()
+        call.stages_begun_at = now
+        if self._stop.turn_away(call, stop_decisions.Place.STAGES):
+            return False
+        limit_s = self._stop.first_event_limit_s(call)
         spec = job_specs.job_spec(
             call,
             piece_counts,
             self._stages.new_job_id(),
-            self._forecast.expected_s(call.fields.prompt),
+            self._remaining.first_events.expected_s(call.fields.prompt),
             now,
             was_admitted=is_repeat,
+            limit_s=limit_s,
         )
         with stage_client.StageRun(self._stages, spec) as stage_run:
             if call.origin is not None:
@@ -114,11 +123,18 @@
             try:
                 result = await stage_run.run()
             except exceptions.StagesRefused as problem:
-                self._unserved.refuse_stages(call, stage_run, problem)
+                if problem.reason == 'deadline' and spec.deadline_s == limit_s:
+                    # The end of the host is the deadline.
+                    self._stop.refuse(call)
+                else:
+                    self._unserved.refuse_stages(call, stage_run, problem)
                 return False
             finally:
                 self._continued_runs.pop(call, None)
-            call.stages_s += time.monotonic() - now
+                call.stages_begun_at = 0.0
+            took_s = time.monotonic() - now
+            call.stages_s += took_s
+            self._remaining.stages_ended(call, took_s)
             call.record_earlier_attempts(result.spent_s)
             call.engine_id = result.target_id
             call.inputs = tuple(
@@ -147,6 +163,10 @@
         """
         result = None
         while True:
+            if self._stop.turn_away(
+                call, stop_decisions.Place.ATTEMPT, result
+            ):
+                return False
             if self._unserved.goes_by_peer(call):
                 await self._unserved.serve_by_peer(call)
                 return False
@@ -170,8 +190,13 @@
             if result.status is attempts.AttemptStatus.STREAMED:
                 call.outcome = 'streamed'
                 call.request.finish()
+                self._remaining.stream_ended(call, time.monotonic())
                 return False
             relay.discard_partial()
+            if not result.is_final and self._stop.turn_away(
+                call, stop_decisions.Place.RETRY, result
+            ):
+                return False
             if (
                 may_run_stages
                 and result.status is attempts.AttemptStatus.INPUTS_GONE
@@ -208,7 +233,7 @@
         if call.first_event_at:
             return
         call.first_event_at = time.monotonic()
-        self._forecast.observe(
+        self._remaining.first_events.observe(
             call.fields.prompt, call.first_event_at - attempt_started_at
         )
         self._metrics.first_event(call, call.first_event_at)
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -11,9 +11,11 @@
 from walnutport.config import entry_settings
 from walnutport import exceptions
 from walnutport.gateway.entry import drain
+from walnutport.gateway.entry import remaining_time
 from walnutport.gateway.entry import request_handler
 from walnutport.gateway.entry import responses
 from walnutport.gateway.entry import route_matcher
+from walnutport.gateway.entry import stop_decisions
 from walnutport.gateway.operations import decision_log
 from walnutport.gateway.operations import host_status
 from walnutport.gateway.operations import metrics
@@ -41,6 +43,7 @@
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.http1 import server
+from walnutport.lifecycle import host_end
 from walnutport.membership import loop_lag
 from walnutport.peer import capabilities
 from walnutport.peer import fleet_messages
@@ -70,6 +73,9 @@
 # Upper bound on the time since the last read of targets from the store, as
 # heartbeats report it.
 MAX_REPORTED_STORE_AGE_S = 999.0
+# Time in which the responses to requests that are cut off are written, within
+# ``drain.KILL_MARGIN_S``.
+LAST_RESPONSES_S = 0.1
 # Connections that may wait to be accepted while the event loop is busy; in a
 # burst, a few hundred arrive.
 LISTEN_BACKLOG = 512
@@ -101,6 +107,7 @@
         self._incarnation = uuid.uuid4().hex[:8]
         rng = random.Random()
         self._lag_monitor = loop_lag.LoopLagMonitor()
+        self._host_end = host_end.HostEnd()
         self._tick_due_at = 0.0
         self._caller_listeners: list = []
         self._known_target_ids: set[str] = set()
@@ -225,6 +232,9 @@
                 self._pool,
                 self._reports,
                 lambda call: self._forwarder.admit(call),
+                lambda call: self._stop.can_end(
+                    call, stop_decisions.Place.SEND
+                ),
                 self._eligibility,
                 self._permits.may_send,
             ),
@@ -278,18 +288,34 @@
         self._claims = stream_claims.StreamClaims(
             reactor, self.log, self._mesh
         )
+        responder = responses.Responder(self.log, entry_metrics, rng)
+        remaining = remaining_time.RemainingTime(
+            lambda: self._stages.rules_by_service
+        )
+        self._stop = stop_decisions.StopDecisions(
+            self.log,
+            self._host_end,
+            remaining,
+            responder,
+            entry_metrics,
+            lambda: stop_decisions.has_host_for_callers(
+                self._mesh.peer_by_name.values()
+            ),
+        )
         self._request_handler = request_handler.RequestHandler(
             reactor,
             self.log,
             self._matcher,
             self._selector,
             self._forwarder,
-            responses.Responder(self.log, entry_metrics, rng),
+            responder,
             self._stages,
             self._origins,
             self._claims,
             self._relay,
             entry_metrics,
+            remaining,
+            self._stop,
         )
         self._host_status = host_status.HostStatus(
             settings,
@@ -334,6 +360,7 @@
             self._caller_site,
             self._has_jobs,
             lambda: self.settings.bounds.grace_s,
+            self._host_end,
             self._caller_listeners,
         )
         self._directory = host_directory.HostDirectory(
@@ -412,16 +439,26 @@
         }
 
     def _finish_stop(self, _: None) -> None:
+        unfinished = list(self._request_handler.in_flight)
         self.log.notable(
             'stopped',
-            in_flight=len(self._request_handler.in_flight),
+            in_flight=len(unfinished),
             channels=len(self._caller_site.channels),
+            cut_after_s=self._drain.arrivals_s(
+                call.arrived_at for call in unfinished
+            ),
         )
+        self._request_handler.cut_off()
         self._follower.stop()
         self._history_record.stop()
         self._mesh.stop()
+        self._reactor.callLater(
+            LAST_RESPONSES_S if unfinished else 0.0, self._end, not unfinished
+        )
+
+    def _end(self, drained: bool) -> None:
         self.log.flush()
-        self._stopped.callback(not self._request_handler.in_flight)
+        self._stopped.callback(drained)
 
     def _has_jobs(self) -> bool:
         return any(
--- a/walnutport/gateway/operations/events.py
+++ b/walnutport/gateway/operations/events.py
@@ -40,8 +40,10 @@
     ),
     Event(
         'stopped',
-        'the drain ended; requests still in flight are aborted',
-        ('in_flight', 'channels'),
+        'the drain ended; requests still in flight are aborted, '
+        '`cut_after_s` tells how long after the signal the latest of them '
+        'came',
+        ('in_flight', 'channels', 'cut_after_s'),
     ),
     Event('reloaded', 'the settings were read again and are in force'),
     Event(
@@ -493,8 +495,15 @@
             'part',
             'deaths',
             'cold_targets',
+            'expected_s',
+            'host_left_s',
         ),
     ),
+    Event(
+        'stop_checked',
+        'a stopping host compared the expected end of a request with its own',
+        ('id', 'place', 'fits', 'expected_s', 'host_left_s'),
+    ),
     Event(
         'rejected',
         'no route matches the request, or the API key is unknown',
