--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -41,6 +41,7 @@
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.http1 import server
+from walnutport.lifecycle import host_end
 from walnutport.membership import loop_lag
 from walnutport.peer import capabilities
 from walnutport.peer import fleet_messages
@@ -101,6 +102,7 @@
         self._incarnation = uuid.uuid4().hex[:8]
         rng = random.Random()
         self._lag_monitor = loop_lag.LoopLagMonitor()
+        self._host_end = host_end.HostEnd()
         self._tick_due_at = 0.0
         self._caller_listeners: list = []
         self._known_target_ids: set[str] = set()
@@ -334,6 +336,7 @@
             self._caller_site,
             self._has_jobs,
             lambda: self.settings.bounds.grace_s,
+            self._host_end,
             self._caller_listeners,
         )
         self._directory = host_directory.HostDirectory(
@@ -416,6 +419,9 @@
             'stopped',
             in_flight=len(self._request_handler.in_flight),
             channels=len(self._caller_site.channels),
+            cut_after_s=self._drain.arrivals_s(
+                call.arrived_at for call in self._request_handler.in_flight
+            ),
         )
         self._follower.stop()
         self._history_record.stop()
--- a/walnutport/gateway/operations/events.py
+++ b/walnutport/gateway/operations/events.py
@@ -40,8 +40,10 @@
     ),
     Event(
         'stopped',
-        'the drain ended; requests still in flight are aborted',
-        ('in_flight', 'channels'),
+        'the drain ended; requests still in flight are aborted, '
+        '`cut_after_s` tells how long after the signal the latest of them '
+        'came',
+        ('in_flight', 'channels', 'cut_after_s'),
     ),
     Event('reloaded', 'the settings were read again and are in force'),
     Event(
