Tell peers of a stop at the signal

Cause: a host that got SIGTERM told its peers with its next regular heartbeat, 0.3 s later, or 0.6 s in a large installation. Until then they submitted stages to it as the owner of a cell and chose it for requests that they relay. Change: it sends a heartbeat at the signal. Messages of a link keep their order, so that a peer knows of the stop before it gets anything back. Measured: the new test fails without the change (no heartbeat is sent at the signal) and passes with it.

--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -399,6 +399,8 @@
                 'stopping', in_flight=len(self._request_handler.in_flight)
             )
             self._drain.start().addCallback(self._finish_stop)
+            # Peers choose other hosts before they get anything back.
+            self._mesh.send_heartbeat()
         return self._stopped
 
     @property
