Hand jobs that outlast the owner of their cell to the next one

What callers saw: stages that an owner of a cell had accepted shortly before or after its SIGTERM, and that ended after it, were lost with it. The host of the request noticed when the link was gone and had them run again from the start, as much later as the whole drain. Cause: neither the admission of a cell nor its scheduler knew the end of the host. Change: from the signal on, the owner compares the expected end of each job with HostEnd, at the signal, for each new job and every 0.1 s. What does not fit goes back as StagesHandedOver. Calls that end in time are awaited, no further ones start, and the results go along (JobSpec.held), so that the successor runs what is missing only and frees them. The submitter keeps the place of the job (was_admitted), but for one that came after the signal. Without another owner the job is refused at once.

--- a/tests/gateway/test_host.py
+++ b/tests/gateway/test_host.py
@@ -6,6 +6,7 @@
 from walnutport.config import entry_settings
 from walnutport.gateway import host
 from walnutport.gateway.peers import peers
+from walnutport.gateway.stages import stage_client
 from walnutport.peer import fleet_messages
 
 SETTINGS = entry_settings.EntrySettings(
@@ -46,3 +47,22 @@
     assert heartbeat.draining
     entry_host.drain()
     assert len(sent) == 1
+
+
+def test_jobs_are_handed_over_after_peers_know_of_the_stop(
+    entry_host, monkeypatch
+):
+    """Guards against jobs that peers submit to the stopping owner again."""
+    steps: list[str] = []
+    monkeypatch.setattr(
+        peers.PeerMesh,
+        'send_heartbeat',
+        lambda mesh: steps.append('heartbeat'),
+    )
+    monkeypatch.setattr(
+        stage_client.StageClient,
+        'host_stops',
+        lambda client: steps.append('handover'),
+    )
+    entry_host.drain()
+    assert steps == ['heartbeat', 'handover']
--- a/tests/stages/test_begin_rules.py
+++ b/tests/stages/test_begin_rules.py
@@ -8,6 +8,7 @@
 from walnutport.stages import begin_rules
 from walnutport.stages import pieces
 from walnutport.stages import scheduler
+from walnutport.stages import stage_targets
 from walnutport.world import routes
 
 # Results of the second stage are held until the first event of the request,
@@ -95,8 +96,8 @@
         cell.expire_jobs(now)
         for call in cell.next_calls(now):
             took_s = (
-                call.timeout_s - scheduler.TIMEOUT_MARGIN_S
-            ) / scheduler.TIMEOUT_RATIO
+                call.timeout_s - stage_targets.TIMEOUT_MARGIN_S
+            ) / stage_targets.TIMEOUT_RATIO
             calls.append((now + took_s, call, took_s))
         for outcome in cell.take_outcomes():
             if isinstance(outcome, pieces.JobResult):
--- a/tests/stages/test_scheduler.py
+++ b/tests/stages/test_scheduler.py
@@ -274,7 +274,9 @@
     for number in range(30):
         cell.submit(builders.job_spec(f'{number}', aim_s=9.0), now)
         (call,) = cell.next_calls(now)
-        now += 4 * (0.15 + 0.02 * len(call.pieces) + scheduler.CALL_OVERHEAD_S)
+        now += 4 * (
+            0.15 + 0.02 * len(call.pieces) + stage_targets.CALL_OVERHEAD_S
+        )
         finish_call(cell, call, now)
         cell.release(f'{number}')
     cell.take_outcomes()
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -216,6 +216,10 @@
             self._selector.recommend_engine,
             self._reports,
             self._eligibility,
+            self._host_end,
+            functools.partial(
+                self._peer_supports, capabilities.Capability.STAGE_HANDOVER
+            ),
         )
         self._reports.on_change = self._stages.target_changed
         self._cold.on_change = self._stages.target_changed
@@ -401,6 +405,7 @@
             self._drain.start().addCallback(self._finish_stop)
             # Peers choose other hosts before they get anything back.
             self._mesh.send_heartbeat()
+            self._stages.host_stops()
         return self._stopped
 
     @property
@@ -549,6 +554,13 @@
             and not self._path.is_cut
         )
 
+    def _peer_supports(
+        self, capability: capabilities.Capability, name: str
+    ) -> bool:
+        """Return whether a peer understands a kind of message."""
+        peer = self._mesh.peer_by_name.get(name)
+        return peer is not None and peer.supports(capability)
+
     def _heartbeat(self, interval_s: float) -> fleet_messages.Heartbeat:
         return fleet_messages.Heartbeat(
             self._follower.desired_version,
--- a/walnutport/gateway/operations/events.py
+++ b/walnutport/gateway/operations/events.py
@@ -393,6 +393,13 @@
         'the owner of a cell was lost; the stages are submitted again; '
         '`admitted` if the owner had admitted them',
         ('id', 'lost_owner', 'admitted'),
+        ('handed_over',),
+    ),
+    Event(
+        'stages_handed_over',
+        'the owner of a cell stops before a job can end; its host submits the '
+        'job to the next owner; `admitted` if this one had admitted it',
+        ('id', 'cell', 'peer', 'results', 'admitted', 'left_s'),
     ),
     # The path to the targets, and requests that go by a peer.
     Event(
--- a/walnutport/gateway/stages/cell_owner.py
+++ b/walnutport/gateway/stages/cell_owner.py
@@ -11,9 +11,11 @@
 from twisted.internet import defer
 
 from walnutport import exceptions
+from walnutport.gateway.stages import stage_replies
 from walnutport.gateway.targets import target_reports
 from walnutport.http1 import channel_pool
 from walnutport.http1 import messages
+from walnutport.lifecycle import host_end
 from walnutport.platform import headers
 from walnutport.platform import stage_calls
 from walnutport.routing import eligibility
@@ -45,7 +47,7 @@
     """
 
     peer: str
-    reply: Callable[[object], None]
+    reply: Callable[[stage_replies.Reply], None]
     spec: pieces.JobSpec
 
 
@@ -58,6 +60,9 @@
         request after its stages.
     :param reports: evaluates what targets state in their responses.
     :param target_eligibility: decides which targets may get new work.
+    :param end: end of this host.
+    :param takes_handover: returns whether a peer submits a job again that it
+        is handed.
     """
 
     def __init__(
@@ -73,8 +78,12 @@
         ],
         reports: target_reports.TargetReports,
         target_eligibility: eligibility.Eligibility,
+        end: host_end.HostEnd,
+        takes_handover: Callable[[str], bool],
     ) -> None:
         self._eligibility = target_eligibility
+        self._end = end
+        self._takes_handover = takes_handover
         self.cell = cell
         self._host_name = host_name
         self._reports = reports
@@ -120,12 +129,13 @@
         ):
             self.scheduler.expire_jobs(time.monotonic())
             self._advance_jobs()
+            self.hand_over_jobs()
 
     def submit_job(
         self,
         spec: pieces.JobSpec,
         peer: str,
-        reply: Callable[[object], None],
+        reply: Callable[[stage_replies.Reply], None],
     ) -> None:
         """Submit a job.
 
@@ -139,6 +149,9 @@
                 refusal = dataclasses.replace(refusal, reason='evacuated')
             reply(refusal)
             return
+        self._job_by_id[spec.job_id] = _AcceptedJob(peer, reply, spec)
+        if self._hand_over_new(spec, now):
+            return
         self._log.routine(
             'stages_taken',
             id=spec.request_id,
@@ -149,7 +162,6 @@
             aim_s=round(spec.aim_s, 3),
             continues=spec.continues,
         )
-        self._job_by_id[spec.job_id] = _AcceptedJob(peer, reply, spec)
         self._advance_jobs()
 
     def release_job(self, job_id: str) -> None:
@@ -167,6 +179,57 @@
                     ORPHAN_RETENTION_S, self.release_job, job_id
                 )
 
+    def hand_over_jobs(self) -> None:
+        """Hand over the jobs that end after this host.
+
+        Their hosts submit them to the next owner at once, with the results so
+        far. They would be lost with this host otherwise.
+        """
+        if not self._end.is_set:
+            return
+        now = time.monotonic()
+        for handover in self.scheduler.withdraw_jobs(
+            self._end, self._may_withdraw, now
+        ):
+            self._hand_over(handover, now)
+
+    def _hand_over_new(self, spec: pieces.JobSpec, now: float) -> bool:
+        """Return whether a job that was just submitted was handed over."""
+        if not self._end.is_set:
+            return False
+        for handover in self.scheduler.withdraw_jobs(
+            self._end,
+            lambda found: found is spec and self._may_withdraw(spec),
+            now,
+        ):
+            # The next owner decides whether to admit a job that has not
+            # waited here.
+            self._hand_over(
+                dataclasses.replace(handover, was_admitted=spec.was_admitted),
+                now,
+            )
+            return True
+        return False
+
+    def _may_withdraw(self, spec: pieces.JobSpec) -> bool:
+        job = self._job_by_id.get(spec.job_id)
+        return job is not None and (
+            not job.peer or self._takes_handover(job.peer)
+        )
+
+    def _hand_over(self, handover: pieces.JobHandover, now: float) -> None:
+        job = self._job_by_id.pop(handover.job_id)
+        self._log.notable(
+            'stages_handed_over',
+            id=job.spec.request_id,
+            cell=self.cell,
+            peer=job.peer,
+            results=len(handover.results),
+            admitted=handover.was_admitted,
+            left_s=round(self._end.left_s(now), 3),
+        )
+        job.reply(handover)
+
     def _advance_jobs(self) -> None:
         now = time.monotonic()
         for call in self.scheduler.next_calls(now):
--- a/walnutport/gateway/stages/stage_client.py
+++ b/walnutport/gateway/stages/stage_client.py
@@ -10,8 +10,10 @@
 from walnutport import exceptions
 from walnutport.gateway.stages import cell_owner
 from walnutport.gateway.stages import pending_jobs
+from walnutport.gateway.stages import stage_replies
 from walnutport.gateway.targets import target_reports
 from walnutport.http1 import channel_pool
+from walnutport.lifecycle import host_end
 from walnutport.membership import ranking
 from walnutport.peer import fleet_messages
 from walnutport.routing import eligibility
@@ -49,6 +51,9 @@
         request after its stages.
     :param reports: evaluates what targets state in their responses.
     :param target_eligibility: decides which targets may get new work.
+    :param end: end of this host.
+    :param takes_handover: returns whether a peer submits a job again that it
+        is handed.
     """
 
     def __init__(
@@ -67,7 +72,11 @@
         ],
         reports: target_reports.TargetReports,
         target_eligibility: eligibility.Eligibility | None = None,
+        end: host_end.HostEnd | None = None,
+        takes_handover: Callable[[str], bool] = lambda name: False,
     ) -> None:
+        self._end = end or host_end.HostEnd()
+        self._takes_handover = takes_handover
         self._eligibility = target_eligibility or eligibility.Eligibility()
         self._choose_engine = choose_engine
         self._reports = reports
@@ -120,6 +129,11 @@
         for owner in self._local_owner_by_cell.values():
             owner.tick()
 
+    def host_stops(self) -> None:
+        """Hand over the jobs that end after this host."""
+        for owner in self.local_owners():
+            owner.hand_over_jobs()
+
     def find_owner(self, cell: int) -> str | None:
         """Return the name of the host that owns a cell.
 
@@ -159,35 +173,23 @@
             stage_run.cell = cell
             stage_run.owner = owner
             reply = await self._submit(spec, cell, owner)
-            if isinstance(reply, pieces.JobResult):
-                return reply
-            if isinstance(reply, pieces.Refusal):
-                raise exceptions.StagesRefused(
-                    reply.reason,
-                    reply.retry_after_s,
-                    reply.forecast_s,
-                    reply.standing,
-                    reply.spent_s,
-                    reply.reserved,
-                    reply.kind_standing,
-                )
-            if isinstance(reply, pieces.JobFailure):
-                raise exceptions.StagesRefused(
-                    reply.reason,
-                    reply.retry_after_s,
-                    reserved=reply.reserved,
-                )
-            # The owner was lost; its successor runs the stages again.
-            if isinstance(reply, pending_jobs.LostOwner):
-                spec = dataclasses.replace(
-                    spec, was_admitted=spec.was_admitted or reply.was_admitted
-                )
+            result = stage_replies.result_of(reply)
+            if result is not None:
+                return result
+            # The owner was lost, or stops; its successor goes on.
+            is_handover = isinstance(reply, pieces.JobHandover)
+            spec = stage_replies.next_spec(spec, reply)
             self._log.notable(
                 'stages_resubmitted',
                 id=spec.request_id,
                 lost_owner=owner,
                 admitted=spec.was_admitted,
+                handed_over=is_handover,
             )
+            if is_handover and self.find_owner(cell) == owner:
+                raise exceptions.StagesRefused(
+                    'owner_stopping', OWNERS_LOST_RETRY_AFTER_S
+                )
         raise exceptions.StagesRefused(
             'owners_lost', OWNERS_LOST_RETRY_AFTER_S
         )
@@ -228,14 +230,10 @@
             local = self._local_owner_by_cell.get(message.cell)
             if local is not None:
                 local.release_job(message.job_id)
-        elif isinstance(message, fleet_messages.StagesDone):
-            self._pending.resolve(message.result.job_id, message.result, name)
-        elif isinstance(message, fleet_messages.StagesFailed):
-            self._pending.resolve(
-                message.failure.job_id, message.failure, name
-            )
-        elif isinstance(message, fleet_messages.StagesRefused):
-            self._pending.resolve(message.job_id, message.refusal, name)
+        else:
+            reply = stage_replies.decode(message)
+            if reply is not None:
+                self._pending.resolve(*reply, name)
 
     def owner_cut(self, name: str) -> None:
         """Resubmit the jobs of a host, or of this one, without any target."""
@@ -296,13 +294,8 @@
     ) -> None:
         job_id = message.order.job_id
 
-        def reply(outcome: object) -> None:
-            if isinstance(outcome, pieces.JobResult):
-                self._send(name, fleet_messages.StagesDone(outcome))
-            elif isinstance(outcome, pieces.JobFailure):
-                self._send(name, fleet_messages.StagesFailed(outcome))
-            elif isinstance(outcome, pieces.Refusal):
-                self._send(name, fleet_messages.StagesRefused(job_id, outcome))
+        def reply(outcome: stage_replies.Reply) -> None:
+            self._send(name, stage_replies.encode(job_id, outcome))
 
         self._get_local_owner(message.cell).submit_job(
             message.order, name, reply
@@ -320,6 +313,8 @@
                 self._choose_engine,
                 self._reports,
                 self._eligibility,
+                self._end,
+                self._takes_handover,
             )
             self._local_owner_by_cell[cell] = owner
             owner.update_targets(
--- a/walnutport/peer/capabilities.py
+++ b/walnutport/peer/capabilities.py
@@ -25,6 +25,8 @@
     SEND_PERMITS = 'send_permits'
     #: Questions whether a host has begun a stream.
     STREAM_CLAIMS = 'stream_claims'
+    #: Jobs that the owner of a cell hands over before its host ends.
+    STAGE_HANDOVER = 'stage_handover'
 
 
 #: Capabilities of this build.
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -38,6 +38,7 @@
     'SendPermitRequest',
     'StagesDone',
     'StagesFailed',
+    'StagesHandedOver',
     'StagesRefused',
     'StreamsBegun',
     'TargetReports',
@@ -178,6 +179,12 @@
     failure: pieces.JobFailure
 
 
+class StagesHandedOver(msgspec.Struct, frozen=True, tag='handed_over'):
+    """A job that another owner has to finish, as the sender stops."""
+
+    handover: pieces.JobHandover
+
+
 class StagesRefused(msgspec.Struct, frozen=True, tag='refused'):
     """Refusal of a job that was not accepted."""
 
@@ -321,6 +328,7 @@
     | ReleaseStages
     | StagesDone
     | StagesFailed
+    | StagesHandedOver
     | StagesRefused
     | CrashReport
     | PartReports
@@ -343,6 +351,7 @@
     SendPermitReply: capabilities.Capability.SEND_PERMITS,
     ClaimQuery: capabilities.Capability.STREAM_CLAIMS,
     ClaimReply: capabilities.Capability.STREAM_CLAIMS,
+    StagesHandedOver: capabilities.Capability.STAGE_HANDOVER,
 }
 
 
--- a/walnutport/stages/admission_counts.py
+++ b/walnutport/stages/admission_counts.py
@@ -25,6 +25,8 @@
     RETURNED = 'returned'
     #: It had been refused before and was refused again.
     REFUSED_AGAIN = 'refused_again'
+    #: Another owner goes on with it, as the host of this one stops.
+    HANDED_OVER = 'handed_over'
     #: Its stages are complete.
     SERVED = 'served'
 
--- a/walnutport/stages/batching.py
+++ b/walnutport/stages/batching.py
@@ -12,9 +12,10 @@
 
 from walnutport.stages import cell_targets
 from walnutport.stages import jobs
+from walnutport.stages import pieces
 from walnutport.stages import stage_targets
 
-__all__ = ['CallBuilder', 'WaitingPieces', 'CallPieces']
+__all__ = ['CallBuilder', 'CallPieces', 'WaitingPieces', 'piece_requests']
 
 # A stage whose pieces fetch fewer bytes in total may run in any data centre.
 MIN_NEAR_INPUT_BYTES = 500_000
@@ -135,3 +136,28 @@
             return False
         latest = self._latest_start(entry.job)
         return self._now + near_s + NEAR_MARGIN_S < latest
+
+
+def piece_requests(
+    call_pieces: CallPieces, now: float
+) -> tuple[pieces.PieceRequest, ...]:
+    """Return the pieces of a call as they are sent to its target."""
+    handles_by_stage: dict[tuple[str, int], tuple[str, ...]] = {}
+    requests = []
+    for job, (stage, piece) in call_pieces:
+        key = (job.spec.job_id, stage)
+        inputs = handles_by_stage.get(key)
+        if inputs is None:
+            inputs = tuple(placed.handle for placed in job.inputs(stage))
+            handles_by_stage[key] = inputs
+        requests.append(
+            pieces.PieceRequest(
+                job.spec.request_id,
+                stage,
+                piece,
+                job.deadline_at - now,
+                job.spec.piece_key,
+                inputs or None,
+            )
+        )
+    return tuple(requests)
--- a/walnutport/stages/forecast.py
+++ b/walnutport/stages/forecast.py
@@ -63,9 +63,13 @@
             ready_unloaded_s = max(
                 ready_unloaded_s, unloaded_end_by_stage[predecessor]
             )
+        count = job.unstarted_pieces(stage)
+        if not count:
+            end_by_stage[stage] = ready_s
+            unloaded_end_by_stage[stage] = ready_unloaded_s
+            continue
         rules = load.rules
         wait_s = load.backlog_s / load.slots
-        count = job.piece_count(stage)
         calls = -(-count // rules.max_pieces)
         rounds = -(-calls // load.slots)
         own_pieces = min(count, rules.max_pieces)
--- a/walnutport/stages/held_results.py
+++ b/walnutport/stages/held_results.py
@@ -1,7 +1,10 @@
 """Release of results that stage targets hold."""
 
+from collections.abc import Iterable
+
 from walnutport.stages import cell_targets
 from walnutport.stages import jobs
+from walnutport.stages import pieces
 from walnutport.world import registrations
 
 __all__ = ['HeldResults']
@@ -20,6 +23,32 @@
         """Whether results wait to be freed."""
         return bool(self._freed_by_target)
 
+    def adopt(self, held: Iterable[pieces.HeldResult]) -> None:
+        """Count the memory of results of another owner."""
+        for result in held:
+            target = self._targets.by_id.get(result.target_id)
+            if target is not None:
+                target.held_bytes += result.size
+
+    def hand_over(self, held: Iterable[pieces.HeldResult]) -> None:
+        """Stop counting the memory of results that another owner frees."""
+        for result in held:
+            target = self._targets.by_id.get(result.target_id)
+            if target is not None:
+                target.release_memory(result.size)
+
+    def free_held(self, held: Iterable[pieces.HeldResult]) -> None:
+        """Record results of another owner that are not needed."""
+        for result in held:
+            self.free(
+                jobs.PlacedResult(
+                    result.handle,
+                    result.target_id,
+                    result.data_centre,
+                    result.size,
+                )
+            )
+
     def free(self, placed: jobs.PlacedResult) -> None:
         """Record a result that is no longer needed.
 
--- a/walnutport/stages/job_gate.py
+++ b/walnutport/stages/job_gate.py
@@ -73,6 +73,10 @@
         """Count a job whose stages are complete."""
         self._count(job, JobEvent.SERVED)
 
+    def handed_over(self, job: jobs.Job) -> None:
+        """Count a job with which another owner goes on."""
+        self._count(job, JobEvent.HANDED_OVER)
+
     def miss_aim(self, job: jobs.Job, now: float) -> bool:
         """Release the place of an unstarted job that cannot meet its aim.
 
--- a/walnutport/stages/jobs.py
+++ b/walnutport/stages/jobs.py
@@ -42,7 +42,9 @@
         # Whether it goes before the jobs of callers who hold nothing.
         self.goes_first = False
         # Whether any of its pieces was sent to a target.
-        self.started = False
+        self.started = bool(spec.held)
+        # Whether no further piece is started, as another owner goes on.
+        self.is_leaving = False
         # Latest start that meets the aim, known once it is admitted; without
         # a bound if it goes first.
         self.latest_start_at = math.inf
@@ -68,6 +70,7 @@
         self.final_stages = tuple(
             number for number in self.stages if not self._successors[number]
         )
+        self._add_held()
         self.update_waiting()
 
     def predecessors(self, stage: int) -> tuple[int, ...]:
@@ -134,6 +137,22 @@
             return None
         return self._collect(self.final_stages)
 
+    def result(self) -> pieces.JobResult | None:
+        """Return the result of the job, or None if it is incomplete."""
+        final = self.final_results()
+        if final is None:
+            return None
+        return pieces.JobResult(
+            self.spec.job_id,
+            tuple(
+                pieces.StageResult(
+                    placed.handle, placed.data_centre, placed.size
+                )
+                for placed in final
+            ),
+            spent_s=self.spec.spent_s,
+        )
+
     def all_results(self) -> list[PlacedResult]:
         """Return all results that targets still hold for the job."""
         return [
@@ -157,6 +176,18 @@
                 self.results[stage] = {}
         return consumed
 
+    def withdraw(self) -> pieces.JobHandover:
+        """End the job here, and return it with its results."""
+        held = tuple(
+            pieces.HeldResult(stage, piece, **dataclasses.asdict(placed))
+            for stage, results_by_piece in self.results.items()
+            for piece, placed in results_by_piece.items()
+        )
+        self.finished = True
+        self.results = {stage: {} for stage in self.stages}
+        self.waiting = {}
+        return pieces.JobHandover(self.spec.job_id, True, held)
+
     def drop_results(self, target_id: str) -> bool:
         """Drop the results that a lost target held.
 
@@ -190,6 +221,17 @@
         self._remove_unready()
         return dropped
 
+    def _add_held(self) -> None:
+        """Add the results of the owner before."""
+        for held in self.spec.held:
+            if held.stage not in self.results or not (
+                0 <= held.piece < self.spec.piece_counts[held.stage]
+            ):
+                continue
+            self.results[held.stage][held.piece] = PlacedResult(
+                held.handle, held.target_id, held.data_centre, held.size
+            )
+
     def _remove_unready(self) -> None:
         """Remove waiting pieces with incomplete inputs."""
         for stage in list(self.waiting):
--- a/walnutport/stages/pieces.py
+++ b/walnutport/stages/pieces.py
@@ -9,7 +9,9 @@
 from walnutport.world import routes
 
 __all__ = [
+    'HeldResult',
     'JobFailure',
+    'JobHandover',
     'JobSpec',
     'JobResult',
     'PieceFailure',
@@ -46,6 +48,23 @@
     inputs: tuple[str, ...] | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldResult:
+    """Result of a piece that a target holds for a job of another owner.
+
+    :param handle: name under which targets fetch the result.
+    :param data_centre: data centre of the target.
+    :param size: its size in bytes.
+    """
+
+    stage: int
+    piece: int
+    handle: str
+    target_id: str
+    data_centre: str
+    size: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobSpec:
     """Stages of one request, as submitted by the host that received it.
@@ -71,7 +90,8 @@
         caller holds a part.
     :param was_admitted: whether the owner of a cell has admitted the stages
         before, for the same attempt of the caller. They run again as the owner
-        or the results were lost.
+        or the results were lost, or as the owner stops.
+    :param held: results of an owner that stops, which are not made again.
     """
 
     job_id: str
@@ -92,6 +112,7 @@
     route: str = ''
     continues: bool = False
     was_admitted: bool = False
+    held: tuple[HeldResult, ...] = ()
 
     @property
     def returned(self) -> bool:
@@ -141,6 +162,19 @@
     reserved: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobHandover:
+    """Job that its owner cannot finish, as its host stops before that.
+
+    :param was_admitted: as in the specification of the job.
+    :param results: results that targets hold for the job.
+    """
+
+    job_id: str
+    was_admitted: bool
+    results: tuple[HeldResult, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
     """Refusal of a job.
--- a/walnutport/stages/scheduler.py
+++ b/walnutport/stages/scheduler.py
@@ -7,9 +7,11 @@
 capacity of targets.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import itertools
 
+from walnutport.lifecycle import host_end
 from walnutport.routing import eligibility
 from walnutport.stages import batching
 from walnutport.stages import begin_rules
@@ -18,6 +20,7 @@
 from walnutport.stages import held_results
 from walnutport.stages import job_expiry
 from walnutport.stages import job_gate
+from walnutport.stages import job_handover
 from walnutport.stages import jobs
 from walnutport.stages import pieces
 from walnutport.stages import stage_targets
@@ -27,14 +30,8 @@
 
 __all__ = ['StageScheduler']
 
-# A call that exceeds this multiple of its expected time plus the margin is
-# retried at another target.
-TIMEOUT_RATIO = 2.5
-TIMEOUT_MARGIN_S = 0.3
 # A job with more piece failures than this fails.
 MAX_JOB_FAILURES = 6
-# Network round trip to a target and processing time of the host.
-CALL_OVERHEAD_S = 0.01
 # Interval at which jobs are checked that may have to be given up.
 EXPIRE_INTERVAL_S = 0.1
 #: Id of a job and index of a stage.
@@ -127,7 +124,9 @@
         """
         rules = self._targets.rules_by_service
         admitted = self.gate.admit(spec, rules, now)
+        self._results.adopt(spec.held)
         if isinstance(admitted, pieces.Refusal):
+            self._results.free_held(spec.held)
             return admitted
         self._job_by_id[spec.job_id] = admitted
         self._advance_job(admitted, now)
@@ -153,6 +152,33 @@
         job.waiting = {}
         self._update_job(job)
 
+    def withdraw_jobs(
+        self,
+        end: host_end.HostEnd,
+        may_withdraw: Callable[[pieces.JobSpec], bool],
+        now: float,
+    ) -> list[pieces.JobHandover]:
+        """Remove and return the jobs that another owner has to finish.
+
+        :param may_withdraw: whether a job can go on at another owner.
+        """
+        withdrawn = []
+        for job, is_due in job_handover.find_leaving(
+            [j for j in self._job_by_id.values() if may_withdraw(j.spec)],
+            self._call_by_id.values(),
+            self._targets.rules_by_service,
+            end,
+            now,
+        ):
+            job.is_leaving = True
+            if is_due:
+                del self._job_by_id[job.spec.job_id]
+                withdrawn.append(job.withdraw())
+                self._results.hand_over(withdrawn[-1].results)
+                self.gate.handed_over(job)
+            self._update_job(job)
+        return withdrawn
+
     def take_outcomes(self) -> list[pieces.JobResult | pieces.JobFailure]:
         """Return the jobs that finished or failed since the previous call."""
         outcomes, self._outcomes = self._outcomes, []
@@ -267,7 +293,7 @@
             service = job.spec.stages[stage].service
             ready = self._ready_by_service.setdefault(service, {})
             key = (job.spec.job_id, stage)
-            if stage in job.waiting:
+            if stage in job.waiting and not job.is_leaving:
                 ready[key] = job
             else:
                 ready.pop(key, None)
@@ -280,46 +306,26 @@
         call_pieces: batching.CallPieces,
         now: float,
     ) -> pieces.BatchCall:
-        rules = target.rules
-        expected_s = (
-            rules.call_s + len(call_pieces) * rules.piece_s + CALL_OVERHEAD_S
-        )
         slowness = target.slowness_at(now)
+        expected_s = target.call_s(len(call_pieces)) * slowness
         call = stage_targets.RunningCall(
-            target, call_pieces, now, expected_s * slowness, slowness
+            target, call_pieces, now, expected_s, slowness
         )
         call_id = next(self._call_ids)
         self._call_by_id[call_id] = call
         target.calls[call_id] = call
         target.record_send(now)
         self.cell_load.call_started(target.info.service, len(call_pieces))
-        items = []
-        handles_by_stage: dict[_StageKey, tuple[str, ...]] = {}
-        for job, piece_id in call_pieces:
-            stage, piece = piece_id
-            job.start_piece(piece_id)
+        for job, (stage, piece) in call_pieces:
+            job.start_piece((stage, piece))
             target.held_bytes += job.spec.stages[stage].result_bytes
-            inputs = handles_by_stage.get((job.spec.job_id, stage))
-            if inputs is None:
-                inputs = tuple(placed.handle for placed in job.inputs(stage))
-                handles_by_stage[(job.spec.job_id, stage)] = inputs
-            items.append(
-                pieces.PieceRequest(
-                    job.spec.request_id,
-                    stage,
-                    piece,
-                    job.deadline_at - now,
-                    job.spec.piece_key,
-                    inputs or None,
-                )
-            )
         for job in call.jobs():
             self._update_job(job)
         return pieces.BatchCall(
             call_id,
             target.info,
-            tuple(items),
-            call.expected_s * TIMEOUT_RATIO + TIMEOUT_MARGIN_S,
+            batching.piece_requests(call_pieces, now),
+            call.timeout_s,
         )
 
     def _record_outcome(
@@ -363,26 +369,15 @@
             return
         for placed in job.take_consumed():
             self._results.free(placed)
-        final = job.final_results()
-        if final is None:
+        result = job.result()
+        if result is None:
             job.update_waiting()
             self._update_job(job)
             return
         job.finished = True
         self._update_job(job)
         self.gate.served(job)
-        self._outcomes.append(
-            pieces.JobResult(
-                job.spec.job_id,
-                tuple(
-                    pieces.StageResult(
-                        placed.handle, placed.data_centre, placed.size
-                    )
-                    for placed in final
-                ),
-                spent_s=job.spec.spent_s,
-            )
-        )
+        self._outcomes.append(result)
 
     def _fail_job(self, job: jobs.Job, reason: str, now: float) -> None:
         failure = self.gate.give_up(job, reason, now)
--- a/walnutport/stages/stage_targets.py
+++ b/walnutport/stages/stage_targets.py
@@ -30,6 +30,12 @@
 # After that, what it refused is forgotten evenly within this time, so that a
 # few results show first whether there is room again.
 NO_ROOM_DECAY_S = 0.25
+# A call that exceeds this multiple of its expected time plus the margin is
+# retried at another target.
+TIMEOUT_RATIO = 2.5
+TIMEOUT_MARGIN_S = 0.3
+# Network round trip to a target and processing time of the host.
+CALL_OVERHEAD_S = 0.01
 # A target that states a limit has results freed once in this number of calls.
 FREE_SPACING = 4
 
@@ -61,6 +67,11 @@
     expected_s: float
     slowness: float | None = None
 
+    @property
+    def timeout_s(self) -> float:
+        """Time after which the call is retried at another target."""
+        return self.expected_s * TIMEOUT_RATIO + TIMEOUT_MARGIN_S
+
     def jobs(self) -> list[jobs.Job]:
         """Return the distinct jobs that have pieces in the call."""
         return list({id(job): job for job, _ in self.pieces}.values())
@@ -110,6 +121,11 @@
         """Whether the target can take calls now or later."""
         return self.usable and self.ineligible is None
 
+    def call_s(self, piece_count: int) -> float:
+        """Return the duration of a call, without the measured slowness."""
+        rules = self.rules
+        return rules.call_s + piece_count * rules.piece_s + CALL_OVERHEAD_S
+
     def is_free(self, now: float) -> bool:
         """Return whether the target can take a call."""
         return (
--- a/walnutport/stages/timing.py
+++ b/walnutport/stages/timing.py
@@ -13,6 +13,7 @@
     'latest_start',
     'latest_start_of_full_calls',
     'min_remaining_s',
+    'min_stages_s',
     'scheduling_key',
 ]
 
@@ -34,8 +35,12 @@
 
     The duration of the request itself varies, so only half of it is counted.
     """
-    chain_s = _longest_chain_s(job, rules_by_service, full_calls=False)
-    return chain_s + job.spec.final_s / 2
+    return min_stages_s(job, rules_by_service) + job.spec.final_s / 2
+
+
+def min_stages_s(job: jobs.Job, rules_by_service: _Rules) -> float:
+    """Return the minimum time that the unstarted stages of a job need."""
+    return _longest_chain_s(job, rules_by_service, full_calls=False)
 
 
 def latest_start(job: jobs.Job, rules_by_service: _Rules) -> float:
