Try another peer for a relayed request that a stopping peer refuses

What callers saw: a host that reaches no target relays a request to a peer. If the peer gets SIGTERM while the request waits there and refuses it as it cannot end before the host, the caller got that refusal, though other peers serve. Cause: only status 421, which the peer gives at the arrival of a request, counted as not begun. Change: an own refusal of a peer (503 without the seal of a target, which promises that the request did not run) counts as not begun if the peer takes no requests any more. The next peer is tried, at most three in all.

--- a/walnutport/gateway/operations/events.py
+++ b/walnutport/gateway/operations/events.py
@@ -438,6 +438,12 @@
         'a peer did not serve the request to its end',
         ('id', 'peer', 'problem'),
     ),
+    Event(
+        'relay_returned',
+        'a peer has not begun a request, as it stops or takes no requests of '
+        'other hosts; another one is tried',
+        ('id', 'peer', 'status'),
+    ),
     # Requests.
     Event(
         'placed',
--- a/walnutport/gateway/peers/peer_relay.py
+++ b/walnutport/gateway/peers/peer_relay.py
@@ -34,6 +34,9 @@
 # A peer answers with this status if it serves no requests of others, before it
 # has begun anything.
 NOT_TAKEN_STATUS = 421
+# A host refuses a request with this status, which promises that it did not
+# run. Such a response of a target bears the seal of the target.
+REFUSED_STATUS = 503
 # Peers that are tried for one request, as long as none has begun it.
 MAX_PEERS = 3
 DIAL_TIMEOUT_S = 0.4
@@ -57,7 +60,10 @@
 
 
 class _RelayReceiver:
-    """Passes the response of a peer on to the caller."""
+    """Passes the response of a peer on to the caller.
+
+    :param takes_requests: returns whether the peer takes requests now.
+    """
 
     max_body_bytes = MAX_RESPONSE_BYTES
 
@@ -65,12 +71,15 @@
         self,
         call: calls.CallerCall,
         channel: client_channel.ClientChannel,
+        takes_requests: Callable[[], bool],
     ) -> None:
+        self._takes_requests = takes_requests
         self._call = call
         self._channel = channel
         self._head = messages.EMPTY_HEAD
         self._body_parts: list[bytes] = []
         self._is_stream = False
+        self._is_returned = False
         self.done: defer.Deferred = defer.Deferred(
             lambda deferred: channel.cancel()
         )
@@ -78,7 +87,12 @@
     @property
     def was_taken(self) -> bool:
         """Whether the peer may have begun to serve the request."""
-        return self._head.status != NOT_TAKEN_STATUS
+        return self._head.status != NOT_TAKEN_STATUS and not self._is_returned
+
+    @property
+    def status(self) -> int:
+        """Status of the response."""
+        return self._head.status
 
     @property
     def names_request(self) -> bool:
@@ -90,6 +104,12 @@
         if request_id and request_id != self._call.request_id:
             return False
         self._head = head
+        # A peer that stops refuses what it cannot finish; others may serve it.
+        self._is_returned = (
+            head.status == REFUSED_STATUS
+            and not headers.decode_response_headers(head).sealed
+            and not self._takes_requests()
+        )
         self._is_stream = head.header(b'transfer-encoding') is not None
         if self._is_stream:
             self._call.status = head.status
@@ -133,6 +153,7 @@
     :ivar site: site that accepts requests of peers.
     :ivar sent_count: requests that peers have served for this host.
     :ivar received_count: requests of peers that this host has served.
+    :ivar returned_count: requests that peers have turned away again.
     """
 
     def __init__(
@@ -159,6 +180,7 @@
         self.site = server.ServerSite(reactor, self._receive, limits)
         self.sent_count = 0
         self.received_count = 0
+        self.returned_count = 0
 
     def applies(self, call: calls.CallerCall) -> bool:
         """Return whether a request has to go by a peer, if by any way."""
@@ -201,6 +223,7 @@
         return {
             'requests_relayed_total': self.sent_count,
             'requests_of_peers_total': self.received_count,
+            'requests_relay_returned_total': self.returned_count,
         }
 
     @staticmethod
@@ -231,7 +254,8 @@
 
     async def _send(self, call: calls.CallerCall, name: str) -> _Outcome:
         """Send a request to a peer and pass its response on."""
-        record = self._mesh.peer_by_name[name].record
+        peer = self._mesh.peer_by_name[name]
+        record = peer.record
         address = (record.ip, record.relay_port)
         self._in_flight_by_peer[name] = (
             self._in_flight_by_peer.get(name, 0) + 1
@@ -244,7 +268,9 @@
         )
         try:
             channel = await self._acquire_channel(call, address)
-            receiver = _RelayReceiver(call, channel)
+            receiver = _RelayReceiver(
+                call, channel, lambda: peer.accepts_requests
+            )
             channel.send(
                 self._encode(call), receiver, on_idle=self._pool.release
             )
@@ -256,6 +282,13 @@
             self._in_flight_by_peer[name] -= 1
         if not receiver.was_taken:
             call.possible_runs -= 1
+            self.returned_count += 1
+            self._log.notable(
+                'relay_returned',
+                id=call.request_id,
+                peer=name,
+                status=receiver.status,
+            )
             return _Outcome.NOT_TAKEN
         self.sent_count += 1
         call.outcome = 'relayed'
