Send nothing to a target whose entry is removed meanwhile

Cause: a target that never reports draining goes on for drainMs after its entry is removed, and no longer is known. Eligibility is asked once more directly before a request or a stage call is written, but took a target without an entry for one that may get work: the last known entry did not say that it drains. What was selected before and waited for a connection (0.6 s) or a permit was still sent, also if it lasts longer than the target. Change: a target without an entry has the reason GONE where the registry is followed; the attempt is not sent and another target is selected. Targets that drain or state that they leave got nothing before, as the existing tests show. The row of test_reason without an entry expected the fault and expects GONE now; a second one keeps the order of the reasons. GONE does not count as shutting down for the quarantine: entries of crashed targets are removed too. Measured: test_target_that_is_gone_gets_no_stage_call fails without the change and passes with it; the tests of routing, gateway, stages, membership and of leaving, faulty and cold targets pass.

--- a/tests/gateway/stages/test_stage_client.py
+++ b/tests/gateway/stages/test_stage_client.py
@@ -1,6 +1,7 @@
 """Tests of the choice of the host that runs stages."""
 
 import time
+import types
 
 import msgspec
 import pytest
@@ -10,9 +11,13 @@
 from tests.gateway.state import test_feed_follower
 from tests.stages import builders
 from walnutport import exceptions
+from walnutport.gateway.stages import cell_owner
 from walnutport.gateway.stages import stage_client
+from walnutport.http1 import channel_pool
+from walnutport.lifecycle import host_end
 from walnutport.membership import ranking
 from walnutport.peer import fleet_messages
+from walnutport.routing import eligibility
 
 SHARES = {f'host-{number}': 1.0 for number in range(6)}
 RANKED = ranking.rank_hosts(ranking.cell_key(0), SHARES)
@@ -146,3 +151,40 @@
     result.addErrback(lambda failure: None)
     run.release()
     assert isinstance(fixture.sent[-1][1], fleet_messages.ReleaseStages)
+
+
+def test_target_that_is_gone_gets_no_stage_call(monkeypatch):
+    """Guards against a call that outlasts its target.
+
+    The entry of the target is removed while the connection is opened.
+    """
+    may_send: list = []
+    monkeypatch.setattr(
+        channel_pool,
+        'fetch',
+        lambda *args: may_send.append(args[5]) or defer.Deferred(),
+    )
+    target = builders.target('t-1')
+    registered = {'t-1': target}
+    owner = cell_owner.CellOwner(
+        0,
+        'own',
+        task.Clock(),
+        test_feed_follower.FakeLog(),
+        None,
+        lambda spec, result, prefills, host: '',
+        types.SimpleNamespace(
+            min_interval_s=lambda target: 0.0,
+            held_until=lambda target: 0.0,
+            is_leaving=lambda target: False,
+        ),
+        eligibility.Eligibility(registered.get),
+        host_end.HostEnd(),
+        lambda name: True,
+    )
+    owner.update_targets(builders.RULES, [target])
+    owner.submit_job(builders.job_spec('1'), '', lambda reply: None)
+    (check,) = may_send
+    assert check()
+    registered.clear()
+    assert not check()
--- a/tests/routing/test_eligibility.py
+++ b/tests/routing/test_eligibility.py
@@ -16,7 +16,8 @@
 @pytest.mark.parametrize(
     ('target', 'current', 'is_leaving', 'evacuated', 'reason'),
     [
-        (TARGET, None, False, (), None),
+        (TARGET, None, False, (), eligibility.Reason.GONE),
+        (TARGET, None, True, (), eligibility.Reason.LEAVING),
         (TARGET, TARGET, False, ('b',), None),
         (DRAINING, None, False, (), eligibility.Reason.DRAINING),
         (TARGET, DRAINING, False, (), eligibility.Reason.DRAINING),
@@ -33,10 +34,24 @@
     assert found.reason(target) is reason
     assert found.accepts(target) == (reason is None)
     assert found.is_shutting_down(target) == (
-        reason not in (None, eligibility.Reason.EVACUATED)
+        reason in (eligibility.Reason.DRAINING, eligibility.Reason.LEAVING)
     )
 
 
+def test_target_whose_entry_was_removed_gets_nothing():
+    """Guards against requests that outlast a target which never drains.
+
+    It goes on for a while after its entry is gone. A request that was about
+    to be sent then may need longer than the target has left.
+    """
+    registered = {TARGET.target_id: TARGET}
+    found = eligibility.Eligibility(registered.get)
+    assert found.accepts(TARGET)
+    registered.clear()
+    assert found.reason(TARGET) is eligibility.Reason.GONE
+    assert eligibility.Eligibility().accepts(TARGET)
+
+
 def test_service_is_evacuated_only_if_nothing_is_left():
     """Guards against refusals while a target elsewhere is left."""
     elsewhere = dataclasses.replace(TARGET, target_id='t2', data_centre='b')
--- a/walnutport/routing/eligibility.py
+++ b/walnutport/routing/eligibility.py
@@ -19,6 +19,9 @@
 class Reason(enum.Enum):
     """Why a target gets no new work."""
 
+    #: It has no entry in the store any more. It goes on for a while, whether
+    #: it was draining before or not.
+    GONE = 'gone'
     #: Its entry in the store marks it as draining.
     DRAINING = 'draining'
     #: It has stated that it is leaving.
@@ -31,7 +34,8 @@
     """Which targets may get new work, as this host knows.
 
     :param find_target: returns the registered target with an id, or None. Its
-        entry counts, as that of a caller may be older.
+        entry counts, as that of a caller may be older. Without it, all targets
+        count as registered.
     :param is_leaving: returns whether a target has stated that it is leaving.
     :param evacuated: names of the evacuated data centres; followed when it
         changes.
@@ -39,9 +43,8 @@
 
     def __init__(
         self,
-        find_target: Callable[
-            [str], registrations.RegisteredTarget | None
-        ] = lambda target_id: None,
+        find_target: Callable[[str], registrations.RegisteredTarget | None]
+        | None = None,
         is_leaving: Callable[
             [registrations.RegisteredTarget], bool
         ] = lambda target: False,
@@ -53,10 +56,15 @@
 
     def reason(self, target: registrations.RegisteredTarget) -> Reason | None:
         """Return why a target may not get new work, None if it may."""
+        if self._find_target is None:
+            return self._reason_by_entry(target)
         current = self._find_target(target.target_id)
         if current is not None and current.draining:
             return Reason.DRAINING
-        return self._reason_by_entry(target)
+        reason = self._reason_by_entry(target)
+        if reason is None and current is None:
+            return Reason.GONE
+        return reason
 
     def accepts(self, target: registrations.RegisteredTarget) -> bool:
         """Return whether a target may get new work."""
