Show how odd records of other writers end what reads them

Operators reported entry hosts that ended, or stopped to follow the list of targets, after another writer had left one odd entry in it. Tests at the level of decoders, encoders, followers and host processes show that this can happen here: an entry that is nested 5,000 deep raises RecursionError, and a port of 5,000 digits or with a superscript raises ValueError. The registry expects only WireError, so the coroutine that reads the list ends with an unhandled error and no host follows the list any more. An integer over 2^64 - 1 is taken and raises OverflowError when it is sent to a peer. Answers of the store, stage answers, records of hosts and of streams, and messages of peers are decoded in the same way.

The platform stand-in takes entries of any bytes.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -1,5 +1,6 @@
 """Runs entry hosts as processes with the stand-in for a platform."""
 
+import base64
 import contextlib
 import dataclasses
 import http.client
@@ -420,6 +421,15 @@
         """Withdraw the evacuation of a data centre."""
         self.control_platform(evacuations={data_centre: None})
 
+    def write_entries(self, value_by_id: dict[str, bytes]) -> None:
+        """Write entries of targets as another writer may leave them."""
+        self.control_platform(
+            entries={
+                target_id: base64.b64encode(value).decode()
+                for target_id, value in value_by_id.items()
+            }
+        )
+
     def runs_in(self, data_centre: str) -> int:
         """Return the runs that the targets of a data centre have started."""
         target_ids = {
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -240,6 +240,11 @@
             self._append('keyed.op', 'config', changes['desired'])
         for name, value in changes.get('evacuations', {}).items():
             self.evacuate(name, value)
+        for key, value in changes.get('entries', {}).items():
+            # Bytes of any form, as another writer may leave them.
+            self._records['keyed.servers'].append(
+                (key, base64.b64decode(value))
+            )
         for record in changes.get('hosts', ()):
             self._append('keyed.walnutport-hosts', record['name'], record)
         if changes.get('copy'):
--- a/tests/gateway/operations/test_decision_log.py
+++ b/tests/gateway/operations/test_decision_log.py
@@ -2,6 +2,8 @@
 
 import json
 
+import pytest
+
 from walnutport.gateway.operations import decision_log
 
 
@@ -83,3 +85,28 @@
     stdout.writable = 10**9
     stdout.run_scheduled()
     assert json.loads(stdout.written)['event'] == 'started'
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        pytest.param('\ud800', id='surrogate'),
+        pytest.param({1: {'\ud800': []}}, id='nested_surrogate'),
+        pytest.param(object(), id='object'),
+        pytest.param(10**5000, id='5,001_digits'),
+    ],
+)
+def test_line_with_any_field_is_written(value):
+    """Guards against a field of other writers that ends who logs it."""
+    stdout = FakeStdout()
+    decisions = make_log(stdout)
+    decisions.notable('target_unreadable', target='t', problem=value)
+    decisions.notable('started')
+    stdout.run_scheduled()
+    lines = [json.loads(line) for line in stdout.written.splitlines()]
+    assert [line['event'] for line in lines] == [
+        'target_unreadable',
+        'started',
+    ]
+    assert lines[0]['target'] == 't'
+    assert lines[0].keys() == {'time', 'host', 'event', 'target', 'problem'}
--- a/tests/gateway/operations/test_metrics.py
+++ b/tests/gateway/operations/test_metrics.py
@@ -3,6 +3,7 @@
 import types
 
 from prometheus_client import parser
+import pytest
 
 from walnutport.gateway.entry import calls
 from walnutport.gateway.operations import metrics
@@ -111,3 +112,23 @@
         ('true', 'refused'): 1,
         ('true', 'failed'): 1,
     }
+
+
+@pytest.mark.parametrize('name', ['a"b', 'a\\', 'a\nb', '{a}', 'a",b="'])
+def test_names_with_any_characters_are_labels(name):
+    """Guards against a name in an entry that spoils the whole page."""
+    entry_metrics = metrics.EntryMetrics()
+    call = finished_call()
+    call.service = name
+    entry_metrics.started(call)
+    entry_metrics.finished(call, 1.0)
+    labels = metrics.format_labels(service=name, data_centre=name)
+    entry_metrics.gauges = {f'target_share{{{labels}}}': 2.0}
+    families = parse_rendered(entry_metrics)
+    for family in (
+        'walnutport_requests',
+        'walnutport_request_seconds',
+        'walnutport_target_share',
+    ):
+        sample = families[family].samples[0]
+        assert sample.labels['service'] == name
--- a/tests/gateway/streams/test_history_failures.py
+++ b/tests/gateway/streams/test_history_failures.py
@@ -58,6 +58,15 @@
         b'{"names":["v2"],"era":1,"retention_s":1e99}',
         b'{"names":["v2"],"era":1,"retention_s":-1.0}',
         b'{"names":[2],"era":1,"retention_s":9.0}',
+        pytest.param(
+            b'{"names":["v2"],"era":1,"retention_s":9.0,"x":%b}'
+            % (b'[' * 5000 + b']' * 5000),
+            id='deep',
+        ),
+        pytest.param(
+            b'{"names":["v2"],"era":1%b,"retention_s":9.0}' % (b'0' * 400),
+            id='era_of_10^400',
+        ),
     ],
 )
 def test_record_of_unknown_form_counts_as_none(clock, value):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -287,3 +287,27 @@
     assert (fields.load.running, fields.load.queued) == (1, 2)
     assert fields.load.slowness is None
     assert fields.slowness_problem and not fields.problems
+
+
+@pytest.mark.parametrize(
+    'counts, prefix',
+    [
+        pytest.param(b'-1,80', b'', id='negative'),
+        pytest.param(b'1' * 4000 + b',80', b'', id='4,000_digits'),
+        pytest.param(b'80,' + b'1' * 5000, b'', id='5,000_digits'),
+        pytest.param(b'80,1', b'a:-5', id='negative_part'),
+        pytest.param(b'80,1', b'a:' + b'1' * 400, id='large_part'),
+        pytest.param(b'1_0,1', b'', id='underscore'),
+    ],
+)
+def test_prompt_with_odd_numbers_is_no_hint(counts, prefix):
+    """Guards against counts that no sum, gauge or message can hold."""
+    assert (
+        headers._parse_prompt(
+            {
+                headers.wire.TOKEN_COUNTS: counts,
+                headers.wire.PROMPT_PREFIX: prefix,
+            }
+        )
+        is None
+    )
--- a/tests/platform/test_record_log.py
+++ b/tests/platform/test_record_log.py
@@ -257,3 +257,19 @@
     assert store.records == {0: [b'x', b'y'], 1: [b'z']}
     found = [run(log.read_latest(part)) for part in range(4)]
     assert found == [[b'x', b'y'], [b'z'], [], []]
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        pytest.param(
+            b'{"first":1,"x":' + b'[' * 5000 + b']' * 5000 + b'}', id='deep'
+        ),
+        pytest.param(b'{"first":1' + b'0' * 400 + b'}', id='10^400'),
+        pytest.param(b'{"first":-1}', id='negative'),
+    ],
+)
+def test_odd_first_offset_is_an_error_of_the_log(body):
+    """Guards against a refusal that ends whoever reads the log."""
+    with pytest.raises(exceptions.LogUnavailable):
+        record_log._first_offset(response(410, body))
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -61,3 +61,22 @@
     with pytest.raises(exceptions.SettingsError, match='boot.conf') as caught:
         settings.parse_settings(text, 'boot.conf')
     assert str(caught.value).startswith(message)
+
+
+@pytest.mark.parametrize(
+    'line',
+    [
+        'listen.front=10.1.0.41:8²',
+        'listen.front=10.1.0.41:' + '9' * 5000,
+        'listen.front=10.1.0.41:65536',
+        'portRange=7740,7²',
+        'portRange=7740,99999',
+        'limits.memoryMb=nan',
+        'limits.memoryMb=1e400',
+        'limits.cores=inf',
+    ],
+)
+def test_odd_number_is_an_error_of_the_settings(line):
+    """Guards against a change of the file that ends a running host."""
+    with pytest.raises(exceptions.SettingsError):
+        settings.parse_settings(f'{TEXT}{line}\n', 'boot.conf')
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -115,3 +115,70 @@
     """Guards against a record that overwrites another, and an endless one."""
     _, failure = publish_all(monkeypatch, status, body)
     assert isinstance(failure.value, error)
+
+
+def read_newest(monkeypatch, body: bytes):
+    """Return the page, or the failure, of a read of the newest records."""
+    channel = FakeChannel(200, body)
+    monkeypatch.setattr(store.channel_pool, 'fetch', channel.fetch)
+    client = store.PlatformStore(None, ('10.0.0.1', 80), print)
+    results: list = []
+    defer.Deferred.fromCoroutine(
+        client.read_newest(feeds.Feed.TARGETS)
+    ).addBoth(results.append)
+    return results[0]
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        pytest.param(
+            b'{"items":[],"end":1,"x":' + b'[' * 5000 + b']' * 5000 + b'}',
+            id='deep',
+        ),
+        pytest.param(b'{"items":[],"end":1' + b'0' * 400 + b'}', id='end'),
+        pytest.param(b'{"items":[],"end":-1}', id='negative_end'),
+        pytest.param(
+            b'{"items":[{"key":"a","value":"","offset":1'
+            + b'0' * 400
+            + b'}],"end":1}',
+            id='offset',
+        ),
+    ],
+)
+def test_odd_answer_of_the_store_counts_as_unavailable(monkeypatch, body):
+    """Guards against an answer that ends whoever follows the store."""
+    failure = read_newest(monkeypatch, body)
+    assert failure.check(exceptions.LogUnavailable)
+
+
+def test_odd_answer_to_an_append_leaves_it_open(monkeypatch):
+    """Guards against an offset that no later call can name."""
+    for body in (
+        b'{"end":9,"x":' + b'[' * 5000 + b']' * 5000 + b'}',
+        b'{"end":1' + b'0' * 400 + b'}',
+    ):
+        _, failure = publish_all(monkeypatch, 200, body)
+        assert isinstance(failure.value, exceptions.AppendAmbiguous)
+
+
+@pytest.mark.parametrize(
+    'key',
+    [
+        pytest.param(b'\\ud800', id='escaped_surrogate'),
+        pytest.param(b'\\udcff\\u0041', id='low_surrogate'),
+        pytest.param(b'\xff\xfe', id='no_UTF-8'),
+    ],
+)
+def test_unreadable_key_does_not_hide_the_other_records(monkeypatch, key):
+    """Guards against one odd key that makes the whole list unreadable."""
+    page = read_newest(
+        monkeypatch,
+        b'{"items":[{"key":"%b","value":"MQ==","offset":1},'
+        b'{"key":"a\\\\ud800\\ud83d\\ude00","value":"Mg==","offset":2}],'
+        b'"end":3}' % key,
+    )
+    odd, good = page.records
+    assert '\N{REPLACEMENT CHARACTER}' in odd.key
+    assert (good.key, good.value) == ('a\\ud800\U0001f600', b'2')
+    assert page.end == 3
