Decode entries, desired states and evacuations within bounds

Cause: what other writers may leave in the store was limited only by what msgspec happens to reject. RecursionError (nesting) and ValueError (ports of 5,000 digits or with a superscript) passed the registry, which expects only WireError, and ended the coroutine that follows the list. The depth at which msgspec gives up depends on the stack of its caller, so that two hosts could also read an entry differently. Integers of up to 4,300 digits were taken and failed in the encoders of later steps; addresses, services and keys with line breaks became parts of headers.

Change: walnutport/json_input.py parses JSON with a limit of size and of depth, has types for integers, amounts and names that every later step can hold, and raises WireError with a short reason for all else. The decoders of the platform use it. Addresses have to be IP addresses with a port of ASCII digits, keys have to fit into a header, and a long version is that of one run only, as one that is no text.

--- a/walnutport/exceptions.py
+++ b/walnutport/exceptions.py
@@ -168,7 +168,7 @@
 
 
 class WireError(WalnutportError):
-    """A header, record or message of the platform cannot be decoded."""
+    """A header, record or message of another writer cannot be decoded."""
 
 
 class StagesRefused(WalnutportError):
--- a/walnutport/platform/documents.py
+++ b/walnutport/platform/documents.py
@@ -1,11 +1,14 @@
 """Decodes what the operator writes, and the entries of targets."""
 
 from collections.abc import Collection
+import ipaddress
+import re
 from typing import Any
 
 import msgspec
 
 from walnutport import exceptions
+from walnutport import json_input
 from walnutport.platform import wire
 from walnutport.world import registrations
 from walnutport.world import routes
@@ -26,6 +29,15 @@
 _DEFAULT_EVENT_GAP_MS = 1000
 # Characters of an invalid value that are quoted in the log.
 MAX_QUOTED_CHARACTERS = 40
+# The entry of a target has some 200 bytes. Larger ones are rejected, since
+# entries are passed on to peers, many in one message.
+MAX_ENTRY_BYTES = 16 << 10
+# Hosts pass documents on in messages of at most this size.
+MAX_DOCUMENT_BYTES = 4 << 20
+# More slots are taken for a fault of the writer: shares of the requests and
+# numbers of channels follow the slots.
+MAX_SLOTS = 1_000_000
+_PORT = re.compile(r'[0-9]{1,5}')
 # Callers leave a stream after the longest of these times without an event.
 _MIN_EVENT_PATIENCE_MS = 2000
 _EVENT_PATIENCE_LATENCY_TARGETS = 4
@@ -33,72 +45,72 @@
 
 
 class _Stage(msgspec.Struct):
-    service: str
-    after: list[int] = []
-    bytes: float = 0
+    service: json_input.Text
+    after: list[json_input.Integer] = []
+    bytes: json_input.Amount = 0
 
 
 class _Split(msgspec.Struct):
-    service: str
-    weight: float
+    service: json_input.Text
+    weight: json_input.Amount
 
 
 class _Route(msgspec.Struct, rename='camel'):
-    name: str
+    name: json_input.Text
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    latency_target_ms: float = 0
-    service: str = ''
+    timeout_ms: json_input.Amount
+    latency_target_ms: json_input.Amount = 0
+    service: json_input.Text = ''
     split: list[_Split] = []
-    max_attempts: int = 1
-    priority: int = 5
+    max_attempts: json_input.Integer = 1
+    priority: json_input.Integer = 5
     anonymous: bool = False
     resumable: bool = False
-    gap_aim_ms: float = _DEFAULT_EVENT_GAP_MS
+    gap_aim_ms: json_input.Amount = _DEFAULT_EVENT_GAP_MS
     stages: list[_Stage] = []
 
 
 class _Pieces(msgspec.Struct, rename='camel'):
-    batch: int
-    call_ms: float
-    item_ms: float
-    slots: int = 1
-    queue: int = 0
+    batch: json_input.Integer
+    call_ms: json_input.Amount
+    item_ms: json_input.Amount
+    slots: json_input.Integer = 1
+    queue: json_input.Integer = 0
     # Memory of a target for stored results.
-    headroom_mb: float = 0
+    headroom_mb: json_input.Amount = 0
 
 
 class _Engine(msgspec.Struct, rename='camel'):
-    slots: int = 1
-    kv_tokens: float = 0
+    slots: json_input.Integer = 1
+    kv_tokens: json_input.Amount = 0
 
 
 class _Service(msgspec.Struct, rename='camel'):
-    name: str
-    max_conns: int = 100
+    name: json_input.Text
+    max_conns: json_input.Integer = 100
     pieces: _Pieces | None = None
     engine: _Engine | None = None
-    cold_s: float = 0
-    cold_per_s: float = 0
+    cold_s: json_input.Amount = 0
+    cold_per_s: json_input.Amount = 0
 
 
 class _Limits(msgspec.Struct, rename='camel'):
-    header_bytes: int = 16384
-    body_bytes: int = 4 << 20
-    header_ms: float = 3000
-    idle_ms: float = 15000
+    header_bytes: json_input.Integer = 16384
+    body_bytes: json_input.Integer = 4 << 20
+    header_ms: json_input.Amount = 3000
+    idle_ms: json_input.Amount = 15000
 
 
 class _Tenant(msgspec.Struct, rename='camel'):
-    name: str
+    name: json_input.Text
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: json_input.Integer | None = None
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: json_input.Position
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -106,25 +118,27 @@
 
 
 class _Target(msgspec.Struct, rename='camel'):
-    service: str
+    service: json_input.Name
     address: str
-    zone: str
+    zone: json_input.Name
     state: str
-    slots: int = 1
+    slots: json_input.Integer = 1
     # Remaining time for which it is slow; missing if it does not say.
     cold_ms: Any = None
     # Start of the target process, in Unix milliseconds.
     born: Any = 0
     # Count of the entries that this run of the target has written.
-    sequence: int = 0
+    sequence: json_input.Integer = 0
     # Version of its software, not of the weights of its models.
     version: Any = ''
 
 
-_CONFIG_DECODER = msgspec.json.Decoder(_Config)
-_TARGET_DECODER = msgspec.json.Decoder(_Target)
+_CONFIG_DECODER = json_input.Decoder(_Config, MAX_DOCUMENT_BYTES)
+_TARGET_DECODER = json_input.Decoder(_Target, MAX_ENTRY_BYTES)
 # The contents have no meaning yet.
-_EVACUATION_DECODER = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_EVACUATION_DECODER = json_input.Decoder(
+    dict[str, msgspec.Raw], MAX_DOCUMENT_BYTES
+)
 
 
 def decode_desired_state(data: bytes) -> routes.DesiredState:
@@ -134,7 +148,7 @@
     """
     try:
         config = _CONFIG_DECODER.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+    except exceptions.WireError as problem:
         raise exceptions.WireError(f'desired state: {problem}') from problem
     team_by_key = None
     if config.tenants is not None:
@@ -194,11 +208,7 @@
         return False
     try:
         _EVACUATION_DECODER.decode(data)
-    except (
-        msgspec.DecodeError,
-        UnicodeDecodeError,
-        RecursionError,
-    ) as problem:
+    except exceptions.WireError as problem:
         raise exceptions.WireError(
             f'evacuation of {name!r}: {problem}; expected a JSON object'
         ) from problem
@@ -208,39 +218,46 @@
 def decode_target(key: str, data: bytes) -> registrations.RegisteredTarget:
     """Decode the entry that a target publishes about itself.
 
+    Every field fits into a message to a peer and into a header, whoever wrote
+    the entry.
+
     :raises WireError: if the entry is malformed or holds an invalid value.
     """
+    if not json_input.is_name(key):
+        raise exceptions.WireError(
+            f'target {_quote(key)}: the key cannot be sent as an id'
+        )
     try:
-        entry = _TARGET_DECODER.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+        return _build_target(key, _TARGET_DECODER.decode(data))
+    except exceptions.WireError as problem:
         raise exceptions.WireError(f'target {key}: {problem}') from problem
+
+
+def _build_target(key: str, entry: _Target) -> registrations.RegisteredTarget:
     if entry.state not in _DRAINING_BY_STATE:
         raise exceptions.WireError(
-            f'target {key}: unknown state {entry.state!r}; expected '
-            '"ready" or "draining"'
-        )
-    host, _, port = entry.address.rpartition(':')
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise exceptions.WireError(
-            f'target {key}: invalid address {entry.address!r}; expected '
-            'IP:PORT'
+            f'unknown state {_quote(entry.state)}; expected "ready" or '
+            '"draining"'
         )
-    if isinstance(entry.born, bool) or not isinstance(entry.born, int):
+    if (
+        isinstance(entry.born, bool)
+        or not isinstance(entry.born, int)
+        or not json_input.MIN_INTEGER <= entry.born <= json_input.MAX_INTEGER
+    ):
         raise exceptions.WireError(
-            f'target {key}: invalid start time {entry.born!r}; expected whole '
-            'Unix milliseconds'
+            f'invalid start time {_quote(entry.born)}; expected whole Unix '
+            'milliseconds'
         )
-    if entry.slots < 1:
+    if not 1 <= entry.slots <= MAX_SLOTS:
         raise exceptions.WireError(
-            f'target {key}: invalid number of slots {entry.slots}; '
-            'expected at least 1'
+            f'invalid number of slots {entry.slots}; expected 1 to {MAX_SLOTS}'
         )
     cold_s, cold_problem = _decode_cold_s(entry.cold_ms)
     return registrations.RegisteredTarget(
         target_id=key,
         incarnation=entry.born,
         service=entry.service,
-        address=(host, int(port)),
+        address=_decode_address(entry.address),
         data_centre=entry.zone,
         slots=entry.slots,
         draining=_DRAINING_BY_STATE[entry.state],
@@ -251,6 +268,34 @@
     )
 
 
+def _decode_address(text: str) -> tuple[str, int]:
+    """Return the IP address and the port of a target.
+
+    :raises WireError: if they are invalid. The scope of an IPv6 address may
+        be any text, so that none is accepted.
+    """
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        host = ''
+    if (
+        not host
+        or '%' in host
+        or not _PORT.fullmatch(port)
+        or not 0 < int(port) < 65536
+    ):
+        raise exceptions.WireError(
+            f'invalid address {_quote(text)}; expected IP:PORT'
+        )
+    return host, int(port)
+
+
+def _quote(value: Any) -> str:
+    """Return the beginning of an invalid value, for the log."""
+    return repr(str(value)[:MAX_QUOTED_CHARACTERS])
+
+
 def _decode_cold_s(value: Any) -> tuple[float | None, str]:
     """Return the remaining cold time, and a problem with it.
 
@@ -261,16 +306,19 @@
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
     if is_number and 0 <= value <= wire.MAX_COLD_MS:
         return value / 1000, ''
-    return 0.0, f'coldMs: {str(value)[:MAX_QUOTED_CHARACTERS]!r}'
+    return 0.0, f'coldMs: {_quote(value)}'
 
 
 def _decode_version(key: str, entry: _Target) -> str:
     """Return the software version of a target.
 
-    A version that is no text may stand for anything, so that it is that of
-    this run of the target alone.
+    A version that is no text, or a long one, may stand for anything, so that
+    it is that of this run of the target alone.
     """
-    if isinstance(entry.version, str):
+    if (
+        isinstance(entry.version, str)
+        and len(entry.version) <= json_input.MAX_NAME_CHARACTERS
+    ):
         return entry.version
     return f'invalid/{key}/{entry.born}'
 
