Bound the answers of the store, and read lists with odd keys

Cause: an answer of the store that is nested deep raised RecursionError where the callers expect the errors of the log, and offsets of up to 4,300 digits were taken, which no later message can hold. One key that is not text made the whole list of the newest records undecodable, so that a host that starts would never learn any target.

Change: the answers are decoded by json_input. If a list is no valid text, it is decoded once more with replacement characters; the decoder of entries rejects a key that has one.

Measured: 11 tests of tests/platform/test_store.py and test_record_log.py failed before and pass now.

--- a/walnutport/json_input.py
+++ b/walnutport/json_input.py
@@ -27,6 +27,7 @@
     'Text',
     'describe',
     'is_name',
+    'replace_invalid_text',
 ]
 
 # Levels of arrays and objects. The documents of the platform have six. The
@@ -80,6 +81,12 @@
 _T = TypeVar('_T')
 _STRING = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"?', re.DOTALL)
 _NO_BRACKETS = bytes(set(range(256)) - set(b'[]{}'))
+_ESCAPE = re.compile(
+    rb'\\u[dD][89abAB][0-9a-fA-F]{2}\\u[dD][c-fC-F][0-9a-fA-F]{2}'
+    rb'|(?P<lone>\\u[dD][89a-fA-F][0-9a-fA-F]{2})'
+    rb'|\\.',
+    re.DOTALL,
+)
 _REPLACEMENT_CHARACTER = '\N{REPLACEMENT CHARACTER}'
 
 
@@ -130,6 +137,17 @@
     )
 
 
+def replace_invalid_text(data: bytes) -> bytes:
+    """Return JSON with replacement characters for what is no text.
+
+    These are bytes that are not UTF-8, and escapes of lone surrogates.
+    """
+    text = data.decode('utf-8', 'replace').encode()
+    return _ESCAPE.sub(
+        lambda found: b'\\ufffd' if found['lone'] else found[0], text
+    )
+
+
 def _is_nested_deeper(data: bytes, limit: int) -> bool:
     """Return whether arrays and objects are nested beyond a limit."""
     if data.count(b'[') + data.count(b'{') <= limit:
--- a/walnutport/platform/record_log.py
+++ b/walnutport/platform/record_log.py
@@ -7,6 +7,7 @@
 
 from walnutport import exceptions
 from walnutport.http1 import messages
+from walnutport import json_input
 from walnutport.platform import record_pages
 from walnutport.platform import store as platform_store
 from walnutport.platform import wire
@@ -29,15 +30,16 @@
 MAX_CALLS = 6
 # Responses that say that a topic or a partition does not exist.
 MISSING_STATUSES = (400, 404)
+MAX_REFUSAL_BYTES = 64 << 10
 
 
 class _Expired(msgspec.Struct):
     """Body of the refusal of a read before the first record."""
 
-    first: int
+    first: json_input.Position
 
 
-_EXPIRED_DECODER = msgspec.json.Decoder(_Expired)
+_EXPIRED_DECODER = json_input.Decoder(_Expired, MAX_REFUSAL_BYTES)
 
 
 @dataclasses.dataclass(slots=True)
@@ -222,7 +224,7 @@
     """
     try:
         return _EXPIRED_DECODER.decode(response.body).first
-    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+    except exceptions.WireError as problem:
         raise exceptions.LogUnavailable(
             f'cannot decode the first offset: {problem}'
         ) from problem
--- a/walnutport/platform/store.py
+++ b/walnutport/platform/store.py
@@ -12,6 +12,7 @@
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.http1 import messages
+from walnutport import json_input
 from walnutport.platform import record_pages
 from walnutport.platform import wire
 from walnutport.world import feeds
@@ -25,6 +26,8 @@
 HELD_RESPONSE_TIMEOUT_S = 1.0
 MAX_PAGES = 200
 MAX_ERA_DIGITS = 15
+# A page of the newest records has 1 MB and their keys at most.
+MAX_BODY_BYTES = 16 << 20
 
 _TOPIC_BY_FEED = {
     feeds.Feed.DESIRED: wire.OPERATOR_TOPIC,
@@ -37,21 +40,21 @@
 class _NewestItem(msgspec.Struct):
     key: str
     value: str
-    offset: int
+    offset: json_input.Position
 
 
 class _Newest(msgspec.Struct, rename='camel'):
     items: list[_NewestItem]
-    end: int
+    end: json_input.Position
     has_more: bool = False
 
 
 class _Appended(msgspec.Struct):
-    end: int
+    end: json_input.Position
 
 
-_APPENDED_DECODER = msgspec.json.Decoder(_Appended)
-_NEWEST_DECODER = msgspec.json.Decoder(_Newest)
+_APPENDED_DECODER = json_input.Decoder(_Appended, MAX_BODY_BYTES)
+_NEWEST_DECODER = json_input.Decoder(_Newest, MAX_BODY_BYTES)
 
 
 class PlatformStore:
@@ -183,7 +186,7 @@
             )
         try:
             return _APPENDED_DECODER.decode(response.body).end
-        except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+        except exceptions.WireError as problem:
             raise exceptions.AppendAmbiguous(
                 f'cannot decode the response to an append: {problem}'
             ) from problem
@@ -245,7 +248,12 @@
             )
         try:
             return _NEWEST_DECODER.decode(response.body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+        except exceptions.WireError:
+            # Not all keys need be text.
+            text = json_input.replace_invalid_text(response.body)
+        try:
+            return _NEWEST_DECODER.decode(text)
+        except exceptions.WireError as problem:
             raise exceptions.LogUnavailable(
                 f'cannot decode the newest records: {problem}'
             ) from problem
