Bound the answers of stage targets

Cause: an answer that is nested deep raised RecursionError where the owner of a cell expects WireError, and handles with line breaks, commas or NUL became parts of a header of the next calls.

Change: json_input decodes the answers; a handle has no control characters, no comma and a bounded length. Such an answer is the failure of its call.

--- a/walnutport/platform/stage_calls.py
+++ b/walnutport/platform/stage_calls.py
@@ -1,14 +1,21 @@
 """Encodes calls to stage targets and decodes their responses."""
 
+from typing import Annotated
+
 import msgspec
 
 from walnutport import exceptions
 from walnutport.http1 import messages
+from walnutport import json_input
 from walnutport.platform import wire
 from walnutport.stages import pieces
 
 __all__ = ['decode_outcomes', 'encode_free', 'encode_run']
 
+# Handles of results are shorter. They are sent in a header, with commas
+# between them.
+MAX_HANDLE_CHARACTERS = 1024
+MAX_RESPONSE_BYTES = 4 << 20
 _JSON_HEADER = (b'content-type', b'application/json')
 
 
@@ -25,8 +32,17 @@
     items: list[_Item]
 
 
+_Handle = Annotated[
+    str,
+    msgspec.Meta(
+        max_length=MAX_HANDLE_CHARACTERS,
+        pattern=r'\A[^\x00-\x1f,\x7f]*\Z',
+    ),
+]
+
+
 class _Outcome(msgspec.Struct):
-    handle: str | None = None
+    handle: _Handle | None = None
     reason: str | None = None
 
 
@@ -38,7 +54,7 @@
     handles: list[str]
 
 
-_OUTCOMES_DECODER = msgspec.json.Decoder(_Outcomes)
+_OUTCOMES_DECODER = json_input.Decoder(_Outcomes, MAX_RESPONSE_BYTES)
 _FAILURE_BY_REASON = {
     'late': pieces.PieceFailure.LATE,
     'gone': pieces.PieceFailure.INPUT_GONE,
@@ -83,7 +99,7 @@
     """
     try:
         items = _OUTCOMES_DECODER.decode(body).items
-    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+    except exceptions.WireError as problem:
         raise exceptions.WireError(f'stage response: {problem}') from problem
     if len(items) != expected:
         raise exceptions.WireError(
