Bound records and messages of hosts, and name what cannot be encoded

Cause: a deep record of a host or of streams in the store, and a deep message of a peer, raised RecursionError where callers expect CodecError. A port of 10^400 was taken from the store, and made every later announcement of hosts fail with OverflowError. A heartbeat with an interval that is not a number made a peer that is never silent. encode() raised whatever msgspec raises.

Change: records are decoded by json_input, and the fields of host records and heartbeats are bounded. Every error of the parser is a CodecError, every error of the encoder a PeerError.

--- a/walnutport/json_input.py
+++ b/walnutport/json_input.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     'DECODE_ERRORS',
+    'MAX_AMOUNT',
     'MAX_DEPTH',
     'MAX_INTEGER',
     'MAX_NAME_CHARACTERS',
@@ -45,7 +46,8 @@
 # Characters of a problem that are logged.
 MAX_PROBLEM_CHARACTERS = 200
 
-#: Errors of msgspec and of conversions for bytes that are not as expected.
+#: Errors of msgspec and of conversions for bytes or values that are not as
+#: expected.
 DECODE_ERRORS = (
     msgspec.MsgspecError,
     ValueError,
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -6,10 +6,12 @@
 """
 
 import typing
+from typing import Annotated
 
 import msgspec
 
 from walnutport import exceptions
+from walnutport import json_input
 from walnutport.peer import capabilities
 from walnutport.quarantine import prompt_parts
 from walnutport.routing import backpressure
@@ -50,6 +52,18 @@
 ]
 
 
+# Records of hosts and of streams in the store; it limits them to less.
+MAX_RECORD_BYTES = 4 << 20
+# Shares of hosts are processors.
+MAX_WORK_SHARE = 1e6
+# Heartbeats are sent each second or more often.
+MAX_INTERVAL_S = 60.0
+
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+_OptionalPort = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+_Age = Annotated[float, msgspec.Meta(ge=0.0, le=json_input.MAX_AMOUNT)]
+
+
 class HostRecord(msgspec.Struct, frozen=True):
     """Address at which a host accepts messages of other hosts.
 
@@ -62,14 +76,14 @@
         the first builds.
     """
 
-    name: str
-    incarnation: str
-    ip: str
-    port: int
-    data_centre: str
-    work_share: float
-    era: int = 0
-    relay_port: int = 0
+    name: json_input.Name
+    incarnation: json_input.Text
+    ip: json_input.Text
+    port: _Port
+    data_centre: json_input.Text
+    work_share: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_WORK_SHARE)]
+    era: json_input.Position = 0
+    relay_port: _OptionalPort = 0
     capabilities: tuple[str, ...] = ()
 
 
@@ -106,15 +120,15 @@
         it knows, in the same era.
     """
 
-    desired_version: int
-    era: int
-    targets_end: int
-    store_age_s: float
+    desired_version: json_input.Position
+    era: json_input.Position
+    targets_end: json_input.Position
+    store_age_s: _Age
     fit: bool
     draining: bool
-    interval_s: float = 0.3
+    interval_s: Annotated[float, msgspec.Meta(gt=0.0, le=MAX_INTERVAL_S)] = 0.3
     reaches_targets: bool = True
-    evacuations_end: int = 0
+    evacuations_end: json_input.Position = 0
 
 
 class UpdateRequest(msgspec.Struct, frozen=True, tag='ask'):
@@ -369,8 +383,18 @@
 
 
 def encode(message: FleetMessage) -> bytes:
-    """Return the bytes of a message."""
-    return _ENCODER.encode(message)
+    """Return the bytes of a message.
+
+    :raises PeerError: if a field cannot be encoded, such as an integer of
+        more than 64 bits.
+    """
+    try:
+        return _ENCODER.encode(message)
+    except json_input.DECODE_ERRORS as error:
+        raise exceptions.PeerError(
+            f'cannot encode {type(message).__name__}: '
+            f'{json_input.describe(error)}'
+        ) from error
 
 
 def decode(data: bytes) -> FleetMessage:
@@ -381,12 +405,12 @@
     """
     try:
         return _DECODER.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except json_input.DECODE_ERRORS as error:
         kind = _kind_of(data)
         if kind is not None and kind not in _KNOWN_KINDS:
             raise exceptions.UnknownMessage(kind) from error
         raise exceptions.CodecError(
-            f'malformed fleet message: {error}'
+            f'malformed fleet message: {json_input.describe(error)}'
         ) from error
 
 
@@ -394,11 +418,11 @@
     """Return the kind that a message names, None if it names none."""
     try:
         return _KIND_DECODER.decode(data).type
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except json_input.DECODE_ERRORS:
         return None
 
 
-_HOST_DECODER = msgspec.json.Decoder(HostRecord)
+_HOST_DECODER = json_input.Decoder(HostRecord, MAX_RECORD_BYTES)
 
 
 def encode_host(record: HostRecord) -> bytes:
@@ -413,13 +437,13 @@
     """
     try:
         return _HOST_DECODER.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except exceptions.WireError as error:
         raise exceptions.CodecError(
             f'malformed host record: {error}'
         ) from error
 
 
-_BEGUN_DECODER = msgspec.json.Decoder(StreamsBegun)
+_BEGUN_DECODER = json_input.Decoder(StreamsBegun, MAX_RECORD_BYTES)
 
 
 def encode_begun(message: StreamsBegun) -> bytes:
@@ -434,7 +458,7 @@
     """
     try:
         return _BEGUN_DECODER.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except exceptions.WireError as error:
         raise exceptions.CodecError(
             f'malformed record of streams: {error}'
         ) from error
