Leave out messages that cannot be encoded for peers

Cause: an error of the encoder went through send and broadcast to whoever sent, so that one field ended the link on which it was to be sent, or the tick of the mesh, after which a host dials nobody and sends no heartbeats. Receivers close a link on which a message of more than 4 MiB begins, so that such a message ended links again and again. A host record with a name in place of an IP address was looked up at a name server.

Change: a MessageEncoder for all messages of a host returns None for one that cannot be encoded or is too large, logs the first of each kind (peer_message_unsent) and counts all. A record without an IP address counts as a failed dial and is logged (peer_address_invalid).

--- a/walnutport/gateway/operations/events.py
+++ b/walnutport/gateway/operations/events.py
@@ -281,6 +281,17 @@
         'not know; it is skipped, and the next ones are only counted',
         ('peer', 'kind'),
     ),
+    Event(
+        'peer_message_unsent',
+        'a message for peers cannot be encoded or is too large, and is left '
+        'out; the next ones of its kind are only counted',
+        ('kind', 'problem'),
+    ),
+    Event(
+        'peer_address_invalid',
+        'the record of a host names no IP address; the host is not dialled',
+        ('peer', 'address'),
+    ),
     Event(
         'hosts_unknown',
         'the host could not register, or read the list of hosts; it retries',
--- a/walnutport/gateway/peers/peer_link.py
+++ b/walnutport/gateway/peers/peer_link.py
@@ -12,11 +12,11 @@
 
 from walnutport import exceptions
 from walnutport.gateway.operations import decision_log
+from walnutport.gateway.peers import message_encoder
 from walnutport.peer import fleet_messages
 
 __all__ = ['LinkHandler', 'PeerLink']
 
-MAX_MESSAGE_BYTES = 4 << 20
 # The kernel closes a link whose data stays unacknowledged for this long, which
 # detects a host that lost power or its network before heartbeats do.
 UNACKED_TIMEOUT_MS = 950
@@ -26,6 +26,7 @@
     """Handles the messages and the end of links."""
 
     log: decision_log.DecisionLog
+    encoder: message_encoder.MessageEncoder
 
     def create_hello(self) -> fleet_messages.Hello:
         """Return the first message of a link."""
@@ -48,7 +49,7 @@
     :param dialled: whether this host opened the connection.
     """
 
-    MAX_LENGTH = MAX_MESSAGE_BYTES
+    MAX_LENGTH = message_encoder.MAX_MESSAGE_BYTES
 
     def __init__(self, mesh: LinkHandler, dialled: bool) -> None:
         self.mesh = mesh
@@ -63,9 +64,16 @@
         )
         self.send(self.mesh.create_hello())
 
-    def send(self, message: fleet_messages.FleetMessage) -> None:
-        """Send a message, unless the connection is closed."""
-        self.send_encoded(fleet_messages.encode(message))
+    def send(self, message: fleet_messages.FleetMessage) -> bool:
+        """Send a message, unless the connection is closed.
+
+        :returns: False if the message cannot be encoded, and was left out.
+        """
+        data = self.mesh.encoder.encode(message)
+        if data is None:
+            return False
+        self.send_encoded(data)
+        return True
 
     def send_encoded(self, data: bytes) -> None:
         """Send an encoded message, unless the connection is closed."""
--- a/walnutport/gateway/peers/peers.py
+++ b/walnutport/gateway/peers/peers.py
@@ -6,8 +6,10 @@
 from collections.abc import Callable
 import time
 
+from twisted.internet import abstract
 from twisted.internet import protocol
 
+from walnutport.gateway.peers import message_encoder
 from walnutport.gateway.peers import peer_link
 from walnutport.gateway.peers import peer_state
 from walnutport.gateway.peers import ports as peer_ports
@@ -60,6 +62,7 @@
         on_lost: Callable[[str], None],
     ) -> None:
         self.log = log
+        self.encoder = message_encoder.MessageEncoder(log)
         self.own_record = own_record
         self.peer_by_name: dict[str, peer_state.PeerState] = {}
         # Messages of later builds, and messages that were not sent as their
@@ -242,7 +245,8 @@
     def send(self, name: str, message: fleet_messages.FleetMessage) -> bool:
         """Send a message to a peer.
 
-        :returns: whether a link is up to a peer that understands the message.
+        :returns: whether a link is up to a peer that understands the message,
+            and the message could be encoded.
         """
         peer = self.peer_by_name.get(name)
         if peer is None or peer.link is None:
@@ -250,12 +254,13 @@
         if not peer.supports(fleet_messages.required_capability(message)):
             self.withheld_count += 1
             return False
-        peer.link.send(message)
-        return True
+        return peer.link.send(message)
 
     def broadcast(self, message: fleet_messages.FleetMessage) -> None:
         """Send a message to every linked peer that understands it."""
-        data = fleet_messages.encode(message)
+        data = self.encoder.encode(message)
+        if data is None:
+            return
         capability = fleet_messages.required_capability(message)
         for peer in self.peer_by_name.values():
             if peer.link is None:
@@ -288,6 +293,7 @@
         return {
             'peer_messages_unknown_total': self.unknown_count,
             'peer_messages_withheld_total': self.withheld_count,
+            'peer_messages_unsent_total': self.encoder.unsent_count,
         }
 
     def message_received(
@@ -397,9 +403,7 @@
         heartbeat = None
         if self._ticks_to_heartbeat <= 0:
             self._ticks_to_heartbeat = round(interval_s / HEARTBEAT_INTERVAL_S)
-            heartbeat = fleet_messages.encode(
-                self._create_heartbeat(interval_s)
-            )
+            heartbeat = self.encoder.encode(self._create_heartbeat(interval_s))
         for name, peer in list(self.peer_by_name.items()):
             link = peer.link
             if link is not None:
@@ -461,6 +465,15 @@
     def _dial(self, peer: peer_state.PeerState) -> None:
         if peer.dialling or peer.link is not None:
             return
+        ip = peer.record.ip
+        if not abstract.isIPAddress(ip) and not abstract.isIPv6Address(ip):
+            # Any other text would be looked up as a name.
+            if not peer.failed_dials:
+                self.log.notable(
+                    'peer_address_invalid', peer=peer.record.name, address=ip
+                )
+            self.dial_failed(peer)
+            return
         peer.dialling = True
         self._reactor.connectTCP(
             peer.record.ip,
