Keep following feeds after odd records, log them once and count them

Cause: each read logged an odd entry again, and no counter showed it. Hosts kept the value and passed it on, so that hosts of any build had to decode what another writer had left, and some large entries made a message that exceeds the limit of links. An error that no layer declares ended the coroutine that follows the list, the desired state or the hosts, without a line in the decision log; the host served from then on with what it knew.

Change: the registry keeps an empty value in place of an entry that cannot be decoded. Such an entry, desired state, evacuation or host record is logged once for each key and reason (1,000 at most) and counted in records_unreadable_total{feed=...}. The three followers log an unexpected error once as feed_failed with its trace, count it in feed_failures_total{feed=...}, and read again from the newest records after their pause.

The test of the hosts in the store is corrected: its good record had the name of the host itself, which publishes one as well.

--- a/tests/gateway/state/test_odd_records.py
+++ b/tests/gateway/state/test_odd_records.py
@@ -3,6 +3,7 @@
 import functools
 import json
 
+from msgspec import structs
 import pytest
 
 from tests.gateway.state import evacuation_builders
@@ -279,11 +280,12 @@
     fixture = Fixture(monkeypatch)
     mesh = MeshOfHosts()
     deep = test_odd_entries.DEEP.encode()
-    good = fleet_messages.encode_host(mesh.own_record)
+    other = structs.replace(mesh.own_record, name='other')
+    good = fleet_messages.encode_host(other)
     fixture.store.write(
         feeds.Feed.HOSTS, 'deep', good[:-1] + b',"x":' + deep + b'}'
     )
-    fixture.store.write(feeds.Feed.HOSTS, 'good', good)
+    fixture.store.write(feeds.Feed.HOSTS, 'other', good)
     failing = [RecursionError('odd')]
     read = fixture.store.read_newest
 
@@ -304,9 +306,12 @@
     )
     directory.join()
     fixture.advance(FOLLOW_S)
-    assert [host.name for host in mesh.hosts] == ['own']
+    assert [host.name for host in mesh.hosts] == ['other', 'own']
     assert fixture.log.events.count('host_unreadable') == 1
-    assert directory.totals() == {'records_unreadable_total{feed="hosts"}': 1}
+    assert directory.totals() == {
+        'records_unreadable_total{feed="hosts"}': 1,
+        'feed_failures_total{feed="hosts"}': 1,
+    }
 
 
 class MeshOfHosts(test_feed_follower.FakeMesh):
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -325,7 +325,10 @@
                 lambda: self.ready,
                 self.status,
                 self._host_status.gauges,
-                self._host_status.totals,
+                lambda: {
+                    **self._host_status.totals(),
+                    **self._directory.totals(),
+                },
             ).handle,
             routes.RequestLimits,
         )
--- a/walnutport/gateway/operations/events.py
+++ b/walnutport/gateway/operations/events.py
@@ -67,7 +67,8 @@
     ),
     Event(
         'desired_unreadable',
-        'a desired state could not be decoded; the old one stays in force',
+        'a desired state could not be decoded; the old one stays in force; '
+        'logged once for each problem',
         ('offset', 'problem'),
     ),
     Event(
@@ -158,8 +159,15 @@
     ),
     Event(
         'target_unreadable',
-        'the entry of a target could not be decoded',
-        ('problem',),
+        'the entry of a target could not be decoded and names none; logged '
+        'once for each entry and problem',
+        ('target', 'offset', 'source', 'problem'),
+    ),
+    Event(
+        'feed_failed',
+        'an unexpected error in reading or applying records; they are read '
+        'again, and the error is logged once',
+        ('feed', 'problem', 'trace'),
     ),
     Event(
         'targets_expired',
@@ -299,7 +307,8 @@
     ),
     Event(
         'host_unreadable',
-        'the entry of a host in the store could not be decoded',
+        'the entry of a host in the store could not be decoded; logged once '
+        'for each entry and problem',
         ('key', 'problem'),
     ),
     Event(
--- a/walnutport/gateway/operations/host_status.py
+++ b/walnutport/gateway/operations/host_status.py
@@ -178,7 +178,7 @@
         owners = self._stages.local_owners()
         return {
             'store_calls_total': self._store.call_count,
-            'store_era_changes_total': self._follower.era_changes,
+            **self._follower.totals(),
             'channels_opened_total': self._pool.opened_count,
             'responses_oversized_total': (
                 self._pool.oversized_count + self._store.oversized_count
--- a/walnutport/gateway/peers/host_directory.py
+++ b/walnutport/gateway/peers/host_directory.py
@@ -9,6 +9,8 @@
 
 from walnutport import exceptions
 from walnutport.gateway.peers import peers
+from walnutport.gateway.state import feed_failures
+from walnutport.gateway.state import unreadable_records
 from walnutport.peer import fleet_messages
 from walnutport.world import feeds
 
@@ -43,6 +45,8 @@
         self._mesh = mesh
         self._rng = rng
         self._is_stopping = is_stopping
+        self._unreadable = unreadable_records.UnreadableRecords('hosts')
+        self._failures = feed_failures.FeedFailures(log, 'hosts')
         # Whether the record of this host has to be written, and whether a
         # coroutine is doing that.
         self._must_publish = True
@@ -65,6 +69,10 @@
         self._must_publish = True
         self._start(self._rng.uniform(0.0, PUBLISH_AGAIN_WITHIN_S))
 
+    def totals(self) -> dict[str, float]:
+        """Return the counters by name."""
+        return {**self._unreadable.totals(), **self._failures.totals()}
+
     def _start(self, delay_s: float) -> None:
         if not self._is_running:
             self._is_running = True
@@ -93,6 +101,9 @@
                     break
             except exceptions.LogServiceError as problem:
                 self._log.notable('hosts_unknown', problem=str(problem))
+            except Exception as problem:
+                self._failures.add(problem)
+                has_read = False
         self._is_running = False
 
     async def _publish(self) -> None:
@@ -106,7 +117,7 @@
             await self._store.publish(
                 feeds.Feed.HOSTS, own.name, fleet_messages.encode_host(own)
             )
-        except exceptions.LogServiceError:
+        except Exception:
             self._must_publish = True
             raise
 
@@ -115,8 +126,9 @@
             try:
                 host = fleet_messages.decode_host(record.value or b'')
             except exceptions.CodecError as problem:
-                self._log.notable(
-                    'host_unreadable', key=record.key, problem=str(problem)
-                )
+                if self._unreadable.add(record.key, problem):
+                    self._log.notable(
+                        'host_unreadable', key=record.key, problem=str(problem)
+                    )
                 continue
             self._mesh.add_host(host)
--- a/walnutport/gateway/state/desired_reader.py
+++ b/walnutport/gateway/state/desired_reader.py
@@ -9,6 +9,7 @@
 from twisted.internet import task
 
 from walnutport import exceptions
+from walnutport.gateway.state import feed_failures
 from walnutport.world import feeds
 
 __all__ = ['DesiredReader']
@@ -32,6 +33,7 @@
     :param on_page: called with the records of each successful read; the next
         read begins when it is done.
     :param on_failure: called with the error of each failed read.
+    :ivar failures: unexpected errors of reads and of ``on_page``.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         self._store = store
         self._on_page = on_page
         self._on_failure = on_failure
+        self.failures = feed_failures.FeedFailures(log, 'desired')
         # Offset to read from next, None before a read of the newest records,
         # and the era that it belongs to.
         self._offset: int | None = None
@@ -110,13 +113,24 @@
                 await self._pause(retry_delay_s)
                 retry_delay_s = min(MAX_RETRY_DELAY_S, retry_delay_s * 2)
                 continue
+            except Exception as problem:
+                self.failures.add(problem)
+                await self._pause(MAX_RETRY_DELAY_S)
+                continue
             retry_delay_s = INITIAL_RETRY_DELAY_S
             if page is None:
                 continue
             self._offset = page.end
             self._era = page.era
             self._read_at = time.monotonic()
-            await self._on_page(page)
+            try:
+                await self._on_page(page)
+            except Exception as problem:
+                self.failures.add(problem)
+                # The records are applied in part, or not at all.
+                self._offset = None
+                await self._pause(MAX_RETRY_DELAY_S)
+                continue
             if not page.records and not self._was_held:
                 # The operator has not written a desired state yet.
                 await self._pause(INITIAL_RETRY_DELAY_S)
--- a/walnutport/gateway/state/desired_state.py
+++ b/walnutport/gateway/state/desired_state.py
@@ -4,6 +4,7 @@
 import time
 
 from walnutport import exceptions
+from walnutport.gateway.state import unreadable_records
 from walnutport.world import feeds
 from walnutport.world import routes
 
@@ -17,6 +18,7 @@
     :ivar current: the desired state, None if none is known.
     :ivar record: its record.
     :ivar applied_at: when it was applied.
+    :ivar unreadable: desired states that could not be decoded.
     """
 
     def __init__(
@@ -27,6 +29,7 @@
         self.current: routes.DesiredState | None = None
         self.record: feeds.FeedRecord | None = None
         self.applied_at = 0.0
+        self.unreadable = unreadable_records.UnreadableRecords('desired')
 
     @property
     def version(self) -> int:
@@ -55,11 +58,12 @@
         try:
             desired = self._decode(record.value or b'')
         except exceptions.WireError as problem:
-            self._log.notable(
-                'desired_unreadable',
-                offset=record.offset,
-                problem=str(problem),
-            )
+            if self.unreadable.add(record.key, problem):
+                self._log.notable(
+                    'desired_unreadable',
+                    offset=record.offset,
+                    problem=str(problem),
+                )
             return False
         if (
             self.current is not None
--- a/walnutport/gateway/state/evacuation_feed.py
+++ b/walnutport/gateway/state/evacuation_feed.py
@@ -5,6 +5,7 @@
 
 from walnutport import exceptions
 from walnutport.gateway.peers import peers
+from walnutport.gateway.state import unreadable_records
 from walnutport.membership import evacuations as membership_evacuations
 from walnutport.peer import capabilities
 from walnutport.peer import fleet_messages
@@ -18,8 +19,6 @@
 REPEAT_UPDATE_S = 0.6
 # A peer that read the store longer ago says nothing about what it has now.
 MAX_CONFIRMING_AGE_S = 1.6
-# Bound of the unusable records that were logged once.
-MAX_LOGGED_UNUSABLE = 1000
 
 
 class EvacuationFeed:
@@ -32,6 +31,7 @@
         names, from its value; raises WireError.
     :param on_change: called after an evacuation has started or ended.
     :ivar state: the evacuations.
+    :ivar unreadable: records of evacuations that are unusable.
     """
 
     def __init__(
@@ -48,7 +48,7 @@
         self._decode = decode
         self._on_change = on_change
         self.state = membership_evacuations.Evacuations()
-        self._logged_unusable: set[tuple[str, bytes | None]] = set()
+        self.unreadable = unreadable_records.UnreadableRecords('evacuations')
         # When each peer that lags behind may be told again.
         self._next_update_at: dict[str, float] = {}
 
@@ -182,13 +182,9 @@
         self, record: feeds.FeedRecord, problem: exceptions.WireError
     ) -> None:
         """Log an unusable record once, also if lists show it again."""
-        content = (record.key, record.value)
-        if (
-            content in self._logged_unusable
-            or len(self._logged_unusable) >= MAX_LOGGED_UNUSABLE
-        ):
-            return
-        self._logged_unusable.add(content)
-        self._log.notable(
-            'evacuation_unusable', offset=record.offset, problem=str(problem)
-        )
+        if self.unreadable.add(record.key, problem):
+            self._log.notable(
+                'evacuation_unusable',
+                offset=record.offset,
+                problem=str(problem),
+            )
--- a/walnutport/gateway/state/feed_follower.py
+++ b/walnutport/gateway/state/feed_follower.py
@@ -15,8 +15,10 @@
 from walnutport.gateway.state import desired_reader
 from walnutport.gateway.state import desired_state
 from walnutport.gateway.state import evacuation_feed
+from walnutport.gateway.state import feed_failures
 from walnutport.gateway.state import first_comparison
 from walnutport.gateway.state import store_contact
+from walnutport.gateway.state import target_log
 from walnutport.gateway.state import update_requests
 from walnutport.membership import ranking
 from walnutport.membership import registry
@@ -94,6 +96,8 @@
         self.era = 0
         self.era_changes = 0
         self.registry = registry.TargetRegistry(decode_target)
+        self._target_log = target_log.TargetLog(log, on_change)
+        self._failures = feed_failures.FeedFailures(log, 'targets')
         self._mesh = mesh
         self._contact = store_contact.StoreContact(log, self.registry)
         self._desired_reader = desired_reader.DesiredReader(
@@ -157,6 +161,17 @@
         """
         return self._desired_reader.age_s()
 
+    def totals(self) -> dict[str, float]:
+        """Return the counters by name."""
+        return {
+            'store_era_changes_total': self.era_changes,
+            **self._target_log.unreadable.totals(),
+            **self._desired.unreadable.totals(),
+            **self.evacuations.unreadable.totals(),
+            **self._failures.totals(),
+            **self._desired_reader.failures.totals(),
+        }
+
     def start(self) -> None:
         """Start to follow both feeds."""
         self._desired_reader.start()
@@ -210,7 +225,7 @@
         if message.lists_all or not has_gap:
             self.registry.mark_caught_up(message.changed_end)
             self._targets_known = True
-        self._log_changes(*applied, source=name)
+        self._target_log.log_changes(*applied, source=name)
 
     def _compare_offsets(
         self, name: str, heartbeat: fleet_messages.Heartbeat
@@ -292,6 +307,10 @@
                 continue
             except exceptions.LogServiceError as problem:
                 self._contact.failed(problem)
+            except Exception as problem:
+                # What was read is applied in part, or not at all.
+                self._failures.add(problem)
+                needs_full_read = True
             await self._pause(TARGETS_POLL_INTERVAL_S)
 
     async def _read_targets(self, full_read: bool) -> None:
@@ -316,7 +335,7 @@
             applied = self.registry.replace(page, now)
         else:
             applied = self.registry.apply(page, now)
-        self._log_changes(*applied, source='store')
+        self._target_log.log_changes(*applied, source='store')
         if self.registry.changes_end_offset != before:
             self._mesh.broadcast(self._target_update(before))
 
@@ -370,25 +389,7 @@
             self._requests.request_all_targets()
         changes = self.registry.remove_lapsed(now)
         if changes:
-            self._log_changes(changes, [], source='lapse')
-
-    def _log_changes(
-        self,
-        changes: list[registry.RegistryChange],
-        problems: list[str],
-        source: str,
-    ) -> None:
-        for problem in problems:
-            self._log.notable('target_unreadable', problem=problem)
-        for change in changes:
-            self._log.notable(
-                'target_' + change.change,
-                target=change.target_id,
-                offset=change.offset,
-                source=source,
-            )
-        if changes:
-            self._on_change()
+            self._target_log.log_changes(changes, [], source='lapse')
 
     async def _pause(self, delay_s: float) -> None:
         await task.deferLater(self._reactor, delay_s)
--- a/walnutport/membership/registry.py
+++ b/walnutport/membership/registry.py
@@ -14,6 +14,7 @@
     'MIN_OUTAGE_S',
     'RegistryChange',
     'TargetRegistry',
+    'UnreadableEntry',
 ]
 
 #: Kinds of change of a target.
@@ -29,6 +30,9 @@
 # The copy from which the store returns is some seconds old, and lists targets
 # that were removed since.
 REMOVED_RETENTION_S = 120.0
+# Hosts keep and pass on this in place of an entry that cannot be decoded. It
+# cannot be decoded either, and peers need not decode what another writer left.
+UNREADABLE_VALUE = b''
 # An outage shorter than this cannot make an entry lapse: it takes three missed
 # liveness reports. The time since the last read, as heartbeats tell it, is up
 # to 1.5 s without an outage.
@@ -48,6 +52,19 @@
     offset: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnreadableEntry:
+    """Record that cannot be decoded, and so names no target.
+
+    :param offset: offset in the feed.
+    :param problem: why it cannot be decoded.
+    """
+
+    key: str
+    offset: int
+    problem: str
+
+
 class TargetRegistry:
     """Current targets, from the records of the target feed.
 
@@ -132,22 +149,21 @@
 
     def apply(
         self, page: feeds.FeedPage, now: float
-    ) -> tuple[list[RegistryChange], list[str]]:
+    ) -> tuple[list[RegistryChange], list[UnreadableEntry]]:
         """Apply a page of records.
 
-        :returns: the changes, and an error message for each record that
-            cannot be decoded.
+        :returns: the changes, and the records that cannot be decoded.
         """
         changes: list[RegistryChange] = []
-        errors: list[str] = []
+        unreadable: list[UnreadableEntry] = []
         for record in page.records:
-            self._apply_record(record, now, changes, errors)
+            self._apply_record(record, now, changes, unreadable)
         self.end_offset = max(self.end_offset, page.end)
-        return changes, errors
+        return changes, unreadable
 
     def apply_partial(
         self, records: tuple[feeds.FeedRecord, ...], now: float
-    ) -> tuple[list[RegistryChange], list[str]]:
+    ) -> tuple[list[RegistryChange], list[UnreadableEntry]]:
         """Apply records although earlier ones may be missing."""
         changed_end = self.changes_end_offset
         result = self.apply(feeds.FeedPage(records, self.end_offset), now)
@@ -156,7 +172,7 @@
 
     def replace(
         self, page: feeds.FeedPage, now: float
-    ) -> tuple[list[RegistryChange], list[str]]:
+    ) -> tuple[list[RegistryChange], list[UnreadableEntry]]:
         """Apply a page that contains every key; unlisted keys are removed."""
         listed_keys = {record.key for record in page.records}
         removed = tuple(
@@ -211,7 +227,7 @@
         record: feeds.FeedRecord,
         now: float,
         changes: list[RegistryChange],
-        errors: list[str],
+        unreadable: list[UnreadableEntry],
     ) -> None:
         previous = self._records_by_key.get(record.key)
         if previous is not None and previous.offset >= record.offset:
@@ -237,7 +253,12 @@
         try:
             target = self._decode(record.key, record.value)
         except exceptions.WireError as error:
-            errors.append(f'offset {record.offset}: {error}')
+            unreadable.append(
+                UnreadableEntry(record.key, record.offset, str(error))
+            )
+            self._records_by_key[record.key] = dataclasses.replace(
+                record, value=UNREADABLE_VALUE
+            )
             self._remove(record.key, record.offset, now, changes)
             self._mark_changed(record)
             return
