Bound the record of what has served streams lately

Cause: a deep record raised RecursionError, which made every read of the record fail, so that streams of routes with several versions were refused; an era of 10^400 was taken.

Change: json_input decodes the record; an unreadable one counts as none.

--- a/walnutport/gateway/streams/history_record.py
+++ b/walnutport/gateway/streams/history_record.py
@@ -15,6 +15,7 @@
 from twisted.internet import task
 
 from walnutport import exceptions
+from walnutport import json_input
 from walnutport.routing import origin_history
 from walnutport.world import feeds
 
@@ -32,6 +33,8 @@
 MAX_KEY_BYTES = 255
 # Longer times are no timeouts of routes.
 MAX_RETENTION_S = 86_400.0
+# The store limits records to less.
+MAX_ENTRY_BYTES = 4 << 20
 # Keys in one log line.
 MAX_LOGGED_KEYS = 20
 # Only this many characters at the end of a traceback are logged.
@@ -50,11 +53,11 @@
     """
 
     names: tuple[str, ...]
-    era: int
+    era: json_input.Position
     retention_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RETENTION_S)]
 
 
-_ENTRY_DECODER = msgspec.json.Decoder(_Entry)
+_ENTRY_DECODER = json_input.Decoder(_Entry, MAX_ENTRY_BYTES)
 
 
 class HistoryRecord:
@@ -323,11 +326,7 @@
             if not record.key.startswith((_ROUTE_PREFIX, _SERVICE_PREFIX)):
                 raise exceptions.CodecError('unknown key')
             return _ENTRY_DECODER.decode(record.value or b'')
-        except (
-            exceptions.CodecError,
-            msgspec.DecodeError,
-            UnicodeDecodeError,
-        ) as problem:
+        except (exceptions.CodecError, exceptions.WireError) as problem:
             self._unreadable_count += 1
             self._log.notable(
                 'origin_history_unreadable',
