Log lines whose fields cannot be encoded

Cause: a lone surrogate, or an integer of more than 4,300 digits, in a field of a log line raised in whoever logged it, which may be a follower of a feed.

Change: such a field is replaced by its type and the error.

--- a/walnutport/gateway/operations/decision_log.py
+++ b/walnutport/gateway/operations/decision_log.py
@@ -22,6 +22,9 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 FLUSH_DELAY_S = 0.1
 
+# Errors of the encoder for values that JSON cannot hold.
+_ENCODE_ERRORS = (TypeError, ValueError, OverflowError, RecursionError)
+
 
 class DecisionLog:
     """Writes one line for each decision.
@@ -96,7 +99,7 @@
             'event': event,
         }
         record.update(fields)
-        line = self._encode(record) + b'\n'
+        line = self._encode_line(record) + b'\n'
         if self._buffered_bytes + len(line) > MAX_BUFFERED_BYTES:
             self.dropped_lines += 1
             return
@@ -104,6 +107,29 @@
         self._buffered_bytes += len(line)
         self._schedule_flush()
 
+    def _encode_line(self, record: dict[str, object]) -> bytes:
+        """Return the JSON text of a line.
+
+        A field that cannot be encoded, such as a lone surrogate, is replaced
+        by a description: who logs must not fail for what others have written.
+        """
+        try:
+            return self._encode(record)
+        except _ENCODE_ERRORS:
+            return self._encode(
+                {key: self._printable(value) for key, value in record.items()}
+            )
+
+    def _printable(self, value: object) -> object:
+        try:
+            self._encode(value)
+        except _ENCODE_ERRORS as problem:
+            return (
+                f'{type(value).__name__} that cannot be logged: '
+                f'{type(problem).__name__}'
+            )
+        return value
+
     def _schedule_flush(self) -> None:
         if not self._flush_scheduled:
             self._flush_scheduled = True
