Escape the labels of metrics

Cause: names of services and data centres come from the entries of targets and the desired state, and were put between quotes as they are. One with a quote, a backslash or a line break made the whole page of metrics unreadable.

Change: format_labels escapes them as Prometheus' text format asks.

Measured: 5 tests of tests/gateway/operations/test_metrics.py failed before, some for lack of the function, and pass now.

--- a/walnutport/gateway/operations/host_status.py
+++ b/walnutport/gateway/operations/host_status.py
@@ -5,6 +5,7 @@
 from walnutport.config import entry_settings
 from walnutport.gateway.entry import request_handler
 from walnutport.gateway.operations import decision_log
+from walnutport.gateway.operations import metrics
 from walnutport.gateway.operations import skew
 from walnutport.gateway.operations import stage_report
 from walnutport.gateway.peers import peer_relay
@@ -149,18 +150,20 @@
             **self._origins.gauges(),
         }
         for service, found in self._skew_by_service(now).items():
-            values[f'target_share_max{{service="{service}"}}'] = found.busiest[
-                1
-            ]
+            labels = metrics.format_labels(service=service)
+            values[f'target_share_max{{{labels}}}'] = found.busiest[1]
             for name, value_by_data_centre in (
                 ('target_share', found.share_by_data_centre),
                 ('target_slowness', found.slowness_by_data_centre),
             ):
                 for data_centre, value in value_by_data_centre.items():
-                    labels = f'service="{service}",data_centre="{data_centre}"'
+                    labels = metrics.format_labels(
+                        service=service, data_centre=data_centre
+                    )
                     values[f'{name}{{{labels}}}'] = value
         for service, retries in self._forwarder.available_retries(now).items():
-            values[f'retry_budget_left{{service="{service}"}}'] = retries
+            labels = metrics.format_labels(service=service)
+            values[f'retry_budget_left{{{labels}}}'] = retries
         values |= stage_report.gauges(self._stages.local_owners(), now)
         return values
 
--- a/walnutport/gateway/operations/metrics.py
+++ b/walnutport/gateway/operations/metrics.py
@@ -5,11 +5,12 @@
 
 from walnutport.gateway.entry import calls
 
-__all__ = ['EntryMetrics']
+__all__ = ['EntryMetrics', 'format_labels']
 
 # Upper bounds of the latency buckets.
 BUCKET_BOUNDS_S = (0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2.4, 4.0, 8.0, 16.0)
 
+_LABEL_ESCAPES = str.maketrans({'\\': r'\\', '"': r'\"', '\n': r'\n'})
 
 #: Route, team and service of a request.
 _RequestKey = tuple[str, str, str]
@@ -147,13 +148,24 @@
     else:
         result = 'refused' if call.status == 503 else 'failed'
     continues = 'true' if call.continues else 'false'
-    return (
-        f'route="{call.route.name}",continues="{continues}",result="{result}"'
+    return format_labels(
+        route=call.route.name, continues=continues, result=result
+    )
+
+
+def format_labels(**value_by_label: str) -> str:
+    """Return labels as Prometheus' text format has them.
+
+    Names of services and data centres come from other writers.
+    """
+    return ','.join(
+        f'{label}="{value.translate(_LABEL_ESCAPES)}"'
+        for label, value in value_by_label.items()
     )
 
 
 def _format_labels(key: _RequestKey) -> str:
-    return f'route="{key[0]}",team="{key[1]}",service="{key[2]}"'
+    return format_labels(route=key[0], team=key[1], service=key[2])
 
 
 def _render_counter(
--- a/walnutport/gateway/operations/stage_report.py
+++ b/walnutport/gateway/operations/stage_report.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from walnutport.gateway.operations import metrics
 from walnutport.gateway.stages import cell_owner
 
 __all__ = ['gauges', 'status', 'totals']
@@ -41,7 +42,8 @@
         load = owner.scheduler.cell_load
         cell = f'cell="{owner.cell}"'
         for service, stage_load in load.load_by_service(now).items():
-            labels = f'{{{cell},service="{service}"}}'
+            names = metrics.format_labels(service=service)
+            labels = f'{{{cell},{names}}}'
             values['stage_backlog_seconds' + labels] = stage_load.backlog_s
             values['stage_batch_fill' + labels] = stage_load.batch_fill
             values['stage_late_seconds' + labels] = stage_load.late_s
@@ -52,7 +54,8 @@
         values[f'stage_return_places{{{cell}}}'] = len(load.returns)
         for service, shares in load.shares_by_kind(now).items():
             for kind, (demand_s, share_s) in shares.items():
-                labels = f'{{{cell},service="{service}",kind="{kind}"}}'
+                names = metrics.format_labels(service=service, kind=str(kind))
+                labels = f'{{{cell},{names}}}'
                 values['stage_demand_seconds' + labels] = demand_s
                 values['stage_share_seconds' + labels] = min(demand_s, share_s)
     return values
@@ -68,6 +71,7 @@
         values[f'stage_places_expired_total{{{cell}}}'] = returns.expired_count
         for key, count in owner.scheduler.gate.counts.by_key.items():
             route, team, event = key
-            labels = f'{cell},route="{route}",team="{team}",event="{event}"'
+            names = metrics.format_labels(route=route, team=team, event=event)
+            labels = f'{cell},{names}'
             values[f'stage_jobs_total{{{labels}}}'] = count
     return values
