Refuse relayed requests whose time has other digits than ASCII

Cause: the header was decoded before isdigit, so that a superscript passed and int raised ValueError; the peer got no response.

Change: the bytes are checked, of which only ASCII digits count.

Measured: 1 test of tests/gateway/peers/test_relay_header.py failed before and passes now.

--- a/walnutport/gateway/peers/peer_relay.py
+++ b/walnutport/gateway/peers/peer_relay.py
@@ -314,11 +314,10 @@
 
     def _receive(self, request: server.ServerRequest) -> None:
         """Serve a request of a peer."""
-        name, _, elapsed_ms = (
-            (request.header(RELAY_HEADER) or b'')
-            .decode('latin-1')
-            .partition(' ')
+        name, _, elapsed_ms = (request.header(RELAY_HEADER) or b'').partition(
+            b' '
         )
+        # Only ASCII digits are digits of bytes.
         if (
             not name
             or not elapsed_ms.isdigit()
@@ -334,4 +333,4 @@
         ]
         request.started_at -= int(elapsed_ms) / 1000
         self.received_count += 1
-        self._handle(request, name)
+        self._handle(request, name.decode('latin-1'))
