Ignore token counts that no sum or message can hold

Cause: counts of tokens in callers' headers were taken with any sign and up to 4,300 digits. They go into sums, gauges and choices of engines, where a large one raises OverflowError.

Change: counts have up to nine digits; with others, the prompt is no hint for routing, as with any malformed header.

Measured: 5 tests of tests/platform/test_headers.py failed before and pass now.

--- a/walnutport/platform/headers.py
+++ b/walnutport/platform/headers.py
@@ -251,7 +251,7 @@
         return None
     try:
         input_tokens, output_tokens = (
-            int(part) for part in counts.split(b',')
+            _parse_count(part) for part in counts.split(b',')
         )
         parts = [
             part.strip().split(b':')
@@ -262,7 +262,7 @@
             input_tokens,
             output_tokens,
             tuple(part[0].decode('latin-1') for part in parts),
-            tuple(int(part[1]) for part in parts),
+            tuple(_parse_count(part[1]) for part in parts),
         )
     except (ValueError, IndexError):
         # The target validates these headers; the host only uses them as a
@@ -270,6 +270,17 @@
         return None
 
 
+def _parse_count(text: bytes) -> int:
+    """Return a count of tokens.
+
+    :raises ValueError: if it is none, or too large for sums and messages.
+    """
+    digits = text.strip()
+    if not digits.isdigit() or len(digits) > MAX_COUNT_DIGITS:
+        raise ValueError(f'invalid count {text[:MAX_QUOTED_BYTES]!r}')
+    return int(digits)
+
+
 def _parse_load(
     value: bytes | None,
 ) -> tuple[requests.ResponseLoad | None, str]:
