Reject settings with numbers that are not finite, and odd ports

Cause: nan, 1e400 and ports with a superscript, or of 5,000 digits, raised ValueError or OverflowError in place of SettingsError, which is all that a reload of the settings expects; ports over 65535 were taken.

Change: numbers have to be finite, ports have up to five ASCII digits.

--- a/walnutport/platform/settings.py
+++ b/walnutport/platform/settings.py
@@ -1,6 +1,8 @@
 """Reads the platform's settings file of lines ``a.b=value``."""
 
+import math
 import os
+import re
 
 from walnutport.config import entry_settings
 from walnutport import exceptions
@@ -8,6 +10,9 @@
 
 __all__ = ['load_settings', 'parse_settings', 'settings_path']
 
+MAX_PORT = 65535
+_PORT = re.compile(r'[0-9]{1,5}')
+
 
 def settings_path() -> str:
     """Return the path of the settings file.
@@ -111,9 +116,12 @@
         if value is None or value == '':
             return default
         try:
-            return float(value)
+            number = float(value)
         except ValueError:
-            raise self._error(key, 'not a number') from None
+            number = math.nan
+        if not math.isfinite(number):
+            raise self._error(key, 'not a number')
+        return number
 
     def flag(self, key: str) -> bool:
         value = self.value_by_key.get(key, '')
@@ -123,13 +131,13 @@
 
     def address(self, key: str) -> tuple[str, int]:
         host, separator, port = self.text(key).rpartition(':')
-        if not separator or not host or not port.isdigit():
+        if not separator or not host or not _is_port(port):
             raise self._error(key, 'not of the form IP:PORT')
         return host, int(port)
 
     def port_range(self, key: str) -> tuple[int, int]:
         first, separator, last = self.text(key).partition(',')
-        if not separator or not first.isdigit() or not last.isdigit():
+        if not separator or not _is_port(first) or not _is_port(last):
             raise self._error(key, 'not of the form FIRST,LAST')
         return int(first), int(last)
 
@@ -137,3 +145,7 @@
         return exceptions.SettingsError(
             f'{self._path}:{self._line_by_key[key]}: {key}: {reason}'
         )
+
+
+def _is_port(text: str) -> bool:
+    return bool(_PORT.fullmatch(text)) and int(text) <= MAX_PORT
