Leave room for the position after the last record

Cause: an offset of 2^63 - 1 in an answer of the store was taken, and the offset after it is beyond what the heartbeats of peers may say, which would end links.

Change: positions from outside are at most 2^62.

Measured: test_odd_answer_of_the_store_counts_as_unavailable [offset_without_a_next_one] failed before and passes now.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 
 from walnutport import exceptions
 from walnutport.http1 import messages
+from walnutport import json_input
 from walnutport.platform import store
 from walnutport.world import feeds
 
@@ -144,6 +145,11 @@
             + b'}],"end":1}',
             id='offset',
         ),
+        pytest.param(
+            b'{"items":[{"key":"a","value":"","offset":%d}],"end":1}'
+            % json_input.MAX_INTEGER,
+            id='offset_without_a_next_one',
+        ),
     ],
 )
 def test_odd_answer_of_the_store_counts_as_unavailable(monkeypatch, body):
--- a/walnutport/json_input.py
+++ b/walnutport/json_input.py
@@ -19,6 +19,7 @@
     'MAX_DEPTH',
     'MAX_INTEGER',
     'MAX_NAME_CHARACTERS',
+    'MAX_POSITION',
     'MIN_INTEGER',
     'Amount',
     'Decoder',
@@ -38,6 +39,8 @@
 # Range of a signed integer of 64 bits, which msgpack and the store can hold.
 MIN_INTEGER = -(1 << 63)
 MAX_INTEGER = (1 << 63) - 1
+# Positions after it are in the range as well.
+MAX_POSITION = 1 << 62
 # Larger amounts are taken for a fault of the writer. Products with the factors
 # between units are exact, and finite.
 MAX_AMOUNT = 1e15
@@ -60,7 +63,7 @@
 #: Whole number.
 Integer = Annotated[int, msgspec.Meta(ge=MIN_INTEGER, le=MAX_INTEGER)]
 #: Offset, version or era.
-Position = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Position = Annotated[int, msgspec.Meta(ge=0, le=MAX_POSITION)]
 #: Duration, size or weight.
 Amount = Annotated[float, msgspec.Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
 #: Text that may become part of a header or a line; may be empty.
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -61,6 +61,8 @@
 
 _Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 _OptionalPort = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+# One beyond the position of a record.
+_End = Annotated[int, msgspec.Meta(ge=0, le=json_input.MAX_INTEGER)]
 _Age = Annotated[float, msgspec.Meta(ge=0.0, le=json_input.MAX_AMOUNT)]
 
 
@@ -122,13 +124,13 @@
 
     desired_version: json_input.Position
     era: json_input.Position
-    targets_end: json_input.Position
+    targets_end: _End
     store_age_s: _Age
     fit: bool
     draining: bool
     interval_s: Annotated[float, msgspec.Meta(gt=0.0, le=MAX_INTERVAL_S)] = 0.3
     reaches_targets: bool = True
-    evacuations_end: json_input.Position = 0
+    evacuations_end: _End = 0
 
 
 class UpdateRequest(msgspec.Struct, frozen=True, tag='ask'):
