Parse the address of a target once

Cause: with the checks of the IP address, decoding an entry took about four times as long as before; the two hosts that read the list decode each entry each time its target renews it.

Change: addresses have a bounded length, and parsed ones are cached.

--- a/walnutport/platform/documents.py
+++ b/walnutport/platform/documents.py
@@ -1,9 +1,10 @@
 """Decodes what the operator writes, and the entries of targets."""
 
 from collections.abc import Collection
+import functools
 import ipaddress
 import re
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -37,6 +38,10 @@
 # More slots are taken for a fault of the writer: shares of the requests and
 # numbers of channels follow the slots.
 MAX_SLOTS = 1_000_000
+# Characters of the longest IPv6 address, in brackets, with a port.
+MAX_ADDRESS_CHARACTERS = 53
+# Addresses that are parsed once, as each target repeats its entry each second.
+MAX_CACHED_ADDRESSES = 16_384
 _PORT = re.compile(r'[0-9]{1,5}')
 # Callers leave a stream after the longest of these times without an event.
 _MIN_EVENT_PATIENCE_MS = 2000
@@ -119,7 +124,7 @@
 
 class _Target(msgspec.Struct, rename='camel'):
     service: json_input.Name
-    address: str
+    address: Annotated[str, msgspec.Meta(max_length=MAX_ADDRESS_CHARACTERS)]
     zone: json_input.Name
     state: str
     slots: json_input.Integer = 1
@@ -268,6 +273,7 @@
     )
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_ADDRESSES)
 def _decode_address(text: str) -> tuple[str, int]:
     """Return the IP address and the port of a target.
 
