Scan the nesting of JSON without a loop over the brackets

Cause: an answer of 4 MiB of brackets took 0.17 s of the loop of a host before it was decoded or rejected.

Change: the innermost level is removed once for each level that is allowed.

Measured: processor time for 4 MiB of empty arrays, best of 3: 0.168 s before, 0.036 s now.

--- a/tests/test_json_input.py
+++ b/tests/test_json_input.py
@@ -78,6 +78,21 @@
     assert DECODER.decode(siblings) == Sample()
 
 
+@pytest.mark.parametrize(
+    'item', [b'[],', b'{"[":[]},', b'"[",', b'[{}],', b'][', b'[', b'}']
+)
+def test_any_number_of_brackets_is_scanned(item):
+    """Guards against width, or brackets without a match, taken for depth."""
+    data = b'[%b1]' % (item * 100_000)
+    assert not json_input._is_nested_deeper(data, json_input.MAX_DEPTH)
+    decoder = json_input.Decoder(list[msgspec.Raw], len(data))
+    if item.endswith(b','):
+        assert len(decoder.decode(data)) == 100_001
+    else:
+        with pytest.raises(exceptions.WireError):
+            decoder.decode(data)
+
+
 def _depth(value: object) -> int:
     if isinstance(value, dict):
         return 1 + max(map(_depth, value.values()), default=0)
--- a/walnutport/json_input.py
+++ b/walnutport/json_input.py
@@ -85,6 +85,7 @@
 
 _T = TypeVar('_T')
 _STRING = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"?', re.DOTALL)
+_AS_ARRAYS = bytes.maketrans(b'{}', b'[]')
 _NO_BRACKETS = bytes(set(range(256)) - set(b'[]{}'))
 _ESCAPE = re.compile(
     rb'\\u[dD][89abAB][0-9a-fA-F]{2}\\u[dD][c-fC-F][0-9a-fA-F]{2}'
@@ -154,15 +155,18 @@
 
 
 def _is_nested_deeper(data: bytes, limit: int) -> bool:
-    """Return whether arrays and objects are nested beyond a limit."""
+    """Return whether arrays and objects are nested beyond a limit.
+
+    Without a loop over the brackets, of which there may be millions. The
+    parser rejects data whose brackets do not match.
+    """
     if data.count(b'[') + data.count(b'{') <= limit:
         return False
-    depth = 0
-    for bracket in _STRING.sub(b'', data).translate(None, _NO_BRACKETS):
-        if bracket in b'[{':
-            depth += 1
-            if depth > limit:
-                return True
-        else:
-            depth -= 1
-    return False
+    brackets = _STRING.sub(b'', data).translate(_AS_ARRAYS, _NO_BRACKETS)
+    for _ in range(limit):
+        # Removes the innermost level of each branch.
+        outer = brackets.replace(b'[]', b'')
+        if len(outer) == len(brackets):
+            return False
+        brackets = outer
+    return b'[]' in brackets
