Count arrays without an end as nesting

Cause: the scan of the commit before took only matching brackets for levels, so that two unusable evacuations had the same reason, and one was not logged.

--- a/walnutport/json_input.py
+++ b/walnutport/json_input.py
@@ -167,6 +167,7 @@
         # Removes the innermost level of each branch.
         outer = brackets.replace(b'[]', b'')
         if len(outer) == len(brackets):
-            return False
+            break
         brackets = outer
-    return b'[]' in brackets
+    # Those that are left over are levels that do not end.
+    return b'[]' in brackets or brackets.count(b'[') > limit
