Reject routes whose stages come after stages that are missing

Cause: such an index was taken from the desired state and raises IndexError or RecursionError where a job is built.

Measured: 4 tests of tests/platform/test_odd_entries.py failed before and pass now. Cycles over several stages are not looked for.

--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -146,6 +146,16 @@
             documents.decode_desired_state(text.replace(old, new).encode())
 
 
+@pytest.mark.parametrize('predecessor', [-1, 0, 1, 5])
+def test_stage_after_one_that_is_not_there_is_rejected(predecessor):
+    """Guards against a route whose every request is an internal error."""
+    text = json.dumps(test_documents.CONFIG)
+    odd = text.replace('"after": []', f'"after": [{predecessor}]')
+    assert odd != text
+    with pytest.raises(exceptions.WireError):
+        documents.decode_desired_state(odd.encode())
+
+
 def test_evacuation_is_bounded():
     """Guards against hosts that disagree about a nested evacuation."""
     for depth in (40, 400, 100_000):
--- a/walnutport/platform/documents.py
+++ b/walnutport/platform/documents.py
@@ -330,6 +330,13 @@
 
 
 def _build_route(route: _Route) -> routes.Route:
+    for index, stage in enumerate(route.stages):
+        others = set(range(len(route.stages))) - {index}
+        if not others.issuperset(stage.after):
+            raise exceptions.WireError(
+                f'desired state: stage {index} of a route comes after stages '
+                'that it does not have'
+            )
     weights = {part.service: part.weight for part in route.split}
     event_patience_ms = max(
         _MIN_EVENT_PATIENCE_MS,
