--- a/walnutport/gateway/operations/events.py
+++ b/walnutport/gateway/operations/events.py
@@ -69,7 +69,8 @@
     ),
     Event(
         'desired_unreadable',
-        'a desired state could not be decoded; the old one stays in force',
+        'a desired state could not be decoded; the old one stays in force; '
+        'logged once for each problem',
         ('offset', 'problem'),
     ),
     Event(
@@ -160,8 +161,15 @@
     ),
     Event(
         'target_unreadable',
-        'the entry of a target could not be decoded',
-        ('problem',),
+        'the entry of a target could not be decoded and names none; logged '
+        'once for each entry and problem',
+        ('target', 'offset', 'source', 'problem'),
+    ),
+    Event(
+        'feed_failed',
+        'an unexpected error in reading or applying records; they are read '
+        'again, and the error is logged once',
+        ('feed', 'problem', 'trace'),
     ),
     Event(
         'targets_expired',
@@ -283,6 +291,17 @@
         'not know; it is skipped, and the next ones are only counted',
         ('peer', 'kind'),
     ),
+    Event(
+        'peer_message_unsent',
+        'a message for peers cannot be encoded or is too large, and is left '
+        'out; the next ones of its kind are only counted',
+        ('kind', 'problem'),
+    ),
+    Event(
+        'peer_address_invalid',
+        'the record of a host names no IP address; the host is not dialled',
+        ('peer', 'address'),
+    ),
     Event(
         'hosts_unknown',
         'the host could not register, or read the list of hosts; it retries',
@@ -290,7 +309,8 @@
     ),
     Event(
         'host_unreadable',
-        'the entry of a host in the store could not be decoded',
+        'the entry of a host in the store could not be decoded; logged once '
+        'for each entry and problem',
         ('key', 'problem'),
     ),
     Event(
