Show that a refusal of an earlier request is believed

A target that writes an earlier refusal once more on a kept connection made callers get 503, 408 or 429 for requests that the target had got, or made such a request go to a second target.

--- a/tests/gateway/fake_host.py
+++ b/tests/gateway/fake_host.py
@@ -38,6 +38,7 @@
     """
 
     ended_by_close = False
+    request_count = 1
 
     def __init__(self, status: int, on_response) -> None:
         self._status = status
@@ -168,10 +169,7 @@
             self.stages,
             self.origins,
             self.claims,
-            types.SimpleNamespace(
-                applies=lambda call: False,
-                verify=lambda call, since: defer.succeed(False),
-            ),
+            self._create_relay(),
             entry_metrics,
         )
 
@@ -200,17 +198,34 @@
         )
         return done.result
 
+    def _create_relay(self):
+        """Return a relay to peers that serves no requests."""
+        return types.SimpleNamespace(
+            applies=lambda call: False,
+            verify=lambda call, since: defer.succeed(False),
+        )
+
+    def _create_pool(self):
+        """Return a pool whose channels answer at once."""
+
+        def channel(*_) -> FakeChannel:
+            return FakeChannel(
+                self.statuses.pop(0), lambda: self.on_response()
+            )
+
+        return types.SimpleNamespace(
+            take_idle=channel, open=lambda *_: defer.succeed(channel())
+        )
+
     def _create_forwarder(self) -> forwarding.Forwarder:
         sender = attempts.AttemptSender(
             task.Clock(),
-            types.SimpleNamespace(
-                take_idle=lambda *_: FakeChannel(
-                    self.statuses.pop(0), lambda: self.on_response()
-                )
-            ),
+            self._create_pool(),
             types.SimpleNamespace(
                 is_held=lambda target: False,
+                is_leaving=lambda target: False,
                 response_received=lambda *_: None,
+                connection_refused=lambda target: None,
             ),
             lambda call: True,
             eligibility.Eligibility(),
--- a/tests/http1/test_repeated_responses.py
+++ b/tests/http1/test_repeated_responses.py
@@ -1,5 +1,6 @@
 """Second copies of responses on channels that are in use again."""
 
+import itertools
 import types
 
 import pytest
@@ -41,6 +42,7 @@
         self.channel.makeConnection(self.transport)
         self.idle: list = []
         self.bodies: list[bytes] = []
+        self.heads: list = []
 
     def send(self, request_id: str) -> None:
         """Send a request."""
@@ -55,9 +57,8 @@
             receiver = attempts.AttemptReceiver(
                 call, None, None, lambda: None, lambda fields, status: None
             )
-            receiver.done.addCallback(
-                lambda result: self.bodies.append(result.body)
-            )
+            receiver.set_channel(self.channel)
+            receiver.done.addCallback(self._attempt_ended)
         else:
             receiver = channel_pool.ResponseCollector()
             receiver.done.addCallback(
@@ -65,6 +66,10 @@
             )
         self.channel.send(b'request', receiver, self.idle.append)
 
+    def _attempt_ended(self, result: attempts.AttemptResult) -> None:
+        self.bodies.append(result.body)
+        self.heads.append((result.status, result.head.status))
+
 
 @pytest.mark.parametrize('kind', ['target', 'peer'])
 @pytest.mark.parametrize('size', [0, 1, 20, 60, 1000])
@@ -113,3 +118,46 @@
             channel.channel.dataReceived(response + surplus)
         assert channel.bodies == [b'ok']
         assert not channel.channel.alive
+
+
+def refusal_starts() -> list[bytes]:
+    """Return the starts of a refusal, with its fields in each order."""
+    fields = [
+        b'%b: 1\r\n' % wire.NOT_EXECUTED,
+        b'%b: first\r\n' % wire.REQUEST_ID,
+        b'X-Served-By: a b\r\n',
+    ]
+    texts = [
+        b'HTTP/1.1 503 Busy\r\n%bContent-Length: 0\r\n\r\n' % b''.join(order)
+        for order in itertools.permutations(fields)
+    ]
+    return sorted(
+        {text[:size] for text in texts for size in range(1, len(text))}
+    )
+
+
+@pytest.mark.parametrize('is_split', [False, True])
+def test_start_of_a_refusal_before_the_response(is_split):
+    """Guards against a head joined from a stale start and the true rest.
+
+    It names the request and says that it did not run.
+    """
+    believed = []
+    for start in refusal_starts():
+        channel = Channel('target')
+        channel.send('first')
+        channel.channel.dataReceived(named_response(b'first', b'one'))
+        channel.send('second')
+        response = named_response(b'second', b'two')
+        if is_split:
+            channel.channel.dataReceived(start)
+            channel.channel.dataReceived(response)
+        else:
+            channel.channel.dataReceived(start + response)
+        if channel.heads[1:] not in (
+            [],
+            [(attempts.AttemptStatus.LOST, 0)],
+            [(attempts.AttemptStatus.ANSWERED, 200)],
+        ):
+            believed.append((start, channel.heads[1:]))
+    assert not believed
