Accept only named responses on used channels

What callers saw: a target wrote the refusal of an earlier request, or a 408 at the close of an idle connection, without a request id on a kept channel. The request that had just been sent there was answered 503, 429 or 408, or ran at a second target (8 forms, each after the write and together with the true response). On channels to peers, an unnamed 421 sent the request to a second peer.

Cause: a response that names no request was taken for the answer to whatever request was in flight. The channel was kept only after named responses, but the next response was believed without a name.

Change: a channel that has carried another request accepts a response only if its head names a request; otherwise the request fails as sent, so that its outcome is unknown: 502 without a second target if it may not be repeated, a retry within the budget if it may. On the first request of a channel, where no other can be meant, unnamed refusals count as before. This is decided in the channel, and so holds for targets, peers and the own interface.

--- a/walnutport/adapters/http_client.py
+++ b/walnutport/adapters/http_client.py
@@ -193,14 +193,14 @@
 
     def __init__(self, name: bytes, value: bytes) -> None:
         super().__init__(self._may_answer)
-        self.names_request = False
         self._name = name
         self._value = value
 
+    def is_named_in(self, head: messages.ResponseHead) -> bool:
+        return bool(self._value) and head.header(self._name) is not None
+
     def _may_answer(self, head: messages.ResponseHead) -> bool:
         if not self._value:
             return True
-        echoed = head.header(self._name)
-        self.names_request = echoed == self._value
         # The caller decides on a response without the header.
-        return echoed is None or self.names_request
+        return head.header(self._name) in (None, self._value)
--- a/walnutport/gateway/peers/peer_relay.py
+++ b/walnutport/gateway/peers/peer_relay.py
@@ -80,10 +80,9 @@
         """Whether the peer may have begun to serve the request."""
         return self._head.status != NOT_TAKEN_STATUS
 
-    @property
-    def names_request(self) -> bool:
-        """Whether the head of the response names the request."""
-        return bool(headers.response_request_id(self._head))
+    def is_named_in(self, head: messages.ResponseHead) -> bool:
+        """Return whether a head names a request."""
+        return bool(headers.response_request_id(head))
 
     def head_received(self, head: messages.ResponseHead) -> bool:
         request_id = headers.response_request_id(head)
@@ -201,6 +200,9 @@
         return {
             'requests_relayed_total': self.sent_count,
             'requests_of_peers_total': self.received_count,
+            'relay_responses_unidentified_total': (
+                self._pool.unidentified_count
+            ),
         }
 
     @staticmethod
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -187,10 +187,9 @@
             return MAX_STREAM_BYTES
         return channel_pool.MAX_RESPONSE_BYTES
 
-    @property
-    def names_request(self) -> bool:
-        """Whether the head of the response names the request."""
-        return bool(self._fields.request_id)
+    def is_named_in(self, head: messages.ResponseHead) -> bool:
+        """Return whether a head names a request."""
+        return bool(headers.response_request_id(head))
 
     def head_received(self, head: messages.ResponseHead) -> bool:
         fields = headers.decode_response_headers(head)
--- a/walnutport/http1/channel_pool.py
+++ b/walnutport/http1/channel_pool.py
@@ -26,12 +26,14 @@
     def __init__(
         self, accepts: Callable[[messages.ResponseHead], bool] | None = None
     ) -> None:
-        self.names_request = accepts is not None
         self._head = messages.EMPTY_HEAD
         self.done: defer.Deferred = defer.Deferred()
         self._accepts = accepts
         self._parts: list[bytes] = []
 
+    def is_named_in(self, head: messages.ResponseHead) -> bool:
+        return self._accepts is not None
+
     def head_received(self, head: messages.ResponseHead) -> bool:
         if self._accepts is not None and not self._accepts(head):
             return False
@@ -59,6 +61,8 @@
     :param max_idle: maximum number of idle channels for each address.
     :ivar oversized_count: responses that were cut off as they exceeded a
         limit.
+    :ivar unidentified_count: responses that were rejected as they may answer
+        an earlier request.
     """
 
     def __init__(self, reactor, max_idle: int) -> None:
@@ -78,6 +82,7 @@
         self.waiting_since = 0.0
         self.opened_count = 0
         self.oversized_count = 0
+        self.unidentified_count = 0
 
     def take_idle(
         self,
@@ -118,6 +123,7 @@
             self.on_failed()
             raise
         channel.on_oversized = self._count_oversized
+        channel.on_unidentified = self._count_unidentified
         channel.on_sent = self._sent
         channel.on_answered = self._answered
         channel.on_unanswered = self.on_failed
@@ -166,6 +172,9 @@
     def _count_oversized(self) -> None:
         self.oversized_count += 1
 
+    def _count_unidentified(self) -> None:
+        self.unidentified_count += 1
+
 
 async def fetch(
     reactor,
--- a/walnutport/http1/client_channel.py
+++ b/walnutport/http1/client_channel.py
@@ -5,7 +5,8 @@
 
 A peer may send a response a second time, at any later moment. Only a response
 that names its request can be told from the one to the next request, so a
-channel is reused only after such responses.
+channel is reused only after such responses, and only such a response is
+accepted on a channel that has carried another request.
 """
 
 from collections.abc import Callable
@@ -29,6 +30,7 @@
     'MAX_HEAD_BYTES',
     'MAX_SKIPPED_BYTES',
     'ResponseReceiver',
+    'UNIDENTIFIED_DETAIL',
     'connect',
 ]
 
@@ -56,6 +58,8 @@
 MAX_HEAD_BYTES = 64 << 10
 # Bytes of bodies that belong to other requests.
 MAX_SKIPPED_BYTES = 16 << 20
+#: Reason of a failure: the response may be that to an earlier request.
+UNIDENTIFIED_DETAIL = 'response names no request on a used channel'
 
 
 class ResponseReceiver(TypingProtocol):
@@ -65,11 +69,10 @@
     def max_body_bytes(self) -> int:
         """Bytes of the body after which the response is cut off."""
 
-    @property
-    def names_request(self) -> bool:
-        """Whether the head that was received names the request.
+    def is_named_in(self, head: messages.ResponseHead) -> bool:
+        """Return whether a head names a request.
 
-        The receiver then rejects the heads that name another one.
+        The receiver rejects the heads that name another one than its own.
         """
 
     def head_received(self, head: messages.ResponseHead) -> bool:
@@ -107,8 +110,10 @@
         self.on_unanswered: Callable[[], None] = lambda: None
         self._was_answered = False
         self._awaits_answer = False
-        # Called when a response is cut off as it exceeds a limit.
+        # Called when a response is cut off as it exceeds a limit, and when
+        # one is rejected as it may answer an earlier request.
         self.on_oversized: Callable[[], None] = lambda: None
+        self.on_unidentified: Callable[[], None] = lambda: None
         self._receiver: ResponseReceiver | None = None
         self._written = False
         self._notice: write_notice.WriteNotice | None = None
@@ -120,6 +125,7 @@
         self._body_until_close = False
         self._head: messages.ResponseHead | None = None
         self._headers: messages.Headers = []
+        self._is_unidentified = False
         self._reset_parser()
 
     def connectionMade(self) -> None:
@@ -186,7 +192,10 @@
         if self._receiver is None:
             return
         excess = self._find_excess(self._receiver)
-        if excess:
+        if self._is_unidentified:
+            self.on_unidentified()
+            self._fail(UNIDENTIFIED_DETAIL, malformed=True)
+        elif excess:
             self.on_oversized()
             self._fail(excess, malformed=True, oversized=True)
         elif self._response_complete:
@@ -223,7 +232,13 @@
         status = self._parser.get_status_code()
         if self._response_complete or self._receiver is None or status < 200:
             return
+        if self._is_unidentified:
+            return
         head = messages.ResponseHead(status, self._headers)
+        is_named = self._receiver.is_named_in(head)
+        if self.request_count > 1 and not is_named:
+            self._is_unidentified = True
+            return
         if not self._receiver.head_received(head):
             self._skip_response = True
             self._keep_alive = False
@@ -238,7 +253,7 @@
         self._keep_alive = (
             self._keep_alive
             and not self._body_until_close
-            and self._receiver.names_request
+            and is_named
             and self._parser.should_keep_alive()
         )
         self._parse_idle_limit(head)
