Reject heads that hold the status line of another response

What callers saw: a target had written the start of an earlier refusal when the next request arrived, and then its response. Both were read as one head: status and first fields of the refusal, the request id of the response. The request was answered 503, 429 or 409, with the seal of its success, or went to a second target or peer although it had run.

Change: on a channel that has carried another request, a head whose reason phrase or field holds a status line fails the request as sent, with an unknown outcome. Elsewhere no earlier response can precede it, and values such as that are left alone. The socket options of client channels move to a module of their own; the test of their values reads them there.

Log: the detail of attempt_failed and the problem of relay_failed; counters: responses_unidentified_total and relay_responses_unidentified_total.

--- a/tests/http1/test_client_channel.py
+++ b/tests/http1/test_client_channel.py
@@ -9,6 +9,7 @@
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.http1 import messages
+from walnutport.http1 import socket_options
 
 
 class FakeTransport(proto_helpers.StringTransport):
@@ -168,9 +169,9 @@
     for its interval once the user timeout has passed, whatever the count of
     probes. The first probe may fall on the beginning of the silence.
     """
-    tolerated_s = client_channel.KEEPALIVE_INTERVAL_S
+    tolerated_s = socket_options.KEEPALIVE_INTERVAL_S
     assert tolerated_s >= 2
-    assert client_channel.UNACKED_TIMEOUT_MS > 1000
-    given_up_s = client_channel.KEEPALIVE_IDLE_S + tolerated_s
-    assert given_up_s * 1000 > client_channel.UNACKED_TIMEOUT_MS
+    assert socket_options.UNACKED_TIMEOUT_MS > 1000
+    given_up_s = socket_options.KEEPALIVE_IDLE_S + tolerated_s
+    assert given_up_s * 1000 > socket_options.UNACKED_TIMEOUT_MS
     assert given_up_s <= 4
--- a/walnutport/http1/client_channel.py
+++ b/walnutport/http1/client_channel.py
@@ -10,7 +10,6 @@
 """
 
 from collections.abc import Callable
-import socket
 import time
 from typing import Protocol as TypingProtocol
 
@@ -20,13 +19,16 @@
 from twisted.internet import protocol
 
 from walnutport import exceptions
+from walnutport.http1 import joined_heads
 from walnutport.http1 import messages
+from walnutport.http1 import socket_options
 from walnutport.http1 import write_notice
 
 __all__ = [
     'Address',
     'CONNECT_TIMEOUT_S',
     'ClientChannel',
+    'JOINED_DETAIL',
     'MAX_HEAD_BYTES',
     'MAX_SKIPPED_BYTES',
     'ResponseReceiver',
@@ -36,18 +38,6 @@
 
 Address = tuple[str, int]
 
-# The kernel closes a connection whose written data stays unacknowledged for
-# this long, as when the network to the peer fails. The failure must be
-# detected within the shortest request deadlines.
-UNACKED_TIMEOUT_MS = 1500
-# Keep-alive probes detect an unreachable peer while a response is awaited
-# and no written data is unacknowledged. As UNACKED_TIMEOUT_MS is shorter than
-# the idle time, Linux gives up at the first probe that is unanswered for an
-# interval, whatever their count: after 4 s. A shorter interval would end the
-# channels of a target that is silent for a second and goes on.
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 2
-KEEPALIVE_PROBES = 1
 # Idle limit of a channel whose peer sends no Keep-Alive timeout.
 DEFAULT_IDLE_LIMIT_S = 4.0
 # A channel is not reused this shortly before the idle timeout of its peer.
@@ -58,7 +48,8 @@
 MAX_HEAD_BYTES = 64 << 10
 # Bytes of bodies that belong to other requests.
 MAX_SKIPPED_BYTES = 16 << 20
-#: Reason of a failure: the response may be that to an earlier request.
+#: Reasons of failures: the response may be that to an earlier request.
+JOINED_DETAIL = 'status line inside a head on a used channel'
 UNIDENTIFIED_DETAIL = 'response names no request on a used channel'
 
 
@@ -125,13 +116,14 @@
         self._body_until_close = False
         self._head: messages.ResponseHead | None = None
         self._headers: messages.Headers = []
-        self._is_unidentified = False
+        # Why the response may be that to an earlier request, empty if not.
+        self._doubt = ''
         self._reset_parser()
 
     def connectionMade(self) -> None:
         self.alive = True
         self.idle_since = self.opened_at = time.monotonic()
-        _set_socket_options(self.transport)
+        socket_options.set_client_options(self.transport.getHandle())
         self.on_open(self)
 
     def send(
@@ -192,9 +184,9 @@
         if self._receiver is None:
             return
         excess = self._find_excess(self._receiver)
-        if self._is_unidentified:
+        if self._doubt:
             self.on_unidentified()
-            self._fail(UNIDENTIFIED_DETAIL, malformed=True)
+            self._fail(self._doubt, malformed=True)
         elif excess:
             self.on_oversized()
             self._fail(excess, malformed=True, oversized=True)
@@ -223,21 +215,30 @@
             self._keep_alive = False
             self._skip_response = True
         self._headers = []
+        self._reason = b''
+
+    def on_status(self, reason: bytes) -> None:
+        if self._head is None:
+            self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._head is None:
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        status = self._parser.get_status_code()
-        if self._response_complete or self._receiver is None or status < 200:
+        if self._response_complete or self._receiver is None or self._doubt:
+            return
+        is_used = self.request_count > 1
+        if is_used and joined_heads.is_joined(self._reason, self._headers):
+            self._doubt = JOINED_DETAIL
             return
-        if self._is_unidentified:
+        status = self._parser.get_status_code()
+        if status < 200:
             return
         head = messages.ResponseHead(status, self._headers)
         is_named = self._receiver.is_named_in(head)
-        if self.request_count > 1 and not is_named:
-            self._is_unidentified = True
+        if is_used and not is_named:
+            self._doubt = UNIDENTIFIED_DETAIL
             return
         if not self._receiver.head_received(head):
             self._skip_response = True
@@ -336,6 +337,7 @@
     def _reset_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
+        self._reason = b''
         self._head = None
         # Bytes that arrived since the last part of a body, about.
         self._head_bytes = 0
@@ -397,17 +399,3 @@
         self._cancelled = True
         if self.connector is not None:
             self.connector.disconnect()
-
-
-def _set_socket_options(transport) -> None:
-    handle = transport.getHandle()
-    options = (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS),
-    )
-    for level, option, value in options:
-        handle.setsockopt(level, option, value)
