Send a request again to its target on a new channel

What callers saw: a request whose inputs were gone (409, not run) got new ones and went to the same target again, on the same kept channel. A copy of the 409 that came then was taken for the next answer, as it names the request: the caller was answered 503 while the target ran the request.

Cause: the id tells a response to another request, not one to an earlier attempt of the same request.

Change: a target that has got the request before gets it on a new channel. Only requests with new inputs go to a target twice, so that few channels are opened.

test_copy_of_the_refusal_of_an_earlier_attempt_of_the_request failed before and passes now. The placed line with attempt 2 shows the case.

--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -453,9 +453,12 @@
         max_idle_s = (
             None if call.route.repeatable else NON_REPEATABLE_MAX_IDLE_S
         )
-        channel = self._pool.take_idle(target.address, max_idle_s)
-        if channel is not None:
-            return channel
+        # On a channel that has carried the request before, a copy of the first
+        # response could not be told from the next one.
+        if target.target_id not in call.targets:
+            channel = self._pool.take_idle(target.address, max_idle_s)
+            if channel is not None:
+                return channel
         return await self._pool.open(
             target.address,
             min(CONNECT_TIMEOUT_S, max(0.05, call.time_left_s())),
