Close idle channels that hold unread bytes

What callers saw: bytes that a target had written to an idle channel, or its close, were in the kernel but not read when the next request was written. An unnamed refusal or a 408 was then believed; a close left the outcome of the request unknown although it had never been read.

Cause: unexpected bytes end an idle channel only once the reactor has read them.

Change: before an idle channel is used, its socket is asked whether it holds bytes or has ended; such a channel is closed and another one carries the request. This costs one system call for each reuse.

Counters: channels_unread_total and relay_channels_unread_total.

--- a/tests/gateway/targets/test_stale_refusals.py
+++ b/tests/gateway/targets/test_stale_refusals.py
@@ -224,9 +224,6 @@
         with socket_host.SocketHost(socket_host.ONCE, 'llm-1') as host:
             connection = await refused_once(host)
             target = host.socket_targets['llm-1']
-            caller = await in_thread(host.request, 'second')
-            # The reactor has not run since the caller has sent its request,
-            # and reads what is ready in an order that is not defined.
             original = host.pool.take_idle
 
             def take_idle(*args):
@@ -238,6 +235,7 @@
                 return original(*args)
 
             host.pool.take_idle = take_idle
+            caller = await in_thread(host.request, 'second')
             answered = in_thread(caller.read_all)
             served = await in_thread(target.next_request, connection)
             assert served is not connection
--- a/tests/http1/test_channel_pool.py
+++ b/tests/http1/test_channel_pool.py
@@ -23,6 +23,10 @@
     def getHandle(self):
         return self
 
+    def recv(self, size, flags) -> bytes:
+        """Find no bytes that were not read."""
+        raise BlockingIOError
+
     def setsockopt(self, level, option, value) -> None:
         pass
 
--- a/tests/http1/test_write_notice.py
+++ b/tests/http1/test_write_notice.py
@@ -43,6 +43,10 @@
         """Return an object that takes socket options."""
         return self
 
+    def recv(self, size, flags) -> bytes:
+        """Find no bytes that were not read."""
+        raise BlockingIOError
+
     def setsockopt(self, level, option, value) -> None:
         """Ignore a socket option."""
 
--- a/walnutport/gateway/operations/host_status.py
+++ b/walnutport/gateway/operations/host_status.py
@@ -180,6 +180,7 @@
             'store_calls_total': self._store.call_count,
             'store_era_changes_total': self._follower.era_changes,
             'channels_opened_total': self._pool.opened_count,
+            'channels_unread_total': self._pool.unread_count,
             'responses_unidentified_total': self._pool.unidentified_count,
             'responses_oversized_total': (
                 self._pool.oversized_count + self._store.oversized_count
--- a/walnutport/gateway/peers/peer_relay.py
+++ b/walnutport/gateway/peers/peer_relay.py
@@ -200,6 +200,7 @@
         return {
             'requests_relayed_total': self.sent_count,
             'requests_of_peers_total': self.received_count,
+            'relay_channels_unread_total': self._pool.unread_count,
             'relay_responses_unidentified_total': (
                 self._pool.unidentified_count
             ),
--- a/walnutport/http1/channel_pool.py
+++ b/walnutport/http1/channel_pool.py
@@ -8,6 +8,7 @@
 from walnutport import exceptions
 from walnutport.http1 import client_channel
 from walnutport.http1 import messages
+from walnutport.http1 import socket_options
 
 __all__ = ['ChannelPool', 'MAX_RESPONSE_BYTES', 'ResponseCollector', 'fetch']
 
@@ -63,6 +64,8 @@
         limit.
     :ivar unidentified_count: responses that were rejected as they may answer
         an earlier request.
+    :ivar unread_count: idle channels that were not used as their peers had
+        written to them or closed them.
     """
 
     def __init__(self, reactor, max_idle: int) -> None:
@@ -83,6 +86,7 @@
         self.opened_count = 0
         self.oversized_count = 0
         self.unidentified_count = 0
+        self.unread_count = 0
 
     def take_idle(
         self,
@@ -101,7 +105,13 @@
             if max_idle_s is not None:
                 limit = min(limit, max_idle_s)
             if channel.alive and now - channel.idle_since < limit:
-                return channel
+                # What arrives before a request belongs to no response to it,
+                # and may not have been read yet.
+                if not socket_options.has_unread(
+                    channel.transport.getHandle()
+                ):
+                    return channel
+                self.unread_count += 1
             channel.close()
         return None
 
--- a/walnutport/http1/client_channel.py
+++ b/walnutport/http1/client_channel.py
@@ -5,8 +5,7 @@
 
 A peer may send a response a second time, at any later moment. Only a response
 that names its request can be told from the one to the next request, so a
-channel is reused only after such responses, and only such a response is
-accepted on a channel that has carried another request.
+channel is reused only after such responses, and then accepts no others.
 """
 
 from collections.abc import Callable
--- a/walnutport/http1/socket_options.py
+++ b/walnutport/http1/socket_options.py
@@ -1,8 +1,11 @@
-"""Socket options with which the loss of a connection is noticed in time."""
+"""Options and state of the sockets of client channels.
+
+The options let the loss of a connection be noticed in time.
+"""
 
 import socket
 
-__all__ = ['set_client_options']
+__all__ = ['has_unread', 'set_client_options']
 
 # The kernel closes a connection whose written data stays unacknowledged for
 # this long, as when the network to the peer fails. The failure must be
@@ -30,3 +33,18 @@
     )
     for level, option, value in options:
         handle.setsockopt(level, option, value)
+
+
+def has_unread(handle: socket.socket) -> bool:
+    """Return whether a socket has bytes to read, or was closed by its peer.
+
+    :param handle: socket that does not block.
+    """
+    try:
+        handle.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        # The connection was reset.
+        return True
+    return True
