Use unused channels for calls whose responses name no request

What was seen: a stage call was sent on a channel that a request to the same address had left in the pool. A copy of the refusal of that request was taken for the answer of the call, which counted as refused while it ran. The same holds for calls of the own interface that expect no echoed header.

Cause: a response is matched by the request it names, and the receivers of these calls accept every head.

Change: such calls take an idle channel only if it has carried no request, or open a new one. Their channels were never kept before either, so that stage calls open no more connections than they did, but for the first to an address that requests go to as well.

--- a/walnutport/adapters/http_client.py
+++ b/walnutport/adapters/http_client.py
@@ -96,7 +96,7 @@
             ],
             body,
         )
-        channel = await self._acquire(address)
+        channel = await self._acquire(address, bool(echoed_header))
         echoed = (headers or {}).get(echoed_header, '').encode('latin-1')
         collector = _EchoCollector(echoed_header.encode('ascii'), echoed)
         collector.max_body_bytes = max_body_bytes
@@ -127,9 +127,13 @@
         self._pool.close_all()
 
     async def _acquire(
-        self, address: client_channel.Address
+        self, address: client_channel.Address, names_request: bool
     ) -> client_channel.ClientChannel:
-        channel = self._pool.take_idle(address)
+        channel = (
+            self._pool.take_idle(address)
+            if names_request
+            else self._pool.take_unused(address)
+        )
         if channel is None:
             channel = await self._pool.open(address, self._connect_timeout_s)
         return channel
--- a/walnutport/http1/channel_pool.py
+++ b/walnutport/http1/channel_pool.py
@@ -98,20 +98,26 @@
         :param max_idle_s: upper bound on its idle time, besides its own limit.
         """
         idle = self._idle_by_address.get(address)
-        now = time.monotonic()
         while idle:
             channel = idle.pop()
-            limit = channel.idle_limit_s
-            if max_idle_s is not None:
-                limit = min(limit, max_idle_s)
-            if channel.alive and now - channel.idle_since < limit:
-                # What arrives before a request belongs to no response to it,
-                # and may not have been read yet.
-                if not socket_options.has_unread(
-                    channel.transport.getHandle()
-                ):
-                    return channel
-                self.unread_count += 1
+            if self._is_usable(channel, max_idle_s):
+                return channel
+            channel.close()
+        return None
+
+    def take_unused(
+        self, address: client_channel.Address
+    ) -> client_channel.ClientChannel | None:
+        """Return an idle channel that has carried no request, or None.
+
+        A response that names no request can be told from one to an earlier
+        request on such a channel only.
+        """
+        idle = self._idle_by_address.get(address, [])
+        for channel in [item for item in idle if not item.request_count]:
+            idle.remove(channel)
+            if self._is_usable(channel):
+                return channel
             channel.close()
         return None
 
@@ -172,6 +178,23 @@
             else:
                 del self._idle_by_address[address]
 
+    def _is_usable(
+        self,
+        channel: client_channel.ClientChannel,
+        max_idle_s: float | None = None,
+    ) -> bool:
+        limit = channel.idle_limit_s
+        if max_idle_s is not None:
+            limit = min(limit, max_idle_s)
+        if not channel.alive or time.monotonic() - channel.idle_since >= limit:
+            return False
+        # What arrives before a request belongs to no response to it, and may
+        # not have been read yet.
+        if socket_options.has_unread(channel.transport.getHandle()):
+            self.unread_count += 1
+            return False
+        return True
+
     def _sent(self) -> None:
         self.waiting_since = self.waiting_since or time.monotonic()
 
@@ -197,13 +220,14 @@
 ) -> messages.Response:
     """Send an idempotent request and return the complete response.
 
+    The response may name no request, so the channel carries no other one.
     Cancelling closes the channel.
 
     :param may_send: asked directly before the request is written.
     :param is_new: whether to open a new channel in any case.
     :raises ChannelError: if no complete response arrives in time.
     """
-    channel = None if is_new else pool.take_idle(address)
+    channel = None if is_new else pool.take_unused(address)
     if channel is None:
         channel = await pool.open(
             address, min(timeout_s, client_channel.CONNECT_TIMEOUT_S)
