Show that another response is joined to a stream

A target breaks a stream off and the next one sends a response that does not continue it: a success of another type, an error as an event, no event at all, events without ids. Its text reached the caller in the middle of the stream, or the stream ended as if it were complete.

--- a/tests/gateway/socket_host.py
+++ b/tests/gateway/socket_host.py
@@ -47,7 +47,8 @@
     ) -> None:
         self._is_cut = is_cut
         self.socket_targets = {
-            name: socket_target.SocketTarget() for name in ('llm-1', 'llm-2')
+            name: socket_target.SocketTarget()
+            for name in ('llm-1', 'llm-2', 'llm-3')
         }
         self.pool = channel_pool.ChannelPool(reactor, 8)
         self.calls: dict[str, calls.CallerCall] = {}
--- a/tests/socket_target.py
+++ b/tests/socket_target.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Callable
 from collections.abc import Coroutine
+import contextlib
 import re
 import select
 import socket
+import struct
 import threading
 
 from twisted.internet import defer
@@ -77,10 +79,22 @@
         """Write bytes, which are in the other side's kernel afterwards."""
         self._socket.sendall(data)
 
+    def write_if_open(self, data: bytes) -> None:
+        """Write bytes unless the other side has closed the connection."""
+        with contextlib.suppress(ConnectionError):
+            self.write(data)
+
     def shut_down(self) -> None:
         """Write no more; the other side reads the end."""
         self._socket.shutdown(socket.SHUT_WR)
 
+    def reset(self) -> None:
+        """Reset the connection."""
+        self._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+        self._socket.close()
+
     def close(self) -> None:
         """Close the connection."""
         self._socket.close()
