Forward a later run only if it continues its stream

What callers saw: a stream broke off, and the next target answered 200 with JSON, HTML, an error as an event without an id, or a body without any event. The text stood in the middle of their stream, or the stream ended with the last chunk as if it were complete. A stream without ids began again in the same response. Behind a gap, the events that came before it were dropped and the next target was asked for events behind it (Last-Event-Id 7 in place of 2).

Cause: any sealed 200 was read as events of the stream, an event without an id was forwarded wherever it came, and the last event was moved past a gap.

Change: a run that follows forwarded events has to show that it goes on after them. Its response has the same media type as the first one, it brings the next event before any event without an id, and it ends after at least one new event. Otherwise the attempt fails, another target may go on from the last event that the caller has, and if none does the response ends without its last chunk. What comes before a gap is forwarded, and the next run starts there. A target that has nothing to add after the last event is no longer believed to be at the end, as it was not when callers take a stream up themselves.

Log: the detail of attempt_failed; counter: stream_responses_rejected_total.

--- a/tests/gateway/fake_host.py
+++ b/tests/gateway/fake_host.py
@@ -224,6 +224,7 @@
             types.SimpleNamespace(
                 is_held=lambda target: False,
                 is_leaving=lambda target: False,
+                rejected_stream_count=0,
                 response_received=lambda *_: None,
                 connection_refused=lambda target: None,
             ),
--- a/tests/relay/test_resumable.py
+++ b/tests/relay/test_resumable.py
@@ -81,3 +81,66 @@
     assert relay.events == 0
     relay.feed(b': note\ndata: x\n\n')
     assert relay.events == 1
+
+
+def continued(*events: bytes) -> resumable.EventRelay:
+    """Return a relay whose second run follows some events."""
+    relay = resumable.EventRelay()
+    assert relay.begin_run(b'text/event-stream')
+    relay.feed(b''.join(events))
+    assert relay.begin_run(b'text/event-stream')
+    return relay
+
+
+def test_run_of_another_type_does_not_continue():
+    """Guards against the text of an error in the middle of a stream."""
+    relay = continued(event(1))
+    assert not relay.begin_run(b'application/json')
+    assert relay.begin_run(b'text/event-stream')
+
+
+def test_first_run_may_have_any_type():
+    """Guards against streams without a media type that are cut off."""
+    relay = resumable.EventRelay()
+    assert relay.begin_run(b'')
+    assert relay.begin_run(b'text/event-stream')
+
+
+def test_event_without_id_does_not_continue():
+    """Guards against the text of an error in the middle of a stream."""
+    relay = continued(event(1))
+    assert not relay.feed(b'event: error\ndata: x\n\n')
+    assert relay.has_gap
+
+
+def test_event_without_id_behind_the_next_event_continues():
+    """Guards against events without an id that are lost after a resume."""
+    relay = continued(event(1))
+    data = event(2) + b'event: done\ndata: x\n\n'
+    assert relay.feed(data) == data
+    assert not relay.lacks_continuation
+
+
+def test_repeated_events_without_ids_are_dropped():
+    """Guards against events that a run from the start brings again."""
+    note = b'data: note\n\n'
+    relay = continued(event(1), note, event(2))
+    assert relay.feed(event(1) + note + event(2) + event(3)) == event(3)
+    assert not relay.has_gap
+
+
+def test_comment_does_not_continue():
+    """Guards against a stream that seems complete after a comment."""
+    relay = continued(event(1))
+    assert relay.feed(b': wait\n\n') == b': wait\n\n'
+    assert relay.lacks_continuation
+
+
+def test_events_before_a_gap_are_forwarded():
+    """Guards against a next run that is asked for events behind a gap."""
+    relay = resumable.EventRelay()
+    assert relay.feed(event(1) + event(2) + event(5)) == event(1) + event(2)
+    assert relay.has_gap and relay.last_id == 2
+    assert relay.begin_run(b'')
+    assert relay.feed(event(3)) == event(3)
+    assert not relay.has_gap
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -34,6 +34,10 @@
 PROVEN_EVENTS = 3
 #: Detail of an attempt that was not sent as its time was over.
 DEADLINE_DETAIL = 'deadline'
+# Details of attempts whose response does not go on with the stream.
+OTHER_TYPE_DETAIL = 'response of another type than the stream'
+GAP_DETAIL = 'gap in the event stream'
+ENDED_EARLY_DETAIL = 'event stream ended early (partial or no event)'
 # Subtracted from the deadline that a target gets, so that its response can
 # still reach the caller in time.
 RESPONSE_MARGIN_S = 0.01
@@ -199,7 +203,10 @@
         self._fields = fields
         self._on_head(fields, head.status)
         self._streaming = (
-            self._has_relay and head.status == 200 and fields.sealed
+            self._has_relay
+            and head.status == 200
+            and fields.sealed
+            and self._relay.begin_run(headers.media_type(head))
         )
         return True
 
@@ -208,17 +215,19 @@
             self._body_parts.append(data)
             return
         events = self._relay.feed(data)
+        if events:
+            self._forward(events)
         if self._relay.has_gap or self._relay.is_oversized:
             self._complete(
                 AttemptStatus.BROKEN,
-                'gap in the event stream'
+                GAP_DETAIL
                 if self._relay.has_gap
                 else f'event of more than {resumable.MAX_EVENT_BYTES} bytes',
             )
             self._drop_channel()
-            return
-        if not events:
-            return
+
+    def _forward(self, events: bytes) -> None:
+        """Forward complete events to the caller."""
         arrived = self._relay.events - self._events_before
         if arrived >= PROVEN_EVENTS and not self._is_proven:
             self._is_proven = True
@@ -238,10 +247,14 @@
     def finished(self) -> None:
         if self._streaming:
             request = self._call.request
-            if self._relay.partial or not request.head_sent:
+            if (
+                self._relay.partial
+                or not request.head_sent
+                or self._relay.lacks_continuation
+            ):
                 self._complete(
                     AttemptStatus.BROKEN,
-                    'event stream ended early (partial or no event)',
+                    ENDED_EARLY_DETAIL,
                     # A response without a length ends with its channel, also
                     # if its target has crashed.
                     reset=True,
@@ -274,6 +287,12 @@
             return AttemptStatus.WRONG_TARGET, ''
         if 200 <= status < 300 and not self._fields.sealed:
             return AttemptStatus.LOST, 'response without a seal'
+        if (
+            self._has_relay
+            and 200 <= status < 300
+            and self._call.request.head_sent
+        ):
+            return AttemptStatus.LOST, OTHER_TYPE_DETAIL
         return AttemptStatus.ANSWERED, str(status)
 
     def _complete(
@@ -434,6 +453,12 @@
             AttemptStatus.INPUTS_GONE,
         ):
             call.possible_runs -= 1
+        if result.detail in (
+            OTHER_TYPE_DETAIL,
+            GAP_DETAIL,
+            ENDED_EARLY_DETAIL,
+        ):
+            self._reports.rejected_stream_count += 1
         return result
 
     def _release(
--- a/walnutport/gateway/targets/target_reports.py
+++ b/walnutport/gateway/targets/target_reports.py
@@ -34,6 +34,7 @@
     :param find_target: returns the registered target with an id, or None.
     :param cold: until when targets are cold.
     :ivar invalid_count: values of targets that were invalid.
+    :ivar rejected_stream_count: responses that did not go on with a stream.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
             None,
         ] = lambda target, load, now: None
         self.invalid_count = 0
+        self.rejected_stream_count = 0
         self._pending: list[_PendingReport] = []
 
     def response_received(
@@ -174,6 +176,7 @@
         """Return the counters by name."""
         return {
             'target_headers_invalid_total': self.invalid_count,
+            'stream_responses_rejected_total': self.rejected_stream_count,
             'targets_passed_over_total': self._backpressure.passed_over_count,
         }
 
--- a/walnutport/platform/headers.py
+++ b/walnutport/platform/headers.py
@@ -11,6 +11,7 @@
     'decode_response_headers',
     'forwarded_response_headers',
     'local_response_headers',
+    'media_type',
     'decode_request_headers',
     'forwarded_request_headers',
     'relayed_request_headers',
@@ -177,6 +178,15 @@
     return (head.header(wire.REQUEST_ID) or b'').decode('latin-1')
 
 
+def media_type(head: messages.ResponseHead) -> bytes:
+    """Return the media type of a response, without parameters.
+
+    :returns: empty if it has none.
+    """
+    value = head.header(b'content-type') or b''
+    return value.partition(b';')[0].strip().lower()
+
+
 def forwarded_response_headers(
     head: messages.ResponseHead,
 ) -> messages.Headers:
--- a/walnutport/relay/resumable.py
+++ b/walnutport/relay/resumable.py
@@ -4,6 +4,11 @@
 the stream then resumes at another target. Only complete events with increasing
 ids are forwarded, so the caller gets one sequence without duplicates, and gaps
 are detected.
+
+A run that follows an event of an earlier one has to show that it goes on after
+it: its response has the same media type, and it brings the next event before
+any event without an id. Otherwise it may be the response to something else,
+such as an error.
 """
 
 __all__ = ['EventRelay', 'MAX_EVENT_BYTES']
@@ -29,12 +34,26 @@
         self.events = 0
         self._partial = b''
         self._gap = False
+        self._media_type = b''
+        self._has_forwarded = False
+        self._events_before_run = 0
+        # Whether the run has shown that it belongs to the stream.
+        self._continues = True
+        self._repeats = False
 
     @property
     def has_gap(self) -> bool:
         """Whether an event of the sequence is missing, or its id is none."""
         return self._gap
 
+    @property
+    def lacks_continuation(self) -> bool:
+        """Whether the run has brought no event after those of earlier runs."""
+        return (
+            self._events_before_run > 0
+            and self.events == self._events_before_run
+        )
+
     @property
     def is_oversized(self) -> bool:
         """Whether an event exceeds the size limit."""
@@ -45,16 +64,35 @@
         """Bytes after the last complete event."""
         return self._partial
 
+    def begin_run(self, media_type: bytes) -> bool:
+        """Begin the next run; return False if it cannot belong to the stream.
+
+        :param media_type: media type of its response, empty without one.
+        """
+        if not self._has_forwarded:
+            self._media_type = media_type
+        elif media_type != self._media_type:
+            return False
+        self._partial = b''
+        self._gap = False
+        self._events_before_run = self.events
+        self._continues = not self.events
+        self._repeats = False
+        return True
+
     def discard_partial(self) -> None:
         """Discard the incomplete event of a run that failed."""
         self._partial = b''
 
     def feed(self, data: bytes) -> bytes:
-        """Add received bytes and return the complete events to forward."""
+        """Add received bytes and return the complete events to forward.
+
+        Nothing behind a gap is returned.
+        """
         data = self._partial + data
         forwarded = []
         start = 0
-        while True:
+        while not self._gap:
             end = data.find(_EVENT_END, start)
             if end < 0:
                 break
@@ -64,23 +102,35 @@
                 forwarded.append(event)
                 self.events += not _is_comment(event)
         self._partial = data[start:]
+        self._has_forwarded |= bool(forwarded)
         return b''.join(forwarded)
 
     def _accept(self, event: bytes) -> bool:
         number = _event_id(event)
         if number is None:
-            return True
-        if number < 0:
-            self._gap = True
+            return self._accept_unnumbered(event)
+        if self.last_id is not None and 0 <= number <= self.last_id:
+            self._repeats = True
             return False
-        if self.last_id is not None:
-            if number <= self.last_id:
-                return False
-            if number != self.last_id + 1:
-                self._gap = True
+        if self.last_id is None:
+            # No event shows where a run goes on that follows such ones.
+            self._gap = number < 0 or not self._continues
+        else:
+            self._gap = number != self.last_id + 1
+        if self._gap:
+            return False
+        self._continues = True
         self.last_id = number
         return True
 
+    def _accept_unnumbered(self, event: bytes) -> bool:
+        """Return whether to forward an event without an id, or a comment."""
+        if self._continues or _is_comment(event):
+            return True
+        # Between events that the caller has, this one was forwarded as well.
+        self._gap = not self._repeats
+        return False
+
 
 def _is_comment(event: bytes) -> bool:
     """Return whether all lines of an event are comments."""
