--- a/tests/gateway/entry/test_unproven_refusals.py
+++ b/tests/gateway/entry/test_unproven_refusals.py
@@ -47,7 +47,7 @@
 
 @pytest.mark.parametrize('status', [400, 429, 503])
 def test_refusal_that_is_stated_is_passed_on(status):
-    """Guards against a request that is not sent again though it did not run."""
+    """Guards against a request that is not run as its caller gives up."""
     data = refusal(b'only', status)
     response = socket_target.run(response_to(socket_host.ONCE, data))
     assert b' 503 ' in response, response
