--- a/tests/gateway/fake_host.py
+++ b/tests/gateway/fake_host.py
@@ -41,6 +41,7 @@
     """
 
     ended_by_close = False
+    request_count = 1
 
     def __init__(self, status: int, on_response) -> None:
         self._status = status
@@ -195,10 +196,7 @@
             self.stages,
             self.origins,
             self.claims,
-            types.SimpleNamespace(
-                applies=lambda call: False,
-                verify=lambda call, since: defer.succeed(False),
-            ),
+            self._create_relay(),
             entry_metrics,
             self.remaining,
             self.stop,
@@ -229,21 +227,38 @@
         )
         return done.result
 
-    def _take_channel(self) -> FakeChannel:
-        self.on_channel()
-        return FakeChannel(self.statuses.pop(0), lambda: self.on_response())
+    def _create_relay(self):
+        """Return a relay to peers that serves no requests."""
+        return types.SimpleNamespace(
+            applies=lambda call: False,
+            verify=lambda call, since: defer.succeed(False),
+        )
+
+    def _create_pool(self):
+        """Return a pool whose channels answer at once."""
+
+        def channel(*_) -> FakeChannel:
+            self.on_channel()
+            return FakeChannel(
+                self.statuses.pop(0), lambda: self.on_response()
+            )
+
+        return types.SimpleNamespace(
+            take_idle=channel,
+            open=lambda *_: defer.succeed(channel()),
+            release=lambda found: None,
+        )
 
     def _create_forwarder(self) -> forwarding.Forwarder:
         sender = attempts.AttemptSender(
             task.Clock(),
-            types.SimpleNamespace(
-                take_idle=lambda *_: self._take_channel(),
-                release=lambda channel: None,
-            ),
+            self._create_pool(),
             types.SimpleNamespace(
                 is_held=lambda target: False,
                 is_leaving=lambda target: False,
+                rejected_stream_count=0,
                 response_received=lambda *_: None,
+                connection_refused=lambda target: None,
             ),
             lambda call: True,
             lambda call: self.stop.can_end(call, stop_decisions.Place.SEND),
--- a/walnutport/adapters/http_client.py
+++ b/walnutport/adapters/http_client.py
@@ -96,7 +96,7 @@
             ],
             body,
         )
-        channel = await self._acquire(address)
+        channel = await self._acquire(address, bool(echoed_header))
         echoed = (headers or {}).get(echoed_header, '').encode('latin-1')
         collector = _EchoCollector(echoed_header.encode('ascii'), echoed)
         collector.max_body_bytes = max_body_bytes
@@ -127,9 +127,13 @@
         self._pool.close_all()
 
     async def _acquire(
-        self, address: client_channel.Address
+        self, address: client_channel.Address, names_request: bool
     ) -> client_channel.ClientChannel:
-        channel = self._pool.take_idle(address)
+        channel = (
+            self._pool.take_idle(address)
+            if names_request
+            else self._pool.take_unused(address)
+        )
         if channel is None:
             channel = await self._pool.open(address, self._connect_timeout_s)
         return channel
@@ -193,14 +197,14 @@
 
     def __init__(self, name: bytes, value: bytes) -> None:
         super().__init__(self._may_answer)
-        self.names_request = False
         self._name = name
         self._value = value
 
+    def is_named_in(self, head: messages.ResponseHead) -> bool:
+        return bool(self._value) and head.header(self._name) is not None
+
     def _may_answer(self, head: messages.ResponseHead) -> bool:
         if not self._value:
             return True
-        echoed = head.header(self._name)
-        self.names_request = echoed == self._value
         # The caller decides on a response without the header.
-        return echoed is None or self.names_request
+        return head.header(self._name) in (None, self._value)
--- a/walnutport/gateway/peers/peer_relay.py
+++ b/walnutport/gateway/peers/peer_relay.py
@@ -94,10 +94,9 @@
         """Status of the response."""
         return self._head.status
 
-    @property
-    def names_request(self) -> bool:
-        """Whether the head of the response names the request."""
-        return bool(headers.response_request_id(self._head))
+    def is_named_in(self, head: messages.ResponseHead) -> bool:
+        """Return whether a head names a request."""
+        return bool(headers.response_request_id(head))
 
     def head_received(self, head: messages.ResponseHead) -> bool:
         request_id = headers.response_request_id(head)
@@ -224,6 +223,10 @@
             'requests_relayed_total': self.sent_count,
             'requests_of_peers_total': self.received_count,
             'requests_relay_returned_total': self.returned_count,
+            'relay_channels_unread_total': self._pool.unread_count,
+            'relay_responses_unidentified_total': (
+                self._pool.unidentified_count
+            ),
         }
 
     @staticmethod
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -37,6 +37,10 @@
 DEADLINE_DETAIL = 'deadline'
 #: Detail of an attempt that was not sent as it would not end before the host.
 STOPPING_DETAIL = 'host is stopping'
+# Details of attempts whose response does not go on with the stream.
+OTHER_TYPE_DETAIL = 'response of another type than the stream'
+GAP_DETAIL = 'gap in the event stream'
+ENDED_EARLY_DETAIL = 'event stream ended early (partial or no event)'
 # Subtracted from the deadline that a target gets, so that its response can
 # still reach the caller in time.
 RESPONSE_MARGIN_S = 0.01
@@ -190,10 +194,9 @@
             return MAX_STREAM_BYTES
         return channel_pool.MAX_RESPONSE_BYTES
 
-    @property
-    def names_request(self) -> bool:
-        """Whether the head of the response names the request."""
-        return bool(self._fields.request_id)
+    def is_named_in(self, head: messages.ResponseHead) -> bool:
+        """Return whether a head names a request."""
+        return bool(headers.response_request_id(head))
 
     def head_received(self, head: messages.ResponseHead) -> bool:
         fields = headers.decode_response_headers(head)
@@ -203,7 +206,10 @@
         self._fields = fields
         self._on_head(fields, head.status)
         self._streaming = (
-            self._has_relay and head.status == 200 and fields.sealed
+            self._has_relay
+            and head.status == 200
+            and fields.sealed
+            and self._relay.begin_run(headers.media_type(head))
         )
         return True
 
@@ -212,17 +218,19 @@
             self._body_parts.append(data)
             return
         events = self._relay.feed(data)
+        if events:
+            self._forward(events)
         if self._relay.has_gap or self._relay.is_oversized:
             self._complete(
                 AttemptStatus.BROKEN,
-                'gap in the event stream'
+                GAP_DETAIL
                 if self._relay.has_gap
                 else f'event of more than {resumable.MAX_EVENT_BYTES} bytes',
             )
             self._drop_channel()
-            return
-        if not events:
-            return
+
+    def _forward(self, events: bytes) -> None:
+        """Forward complete events to the caller."""
         arrived = self._relay.events - self._events_before
         if arrived >= PROVEN_EVENTS and not self._is_proven:
             self._is_proven = True
@@ -242,10 +250,14 @@
     def finished(self) -> None:
         if self._streaming:
             request = self._call.request
-            if self._relay.partial or not request.head_sent:
+            if (
+                self._relay.partial
+                or not request.head_sent
+                or self._relay.lacks_continuation
+            ):
                 self._complete(
                     AttemptStatus.BROKEN,
-                    'event stream ended early (partial or no event)',
+                    ENDED_EARLY_DETAIL,
                     # A response without a length ends with its channel, also
                     # if its target has crashed.
                     reset=True,
@@ -278,6 +290,12 @@
             return AttemptStatus.WRONG_TARGET, ''
         if 200 <= status < 300 and not self._fields.sealed:
             return AttemptStatus.LOST, 'response without a seal'
+        if (
+            self._has_relay
+            and 200 <= status < 300
+            and self._call.request.head_sent
+        ):
+            return AttemptStatus.LOST, OTHER_TYPE_DETAIL
         return AttemptStatus.ANSWERED, str(status)
 
     def _complete(
@@ -451,6 +469,12 @@
             AttemptStatus.INPUTS_GONE,
         ):
             call.possible_runs -= 1
+        if result.detail in (
+            OTHER_TYPE_DETAIL,
+            GAP_DETAIL,
+            ENDED_EARLY_DETAIL,
+        ):
+            self._reports.rejected_stream_count += 1
         return result
 
     def _release(
@@ -470,9 +494,12 @@
         max_idle_s = (
             None if call.route.repeatable else NON_REPEATABLE_MAX_IDLE_S
         )
-        channel = self._pool.take_idle(target.address, max_idle_s)
-        if channel is not None:
-            return channel
+        # On a channel that has carried the request before, a copy of the first
+        # response could not be told from the next one.
+        if target.target_id not in call.targets:
+            channel = self._pool.take_idle(target.address, max_idle_s)
+            if channel is not None:
+                return channel
         return await self._pool.open(
             target.address,
             min(CONNECT_TIMEOUT_S, max(0.05, call.time_left_s())),
--- a/walnutport/http1/channel_pool.py
+++ b/walnutport/http1/channel_pool.py
@@ -8,6 +8,7 @@
 from walnutport import exceptions
 from walnutport.http1 import client_channel
 from walnutport.http1 import messages
+from walnutport.http1 import socket_options
 
 __all__ = ['ChannelPool', 'MAX_RESPONSE_BYTES', 'ResponseCollector', 'fetch']
 
@@ -26,12 +27,14 @@
     def __init__(
         self, accepts: Callable[[messages.ResponseHead], bool] | None = None
     ) -> None:
-        self.names_request = accepts is not None
         self._head = messages.EMPTY_HEAD
         self.done: defer.Deferred = defer.Deferred()
         self._accepts = accepts
         self._parts: list[bytes] = []
 
+    def is_named_in(self, head: messages.ResponseHead) -> bool:
+        return self._accepts is not None
+
     def head_received(self, head: messages.ResponseHead) -> bool:
         if self._accepts is not None and not self._accepts(head):
             return False
@@ -59,6 +62,10 @@
     :param max_idle: maximum number of idle channels for each address.
     :ivar oversized_count: responses that were cut off as they exceeded a
         limit.
+    :ivar unidentified_count: responses that were rejected as they may answer
+        an earlier request.
+    :ivar unread_count: idle channels that were not used as their peers had
+        written to them or closed them.
     """
 
     def __init__(self, reactor, max_idle: int) -> None:
@@ -78,6 +85,8 @@
         self.waiting_since = 0.0
         self.opened_count = 0
         self.oversized_count = 0
+        self.unidentified_count = 0
+        self.unread_count = 0
 
     def take_idle(
         self,
@@ -89,13 +98,25 @@
         :param max_idle_s: upper bound on its idle time, besides its own limit.
         """
         idle = self._idle_by_address.get(address)
-        now = time.monotonic()
         while idle:
             channel = idle.pop()
-            limit = channel.idle_limit_s
-            if max_idle_s is not None:
-                limit = min(limit, max_idle_s)
-            if channel.alive and now - channel.idle_since < limit:
+            if self._is_usable(channel, max_idle_s):
+                return channel
+            channel.close()
+        return None
+
+    def take_unused(
+        self, address: client_channel.Address
+    ) -> client_channel.ClientChannel | None:
+        """Return an idle channel that has carried no request, or None.
+
+        A response that names no request can be told from one to an earlier
+        request on such a channel only.
+        """
+        idle = self._idle_by_address.get(address, [])
+        for channel in [item for item in idle if not item.request_count]:
+            idle.remove(channel)
+            if self._is_usable(channel):
                 return channel
             channel.close()
         return None
@@ -118,6 +139,7 @@
             self.on_failed()
             raise
         channel.on_oversized = self._count_oversized
+        channel.on_unidentified = self._count_unidentified
         channel.on_sent = self._sent
         channel.on_answered = self._answered
         channel.on_unanswered = self.on_failed
@@ -156,6 +178,23 @@
             else:
                 del self._idle_by_address[address]
 
+    def _is_usable(
+        self,
+        channel: client_channel.ClientChannel,
+        max_idle_s: float | None = None,
+    ) -> bool:
+        limit = channel.idle_limit_s
+        if max_idle_s is not None:
+            limit = min(limit, max_idle_s)
+        if not channel.alive or time.monotonic() - channel.idle_since >= limit:
+            return False
+        # What arrives before a request belongs to no response to it, and may
+        # not have been read yet.
+        if socket_options.has_unread(channel.transport.getHandle()):
+            self.unread_count += 1
+            return False
+        return True
+
     def _sent(self) -> None:
         self.waiting_since = self.waiting_since or time.monotonic()
 
@@ -166,6 +205,9 @@
     def _count_oversized(self) -> None:
         self.oversized_count += 1
 
+    def _count_unidentified(self) -> None:
+        self.unidentified_count += 1
+
 
 async def fetch(
     reactor,
@@ -178,13 +220,14 @@
 ) -> messages.Response:
     """Send an idempotent request and return the complete response.
 
+    The response may name no request, so the channel carries no other one.
     Cancelling closes the channel.
 
     :param may_send: asked directly before the request is written.
     :param is_new: whether to open a new channel in any case.
     :raises ChannelError: if no complete response arrives in time.
     """
-    channel = None if is_new else pool.take_idle(address)
+    channel = None if is_new else pool.take_unused(address)
     if channel is None:
         channel = await pool.open(
             address, min(timeout_s, client_channel.CONNECT_TIMEOUT_S)
--- a/walnutport/http1/client_channel.py
+++ b/walnutport/http1/client_channel.py
@@ -5,11 +5,10 @@
 
 A peer may send a response a second time, at any later moment. Only a response
 that names its request can be told from the one to the next request, so a
-channel is reused only after such responses.
+channel is reused only after such responses, and then accepts no others.
 """
 
 from collections.abc import Callable
-import socket
 import time
 from typing import Protocol as TypingProtocol
 
@@ -19,33 +18,25 @@
 from twisted.internet import protocol
 
 from walnutport import exceptions
+from walnutport.http1 import joined_heads
 from walnutport.http1 import messages
+from walnutport.http1 import socket_options
 from walnutport.http1 import write_notice
 
 __all__ = [
     'Address',
     'CONNECT_TIMEOUT_S',
     'ClientChannel',
+    'JOINED_DETAIL',
     'MAX_HEAD_BYTES',
     'MAX_SKIPPED_BYTES',
     'ResponseReceiver',
+    'UNIDENTIFIED_DETAIL',
     'connect',
 ]
 
 Address = tuple[str, int]
 
-# The kernel closes a connection whose written data stays unacknowledged for
-# this long, as when the network to the peer fails. The failure must be
-# detected within the shortest request deadlines.
-UNACKED_TIMEOUT_MS = 1500
-# Keep-alive probes detect an unreachable peer while a response is awaited
-# and no written data is unacknowledged. As UNACKED_TIMEOUT_MS is shorter than
-# the idle time, Linux gives up at the first probe that is unanswered for an
-# interval, whatever their count: after 4 s. A shorter interval would end the
-# channels of a target that is silent for a second and goes on.
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 2
-KEEPALIVE_PROBES = 1
 # Idle limit of a channel whose peer sends no Keep-Alive timeout.
 DEFAULT_IDLE_LIMIT_S = 4.0
 # A channel is not reused this shortly before the idle timeout of its peer.
@@ -56,6 +47,9 @@
 MAX_HEAD_BYTES = 64 << 10
 # Bytes of bodies that belong to other requests.
 MAX_SKIPPED_BYTES = 16 << 20
+#: Reasons of failures: the response may be that to an earlier request.
+JOINED_DETAIL = 'status line inside a head on a used channel'
+UNIDENTIFIED_DETAIL = 'response names no request on a used channel'
 
 
 class ResponseReceiver(TypingProtocol):
@@ -65,11 +59,10 @@
     def max_body_bytes(self) -> int:
         """Bytes of the body after which the response is cut off."""
 
-    @property
-    def names_request(self) -> bool:
-        """Whether the head that was received names the request.
+    def is_named_in(self, head: messages.ResponseHead) -> bool:
+        """Return whether a head names a request.
 
-        The receiver then rejects the heads that name another one.
+        The receiver rejects the heads that name another one than its own.
         """
 
     def head_received(self, head: messages.ResponseHead) -> bool:
@@ -107,8 +100,10 @@
         self.on_unanswered: Callable[[], None] = lambda: None
         self._was_answered = False
         self._awaits_answer = False
-        # Called when a response is cut off as it exceeds a limit.
+        # Called when a response is cut off as it exceeds a limit, and when
+        # one is rejected as it may answer an earlier request.
         self.on_oversized: Callable[[], None] = lambda: None
+        self.on_unidentified: Callable[[], None] = lambda: None
         self._receiver: ResponseReceiver | None = None
         self._written = False
         self._notice: write_notice.WriteNotice | None = None
@@ -120,12 +115,14 @@
         self._body_until_close = False
         self._head: messages.ResponseHead | None = None
         self._headers: messages.Headers = []
+        # Why the response may be that to an earlier request, empty if not.
+        self._doubt = ''
         self._reset_parser()
 
     def connectionMade(self) -> None:
         self.alive = True
         self.idle_since = self.opened_at = time.monotonic()
-        _set_socket_options(self.transport)
+        socket_options.set_client_options(self.transport.getHandle())
         self.on_open(self)
 
     def send(
@@ -186,7 +183,10 @@
         if self._receiver is None:
             return
         excess = self._find_excess(self._receiver)
-        if excess:
+        if self._doubt:
+            self.on_unidentified()
+            self._fail(self._doubt, malformed=True)
+        elif excess:
             self.on_oversized()
             self._fail(excess, malformed=True, oversized=True)
         elif self._response_complete:
@@ -214,16 +214,31 @@
             self._keep_alive = False
             self._skip_response = True
         self._headers = []
+        self._reason = b''
+
+    def on_status(self, reason: bytes) -> None:
+        if self._head is None:
+            self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._head is None:
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
+        if self._response_complete or self._receiver is None or self._doubt:
+            return
+        is_used = self.request_count > 1
+        if is_used and joined_heads.is_joined(self._reason, self._headers):
+            self._doubt = JOINED_DETAIL
+            return
         status = self._parser.get_status_code()
-        if self._response_complete or self._receiver is None or status < 200:
+        if status < 200:
             return
         head = messages.ResponseHead(status, self._headers)
+        is_named = self._receiver.is_named_in(head)
+        if is_used and not is_named:
+            self._doubt = UNIDENTIFIED_DETAIL
+            return
         if not self._receiver.head_received(head):
             self._skip_response = True
             self._keep_alive = False
@@ -238,7 +253,7 @@
         self._keep_alive = (
             self._keep_alive
             and not self._body_until_close
-            and self._receiver.names_request
+            and is_named
             and self._parser.should_keep_alive()
         )
         self._parse_idle_limit(head)
@@ -321,6 +336,7 @@
     def _reset_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
+        self._reason = b''
         self._head = None
         # Bytes that arrived since the last part of a body, about.
         self._head_bytes = 0
@@ -382,17 +398,3 @@
         self._cancelled = True
         if self.connector is not None:
             self.connector.disconnect()
-
-
-def _set_socket_options(transport) -> None:
-    handle = transport.getHandle()
-    options = (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS),
-    )
-    for level, option, value in options:
-        handle.setsockopt(level, option, value)
