Answer 502 where a target has not stated that a request did not run

What callers saw: a 408, 429 or 503 of a target without the header that says that the request was not run was passed on. Callers take these statuses for the promise that it did not run, and send the request again. Cause: a response without that header counts as that of a request that may have run, and its status went out unchanged all the same. Change: a request that may not be repeated gets 502, which promises nothing. One that may be repeated gets the status as before.

--- a/walnutport/gateway/entry/responses.py
+++ b/walnutport/gateway/entry/responses.py
@@ -21,6 +21,8 @@
 STOPPING_RETRY_AFTER_S = 0.02
 # Callers honour a delay of at most a third of their remaining time.
 MAX_RETRY_AFTER_SHARE = 0.33
+# Statuses by which callers understand that a request did not run.
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Relative jitter of the delays, so that callers refused at the same time do
 # not retry at the same time.
 RETRY_AFTER_JITTER = 0.2
@@ -48,7 +50,7 @@
         if call.request.head_sent:
             call.outcome = 'broken'
             call.request.abort()
-        elif result is not None and result.has_response:
+        elif result is not None and _may_be_forwarded(call, result):
             call.forward_response(result.head, result.body)
         elif call.may_have_run:
             call.send_local_response(502, 'lost')
@@ -151,3 +153,16 @@
             tokens=engines.unshared_tokens(call.fields.prompt),
             targets=call.targets,
         )
+
+
+def _may_be_forwarded(
+    call: calls.CallerCall, result: attempts.AttemptResult
+) -> bool:
+    """Return whether the response of a target goes to the caller.
+
+    A status that promises that the request did not run does so only if the
+    request may be repeated, as the target has not stated it.
+    """
+    return result.has_response and (
+        call.route.repeatable or result.head.status not in _NOT_RUN_STATUSES
+    )
