Refuse calls of service hosts that cannot end before the host

What callers saw: a host of the own interface takes calls for drain_grace_s after its stop signal, whatever time they need, and closes their connections without an answer once drain_limit_s is over. Cause: admission looks at the deadline of the call only. Change: the drain sets HostEnd, and the deadline of a call that comes after the signal is at most that end. Admission then refuses it, at once or when it has waited, by the measured times of the stages; the reason is `stopping`, as for calls after the listener is closed. Counter walnutport_calls_stopped_total. A response that begins before the signal keeps its connection open, and the next call on it passes the same check.

--- a/walnutport/metrics/families.py
+++ b/walnutport/metrics/families.py
@@ -109,6 +109,11 @@
     _gauge('catalogue_offset', 'log offset up to which edits are in force'),
     _gauge('caller_connections', 'open connections of callers'),
     _counter('refused_connections', 'connections over max_connections'),
+    _counter(
+        'calls_stopped',
+        'calls that end without a result as the host stops before they can '
+        'end',
+    ),
 )
 _ADMISSION = (
     _gauge('queue_capacity', 'units that this host may use', 'queue'),
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -9,6 +9,7 @@
 from twisted.web import server
 
 from walnutport.config import settings as config
+from walnutport.lifecycle import host_end
 from walnutport.metrics import exposition
 from walnutport.service import components as host_components
 from walnutport.service import drain
@@ -38,6 +39,7 @@
         self._reactor = reactor
         self._stack = contextlib.ExitStack()
         self.stopping = False
+        self._end = host_end.HostEnd()
         self._host_list_loaded = False
         self.components = host_components.HostComponents(
             settings, reactor, self.is_ready
@@ -51,6 +53,7 @@
             self.components.pipeline_runner,
             self._clock,
             self.components.latencies,
+            self._end,
         )
         self.view = views.HostView(self)
         collector = exposition.HostCollector(
@@ -108,6 +111,7 @@
         LOG.info('%s draining', PREFIX)
         caller_settings = self.settings.callers
         deadline = self._clock.monotonic() + caller_settings.drain_limit_s
+        self._end.set(deadline)
         self.components.coordination.heartbeats.leave()
         await task.deferLater(
             self._reactor,
--- a/walnutport/service/operations/samples.py
+++ b/walnutport/service/operations/samples.py
@@ -55,6 +55,7 @@
         yield _Sample('catalogue_offset', components.catalogue.folded_offset)
         yield _Sample('caller_connections', site.connections)
         yield _Sample('refused_connections', site.refused_connections)
+        yield _Sample('calls_stopped', self._host.callers.stopping_count)
 
     def _queues(self) -> Iterator[families.Sample]:
         admission = self._components.policies.admission
--- a/walnutport/service/requests/caller_api.py
+++ b/walnutport/service/requests/caller_api.py
@@ -13,6 +13,7 @@
 from walnutport import exceptions
 from walnutport import interfaces
 from walnutport.lifecycle import answers
+from walnutport.lifecycle import host_end
 from walnutport.metrics import histograms
 from walnutport.service.requests import answer_format
 from walnutport.service.requests import calls
@@ -26,6 +27,15 @@
 PREFIX = 'callers:'
 
 _MAX_ID_CHARS = 128
+# Another host takes the call at once; the answer closes the connection.
+_STOPPING_RETRY_S = 0.05
+# Reasons of calls that lack the time to run.
+_LATE_REASONS = frozenset(
+    (
+        answers.Reason.DEADLINE_INFEASIBLE,
+        answers.Reason.DEADLINE_EXCEEDED,
+    )
+)
 
 
 class CallerApi:
@@ -34,6 +44,8 @@
     :param view: returns the current catalogue.
     :param is_ready: returns whether the load balancer should send new calls.
     :param can_run_calls: returns whether this host can run calls.
+    :param end: end of this host, which bounds the deadlines of calls.
+    :ivar stopping_count: calls that ended without a result as the host stops.
     """
 
     app = klein.Klein()
@@ -47,7 +59,10 @@
         runner: pipeline.PipelineRunner,
         clock: interfaces.Clock,
         latencies: histograms.LatencyHistograms,
+        end: host_end.HostEnd,
     ) -> None:
+        self._end = end
+        self.stopping_count = 0
         self._settings = settings
         self._validator = request_validator.RequestValidator(settings, clock)
         self._view = view
@@ -96,7 +111,11 @@
                 status=error.status,
             )
             return answer_format.write_answer(request, request_id, answer)
-        answer = await self._run(request, call)
+        bounded_call = self._bounded(call)
+        answer = await self._run(request, bounded_call)
+        if bounded_call is not call and answer.reason in _LATE_REASONS:
+            answer = self._stopping_answer(request_id, answer)
+        call = bounded_call
         if call.sink is None or not call.sink.started:
             return answer_format.write_answer(request, request_id, answer)
         call.sink.finish(
@@ -108,6 +127,36 @@
             request_id, answer_without_output
         )
 
+    def _bounded(self, call: calls.Call) -> calls.Call:
+        """Return a call that ends before the host does.
+
+        Admission then refuses it like one whose deadline cannot be met, also
+        after it has waited.
+        """
+        now = self._clock.monotonic()
+        latest = now + self._end.left_s(now) - host_end.DELIVERY_MARGIN_S
+        if call.deadline <= latest:
+            return call
+        return dataclasses.replace(call, deadline=latest)
+
+    def _stopping_answer(
+        self, request_id: str, answer: answers.Answer
+    ) -> answers.Answer:
+        """Return the answer to a call that cannot end before the host."""
+        self.stopping_count += 1
+        LOG.info(
+            '%s call %s is not served as the host ends in %.1f s: %s',
+            PREFIX,
+            request_id,
+            self._end.left_s(self._clock.monotonic()),
+            answer.outcome.value,
+        )
+        return dataclasses.replace(
+            answer,
+            reason=answers.Reason.STOPPING,
+            retry_after_s=_STOPPING_RETRY_S,
+        )
+
     async def _run(self, request, call: calls.Call) -> answers.Answer:
         running = defer.Deferred.fromCoroutine(self._runner.run(call))
         self.in_flight_by_id[call.run_id] = running
