Answer the calls of a service host that its end cuts off

What callers saw: a call in flight when drain_limit_s is over got a closed connection in place of an answer, and could not tell whether it had run. Cause: drain() returned at the limit and the process ended. Change: the calls in flight are cancelled at the limit. Their state machine says `not_run` or `unknown`, with the reason `stopping`, and the answers have 0.1 s to be sent. The exit code stays 1. Measured: test_call_that_the_end_cuts_off_is_answered fails without the change (closed without a response) and passes with it; the drain tests of test_membership.py pass.

--- a/tests/integration/test_calls_at_stop.py
+++ b/tests/integration/test_calls_at_stop.py
@@ -68,3 +68,22 @@
         'stopping',
     )
     assert host.process.wait(test_membership.LIMIT_S) == 0
+
+
+def test_call_that_the_end_cuts_off_is_answered(running):
+    """Guards against a closed connection in place of an answer.
+
+    The call came before the signal, so that nobody knew of the end.
+    """
+    host = running.hosts_by_id['host-1']
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        answered = pool.submit(call, running, 'cut')
+        time.sleep(0.05)
+        host.signal(signal.SIGTERM)
+        status, answer = answered.result()
+    assert (status, answer['outcome'], answer['reason']) == (
+        504,
+        'unknown',
+        'stopping',
+    )
+    assert host.process.wait(test_membership.LIMIT_S) == 1
--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -26,6 +26,8 @@
 
 _TICK_S = 0.05
 _COORDINATION_TICK_S = 0.25
+# Time to send the answers of the calls that are cut off at the drain limit.
+_LAST_ANSWERS_S = 0.1
 
 
 class EntryHost:
@@ -131,6 +133,8 @@
                 len(self.callers.in_flight_by_id),
                 len(self._caller_connections.protocols),
             )
+            self.callers.cut_off()
+            await task.deferLater(self._reactor, _LAST_ANSWERS_S)
             return False
         await self._wait_for_claim_releases()
         await self.components.cost_flusher.final_flush(
--- a/walnutport/service/requests/caller_api.py
+++ b/walnutport/service/requests/caller_api.py
@@ -73,11 +73,21 @@
         self._clock = clock
         self._latencies = latencies
         self.in_flight_by_id: dict[str, defer.Deferred] = {}
+        self._is_cut_off = False
 
     def stop(self) -> None:
         """Refuse new calls; those in flight go on."""
         self._stopping = True
 
+    def cut_off(self) -> None:
+        """End the calls in flight, as the host ends.
+
+        Their answers say whether they may have run.
+        """
+        self._is_cut_off = True
+        for running in list(self.in_flight_by_id.values()):
+            running.cancel()
+
     @app.route('/healthz')
     def healthz(self, request) -> bytes:
         """Liveness probe: answer while the process runs."""
@@ -113,7 +123,11 @@
             return answer_format.write_answer(request, request_id, answer)
         bounded_call = self._bounded(call)
         answer = await self._run(request, bounded_call)
-        if bounded_call is not call and answer.reason in _LATE_REASONS:
+        is_late = bounded_call is not call and answer.reason in _LATE_REASONS
+        was_cut = (
+            self._is_cut_off and answer.reason is answers.Reason.CALLER_GONE
+        )
+        if is_late or was_cut:
             answer = self._stopping_answer(request_id, answer)
         call = bounded_call
         if call.sink is None or not call.sink.started:
