Test that a stopping issuer of permits issues nothing that outlasts it

The host issues nothing from its next update on (0.3 s), and its last permits end 0.13 s later, long before the earliest end of a host that stops (2.6 s).

--- a/tests/gateway/targets/test_permit_exchange.py
+++ b/tests/gateway/targets/test_permit_exchange.py
@@ -2,6 +2,7 @@
 
 import types
 
+import msgspec
 import pytest
 from twisted.internet import defer
 from twisted.internet import task
@@ -9,9 +10,11 @@
 from tests.gateway.state import test_feed_follower
 from tests.routing import test_cold_targets
 from walnutport.config import entry_settings
+from walnutport.gateway.entry import drain
 from walnutport.gateway.targets import cold_watch
 from walnutport.gateway.targets import permit_exchange
 from walnutport.peer import fleet_messages
+from walnutport.routing import send_permits
 from walnutport.world import routes
 
 BOUNDS = entry_settings.EntryBounds()
@@ -58,8 +61,14 @@
         self.cold.state_changed(
             desired, self.targets, entry_settings.EntryBounds()
         )
+        # Whether this host has got its stop signal.
+        self.stops = False
         sharing = types.SimpleNamespace(
-            work_shares=lambda: dict.fromkeys(self.mesh.live_names(), 1.0),
+            work_shares=lambda: {
+                name: 1.0
+                for name in self.mesh.live_names()
+                if not self.stops or name != self.mesh.own_record.name
+            },
             untried_shares=dict,
         )
         self.exchange = permit_exchange.PermitExchange(
@@ -202,3 +211,34 @@
     assert not host.exchange.may_be_needed
     assert host.cold.stage_interval_s(TARGET) == 0.0
     assert host.mesh.sent == []
+
+
+def test_host_that_stops_issues_nothing_that_outlasts_it(monkeypatch):
+    """Guards against permits and places that end after their issuer.
+
+    A host that stops goes on for some seconds at least. It issues nothing
+    from its next update on, and its last permits are over soon after that.
+    """
+    host = Host(monkeypatch)
+    host.mesh.add_peer('other')
+    host.run(2.0)
+    request = fleet_messages.SendPermitRequest('t', 1, 0, 2.0)
+    host.exchange.handle_message('other', request)
+    assert host.mesh.sent[-1][1].is_granted
+    host.stops = True
+    host.run(permit_exchange.UPDATE_INTERVAL_S)
+    host.mesh.sent.clear()
+    for number in range(100):
+        host.exchange.handle_message(
+            'other', msgspec.structs.replace(request, number=number)
+        )
+        host.run(0.01)
+    replies = [message for _, message in host.mesh.sent]
+    assert len(replies) == 100
+    assert not any(reply.is_granted for reply in replies)
+    ended_after_s = (
+        permit_exchange.UPDATE_INTERVAL_S
+        + send_permits.MAX_HOLD_S
+        + send_permits.PERMIT_S
+    )
+    assert ended_after_s < drain.BALANCER_REMOVAL_S
