Hand over a returning job that comes too late at once

Cause: the gate replaces the specification of a job whose earlier attempt was refused, so that the owner did not find it as the job just submitted. It was handed over 0.1 s later, and as one that had been admitted. Change: it is found by its id. Measured: the new test fails without the change (nothing is sent at the submission) and passes with it.

--- a/tests/gateway/stages/test_stage_handover.py
+++ b/tests/gateway/stages/test_stage_handover.py
@@ -184,3 +184,18 @@
     fixture.client.peer_lost(RANKED[1])
     name, third = fixture.sent[-1]
     assert (name, third.order.held) == (RANKED[2], ())
+
+
+def test_job_that_returns_too_late_is_handed_over_at_once(monkeypatch):
+    """Guards against a return that waits, and goes before others then.
+
+    The owner adds the time of the refused attempt to the job.
+    """
+    owner = Owner(monkeypatch)
+    owner.submit(builders.job_spec('1', content=b'c', deadline_s=0.1))
+    owner.clock.advance(0.2)
+    owner.stop(0.3)
+    owner.submit(builders.job_spec('2', content=b'c'))
+    (_, refused), (_, handed) = owner.sent
+    assert refused.refusal.reason == 'deadline'
+    assert handed.handover == pieces.JobHandover('2', False)
--- a/walnutport/gateway/stages/cell_owner.py
+++ b/walnutport/gateway/stages/cell_owner.py
@@ -199,7 +199,9 @@
             return False
         for handover in self.scheduler.withdraw_jobs(
             self._end,
-            lambda found: found is spec and self._may_withdraw(spec),
+            lambda found: (
+                found.job_id == spec.job_id and self._may_withdraw(spec)
+            ),
             now,
         ):
             # The next owner decides whether to admit a job that has not
