Name the request in the refusal of a relayed request

Fault: a request that a peer declined on a used channel got 502, although it had not run and other peers would have served it. Cause: the 421 of PeerRelay._receive named no request, and responses on used channels that name none count as those to earlier requests. Change: it names the request. Hosts that do not read the name go by the status, as before.

--- a/walnutport/gateway/peers/peer_relay.py
+++ b/walnutport/gateway/peers/peer_relay.py
@@ -21,6 +21,7 @@
 from walnutport.http1 import messages
 from walnutport.http1 import server
 from walnutport.platform import headers
+from walnutport.platform import wire
 from walnutport.world import routes
 
 __all__ = ['PeerRelay', 'RELAY_HEADER']
@@ -362,7 +363,15 @@
             request.respond(400, [], b'')
             return
         if self._path.is_cut or not self._accepts():
-            request.respond(NOT_TAKEN_STATUS, [], b'')
+            # A response that names no request is rejected on a used channel.
+            request_id = (request.header(wire.REQUEST_ID) or b'').decode(
+                'latin-1'
+            )
+            request.respond(
+                NOT_TAKEN_STATUS,
+                headers.local_response_headers(request_id, None),
+                b'',
+            )
             return
         request.headers = [
             header for header in request.headers if header[0] != RELAY_HEADER
