Show that long requests beside short ones of a service are taken too late

What callers see: a request of a long route is taken by a host that has a second left, passed on, and cut off at the end of its drain. Cause: RemainingTime measures durations by service, while the routes of a service can differ; the mean and the mean deviation follow the route with most requests.

--- a/tests/gateway/entry/test_remaining_time.py
+++ b/tests/gateway/entry/test_remaining_time.py
@@ -57,3 +57,51 @@
     assert remaining.expected_s(call, call.arrived_at) < 0.5
     remaining.answered(call, 2.0)
     assert remaining.expected_s(call, call.arrived_at) >= 2.0
+
+
+def test_routes_of_one_service_are_measured_apart(remaining):
+    """Guards against long requests that count as the short ones beside them.
+
+    Shortly before its end, a host would take each of them and cut it off.
+    """
+    short, long = (
+        call_builders.caller_call(
+            call_builders.stream_route(
+                name=name,
+                kind=routes.RequestKind.REPEATABLE,
+                stages=(),
+                timeout_s=60.0,
+            )
+        )
+        for name in ('short', 'long')
+    )
+    for number in range(200):
+        if number % 20:
+            remaining.answered(short, 0.3)
+        else:
+            remaining.answered(long, 5.0)
+    assert remaining.expected_s(long, long.arrived_at) >= 5.0
+    assert remaining.expected_s(short, short.arrived_at) < 1.0
+
+
+def test_streams_of_one_service_are_measured_apart(remaining):
+    """Guards against streams that go on much longer than others beside them.
+
+    They would be cut off at the end of the host.
+    """
+    short, long = (
+        call_builders.caller_call(
+            call_builders.stream_route(name=name, stages=()),
+            **{'walnutport-token-counts': '100,50'},
+        )
+        for name in ('short', 'long')
+    )
+    for call in (short, long):
+        call.first_event_at = call.arrived_at
+    for number in range(200):
+        if number % 20:
+            remaining.stream_ended(short, short.arrived_at + 0.5)
+        else:
+            remaining.stream_ended(long, long.arrived_at + 4.0)
+    assert remaining.events_s(long) >= 4.0 - 1e-9
+    assert remaining.events_s(short) < 1.0
