Measure the durations of each route of a service apart

Fault: a request of a long route was taken by a host that stops with less time left than it needs, and cut off. Cause: durations were measured by service, so that the mean and the mean deviation followed the route with most requests. Change: they are measured by route and service. Before the first measurement of a route, that of its service counts.

--- a/tests/gateway/entry/test_remaining_time.py
+++ b/tests/gateway/entry/test_remaining_time.py
@@ -105,3 +105,20 @@
             remaining.stream_ended(long, long.arrived_at + 4.0)
     assert remaining.events_s(long) >= 4.0 - 1e-9
     assert remaining.events_s(short) < 1.0
+
+
+def test_new_route_has_the_time_of_its_service(remaining):
+    """Guards against the initial values for a route that was just added."""
+    old, new = (
+        call_builders.caller_call(
+            call_builders.stream_route(
+                name=name,
+                kind=routes.RequestKind.REPEATABLE,
+                stages=(),
+                timeout_s=60.0,
+            )
+        )
+        for name in ('old', 'new')
+    )
+    remaining.answered(old, 5.0)
+    assert remaining.expected_s(new, new.arrived_at) >= 5.0
--- a/walnutport/gateway/entry/remaining_time.py
+++ b/walnutport/gateway/entry/remaining_time.py
@@ -31,7 +31,8 @@
     ) -> None:
         self._rules_by_service = rules_by_service
         self.first_events = first_event.FirstEventForecast()
-        # Stages by route; the others by service.
+        # Stages by route. The others by route and service: the routes of a
+        # service can differ in length, and the longest are cut off otherwise.
         self._stages = durations.DurationForecast(INITIAL_STAGES_S)
         self._streams = durations.DurationForecast(
             INITIAL_STREAM_S, INITIAL_TOKEN_S
@@ -52,12 +53,16 @@
                 + self.events_s(call)
             )
         else:
-            expected_s = self._plain.expected_s(call.service)
+            expected_s = self._plain.expected_s(
+                call.route.name, group=call.service
+            )
         return min(expected_s, max(0.0, call.deadline_at - now))
 
     def events_s(self, call: calls.CallerCall) -> float:
         """Return the time from the first event of a stream to its end."""
-        return self._streams.expected_s(call.service, _output_tokens(call))
+        return self._streams.expected_s(
+            call.route.name, _output_tokens(call), call.service
+        )
 
     def stages_ended(self, call: calls.CallerCall, took_s: float) -> None:
         """Add the measured duration of the stages of a request."""
@@ -70,12 +75,15 @@
         """
         if call.first_event_at and not call.continues:
             self._streams.observe(
-                call.service, now - call.first_event_at, _output_tokens(call)
+                call.route.name,
+                now - call.first_event_at,
+                _output_tokens(call),
+                call.service,
             )
 
     def answered(self, call: calls.CallerCall, took_s: float) -> None:
         """Add the measured duration of a request without a stream."""
-        self._plain.observe(call.service, took_s)
+        self._plain.observe(call.route.name, took_s, group=call.service)
 
     def _stages_s(self, call: calls.CallerCall, now: float) -> float:
         """Return the remaining time of the stages, 0 after their end."""
--- a/walnutport/routing/durations.py
+++ b/walnutport/routing/durations.py
@@ -57,14 +57,19 @@
     def __init__(self, initial_s: float, initial_unit_s: float = 0.0) -> None:
         self._initial_s = initial_s
         self._initial_unit_s = initial_unit_s
-        self._average_by_key: dict[tuple[str, bool], _Average] = {}
+        self._average_by_key: dict[tuple[str, str, bool], _Average] = {}
 
-    def expected_s(self, name: str, units: int = 0) -> float:
+    def expected_s(self, name: str, units: int = 0, group: str = '') -> float:
         """Return the time in which most of a name end, in seconds.
 
         :param units: number of units, 0 if it is not known.
+        :param group: names that are alike, whose measurements count before the
+            first one of the name; empty if there are none.
         """
-        average = self._average_by_key.get((name, units > 0))
+        group = group or name
+        average = self._average_by_key.get(
+            (group, name, units > 0)
+        ) or self._average_by_key.get((group, '', units > 0))
         if average is None:
             mean_s = self._initial_unit_s if units else self._initial_s
             average = _Average(mean_s, mean_s * INITIAL_DEVIATION_SHARE)
@@ -72,12 +77,15 @@
             average.mean_s + DEVIATION_WEIGHT * average.deviation_s
         )
 
-    def observe(self, name: str, took_s: float, units: int = 0) -> None:
+    def observe(
+        self, name: str, took_s: float, units: int = 0, group: str = ''
+    ) -> None:
         """Add a measured duration.
 
         :param units: number of units, 0 if it is not known.
+        :param group: as for ``expected_s``.
         """
-        average = self._average_by_key.setdefault(
-            (name, units > 0), _Average(0.0, 0.0)
-        )
-        average.add(took_s / max(1, units))
+        group = group or name
+        for key in ((group, name, units > 0), (group, '', units > 0)):
+            average = self._average_by_key.setdefault(key, _Average(0.0, 0.0))
+            average.add(took_s / max(1, units))
