Take a second stop signal of a host as the first one

Fault: a host that got SIGTERM twice drained and exited with 1. Cause: each signal added a callback to the deferred of the drain; the second one got the result of the first, None, and stopped the reactor again. Change: only the first signal starts the drain.

--- a/walnutport/cli/entry.py
+++ b/walnutport/cli/entry.py
@@ -47,6 +47,7 @@
         _METRICS_PORT.value,
     )
     exit_code = exit_codes.OK
+    is_stopping = False
 
     def finished(drained: bool) -> None:
         nonlocal exit_code
@@ -66,10 +67,14 @@
         signal.signal(signal.SIGINT, stop)
         signal.signal(signal.SIGHUP, reload)
 
+    def drain() -> None:
+        nonlocal is_stopping
+        if not is_stopping:
+            is_stopping = True
+            entry_host.drain().addCallback(finished)
+
     def stop(signum: int, frame: object) -> None:
-        reactor.callFromThread(
-            lambda: entry_host.drain().addCallback(finished)
-        )
+        reactor.callFromThread(drain)
 
     def reload(signum: int, frame: object) -> None:
         reactor.callFromThread(entry_host.reload)
