--- a/tests/stages/replay.py
+++ b/tests/stages/replay.py
@@ -6,6 +6,8 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 import heapq
 import itertools
@@ -14,6 +16,7 @@
 from tests.stages import builders
 from walnutport.stages import pieces
 from walnutport.stages import scheduler
+from walnutport.world import registrations
 from walnutport.world import routes
 
 SERVICES = {
@@ -35,6 +38,11 @@
 
     :param rate: usual requests a second.
     :param counts: draws the number of pieces of each stage.
+    :param final_s: mean duration of the request after its stages.
+    :param worth: value of an answer within the aim.
+    :param late_worth: value of a later answer.
+    :param piece_work: work of a piece of each stage, relative to the rules of
+        its service; 1 for all if empty.
     """
 
     name: str
@@ -44,6 +52,10 @@
     deadline_s: float
     stages: tuple[routes.StageSpec, ...]
     counts: Callable[[random.Random], tuple[int, ...]]
+    final_s: float = FINAL_S
+    worth: float = 1.0
+    late_worth: float = 0.0
+    piece_work: tuple[float, ...] = ()
 
 
 KIND_A = Kind(
@@ -93,6 +105,7 @@
     content: bytes
     counts: tuple[int, ...]
     refusals: int = 0
+    refusal_reasons: list[str] = dataclasses.field(default_factory=list)
     stages_done_at: float | None = None
     done_at: float | None = None
 
@@ -110,6 +123,9 @@
 
     :param factor: returns by how much the usual traffic of a kind and team
         is multiplied at a time.
+    :param services: number of targets and batch rules of each service.
+    :param data_centres: data centres that the targets of each service are
+        spread over.
     """
 
     def __init__(
@@ -119,8 +135,12 @@
         duration_s: float,
         kinds: tuple[Kind, ...] = KINDS,
         seed: int = 1,
+        services: Mapping[str, tuple[int, routes.BatchRules]] = SERVICES,
+        data_centres: Sequence[str] = 'ab',
     ) -> None:
         self.cell = cell
+        self._data_centres = data_centres
+        self.services = services
         self.requests: list[Request] = []
         self.now = 0.0
         self._rng = random.Random(seed)
@@ -162,6 +182,16 @@
         found = self.select(**wanted)
         return sum(item.done_at is not None for item in found) / len(found)
 
+    def worth(self, **wanted: object) -> float:
+        """Return the earned part of the worth of requests."""
+        found = self.select(**wanted)
+        earned = sum(
+            item.kind.worth if item.on_time else item.kind.late_worth
+            for item in found
+            if item.done_at is not None
+        )
+        return earned / sum(item.kind.worth for item in found)
+
     def refused(self, times: int, **wanted: object) -> int:
         """Return the number of requests refused at least so many times."""
         return sum(item.refusals >= times for item in self.select(**wanted))
@@ -179,15 +209,23 @@
 
     def _update_targets(self) -> None:
         self.cell.update_targets(
-            {name: rules for name, (_, rules) in SERVICES.items()},
-            [
-                builders.target(f'{name}-{number}', name, 'ab'[number % 2])
-                for name, (count, _) in SERVICES.items()
-                for number in range(count)
-            ],
+            {name: rules for name, (_, rules) in self.services.items()},
+            self._targets(),
             self.now,
         )
 
+    def _targets(self) -> list[registrations.RegisteredTarget]:
+        """Return the registered targets."""
+        return [
+            builders.target(
+                f'{name}-{number}',
+                name,
+                self._data_centres[number % len(self._data_centres)],
+            )
+            for name, (count, _) in self.services.items()
+            for number in range(count)
+        ]
+
     def _draw_arrivals(self, kind, team, factor, duration_s) -> None:
         peak, at = 12.0 * kind.rate / len(TEAMS), 0.0
         while True:
@@ -234,7 +272,7 @@
             # The host that asks does not know how often a caller has come.
             kind.aim_s,
             left_s,
-            FINAL_S,
+            kind.final_s,
             request.team,
             request.content,
         )
@@ -244,6 +282,7 @@
 
     def _refuse(self, request: Request, refusal) -> None:
         request.refusals += 1
+        request.refusal_reasons.append(refusal.reason)
         left_s = request.at + request.kind.deadline_s - self.now
         if request.refusals > 1 or left_s <= 0:
             return
@@ -259,11 +298,8 @@
             assert not self._running[target_id], 'a second call at a target'
             self._running[target_id] += 1
             outcomes = self._run(call)
-            count = sum(isinstance(item, str) for item in outcomes)
-            rules = SERVICES[call.target.service][1]
-            took_s = rules.call_s + count * rules.piece_s if count else 0.0
             self._at(
-                self.now + took_s + NETWORK_S,
+                self.now + self._duration_s(call, outcomes) + NETWORK_S,
                 lambda call=call, outcomes=outcomes: self._finish(
                     call, outcomes
                 ),
@@ -275,7 +311,7 @@
                 continue
             request.stages_done_at = self.now
             self._at(
-                self.now + FINAL_S * self._rng.uniform(0.8, 1.2),
+                self.now + request.kind.final_s * self._rng.uniform(0.8, 1.2),
                 lambda request=request, job_id=outcome.job_id: self._end(
                     request, job_id
                 ),
@@ -287,6 +323,16 @@
         """Return the outcomes of a call that starts now."""
         return [f'{call.call_id}/{n}' for n in range(len(call.pieces))]
 
+    def _duration_s(
+        self,
+        call: pieces.BatchCall,
+        outcomes: list[str | pieces.PieceFailure],
+    ) -> float:
+        """Return the duration of a call; nothing if it makes no result."""
+        rules = self.services[call.target.service][1]
+        count = sum(isinstance(item, str) for item in outcomes)
+        return rules.call_s + count * rules.piece_s if count else 0.0
+
     def _free(self, target_id: str, handles: list[str]) -> None:
         """Free results at a target."""
 
