Give a team a share of stage services for each kind of its requests

Cause: the share of a team covered all kinds of its requests. In a burst of the most frequent and least urgent kind about every second team was over its share, and its urgent requests then needed the larger margin to their aim as well, which a chain of three full calls does not leave. Change: teams compete for each kind, with the weight of the kind. The former policy in tests/stages/test_replays.py keeps one share for each team.

--- a/tests/stages/test_replays.py
+++ b/tests/stages/test_replays.py
@@ -14,6 +14,7 @@
 from tests.stages import replay
 from walnutport.stages import admission
 from walnutport.stages import batching
+from walnutport.stages import cell_load
 from walnutport.stages import returns
 from walnutport.stages import scheduler
 from walnutport.stages import team_shares
@@ -51,6 +52,10 @@
     cell.cell_load.returns = NoPlaces()
     cell.cell_load._kinds = team_shares.Shares(min_claimants=1_000)
     with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(
+            cell_load, '_team_claimant', lambda spec, kind: spec.team
+        )
+        patch.setattr(cell_load, '_kind_weight', lambda urgency: 1.0)
         patch.setattr(timing, 'scheduling_key', former_key)
         patch.setattr(
             admission,
--- a/tests/stages/test_team_shares.py
+++ b/tests/stages/test_team_shares.py
@@ -1,11 +1,15 @@
 """Tests of the fair shares of teams in stage targets."""
 
+import collections
+from collections.abc import Callable
+import dataclasses
 import math
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from tests.stages import builders
+from walnutport.stages import pieces
 from walnutport.stages import scheduler
 from walnutport.stages import team_shares
 
@@ -107,34 +111,75 @@
     requests/s of two pieces, south and east 4 requests/s each, which is well
     below a third of the capacity.
     """
+
+    def arrivals(step: int) -> list[pieces.JobSpec]:
+        teams = ['north', 'south', 'east'] if step % 25 == 0 else ['north']
+        return [
+            builders.job_spec(f'{team}-{step}', team=team) for team in teams
+        ]
+
+    shares = admitted_shares(arrivals, lambda spec: spec.team)
+    assert shares['north'] < 0.6, 'the targets are overloaded'
+    for team in ('south', 'east'):
+        assert shares[team] >= 0.95
+
+
+def test_frequent_requests_of_a_team_do_not_cost_its_urgent_ones():
+    """Replays 6 s in which one team asks for three times the capacity.
+
+    North sends 100 less urgent requests/s and 4 urgent ones. Guards against
+    refusing the urgent ones, as its team uses more than its share.
+    """
+
+    def arrivals(step: int) -> list[pieces.JobSpec]:
+        found = []
+        for route, urgency, aim_s, team, interval in (
+            ('frequent', 2, 2.0, 'north', 1),
+            ('frequent', 2, 2.0, 'south', 10),
+            ('urgent', 1, 0.8, 'north', 25),
+            ('urgent', 1, 0.8, 'south', 25),
+        ):
+            if step % interval == 0:
+                spec = builders.job_spec(
+                    f'{team}-{route}-{step}',
+                    urgency=urgency,
+                    aim_s=aim_s,
+                    team=team,
+                )
+                found.append(dataclasses.replace(spec, route=route))
+        return found
+
+    shares = admitted_shares(arrivals, lambda spec: spec.route)
+    assert shares['frequent'] < 0.6, 'the targets are overloaded'
+    assert shares['urgent'] >= 0.95
+
+
+def admitted_shares(
+    arrivals: Callable[[int], list[pieces.JobSpec]],
+    group_of: Callable[[pieces.JobSpec], str],
+) -> dict[str, float]:
+    """Return the fraction of jobs of each group that two targets admit.
+
+    :param arrivals: returns the jobs that arrive in each step of 0.01 s.
+    """
     cell = scheduler.StageScheduler()
     targets = [builders.target(f't{number}') for number in range(2)]
     cell.update_targets(builders.RULES, targets, 0.0)
     busy: list = []
-    sent = {'north': 0, 'south': 0, 'east': 0}
-    admitted = {'north': 0, 'south': 0, 'east': 0}
-    team_by_job: dict[str, str] = {}
+    sent: collections.Counter[str] = collections.Counter()
+    admitted: collections.Counter[str] = collections.Counter()
     for step in range(600):
         now = step * 0.01
         for end, call in [entry for entry in busy if entry[0] <= now]:
             busy.remove((end, call))
             handles = [f'{call.call_id}/{n}' for n in range(len(call.pieces))]
             cell.call_done(call.call_id, handles, now)
-        teams = ['north']
-        if step % 25 == 0:
-            teams += ['south', 'east']
-        for team in teams:
-            spec = builders.job_spec(f'{team}-{step}', team=team)
-            sent[team] += 1
+        for spec in arrivals(step):
+            sent[group_of(spec)] += 1
             if cell.submit(spec, now) is None:
-                admitted[team] += 1
-                team_by_job[spec.job_id] = team
+                admitted[group_of(spec)] += 1
         for outcome in cell.take_outcomes():
             cell.release(outcome.job_id)
         for call in cell.next_calls(now):
             busy.append((now + 0.16 + 0.02 * len(call.pieces), call))
-    assert admitted['north'] < 0.6 * sent['north'], (
-        'the targets are overloaded'
-    )
-    for team in ('south', 'east'):
-        assert admitted[team] >= 0.95 * sent[team]
+    return {name: admitted[name] / count for name, count in sent.items()}
--- a/walnutport/stages/cell_load.py
+++ b/walnutport/stages/cell_load.py
@@ -91,20 +91,17 @@
         if spec.was_admitted:
             return self._check_admitted(job, now)
         kind = f'{spec.urgency}/{spec.route}'
+        team = _team_claimant(spec, kind)
         if not spec.returned:
-            self._teams.record_demand(spec.team, cost_by_service, now)
-            self._kinds.record_demand(
-                kind,
-                cost_by_service,
-                now,
-                _kind_weight(spec.urgency),
-            )
+            weight = _kind_weight(spec.urgency)
+            self._teams.record_demand(team, cost_by_service, now, weight)
+            self._kinds.record_demand(kind, cost_by_service, now, weight)
         place = self.returns.find(spec.content, now)
         is_early = place is not None and now < place.due_at - EARLY_TOLERANCE_S
-        team_standing = self._teams.standing(spec.team, slots_by_service, now)
+        team_standing = self._teams.standing(team, slots_by_service, now)
         is_bursting = (
             team_standing is team_shares.Standing.OVER
-            and self._teams.is_bursting(spec.team, slots_by_service, now)
+            and self._teams.is_bursting(team, slots_by_service, now)
         )
         refusal = admission.check_job(
             job,
@@ -134,7 +131,7 @@
             job.late = True
         self.returns.take(spec.content)
         if not job.late:
-            self._teams.record_admitted(spec.team, cost_by_service, now)
+            self._teams.record_admitted(team, cost_by_service, now)
             self._kinds.record_admitted(kind, cost_by_service, now)
         return None
 
@@ -365,6 +362,15 @@
         )
 
 
+def _team_claimant(spec: pieces.JobSpec, kind: str) -> str:
+    """Return the claimant by which a team competes with the other teams.
+
+    A team has a share for each kind of its requests. With one share for all,
+    its requests of the most frequent kind would use up that of the others.
+    """
+    return f'{kind}/{spec.team}'
+
+
 def _kind_weight(urgency: int) -> float:
     """Return the weight of a kind of request in its fair share."""
     return URGENCY_WEIGHT**-urgency
