Replay contention of kinds whose teams have a priority of their own

Cause: no replay has teams with a priority. Change: a setting of the replay with the load of full_calls, in which the priority of two teams is 0 and that of the others is 1, as the hosts submit it.

--- a/tests/stages/long_chains.py
+++ b/tests/stages/long_chains.py
@@ -124,11 +124,14 @@
     :param final_s: mean duration of the request after its stages, by kind.
         Results occupy their targets until then.
     :param rate_by_kind: rate of a kind relative to its usual one.
+    :param urgent_teams: number of teams whose priority is 0 while that of the
+        others is 1; None if teams have no priority of their own.
     """
 
     slowness: Mapping[str, tuple[float, float]]
     final_s: Mapping[str, float]
     rate_by_kind: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    urgent_teams: int | None = None
 
 
 SETTINGS = {
@@ -145,6 +148,12 @@
         {'single': 0.1, 'long': 0.1, 'chain': 0.1},
         {'long': 1.3, 'chain': 1.3},
     ),
+    'team_priorities': Setting(
+        dict.fromkeys(SERVICES, (0.92, 1.17)),
+        {'single': 0.1, 'long': 0.1, 'chain': 0.1},
+        {'long': 1.3, 'chain': 1.3},
+        urgent_teams=2,
+    ),
 }
 
 
@@ -165,6 +174,7 @@
             collections.defaultdict(list)
         )
         self._kind_by_id: dict[str, replay.Kind] = {}
+        self._urgent_teams = setting.urgent_teams
         self._ready_at: dict[tuple[str, int], float] = {}
         self._lost: set[str] = set()
         super().__init__(
@@ -250,7 +260,10 @@
         for number, stage in enumerate(request.kind.stages):
             if not stage.after:
                 self._ready_at[spec.request_id, number] = self.now
-        return spec
+        if self._urgent_teams is None:
+            return spec
+        is_urgent = request.team in replay.TEAMS[: self._urgent_teams]
+        return dataclasses.replace(spec, urgency=0 if is_urgent else 1)
 
     def _run(self, call: pieces.BatchCall) -> list[str | pieces.PieceFailure]:
         for request_id, stage in {
