Rank jobs by the priority of the team, then by that of the route

Cause: the priority of a team replaced that of the route. All kinds of a team were of one rank: an edit-hint waited behind the queue that page-fix keeps by its aim of 3 s, and its kind had no greater weight. The class: an order by two keys of which the second overwrites the first. Change: JobSpec.kind_urgency holds the priority of the route where the team has one. Backlog, forecast, order and weights use both. Where teams have no priority nothing changes; hosts of an earlier build send and read the job as before.

--- a/tests/stages/long_chains.py
+++ b/tests/stages/long_chains.py
@@ -263,7 +263,11 @@
         if self._urgent_teams is None:
             return spec
         is_urgent = request.team in replay.TEAMS[: self._urgent_teams]
-        return dataclasses.replace(spec, urgency=0 if is_urgent else 1)
+        return dataclasses.replace(
+            spec,
+            urgency=0 if is_urgent else 1,
+            kind_urgency=request.kind.urgency,
+        )
 
     def _run(self, call: pieces.BatchCall) -> list[str | pieces.PieceFailure]:
         for request_id, stage in {
--- a/walnutport/gateway/entry/calls.py
+++ b/walnutport/gateway/entry/calls.py
@@ -24,8 +24,10 @@
     :param service: service that serves the request, chosen from the route.
     :param digest: digest of the content, which identifies requests that
         crash targets.
-    :param priority: priority of the route or of the team; 0 is the most
-        urgent.
+    :param priority: priority of the team, or of the route if the team has
+        none; 0 is the most urgent.
+    :param kind_priority: priority of the route among the requests of teams of
+        the same priority; 0 if the team has none.
     :param deadline_at: when the timeout of the caller or of the route ends.
     :param aim_at: when the latency target of the route ends.
     :param possible_runs: number of targets that were sent the request and did
@@ -95,6 +97,7 @@
         default_factory=dict
     )
     was_permit_refused: bool = False
+    kind_priority: int = 0
 
     @property
     def request_id(self) -> str:
--- a/walnutport/gateway/entry/job_specs.py
+++ b/walnutport/gateway/entry/job_specs.py
@@ -47,4 +47,5 @@
         route=call.route.name,
         continues=call.request.head_sent or call.holds_part,
         was_admitted=was_admitted,
+        kind_urgency=call.kind_priority,
     )
--- a/walnutport/gateway/entry/route_matcher.py
+++ b/walnutport/gateway/entry/route_matcher.py
@@ -95,8 +95,10 @@
             )
         spent_s = self._deadlines.spent_s(route.name, fields.timeout_s)
         priority = route.priority
+        kind_priority = 0
         if team is not None and team.priority is not None:
             priority = team.priority
+            kind_priority = route.priority
         content = b'\n'.join(
             (
                 request.method,
@@ -112,6 +114,7 @@
             service=self._choose_service(route),
             team=None if team is None else team.name,
             priority=priority,
+            kind_priority=kind_priority,
             digest=hashlib.blake2b(content, digest_size=16).digest(),
             arrived_at=arrived_at,
             deadline_at=arrived_at + time_limit_s,
--- a/walnutport/stages/backlog.py
+++ b/walnutport/stages/backlog.py
@@ -22,12 +22,12 @@
 FIRST_RANK = -1
 #: Rank of jobs that are late for their aim, behind every urgency.
 LATE_RANK = 1_000_000
-# Jobs that were admitted before rank so much before new ones of their urgency.
+# Jobs that were admitted before rank so much before new ones of their rank.
 ADMITTED_RANK_STEP = 0.5
 
 
 class Backlog:
-    """Seconds of admitted work by service and urgency."""
+    """Seconds of admitted work by service and rank."""
 
     def __init__(self) -> None:
         self._seconds: dict[str, dict[float, float]] = {}
@@ -76,8 +76,8 @@
     opposite.
     """
     if spec.was_admitted:
-        return spec.urgency - ADMITTED_RANK_STEP
-    return spec.urgency
+        return spec.rank - ADMITTED_RANK_STEP
+    return spec.rank
 
 
 def cost_by_service(
--- a/walnutport/stages/cell_load.py
+++ b/walnutport/stages/cell_load.py
@@ -97,7 +97,7 @@
         kind = f'{spec.urgency}/{spec.route}'
         team = _team_claimant(spec, kind)
         if not spec.returned:
-            weight = _kind_weight(spec.urgency)
+            weight = _kind_weight(spec)
             self._teams.record_demand(team, cost_by_service, now, weight)
             self._kinds.record_demand(kind, cost_by_service, now, weight)
         place = self.returns.find(spec.content, now)
@@ -112,7 +112,7 @@
             job.head_start_s = HEAD_START_S
         refusal = admission.check_job(
             job,
-            lambda service: self._service_load(service, spec.urgency, now),
+            lambda service: self._service_load(service, spec.rank, now),
             team_standing,
             spec.returned and not is_early,
             kind_standing,
@@ -378,6 +378,6 @@
     return f'{kind}/{spec.team}'
 
 
-def _kind_weight(urgency: int) -> float:
+def _kind_weight(spec: pieces.JobSpec) -> float:
     """Return the weight of a kind of request in its fair share."""
-    return URGENCY_WEIGHT**-urgency
+    return URGENCY_WEIGHT ** -(spec.urgency + spec.kind_urgency)
--- a/walnutport/stages/pieces.py
+++ b/walnutport/stages/pieces.py
@@ -20,6 +20,12 @@
     'bytes_by_data_centre',
 ]
 
+# Priorities of routes beyond this one rank like it.
+MAX_KIND_URGENCY = 9
+# Step of the rank between the urgencies of kinds. All of them are within the
+# step by which jobs that were admitted before go before new ones.
+KIND_RANK_STEP = 0.04
+
 
 class PieceFailure(enum.Enum):
     """Why a piece has no result."""
@@ -53,7 +59,8 @@
     :param job_id: unique over all hosts.
     :param piece_key: key of the input that the first stages process.
     :param piece_counts: number of pieces of each stage; 0 omits a stage.
-    :param urgency: rank of the request; 0 is the most urgent.
+    :param urgency: priority of the team, or of the route if the team has none;
+        0 is the most urgent.
     :param aim_s: remaining time within which an answer has full value.
     :param deadline_s: remaining time within which an answer is of any use.
     :param final_s: expected duration of the request itself after its stages.
@@ -72,6 +79,9 @@
     :param was_admitted: whether the owner of a cell has admitted the stages
         before, for the same attempt of the caller. They run again as the owner
         or the results were lost.
+    :param kind_urgency: priority of the route, by which requests of the same
+        urgency are ranked; 0 if it is the urgency, and from hosts of earlier
+        builds.
     """
 
     job_id: str
@@ -92,6 +102,13 @@
     route: str = ''
     continues: bool = False
     was_admitted: bool = False
+    kind_urgency: int = 0
+
+    @property
+    def rank(self) -> float:
+        """Rank among all jobs: by urgency, then by the urgency of the kind."""
+        kind_urgency = min(MAX_KIND_URGENCY, max(0, self.kind_urgency))
+        return self.urgency + kind_urgency * KIND_RANK_STEP
 
     @property
     def returned(self) -> bool:
--- a/walnutport/stages/timing.py
+++ b/walnutport/stages/timing.py
@@ -94,7 +94,8 @@
     latest_start_at = latest_start(job, rules_by_service)
     is_timely = now <= latest_start_at + LATE_MARGIN_S
     if not job.late and (is_timely or job.spec.was_admitted):
-        urgency_s = job.spec.urgency * URGENCY_STEP_S
+        urgency = job.spec.urgency + job.spec.kind_urgency
+        urgency_s = urgency * URGENCY_STEP_S
         return 0, latest_start_at + urgency_s - job.head_start_s
     due_at = job.deadline_at - (job.aim_at - latest_start_at)
     return int(now < due_at - DEADLINE_MARGIN_S), due_at
