Play rounds of the fault soak with hosts stopped in series

The rounds stopped one host at a time among other faults, excused every stream that broke off and every request that got no response, and looked at none of the pieces.

Callers send their next request at once on the connection of the last one, and others open new connections to hosts that stop.

The target stand-in records when runs begin and end, and the callers when they had sent a request.

--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -24,6 +24,7 @@
 from bench import soak_injector
 from bench import soak_releases
 from bench import soak_schedule
+from bench import soak_stops
 from standins import platform_fleet
 
 __all__ = ['main', 'run_round']
@@ -32,6 +33,8 @@
 CALLERS = 10
 # Share of the rounds with random seeds that play a release.
 RELEASE_SHARE = 0.3
+# Share of these rounds in which hosts are stopped in series.
+STOPS_SHARE = 0.3
 # Share of the rounds in which the two engines differ in their version.
 MIXED_VERSIONS_SHARE = 0.5
 # Hosts that are cut off from all targets, in the rounds where that happens.
@@ -59,14 +62,23 @@
         action='store_true',
         help='play releases only; without it, the given seeds draw faults',
     )
+    parser.add_argument(
+        '--stops',
+        action='store_true',
+        help='play rounds with hosts that are stopped in series only',
+    )
     parser.add_argument('seeds', nargs='*', type=int)
     arguments = parser.parse_args(argv)
     seeds: Iterator[int] = iter(arguments.seeds)
     release_share = 1.0 if arguments.releases else 0.0
+    stops_share = 1.0 if arguments.stops else 0.0
     if not arguments.seeds:
         seeds = _random_seeds(arguments.minutes)
-        release_share = max(release_share, RELEASE_SHARE)
-    rounds, failed = _run_rounds(seeds, arguments.jobs, release_share)
+        if not arguments.stops and not arguments.releases:
+            release_share, stops_share = RELEASE_SHARE, STOPS_SHARE
+    rounds, failed = _run_rounds(
+        seeds, arguments.jobs, release_share, stops_share
+    )
     sys.stdout.write(f'soak: {rounds} rounds, {failed} failed\n')
     return 1 if failed else 0
 
@@ -79,11 +91,12 @@
 
 
 def _run_rounds(
-    seeds: Iterator[int], jobs: int, release_share: float
+    seeds: Iterator[int], jobs: int, release_share: float, stops_share: float
 ) -> tuple[int, int]:
     """Run one round per seed, with at most ``jobs`` rounds in parallel.
 
     :param release_share: share of the rounds that play a release.
+    :param stops_share: share of the rounds that stop hosts in series.
     :returns: number of rounds and number of failed rounds.
     """
     rounds = 0
@@ -94,8 +107,11 @@
             for seed in itertools.islice(seeds, jobs - len(names_by_future)):
                 name, play = f'seed {seed}', run_round
                 rng = random.Random(f'{seed}/releases')
-                if rng.random() < release_share:
+                drawn = rng.random()
+                if drawn < release_share:
                     name, play = f'release {seed}', soak_releases.run_round
+                elif drawn < release_share + stops_share:
+                    name, play = f'stops {seed}', soak_stops.run_round
                 names_by_future[pool.submit(play, seed)] = name
             if not names_by_future:
                 return rounds, failed
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -130,9 +130,11 @@
     sealed = False
     retry_after = None
     first_event_at = None
+    sent_at = None
     error = ''
     try:
         connection.request('POST', f'/{route}/x', b'body', headers)
+        sent_at = time.monotonic()
         reply = connection.getresponse()
         status = reply.status
         sealed = reply.getheader('walnutport-response-seal') is not None
@@ -165,6 +167,7 @@
         first_event_at,
         begun_by,
         error,
+        sent_at,
     )
 
 
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -50,6 +50,8 @@
     :param reused: whether the connection had carried an earlier request.
     :param first_event_at: when the first event of a stream had arrived, None
         if there was none.
+    :param sent_at: when the last byte of the request had been written, None
+        if that failed.
     """
 
     request_id: str
@@ -68,6 +70,7 @@
     first_event_at: float | None = None
     begun_by: str = ''
     error: str = ''
+    sent_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -499,8 +499,16 @@
         )
 
     def all_runs(self) -> list[dict]:
-        """Return the runs that targets have started."""
-        return self._records_of_targets()['runs']
+        """Return the runs that targets have started.
+
+        Those of requests have ``ended_at``, None while they go on.
+        """
+        records = self._records_of_targets()
+        ended_at_by_run = records['ended_at_by_run']
+        return [
+            {**run, 'ended_at': ended_at_by_run.get(str(number))}
+            for number, run in enumerate(records['runs'])
+        ]
 
     def freed_handles(self) -> list[str]:
         """Return the handles of the results that targets have freed."""
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -37,6 +37,8 @@
     def __init__(self, settings: platform_config.PlatformSettings) -> None:
         self.settings = settings
         self.runs: list[platform_target.Run] = []
+        # When the work on a request ended, by the number of its run.
+        self.ended_at_by_run: dict[int, float] = {}
         self.freed: list[str] = []
         # Handles of the results that targets hold.
         self.held: set[str] = set()
@@ -304,6 +306,7 @@
         return msgspec.json.encode(
             {
                 'runs': self.runs,
+                'ended_at_by_run': self.ended_at_by_run,
                 'freed': self.freed,
                 'arrivals': self.arrivals,
                 'crashes': self.crashes,
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -43,6 +43,7 @@
 
     :param stage: number of the stage, or -1 for a request.
     :param piece: number of the piece, or -1 for a request.
+    :param begun_at: time on the monotonic clock of the machine.
     """
 
     target_id: str
@@ -51,6 +52,7 @@
     body: str
     stage: int = -1
     piece: int = -1
+    begun_at: float = dataclasses.field(default_factory=time.monotonic)
 
 
 class Target:
@@ -178,6 +180,7 @@
                 body.decode('latin-1'),
             )
         )
+        run_number = len(self._platform.runs) - 1
         request.setHeader(_REQUEST_ID_HEADER, request_id)
         request.setHeader('walnutport-response-seal', secrets.token_hex(4))
         self._set_load(request)
@@ -191,7 +194,9 @@
                 return await self._stream(request)
             await self._sleep(self._platform.settings.work_ms)
         finally:
+            # Klein cancels the work when the connection closes.
             self._running -= 1
+            self._platform.ended_at_by_run[run_number] = time.monotonic()
         if self._mode() == 'reset_after':
             request.transport.abortConnection()
             return b''
