--- a/tests/integration/test_fleet_soak.py
+++ b/tests/integration/test_fleet_soak.py
@@ -4,6 +4,7 @@
 
 from bench import fleet_soak
 from bench import soak_releases
+from bench import soak_stops
 
 # With one of these bugs injected, the named seed detects it: a false refusal
 # after a run (11), a second run of a request that must not be repeated (11), a
@@ -43,3 +44,15 @@
     """Guards against streams that are refused or joined from two versions."""
     problems, _ = soak_releases.run_round(seed, tmp_path)
     assert not problems, '\n'.join(problems)
+
+
+# Three hosts are stopped twice, within 5 s, with a grace of 4 s.
+STOP_SEEDS = (110,)
+
+
+@pytest.mark.parametrize('seed', STOP_SEEDS)
+def test_stops_in_series_cut_off_no_late_request(seed, tmp_path):
+    """Guards against requests that a stopping host takes and cuts off."""
+    problems, counts = soak_stops.run_round(seed, tmp_path)
+    assert not problems, '\n'.join(problems)
+    assert int(counts.split()[0]) > 100
