--- a/walnutport/service/host.py
+++ b/walnutport/service/host.py
@@ -9,6 +9,7 @@
 from twisted.web import server
 
 from walnutport.config import settings as config
+from walnutport.lifecycle import host_end
 from walnutport.metrics import exposition
 from walnutport.service import components as host_components
 from walnutport.service import drain
@@ -25,6 +26,8 @@
 
 _TICK_S = 0.05
 _COORDINATION_TICK_S = 0.25
+# Time to send the answers of the calls that are cut off at the drain limit.
+_LAST_ANSWERS_S = 0.1
 
 
 class EntryHost:
@@ -38,6 +41,7 @@
         self._reactor = reactor
         self._stack = contextlib.ExitStack()
         self.stopping = False
+        self._end = host_end.HostEnd()
         self._host_list_loaded = False
         self.components = host_components.HostComponents(
             settings, reactor, self.is_ready
@@ -51,6 +55,7 @@
             self.components.pipeline_runner,
             self._clock,
             self.components.latencies,
+            self._end,
         )
         self.view = views.HostView(self)
         collector = exposition.HostCollector(
@@ -108,6 +113,7 @@
         LOG.info('%s draining', PREFIX)
         caller_settings = self.settings.callers
         deadline = self._clock.monotonic() + caller_settings.drain_limit_s
+        self._end.set(deadline)
         self.components.coordination.heartbeats.leave()
         await task.deferLater(
             self._reactor,
@@ -127,6 +133,8 @@
                 len(self.callers.in_flight_by_id),
                 len(self._caller_connections.protocols),
             )
+            self.callers.cut_off()
+            await task.deferLater(self._reactor, _LAST_ANSWERS_S)
             return False
         await self._wait_for_claim_releases()
         await self.components.cost_flusher.final_flush(
