Read on while a connection closes with a response that did not announce it

What callers saw: the end of a response was lost by a reset, if the caller wrote its next request while a stopping host still sent the response. Cause: closes the channel with the end of a response whose head came before the signal. A closing channel reads no more, and the kernel resets a connection that is closed with unread data. Change: the channel closes for writing once the response is written, reads what comes for a second and then closes. The idle check leaves such channels alone. The fake transport of the tests asks its producers for data.

--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -31,6 +31,14 @@
     def loseWriteConnection(self) -> None:
         self.disconnecting = True
 
+    def registerProducer(self, producer, streaming: bool) -> None:
+        """Ask for data at once, and again as all is written at once."""
+        producer.resumeProducing()
+        producer.resumeProducing()
+
+    def unregisterProducer(self) -> None:
+        """Forget the producer."""
+
 
 class Caller:
     """Server channel of one caller and the requests read from it."""
--- a/walnutport/http1/server.py
+++ b/walnutport/http1/server.py
@@ -13,6 +13,7 @@
 from twisted.internet import protocol
 
 from walnutport.http1 import messages
+from walnutport.http1 import write_notice
 from walnutport.world import routes
 
 __all__ = ['ServerChannel', 'ServerRequest', 'ServerSite']
@@ -228,9 +229,12 @@
         self.active = None
         self._last_activity_at = time.monotonic()
         is_last = self.site.closing and not self.has_more()
-        if not keep_alive or self._closing or is_last:
+        if not keep_alive or self._closing:
             self._close()
             return
+        if is_last:
+            self._close_unannounced()
+            return
         if self._pipelined:
             self._handle(self._pipelined.pop(0))
         else:
@@ -246,7 +250,8 @@
 
     def close_idle(self) -> None:
         """Close a channel that has no request in progress."""
-        self._close()
+        if not self._closing:
+            self._close()
 
     # Callbacks of the parser.
 
@@ -358,6 +363,23 @@
         self._cancel_timer()
         self.transport.loseConnection()
 
+    def _close_unannounced(self) -> None:
+        """Close after a response that has announced no close.
+
+        The caller may write its next request meanwhile. A close with unread
+        data would reset the connection, so that it could lose the response.
+        """
+        self._closing = True
+        self._cancel_timer()
+        write_notice.notify_written(self.transport, self._half_close)
+
+    def _half_close(self) -> None:
+        """Close for writing; what the caller still sends is read away."""
+        self.transport.loseWriteConnection()
+        self._timer = self.site.reactor.callLater(
+            LINGER_S, self.transport.loseConnection
+        )
+
     def _linger(self) -> None:
         """Close for writing, but keep reading for a while.
 
