--- a/tests/integration/test_fleet_soak.py
+++ b/tests/integration/test_fleet_soak.py
@@ -25,7 +25,7 @@
 def test_round_violates_no_guarantee(seed, tmp_path):
     """Guards against guarantees that are violated when faults overlap."""
     problems, counts = fleet_soak.run_round(seed, tmp_path)
-    assert not problems
+    assert not problems, '\n'.join(problems)
     assert int(counts.split()[0]) > 100
 
 
