--- /dev/null
+++ b/review/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform for the cases of the review."""
