Show that streams go on at another software version

Claim: a stream goes on at a worker that has started again under its id with another software version (rule ORDER, case 3).

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,6 @@
-"""A route whose stage needs a stage with a higher number is never served."""
+"""Streams go on at a worker that has started again with another version."""
 
 import asyncio
-import itertools
-import json
 import pathlib
 import sys
 import time
@@ -12,183 +10,213 @@
 
 from standin import platform  # noqa: E402
 
-HANDLES = itertools.count(1)
-# ``configApplyMs`` is 2,000; the hosts are in touch 3 s after their start.
-SETTLE_S = 6.0
-RUN_S = 20.0
-HANDLES_BY_REQUEST = {}
-
-
-class StageWorker(platform.Worker):
-    """A sound worker of a stage service."""
-
-    async def answer(self, first, headers, body, reader, writer):
-        path = first.split(' ')[1]
-        if path == '/stage-free':
-            await self.send(writer, headers, 200, b'{}', seal=False)
-            return True
-        items = json.loads(body)['items']
-        for item in items:
-            self.record.line(f'{self.id} makes {item}')
-        await asyncio.sleep(0.15)
-        made = []
-        for item in items:
-            handle = f'{platform.IP}:{self.port}/{next(HANDLES):x}'
-            HANDLES_BY_REQUEST.setdefault(item['id'], []).append(handle)
-            made.append({'handle': handle})
-        data = json.dumps({'items': made}).encode()
-        await self.send(writer, headers, 200, data, seal=False)
-        return True
-
+WORKERS = 9
+STREAMS_PER_S = 8.0
+EVENTS = 56
+EVENT_GAP_S = 0.06
+DEADLINE_S = 15.0
+# The workers are restarted one after the other, with four versions in turn.
+DOWN_S = 0.8
+GAP_S = 1.0
+VERSIONS = ('v2', 'v3', 'v4', 'v5')
+REST_S = 4.0
+# The rule allows two streams with events of two versions.
+MAX_MIXED = 2
+
+
+class Upgraded(platform.Worker):
+    """A sound worker that is restarted with the next software version."""
+
+    version = 'v1'
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self._server = None
+        self._writers = set()
+
+    async def start(self):
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self._server = await asyncio.start_server(
+            self._accept, platform.IP, self.port
+        )
+        self._tasks = [asyncio.create_task(self._beat())]
+
+    def write_entry(self):
+        self.sequence += 1
+        self.store.put(
+            'keyed.servers',
+            self.id,
+            {
+                'service': self.service,
+                'address': f'{platform.IP}:{self.port}',
+                'zone': 'a',
+                'version': self.version,
+                'slots': self.slots,
+                'state': self.state,
+                'coldMs': 0,
+                'born': self.born,
+                'sequence': self.sequence,
+            },
+        )
 
-class ModelWorker(platform.Worker):
-    """A sound model worker, which needs the inputs of its request."""
+    async def _accept(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            await self._serve(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def restart(self, version):
+        self.record.line(f'{self.id} stops')
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        for writer in self._writers:
+            writer.transport.abort()
+        await asyncio.sleep(DOWN_S)
+        self.version = version
+        await self.start()
+        self.record.line(f'{self.id} has started again with {version}')
 
     async def answer(self, first, headers, body, reader, writer):
         request_id = headers['walnutport-request-attempt-id']
-        inputs = headers.get('walnutport-inputs')
-        if inputs is None:
-            await self.send(writer, headers, 400, b'', not_run=True)
-            return True
-        known = HANDLES_BY_REQUEST.get(request_id, [])
-        if not set(inputs.split(',')) <= set(known):
-            await self.send(writer, headers, 409, b'', not_run=True)
-            return True
-        self.run(request_id)
-        await self.send_stream(writer, headers)
+        self.run(f'{request_id} with {self.version}')
+        version = self.version
+        lines = [
+            'HTTP/1.1 200 OK',
+            'Content-Type: text/event-stream',
+            'Transfer-Encoding: chunked',
+            *self.common(headers),
+        ]
+        writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
+        for number in range(
+            int(headers.get('last-event-id', 0)) + 1, EVENTS + 1
+        ):
+            await asyncio.sleep(EVENT_GAP_S)
+            event = b'id: %d\ndata: %s\n\n' % (number, version.encode())
+            writer.write(b'%x\r\n%s\r\n' % (len(event), event))
+            await writer.drain()
+        writer.write(b'0\r\n\r\n')
+        await writer.drain()
         return True
 
 
-async def requester(hosts, path, number, until, record, served):
-    count = 0
-    while time.monotonic() < until:
-        count += 1
-        host = hosts[(number + count) % len(hosts)]
-        request_id = f'{ord(path[1]):04x}{number:04x}{count:08x}'
-        answer = await platform.exchange(
-            host.front,
-            platform.request_bytes(
-                path,
-                request_id,
-                6000,
-                request_id.encode() * 40,
-                Walnutport_Pieces='2,3',
-                Walnutport_Piece_Key=f'key{request_id}',
-            ),
-            6.0,
-        )
-        is_served = answer.status == 200 and answer.body.count(b'id: ') == 10
+async def requester(host, number, record, mixed, ends):
+    """Ask for a stream; each event names the version that made it."""
+    data = platform.request_bytes(
+        '/note/a', f'{number:016d}', 15000, b'n%012d' % number * 30
+    )
+    versions = []
+    done = False
+    writer = None
+    rest = b''
+    try:
+        async with asyncio.timeout(DEADLINE_S):
+            reader, writer = await asyncio.open_connection(
+                platform.IP, host.front
+            )
+            writer.write(data)
+            head = await reader.readuntil(b'\r\n\r\n')
+            while head.startswith(b'HTTP/1.1 200'):
+                size = int(await reader.readline(), 16)
+                rest += (await reader.readexactly(size + 2))[:-2]
+                *events, rest = rest.split(b'\n\n')
+                versions += [
+                    event.rsplit(b' ', 1)[1].decode() for event in events
+                ]
+                if not size:
+                    done = True
+                    break
+    except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+        pass
+    finally:
+        if writer is not None:
+            writer.transport.abort()
+    ends.append(done)
+    if len(set(versions)) > 1:
+        k = next(i for i, v in enumerate(versions) if v != versions[0])
+        mixed.append(number)
         record.line(
-            f'requester asked {host.name} for {path} with {request_id}: '
-            f'status {answer.status} after {answer.took_s:.2f} s, '
-            f'served: {is_served}'
+            f'{number:016d}: events 1 to {k} are of {versions[0]}, the next of {versions[k]}'
         )
-        served.append((path, is_served))
-        await asyncio.sleep(0.3)
 
 
 async def main(record, folder, hosts, trouble):
-    ports = platform.free_ports(7)
+    ports = platform.free_ports(1 + WORKERS)
     store = platform.Store(ports[0])
     await store.start()
     workers = [
-        ModelWorker(store, record, 'llm', 'llm-1', ports[1]),
-        ModelWorker(store, record, 'llm', 'llm-2', ports[2]),
-        StageWorker(store, record, 'encode', 'encode-1', ports[3], 1),
-        StageWorker(store, record, 'encode', 'encode-2', ports[4], 1),
-        StageWorker(store, record, 'rank', 'rank-1', ports[5], 1),
-        StageWorker(store, record, 'rank', 'rank-2', ports[6], 1),
+        Upgraded(store, record, 'llm', f'llm-{n}', port)
+        for n, port in enumerate(ports[1:], 1)
     ]
     for worker in workers:
         await worker.start()
-
-    def staged_route(name, stages):
-        return platform.route(
-            name,
-            'streaming',
-            'llm',
-            6000,
-            2000,
-            resumable=True,
-            sticky=True,
-            gapAimMs=400,
-            stages=stages,
-        )
-
-    encode = {'service': 'encode', 'bytes': 8000}
-    rank = {'service': 'rank', 'bytes': 6000}
-    first = staged_route(
-        'first', [{**encode, 'after': []}, {**rank, 'after': [0]}]
-    )
-    # The same work; with trouble the stages stand in the other order.
-    added = staged_route(
-        'added',
-        [{**rank, 'after': [1]}, {**encode, 'after': []}]
-        if trouble
-        else [{**encode, 'after': []}, {**rank, 'after': [0]}],
-    )
-    pieces = {
-        'slots': 1,
-        'queue': 2,
-        'batch': 25,
-        'callMs': 150.0,
-        'itemMs': 5.0,
-        'headroomMb': 20.0,
-        'handleS': 4.0,
-        'linkMbps': 10000,
-    }
-    services = [
-        {
-            'name': 'llm',
-            'maxConns': 360,
-            'engine': {'slots': 64, 'kvTokens': 370000},
-        },
-        {'name': 'encode', 'maxConns': 360, 'pieces': pieces},
-        {'name': 'rank', 'maxConns': 360, 'pieces': pieces},
-    ]
     store.put(
-        'keyed.op', 'config', platform.desired_state(1, [first], services)
+        'keyed.op',
+        'config',
+        platform.desired_state(
+            routes=[
+                platform.route(
+                    'note',
+                    'streaming',
+                    'llm',
+                    15000,
+                    1500,
+                    resumable=True,
+                    sticky=True,
+                    gapAimMs=400,
+                )
+            ],
+            services=[
+                {
+                    'name': 'llm',
+                    'maxConns': 360,
+                    'engine': {'slots': 64, 'kvTokens': 370000},
+                }
+            ],
+        ),
     )
-    for number in (1, 2):
+    for number in (1, 2, 3):
         host = platform.Host(number, folder, store.port, folder)
         hosts.append(host)
         host.start()
     for host in hosts:
         await host.wait_ready()
-    await asyncio.sleep(SETTLE_S)
-    record.line(f'the operator adds a route: {json.dumps(added)}')
-    store.put(
-        'keyed.op',
-        'config',
-        platform.desired_state(4, [first, added], services),
-    )
-    await asyncio.sleep(SETTLE_S)
-    served = []
-    until = time.monotonic() + RUN_S
-    await asyncio.gather(
-        *(
-            requester(hosts, path, number, until, record, served)
-            for path in ('/first/a', '/added/a')
-            for number in range(4)
+    await asyncio.sleep(4.0)
+    begun_at = time.monotonic()
+    mixed, ends, tasks = [], [], []
+
+    async def upgrade():
+        await asyncio.sleep(6.0)
+        for version in VERSIONS:
+            for worker in workers:
+                asyncio.create_task(
+                    worker.restart(version if trouble else 'v1')
+                )
+                await asyncio.sleep(GAP_S)
+            await asyncio.sleep(REST_S)
+
+    up = asyncio.create_task(upgrade())
+    number = 0
+    while time.monotonic() < begun_at + 8 + len(VERSIONS) * (
+        REST_S + WORKERS * GAP_S
+    ):
+        number += 1
+        tasks.append(
+            asyncio.create_task(
+                requester(hosts[number % 3], number, record, mixed, ends)
+            )
         )
-    )
-    share_by_path = {}
-    for path in ('/first/a', '/added/a'):
-        found = [is_served for asked, is_served in served if asked == path]
-        share_by_path[path] = sum(found) / len(found)
-        text = f'{path}: {sum(found)} of {len(found)} served'
-        record.line(text)
-        print(text)
-        assert len(found) >= 20
-    for host in hosts:
-        log = pathlib.Path(folder) / f'host-{host.number}.log'
-        lines = log.read_text(errors='replace').splitlines()
-        lost = sum('"event":"peer_lost"' in line for line in lines)
-        record.line(f'{host.name} has lost its peer {lost} times')
-        for line in [found for found in lines if 'KeyError' in found][:2]:
-            text = line.replace(str(platform.ROOT), '')
-            record.line(f'{host.name}: {text[:600]}')
-    return share_by_path['/added/a'] < share_by_path['/first/a'] / 4
+        await asyncio.sleep(
+            max(0, begun_at + number / STREAMS_PER_S - time.monotonic())
+        )
+    await up
+    await asyncio.gather(*tasks)
+    text = f'{number} streams, {sum(ends)} complete, {len(mixed)} with events of two versions'
+    record.line(text)
+    print(text)
+    return len(mixed) > MAX_MIXED
 
 
 if __name__ == '__main__':
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,10 +1,9 @@
-"""A failure without a length, cut off by a crash, looks complete."""
+"""A route whose stage needs a stage with a higher number is never served."""
 
 import asyncio
-import os
+import itertools
+import json
 import pathlib
-import signal
-import subprocess
 import sys
 import time
 
@@ -13,138 +12,184 @@
 
 from standin import platform  # noqa: E402
 
-BODY = b'f' * 400 + b'F' * 400
-ROUNDS = 6
-BACK_S = 3.0
+HANDLES = itertools.count(1)
+# ``configApplyMs`` is 2,000; the hosts are in touch 3 s after their start.
+SETTLE_S = 6.0
+RUN_S = 20.0
+HANDLES_BY_REQUEST = {}
 
 
-async def serve_as_process(port, worker_id, crash_after):
-    """Answer each request with a failure without a length.
+class StageWorker(platform.Worker):
+    """A sound worker of a stage service."""
+
+    async def answer(self, first, headers, body, reader, writer):
+        path = first.split(' ')[1]
+        if path == '/stage-free':
+            await self.send(writer, headers, 200, b'{}', seal=False)
+            return True
+        items = json.loads(body)['items']
+        for item in items:
+            self.record.line(f'{self.id} makes {item}')
+        await asyncio.sleep(0.15)
+        made = []
+        for item in items:
+            handle = f'{platform.IP}:{self.port}/{next(HANDLES):x}'
+            HANDLES_BY_REQUEST.setdefault(item['id'], []).append(handle)
+            made.append({'handle': handle})
+        data = json.dumps({'items': made}).encode()
+        await self.send(writer, headers, 200, data, seal=False)
+        return True
+
+
+class ModelWorker(platform.Worker):
+    """A sound model worker, which needs the inputs of its request."""
+
+    async def answer(self, first, headers, body, reader, writer):
+        request_id = headers['walnutport-request-attempt-id']
+        inputs = headers.get('walnutport-inputs')
+        if inputs is None:
+            await self.send(writer, headers, 400, b'', not_run=True)
+            return True
+        known = HANDLES_BY_REQUEST.get(request_id, [])
+        if not set(inputs.split(',')) <= set(known):
+            await self.send(writer, headers, 409, b'', not_run=True)
+            return True
+        self.run(request_id)
+        await self.send_stream(writer, headers)
+        return True
 
-    The request number ``crash_after`` finds a worker that crashes when it has
-    written half of its answer.
-    """
-    count = 0
 
-    async def serve(reader, writer):
-        nonlocal count
-        message = await platform.read_message(reader)
-        if message is None:
-            writer.close()
-            return
-        first, headers, body = message
-        request_id = headers.get('walnutport-request-attempt-id', '')
-        if headers.get('walnutport-expect-instance') != worker_id:
-            writer.write(
-                b'HTTP/1.1 421 X\r\nContent-Length: 0\r\n'
-                b'Walnutport-Not-Executed: 1\r\n\r\n'
-            )
-            await writer.drain()
-            writer.close()
-            return
+async def requester(hosts, path, number, until, record, served):
+    count = 0
+    while time.monotonic() < until:
         count += 1
-        print(f'{worker_id} runs {request_id}', flush=True)
-        writer.write(
-            (
-                'HTTP/1.1 500 X\r\n'
-                f'Walnutport-Request-Attempt-Id: {request_id}\r\n'
-                f'Walnutport-Response-Seal: {worker_id}.{request_id}\r\n'
-                'Connection: close\r\n\r\n'
-            ).encode()
-            + BODY[:400]
+        host = hosts[(number + count) % len(hosts)]
+        request_id = f'{ord(path[1]):04x}{number:04x}{count:08x}'
+        answer = await platform.exchange(
+            host.front,
+            platform.request_bytes(
+                path,
+                request_id,
+                6000,
+                request_id.encode() * 40,
+                Walnutport_Pieces='2,3',
+                Walnutport_Piece_Key=f'key{request_id}',
+            ),
+            6.0,
         )
-        await writer.drain()
-        await asyncio.sleep(0.05)
-        if count == crash_after:
-            print(f'{worker_id} crashes', flush=True)
-            os.kill(os.getpid(), signal.SIGKILL)
-        writer.write(BODY[400:])
-        await writer.drain()
-        print(f'{worker_id} has answered {request_id} 500 whole', flush=True)
-        writer.close()
-
-    server = await asyncio.start_server(serve, platform.IP, port)
-    async with server:
-        await server.serve_forever()
-
-
-def start_worker(port, worker_id, crash_after):
-    return subprocess.Popen(
-        [sys.executable, __file__, str(port), worker_id, str(crash_after)],
-        stdout=subprocess.PIPE,
-        stderr=subprocess.STDOUT,
-        text=True,
-    )
+        is_served = answer.status == 200 and answer.body.count(b'id: ') == 10
+        record.line(
+            f'requester asked {host.name} for {path} with {request_id}: '
+            f'status {answer.status} after {answer.took_s:.2f} s, '
+            f'served: {is_served}'
+        )
+        served.append((path, is_served))
+        await asyncio.sleep(0.3)
 
 
 async def main(record, folder, hosts, trouble):
-    ports = platform.free_ports(2)
+    ports = platform.free_ports(7)
     store = platform.Store(ports[0])
     await store.start()
-    entry = platform.Worker(store, record, 'pay', 'pay-1', ports[1], 6)
-    beat = asyncio.create_task(entry._beat())
-    crash_after = 2 if trouble else 0
-    process = start_worker(ports[1], entry.id, crash_after)
+    workers = [
+        ModelWorker(store, record, 'llm', 'llm-1', ports[1]),
+        ModelWorker(store, record, 'llm', 'llm-2', ports[2]),
+        StageWorker(store, record, 'encode', 'encode-1', ports[3], 1),
+        StageWorker(store, record, 'encode', 'encode-2', ports[4], 1),
+        StageWorker(store, record, 'rank', 'rank-1', ports[5], 1),
+        StageWorker(store, record, 'rank', 'rank-2', ports[6], 1),
+    ]
+    for worker in workers:
+        await worker.start()
+
+    def staged_route(name, stages):
+        return platform.route(
+            name,
+            'streaming',
+            'llm',
+            6000,
+            2000,
+            resumable=True,
+            sticky=True,
+            gapAimMs=400,
+            stages=stages,
+        )
+
+    encode = {'service': 'encode', 'bytes': 8000}
+    rank = {'service': 'rank', 'bytes': 6000}
+    first = staged_route(
+        'first', [{**encode, 'after': []}, {**rank, 'after': [0]}]
+    )
+    # The same work; with trouble the stages stand in the other order.
+    added = staged_route(
+        'added',
+        [{**rank, 'after': [1]}, {**encode, 'after': []}]
+        if trouble
+        else [{**encode, 'after': []}, {**rank, 'after': [0]}],
+    )
+    pieces = {
+        'slots': 1,
+        'queue': 2,
+        'batch': 25,
+        'callMs': 150.0,
+        'itemMs': 5.0,
+        'headroomMb': 20.0,
+        'handleS': 4.0,
+        'linkMbps': 10000,
+    }
+    services = [
+        {
+            'name': 'llm',
+            'maxConns': 360,
+            'engine': {'slots': 64, 'kvTokens': 370000},
+        },
+        {'name': 'encode', 'maxConns': 360, 'pieces': pieces},
+        {'name': 'rank', 'maxConns': 360, 'pieces': pieces},
+    ]
+    store.put(
+        'keyed.op', 'config', platform.desired_state(1, [first], services)
+    )
+    for number in (1, 2):
+        host = platform.Host(number, folder, store.port, folder)
+        hosts.append(host)
+        host.start()
+    for host in hosts:
+        await host.wait_ready()
+    await asyncio.sleep(SETTLE_S)
+    record.line(f'the operator adds a route: {json.dumps(added)}')
     store.put(
         'keyed.op',
         'config',
-        platform.desired_state(
-            routes=[
-                platform.route('pay', 'non_idempotent', 'pay', 2000, 400, 1)
-            ],
-            services=[{'name': 'pay', 'maxConns': 100}],
-        ),
+        platform.desired_state(4, [first, added], services),
     )
-    host = platform.Host(1, folder, store.port, folder)
-    hosts.append(host)
-    host.start()
-    wrong = 0
-    try:
-        await host.wait_ready()
-        await asyncio.sleep(3.0)
-        for number in range(1, ROUNDS + 1):
-            if process.poll() is not None:
-                # Down, it says nothing; it starts again under its id.
-                beat.cancel()
-                await asyncio.sleep(BACK_S)
-                record.line(process.stdout.read().strip())
-                process = start_worker(ports[1], entry.id, crash_after)
-                await asyncio.sleep(0.5)
-                entry.born = int(time.time() * 1000)
-                entry.sequence = 0
-                beat = asyncio.create_task(entry._beat())
-                await asyncio.sleep(1.5)
-            request_id = f'{number:016x}'
-            record.line(f'requester sends {request_id}')
-            answer = await platform.exchange(
-                host.front,
-                platform.request_bytes('/pay/a', request_id, 4000, b'body'),
-                4.0,
-            )
-            is_whole = answer.body == BODY
-            seal = answer.headers.get('walnutport-response-seal')
-            record.line(
-                f'requester gets {request_id}: {answer.status}, '
-                f'seal {seal}, complete, {len(answer.body)} of '
-                f'{len(BODY)} bytes'
-            )
-            if answer.status == 500 and seal and not is_whole:
-                wrong += 1
-            await asyncio.sleep(0.3)
-    finally:
-        if process.poll() is None:
-            process.kill()
-        record.line(process.stdout.read().strip())
-        process.wait()
-    record.line(f'{wrong} answers that end early and look complete')
-    print(f'{wrong} answers that end early and look complete')
-    return wrong > 0
+    await asyncio.sleep(SETTLE_S)
+    served = []
+    until = time.monotonic() + RUN_S
+    await asyncio.gather(
+        *(
+            requester(hosts, path, number, until, record, served)
+            for path in ('/first/a', '/added/a')
+            for number in range(4)
+        )
+    )
+    share_by_path = {}
+    for path in ('/first/a', '/added/a'):
+        found = [is_served for asked, is_served in served if asked == path]
+        share_by_path[path] = sum(found) / len(found)
+        text = f'{path}: {sum(found)} of {len(found)} served'
+        record.line(text)
+        print(text)
+        assert len(found) >= 20
+    for host in hosts:
+        log = pathlib.Path(folder) / f'host-{host.number}.log'
+        lines = log.read_text(errors='replace').splitlines()
+        lost = sum('"event":"peer_lost"' in line for line in lines)
+        record.line(f'{host.name} has lost its peer {lost} times')
+        for line in [found for found in lines if 'KeyError' in found][:2]:
+            text = line.replace(str(platform.ROOT), '')
+            record.line(f'{host.name}: {text[:600]}')
+    return share_by_path['/added/a'] < share_by_path['/first/a'] / 4
 
 
 if __name__ == '__main__':
-    if len(sys.argv) > 1:
-        asyncio.run(
-            serve_as_process(int(sys.argv[1]), sys.argv[2], int(sys.argv[3]))
-        )
-    else:
-        sys.exit(platform.run_case(main, HERE))
+    sys.exit(platform.run_case(main, HERE))
