--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,10 +15,10 @@
 EVENTS = 56
 EVENT_GAP_S = 0.06
 DEADLINE_S = 15.0
-# The workers are restarted one after the other, with four versions in turn.
+# The workers are restarted one after the other, with five versions in turn.
 DOWN_S = 0.8
 GAP_S = 1.0
-VERSIONS = ('v2', 'v3', 'v4', 'v5')
+VERSIONS = ('v2', 'v3', 'v4', 'v5', 'v6')
 REST_S = 4.0
 # The rule allows two streams with events of two versions.
 MAX_MIXED = 2
