--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """A stream whose event never ends, in small chunks, holds up a whole host."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -172,4 +173,6 @@
 
 
 if __name__ == '__main__':
-    sys.exit(platform.run_case(main, HERE))
+    # TROUBLE=0 does the same without the disruption.
+    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    sys.exit(platform.run_case(main, HERE, has_trouble))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import os
 import pathlib
 import sys
 import time
@@ -262,4 +263,6 @@
 
 
 if __name__ == '__main__':
-    sys.exit(platform.run_case(main, HERE))
+    # TROUBLE=0 does the same without the disruption.
+    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    sys.exit(platform.run_case(main, HERE, has_trouble))
--- a/review/standin/platform.py
+++ b/review/standin/platform.py
@@ -493,10 +493,12 @@
     }
 
 
-def run_case(main, case_folder):
-    """Run a case and return its exit code: 1 broken, 0 held, 2 not run."""
+def run_case(main, case_folder, trouble):
+    """Run a case and return its exit code: 1 broken, 0 held, 2 not run.
+
+    :param trouble: whether the disruption takes place.
+    """
     record = Record(pathlib.Path(case_folder) / 'record.txt')
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     hosts = []
     record.line(f'trouble: {trouble}')
     # So that the hosts end as well when the case is stopped.
