Join the pieces of a body as they arrive

Callers saw both hosts of review/1 end three times within 80 s: one response without end, in chunks of two bytes, took a host over its 300 MB, and the platform killed it with all that it had accepted.

Cause: every receiver of a body kept each piece that the parser delivered as an object of its own and joined them at the end. The limits count the length of the body, but a piece of two bytes takes 57 bytes of memory, so that the 16 MiB of a response were some 480 MB. The same held for stage calls, the answers of the store, the responses of peers, and the bodies of callers.

Change: BodyBuffer joins the pieces as they arrive, wherever a body is kept. A channel gives its receiver the body once a read, in however many pieces it has arrived, so that work and memory follow the bytes.

--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -62,6 +62,8 @@
 
 # How often timeouts are checked; the shortest of them are 0.3 s.
 TICK_INTERVAL_S = 0.1
+# Share of the memory of the host for unfinished responses of targets.
+MAX_KEPT_RESPONSES_SHARE = 0.2
 # Idle channels kept per target.
 MAX_IDLE_CHANNELS_PER_TARGET = 6
 # Link capacity that counts as much as one core in the work share of a host;
@@ -113,7 +115,9 @@
         self._known_target_ids: set[str] = set()
         self.log = decision_log.DecisionLog(settings.name, reactor.callLater)
         self._pool = channel_pool.ChannelPool(
-            reactor, MAX_IDLE_CHANNELS_PER_TARGET
+            reactor,
+            MAX_IDLE_CHANNELS_PER_TARGET,
+            int(settings.memory_bytes * MAX_KEPT_RESPONSES_SHARE),
         )
         self._outcomes = outcomes.TargetOutcomes(rng)
         store = platform_store.PlatformStore(
--- a/walnutport/gateway/peers/peer_relay.py
+++ b/walnutport/gateway/peers/peer_relay.py
@@ -16,6 +16,7 @@
 from walnutport.gateway.entry import calls
 from walnutport.gateway.peers import peers
 from walnutport.gateway.targets import path_check
+from walnutport.http1 import body_buffer
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.http1 import messages
@@ -78,7 +79,7 @@
         self._call = call
         self._channel = channel
         self._head = messages.EMPTY_HEAD
-        self._body_parts: list[bytes] = []
+        self._body = body_buffer.BodyBuffer()
         self._is_stream = False
         self._is_returned = False
         self.done: defer.Deferred = defer.Deferred(
@@ -95,6 +96,11 @@
         """Status of the response."""
         return self._head.status
 
+    @property
+    def keeps_body(self) -> bool:
+        """Whether the body is kept until its end."""
+        return not self._is_stream
+
     def is_named_in(self, head: messages.ResponseHead) -> bool:
         """Return whether a head names a request."""
         return bool(headers.response_request_id(head))
@@ -124,7 +130,7 @@
                 self._call.first_event_at = time.monotonic()
             self._call.request.write(data)
         else:
-            self._body_parts.append(data)
+            self._body.add(data)
 
     def finished(self) -> None:
         if self._channel.ended_by_close:
@@ -134,7 +140,7 @@
         if self._is_stream:
             self._call.request.finish()
         elif self.was_taken:
-            self._call.forward_response(self._head, b''.join(self._body_parts))
+            self._call.forward_response(self._head, self._body.take())
         if not self.done.called:
             self.done.callback(None)
 
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -11,6 +11,7 @@
 from walnutport import exceptions
 from walnutport.gateway.entry import calls
 from walnutport.gateway.targets import target_reports
+from walnutport.http1 import body_buffer
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.http1 import messages
@@ -177,7 +178,7 @@
         self._on_head = on_head
         self._head = messages.EMPTY_HEAD
         self._fields = headers.decode_response_headers(messages.EMPTY_HEAD)
-        self._body_parts: list[bytes] = []
+        self._body = body_buffer.BodyBuffer()
         self._streaming = False
         self._channel: client_channel.ClientChannel | None = None
         self.first_event_at = 0.0
@@ -194,6 +195,11 @@
             return MAX_STREAM_BYTES
         return channel_pool.MAX_RESPONSE_BYTES
 
+    @property
+    def keeps_body(self) -> bool:
+        """Whether the body is kept until its end."""
+        return not self._streaming
+
     def is_named_in(self, head: messages.ResponseHead) -> bool:
         """Return whether a head names a request."""
         return bool(headers.response_request_id(head))
@@ -215,7 +221,7 @@
 
     def body_received(self, data: bytes) -> None:
         if not self._streaming:
-            self._body_parts.append(data)
+            self._body.add(data)
             return
         events = self._relay.feed(data)
         if events:
@@ -303,13 +309,12 @@
     ) -> None:
         if self.done.called:
             return
-        body = b'' if self._streaming else b''.join(self._body_parts)
         self.done.callback(
             AttemptResult(
                 status,
                 self._target,
                 self._head,
-                body,
+                self._body.take(),
                 detail,
                 reset,
                 self._fields.load,
--- a/walnutport/http1/channel_pool.py
+++ b/walnutport/http1/channel_pool.py
@@ -6,13 +6,23 @@
 from twisted.internet import defer
 
 from walnutport import exceptions
+from walnutport.http1 import body_buffer
 from walnutport.http1 import client_channel
 from walnutport.http1 import messages
 from walnutport.http1 import socket_options
 
-__all__ = ['ChannelPool', 'MAX_RESPONSE_BYTES', 'ResponseCollector', 'fetch']
+__all__ = [
+    'ChannelPool',
+    'MAX_KEPT_BYTES',
+    'MAX_RESPONSE_BYTES',
+    'ResponseCollector',
+    'fetch',
+]
 
 MAX_RESPONSE_BYTES = 16 << 20
+#: Bytes of unfinished responses that are kept for all channels of a pool. Many
+#: responses below their own limit can fill the memory as well.
+MAX_KEPT_BYTES = 64 << 20
 
 
 class ResponseCollector:
@@ -23,6 +33,7 @@
     """
 
     max_body_bytes = MAX_RESPONSE_BYTES
+    keeps_body = True
 
     def __init__(
         self, accepts: Callable[[messages.ResponseHead], bool] | None = None
@@ -30,7 +41,7 @@
         self._head = messages.EMPTY_HEAD
         self.done: defer.Deferred = defer.Deferred()
         self._accepts = accepts
-        self._parts: list[bytes] = []
+        self._body = body_buffer.BodyBuffer()
 
     def is_named_in(self, head: messages.ResponseHead) -> bool:
         return self._accepts is not None
@@ -42,12 +53,12 @@
         return True
 
     def body_received(self, data: bytes) -> None:
-        self._parts.append(data)
+        self._body.add(data)
 
     def finished(self) -> None:
         if not self.done.called:
             self.done.callback(
-                messages.Response(self._head, b''.join(self._parts))
+                messages.Response(self._head, self._body.take())
             )
 
     def failed(self, failure: exceptions.ChannelError) -> None:
@@ -60,6 +71,9 @@
 
     :param reactor: the Twisted reactor.
     :param max_idle: maximum number of idle channels for each address.
+    :param max_kept_bytes: bytes of unfinished responses to keep. Beyond it,
+        the longest response is cut off.
+    :ivar kept_bytes: bytes of the unfinished responses that are kept.
     :ivar oversized_count: responses that were cut off as they exceeded a
         limit.
     :ivar unidentified_count: responses that were rejected as they may answer
@@ -68,9 +82,14 @@
         written to them or closed them.
     """
 
-    def __init__(self, reactor, max_idle: int) -> None:
+    def __init__(
+        self, reactor, max_idle: int, max_kept_bytes: int = MAX_KEPT_BYTES
+    ) -> None:
         self._reactor = reactor
         self._max_idle = max_idle
+        self._max_kept_bytes = max_kept_bytes
+        self._kept_by_channel: dict[client_channel.ClientChannel, int] = {}
+        self.kept_bytes = 0
         self._idle_by_address: dict[
             client_channel.Address, list[client_channel.ClientChannel]
         ] = {}
@@ -140,6 +159,7 @@
             raise
         channel.on_oversized = self._count_oversized
         channel.on_unidentified = self._count_unidentified
+        channel.on_kept = self._record_kept
         channel.on_sent = self._sent
         channel.on_answered = self._answered
         channel.on_unanswered = self.on_failed
@@ -202,6 +222,21 @@
         self.waiting_since = 0.0
         self.on_answered(channel)
 
+    def _record_kept(
+        self, channel: client_channel.ClientChannel, size: int
+    ) -> None:
+        """Record the bytes that are kept for a channel, 0 at the end."""
+        self.kept_bytes += size - self._kept_by_channel.pop(channel, 0)
+        if size:
+            self._kept_by_channel[channel] = size
+        if self.kept_bytes > self._max_kept_bytes:
+            longest = max(
+                self._kept_by_channel, key=self._kept_by_channel.__getitem__
+            )
+            longest.cut_off(
+                f'more than {self._max_kept_bytes} bytes of all responses'
+            )
+
     def _count_oversized(self) -> None:
         self.oversized_count += 1
 
--- a/walnutport/http1/client_channel.py
+++ b/walnutport/http1/client_channel.py
@@ -6,6 +6,8 @@
 A peer may send a response a second time, at any later moment. Only a response
 that names its request can be told from the one to the next request, so a
 channel is reused only after such responses, and then accepts no others.
+
+The receiver gets the body once a read, in however many pieces it has arrived.
 """
 
 from collections.abc import Callable
@@ -45,6 +47,8 @@
 # Bytes of a head with the interim responses before it, and between two parts
 # of a body: chunk sizes with their extensions, and trailers.
 MAX_HEAD_BYTES = 64 << 10
+# Shorter bodies do not count among the bytes that receivers keep.
+MIN_COUNTED_BYTES = 16 << 10
 # Bytes of bodies that belong to other requests.
 MAX_SKIPPED_BYTES = 16 << 20
 #: Reasons of failures: the response may be that to an earlier request.
@@ -59,6 +63,10 @@
     def max_body_bytes(self) -> int:
         """Bytes of the body after which the response is cut off."""
 
+    @property
+    def keeps_body(self) -> bool:
+        """Whether the body is kept until its end, and not passed on."""
+
     def is_named_in(self, head: messages.ResponseHead) -> bool:
         """Return whether a head names a request.
 
@@ -104,6 +112,11 @@
         # one is rejected as it may answer an earlier request.
         self.on_oversized: Callable[[], None] = lambda: None
         self.on_unidentified: Callable[[], None] = lambda: None
+        # Called with the channel and the bytes that its receiver keeps.
+        self.on_kept: Callable[[ClientChannel, int], None] = (
+            lambda channel, size: None
+        )
+        self._kept_bytes = 0
         self._receiver: ResponseReceiver | None = None
         self._written = False
         self._notice: write_notice.WriteNotice | None = None
@@ -157,6 +170,7 @@
     def cancel(self) -> None:
         """Abandon the request in flight and close the channel."""
         self._receiver = None
+        self._release_body()
         self._abort()
 
     def close(self) -> None:
@@ -177,9 +191,11 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as problem:
             if not self._response_complete:
+                self._deliver_body()
                 self._fail(f'malformed answer: {problem}', malformed=True)
                 return
             self._keep_alive = False
+        self._deliver_body()
         if self._receiver is None:
             return
         excess = self._find_excess(self._receiver)
@@ -187,8 +203,7 @@
             self.on_unidentified()
             self._fail(self._doubt, malformed=True)
         elif excess:
-            self.on_oversized()
-            self._fail(excess, malformed=True, oversized=True)
+            self.cut_off(excess)
         elif self._response_complete:
             self._complete()
 
@@ -268,7 +283,7 @@
             self._head_bytes = 0
             self._body_bytes += len(data)
             if self._body_bytes <= self._receiver.max_body_bytes:
-                self._receiver.body_received(data)
+                self._read_body += data
 
     def on_message_complete(self) -> None:
         if self._parser.get_status_code() < 200:
@@ -281,6 +296,35 @@
             # parsed, since surplus data makes the channel unusable.
             self._response_complete = True
 
+    def cut_off(self, reason: str) -> None:
+        """Fail the response in progress, as it takes too much memory."""
+        if self._receiver is not None:
+            self.on_oversized()
+            self._fail(reason, malformed=True, oversized=True)
+
+    def _deliver_body(self) -> None:
+        """Give the receiver the part of the body that a read has brought."""
+        if not self._read_body:
+            return
+        data = bytes(self._read_body)
+        self._read_body.clear()
+        if self._receiver is None:
+            return
+        self._receiver.body_received(data)
+        if (
+            self._receiver is not None
+            and self._body_bytes >= MIN_COUNTED_BYTES
+            and self._receiver.keeps_body
+        ):
+            self._kept_bytes = self._body_bytes
+            self.on_kept(self, self._kept_bytes)
+
+    def _release_body(self) -> None:
+        """Tell that the receiver keeps nothing for this channel any more."""
+        if self._kept_bytes:
+            self._kept_bytes = 0
+            self.on_kept(self, 0)
+
     def _find_excess(self, receiver: ResponseReceiver) -> str:
         """Return which limit the response exceeds, empty if none."""
         if self._body_bytes > receiver.max_body_bytes:
@@ -297,6 +341,7 @@
     def _complete(self) -> None:
         receiver = self._receiver
         self._receiver = None
+        self._release_body()
         if receiver is None:
             return
         is_writing = self._notice is not None and self._notice.is_pending
@@ -315,6 +360,7 @@
     ) -> None:
         receiver = self._receiver
         self._receiver = None
+        self._release_body()
         self._abort()
         if not self._was_answered:
             self.on_unanswered()
@@ -341,6 +387,8 @@
         # Bytes that arrived since the last part of a body, about.
         self._head_bytes = 0
         self._body_bytes = 0
+        # Part of the body that the present read has brought.
+        self._read_body = bytearray()
         self._skipped_bytes = 0
         self._body_until_close = False
         self._response_complete = False
--- a/walnutport/http1/server.py
+++ b/walnutport/http1/server.py
@@ -12,6 +12,7 @@
 import httptools
 from twisted.internet import protocol
 
+from walnutport.http1 import body_buffer
 from walnutport.http1 import messages
 from walnutport.http1 import write_notice
 from walnutport.world import routes
@@ -257,15 +258,14 @@
 
     def on_message_begin(self) -> None:
         self._in_headers = True
-        self._url: list[bytes] = []
+        self._url = b''
         self._headers: messages.Headers = []
-        self._body: list[bytes] = []
-        self._body_size = 0
+        self._body = body_buffer.BodyBuffer()
         if self.active is None:
             self._start_timer(self.site.limits().header_s)
 
     def on_url(self, url: bytes) -> None:
-        self._url.append(url)
+        self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         # Trailers follow the body and must not be taken for headers.
@@ -303,11 +303,10 @@
     def on_body(self, data: bytes) -> None:
         if self._discarding:
             return
-        self._body_size += len(data)
-        if self._body_size > self.site.limits().body_bytes:
+        if len(self._body) + len(data) > self.site.limits().body_bytes:
             self._reject(413)
             return
-        self._body.append(data)
+        self._body.add(data)
 
     def on_message_complete(self) -> None:
         self._in_body = False
@@ -316,13 +315,12 @@
         request = ServerRequest(
             self,
             self._parser.get_method(),
-            b''.join(self._url),
+            self._url,
             self._headers,
-            b''.join(self._body),
+            self._body.take(),
             self._parser.should_keep_alive(),
             self._request_started_at,
         )
-        self._body = []
         if self.active is None:
             self._handle(request)
         elif len(self._pipelined) < MAX_PIPELINED:
