Search each byte of an unfinished event once

Callers of review/2 got the answers to 200 of 206 late payments, at another service, more than half a second after their timeout of 2 s, or not at all: one stream that goes on inside an event, in chunks of two bytes, held up the whole host, its timers and its readiness checks.

Cause: EventRelay.feed copied the unfinished event, and searched it from its begin, for each piece that the parser delivered. Up to the limit of 256 KiB this took time in proportion to the square of its length; one read of 64 KiB held 9,000 pieces, and the loop did nothing else meanwhile. The relay of the own interface did the same up to 1 MiB, and its connection to an engine joined the pieces of a read one by one.

Change: EventBuffer keeps one growing buffer and searches only what is new; both relays use it. walnutport_loop_lag_peak_seconds shows the longest callback of the last 30 s, which the mean of walnutport_loop_lag_seconds hides.

--- a/tests/relay/test_resumable.py
+++ b/tests/relay/test_resumable.py
@@ -24,7 +24,7 @@
         start += cut
     passed += relay.feed(data[start:])
     assert passed == data
-    assert not relay.has_gap and not relay.partial
+    assert not relay.has_gap and not relay.has_partial
 
 
 def test_resumed_stream_has_no_duplicate_events():
--- a/walnutport/adapters/engine_client.py
+++ b/walnutport/adapters/engine_client.py
@@ -160,7 +160,7 @@
         self._on_sent = on_sent
         self._parser = httptools.HttpResponseParser(self)
         self._headers: dict[str, str] = {}
-        self._body = b''
+        self._body = bytearray()
         self._streaming = False
         self.finished: defer.Deferred[stage_client.StageReply] = (
             defer.Deferred()
@@ -193,8 +193,7 @@
             self._fail(exceptions.AttemptLost(f'malformed answer: {error}'))
             return
         if self._body and self._streaming:
-            body, self._body = self._body, b''
-            self._relay(body)
+            self._relay_body()
 
     def connectionLost(self, reason) -> None:  # noqa: N802
         """Fail the attempt unless it is finished."""
@@ -230,13 +229,12 @@
     def on_body(self, body: bytes) -> None:
         """Collect body bytes, those of an error response up to a limit."""
         if self._streaming or len(self._body) < _MAX_ERROR_DETAIL_BYTES:
-            self._body = self._body + body if self._body else body
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Fail an attempt whose response ended without its last event."""
         if self._streaming:
-            body, self._body = self._body, b''
-            self._relay(body)
+            self._relay_body()
             self._fail(
                 exceptions.AttemptLost('stream ended before its last event')
             )
@@ -247,7 +245,10 @@
         status = self._parser.get_status_code()
         self._fail(exceptions.TargetRefused(detail, status))
 
-    def _relay(self, body: bytes) -> None:
+    def _relay_body(self) -> None:
+        """Relay the complete events of the body so far."""
+        body = bytes(self._body)
+        self._body.clear()
         if self.finished.called:
             return
         attempt_stream = self._attempt_stream
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -521,7 +521,7 @@
         lag_s = max(0.0, now - self._tick_due_at)
         self._tick_due_at = now + TICK_INTERVAL_S
         self._reactor.callLater(TICK_INTERVAL_S, self._tick)
-        if self._lag_monitor.add_sample(lag_s):
+        if self._lag_monitor.add_sample(lag_s, now):
             self.log.notable(
                 'fit' if self._lag_monitor.accepts_peer_work else 'unfit',
                 lag_s=round(self._lag_monitor.lag_s, 3),
--- a/walnutport/gateway/operations/host_status.py
+++ b/walnutport/gateway/operations/host_status.py
@@ -145,6 +145,7 @@
             ),
             'targets_unreachable': float(self._path.is_cut),
             'loop_lag_seconds': self._lag_monitor.lag_s,
+            'loop_lag_peak_seconds': self._lag_monitor.peak_s(now),
             'responses_kept_bytes': self._pool.kept_bytes,
             **self._reports.gauges(),
             **self._cold.gauges(),
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -257,7 +257,7 @@
         if self._streaming:
             request = self._call.request
             if (
-                self._relay.partial
+                self._relay.has_partial
                 or not request.head_sent
                 or self._relay.lacks_continuation
             ):
--- a/walnutport/relay/resumable.py
+++ b/walnutport/relay/resumable.py
@@ -11,6 +11,8 @@
 such as an error.
 """
 
+from walnutport.relay import event_buffer
+
 __all__ = ['EventRelay', 'MAX_EVENT_BYTES']
 
 # An event holds some tokens; without a limit, one without end would be kept.
@@ -18,8 +20,6 @@
 # A number with more digits is no count of events.
 MAX_ID_DIGITS = 12
 
-_EVENT_END = b'\n\n'
-
 
 class EventRelay:
     """Splits the bytes of one or more runs into complete events.
@@ -32,7 +32,7 @@
     def __init__(self, last_id: int | None = None) -> None:
         self.last_id = last_id
         self.events = 0
-        self._partial = b''
+        self._partial = event_buffer.EventBuffer()
         self._gap = False
         self._media_type = b''
         self._has_forwarded = False
@@ -60,9 +60,9 @@
         return len(self._partial) > MAX_EVENT_BYTES
 
     @property
-    def partial(self) -> bytes:
-        """Bytes after the last complete event."""
-        return self._partial
+    def has_partial(self) -> bool:
+        """Whether bytes have come after the last complete event."""
+        return len(self._partial) > 0
 
     def begin_run(self, media_type: bytes) -> bool:
         """Begin the next run; return False if it cannot belong to the stream.
@@ -73,7 +73,7 @@
             self._media_type = media_type
         elif media_type != self._media_type:
             return False
-        self._partial = b''
+        self._partial.clear()
         self._gap = False
         self._events_before_run = self.events
         self._continues = not self.events
@@ -82,26 +82,19 @@
 
     def discard_partial(self) -> None:
         """Discard the incomplete event of a run that failed."""
-        self._partial = b''
+        self._partial.clear()
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the complete events to forward.
 
         Nothing behind a gap is returned.
         """
-        data = self._partial + data
+        self._partial.add(data)
         forwarded = []
-        start = 0
-        while not self._gap:
-            end = data.find(_EVENT_END, start)
-            if end < 0:
-                break
-            event = data[start : end + 2]
-            start = end + 2
+        while not self._gap and (event := self._partial.take()) is not None:
             if self._accept(event):
                 forwarded.append(event)
                 self.events += not _is_comment(event)
-        self._partial = data[start:]
         self._has_forwarded |= bool(forwarded)
         return b''.join(forwarded)
 
--- a/walnutport/relay/stream.py
+++ b/walnutport/relay/stream.py
@@ -10,6 +10,7 @@
 import dataclasses
 
 from walnutport import exceptions
+from walnutport.relay import event_buffer
 from walnutport.relay import framing
 
 __all__ = ['AttemptStream', 'StreamCounters', 'StreamSession']
@@ -85,7 +86,7 @@
 
     def __init__(self, session: StreamSession) -> None:
         self._session = session
-        self._buffer = b''
+        self._buffer = event_buffer.EventBuffer()
         self._closed = False
         self.error = ''
         self.repeated_events = 0
@@ -95,12 +96,10 @@
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes from the target and return those to forward."""
-        if self._buffer:
-            data = self._buffer + data
-            self._buffer = b''
         session = self._session
         if (
-            session.is_owner(self)
+            not self._buffer
+            and session.is_owner(self)
             and data.startswith(b'id: %d\ndata: ' % session.next_event)
             and data.find(framing.EVENT_END) == len(data) - 2
         ):
@@ -112,25 +111,23 @@
     def close(self) -> None:
         """End the attempt; events that arrive later are dropped."""
         self._closed = True
-        self._buffer = b''
+        self._buffer.clear()
         self._session.release(self)
 
     def _feed_events(self, data: bytes) -> bytes:
+        self._buffer.add(data)
         forwarded: list[bytes] = []
-        start = 0
-        while not self.is_over():
-            end = data.find(framing.EVENT_END, start)
-            if end < 0:
-                break
-            end += len(framing.EVENT_END)
-            event = data[start:end]
-            start = end
+        while (
+            not self.is_over() and (event := self._buffer.take()) is not None
+        ):
             if self._accept(event):
                 forwarded.append(event)
         if self.is_over():
-            self._count_dropped(data, start)
-        else:
-            self._set_buffer(data[start:])
+            self.abandoned_events += self._buffer.count_events()
+            self._buffer.clear()
+        elif len(self._buffer) > _MAX_EVENT_BYTES:
+            self.error = f'incomplete event exceeds {_MAX_EVENT_BYTES} bytes'
+            self._buffer.clear()
         return b''.join(forwarded)
 
     def is_over(self) -> bool:
@@ -178,12 +175,3 @@
         self.abandoned_events += 1
         self.error = 'another attempt owns the stream'
         return False
-
-    def _set_buffer(self, data: bytes) -> None:
-        if len(data) > _MAX_EVENT_BYTES:
-            self.error = f'incomplete event exceeds {_MAX_EVENT_BYTES} bytes'
-            return
-        self._buffer = data
-
-    def _count_dropped(self, data: bytes, start: int) -> None:
-        self.abandoned_events += data.count(framing.EVENT_END, start)
