Quarantine contents by what their targets' crashes tell, and probe them

Callers of review/5 whose streams two crashing engines had cut off took them up at another host and were refused, 19 of 19, with all new streams served beside; whoever sent the same content was refused for an hour.

Cause: a death counts against every content in flight at the target, and two deaths quarantined a content on all hosts. A stream that moves to another engine as its first one crashes is in flight at two deaths by chance if that one crashes as well. Only a success cleared a content, and a refused one could have none: parts of prompts have probes, contents had not.

Evidence: the hosts of the case log each refusal as quarantined, and `suspect` lines with the two deaths of the pair for many contents at once. test_stream_under_two_crashes_is_taken_up and test_refused_content_tells_when_it_is_probed fail on the code before.

Change: a rule (quarantine/content_rule.py) decides. On a platform three deaths without a success quarantine a content, or four if targets that did not run it died within 10 s of the last one, which shows that they die of something else. A quarantined content is probed 0.5 s after its last death, then 30 s, 2 min and 8 min after probes that failed; a probe is told to the peers, and its success clears the content everywhere. Refused callers are told when the next probe is due. The own interface keeps two deaths and no probes, as its contract says.

--- a/tests/gateway/targets/test_forwarding.py
+++ b/tests/gateway/targets/test_forwarding.py
@@ -1,11 +1,16 @@
 """Tests of which targets a request may be sent to, and how often."""
 
+import dataclasses
+import time
+import types
+
 import pytest
 
 from tests.gateway import call_builders
 from tests.gateway import fake_host
 from walnutport.gateway.entry import calls
 from walnutport.gateway.targets import attempts
+from walnutport.gateway.targets import forwarding
 
 
 @pytest.fixture
@@ -83,3 +88,39 @@
     host.send(call, 503)
     placed = host.log.fields_of('placed')
     assert [fields['attempt'] for fields in placed] == [1, 2]
+
+
+def implicate(
+    host: fake_host.FakeHost, call: calls.CallerCall, *target_ids: str
+) -> None:
+    """Let targets die one after the other while they run a request."""
+    for target_id in target_ids:
+        now = time.monotonic()
+        table = host.forwarder._suspects
+        table.attempt_started(call.digest, target_id, target_id, now)
+        table.target_died(target_id, now)
+        table.attempt_finished(target_id, False, now)
+
+
+def test_stream_under_two_crashes_is_taken_up(host):
+    """Guards against streams of crashed targets that all hosts refuse."""
+    call = staged_call(max_targets=3)
+    implicate(host, call, 'llm-1', 'llm-2')
+    assert host.forwarder.admit(call)
+
+
+def test_refused_content_tells_when_it_is_probed(host, monkeypatch):
+    """Guards against a content that is refused for good."""
+    call = staged_call(max_targets=3)
+    implicate(host, call, 'llm-1', 'llm-2', 'llm-3')
+    assert not host.forwarder.admit(call)
+    delay_s = host.forwarder.content_delay_s(call)
+    assert 0 < delay_s < 1
+    later = types.SimpleNamespace(monotonic=lambda: time.monotonic() + delay_s)
+    monkeypatch.setattr(forwarding, 'time', later)
+    assert host.forwarder.admit(call)
+    other = staged_call(max_targets=3)
+    other.fields = dataclasses.replace(other.fields, request_id='id-2')
+    assert not host.forwarder.admit(other)
+    host.forwarder.end_probe(call)
+    assert host.forwarder.admit(other)
--- a/walnutport/gateway/entry/unserved_calls.py
+++ b/walnutport/gateway/entry/unserved_calls.py
@@ -140,7 +140,7 @@
         self._responder.refuse(
             call,
             'quarantined',
-            decision.retry_after_s or call.time_left_s(),
+            max(decision.retry_after_s, self._forwarder.content_delay_s(call)),
             part=decision.blocked_by,
             deaths=decision.deaths,
         )
--- a/walnutport/gateway/operations/events.py
+++ b/walnutport/gateway/operations/events.py
@@ -345,8 +345,9 @@
     ),
     Event(
         'suspect',
-        'a request may have crashed a target, or was cleared of that',
-        ('digest', 'deaths', 'cleared'),
+        'a request may have crashed a target, was cleared of that, or is '
+        'probed',
+        ('digest', 'deaths', 'cleared', 'probe_s'),
     ),
     Event(
         'suspects_untold',
@@ -472,6 +473,12 @@
         'an attempt at a target starts',
         ('id', 'target', 'version', 'attempt', 'left_s', 'load'),
     ),
+    Event(
+        'content_probe',
+        'the request is sent although its content is quarantined, to learn '
+        'whether it still crashes targets',
+        ('id', 'digest'),
+    ),
     Event(
         'part_probe',
         'the request is sent although parts of its prompt are quarantined, to '
--- a/walnutport/gateway/peers/suspect_exchange.py
+++ b/walnutport/gateway/peers/suspect_exchange.py
@@ -13,6 +13,7 @@
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.peer import fleet_messages
+from walnutport.quarantine import content_rule
 from walnutport.quarantine import prompt_parts
 from walnutport.quarantine import suspects
 from walnutport.quarantine import suspicion
@@ -64,7 +65,9 @@
         # Reports of this host on crashes, with their times.
         self._reported: list[tuple[float, suspicion.SuspectReport]] = []
         self._reported_parts: list[tuple[float, prompt_parts.PartReport]] = []
-        self.table = suspects.SuspectTable(self._publish)
+        self.table = suspects.SuspectTable(
+            self._publish, content_rule.PROBED_RULE
+        )
         self.parts = prompt_parts.PartTable(self._publish_parts)
         self._handover = suspect_handover.SuspectHandover(
             reactor, log, mesh, self.table, self.parts
@@ -81,7 +84,7 @@
         """
         now = time.monotonic()
         report = suspicion.SuspectReport(
-            message.digest, message.deaths, message.cleared
+            message.digest, message.deaths, message.cleared, message.probe_s
         )
         is_new = self.table.merge(report, now, message.age_s)
         if is_new and self._mesh.is_partial:
@@ -226,7 +229,7 @@
         self.parts.attempt_finished(attempt_id, False, now)
 
     def _publish(self, message: suspicion.SuspectReport) -> None:
-        if not message.cleared:
+        if message.deaths and not message.cleared:
             self._reported = [
                 *self._reported[-MAX_RECENT_REPORTS:],
                 (time.monotonic(), message),
@@ -236,6 +239,7 @@
             digest=message.digest.hex(),
             deaths=message.deaths,
             cleared=message.cleared,
+            probe_s=message.probe_s,
         )
         self._mesh.broadcast(suspect_handover.crash_message(message))
 
--- a/walnutport/gateway/peers/suspect_handover.py
+++ b/walnutport/gateway/peers/suspect_handover.py
@@ -121,5 +121,9 @@
     :param age_s: time since this host has heard anything new of the content.
     """
     return fleet_messages.CrashReport(
-        report.digest, tuple(report.deaths), report.cleared, age_s
+        report.digest,
+        tuple(report.deaths),
+        report.cleared,
+        age_s,
+        report.probe_s,
     )
--- a/walnutport/gateway/targets/forwarding.py
+++ b/walnutport/gateway/targets/forwarding.py
@@ -12,7 +12,6 @@
 from walnutport.quarantine import part_decision
 from walnutport.quarantine import prompt_parts
 from walnutport.quarantine import suspects
-from walnutport.quarantine import suspicion
 from walnutport.relay import resumable
 from walnutport.retries import retry_eligibility
 from walnutport.retries import window_budget
@@ -83,13 +82,17 @@
         ] = {}
 
     def is_quarantined(self, call: calls.CallerCall) -> bool:
-        """Return whether the content is suspected to crash its targets."""
-        now = time.monotonic()
-        state = self._suspects.state(call.digest, now)
-        return state is suspicion.SuspicionState.QUARANTINED or bool(
+        """Return whether a request may not be sent, by its content."""
+        return self.content_delay_s(call) > 0 or bool(
             self.check_parts(call).blocked_by
         )
 
+    def content_delay_s(self, call: calls.CallerCall) -> float:
+        """Return the time until the content as a whole may be sent."""
+        return self._suspects.probe_delay_s(
+            call.digest, call.request_id, time.monotonic()
+        )
+
     def check_parts(
         self, call: calls.CallerCall
     ) -> part_decision.PartDecision:
@@ -106,6 +109,12 @@
         """
         if self.is_quarantined(call):
             return False
+        if self._suspects.begin_probe(
+            call.digest, call.request_id, time.monotonic()
+        ):
+            self._log.notable(
+                'content_probe', id=call.request_id, digest=call.digest.hex()
+            )
         probes = self.check_parts(call).probes
         if set(probes) - set(call.probed_parts):
             call.probed_parts = probes
@@ -115,6 +124,7 @@
 
     def end_probe(self, call: calls.CallerCall) -> None:
         """Record the end of a request, which may have been a probe."""
+        self._suspects.end_probe(call.digest, call.request_id)
         self._parts.end_probe(
             call.request_id, call.probed_parts, time.monotonic()
         )
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -215,12 +215,15 @@
     :param deaths: identifiers (target id and incarnation) of the crashes.
     :param cleared: whether the content has since completed.
     :param age_s: time since the sender has heard anything new of the content.
+    :param probe_s: time for which a probe of the content is under way; 0 if
+        the report is on deaths. Earlier builds ignore it.
     """
 
     digest: bytes
     deaths: tuple[str, ...]
     cleared: bool
     age_s: float = 0.0
+    probe_s: float = 0.0
 
 
 class PartReports(msgspec.Struct, frozen=True, tag='parts'):
--- a/walnutport/quarantine/crash_evidence.py
+++ b/walnutport/quarantine/crash_evidence.py
@@ -45,6 +45,17 @@
         """Return the ids of the deaths that no success has cleared."""
         return tuple(sorted(self.deaths.keys() - self.cleared.keys()))
 
+    def last_death_at(self) -> float:
+        """Return when the last uncleared death happened, 0 without one."""
+        return max(
+            (
+                died_at
+                for death, died_at in self.deaths.items()
+                if death not in self.cleared
+            ),
+            default=0.0,
+        )
+
     def cleared_among(self, deaths: Iterable[str]) -> tuple[str, ...]:
         """Return those of some deaths that a success has cleared."""
         return tuple(death for death in deaths if death in self.cleared)
--- a/walnutport/quarantine/suspects.py
+++ b/walnutport/quarantine/suspects.py
@@ -3,13 +3,17 @@
 Each content has two sets of death ids: target deaths during which it was in
 flight, and those that a later success cleared. Both sets only grow until the
 entry expires, so records may arrive late, repeatedly or in any order. Content
-is suspect after one uncleared death and quarantined after two.
+is suspect after one uncleared death; a rule says when it is quarantined, and
+when a request with it may be sent all the same, as a probe. A success of the
+probe clears it, and each failed one makes the next one rarer.
 """
 
 import collections
 from collections.abc import Callable
 import dataclasses
+import math
 
+from walnutport.quarantine import content_rule
 from walnutport.quarantine import crash_evidence
 from walnutport.quarantine import suspicion
 
@@ -17,7 +21,12 @@
 
 MAX_ENTRIES = 10_000
 ENTRY_TTL_S = 3_600.0
-QUARANTINE_DEATHS = 2
+# Deaths of any targets whose times are kept, to tell a content that crashes
+# its targets from those that run on targets as they crash.
+MAX_RECENT_DEATHS = 200
+# A probe whose outcome is unknown after this time, as its host was lost, no
+# longer prevents the next one.
+PROBE_TIMEOUT_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,10 +42,24 @@
     is_repeat: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Probe:
+    """Probe of a quarantined content.
+
+    :param request_id: request of this host that probes it; empty if it is one
+        of another host.
+    :param until: end of the time in which it prevents the next one.
+    """
+
+    request_id: str
+    until: float
+
+
 class SuspectTable:
     """Suspicion state of contents; see ``interfaces.Quarantine``.
 
     :param publish: called with each message for the other hosts.
+    :param rule: when contents are quarantined and probed.
     """
 
     def __init__(
@@ -44,8 +67,14 @@
         publish: Callable[[suspicion.SuspectReport], None] = lambda message: (
             None
         ),
+        rule: content_rule.ContentRule = content_rule.FINAL_RULE,
     ) -> None:
         self.publish = publish
+        self._rule = rule
+        self._probe_by_digest: dict[bytes, _Probe] = {}
+        self._recent_deaths: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
         # Called with the digest when the entry of quarantined content changes.
         self.on_quarantined: Callable[[bytes], None] = lambda digest: None
         self._entries: collections.OrderedDict[
@@ -60,12 +89,66 @@
     def state(self, digest: bytes, now: float) -> suspicion.SuspicionState:
         """Return the suspicion state of a digest."""
         entry = self._find(digest, now)
-        deaths = len(entry.uncleared_deaths()) if entry else 0
-        if deaths >= QUARANTINE_DEATHS:
-            return suspicion.SuspicionState.QUARANTINED
-        if deaths:
-            return suspicion.SuspicionState.SUSPECT
-        return suspicion.SuspicionState.CLEAR
+        return (
+            suspicion.SuspicionState.CLEAR
+            if entry is None
+            else self._state(entry)
+        )
+
+    def probe_delay_s(
+        self, digest: bytes, request_id: str, now: float
+    ) -> float:
+        """Return the time until a request with a content may be sent.
+
+        :param request_id: id of the request, which may be a probe already.
+        :returns: 0 if it may be now, ``math.inf`` if its quarantine has no
+            probes.
+        """
+        entry = self._find(digest, now)
+        if (
+            entry is None
+            or self._state(entry) is not suspicion.SuspicionState.QUARANTINED
+        ):
+            return 0.0
+        if not self._rule.probe_delays_s:
+            return math.inf
+        due_at = self._rule.next_probe_at(
+            entry.uncleared_count(), entry.last_death_at()
+        )
+        probe = self._probe_by_digest.get(digest)
+        if probe is not None:
+            if probe.request_id == request_id:
+                return 0.0
+            due_at = max(due_at, probe.until)
+        return max(0.0, due_at - now)
+
+    def begin_probe(self, digest: bytes, request_id: str, now: float) -> bool:
+        """Reserve the probe of a quarantined content for a request.
+
+        :returns: whether the request is a probe from now on.
+        """
+        entry = self._find(digest, now)
+        probe = self._probe_by_digest.get(digest)
+        if (
+            entry is None
+            or self._state(entry) is not suspicion.SuspicionState.QUARANTINED
+            or probe is not None
+            and probe.request_id == request_id
+        ):
+            return False
+        self._probe_by_digest[digest] = _Probe(
+            request_id, now + PROBE_TIMEOUT_S
+        )
+        self.publish(
+            suspicion.SuspectReport(digest, (), probe_s=PROBE_TIMEOUT_S)
+        )
+        return True
+
+    def end_probe(self, digest: bytes, request_id: str) -> None:
+        """Record the end of a request, which may have been a probe."""
+        probe = self._probe_by_digest.get(digest)
+        if probe is not None and probe.request_id == request_id:
+            del self._probe_by_digest[digest]
 
     def digests_by_state(
         self, now: float
@@ -79,13 +162,9 @@
             suspicion.SuspicionState.QUARANTINED: [],
         }
         for digest, entry in reversed(self._entries.items()):
-            deaths = len(entry.uncleared_deaths())
-            if not deaths or now - entry.updated_at >= ENTRY_TTL_S:
-                continue
-            if deaths >= QUARANTINE_DEATHS:
-                digests[suspicion.SuspicionState.QUARANTINED].append(digest)
-            else:
-                digests[suspicion.SuspicionState.SUSPECT].append(digest)
+            state = self._state(entry)
+            if state in digests and now - entry.updated_at < ENTRY_TTL_S:
+                digests[state].append(digest)
         return digests
 
     def digests_to_tell(self, now: float) -> list[bytes]:
@@ -221,6 +300,8 @@
         """
         if age_s >= ENTRY_TTL_S:
             return False
+        if message.probe_s:
+            return self._merge_probe(message, now)
         told_at = now - age_s
         entry = self._find(message.digest, now)
         if entry is None:
@@ -234,10 +315,50 @@
                 is_changed |= entry.clear(death, told_at)
             else:
                 is_changed |= entry.add_death(death, told_at, told_at)
-        if is_changed and len(entry.uncleared_deaths()) >= QUARANTINE_DEATHS:
+                self._record_death(death, told_at)
+        if (
+            is_changed
+            and self._state(entry) is suspicion.SuspicionState.QUARANTINED
+        ):
             self.on_quarantined(message.digest)
         return is_changed
 
+    def _merge_probe(
+        self, message: suspicion.SuspectReport, now: float
+    ) -> bool:
+        """Merge the report of a probe; return whether it is new."""
+        probe = self._probe_by_digest.get(message.digest)
+        if probe is not None and probe.until > now:
+            return False
+        # Those of other hosts end by time.
+        for digest, found in list(self._probe_by_digest.items()):
+            if found.until <= now and not found.request_id:
+                del self._probe_by_digest[digest]
+        self._probe_by_digest[message.digest] = _Probe(
+            '', now + min(message.probe_s, PROBE_TIMEOUT_S)
+        )
+        return True
+
+    def _record_death(self, death: str, died_at: float) -> None:
+        """Keep the time of a death, whatever was in flight at it."""
+        if death in self._recent_deaths:
+            return
+        self._recent_deaths[death] = died_at
+        if len(self._recent_deaths) > MAX_RECENT_DEATHS:
+            self._recent_deaths.popitem(last=False)
+
+    def _state(
+        self, entry: crash_evidence.CrashEvidence
+    ) -> suspicion.SuspicionState:
+        deaths = entry.uncleared_deaths()
+        if not deaths:
+            return suspicion.SuspicionState.CLEAR
+        if self._rule.is_quarantined(
+            deaths, entry.last_death_at(), self._recent_deaths
+        ):
+            return suspicion.SuspicionState.QUARANTINED
+        return suspicion.SuspicionState.SUSPECT
+
     def _make_room(self, message: suspicion.SuspectReport) -> bool:
         """Make room for an entry; return whether it may be added.
 
--- a/walnutport/quarantine/suspicion.py
+++ b/walnutport/quarantine/suspicion.py
@@ -21,8 +21,11 @@
     :param digest: digest of the content.
     :param deaths: identifiers (target id and incarnation) of the crashes.
     :param cleared: whether the content has since completed.
+    :param probe_s: time for which a probe of the content is under way; 0 if
+        the report is on deaths.
     """
 
     digest: bytes
     deaths: tuple[str, ...]
     cleared: bool = False
+    probe_s: float = 0.0
