Take streams before the end of a host by the longest recent ones

Cause: a stopping host takes a request whose expected end lies before its own. The forecast was a mean and two mean deviations, for streams of one route whose lengths differ by a factor of ten; a host that has just started has a few measurements, which it trusted as it trusts many; and streams that are cut off never counted. Nothing was asked again when the first event came late.

Change: the forecast is the longest of the last 64 durations and a margin that grows with their deviation and falls with their number; with few of them, the initial value counts as one more. A stream that is broken off counts if it had lasted longer than expected. Before the first event of a stream is forwarded, the rest is compared with what is left once more; a stream that does not fit and may be repeated gets 502, so that its caller repeats it elsewhere instead of being cut off. All requests before a stop use this, streams and others.

--- a/tests/gateway/entry/test_remaining_time.py
+++ b/tests/gateway/entry/test_remaining_time.py
@@ -122,3 +122,15 @@
     )
     remaining.answered(old, 5.0)
     assert remaining.expected_s(new, new.arrived_at) >= 5.0
+
+
+def test_stream_that_was_broken_off_shows_how_long_it_takes(remaining):
+    """Guards against a forecast by the streams that ended in time only."""
+    call = call_builders.caller_call(call_builders.stream_route(stages=()))
+    call.first_event_at = call.arrived_at
+    for _ in range(50):
+        remaining.stream_ended(call, call.arrived_at + 0.5)
+    remaining.stream_broken_off(call, call.arrived_at + 0.2)
+    assert remaining.events_s(call) < 1.0
+    remaining.stream_broken_off(call, call.arrived_at + 3.0)
+    assert remaining.events_s(call) > 3.0
--- a/tests/gateway/entry/test_stopping.py
+++ b/tests/gateway/entry/test_stopping.py
@@ -118,3 +118,31 @@
     call = call_builders.caller_call()
     host.serve(call, 200)
     assert call.outcome == 'streamed'
+
+
+def test_stream_whose_first_event_comes_too_late_is_not_begun(host):
+    """Guards against streams that begin late and are cut off.
+
+    Its caller is answered while it may still repeat the request elsewhere.
+    """
+    host.on_response = lambda: end_soon(host)
+    call = call_builders.caller_call(call_builders.stream_route(stages=()))
+    host.serve(call, 200)
+    assert call.request.status == 502 and not call.request.head_sent
+    assert call.request.response_ended and len(call.targets) == 1
+    (check,) = [
+        fields
+        for fields in host.log.fields_of('stop_checked')
+        if fields['place'] == 'first_event'
+    ]
+    assert not check['fits']
+
+
+def test_late_stream_that_may_not_be_repeated_goes_on(host):
+    """Guards against the loss of a stream that may run once only."""
+    host.on_response = lambda: end_soon(host)
+    call = call_builders.caller_call(
+        call_builders.stream_route(stages=(), resumable=False)
+    )
+    host.serve(call, 200)
+    assert call.outcome == 'streamed'
--- a/tests/gateway/fake_host.py
+++ b/tests/gateway/fake_host.py
@@ -43,11 +43,16 @@
 
     ended_by_close = False
     request_count = 1
+    is_cancelled = False
 
     def __init__(self, status: int, on_response) -> None:
         self._status = status
         self._on_response = on_response
 
+    def cancel(self) -> None:
+        """Deliver nothing more."""
+        self.is_cancelled = True
+
     def send(self, data, receiver, on_free) -> None:
         self._on_response()
         if not self._status:
@@ -64,7 +69,8 @@
         )
         if ran:
             receiver.body_received(platform_target.event_bytes(1))
-        receiver.finished()
+        if not self.is_cancelled:
+            receiver.finished()
 
 
 class FakeStages:
@@ -263,6 +269,7 @@
             ),
             lambda call: True,
             lambda call: self.stop.can_end(call, stop_decisions.Place.SEND),
+            lambda call: self.stop.can_deliver(call),
             eligibility.Eligibility(),
             lambda target, permit: True,
         )
--- a/tests/routing/test_durations.py
+++ b/tests/routing/test_durations.py
@@ -54,3 +54,32 @@
     assert forecast.expected_s('chat') < 2.0
     forecast.observe('chat', 9.0)
     assert forecast.expected_s('chat') > 9.0
+
+
+@pytest.mark.parametrize('count', [1, 3, 10])
+def test_few_measurements_leave_a_margin(count):
+    """Guards against a host that has just started and stops again.
+
+    It has seen some short durations of a name whose long ones take ten times
+    as long, and takes what it will cut off.
+    """
+    rng = random.Random(1)
+    below = 0
+    for _ in range(400):
+        forecast = durations.DurationForecast(0.5)
+        for _ in range(count):
+            forecast.observe('report', rng.uniform(0.2, 2.0))
+        below += rng.uniform(0.2, 2.0) <= forecast.expected_s('report')
+    assert below / 400 >= 0.9
+
+
+def test_broken_off_duration_counts_if_it_was_longer():
+    """Guards against the longest streams, cut off, that never count."""
+    forecast = durations.DurationForecast(1.0)
+    for _ in range(50):
+        forecast.observe('report', 1.0)
+    before_s = forecast.expected_s('report')
+    forecast.observe_unfinished('report', 0.5)
+    assert forecast.expected_s('report') == before_s
+    forecast.observe_unfinished('report', 3.0)
+    assert forecast.expected_s('report') > 3.0
--- a/walnutport/gateway/entry/remaining_time.py
+++ b/walnutport/gateway/entry/remaining_time.py
@@ -40,7 +40,7 @@
         self._plain = durations.DurationForecast(INITIAL_PLAIN_S)
 
     def expected_s(self, call: calls.CallerCall, now: float) -> float:
-        """Return the time in which the response will most likely be complete.
+        """Return the time in which the response is all but sure to complete.
 
         :param now: present time of the monotonic clock.
         :returns: at most the time until the deadline of the request, which
@@ -81,6 +81,16 @@
                 call.service,
             )
 
+    def stream_broken_off(self, call: calls.CallerCall, now: float) -> None:
+        """Add the time after which a stream that has begun was broken off."""
+        if call.first_event_at and not call.continues:
+            self._streams.observe_unfinished(
+                call.route.name,
+                now - call.first_event_at,
+                _output_tokens(call),
+                call.service,
+            )
+
     def answered(self, call: calls.CallerCall, took_s: float) -> None:
         """Add the measured duration of a request without a stream."""
         self._plain.observe(call.route.name, took_s, group=call.service)
--- a/walnutport/gateway/entry/request_handler.py
+++ b/walnutport/gateway/entry/request_handler.py
@@ -250,4 +250,6 @@
         self.in_flight.discard(call)
         self._task_by_call.pop(call, None)
         self._forwarder.end_probe(call)
+        if call.outcome != 'streamed':
+            self._remaining.stream_broken_off(call, time.monotonic())
         self._responder.finish(call)
--- a/walnutport/gateway/entry/stop_decisions.py
+++ b/walnutport/gateway/entry/stop_decisions.py
@@ -36,6 +36,8 @@
     SEND = 'send'
     #: At each tick, while the request waits.
     WAIT = 'wait'
+    #: Before the first event of a stream is forwarded.
+    FIRST_EVENT = 'first_event'
 
 
 class StopDecisions:
@@ -72,10 +74,37 @@
             return True
         now = time.monotonic()
         expected_s = self._remaining.expected_s(call, now)
-        fits = self._end.fits(expected_s, now)
-        if fits and place is Place.WAIT:
+        if place is Place.WAIT and self._end.fits(expected_s, now):
             # This is asked at each tick.
             return True
+        return self._check(call, place, expected_s, now)
+
+    def can_deliver(self, call: calls.CallerCall) -> bool:
+        """Return whether a stream whose first event is here ends in time.
+
+        The events may have come later than expected. Until the first one is
+        forwarded, a caller that may repeat the request can still be told to;
+        afterwards its stream would be cut off.
+        """
+        if (
+            not self._end.is_set
+            or call.request.head_sent
+            or not call.route.repeatable
+        ):
+            return True
+        now = time.monotonic()
+        expected_s = min(self._remaining.events_s(call), call.time_left_s())
+        return self._check(call, Place.FIRST_EVENT, expected_s, now)
+
+    def _check(
+        self,
+        call: calls.CallerCall,
+        place: Place,
+        expected_s: float,
+        now: float,
+    ) -> bool:
+        """Return whether a response ends in time, and record the decision."""
+        fits = self._end.fits(expected_s, now)
         self._metrics.stop_checked(place, fits)
         self._log.routine(
             'stop_checked',
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -243,6 +243,7 @@
                 lambda call: self._stop.can_end(
                     call, stop_decisions.Place.SEND
                 ),
+                lambda call: self._stop.can_deliver(call),
                 self._eligibility,
                 self._permits.may_send,
             ),
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -156,6 +156,8 @@
     :param on_head: called with the fields and the status of a response.
     :param on_proven: called once enough events have arrived to show that the
         prompt does not crash the target.
+    :param can_deliver: returns whether a stream that begins now will end
+        before the host.
     """
 
     def __init__(
@@ -166,7 +168,9 @@
         on_first_event: Callable[[], None],
         on_head: Callable[[requests.ResponseFields, int], None],
         on_proven: Callable[[], None] = lambda: None,
+        can_deliver: Callable[[calls.CallerCall], bool] = lambda call: True,
     ) -> None:
+        self._can_deliver = can_deliver
         self._on_proven = on_proven
         self._is_proven = False
         self._call = call
@@ -224,6 +228,10 @@
             self._body.add(data)
             return
         events = self._relay.feed(data)
+        if events and not self._can_deliver(self._call):
+            self._complete(AttemptStatus.LOST, STOPPING_DETAIL)
+            self._drop_channel()
+            return
         if events:
             self._forward(events)
         if self._relay.has_gap or self._relay.is_oversized:
@@ -318,7 +326,9 @@
                 detail,
                 reset,
                 self._fields.load,
-                self._fields.leaving or self._fields.retry_after_s is not None,
+                self._fields.leaving
+                or self._fields.retry_after_s is not None
+                or detail == STOPPING_DETAIL,
                 self._channel is not None and self._channel.ended_by_close,
             )
         )
@@ -339,6 +349,7 @@
     :param admit: returns whether a call may be sent, as it does not crash its
         targets.
     :param can_end: returns whether a call will end before the host.
+    :param can_deliver: returns the same at the first event of a stream.
     :param target_eligibility: decides which targets may get new work.
     :param may_send: returns whether a request may be sent with a permit or
         without one, as the target is cold or not.
@@ -351,6 +362,7 @@
         reports: target_reports.TargetReports,
         admit: Callable[[calls.CallerCall], bool],
         can_end: Callable[[calls.CallerCall], bool],
+        can_deliver: Callable[[calls.CallerCall], bool],
         target_eligibility: eligibility.Eligibility,
         may_send: Callable[
             [registrations.RegisteredTarget, send_permits.SendPermit | None],
@@ -362,6 +374,7 @@
         self._reactor = reactor
         self._admit = admit
         self._can_end = can_end
+        self._can_deliver = can_deliver
         self._pool = pool
         self._reports = reports
 
@@ -438,6 +451,7 @@
             on_first_event,
             functools.partial(self._reports.response_received, target),
             on_proven,
+            self._can_deliver,
         )
         receiver.set_channel(channel)
         request = call.request
--- a/walnutport/routing/durations.py
+++ b/walnutport/routing/durations.py
@@ -2,27 +2,43 @@
 
 The units are the output tokens that a request allows, for instance. Many
 requests end before that number, so the time is measured for each allowed one.
+
+The forecast decides whether work is taken that has to end in time, so it goes
+by the longest of the recent durations. A mean with a margin is too short for
+those whose lengths differ by a factor of ten.
 """
 
+import collections
 import dataclasses
+import math
 
 __all__ = ['DurationForecast']
 
+# Recent durations of which the longest counts.
+WINDOW = 64
+# With fewer durations, the initial value counts as one more.
+FEW_SAMPLES = 20
 # Weight of a new measurement in the moving averages.
 GAIN = 0.1
-# Mean absolute deviations that a forecast lies above the mean, so that nearly
-# all durations are shorter.
-DEVIATION_WEIGHT = 2.0
+# Mean absolute deviations that a forecast lies above the longest duration,
+# divided by the square root of their number: the fewer there are, the more
+# may later ones exceed them.
+DEVIATION_WEIGHT = 8.0
 # Deviation before the second measurement, as a share of the mean.
 INITIAL_DEVIATION_SHARE = 0.2
 
 
 @dataclasses.dataclass(slots=True)
-class _Average:
-    """Mean and mean absolute deviation of the seconds per unit."""
+class _Durations:
+    """Recent seconds per unit, with moving averages.
+
+    :param recent_s: the newest durations.
+    :param samples: number of durations, also earlier ones.
+    """
 
     mean_s: float
     deviation_s: float
+    recent_s: collections.deque[float]
     samples: int = 0
 
     def add(self, value_s: float) -> None:
@@ -34,11 +50,20 @@
             difference_s = value_s - self.mean_s
             self.mean_s += GAIN * difference_s
             self.deviation_s += GAIN * (abs(difference_s) - self.deviation_s)
+        self.recent_s.append(value_s)
         self.samples += 1
 
+    def expected_s(self, initial_s: float) -> float:
+        """Return the seconds below which nearly all durations lie."""
+        longest_s = max(self.recent_s)
+        if self.samples < FEW_SAMPLES:
+            longest_s = max(longest_s, initial_s)
+        margin_s = DEVIATION_WEIGHT * self.deviation_s
+        return longest_s + margin_s / math.sqrt(len(self.recent_s))
+
 
 class DurationForecast:
-    """Durations below which most measured ones of the same name lie.
+    """Durations below which nearly all of the same name lie.
 
     Those with and without a known number of units are kept apart.
 
@@ -52,30 +77,32 @@
     ...     forecast.observe('chat', 3.0, 100)
     >>> round(forecast.expected_s('chat', 200), 1)
     6.0
+    >>> forecast.observe('chat', 5.0, 100)
+    >>> forecast.expected_s('chat', 200) > 10.0
+    True
     """
 
     def __init__(self, initial_s: float, initial_unit_s: float = 0.0) -> None:
         self._initial_s = initial_s
         self._initial_unit_s = initial_unit_s
-        self._average_by_key: dict[tuple[str, str, bool], _Average] = {}
+        self._durations_by_key: dict[tuple[str, str, bool], _Durations] = {}
 
     def expected_s(self, name: str, units: int = 0, group: str = '') -> float:
-        """Return the time in which most of a name end, in seconds.
+        """Return the time in which nearly all of a name end, in seconds.
 
         :param units: number of units, 0 if it is not known.
         :param group: names that are alike, whose measurements count before the
             first one of the name; empty if there are none.
         """
         group = group or name
-        average = self._average_by_key.get(
+        durations = self._durations_by_key.get(
             (group, name, units > 0)
-        ) or self._average_by_key.get((group, '', units > 0))
-        if average is None:
-            mean_s = self._initial_unit_s if units else self._initial_s
-            average = _Average(mean_s, mean_s * INITIAL_DEVIATION_SHARE)
-        return max(1, units) * (
-            average.mean_s + DEVIATION_WEIGHT * average.deviation_s
-        )
+        ) or self._durations_by_key.get((group, '', units > 0))
+        initial_s = self._initial_unit_s if units else self._initial_s
+        initial_s *= 1 + 2 * INITIAL_DEVIATION_SHARE
+        if durations is not None:
+            return max(1, units) * durations.expected_s(initial_s)
+        return max(1, units) * initial_s
 
     def observe(
         self, name: str, took_s: float, units: int = 0, group: str = ''
@@ -87,5 +114,24 @@
         """
         group = group or name
         for key in ((group, name, units > 0), (group, '', units > 0)):
-            average = self._average_by_key.setdefault(key, _Average(0.0, 0.0))
-            average.add(took_s / max(1, units))
+            durations = self._durations_by_key.get(key)
+            if durations is None:
+                durations = _Durations(
+                    0.0, 0.0, collections.deque(maxlen=WINDOW)
+                )
+                self._durations_by_key[key] = durations
+            durations.add(took_s / max(1, units))
+
+    def observe_unfinished(
+        self, name: str, lasted_s: float, units: int = 0, group: str = ''
+    ) -> None:
+        """Add the time after which something was broken off.
+
+        It would have taken longer, so this counts only if it exceeds the
+        forecast; a shorter one says nothing.
+
+        :param units: number of units, 0 if it is not known.
+        :param group: as for ``expected_s``.
+        """
+        if lasted_s > self.expected_s(name, units, group):
+            self.observe(name, lasted_s, units, group)
