Check that a target runs the registered version before a stream goes on

Cause: a stream goes on at a target whose registered version is that of the stream. A target that has started again keeps its id, so that neither the expected instance nor a new key tells, and its new registration is read up to 0.7 s later by two hosts and later by the others.

Ruled out by reading: Last-Event-Id and event ids (the relay drops repeated events and breaks off at a gap), another target at the address (421), another response joined to a stream (needs the next event and the same media type).

Change: whoever goes on with a stream opens the channel, then reads the targets from the store, and sends only if the run of the target is the registered one; a start after that ends the channel. One read serves all that wait. While the store does not answer, the target is asked for its start. A new stream is bound to the version that is registered when its first event arrives, not to that of the moment of the send.

What is open: a target that accepts connections before it has registered its new run can be taken for the old one for that time.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -284,6 +284,8 @@
         self.headers_by_target.update(changes.get('headers', {}))
         for target_id in changes.get('crash', ()):
             self._target_by_id[target_id].crash()
+        for target_id, version in changes.get('upgrade', {}).items():
+            self._target_by_id[target_id].upgrade(version)
         for plan in self.settings.targets:
             state = changes.get('states', {}).get(plan.target_id)
             if state == 'gone':
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -100,6 +100,11 @@
                 transport.abortConnection()
         reactor.callLater(self._platform.settings.crash_s, self._start_again)
 
+    def upgrade(self, version: str) -> None:
+        """Stop, and start again under the same id with another version."""
+        self._plan = dataclasses.replace(self._plan, version=version)
+        self.crash()
+
     def _start_again(self) -> None:
         self._starts += 1
         self._platform.starts_by_target[self._plan.target_id] = self._starts
--- a/tests/gateway/fake_host.py
+++ b/tests/gateway/fake_host.py
@@ -42,6 +42,7 @@
     """
 
     ended_by_close = False
+    alive = True
     request_count = 1
     is_cancelled = False
 
@@ -53,6 +54,9 @@
         """Deliver nothing more."""
         self.is_cancelled = True
 
+    def close(self) -> None:
+        """Close the channel without a request."""
+
     def send(self, data, receiver, on_free) -> None:
         self._on_response()
         if not self._status:
@@ -159,6 +163,7 @@
     :ivar statuses: status of each response of the targets, in order.
     :ivar on_response: called before each response.
     :ivar on_channel: called when an attempt gets a channel.
+    :ivar is_current: returns whether a target has not started again.
     :ivar host_end: end of the host, which a test sets as a stop signal does.
     :ivar permits: permits to send to cold targets.
     :ivar remaining: forecast of the end of requests.
@@ -169,6 +174,7 @@
         self.statuses: list[int] = []
         self.on_response = lambda: None
         self.on_channel = lambda: None
+        self.is_current = lambda target: True
         self.host_end = host_end.HostEnd()
         self.log = call_builders.FakeLog()
         self.stages = FakeStages()
@@ -271,6 +277,7 @@
             lambda call: self.stop.can_end(call, stop_decisions.Place.SEND),
             lambda call: self.stop.can_deliver(call),
             eligibility.Eligibility(),
+            lambda target, request_id: defer.succeed(self.is_current(target)),
             lambda target, permit: True,
         )
         return forwarding.Forwarder(
--- /dev/null
+++ b/tests/integration/test_restarts_in_place.py
@@ -0,0 +1,79 @@
+"""Engines that start again under their ids with another software version."""
+
+import concurrent.futures
+import re
+import threading
+import time
+
+import pytest
+
+from standins import platform_fleet
+
+HOSTS = 3
+ENGINES = 5
+VERSIONS = tuple(f'v{number}' for number in range(2, 8))
+DURATION_S = 10.0
+CALLERS = 30
+# Time between the restarts of two engines, and for which each is down.
+RESTART_GAP_S = 0.3
+DOWN_S = 0.1
+# Streams that may hold events of two versions, by the rule of the platform.
+MAX_MIXED = 2
+_VERSION = re.compile(rb'data: (\S+) ')
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    """Start hosts beside engines of one version."""
+    with platform_fleet.PlatformFleet(
+        tmp_path,
+        HOSTS,
+        engine_versions=('v1',) * ENGINES,
+        events=20,
+        event_ms=25.0,
+        crash_s=DOWN_S,
+    ) as running:
+        yield running
+
+
+def restart_engines(fleet: platform_fleet.PlatformFleet, until: float) -> None:
+    """Restart one engine after the other, with the next version each time."""
+    count = 0
+    while time.monotonic() < until:
+        version = VERSIONS[count // ENGINES % len(VERSIONS)]
+        fleet.control_platform(upgrade={f'llm-{count % ENGINES + 1}': version})
+        count += 1
+        time.sleep(RESTART_GAP_S)
+
+
+def versions_of(body: bytes) -> set[bytes]:
+    """Return the versions that have written the events of a stream."""
+    return set(_VERSION.findall(body))
+
+
+def test_stream_holds_events_of_one_version(fleet):
+    """Guards against streams that go on by a registration out of date."""
+    until = time.monotonic() + DURATION_S
+    bodies = []
+
+    def call_until_the_end(caller: int) -> None:
+        count = 0
+        while time.monotonic() < until:
+            count += 1
+            answer = fleet.call('write', f'{caller}-{count}', caller % HOSTS)
+            bodies.append(answer.body)
+
+    restarts = threading.Thread(target=restart_engines, args=(fleet, until))
+    restarts.start()
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+        list(pool.map(call_until_the_end, range(CALLERS)))
+    restarts.join()
+    resumed = [
+        line
+        for host in range(HOSTS)
+        for line in fleet.log_lines(host)
+        if line['event'] == 'attempt_failed' and line['status'] == 'broken'
+    ]
+    assert len(resumed) > 20, 'few streams were broken off'
+    mixed = [body for body in bodies if len(versions_of(body)) > 1]
+    assert len(mixed) <= MAX_MIXED
--- a/walnutport/gateway/entry/stream_server.py
+++ b/walnutport/gateway/entry/stream_server.py
@@ -226,7 +226,7 @@
         on_inputs_read()
         if call.origin is None:
             call.origin = stream_origins.StreamOrigin(
-                target.service, target.software_version
+                target.service, self._selector.registered_version(target)
             )
             self._origins.begun(call, call.origin)
             self._claims.begun(call.request_id)
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -40,6 +40,7 @@
 from walnutport.gateway.targets import permit_exchange
 from walnutport.gateway.targets import target_reports
 from walnutport.gateway.targets import target_selector
+from walnutport.gateway.targets import version_check
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.http1 import server
@@ -245,6 +246,15 @@
                 ),
                 lambda call: self._stop.can_deliver(call),
                 self._eligibility,
+                version_check.VersionCheck(
+                    reactor,
+                    self.log,
+                    self._pool,
+                    self._follower.confirmation,
+                    lambda target_id: self._follower.registry.targets.get(
+                        target_id
+                    ),
+                ).is_current,
                 self._permits.may_send,
             ),
             self._outcomes,
--- a/walnutport/gateway/operations/events.py
+++ b/walnutport/gateway/operations/events.py
@@ -490,6 +490,23 @@
         'the caller goes on with a stream that an earlier attempt began',
         ('id', 'begun_by', 'after', 'service', 'version', 'source'),
     ),
+    Event(
+        'version_checked',
+        'a stream is to go on at a target, and it is checked whether the '
+        'target has started again; `source` tells by what: the store, the '
+        'target itself, or the registry if neither answers',
+        ('id', 'target', 'current', 'source'),
+    ),
+    Event(
+        'target_report_missing',
+        'a target did not report its start',
+        ('target', 'problem'),
+    ),
+    Event(
+        'origin_answer_failed',
+        'a peer got no answer where a stream began, for an unexpected error',
+        ('peer', 'problem'),
+    ),
     Event(
         'stream_claim_refuted',
         'no host has begun the stream that a caller takes up; its stages '
--- a/walnutport/gateway/state/feed_follower.py
+++ b/walnutport/gateway/state/feed_follower.py
@@ -18,6 +18,7 @@
 from walnutport.gateway.state import feed_failures
 from walnutport.gateway.state import first_comparison
 from walnutport.gateway.state import store_contact
+from walnutport.gateway.state import target_confirmation
 from walnutport.gateway.state import target_log
 from walnutport.gateway.state import update_requests
 from walnutport.membership import ranking
@@ -34,6 +35,9 @@
 # Number of hosts that read the targets at the same time, so that the loss of
 # one causes no delay.
 READER_COUNT = 2
+# A host whose last read is older than this does not read on from its end: too
+# many heartbeats of targets may have come since.
+MAX_READ_ON_AGE_S = 5.0
 # A host whose last read is older than this does not count as a reader.
 READER_TIMEOUT_S = 1.6
 EXPIRED_RETRY_DELAY_S = 0.25
@@ -57,6 +61,7 @@
         desired state.
     :param is_first_start: whether the whole installation starts for the first
         time.
+    :ivar confirmation: reads the targets when a decision needs them.
     """
 
     def __init__(
@@ -103,6 +108,10 @@
         self._desired_reader = desired_reader.DesiredReader(
             reactor, log, store, self._apply_desired_page, self._contact.failed
         )
+        self.confirmation = target_confirmation.TargetConfirmation(
+            reactor, self._read_targets_now
+        )
+        self._must_list = False
         self._targets_known = False
         self._is_reader = False
         self._targets_read_at = 0.0
@@ -313,7 +322,28 @@
                 needs_full_read = True
             await self._pause(TARGETS_POLL_INTERVAL_S)
 
+    async def _read_targets_now(self) -> bool:
+        """Read the targets for a decision; return whether that succeeded.
+
+        A host that learns from its peers does not know where the heartbeats
+        in the feed end, so it lists the targets.
+        """
+        try:
+            await self._read_targets(
+                self._must_list
+                or self.store_age_s() > MAX_READ_ON_AGE_S
+                or self._store.era != self.registry.era
+            )
+        except exceptions.RecordsExpired:
+            self._must_list = True
+            return False
+        except exceptions.LogServiceError as problem:
+            self._contact.failed(problem)
+            return False
+        return True
+
     async def _read_targets(self, full_read: bool) -> None:
+        began_at = time.monotonic()
         era = self.registry.era
         if full_read:
             page = await self._store.read_newest(feeds.Feed.TARGETS)
@@ -329,6 +359,8 @@
         now = time.monotonic()
         before = self.registry.changes_end_offset
         self._targets_read_at = now
+        self._must_list = self._must_list and not full_read
+        self.confirmation.read_succeeded(began_at)
         self._contact.outages.record_read(now, now)
         self._targets_known = True
         if full_read:
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -1,6 +1,7 @@
 """Sends a request to one target and classifies the outcome."""
 
 from collections.abc import Callable
+from collections.abc import Coroutine
 import dataclasses
 import enum
 import functools
@@ -351,6 +352,8 @@
     :param can_end: returns whether a call will end before the host.
     :param can_deliver: returns the same at the first event of a stream.
     :param target_eligibility: decides which targets may get new work.
+    :param is_current: returns whether the run of a target is the one that is
+        registered, given the id of the request that depends on it.
     :param may_send: returns whether a request may be sent with a permit or
         without one, as the target is cold or not.
     """
@@ -364,12 +367,17 @@
         can_end: Callable[[calls.CallerCall], bool],
         can_deliver: Callable[[calls.CallerCall], bool],
         target_eligibility: eligibility.Eligibility,
+        is_current: Callable[
+            [registrations.RegisteredTarget, str],
+            Coroutine[object, object, bool],
+        ],
         may_send: Callable[
             [registrations.RegisteredTarget, send_permits.SendPermit | None],
             bool,
         ],
     ) -> None:
         self._eligibility = target_eligibility
+        self._is_current = is_current
         self._may_send = may_send
         self._reactor = reactor
         self._admit = admit
@@ -408,6 +416,16 @@
             return AttemptResult(
                 AttemptStatus.NOT_SENT, target, detail=str(problem)
             )
+        if call.origin is not None and not (
+            await self._is_current(target, call.request_id) and channel.alive
+        ):
+            channel.close()
+            return AttemptResult(
+                AttemptStatus.NOT_SENT,
+                target,
+                detail='target has started again',
+                is_deferred=True,
+            )
         time_left_s = call.time_left_s() - RESPONSE_MARGIN_S
         if time_left_s <= 0 or call.request.disconnected:
             self._pool.release(channel)
--- a/walnutport/gateway/targets/target_selector.py
+++ b/walnutport/gateway/targets/target_selector.py
@@ -249,6 +249,19 @@
         self._record_prompt(spec.prompt, engine, now)
         return engine.target_id
 
+    def registered_version(
+        self, target: registrations.RegisteredTarget
+    ) -> str:
+        """Return the software version of a target that has just answered.
+
+        It may have started again before it was sent the request, and its
+        registration was read since.
+        """
+        present = self._follower.registry.targets.get(target.target_id)
+        if present is None or present.address != target.address:
+            return target.software_version
+        return present.software_version
+
     def forget(self, target_id: str) -> None:
         """Drop what is known of a target that was removed."""
         self._outcomes.forget(target_id)
--- a/walnutport/platform/target_probe.py
+++ b/walnutport/platform/target_probe.py
@@ -1,13 +1,30 @@
-"""Encodes requests that only find out whether a target answers."""
+"""Encodes requests about a target itself, and decodes its report."""
 
+import msgspec
+
+from walnutport import exceptions
 from walnutport.http1 import messages
+from walnutport import json_input
 from walnutport.platform import wire
 
-__all__ = ['encode_probe']
+__all__ = ['decode_report', 'encode_probe', 'encode_report_request']
 
 # No target has this id, so that each refuses the request without running it
 # (421), whatever else it limits.
 _NO_TARGET = b'-'
+MAX_REPORT_BYTES = 1 << 20
+
+
+class _Report(msgspec.Struct):
+    """What an engine reports of itself, as far as it is used.
+
+    :param born: start of its process in Unix milliseconds.
+    """
+
+    born: int
+
+
+_REPORT_DECODER = json_input.Decoder(_Report, MAX_REPORT_BYTES)
 
 
 def encode_probe(address: tuple[str, int]) -> bytes:
@@ -21,3 +38,23 @@
         ],
         b'',
     )
+
+
+def encode_report_request(address: tuple[str, int]) -> bytes:
+    """Return the request for what an engine reports of itself."""
+    return messages.encode_request(
+        b'GET',
+        wire.REPORT_PATH,
+        [(b'host', b'%s:%d' % (address[0].encode(), address[1]))],
+        b'',
+    )
+
+
+def decode_report(response: messages.Response) -> int:
+    """Return the incarnation of the engine that has sent a report.
+
+    :raises WireError: if the response is no report.
+    """
+    if response.status != 200:
+        raise exceptions.WireError(f'status {response.status}')
+    return _REPORT_DECODER.decode(response.body).born
--- a/walnutport/platform/wire.py
+++ b/walnutport/platform/wire.py
@@ -55,6 +55,9 @@
 # Paths of the system.
 READINESS_PATH = b'/readiness'
 
+# Path at which an engine tells about itself.
+REPORT_PATH = b'/report'
+
 # Paths of stage targets.
 STAGE_RUN_PATH = b'/stage-run'
 STAGE_FREE_PATH = b'/stage-free'
