Read the targets before a sole version decides where a stream began

Other operators report that a host that was out of step for a few seconds (cut off, or standing still) while targets of a new software version joined let streams go on at another version. It can happen here: a host took the only version that it knew for the origin of a stream that a caller takes up, if it had read the targets, or heard of them, within 2.5 s or was linked with half of its peers. A version that had joined within that time, and at which the stream had begun by way of another host, was not among them; a peer that was asked answered by the same rule.

Shown by test_version_that_has_just_joined_is_seen, with and without links to peers, and test_peer_answers_by_what_is_registered_now, which fail on the code before.

Change: a host reads the targets from the store after the stream was taken up, and only then the sole version decides, as a version at which a stream has begun was registered before. Peers that are asked read as well. The test of a host that is cut off says so by a store that does not answer, in place of an old view.

--- a/tests/gateway/streams/origin_hosts.py
+++ b/tests/gateway/streams/origin_hosts.py
@@ -118,13 +118,15 @@
         self.stored = FakeRecordLog() if stored is None else stored
         self.log = test_feed_follower.FakeLog()
         self.mesh = FakeMesh(name, peers)
-        self.view_age_s = 0.1
+        # Whether the store answers, and what happens before it does.
+        self.is_confirmed = True
+        self.on_confirm = lambda: None
         self.registry = types.SimpleNamespace(targets={})
         follower = types.SimpleNamespace(
             desired=types.SimpleNamespace(routes=(ROUTE,)),
             is_initialized=True,
             registry=self.registry,
-            view_age_s=lambda: self.view_age_s,
+            confirmation=types.SimpleNamespace(confirm=self._confirm),
         )
         history = origin_history.OriginHistory(is_first_start)
         self.record = history_record.HistoryRecord(
@@ -154,6 +156,12 @@
         if store is not None:
             self.record.start()
 
+    def _confirm(self, at: float) -> defer.Deferred:
+        """Read the targets again; return whether that succeeds."""
+        if self.is_confirmed:
+            self.on_confirm()
+        return defer.succeed(self.is_confirmed)
+
     def set_versions(self, *versions: str, sequence: int = 0) -> None:
         """Change the targets that the host knows."""
         self.registry.targets = {
--- a/tests/gateway/streams/test_origin_exchange.py
+++ b/tests/gateway/streams/test_origin_exchange.py
@@ -1,5 +1,7 @@
 """Tests of telling the other hosts where streams began."""
 
+import pytest
+
 from tests.gateway.streams import origin_hosts
 from walnutport.gateway.streams import origin_exchange
 from walnutport.peer import fleet_messages
@@ -56,7 +58,7 @@
     clock = make_clock(monkeypatch)
     host = Host(clock, peers=())
     assert host.resolve().result == V1
-    host.view_age_s = origin_exchange.FRESH_VIEW_S
+    host.is_confirmed = False
     assert host.resolve('y').result == V1, 'most peers are linked'
     host.mesh.links_with_most = False
     assert host.resolve('z').result is None
@@ -64,6 +66,36 @@
     assert host.mesh.sent == []
 
 
+@pytest.mark.parametrize('links_with_most', [False, True])
+def test_version_that_has_just_joined_is_seen(monkeypatch, links_with_most):
+    """Guards against a guess by targets that were read before it joined.
+
+    The host stood still, or was cut off, for some seconds, or has read the
+    targets half a second ago. The stream began elsewhere at the new version.
+    """
+    clock = make_clock(monkeypatch)
+    host = Host(clock, peers=())
+    host.mesh.links_with_most = links_with_most
+    host.on_confirm = lambda: host.set_versions('v1', 'v2')
+    assert host.resolve().result is None
+
+
+def test_peer_answers_by_what_is_registered_now(monkeypatch):
+    """Guards against the answer of a peer that has not seen a version yet."""
+    clock = make_clock(monkeypatch)
+    host = Host(clock)
+    query = fleet_messages.OriginQuery('q', 'r')
+    host.exchange.handle_message('a', query)
+    host.on_confirm = lambda: host.set_versions('v1', 'v2')
+    host.exchange.handle_message('a', query)
+    replies = [
+        message.is_known
+        for name, message in host.mesh.sent
+        if isinstance(message, fleet_messages.OriginReply)
+    ]
+    assert replies == [True, False]
+
+
 def test_streams_are_told_while_an_earlier_version_may_have_left(
     monkeypatch,
 ):
--- a/walnutport/gateway/state/feed_follower.py
+++ b/walnutport/gateway/state/feed_follower.py
@@ -115,8 +115,6 @@
         self._targets_known = False
         self._is_reader = False
         self._targets_read_at = 0.0
-        # When this host, or a peer that knows no more, read the targets.
-        self._view_at = 0.0
         self._stopped = False
 
     @property
@@ -156,13 +154,6 @@
         """Return the seconds since this host read targets from the store."""
         return time.monotonic() - self._targets_read_at
 
-    def view_age_s(self) -> float:
-        """Return the age in seconds of what this host knows of the targets.
-
-        It may know as much from a peer as from the store.
-        """
-        return time.monotonic() - max(self._view_at, self._targets_read_at)
-
     def desired_read_age_s(self) -> float:
         """Return the seconds since the store answered for the desired state.
 
@@ -244,9 +235,6 @@
             self._requests.peer_ahead(name)
             return
         self._requests.peer_behind(name)
-        self._view_at = max(
-            self._view_at, time.monotonic() - heartbeat.store_age_s
-        )
 
     def _send_updates(
         self, name: str, request: fleet_messages.UpdateRequest
--- a/walnutport/gateway/streams/origin_exchange.py
+++ b/walnutport/gateway/streams/origin_exchange.py
@@ -3,6 +3,9 @@
 from collections.abc import Mapping
 import time
 
+from twisted.internet import defer
+from twisted.python import failure as twisted_failure
+
 from walnutport.gateway.entry import calls
 from walnutport.gateway.peers import peers
 from walnutport.gateway.state import feed_follower
@@ -25,9 +28,6 @@
 FLUSH_DELAY_S = 0.02
 # The same in a partial mesh, where each host begins many streams.
 PARTIAL_MESH_FLUSH_DELAY_S = 0.5
-# A target that has started this long ago may be unknown to a host that is in
-# touch with the store, or with a peer that is.
-FRESH_VIEW_S = 2.5
 # Longest time that a caller waits for the record of the history.
 RECORD_LIMIT_S = 0.25
 
@@ -165,7 +165,9 @@
             if message.writer:
                 self._writers.handed_over()
         elif isinstance(message, fleet_messages.OriginQuery):
-            self._answer(name, message)
+            defer.Deferred.fromCoroutine(
+                self._answer(name, message)
+            ).addErrback(self._answer_failed, name)
         elif isinstance(message, fleet_messages.OriginReply):
             self._questions.reply_received(name, message)
 
@@ -244,9 +246,14 @@
         origin = self._origins.find(begun_by, now, may_be_inferred=False)
         if origin is not None:
             return 'own', origin
-        origin = self._sole_origin(route_name, now)
-        if origin is not None:
-            return 'sole', origin
+        # The stream may have begun at a version that this host, or the peers,
+        # have not seen yet. It was registered before the stream began.
+        is_confirmed = await self._follower.confirmation.confirm(now)
+        now = time.monotonic()
+        if is_confirmed:
+            origin = self._sole_origin(route_name, now, is_confirmed)
+            if origin is not None:
+                return 'sole', origin
         origin = self._stored.known(begun_by, may_be_inferred=False)
         if origin is not None:
             return 'log', origin
@@ -267,7 +274,7 @@
             # whether this is the only origin.
             await self._record_in_store.wait_until_read(RECORD_LIMIT_S)
         origin = self._sole_origin(
-            route_name, time.monotonic(), may_be_recorded=True
+            route_name, time.monotonic(), is_confirmed, may_be_recorded=True
         )
         if origin is not None:
             return 'sole', origin
@@ -278,20 +285,25 @@
         return 'unknown', None
 
     def _sole_origin(
-        self, route_name: str, now: float, may_be_recorded: bool = False
+        self,
+        route_name: str,
+        now: float,
+        is_confirmed: bool,
+        may_be_recorded: bool = False,
     ) -> stream_origins.StreamOrigin | None:
         """Return the origin of all streams of a route, None if unsure.
 
-        A host that is cut off may not know the newest targets.
+        A host that is cut off may not know the newest targets, however short
+        the time is since it was in touch.
 
+        :param is_confirmed: whether the targets were read from the store since
+            the stream was taken up. Otherwise, peers have to be linked, which
+            tell each other of new targets and of streams that begin there.
         :param may_be_recorded: whether the record in the store may stand for
             what this host has not seen. Peers that have seen it know better:
             a host of an earlier build writes no record.
         """
-        is_in_touch = (
-            self._follower.view_age_s() < FRESH_VIEW_S
-            or self._mesh.links_with_most
-        )
+        is_in_touch = is_confirmed or self._mesh.links_with_most
         is_known = self._history.is_complete(now) or (
             may_be_recorded and self._history.is_recorded(route_name, now)
         )
@@ -299,11 +311,16 @@
             return self._history.sole_origin(route_name, now)
         return None
 
-    def _answer(self, name: str, query: fleet_messages.OriginQuery) -> None:
+    async def _answer(
+        self, name: str, query: fleet_messages.OriginQuery
+    ) -> None:
         now = time.monotonic()
         origin = self._origins.find(query.attempt_id, now)
         if origin is None:
-            origin = self._sole_origin(query.route, now)
+            is_confirmed = await self._follower.confirmation.confirm(now)
+            origin = self._sole_origin(
+                query.route, time.monotonic(), is_confirmed
+            )
         if origin is None:
             origin = self._stored.known(query.attempt_id)
         self._mesh.send(
@@ -315,6 +332,15 @@
             ),
         )
 
+    def _answer_failed(
+        self, failure: twisted_failure.Failure, name: str
+    ) -> None:
+        self._log.notable(
+            'origin_answer_failed',
+            peer=name,
+            problem=failure.getErrorMessage(),
+        )
+
     def _schedule_flush(self) -> None:
         if not self._flush_scheduled:
             self._flush_scheduled = True
