Take an empty success without a length for one that has broken off

Other operators report that a target stopped in the middle of the head of its response and closed, and that callers got a 200 with an empty or short body, framed as whole. One form can happen: a head that ends early with a blank line, before its length, looks like a response that the close ends. The check whether the target still answers does not help, as it may have closed only this connection.

Change: a success with neither a length nor a body counts as broken off. It is retried if the route allows it; otherwise the caller gets 502.

--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -39,6 +39,8 @@
 DEADLINE_DETAIL = 'deadline'
 #: Detail of an attempt that was not sent as it would not end before the host.
 STOPPING_DETAIL = 'host is stopping'
+# Detail of an attempt whose response only the close has ended, too early.
+BROKEN_OFF_DETAIL = 'response without a length has broken off'
 # Details of attempts whose response does not go on with the stream.
 OTHER_TYPE_DETAIL = 'response of another type than the stream'
 GAP_DETAIL = 'gap in the event stream'
@@ -126,11 +128,25 @@
         return (
             self.ended_by_close
             and self.head.status < 300
+            and not self.is_empty_until_close
             and self.status in (AttemptStatus.ANSWERED, AttemptStatus.STREAMED)
         )
 
+    @property
+    def is_empty_until_close(self) -> bool:
+        """Whether a success has neither a length nor a body.
+
+        A target may have stopped in the middle of its head as well.
+        """
+        return (
+            self.ended_by_close
+            and self.status is AttemptStatus.ANSWERED
+            and self.head.status < 300
+            and not self.body
+        )
+
     def broken_off(self) -> 'AttemptResult':
-        """Return the result if the target answers no more after its end."""
+        """Return the result of a response that has broken off."""
         return dataclasses.replace(
             self,
             status=(
@@ -138,7 +154,7 @@
                 if self.status is AttemptStatus.STREAMED
                 else AttemptStatus.LOST
             ),
-            detail='response without a length from a target that is gone',
+            detail=BROKEN_OFF_DETAIL,
             reset=True,
         )
 
--- a/walnutport/gateway/targets/forwarding.py
+++ b/walnutport/gateway/targets/forwarding.py
@@ -208,7 +208,9 @@
                     call.cold_denied[target.target_id] = target
                     call.was_permit_refused |= call.waits_for_permit
                 return self._no_permit(call, target, 'ended')
-            if result.needs_check and not await self._answers(target):
+            if result.is_empty_until_close or (
+                result.needs_check and not await self._answers(target)
+            ):
                 result = result.broken_off()
             reset = result.reset
             survived = result.status in (_Status.ANSWERED, _Status.STREAMED)
