Take requests that may run once before a stop only if they end for sure

Other operators report that a host which stops in calm took requests late in its grace, passed them on, and cut them off at its end, among them requests that may not be repeated. Other requests get 502 at the end of the host, not a closed channel, but their callers can neither repeat them nor know whether they ran: it can happen here, as the forecast is that of earlier requests, which a target that turns slow exceeds.

Shown by test_request_that_may_run_once_has_to_fit_with_all_its_time, which fails on the code before: after 100 requests of 0.1 s, one with 4 s was taken with 3.5 s left.

Change: until it is sent, another host can serve such a request, so a stopping host takes it only if its deadline lies before its own end.

--- a/tests/gateway/entry/test_stop_decisions.py
+++ b/tests/gateway/entry/test_stop_decisions.py
@@ -12,6 +12,7 @@
 from walnutport.gateway.entry import responses
 from walnutport.gateway.entry import stop_decisions
 from walnutport.gateway.peers import peer_state
+from walnutport.world import routes
 
 PROMPT = {'walnutport-token-counts': '100,50'}
 
@@ -197,3 +198,24 @@
 def test_hosts_that_take_callers(peers, expected):
     """Guards against callers who are sent to hosts that stop as well."""
     assert stop_decisions.has_host_for_callers(peers) is expected
+
+
+@pytest.mark.parametrize('left_s, status', [(3.5, 503), (4.5, 200)])
+def test_request_that_may_run_once_has_to_fit_with_all_its_time(
+    host, left_s, status
+):
+    """Guards against such requests cut off late in a planned stop.
+
+    All requests before were short; the target of this one has turned slow.
+    """
+    route = call_builders.stream_route(
+        kind=routes.RequestKind.AT_MOST_ONCE, stages=()
+    )
+    earlier = call_builders.caller_call(route)
+    for _ in range(100):
+        host.remaining.answered(earlier, 0.1)
+    stopped_host(host, left_s)
+    call = call_builders.caller_call(route)
+    host.serve(call, 200)
+    assert call.request.status == status
+    assert bool(call.targets) is (status == 200)
--- a/walnutport/gateway/entry/stop_decisions.py
+++ b/walnutport/gateway/entry/stop_decisions.py
@@ -73,7 +73,7 @@
         if not self._end.is_set or call.request.head_sent:
             return True
         now = time.monotonic()
-        expected_s = self._remaining.expected_s(call, now)
+        expected_s = self._needed_s(call, now)
         if place is Place.WAIT and self._end.fits(expected_s, now):
             # This is asked at each tick.
             return True
@@ -96,6 +96,17 @@
         expected_s = min(self._remaining.events_s(call), call.time_left_s())
         return self._check(call, Place.FIRST_EVENT, expected_s, now)
 
+    def _needed_s(self, call: calls.CallerCall, now: float) -> float:
+        """Return the time that a request needs to end for sure.
+
+        One that may run once only, and whose response is short, needs all the
+        time that it has: if it is cut off, its caller can neither repeat it
+        nor know whether it ran. Until it is sent, another host can serve it.
+        """
+        if not call.is_stream and not call.route.repeatable:
+            return max(0.0, call.deadline_at - now)
+        return self._remaining.expected_s(call, now)
+
     def _check(
         self,
         call: calls.CallerCall,
@@ -146,7 +157,7 @@
             call,
             'stopping',
             self._retry_after_s(now),
-            expected_s=round(self._remaining.expected_s(call, now), 3),
+            expected_s=round(self._needed_s(call, now), 3),
             host_left_s=round(self._end.left_s(now), 3),
         )
 
