Check failures without a length like successes

Cause: whether a target still answers after a response that only its close has ended was asked for statuses below 300 only.

It is asked for all statuses now; such a request is retried if its route allows it, and gets 502 otherwise. A failure of a target that lives is passed on as before.

--- a/tests/gateway/fake_host.py
+++ b/tests/gateway/fake_host.py
@@ -163,6 +163,8 @@
     :ivar statuses: status of each response of the targets, in order.
     :ivar on_response: called before each response.
     :ivar on_channel: called when an attempt gets a channel.
+    :ivar target_answers: whether targets answer after a response without a
+        length.
     :ivar is_current: returns whether a target has not started again.
     :ivar host_end: end of the host, which a test sets as a stop signal does.
     :ivar permits: permits to send to cold targets.
@@ -175,6 +177,7 @@
         self.on_response = lambda: None
         self.on_channel = lambda: None
         self.is_current = lambda target: True
+        self.target_answers = True
         self.host_end = host_end.HostEnd()
         self.log = call_builders.FakeLog()
         self.stages = FakeStages()
@@ -290,5 +293,5 @@
             lambda: window_budget.SlidingWindowBudget(0.1, 10.0, 10.0),
             lambda target, attempt_id: defer.succeed(None),
             self.permits,
-            lambda target: defer.succeed(True),
+            lambda target: defer.succeed(self.target_answers),
         )
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -127,7 +127,6 @@
         """Whether it is complete only if its target goes on answering."""
         return (
             self.ended_by_close
-            and self.head.status < 300
             and not self.is_empty_until_close
             and self.status in (AttemptStatus.ANSWERED, AttemptStatus.STREAMED)
         )
