Go through the stages of a route in the order of their dependencies

Change: a job has its stages in topological order, and so has the chain at idle targets. A desired state whose stages come after each other in a circle is rejected when it is decoded; it was accepted, and its requests would have waited for ever.

--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -180,3 +180,17 @@
     entry = {name: ENTRY[name] for name in ENTRY if name != 'coldMs'}
     target = documents.decode_target('i-1', json.dumps(entry).encode())
     assert target.warmup_s is None
+
+
+@pytest.mark.parametrize('after', [[[1], [0]], [[0]], [[1], [2], [0]]])
+def test_stages_in_a_circle_are_rejected(after):
+    """Guards against requests whose stages wait for each other for ever."""
+    stages = [
+        {'service': 'encode', 'after': indexes, 'bytes': 1}
+        for indexes in after
+    ]
+    route = CONFIG['routes'][0] | {'stages': stages}
+    with pytest.raises(exceptions.WireError):
+        documents.decode_desired_state(
+            json.dumps(CONFIG | {'routes': [route]}).encode()
+        )
--- a/walnutport/platform/documents.py
+++ b/walnutport/platform/documents.py
@@ -337,6 +337,17 @@
                 f'desired state: stage {index} of a route comes after stages '
                 'that it does not have'
             )
+    stages = tuple(
+        routes.StageSpec(stage.service, tuple(stage.after), int(stage.bytes))
+        for stage in route.stages
+    )
+    try:
+        routes.topological_order(stages)
+    except ValueError as problem:
+        raise exceptions.WireError(
+            'desired state: stages of a route come after each other in a '
+            'circle'
+        ) from problem
     weights = {part.service: part.weight for part in route.split}
     event_patience_ms = max(
         _MIN_EVENT_PATIENCE_MS,
@@ -358,12 +369,7 @@
         resumable=route.resumable,
         max_event_gap_s=route.gap_aim_ms / 1000,
         event_patience_s=event_patience_ms / 1000,
-        stages=tuple(
-            routes.StageSpec(
-                stage.service, tuple(stage.after), int(stage.bytes)
-            )
-            for stage in route.stages
-        ),
+        stages=stages,
     )
 
 
--- a/walnutport/stages/jobs.py
+++ b/walnutport/stages/jobs.py
@@ -5,6 +5,7 @@
 import math
 
 from walnutport.stages import pieces
+from walnutport.world import routes
 
 __all__ = ['Job', 'PieceId', 'PlacedResult']
 
@@ -52,10 +53,11 @@
         self.latest_start_at = math.inf
         # Unstarted work in seconds by service, as counted in the backlog.
         self.backlog_s_by_service: dict[str, float] = {}
+        # In an order in which each stage is behind its predecessors.
         self.stages = [
             number
-            for number, count in enumerate(spec.piece_counts)
-            if count > 0
+            for number in routes.topological_order(spec.stages)
+            if spec.piece_counts[number] > 0
         ]
         self.waiting: dict[int, set[int]] = {}
         self.running: dict[int, set[int]] = {n: set() for n in self.stages}
@@ -70,7 +72,9 @@
             for predecessor in predecessors:
                 self._successors[predecessor].append(number)
         self.final_stages = tuple(
-            number for number in self.stages if not self._successors[number]
+            number
+            for number in sorted(self.stages)
+            if not self._successors[number]
         )
         self._add_held()
         self.update_waiting()
--- a/walnutport/stages/timing.py
+++ b/walnutport/stages/timing.py
@@ -35,7 +35,7 @@
 
 
 def idle_chain_s(
-    stages: Sequence[routes.StageSpec],
+    stages: tuple[routes.StageSpec, ...],
     piece_counts: Sequence[int],
     rules_by_service: Mapping[str, routes.BatchRules],
 ) -> float:
@@ -44,9 +44,12 @@
     :param piece_counts: number of pieces of each stage; 0 omits a stage.
     """
     end_by_stage: dict[int, float] = {}
-    for number, (stage, count) in enumerate(zip(stages, piece_counts)):
+    for number in routes.topological_order(stages):
+        stage = stages[number]
+        # A request that names too few is refused later.
+        count = piece_counts[number] if number < len(piece_counts) else 0
         start_s = max(
-            (end_by_stage.get(before, 0.0) for before in stage.after),
+            (end_by_stage[before] for before in stage.after),
             default=0.0,
         )
         rules = rules_by_service.get(stage.service)
--- a/walnutport/world/routes.py
+++ b/walnutport/world/routes.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import functools
+import graphlib
 
 __all__ = [
     'BatchRules',
@@ -14,6 +15,7 @@
     'Service',
     'StageSpec',
     'Team',
+    'topological_order',
 ]
 
 
@@ -42,6 +44,23 @@
     result_bytes: int
 
 
+@functools.lru_cache(maxsize=1024)
+def topological_order(stages: tuple[StageSpec, ...]) -> tuple[int, ...]:
+    """Return the indexes of stages, each behind those that it comes after.
+
+    A stage may come after one with a higher index.
+
+    :raises ValueError: if stages come after each other in a circle.
+
+    >>> topological_order((StageSpec('a', (1,), 0), StageSpec('b', (), 0)))
+    (1, 0)
+    """
+    sorter = graphlib.TopologicalSorter(
+        {number: stage.after for number, stage in enumerate(stages)}
+    )
+    return tuple(sorter.static_order())
+
+
 @dataclasses.dataclass(frozen=True)
 class Route:
     """Maps a host name and path prefix to services.
