--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -40,6 +40,7 @@
 from walnutport.gateway.targets import permit_exchange
 from walnutport.gateway.targets import target_reports
 from walnutport.gateway.targets import target_selector
+from walnutport.gateway.targets import version_check
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.http1 import server
@@ -62,6 +63,8 @@
 
 # How often timeouts are checked; the shortest of them are 0.3 s.
 TICK_INTERVAL_S = 0.1
+# Share of the memory of the host for unfinished responses of targets.
+MAX_KEPT_RESPONSES_SHARE = 0.2
 # Idle channels kept per target.
 MAX_IDLE_CHANNELS_PER_TARGET = 6
 # Link capacity that counts as much as one core in the work share of a host;
@@ -113,7 +116,9 @@
         self._known_target_ids: set[str] = set()
         self.log = decision_log.DecisionLog(settings.name, reactor.callLater)
         self._pool = channel_pool.ChannelPool(
-            reactor, MAX_IDLE_CHANNELS_PER_TARGET
+            reactor,
+            MAX_IDLE_CHANNELS_PER_TARGET,
+            int(settings.memory_bytes * MAX_KEPT_RESPONSES_SHARE),
         )
         self._outcomes = outcomes.TargetOutcomes(rng)
         store = platform_store.PlatformStore(
@@ -239,7 +244,17 @@
                 lambda call: self._stop.can_end(
                     call, stop_decisions.Place.SEND
                 ),
+                lambda call: self._stop.can_deliver(call),
                 self._eligibility,
+                version_check.VersionCheck(
+                    reactor,
+                    self.log,
+                    self._pool,
+                    self._follower.confirmation,
+                    lambda target_id: self._follower.registry.targets.get(
+                        target_id
+                    ),
+                ).is_current,
                 self._permits.may_send,
             ),
             self._outcomes,
@@ -517,7 +532,7 @@
         lag_s = max(0.0, now - self._tick_due_at)
         self._tick_due_at = now + TICK_INTERVAL_S
         self._reactor.callLater(TICK_INTERVAL_S, self._tick)
-        if self._lag_monitor.add_sample(lag_s):
+        if self._lag_monitor.add_sample(lag_s, now):
             self.log.notable(
                 'fit' if self._lag_monitor.accepts_peer_work else 'unfit',
                 lag_s=round(self._lag_monitor.lag_s, 3),
--- a/walnutport/gateway/operations/events.py
+++ b/walnutport/gateway/operations/events.py
@@ -345,8 +345,9 @@
     ),
     Event(
         'suspect',
-        'a request may have crashed a target, or was cleared of that',
-        ('digest', 'deaths', 'cleared'),
+        'a request may have crashed a target, was cleared of that, or is '
+        'probed',
+        ('digest', 'deaths', 'cleared', 'probe_s'),
     ),
     Event(
         'suspects_untold',
@@ -472,6 +473,12 @@
         'an attempt at a target starts',
         ('id', 'target', 'version', 'attempt', 'left_s', 'load'),
     ),
+    Event(
+        'content_probe',
+        'the request is sent although its content is quarantined, to learn '
+        'whether it still crashes targets',
+        ('id', 'digest'),
+    ),
     Event(
         'part_probe',
         'the request is sent although parts of its prompt are quarantined, to '
@@ -483,6 +490,23 @@
         'the caller goes on with a stream that an earlier attempt began',
         ('id', 'begun_by', 'after', 'service', 'version', 'source'),
     ),
+    Event(
+        'version_checked',
+        'a stream is to go on at a target, and it is checked whether the '
+        'target has started again; `source` tells by what: the store, the '
+        'target itself, or the registry if neither answers',
+        ('id', 'target', 'current', 'source'),
+    ),
+    Event(
+        'target_report_missing',
+        'a target did not report its start',
+        ('target', 'problem'),
+    ),
+    Event(
+        'origin_answer_failed',
+        'a peer got no answer where a stream began, for an unexpected error',
+        ('peer', 'problem'),
+    ),
     Event(
         'stream_claim_refuted',
         'no host has begun the stream that a caller takes up; its stages '
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -1,6 +1,7 @@
 """Sends a request to one target and classifies the outcome."""
 
 from collections.abc import Callable
+from collections.abc import Coroutine
 import dataclasses
 import enum
 import functools
@@ -11,6 +12,7 @@
 from walnutport import exceptions
 from walnutport.gateway.entry import calls
 from walnutport.gateway.targets import target_reports
+from walnutport.http1 import body_buffer
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.http1 import messages
@@ -37,6 +39,8 @@
 DEADLINE_DETAIL = 'deadline'
 #: Detail of an attempt that was not sent as it would not end before the host.
 STOPPING_DETAIL = 'host is stopping'
+# Detail of an attempt whose response only the close has ended, too early.
+BROKEN_OFF_DETAIL = 'response without a length has broken off'
 # Details of attempts whose response does not go on with the stream.
 OTHER_TYPE_DETAIL = 'response of another type than the stream'
 GAP_DETAIL = 'gap in the event stream'
@@ -123,12 +127,25 @@
         """Whether it is complete only if its target goes on answering."""
         return (
             self.ended_by_close
-            and self.head.status < 300
+            and not self.is_empty_until_close
             and self.status in (AttemptStatus.ANSWERED, AttemptStatus.STREAMED)
         )
 
+    @property
+    def is_empty_until_close(self) -> bool:
+        """Whether a success has neither a length nor a body.
+
+        A target may have stopped in the middle of its head as well.
+        """
+        return (
+            self.ended_by_close
+            and self.status is AttemptStatus.ANSWERED
+            and self.head.status < 300
+            and not self.body
+        )
+
     def broken_off(self) -> 'AttemptResult':
-        """Return the result if the target answers no more after its end."""
+        """Return the result of a response that has broken off."""
         return dataclasses.replace(
             self,
             status=(
@@ -136,7 +153,7 @@
                 if self.status is AttemptStatus.STREAMED
                 else AttemptStatus.LOST
             ),
-            detail='response without a length from a target that is gone',
+            detail=BROKEN_OFF_DETAIL,
             reset=True,
         )
 
@@ -155,6 +172,8 @@
     :param on_head: called with the fields and the status of a response.
     :param on_proven: called once enough events have arrived to show that the
         prompt does not crash the target.
+    :param can_deliver: returns whether a stream that begins now will end
+        before the host.
     """
 
     def __init__(
@@ -165,7 +184,9 @@
         on_first_event: Callable[[], None],
         on_head: Callable[[requests.ResponseFields, int], None],
         on_proven: Callable[[], None] = lambda: None,
+        can_deliver: Callable[[calls.CallerCall], bool] = lambda call: True,
     ) -> None:
+        self._can_deliver = can_deliver
         self._on_proven = on_proven
         self._is_proven = False
         self._call = call
@@ -177,7 +198,7 @@
         self._on_head = on_head
         self._head = messages.EMPTY_HEAD
         self._fields = headers.decode_response_headers(messages.EMPTY_HEAD)
-        self._body_parts: list[bytes] = []
+        self._body = body_buffer.BodyBuffer()
         self._streaming = False
         self._channel: client_channel.ClientChannel | None = None
         self.first_event_at = 0.0
@@ -194,6 +215,11 @@
             return MAX_STREAM_BYTES
         return channel_pool.MAX_RESPONSE_BYTES
 
+    @property
+    def keeps_body(self) -> bool:
+        """Whether the body is kept until its end."""
+        return not self._streaming
+
     def is_named_in(self, head: messages.ResponseHead) -> bool:
         """Return whether a head names a request."""
         return bool(headers.response_request_id(head))
@@ -215,9 +241,13 @@
 
     def body_received(self, data: bytes) -> None:
         if not self._streaming:
-            self._body_parts.append(data)
+            self._body.add(data)
             return
         events = self._relay.feed(data)
+        if events and not self._can_deliver(self._call):
+            self._complete(AttemptStatus.LOST, STOPPING_DETAIL)
+            self._drop_channel()
+            return
         if events:
             self._forward(events)
         if self._relay.has_gap or self._relay.is_oversized:
@@ -251,7 +281,7 @@
         if self._streaming:
             request = self._call.request
             if (
-                self._relay.partial
+                self._relay.has_partial
                 or not request.head_sent
                 or self._relay.lacks_continuation
             ):
@@ -303,17 +333,18 @@
     ) -> None:
         if self.done.called:
             return
-        body = b'' if self._streaming else b''.join(self._body_parts)
         self.done.callback(
             AttemptResult(
                 status,
                 self._target,
                 self._head,
-                body,
+                self._body.take(),
                 detail,
                 reset,
                 self._fields.load,
-                self._fields.leaving or self._fields.retry_after_s is not None,
+                self._fields.leaving
+                or self._fields.retry_after_s is not None
+                or detail == STOPPING_DETAIL,
                 self._channel is not None and self._channel.ended_by_close,
             )
         )
@@ -334,7 +365,10 @@
     :param admit: returns whether a call may be sent, as it does not crash its
         targets.
     :param can_end: returns whether a call will end before the host.
+    :param can_deliver: returns the same at the first event of a stream.
     :param target_eligibility: decides which targets may get new work.
+    :param is_current: returns whether the run of a target is the one that is
+        registered, given the id of the request that depends on it.
     :param may_send: returns whether a request may be sent with a permit or
         without one, as the target is cold or not.
     """
@@ -346,17 +380,24 @@
         reports: target_reports.TargetReports,
         admit: Callable[[calls.CallerCall], bool],
         can_end: Callable[[calls.CallerCall], bool],
+        can_deliver: Callable[[calls.CallerCall], bool],
         target_eligibility: eligibility.Eligibility,
+        is_current: Callable[
+            [registrations.RegisteredTarget, str],
+            Coroutine[object, object, bool],
+        ],
         may_send: Callable[
             [registrations.RegisteredTarget, send_permits.SendPermit | None],
             bool,
         ],
     ) -> None:
         self._eligibility = target_eligibility
+        self._is_current = is_current
         self._may_send = may_send
         self._reactor = reactor
         self._admit = admit
         self._can_end = can_end
+        self._can_deliver = can_deliver
         self._pool = pool
         self._reports = reports
 
@@ -390,6 +431,16 @@
             return AttemptResult(
                 AttemptStatus.NOT_SENT, target, detail=str(problem)
             )
+        if call.origin is not None and not (
+            await self._is_current(target, call.request_id) and channel.alive
+        ):
+            channel.close()
+            return AttemptResult(
+                AttemptStatus.NOT_SENT,
+                target,
+                detail='target has started again',
+                is_deferred=True,
+            )
         time_left_s = call.time_left_s() - RESPONSE_MARGIN_S
         if time_left_s <= 0 or call.request.disconnected:
             self._pool.release(channel)
@@ -433,6 +484,7 @@
             on_first_event,
             functools.partial(self._reports.response_received, target),
             on_proven,
+            self._can_deliver,
         )
         receiver.set_channel(channel)
         request = call.request
