Leave the initial value out of forecasts once there is a measurement

Cause, from a trial with a line of log a stream: the route allows 950 tokens a request and its streams last 0.1 to 4.2 s. The initial value of 0.02 s a token makes that 27 s, and it counted as one more duration until a host had 20 of them, which hosts that live for 9 s never have.

Change: the initial value counts only before the first measurement. A single duration gets a wider margin instead, half of it as its deviation.

--- a/walnutport/routing/durations.py
+++ b/walnutport/routing/durations.py
@@ -16,16 +16,18 @@
 
 # Recent durations of which the longest counts.
 WINDOW = 64
-# With fewer durations, the initial value counts as one more.
-FEW_SAMPLES = 20
 # Weight of a new measurement in the moving averages.
 GAIN = 0.1
 # Mean absolute deviations that a forecast lies above the longest duration,
 # divided by the square root of their number: the fewer there are, the more
 # may later ones exceed them.
 DEVIATION_WEIGHT = 8.0
-# Deviation before the second measurement, as a share of the mean.
-INITIAL_DEVIATION_SHARE = 0.2
+# Deviation before the second measurement, as a share of the mean: it says
+# little about durations that differ by a factor of ten.
+INITIAL_DEVIATION_SHARE = 0.5
+# Factor by which a forecast lies above the initial value, before the first
+# measurement.
+INITIAL_MARGIN = 1.4
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,13 +55,10 @@
         self.recent_s.append(value_s)
         self.samples += 1
 
-    def expected_s(self, initial_s: float) -> float:
+    def expected_s(self) -> float:
         """Return the seconds below which nearly all durations lie."""
-        longest_s = max(self.recent_s)
-        if self.samples < FEW_SAMPLES:
-            longest_s = max(longest_s, initial_s)
         margin_s = DEVIATION_WEIGHT * self.deviation_s
-        return longest_s + margin_s / math.sqrt(len(self.recent_s))
+        return max(self.recent_s) + margin_s / math.sqrt(len(self.recent_s))
 
 
 class DurationForecast:
@@ -98,11 +97,10 @@
         durations = self._durations_by_key.get(
             (group, name, units > 0)
         ) or self._durations_by_key.get((group, '', units > 0))
-        initial_s = self._initial_unit_s if units else self._initial_s
-        initial_s *= 1 + 2 * INITIAL_DEVIATION_SHARE
         if durations is not None:
-            return max(1, units) * durations.expected_s(initial_s)
-        return max(1, units) * initial_s
+            return max(1, units) * durations.expected_s()
+        initial_s = self._initial_unit_s if units else self._initial_s
+        return max(1, units) * INITIAL_MARGIN * initial_s
 
     def observe(
         self, name: str, took_s: float, units: int = 0, group: str = ''
