Tell crashes behind an intermediary by a channel that had answered

Cause: the check after a lost channel took an accepted connection as a sign of life.

The check asks for an answer, as the check of the path does. A connection that ends without one shows a crash only if the target has answered on the channel of the lost attempt, to this request or to one before it: then it was alive when the channel was opened, and the channel ended with it. Other lost attempts only make the target unreachable. Deaths are no longer held against attempts that began after the loss was noticed, as these were not in flight. A crash before the first answer on a new channel is still not noticed behind an intermediary.

--- a/tests/gateway/fake_host.py
+++ b/tests/gateway/fake_host.py
@@ -43,6 +43,7 @@
 
     ended_by_close = False
     alive = True
+    was_answered = True
     request_count = 1
     is_cancelled = False
 
@@ -291,7 +292,7 @@
             suspects.SuspectTable(rule=content_rule.PROBED_RULE),
             prompt_parts.PartTable(),
             lambda: window_budget.SlidingWindowBudget(0.1, 10.0, 10.0),
-            lambda target, attempt_id: defer.succeed(None),
+            lambda target, attempt_id, was_alive: defer.succeed(None),
             self.permits,
             lambda target: defer.succeed(self.target_answers),
         )
--- a/tests/gateway/peers/test_suspect_exchange.py
+++ b/tests/gateway/peers/test_suspect_exchange.py
@@ -211,6 +211,76 @@
     assert len(exchange.parts) == is_implicated
 
 
+def close_check(
+    exchange: suspect_exchange.SuspectExchange,
+    reactor: testing.MemoryReactorClock,
+    attempt_id: str,
+    was_alive: bool,
+) -> None:
+    """Check for a crash at a target whose intermediary closes connections."""
+    recorded = exchange.check_for_crash(TARGET, attempt_id, was_alive)
+    channel = reactor.tcpClients.pop()[2].buildProtocol(None)
+    channel.makeConnection(FakeTransport())
+    channel.connectionLost(failure.Failure(error.ConnectionDone()))
+    assert recorded.called
+
+
+@pytest.mark.parametrize('was_alive', [True, False])
+def test_request_to_a_target_that_was_down_is_not_implicated(was_alive):
+    """Guards against sound requests that are refused after a crash.
+
+    Behind an intermediary, those that were sent to the target while it was
+    down ended as if it had crashed under them.
+    """
+    reactor = testing.MemoryReactorClock()
+    exchange = create_exchange(FakeMesh(False), reactor)
+    incarnation = str(TARGET.incarnation)
+    exchange.table.incarnation_seen(TARGET.target_id, incarnation)
+    exchange.table.attempt_started(b'd', TARGET.target_id, 'id/1', 0.0)
+    exchange.parts.attempt_started(
+        'id/1', ('p',), TARGET.target_id, incarnation, 0.0
+    )
+    close_check(exchange, reactor, 'id/1', was_alive)
+    assert len(exchange.parts) == len(exchange.table) == was_alive
+
+
+def test_request_sent_after_a_crash_was_noticed_is_not_implicated(
+    monkeypatch,
+):
+    """Guards against sound requests that are refused after a crash.
+
+    Behind an intermediary, they were sent to the target while it was checked
+    whether it had crashed, and counted as in flight at its death.
+    """
+    now = 1000.0
+    monkeypatch.setattr(
+        suspect_exchange, 'time', types.SimpleNamespace(monotonic=lambda: now)
+    )
+    reactor = testing.MemoryReactorClock()
+    exchange = create_exchange(FakeMesh(False), reactor)
+    incarnation = str(TARGET.incarnation)
+    exchange.table.incarnation_seen(TARGET.target_id, incarnation)
+    for part, attempt_id, at in (
+        ('bad', 'id/1', now),
+        ('sound', 'id/2', now + 0.01),
+    ):
+        exchange.table.attempt_started(
+            part.encode(), TARGET.target_id, attempt_id, at
+        )
+        exchange.parts.attempt_started(
+            attempt_id, (part,), TARGET.target_id, incarnation, at
+        )
+    close_check(exchange, reactor, 'id/1', was_alive=True)
+    assert exchange.parts.death_count('bad', now) == 1
+    assert exchange.parts.death_count('sound', now) == 0
+    assert exchange.table.state(b'sound', now) is (
+        suspicion.SuspicionState.CLEAR
+    )
+    assert exchange.table.state(b'bad', now) is (
+        suspicion.SuspicionState.SUSPECT
+    )
+
+
 def crash(
     exchange: suspect_exchange.SuspectExchange,
     reactor: testing.MemoryReactorClock,
--- a/tests/integration/test_crashing_parts.py
+++ b/tests/integration/test_crashing_parts.py
@@ -110,7 +110,7 @@
     ],
 )
 def test_part_that_crashes_engines_is_refused_and_sound_requests_served(
-    tmp_path, prompts, changes, cuts=()
+    tmp_path, prompts, changes, cuts=(), proxied=False
 ):
     """Guards against different requests with one part that end all engines.
 
@@ -121,6 +121,7 @@
         HOSTS,
         engine_versions=('v1',) * 5,
         cut_hosts=1 if cuts else 0,
+        proxied=proxied,
     ) as fleet:
         for host in range(HOSTS):
             fleet.wait_for_event('peer_joined', host)
@@ -170,3 +171,15 @@
         {},
         ((0.5, faults), (3.0, fault_proxy.Faults())),
     )
+
+
+@pytest.mark.parametrize('changes', [{}, {'crashes_unframed': True}])
+def test_crashes_behind_an_intermediary(tmp_path, changes):
+    """Guards against crashes that hosts do not notice.
+
+    The intermediary accepts connections for a target that is down, and closes
+    them.
+    """
+    test_part_that_crashes_engines_is_refused_and_sound_requests_served(
+        tmp_path, (('a1', 'b0', 'bad0'),), changes, proxied=True
+    )
--- a/walnutport/gateway/peers/suspect_exchange.py
+++ b/walnutport/gateway/peers/suspect_exchange.py
@@ -11,8 +11,8 @@
 from walnutport.gateway.peers import peers
 from walnutport.gateway.peers import suspect_handover
 from walnutport.http1 import channel_pool
-from walnutport.http1 import client_channel
 from walnutport.peer import fleet_messages
+from walnutport.platform import target_probe
 from walnutport.quarantine import content_rule
 from walnutport.quarantine import prompt_parts
 from walnutport.quarantine import suspects
@@ -22,8 +22,8 @@
 
 __all__ = ['SuspectExchange']
 
-# Timeout of the connection that checks whether a target crashed; the target
-# counts as crashed when the connection fails.
+# Timeouts of the connection that checks whether a target crashed, and of its
+# answer.
 CRASH_CHECK_TIMEOUT_S = 0.5
 # A retry waits this long at most for the result. Most crashed targets refuse
 # the connection within milliseconds.
@@ -144,15 +144,25 @@
         self._handover.begin(name)
 
     def check_for_crash(
-        self, target: registrations.RegisteredTarget, attempt_id: str
+        self,
+        target: registrations.RegisteredTarget,
+        attempt_id: str,
+        was_alive: bool = True,
     ) -> defer.Deferred:
         """Record the end of an attempt, and whether its target crashed.
 
-        The target counts as crashed when a new connection to it fails, unless
-        this host reaches no target at all. Parts of prompts are implicated
-        only if it is refused: a target that cannot be reached may run on, and
-        one that is shutting down ends by itself.
+        The target counts as gone when a new connection to it fails, or ends
+        without an answer, unless this host reaches no target at all. Parts of
+        prompts are implicated only if it is refused or ends: a target that
+        cannot be reached may run on, and one that is shutting down ends by
+        itself.
+
+        An intermediary may accept and close connections for a target that is
+        down. Then an attempt that was sent to it while it was down ends as one
+        that was in flight, and shows a crash only if its target was alive.
 
+        :param was_alive: whether the target has answered on the channel of the
+            attempt.
         :returns: fires when the end is recorded, or after some time if that is
             not clear by then.
         """
@@ -162,12 +172,14 @@
             MAX_RETRY_DELAY_S, self._reactor, lambda result, timeout: None
         )
 
-        def on_connected(channel: client_channel.ClientChannel) -> None:
-            channel.close()
+        def on_alive(_: object) -> None:
             self._attempt_finished(attempt_id)
             recorded.callback(None)
 
-        def on_failure(failure) -> None:
+        def on_failure(failure: twisted_failure.Failure) -> None:
+            if _may_live(failure):
+                on_alive(None)
+                return
             self._verify_cut(started_at).addCallback(on_verified, failure)
 
         def on_verified(
@@ -180,27 +192,45 @@
             now = time.monotonic()
             self._outcomes.record_failure(target, now, unreachable=True)
             self._pool.close_address(target.address)
-            self.table.target_died(
-                target.target_id, now, str(target.incarnation)
-            )
-            if _is_refused(failure) and not self._is_leaving(target):
-                incarnation = str(target.incarnation)
-                self.parts.target_died(
-                    target.target_id,
-                    incarnation,
-                    now,
-                    self.table.repeats(target.target_id, incarnation),
-                )
+            if was_alive or not _is_closed(failure):
+                self._hold_death(target, now, started_at, _shows_end(failure))
             self._attempt_finished(attempt_id)
             recorded.callback(None)
 
         defer.Deferred.fromCoroutine(
-            client_channel.connect(
-                self._reactor, target.address, CRASH_CHECK_TIMEOUT_S
+            channel_pool.fetch(
+                self._reactor,
+                self._pool,
+                target.address,
+                target_probe.encode_probe(target.address),
+                CRASH_CHECK_TIMEOUT_S,
+                is_new=True,
             )
-        ).addCallbacks(on_connected, on_failure)
+        ).addCallbacks(on_alive, on_failure)
         return recorded
 
+    def _hold_death(
+        self,
+        target: registrations.RegisteredTarget,
+        now: float,
+        noticed_at: float,
+        has_ended: bool,
+    ) -> None:
+        """Record a death against the requests in flight at a target.
+
+        :param has_ended: whether the target is known to have ended.
+        """
+        incarnation = str(target.incarnation)
+        self.table.target_died(target.target_id, now, incarnation, noticed_at)
+        if has_ended and not self._is_leaving(target):
+            self.parts.target_died(
+                target.target_id,
+                incarnation,
+                now,
+                self.table.repeats(target.target_id, incarnation),
+                noticed_at,
+            )
+
     def retract_recent(self) -> None:
         """Retract recent reports, as this host is cut off from all targets."""
         earliest = time.monotonic() - RETRACT_S
@@ -269,9 +299,27 @@
         )
 
 
-def _is_refused(failure: twisted_failure.Failure) -> bool:
-    """Return whether a connection failed as nothing listens any more."""
+def _may_live(failure: twisted_failure.Failure) -> bool:
+    """Return whether an accepted connection is silent, or brought bytes."""
+    problem = failure.value
+    return (
+        isinstance(problem, exceptions.ChannelError)
+        and problem.written
+        and (problem.timed_out or problem.malformed or problem.oversized)
+    )
+
+
+def _is_closed(failure: twisted_failure.Failure) -> bool:
+    """Return whether an accepted connection ended without an answer."""
     return (
+        isinstance(failure.value, exceptions.ChannelError)
+        and failure.value.written
+    )
+
+
+def _shows_end(failure: twisted_failure.Failure) -> bool:
+    """Return whether a connection was refused, or closed."""
+    return _is_closed(failure) or (
         isinstance(failure.value, exceptions.ChannelError)
         and failure.value.refused
     )
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -96,6 +96,8 @@
         so that the failure is none of its own.
     :param ended_by_close: whether only the close of the channel has ended the
         response, which is how a target that crashes ends it as well.
+    :param was_alive: whether the target has answered on the channel, to this
+        request or to one before it.
     """
 
     status: AttemptStatus
@@ -107,6 +109,7 @@
     load: requests.ResponseLoad | None = None
     is_deferred: bool = False
     ended_by_close: bool = False
+    was_alive: bool = False
 
     @property
     def failed_to_connect(self) -> bool:
@@ -346,6 +349,7 @@
                 or self._fields.retry_after_s is not None
                 or detail == STOPPING_DETAIL,
                 self._channel is not None and self._channel.ended_by_close,
+                self._channel is not None and self._channel.was_answered,
             )
         )
 
--- a/walnutport/gateway/targets/forwarding.py
+++ b/walnutport/gateway/targets/forwarding.py
@@ -45,7 +45,8 @@
     :param suspect_table: contents of requests that may crash targets.
     :param parts: parts of prompts that may crash targets.
     :param check_for_crash: checks whether a target crashed during an attempt,
-        and records the end of the attempt in both; the result fires then.
+        given whether it has answered on the channel, and records the end of
+        the attempt in both; the result fires then.
     :param permits: permits to send to cold targets.
     :param answers: returns whether a target answers a new request.
     """
@@ -60,7 +61,7 @@
         parts: prompt_parts.PartTable,
         create_budget: Callable[[], window_budget.SlidingWindowBudget],
         check_for_crash: Callable[
-            [registrations.RegisteredTarget, str], defer.Deferred
+            [registrations.RegisteredTarget, str, bool], defer.Deferred
         ],
         permits: permit_exchange.PermitExchange,
         answers: Callable[
@@ -227,7 +228,9 @@
                 self._suspects.attempt_finished(attempt_id, survived, now)
                 self._parts.attempt_finished(attempt_id, completed, now)
         if reset:
-            checked = self._check_for_crash(target, attempt_id)
+            checked = self._check_for_crash(
+                target, attempt_id, result.was_alive
+            )
             if call.route.repeatable:
                 # Whether the request is retried depends on what is found.
                 await checked
--- a/walnutport/http1/client_channel.py
+++ b/walnutport/http1/client_channel.py
@@ -106,7 +106,9 @@
             None
         )
         self.on_unanswered: Callable[[], None] = lambda: None
-        self._was_answered = False
+        # Whether any byte of a response has come, so that the peer was alive
+        # when the channel was opened.
+        self.was_answered = False
         self._awaits_answer = False
         # Called when a response is cut off as it exceeds a limit, and when
         # one is rejected as it may answer an earlier request.
@@ -184,7 +186,7 @@
             return
         if self._awaits_answer:
             self._awaits_answer = False
-            self._was_answered = True
+            self.was_answered = True
             self.on_answered(self)
         self._head_bytes += len(data)
         try:
@@ -362,7 +364,7 @@
         self._receiver = None
         self._release_body()
         self._abort()
-        if not self._was_answered:
+        if not self.was_answered:
             self.on_unanswered()
         if receiver is not None:
             receiver.failed(
--- a/walnutport/quarantine/part_entry.py
+++ b/walnutport/quarantine/part_entry.py
@@ -40,12 +40,14 @@
 class PartAttempt:
     """Attempt in flight.
 
+    :param started_at: when it began.
     :param parts: parts of the prompt of its request.
     :param death: id of the death of its target, if that died now.
     :param sole_probe: quarantined part that it probes, if it is only one.
     :param is_answered: whether some events of its answer have come.
     """
 
+    started_at: float
     parts: tuple[str, ...]
     death: str
     sole_probe: str
--- a/walnutport/quarantine/prompt_parts.py
+++ b/walnutport/quarantine/prompt_parts.py
@@ -23,6 +23,7 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
+import math
 
 from walnutport.quarantine import crash_evidence
 from walnutport.quarantine import part_decision
@@ -168,6 +169,7 @@
             return
         quarantined = list(self._quarantined(parts, now))
         self._attempt_by_id[attempt_id] = part_entry.PartAttempt(
+            now,
             parts,
             crash_evidence.death_id(target_id, incarnation),
             quarantined[0] if len(quarantined) == 1 else '',
@@ -198,18 +200,21 @@
         incarnation: str,
         now: float,
         repeats: Collection[str] = (),
+        started_by: float = math.inf,
     ) -> None:
         """Record a death against the parts of all requests in flight.
 
         :param repeats: ids of the attempts under whose requests another target
             had died before.
+        :param started_by: when the death was noticed. Attempts that began
+            later were not in flight.
         """
         death = crash_evidence.death_id(target_id, incarnation)
         deaths_by_part: dict[str, set[str]] = {}
         repeated_by_part: dict[str, set[str]] = {}
         probed: dict[str, str] = {}
         for attempt_id, attempt in self._attempt_by_id.items():
-            if attempt.death == death:
+            if attempt.death == death and attempt.started_at <= started_by:
                 late = death + part_entry.LATE_SUFFIX
                 # A target may crash on a part in the middle of one stream
                 # while other requests with the part have no answer yet.
--- a/walnutport/quarantine/suspects.py
+++ b/walnutport/quarantine/suspects.py
@@ -40,6 +40,7 @@
     target_id: str
     incarnation: str
     is_repeat: bool
+    started_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -213,6 +214,7 @@
             target_id,
             self.incarnation_of(target_id),
             self.state(digest, now) is not suspicion.SuspicionState.CLEAR,
+            now,
         )
 
     def attempt_finished(self, attempt_id: str, ok: bool, now: float) -> None:
@@ -253,12 +255,18 @@
         )
 
     def target_died(
-        self, target_id: str, now: float, incarnation: str | None = None
+        self,
+        target_id: str,
+        now: float,
+        incarnation: str | None = None,
+        started_by: float = math.inf,
     ) -> None:
         """Mark every request in flight on the target as a suspect.
 
         :param incarnation: incarnation that died; None means the last known
             one.
+        :param started_by: when the death was noticed. Attempts that began
+            later were not in flight.
         """
         if incarnation is None:
             incarnation = self.incarnation_of(target_id)
@@ -268,6 +276,7 @@
             for attempt in self._attempts_by_id.values()
             if attempt.target_id == target_id
             and attempt.incarnation == incarnation
+            and attempt.started_at <= started_by
         }
         for digest in sorted(digests):
             entry = self._find(digest, now)
