Count a read of the targets only once it was applied

Found on reading the change: a read on request that was of another era of the store applied nothing and still counted as a confirmation, and an unexpected error in it left no line in the log. The follower tells when a read is applied, for reads of both kinds, and logs the error like one of its own reads.

--- a/tests/gateway/state/test_target_confirmation.py
+++ b/tests/gateway/state/test_target_confirmation.py
@@ -20,9 +20,11 @@
             self.clock, self._read
         )
 
-    async def _read(self) -> bool:
+    async def _read(self) -> None:
+        began_at = self.clock.seconds()
         self.running.append(defer.Deferred())
-        return await self.running[-1]
+        if await self.running[-1]:
+            self.confirmation.read_succeeded(began_at)
 
     def confirm(self) -> defer.Deferred:
         """Ask for the targets as of now."""
@@ -65,11 +67,11 @@
     assert reads.confirmation.read_count == 0
 
 
-@pytest.mark.parametrize('outcome', ['false', 'error', 'silence'])
+@pytest.mark.parametrize('outcome', ['not applied', 'error', 'silence'])
 def test_store_that_is_away_confirms_nothing(reads, outcome):
     """Guards against streams that wait for a store that does not answer."""
     waiting = reads.confirm()
-    if outcome == 'false':
+    if outcome == 'not applied':
         reads.running[0].callback(False)
     elif outcome == 'error':
         reads.running[0].errback(ValueError('unexpected'))
--- a/walnutport/gateway/state/feed_follower.py
+++ b/walnutport/gateway/state/feed_follower.py
@@ -310,8 +310,8 @@
                 needs_full_read = True
             await self._pause(TARGETS_POLL_INTERVAL_S)
 
-    async def _read_targets_now(self) -> bool:
-        """Read the targets for a decision; return whether that succeeded.
+    async def _read_targets_now(self) -> None:
+        """Read the targets for a decision.
 
         A host that learns from its peers does not know where the heartbeats
         in the feed end, so it lists the targets.
@@ -324,11 +324,12 @@
             )
         except exceptions.RecordsExpired:
             self._must_list = True
-            return False
         except exceptions.LogServiceError as problem:
             self._contact.failed(problem)
-            return False
-        return True
+        except Exception as problem:
+            # What was read is applied in part, or not at all.
+            self._failures.add(problem)
+            self._must_list = True
 
     async def _read_targets(self, full_read: bool) -> None:
         began_at = time.monotonic()
--- a/walnutport/gateway/state/target_confirmation.py
+++ b/walnutport/gateway/state/target_confirmation.py
@@ -24,15 +24,15 @@
 class TargetConfirmation:
     """Reads the targets on request, with one read for all that wait.
 
-    :param read: reads the targets and applies them; returns whether that
-        succeeded.
+    :param read: reads the targets and applies them, and then calls
+        ``read_succeeded``.
     :ivar read_count: reads that were made on request.
     """
 
     def __init__(
         self,
         reactor,
-        read: Callable[[], Coroutine[object, object, bool]],
+        read: Callable[[], Coroutine[object, object, None]],
     ) -> None:
         self._reactor = reactor
         self._read = read
@@ -74,22 +74,26 @@
         self._running = defer.Deferred.fromCoroutine(self._read())
         self._running.addBoth(self._ended)
 
-    def _ended(self, result: object) -> None:
+    def _ended(self, _: object) -> None:
         self._running = None
-        is_read = result is True
-        if is_read:
-            self.read_succeeded(self._running_since)
         waiters, self._waiters = self._waiters, []
         for waiter in waiters:
             if not waiter.called:
-                waiter.callback(is_read)
+                waiter.callback(self._has_succeeded())
+
+    def _has_succeeded(self) -> bool:
+        """Return whether the last read on request was applied."""
+        return self._confirmed_at >= self._running_since
 
     def _wait(self, limit_s: float) -> defer.Deferred:
-        """Return a result that fires when the running read has ended."""
+        """Return a result that fires when the running read has ended.
+
+        :returns: its result is whether the read was applied.
+        """
         waiter: defer.Deferred = defer.Deferred()
         if self._running is None:
             # It has ended at once.
-            waiter.callback(self._confirmed_at >= self._running_since)
+            waiter.callback(self._has_succeeded())
             return waiter
         self._waiters.append(waiter)
         waiter.addTimeout(
--- a/walnutport/gateway/targets/version_check.py
+++ b/walnutport/gateway/targets/version_check.py
@@ -16,6 +16,7 @@
 
 __all__ = ['VersionCheck']
 
+# As for the store.
 REPORT_LIMIT_S = 0.3
 
 
