--- a/tests/integration/test_restarts_in_place.py
+++ b/tests/integration/test_restarts_in_place.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import re
+import socket
 import threading
 import time
 
@@ -77,3 +78,66 @@
     assert len(resumed) > 20, 'few streams were broken off'
     mixed = [body for body in bodies if len(versions_of(body)) > 1]
     assert len(mixed) <= MAX_MIXED
+
+
+def begin(
+    fleet: platform_fleet.PlatformFleet, request_id: str, host: int
+) -> bytes:
+    """Return the complete events of a stream that its caller breaks off."""
+    data = b''
+    with socket.create_connection(
+        (platform_fleet.LOOPBACK_IP, fleet.caller_ports[host]), 20.0
+    ) as connection:
+        headers = platform_fleet.caller_headers(request_id)
+        lines = [f'{name}: {value}' for name, value in headers.items()]
+        connection.sendall(
+            '\r\n'.join(
+                ['POST /write/x HTTP/1.1', *lines, 'Content-Length: 0', '', '']
+            ).encode()
+        )
+        while b'id: 3\n' not in data:
+            received = connection.recv(4096)
+            if not received:
+                break
+            data += received
+    body = data.partition(b'\r\n\r\n')[2]
+    return body[: body.rfind(b'\n\n') + 2]
+
+
+def test_callers_take_streams_up_at_one_version(fleet):
+    """Guards against events of two versions over the tries of a caller.
+
+    The first engine may have started again before its hosts know of it.
+    """
+    until = time.monotonic() + DURATION_S
+    went_on = []
+    mixed = []
+
+    def call_until_the_end(caller: int) -> None:
+        count = 0
+        while time.monotonic() < until:
+            count += 1
+            request_id = f'{caller}-{count}'
+            first = begin(fleet, request_id, caller % HOSTS)
+            if not versions_of(first):
+                continue
+            last_id = first.count(b'id: ')
+            answer = fleet.call(
+                'write',
+                f'again-{request_id}',
+                (caller + 1) % HOSTS,
+                Last_Event_Id=str(last_id),
+                Resumes=request_id,
+            )
+            if versions_of(answer.body):
+                went_on.append(request_id)
+            if len(versions_of(first) | versions_of(answer.body)) > 1:
+                mixed.append((first, answer.body))
+
+    restarts = threading.Thread(target=restart_engines, args=(fleet, until))
+    restarts.start()
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+        list(pool.map(call_until_the_end, range(CALLERS)))
+    restarts.join()
+    assert len(went_on) > 50, 'few streams went on'
+    assert len(mixed) <= MAX_MIXED
