Log and count how a host comes by a newer desired state

Logs told neither when a peer had named the newer one, nor whom the host asked for it, nor how old its held read was, nor by which version a served request had been matched.

New: desired_behind and update_requested lines, behind_s and read_age_s of desired_applied, desired of placed and relayed; two gauges and a counter. No logic changes.

--- a/walnutport/gateway/entry/calls.py
+++ b/walnutport/gateway/entry/calls.py
@@ -72,6 +72,8 @@
     :param holds_part: whether the caller may hold the part of a stream that it
         claims to hold.
     :param delivery: runs that have brought the response, and its end.
+    :param desired_version: version of the desired state by which the request
+        was matched to its route.
     """
 
     request: server.ServerRequest
@@ -116,6 +118,7 @@
     delivery: stream_record.StreamRecord = dataclasses.field(
         default_factory=stream_record.StreamRecord
     )
+    desired_version: int = 0
 
     @property
     def request_id(self) -> str:
--- a/walnutport/gateway/entry/route_matcher.py
+++ b/walnutport/gateway/entry/route_matcher.py
@@ -74,7 +74,7 @@
             if team is None:
                 self._reject(request, fields, 401, 'unknown_key', desired)
                 return None
-        return self._create_call(request, fields, route, team)
+        return self._create_call(request, fields, route, team, desired.version)
 
     def drop_missing_routes(self, desired: routes.DesiredState) -> None:
         """Drop the state of all routes that are not in the desired state."""
@@ -86,6 +86,7 @@
         fields: requests.RequestFields,
         route: routes.Route,
         team: routes.Team | None,
+        desired_version: int,
     ) -> calls.CallerCall:
         arrived_at = request.started_at
         time_limit_s = route.timeout_s
@@ -120,6 +121,7 @@
             deadline_at=arrived_at + time_limit_s,
             aim_at=arrived_at + route.latency_target_s - spent_s,
             spent_s=spent_s,
+            desired_version=desired_version,
         )
 
     def _choose_service(self, route: routes.Route) -> str:
--- a/walnutport/gateway/operations/events.py
+++ b/walnutport/gateway/operations/events.py
@@ -66,8 +66,22 @@
     # Desired state, targets and store.
     Event(
         'desired_applied',
-        'a new desired state took effect',
+        'a new desired state took effect; `behind_s` tells for how long a '
+        'peer has had it or a newer one, `read_age_s` the age of the own read '
+        'in flight',
         ('version', 'offset', 'era', 'source', 'routes'),
+        # Earlier builds do not write these.
+        ('before', 'behind_s', 'read_age_s'),
+    ),
+    Event(
+        'desired_behind',
+        'a peer has named a version that is newer than any known before',
+        ('version', 'in_force', 'peer', 'read_age_s'),
+    ),
+    Event(
+        'update_requested',
+        'a peer is asked for what this host lacks',
+        ('peer', 'lacks', 'in_force', 'newest', 'behind_s', 'sent'),
     ),
     Event(
         'desired_unreadable',
@@ -464,6 +478,8 @@
         'relayed',
         'a peer is to serve the request, as this host reaches no target',
         ('id', 'peer', 'left_s'),
+        # Earlier builds do not write it.
+        ('desired',),
     ),
     Event(
         'relay_received',
@@ -484,8 +500,11 @@
     # Requests.
     Event(
         'placed',
-        'an attempt at a target starts',
+        'an attempt at a target starts; `desired` is the version of the '
+        'desired state by which the request was matched',
         ('id', 'target', 'version', 'attempt', 'left_s', 'load'),
+        # Earlier builds do not write it.
+        ('desired',),
     ),
     Event(
         'content_probe',
--- a/walnutport/gateway/operations/host_status.py
+++ b/walnutport/gateway/operations/host_status.py
@@ -138,6 +138,7 @@
             'desired_version': desired.version if desired else 0,
             'desired_age_seconds': now - self._follower.desired_at,
             'desired_read_age_seconds': self._follower.desired_read_age_s(),
+            **self._follower.gauges(),
             'targets': len(self._follower.registry.targets),
             'targets_age_seconds': self._follower.store_age_s(),
             'data_centres_evacuated': len(
--- a/walnutport/gateway/peers/peer_relay.py
+++ b/walnutport/gateway/peers/peer_relay.py
@@ -275,6 +275,7 @@
             id=call.request_id,
             peer=name,
             left_s=round(call.time_left_s(), 3),
+            desired=call.desired_version,
         )
         try:
             channel = await self._acquire_channel(call, address)
--- a/walnutport/gateway/state/desired_reader.py
+++ b/walnutport/gateway/state/desired_reader.py
@@ -55,6 +55,7 @@
         self._offset: int | None = None
         self._era = 0
         self._read: defer.Deferred | None = None
+        self._read_since = 0.0
         self._read_at = 0.0
         # Whether the store held the last read for a while.
         self._was_held = False
@@ -73,6 +74,12 @@
         """Return the seconds since the store last answered."""
         return time.monotonic() - self._read_at
 
+    def read_age_s(self) -> float:
+        """Return the age of the read in flight, 0 if there is none."""
+        if self._read is None:
+            return 0.0
+        return time.monotonic() - self._read_since
+
     def set_reads_for_peers(self, reads_for_peers: bool) -> None:
         """Set whether other hosts rely on the reads of this one."""
         has_started = reads_for_peers and not self._reads_for_peers
@@ -141,7 +148,7 @@
         :returns: None if the store has entered another era since the offset
             of the read was valid.
         """
-        started_at = time.monotonic()
+        started_at = self._read_since = time.monotonic()
         offset = self._offset
         if offset is None or self._store.era != self._era:
             offset = None
--- a/walnutport/gateway/state/desired_state.py
+++ b/walnutport/gateway/state/desired_state.py
@@ -44,13 +44,22 @@
             # Logged when the record is applied.
             return 0
 
-    def apply(self, record: feeds.FeedRecord, era: int, source: str) -> bool:
+    def apply(
+        self,
+        record: feeds.FeedRecord,
+        era: int,
+        source: str,
+        behind_s: float = 0.0,
+        read_age_s: float = 0.0,
+    ) -> bool:
         """Put a desired state in force if it has a higher version.
 
         Its offset is no criterion: a store that returns from an older copy
         assigns offsets again.
 
         :param era: present era of the store, for the log.
+        :param behind_s: for how long a peer has had a newer one, for the log.
+        :param read_age_s: age of the read in flight, for the log.
         :returns: whether it is in force now and was not before.
         """
         if self.record is not None and record.value == self.record.value:
@@ -77,15 +86,19 @@
                 source=source,
             )
             return False
+        before = self.version
         self.record = record
         self.current = desired
         self.applied_at = time.monotonic()
         self._log.notable(
             'desired_applied',
             version=desired.version,
+            before=before,
             offset=record.offset,
             era=era,
             source=source,
             routes=len(desired.routes),
+            behind_s=round(behind_s, 2),
+            read_age_s=round(read_age_s, 2),
         )
         return True
--- a/walnutport/gateway/state/feed_follower.py
+++ b/walnutport/gateway/state/feed_follower.py
@@ -89,6 +89,7 @@
         self._on_change = on_change
         self._on_new_era = on_new_era
         self._requests = update_requests.UpdateRequests(
+            log,
             mesh,
             lambda: fleet_messages.UpdateRequest(
                 self.desired_version,
@@ -165,6 +166,13 @@
         """
         return self._desired_reader.age_s()
 
+    def gauges(self) -> dict[str, float]:
+        """Return the gauges by name."""
+        return {
+            'desired_behind_seconds': self._requests.behind_s(),
+            'desired_held_read_seconds': self._desired_reader.read_age_s(),
+        }
+
     def totals(self) -> dict[str, float]:
         """Return the counters by name."""
         return {
@@ -174,6 +182,7 @@
             **self.evacuations.unreadable.totals(),
             **self._failures.totals(),
             **self._desired_reader.failures.totals(),
+            **self._requests.totals(),
         }
 
     def start(self) -> None:
@@ -201,6 +210,11 @@
         elif isinstance(message, fleet_messages.Heartbeat):
             self.evacuations.heartbeat_received(name, message)
             self._contact.outages.record_read(now - message.store_age_s, now)
+            self._requests.version_named(
+                name,
+                message.desired_version,
+                self._desired_reader.read_age_s(),
+            )
             self._compare_offsets(name, message)
         elif isinstance(message, fleet_messages.UpdateRequest):
             self._send_updates(name, message)
@@ -425,7 +439,13 @@
         return self._mesh.own_record.name in ranked[:READER_COUNT]
 
     def _apply_desired(self, record: feeds.FeedRecord, source: str) -> None:
-        if self._desired.apply(record, self.era, source):
+        if self._desired.apply(
+            record,
+            self.era,
+            source,
+            self._requests.behind_s(),
+            self._desired_reader.read_age_s(),
+        ):
             self._on_change()
 
     def expire_targets(self) -> None:
--- a/walnutport/gateway/targets/forwarding.py
+++ b/walnutport/gateway/targets/forwarding.py
@@ -178,6 +178,7 @@
             id=call.request_id,
             target=target.target_id,
             version=target.software_version,
+            desired=call.desired_version,
             attempt=len(call.targets) + 1,
             left_s=round(call.time_left_s(), 3),
             load=round(load, 1),
