Show hosts that go by an older desired state for seconds

A fleet of 65 hosts in a partial mesh whose store does not answer the reads of one feed, of some hosts, or those that it held. On this code hosts lag for up to 6.0 s after the store is back where links have 5 Mbit/s, as all wait for the copy of one host; for 25 s where the peer that names a newer version does not send it; and for ever where another peer is ahead in targets.

--- /dev/null
+++ b/tests/gateway/state/test_lagging_hosts.py
@@ -0,0 +1,109 @@
+"""Hosts by whose reads a newer desired state does not come."""
+
+import pytest
+
+from tests.gateway.state import partial_mesh
+from tests.gateway.state import test_feed_follower
+from tests.gateway.state import test_store_era
+from walnutport.world import feeds
+
+# Bounds of the users for large installations: a desired state is in force
+# within the first one after its acknowledgement, and where the store or a host
+# had a fault, within the second one after that.
+CONFIG_APPLY_S = 3.0
+STABLE_WINDOW_S = 4.0
+# Hosts of the reported installation, and the slowest and the fastest of their
+# links.
+HOST_COUNT = 65
+LINK_RATES = (5e6, 100e6)
+
+
+@pytest.mark.parametrize('link_bits_per_s', LINK_RATES)
+def test_partition_of_the_desired_state_is_away(monkeypatch, link_bits_per_s):
+    """Guards against hosts that wait for a read that will not be answered.
+
+    The store serves the targets meanwhile, so that no host takes it for away.
+    """
+    fleet = partial_mesh.PartialMeshFleet(
+        monkeypatch, HOST_COUNT, link_bits_per_s=link_bits_per_s
+    )
+    fleet.silent_feeds = {feeds.Feed.DESIRED}
+    fleet.lose_held_reads()
+    fleet.advance(5.0)
+    fleet.write_desired()
+    fleet.silent_feeds = set()
+    fleet.advance(STABLE_WINDOW_S)
+    assert not fleet.lagging_names()
+
+
+@pytest.mark.parametrize('link_bits_per_s', LINK_RATES)
+def test_connections_of_all_hosts_to_the_store_fall_silent(
+    monkeypatch, link_bits_per_s
+):
+    """Guards against one host that has to send the state to all others."""
+    fleet = partial_mesh.PartialMeshFleet(
+        monkeypatch, HOST_COUNT, link_bits_per_s=link_bits_per_s
+    )
+    fleet.lose_held_reads()
+    fleet.advance(1.0)
+    fleet.write_desired()
+    fleet.advance(max(CONFIG_APPLY_S, STABLE_WINDOW_S - 1.0))
+    assert not fleet.lagging_names()
+
+
+@pytest.mark.parametrize('link_bits_per_s', LINK_RATES)
+def test_store_that_does_not_answer_a_third_of_the_hosts(
+    monkeypatch, link_bits_per_s
+):
+    """Guards against hosts that go on to wait once the store answers again."""
+    fleet = partial_mesh.PartialMeshFleet(
+        monkeypatch, HOST_COUNT, link_bits_per_s=link_bits_per_s
+    )
+    fleet.unanswered = set(list(fleet.follower_by_name)[::3])
+    fleet.lose_held_reads()
+    fleet.advance(5.0)
+    fleet.write_desired()
+    fleet.unanswered = set()
+    fleet.advance(STABLE_WINDOW_S)
+    assert not fleet.lagging_names()
+
+
+def test_peer_that_names_a_newer_state_does_not_send_it(monkeypatch):
+    """Guards against a lost read that hides what a sound store has.
+
+    The reader of the host's data centre has it, and its answers are lost too.
+    """
+    fixture = test_store_era.Fixture(monkeypatch)
+    readers = {name: test_feed_follower.FakePeer() for name in 'abcdefgh'}
+    fixture.mesh.peer_by_name = readers
+    fixture.write_desired(1)
+    fixture.start()
+    fixture.store.lose_held_reads()
+    fixture.write_desired(2)
+    for _ in range(round(CONFIG_APPLY_S / 0.6)):
+        fixture.follower.handle_message('a', test_feed_follower.heartbeat(2))
+        fixture.advance(0.5)
+    assert fixture.follower.desired_version == 2
+
+
+def test_peer_that_is_ahead_in_targets_only(monkeypatch):
+    """Guards against requests for targets in place of the desired state.
+
+    The heartbeat of the peer that is ahead in targets always comes first.
+    """
+    now = 10.0
+    monkeypatch.setattr(
+        test_feed_follower.feed_follower.time, 'monotonic', lambda: now
+    )
+    mesh = test_feed_follower.FakeMesh()
+    peers = {name: test_feed_follower.FakePeer() for name in 'ab'}
+    peers['a'].heartbeat = test_feed_follower.heartbeat(0, targets_end=9)
+    peers['b'].heartbeat = test_feed_follower.heartbeat(2)
+    mesh.peer_by_name = peers
+    follower = test_feed_follower.make_follower(mesh)
+    for _ in range(round(CONFIG_APPLY_S / 0.6)):
+        for name, peer in peers.items():
+            follower.handle_message(name, peer.heartbeat)
+            now += 0.05
+        now += 0.5
+    assert 'b' in [name for name, _ in mesh.sent]
