Ask for the desired state beside requests for targets

A peer that is ahead in targets and whose heartbeat comes first took the turn of the one with the newer desired state each time.

--- a/walnutport/gateway/state/feed_follower.py
+++ b/walnutport/gateway/state/feed_follower.py
@@ -250,7 +250,9 @@
     ) -> None:
         """Ask a peer for an update if this host still lags behind it."""
         if self._requests.is_behind(heartbeat):
-            self._requests.peer_ahead(name)
+            self._requests.peer_ahead(
+                name, heartbeat.desired_version > self.desired_version
+            )
             return
         self._requests.peer_behind(name)
 
--- a/walnutport/gateway/state/update_requests.py
+++ b/walnutport/gateway/state/update_requests.py
@@ -43,6 +43,9 @@
         self._peer_ahead = ''
         self._behind_since = 0.0
         self._next_request_at = 0.0
+        # The same for requests to peers with a newer desired state. A peer
+        # that is ahead in targets only must not take their turn.
+        self._next_desired_at = 0.0
 
     def version_named(
         self, name: str, version: int, read_age_s: float
@@ -83,13 +86,21 @@
         if self._peer_ahead == name:
             self._peer_ahead = ''
 
-    def peer_ahead(self, name: str) -> None:
-        """Ask a peer for an update if this host still lags behind it."""
+    def peer_ahead(self, name: str, has_desired: bool) -> None:
+        """Ask a peer for an update if this host still lags behind it.
+
+        :param has_desired: whether it has a newer desired state.
+        """
         now = time.monotonic()
         if not self._peer_ahead:
             self._peer_ahead = name
             self._behind_since = now
-        if now - self._behind_since >= REQUEST_UPDATE_AFTER_S:
+        if now - self._behind_since < REQUEST_UPDATE_AFTER_S:
+            return
+        if has_desired and now >= self._next_desired_at:
+            self._next_desired_at = now + REQUEST_UPDATE_INTERVAL_S
+            self._send(name)
+        elif not has_desired:
             self.request_from(name)
 
     def request_from(self, name: str) -> None:
@@ -97,9 +108,12 @@
         now = time.monotonic()
         if now >= self._next_request_at:
             self._next_request_at = now + REQUEST_UPDATE_INTERVAL_S
-            request = self._create_request()
-            is_sent = self._mesh.send(name, request)
-            self._record_request(name, request, is_sent)
+            self._send(name)
+
+    def _send(self, name: str) -> None:
+        request = self._create_request()
+        is_sent = self._mesh.send(name, request)
+        self._record_request(name, request, is_sent)
 
     def _record_request(
         self, name: str, request: fleet_messages.UpdateRequest, is_sent: bool
