Read the desired state anew when a peer names a newer one

Cause: a host that does not read for its peers has one read of the desired state in flight, held for up to 25 s. If its answer is lost, only that limit ends it, whatever the host hears. It then waits for its peers: each link on the way took up to two heartbeats (1.2 s in a partial mesh), and all hosts asked the first peer that had the state, again every 0.6 s while a copy was under way. Whether a peer reads was judged by the targets alone, although the store may serve one partition and not the other.

Now a host reads the store anew 0.15 s after a peer has named a newer version, and asks a peer 0.35 s after, each host another one, at growing intervals; a second copy is not queued. Heartbeats tell the age of the desired state, and a host that knows of no peers with a fresh one holds its reads for 1 s. Hosts that others wait for announce a version at once.

test_whole_reads counted the calls for the desired state as well, whose times have moved; it counts those for the targets now. test_lagging_host asks by a tick of the host in place of the second heartbeat, at the same time.

--- a/tests/gateway/state/partial_mesh.py
+++ b/tests/gateway/state/partial_mesh.py
@@ -203,6 +203,7 @@
             False,
             peers.PARTIAL_MESH_HEARTBEAT_INTERVAL_S,
             evacuations_end=follower.evacuations.state.end,
+            desired_age_s=min(999.0, follower.desired_read_age_s()),
         )
 
     def deliver(self, sender: str, receiver: str, message) -> None:
@@ -227,7 +228,7 @@
             if now >= self._tick_at:
                 self._tick_at = now + TICK_S
                 for follower in self.follower_by_name.values():
-                    follower.expire_targets()
+                    follower.tick()
             for name, at in self._next_heartbeat_at.items():
                 if now >= at:
                     self._next_heartbeat_at[name] = (
--- a/tests/gateway/state/test_convergence.py
+++ b/tests/gateway/state/test_convergence.py
@@ -269,7 +269,7 @@
                 self._renew_at = now + RENEWAL_S
                 self._renew()
             for follower in self.follower_by_name.values():
-                follower.expire_targets()
+                follower.tick()
             if self._steps % HEARTBEAT_STEPS == 0:
                 self._send_heartbeats()
             self._deliver()
@@ -296,6 +296,7 @@
                 True,
                 False,
                 evacuations_end=follower.evacuations.state.end,
+                desired_age_s=min(999.0, follower.desired_read_age_s()),
             )
             for other in HOSTS:
                 if other == name:
--- a/tests/gateway/state/test_feed_follower.py
+++ b/tests/gateway/state/test_feed_follower.py
@@ -12,8 +12,11 @@
 class FakeMesh:
     """Mesh that records the messages sent."""
 
+    own_record = fleet_messages.HostRecord('own', 'i', '10.0.0.1', 1, 'a', 1.0)
+
     def __init__(self) -> None:
         self.sent: list = []
+        self.heartbeat_count = 0
         self.peer_by_name: dict = {}
         self.awaits_peers = False
         self.is_partial = False
@@ -25,6 +28,9 @@
     def broadcast(self, message) -> None:
         self.sent.append(('all', message))
 
+    def send_heartbeat(self) -> None:
+        self.heartbeat_count += 1
+
 
 class FakeLog:
     """Log that records the names of its events."""
@@ -117,13 +123,19 @@
     now = 10.0
     monkeypatch.setattr(feed_follower.time, 'monotonic', lambda: now)
     mesh = FakeMesh()
+    for name in 'ab':
+        mesh.peer_by_name[name] = FakePeer()
+        mesh.peer_by_name[name].heartbeat = heartbeat(5)
     follower = make_follower(mesh)
     follower.handle_message('a', heartbeat(5))
+    follower.tick()
     assert mesh.sent == []
     now = 10.4
     follower.handle_message('a', heartbeat(5))
     follower.handle_message('b', heartbeat(5))
-    assert [name for name, _ in mesh.sent] == ['a']
+    follower.tick()
+    follower.tick()
+    assert len(mesh.sent) == 1
     assert isinstance(mesh.sent[0][1], fleet_messages.UpdateRequest)
 
 
--- a/tests/gateway/state/test_lagging_hosts.py
+++ b/tests/gateway/state/test_lagging_hosts.py
@@ -1,10 +1,12 @@
 """Hosts by whose reads a newer desired state does not come."""
 
+import msgspec
 import pytest
 
 from tests.gateway.state import partial_mesh
 from tests.gateway.state import test_feed_follower
 from tests.gateway.state import test_store_era
+from walnutport.peer import fleet_messages
 from walnutport.world import feeds
 
 # Bounds of the users for large installations: a desired state is in force
@@ -105,5 +107,80 @@
         for name, peer in peers.items():
             follower.handle_message(name, peer.heartbeat)
             now += 0.05
+            follower.tick()
         now += 0.5
     assert 'b' in [name for name, _ in mesh.sent]
+
+
+def test_reads_of_peers_whose_desired_state_is_old(monkeypatch):
+    """Guards against hosts that rely on peers that read the targets only."""
+    fixture = test_store_era.Fixture(monkeypatch)
+    peers = {name: test_feed_follower.FakePeer() for name in 'abcdefgh'}
+    for peer in peers.values():
+        peer.heartbeat = msgspec.structs.replace(
+            test_feed_follower.heartbeat(1), desired_age_s=10.0
+        )
+    fixture.mesh.peer_by_name = peers
+    fixture.write_desired(1)
+    fixture.start()
+    fixture.store.lose_held_reads()
+    fixture.advance(STABLE_WINDOW_S - CONFIG_APPLY_S)
+    fixture.write_desired(2)
+    fixture.advance(CONFIG_APPLY_S)
+    assert fixture.follower.desired_version == 2
+
+
+def test_peer_that_asks_again_gets_no_second_copy(monkeypatch):
+    """Guards against copies that queue on a slow link while one is under way.
+
+    A peer whose link is new has lost what was under way.
+    """
+    now = 10.0
+    monkeypatch.setattr(
+        test_feed_follower.feed_follower.time, 'monotonic', lambda: now
+    )
+    mesh = test_feed_follower.FakeMesh()
+    follower = test_feed_follower.make_follower(mesh)
+    follower.handle_message('c', test_feed_follower.desired_state_update(4))
+    request = fleet_messages.UpdateRequest(3, 0, 0)
+    follower.handle_message('a', request)
+    now += 0.6
+    follower.handle_message('a', request)
+    assert [name for name, _ in mesh.sent] == ['a']
+    follower.handle_message('b', request)
+    follower.peer_joined('a')
+    follower.handle_message('a', request)
+    assert [name for name, _ in mesh.sent] == ['a', 'b', 'a']
+
+
+def test_state_from_a_peer_is_announced_at_once(monkeypatch):
+    """Guards against a heartbeat interval for each host on the way."""
+    mesh = test_feed_follower.FakeMesh()
+    follower = test_feed_follower.make_follower(mesh)
+    follower.handle_message('c', test_feed_follower.desired_state_update(4))
+    assert mesh.heartbeat_count == 1
+
+
+def test_hosts_ask_different_peers(monkeypatch):
+    """Guards against one peer whose link carries the copies of all hosts."""
+    asked = set()
+    for number in range(12):
+        mesh = test_feed_follower.FakeMesh()
+        mesh.own_record = msgspec.structs.replace(
+            mesh.own_record, name=f'host-{number}'
+        )
+        for name in 'abcd':
+            mesh.peer_by_name[name] = test_feed_follower.FakePeer()
+            mesh.peer_by_name[name].heartbeat = test_feed_follower.heartbeat(2)
+        now = 10.0
+        monkeypatch.setattr(
+            test_feed_follower.feed_follower.time, 'monotonic', lambda: now
+        )
+        follower = test_feed_follower.make_follower(mesh)
+        for name, peer in mesh.peer_by_name.items():
+            follower.handle_message(name, peer.heartbeat)
+        now = 11.0
+        follower.tick()
+        assert len(mesh.sent) == 1
+        asked.add(mesh.sent[0][0])
+    assert asked == set('abcd')
--- a/tests/gateway/state/test_lapsed_targets.py
+++ b/tests/gateway/state/test_lapsed_targets.py
@@ -40,7 +40,7 @@
         """Advance the clock, and deliver the messages."""
         for _ in range(round(seconds / test_store_era.STEP_S)):
             self.fixture.advance(test_store_era.STEP_S)
-            self.told.expire_targets()
+            self.told.tick()
             self._deliver()
 
     def _deliver(self) -> None:
--- a/tests/gateway/state/test_store_era.py
+++ b/tests/gateway/state/test_store_era.py
@@ -215,7 +215,7 @@
         """Advance the clock, and remove lapsed targets as a host does."""
         for _ in range(round(seconds / STEP_S)):
             self.clock.advance(STEP_S)
-            self.follower.expire_targets()
+            self.follower.tick()
 
     def write_desired(self, version: int) -> None:
         """Write a desired state as the operator does."""
--- a/tests/gateway/state/test_whole_reads.py
+++ b/tests/gateway/state/test_whole_reads.py
@@ -70,19 +70,22 @@
 def test_read_does_not_follow_a_feed_that_grows(fixture, monkeypatch):
     """Guards against calls without end beside targets that write often."""
     read = fixture.store.read
-
-    async def read_and_grow(*arguments):
-        page = await read(*arguments)
-        for _ in range(PAGE_RECORDS):
-            fixture.write_target('u', b'1')
+    reads = 0
+
+    async def read_and_grow(feed, *arguments):
+        nonlocal reads
+        page = await read(feed, *arguments)
+        if feed is TARGETS:
+            reads += 1
+            for _ in range(PAGE_RECORDS):
+                fixture.write_target('u', b'1')
         return page
 
     monkeypatch.setattr(fixture.store, 'read', read_and_grow)
     for _ in range(PAGE_RECORDS + 1):
         fixture.write_target('u', b'1')
-    calls = fixture.store.calls
     assert confirm(fixture).result is True
-    assert fixture.store.calls == calls + 2
+    assert reads == 2
 
 
 def test_read_that_does_not_reach_the_end_confirms_nothing(
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -76,7 +76,7 @@
 # Least number of hosts assumed while the others are not known yet. Present
 # installations have 7 to 9.
 MIN_ASSUMED_HOSTS = 7
-# Upper bound on the time since the last read of targets from the store, as
+# Upper bound on the time since the last read of a feed from the store, as
 # heartbeats report it.
 MAX_REPORTED_STORE_AGE_S = 999.0
 # Time in which the responses to requests that are cut off are written, within
@@ -551,7 +551,7 @@
                 'fit' if self._lag_monitor.accepts_peer_work else 'unfit',
                 lag_s=round(self._lag_monitor.lag_s, 3),
             )
-        self._follower.expire_targets()
+        self._follower.tick()
         self._forwarder.set_retry_slack(self._retry_slack())
         self._stages.tick()
         self._request_handler.tick()
@@ -649,6 +649,10 @@
             interval_s,
             not self._path.is_cut,
             self._evacuations.state.end,
+            min(
+                MAX_REPORTED_STORE_AGE_S,
+                round(self._follower.desired_read_age_s(), 2),
+            ),
         )
 
     def _handle_peer_message(
@@ -675,6 +679,7 @@
         self._claims.handle_message(name, message)
 
     def _peer_joined(self, name: str) -> None:
+        self._follower.peer_joined(name)
         self._evacuations.send_update(name)
         self._reports.peer_joined(name)
         self._suspects.peer_joined(name)
--- a/walnutport/gateway/state/desired_reader.py
+++ b/walnutport/gateway/state/desired_reader.py
@@ -17,10 +17,9 @@
 # Longest time that the store holds a read until there is a new record (long
 # polling).
 HELD_READ_S = 25.0
-# The same for a host that reads the store for its peers. A connection may fall
-# silent without a reset, which shows only when a response is overdue; with the
-# time limit of the call, a retry and the messages to peers, all hosts follow
-# again within three seconds.
+# The same for a host that reads the store for its peers, or has failed to read
+# a newer state. The answer to a read may be lost and a connection may fall
+# silent without a reset, which shows only when a response is overdue.
 HELD_READ_FOR_PEERS_S = 1.0
 INITIAL_RETRY_DELAY_S = 0.25
 MAX_RETRY_DELAY_S = 1.0
@@ -56,6 +55,9 @@
         self._era = 0
         self._read: defer.Deferred | None = None
         self._read_since = 0.0
+        self._pause_call: defer.Deferred | None = None
+        # Whether the next read is one that a newer state has called for.
+        self._is_repeat = False
         self._read_at = 0.0
         # Whether the store held the last read for a while.
         self._was_held = False
@@ -80,6 +82,22 @@
             return 0.0
         return time.monotonic() - self._read_since
 
+    @property
+    def reads_for_peers(self) -> bool:
+        """Whether other hosts rely on the reads of this one."""
+        return self._reads_for_peers
+
+    def read_again(self) -> None:
+        """Read at once, as the store has a state that no read has brought.
+
+        The read in flight will not be answered, or the next one is paused
+        after a failure.
+        """
+        self._is_repeat = True
+        self._abandon_read()
+        if self._pause_call is not None:
+            self._pause_call.cancel()
+
     def set_reads_for_peers(self, reads_for_peers: bool) -> None:
         """Set whether other hosts rely on the reads of this one."""
         has_started = reads_for_peers and not self._reads_for_peers
@@ -150,6 +168,8 @@
         """
         started_at = self._read_since = time.monotonic()
         offset = self._offset
+        is_held_long = not (self._reads_for_peers or self._is_repeat)
+        self._is_repeat = False
         if offset is None or self._store.era != self._era:
             offset = None
             reading = self._store.read_newest(feeds.Feed.DESIRED)
@@ -157,9 +177,7 @@
             reading = self._store.read(
                 feeds.Feed.DESIRED,
                 offset,
-                HELD_READ_FOR_PEERS_S
-                if self._reads_for_peers
-                else HELD_READ_S,
+                HELD_READ_S if is_held_long else HELD_READ_FOR_PEERS_S,
             )
         self._read = defer.Deferred.fromCoroutine(reading)
         try:
@@ -172,4 +190,11 @@
         return page if page.era == self._era else None
 
     async def _pause(self, delay_s: float) -> None:
-        await task.deferLater(self._reactor, delay_s)
+        """Wait, unless a read is called for meanwhile."""
+        self._pause_call = task.deferLater(self._reactor, delay_s)
+        try:
+            await self._pause_call
+        except defer.CancelledError:
+            pass
+        finally:
+            self._pause_call = None
--- a/walnutport/gateway/state/feed_follower.py
+++ b/walnutport/gateway/state/feed_follower.py
@@ -40,9 +40,14 @@
 MAX_READ_ON_AGE_S = 5.0
 # Pages of a read beyond the first; the next read goes on from there.
 MAX_PAGES = 10
-# A host whose last read is older than this does not count as a reader.
+# A host whose last read of a feed is older than this does not count as one of
+# its readers. The store may serve one feed and not the other.
 READER_TIMEOUT_S = 1.6
 EXPIRED_RETRY_DELAY_S = 0.25
+# Shortest time between two messages that only tell the version in force.
+NOTICE_INTERVAL_S = 0.3
+# A copy of the desired state is not sent again to a peer within this time.
+REPEAT_COPY_AFTER_S = 2.0
 # Before a host removes targets whose entries have not come back, it asks a
 # peer that reads the targets; entries come back within two seconds.
 CONFIRM_LAPSE_WITHIN_S = 1.3
@@ -96,9 +101,14 @@
                 self.registry.era,
                 self.registry.changes_end_offset,
             ),
+            lambda: self._desired_reader.read_again(),
         )
         self._first_comparison = first_comparison.FirstComparison(
-            reactor, log, mesh, is_first_start, self._requests.request_from
+            reactor,
+            log,
+            mesh,
+            is_first_start,
+            self._requests.request_desired,
         )
         # Era of the store as this host knows it, also from its peers.
         self.era = 0
@@ -119,6 +129,10 @@
         self._must_list = False
         self._targets_known = False
         self._is_reader = False
+        self._next_desired_check_at = 0.0
+        self._next_notice_at = 0.0
+        # Version that each peer was sent last, and when.
+        self._copy_by_peer: dict[str, tuple[int, float]] = {}
         self._targets_read_at = 0.0
         self._stopped = False
 
@@ -210,12 +224,9 @@
         elif isinstance(message, fleet_messages.Heartbeat):
             self.evacuations.heartbeat_received(name, message)
             self._contact.outages.record_read(now - message.store_age_s, now)
-            self._requests.version_named(
-                name,
-                message.desired_version,
-                self._desired_reader.read_age_s(),
+            self._requests.heartbeat_received(
+                name, message, self._desired_reader.read_age_s()
             )
-            self._compare_offsets(name, message)
         elif isinstance(message, fleet_messages.UpdateRequest):
             self._send_updates(name, message)
 
@@ -245,34 +256,37 @@
             self._targets_known = True
         self._target_log.log_changes(*applied, source=name)
 
-    def _compare_offsets(
-        self, name: str, heartbeat: fleet_messages.Heartbeat
-    ) -> None:
-        """Ask a peer for an update if this host still lags behind it."""
-        if self._requests.is_behind(heartbeat):
-            self._requests.peer_ahead(
-                name, heartbeat.desired_version > self.desired_version
-            )
-            return
-        self._requests.peer_behind(name)
-
     def _send_updates(
         self, name: str, request: fleet_messages.UpdateRequest
     ) -> None:
         """Send a peer the updates that it lacks."""
-        if (
-            self._desired.record is not None
-            and request.desired_version < self.desired_version
-        ):
-            self._mesh.send(
-                name, fleet_messages.DesiredStateUpdate(self._desired.record)
-            )
+        if request.desired_version < self.desired_version:
+            self._send_desired(name)
         if request.era > self.registry.era:
             return
         after = request.targets_end if request.era == self.registry.era else 0
         if after < self.registry.changes_end_offset:
             self._mesh.send(name, self._target_update(after))
 
+    def _send_desired(self, name: str) -> None:
+        """Send a peer the desired state, unless a copy is on its way."""
+        now = time.monotonic()
+        version, sent_at = self._copy_by_peer.get(name, (0, 0.0))
+        if (
+            self._desired.record is None
+            or version == self.desired_version
+            and now - sent_at < REPEAT_COPY_AFTER_S
+        ):
+            return
+        if self._mesh.send(
+            name, fleet_messages.DesiredStateUpdate(self._desired.record)
+        ):
+            self._copy_by_peer[name] = (self.desired_version, now)
+
+    def peer_joined(self, name: str) -> None:
+        """Handle a new link, on which nothing is on its way."""
+        self._copy_by_peer.pop(name, None)
+
     def _target_update(self, after: int) -> fleet_messages.TargetUpdate:
         lists_all = after < self.registry.listed_end_offset
         return fleet_messages.TargetUpdate(
@@ -303,8 +317,9 @@
     async def _follow_targets(self) -> None:
         needs_full_read = True
         while not self._stopped:
-            self._is_reader = self._should_read()
-            self._desired_reader.set_reads_for_peers(self._is_reader)
+            self._is_reader = self._is_among_readers(
+                lambda heartbeat: heartbeat.store_age_s
+            )
             if self._targets_known and not self._is_reader:
                 await self._pause(TARGETS_POLL_INTERVAL_S / 2)
                 continue
@@ -425,8 +440,14 @@
         )
         self._on_new_era()
 
-    def _should_read(self) -> bool:
-        """Return whether this host is among those that read the targets."""
+    def _is_among_readers(
+        self, age_s: Callable[[fleet_messages.Heartbeat], float]
+    ) -> bool:
+        """Return whether this host is among those that read a feed.
+
+        :param age_s: returns the seconds since the sender of a heartbeat read
+            the feed.
+        """
         shares = {self._mesh.own_record.name: 1.0}
         for name, peer in self._mesh.peer_by_name.items():
             heartbeat = peer.heartbeat
@@ -434,7 +455,7 @@
                 peer.reachable
                 and heartbeat is not None
                 and not heartbeat.draining
-                and heartbeat.store_age_s < READER_TIMEOUT_S
+                and age_s(heartbeat) < READER_TIMEOUT_S
             ):
                 shares[name] = 1.0
         ranked = ranking.rank_hosts(ranking.TARGETS_READER, shares)
@@ -448,8 +469,32 @@
             self._requests.behind_s(),
             self._desired_reader.read_age_s(),
         ):
+            self._notify_peers(source)
             self._on_change()
 
+    def _notify_peers(self, source: str) -> None:
+        """Tell peers the new version, if they may wait for this host.
+
+        All others have it from the store at the same time.
+        """
+        now = time.monotonic()
+        if now >= self._next_notice_at and (
+            self._desired_reader.reads_for_peers or source != 'store'
+        ):
+            self._next_notice_at = now + NOTICE_INTERVAL_S
+            self._mesh.send_heartbeat()
+
+    def tick(self) -> None:
+        """Do what is due, several times a second."""
+        now = time.monotonic()
+        if now >= self._next_desired_check_at:
+            self._next_desired_check_at = now + TARGETS_POLL_INTERVAL_S / 2
+            self._desired_reader.set_reads_for_peers(
+                self._is_among_readers(_desired_age_s)
+            )
+        self._requests.tick()
+        self.expire_targets()
+
     def expire_targets(self) -> None:
         """Remove targets whose lapsed records did not reappear."""
         self.evacuations.expire()
@@ -462,3 +507,10 @@
 
     async def _pause(self, delay_s: float) -> None:
         await task.deferLater(self._reactor, delay_s)
+
+
+def _desired_age_s(heartbeat: fleet_messages.Heartbeat) -> float:
+    """Return the seconds since a peer read the desired state."""
+    if heartbeat.desired_age_s is None:
+        return heartbeat.store_age_s
+    return heartbeat.desired_age_s
--- a/walnutport/gateway/state/first_comparison.py
+++ b/walnutport/gateway/state/first_comparison.py
@@ -20,7 +20,7 @@
 
     :param is_first_start: whether the whole installation starts for the first
         time.
-    :param request_update: asks a peer for its newer desired state.
+    :param request_update: asks a peer that has a newer desired state for it.
     """
 
     def __init__(
@@ -29,7 +29,7 @@
         log,
         mesh: peers.PeerMesh,
         is_first_start: bool,
-        request_update: Callable[[str], None],
+        request_update: Callable[[], None],
     ) -> None:
         self._reactor = reactor
         self._log = log
@@ -89,5 +89,5 @@
                 )
                 return
             if ahead:
-                self._request_update(ahead[0])
+                self._request_update()
             await task.deferLater(self._reactor, COMPARISON_INTERVAL_S)
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -121,6 +121,8 @@
     :param reaches_targets: whether it reaches any target.
     :param evacuations_end: offset after the last change of an evacuation that
         it knows, in the same era.
+    :param desired_age_s: seconds since it last read the desired state from the
+        store, which may answer after a wait; None from earlier builds.
     """
 
     desired_version: json_input.Position
@@ -132,6 +134,7 @@
     interval_s: Annotated[float, msgspec.Meta(gt=0.0, le=MAX_INTERVAL_S)] = 0.3
     reaches_targets: bool = True
     evacuations_end: _End = 0
+    desired_age_s: _Age | None = None
 
 
 class UpdateRequest(msgspec.Struct, frozen=True, tag='ask'):
