Read streams no faster than their callers do

Cause: what was written to a caller's connection had no bound, and nothing stopped reading from the target while the caller's side was full.

Now a connection that takes no more bytes keeps them in a buffer, and the target, or the peer, is not read from meanwhile. All buffers of a host share a tenth of its memory by dynamic thresholds. Complete responses cannot wait: of those that nobody reads the longest is cut off (response_unread). A connection that the host closes does not wait for its caller for ever. Unfinished responses of peers and of the store are bounded by the memory of the host too, in place of 64 MiB each.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -7,16 +7,19 @@
 
 import klein
 import msgspec
+from twisted.internet import interfaces
 from twisted.internet import reactor
 from twisted.internet import task
 from twisted.protocols import policies
 from twisted.web import server
+import zope.interface
 
 from standins import platform_config
 from standins import target_records
 
 __all__ = [
     'CUT_MODES',
+    'LONG_EVENTS',
     'Run',
     'STALLING_MODES',
     'Target',
@@ -31,6 +34,11 @@
 #: close, one byte before the end, and before the end of its last chunk.
 CUT_MODES = ('cut_close', 'cut_length', 'cut_chunks')
 
+#: Events of an engine in the modes in which it sends large events as fast as
+#: its caller takes them, by mode.
+LONG_EVENTS = {'endless_events': 1_000_000, 'long_events': 100}
+
+_LONG_EVENT_BYTES = 30_000
 # Work of a cold target takes this many times as long.
 _COLD_SLOWNESS = 2.0
 # A frozen target answers nothing for this time.
@@ -57,6 +65,30 @@
     begun_at: float = dataclasses.field(default_factory=time.monotonic)
 
 
+@zope.interface.implementer(interfaces.IPullProducer)
+class _LongEvents:
+    """Sends large events, each once the one before is written."""
+
+    def __init__(self, request, count: int) -> None:
+        self._request = request
+        self._count = count
+        self._number = 0
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Send the next event, or end the stream."""
+        if self._number == self._count:
+            self._request.unregisterProducer()
+            self._request.finish()
+            return
+        self._number += 1
+        self._request.write(
+            b'id: %d\ndata: %b\n\n' % (self._number, b'x' * _LONG_EVENT_BYTES)
+        )
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Handle the end of the connection."""
+
+
 class Target:
     """One target, which listens on its own port.
 
@@ -230,6 +262,8 @@
                 return await self._cut_off(request)
             if self._mode() == 'frozen':
                 await task.deferLater(reactor, _FROZEN_S)
+            if self._mode() in LONG_EVENTS:
+                return await self._send_long_events(request)
             if self._plan.kind == 'engine':
                 return await self._stream(request)
             await self._sleep(self._platform.settings.work_ms)
@@ -245,6 +279,18 @@
             return b'failed'
         return f'{request_id} by {self._plan.target_id}'.encode()
 
+    async def _send_long_events(self, request) -> bytes:
+        """Send events, also from a target that is no engine."""
+        if self._plan.kind == 'engine':
+            request.setHeader('content-type', 'text/event-stream')
+        request.registerProducer(
+            _LongEvents(request, LONG_EVENTS[self._mode()]), False
+        )
+        # Klein would finish the answer.
+        with contextlib.suppress(Exception):
+            await request.notifyFinish()
+        return b''
+
     def _has_lost_inputs(self, request) -> bool:
         """Return whether a result that a request needs is held no more."""
         inputs = request.getHeader('walnutport-inputs')
--- a/tests/gateway/call_builders.py
+++ b/tests/gateway/call_builders.py
@@ -106,6 +106,12 @@
     def write(self, data) -> None:
         """Take a part of the body."""
 
+    def set_source(self, source) -> None:
+        """Never pause the source of the body."""
+
+    def clear_source(self, source) -> None:
+        """Never resume the source of the body."""
+
     def finish(self) -> None:
         """Record that the response is complete."""
         self.response_ended = True
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -46,6 +46,7 @@
 from walnutport.gateway.targets import target_selector
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
+from walnutport.http1 import response_buffer
 from walnutport.http1 import server
 from walnutport.lifecycle import host_end
 from walnutport.membership import loop_lag
@@ -66,8 +67,13 @@
 
 # How often timeouts are checked; the shortest of them are 0.3 s.
 TICK_INTERVAL_S = 0.1
-# Share of the memory of the host for unfinished responses of targets.
+# Shares of the memory of the host: for unfinished responses of targets, of
+# peers that serve its callers, and of the store, and for responses that
+# callers have not read yet.
 MAX_KEPT_RESPONSES_SHARE = 0.2
+MAX_KEPT_RELAYED_SHARE = 0.1
+MAX_KEPT_STORE_SHARE = 0.1
+MAX_UNREAD_RESPONSES_SHARE = 0.1
 # Idle channels kept per target.
 MAX_IDLE_CHANNELS_PER_TARGET = 6
 # Link capacity that counts as much as one core in the work share of a host;
@@ -123,6 +129,9 @@
             MAX_IDLE_CHANNELS_PER_TARGET,
             int(settings.memory_bytes * MAX_KEPT_RESPONSES_SHARE),
         )
+        self._unread = response_buffer.UnreadBytes(
+            int(settings.memory_bytes * MAX_UNREAD_RESPONSES_SHARE)
+        )
         self._outcomes = outcomes.TargetOutcomes(rng)
         store = platform_store.PlatformStore(
             reactor,
@@ -130,6 +139,7 @@
             lambda problem: self.log.notable(
                 'store_era_invalid', problem=problem
             ),
+            int(settings.memory_bytes * MAX_KEPT_STORE_SHARE),
         )
         self._mesh = peers.PeerMesh(
             reactor,
@@ -314,6 +324,8 @@
             lambda request, name: self._request_handler.handle(request, name),
             lambda: self.ready,
             self._limits,
+            self._unread,
+            int(settings.memory_bytes * MAX_KEPT_RELAYED_SHARE),
         )
         self._claims = stream_claims.StreamClaims(
             reactor, self.log, self._mesh
@@ -375,6 +387,8 @@
             self._request_handler.handle,
             self._limits,
             self._log_unreadable_request,
+            self._unread,
+            self._log_unread_response,
         )
         self._operator_site = server.ServerSite(
             reactor,
@@ -382,9 +396,14 @@
                 entry_metrics,
                 lambda: self.ready,
                 self.status,
-                self._host_status.gauges,
+                lambda: {
+                    **self._host_status.gauges(),
+                    'responses_unread_bytes': self._unread.total,
+                },
                 lambda: {
                     **self._host_status.totals(),
+                    'responses_paused_total': self._unread.paused_count,
+                    'responses_unread_cut_total': self._unread.cut_count,
                     **self._directory.totals(),
                     **self._run_check.totals(),
                 },
@@ -705,5 +724,10 @@
         desired = self._follower.desired
         return desired.limits if desired else routes.RequestLimits()
 
+    def _log_unread_response(self, kept_bytes: int) -> None:
+        self.log.notable(
+            'response_unread', bytes=kept_bytes, all_bytes=self._unread.total
+        )
+
     def _log_unreadable_request(self, status: int) -> None:
         self.log.notable('request_unreadable', status=status)
--- a/walnutport/gateway/operations/events.py
+++ b/walnutport/gateway/operations/events.py
@@ -481,6 +481,12 @@
         # Earlier builds do not write it.
         ('desired',),
     ),
+    Event(
+        'response_unread',
+        'a caller or a peer does not read its response; the connection is '
+        'ended as all such responses hold too much memory',
+        ('bytes', 'all_bytes'),
+    ),
     Event(
         'relay_received',
         'a request of another host is served here',
--- a/walnutport/gateway/peers/peer_relay.py
+++ b/walnutport/gateway/peers/peer_relay.py
@@ -20,6 +20,7 @@
 from walnutport.http1 import channel_pool
 from walnutport.http1 import client_channel
 from walnutport.http1 import messages
+from walnutport.http1 import response_buffer
 from walnutport.http1 import server
 from walnutport.platform import headers
 from walnutport.platform import wire
@@ -83,7 +84,7 @@
         self._is_stream = False
         self._is_returned = False
         self.done: defer.Deferred = defer.Deferred(
-            lambda deferred: channel.cancel()
+            lambda deferred: self._drop_channel()
         )
 
     @property
@@ -122,6 +123,7 @@
             self._call.request.start(
                 head.status, headers.forwarded_response_headers(head)
             )
+            self._call.request.set_source(self._channel)
         return True
 
     def body_received(self, data: bytes) -> None:
@@ -137,6 +139,7 @@
             # Peers frame all responses, so this one has broken off.
             self.failed(exceptions.ChannelError('no length', written=True))
             return
+        self._end_stream()
         if self._is_stream:
             self._call.request.finish()
         elif self.was_taken:
@@ -145,9 +148,19 @@
             self.done.callback(None)
 
     def failed(self, failure: exceptions.ChannelError) -> None:
+        self._end_stream()
         if not self.done.called:
             self.done.errback(failure)
 
+    def _drop_channel(self) -> None:
+        self._end_stream()
+        self._channel.cancel()
+
+    def _end_stream(self) -> None:
+        """Let the caller's connection pause the channel no more."""
+        if self._is_stream:
+            self._call.request.clear_source(self._channel)
+
 
 class PeerRelay:
     """Sends requests to peers, and accepts those of peers.
@@ -156,6 +169,8 @@
     :param handle: serves a request of a peer, given its name.
     :param accepts: returns whether requests of peers are accepted.
     :param limits: returns the limits that requests of peers have to keep.
+    :param unread: bytes of responses that peers and callers have not read yet.
+    :param max_kept_bytes: bytes of unfinished responses of peers to keep.
     :ivar site: site that accepts requests of peers.
     :ivar sent_count: requests that peers have served for this host.
     :ivar received_count: requests of peers that this host has served.
@@ -172,6 +187,8 @@
         handle: Callable[[server.ServerRequest, str], None],
         accepts: Callable[[], bool],
         limits: Callable[[], routes.RequestLimits],
+        unread: response_buffer.UnreadBytes | None = None,
+        max_kept_bytes: int = channel_pool.MAX_KEPT_BYTES,
     ) -> None:
         self._log = log
         self._mesh = mesh
@@ -180,10 +197,12 @@
         self._handle = handle
         self._accepts = accepts
         self._pool = channel_pool.ChannelPool(
-            reactor, MAX_IDLE_CHANNELS_PER_PEER
+            reactor, MAX_IDLE_CHANNELS_PER_PEER, max_kept_bytes
         )
         self._in_flight_by_peer: dict[str, int] = {}
-        self.site = server.ServerSite(reactor, self._receive, limits)
+        self.site = server.ServerSite(
+            reactor, self._receive, limits, unread=unread
+        )
         self.sent_count = 0
         self.received_count = 0
         self.returned_count = 0
--- a/walnutport/gateway/targets/attempts.py
+++ b/walnutport/gateway/targets/attempts.py
@@ -308,6 +308,8 @@
                 self._head.status,
                 headers.forwarded_response_headers(self._head),
             )
+        if self._channel is not None:
+            request.set_source(self._channel)
         request.write(events)
         self._call.delivery.forwarded(
             self._target, self._relay, self._call.binding
@@ -369,6 +371,7 @@
     ) -> None:
         if self.done.called:
             return
+        self._end_stream()
         self.done.callback(
             AttemptResult(
                 status,
@@ -388,8 +391,14 @@
         )
 
     def _on_cancel(self, deferred: defer.Deferred) -> None:
+        self._end_stream()
         self._drop_channel()
 
+    def _end_stream(self) -> None:
+        """Let the caller's connection pause the channel no more."""
+        if self._streaming and self._channel is not None:
+            self._call.request.clear_source(self._channel)
+
     def _drop_channel(self) -> None:
         if self._channel is not None:
             self._channel.cancel()
--- a/walnutport/http1/client_channel.py
+++ b/walnutport/http1/client_channel.py
@@ -122,6 +122,7 @@
             lambda channel, size: None
         )
         self._kept_bytes = 0
+        self._is_paused = False
         self._receiver: ResponseReceiver | None = None
         self._written = False
         self._notice: write_notice.WriteNotice | None = None
@@ -182,6 +183,22 @@
         """Close an idle channel."""
         self._abort()
 
+    def pause_reading(self) -> None:
+        """Read no more for now, so that the peer has to wait.
+
+        The end of the connection is not noticed meanwhile.
+        """
+        if self.alive and not self._is_paused:
+            self._is_paused = True
+            self.transport.pauseProducing()
+
+    def resume_reading(self) -> None:
+        """Read on."""
+        if self._is_paused:
+            self._is_paused = False
+            if self.alive:
+                self.transport.resumeProducing()
+
     def dataReceived(self, data: bytes) -> None:
         if self._receiver is None:
             # No request is in flight, so the data cannot be a response.
--- a/walnutport/http1/server.py
+++ b/walnutport/http1/server.py
@@ -14,6 +14,7 @@
 
 from walnutport.http1 import body_buffer
 from walnutport.http1 import messages
+from walnutport.http1 import response_buffer
 from walnutport.http1 import write_notice
 from walnutport.world import routes
 
@@ -83,7 +84,11 @@
             *self._connection_headers(),
         ]
         head = messages.encode_response_head(status, all_headers)
-        self._channel.write_response(head + body)
+        if len(body) <= response_buffer.PIECE_BYTES:
+            self._channel.write_response(head + body)
+        else:
+            self._channel.write_response(head)
+            self._channel.write_response(body)
         self._channel.response_finished(self._keep_alive)
 
     def start(self, status: int, headers: messages.Headers) -> None:
@@ -105,6 +110,15 @@
         if data and not self.disconnected and not self.response_ended:
             self._channel.write_response(b'%x\r\n%s\r\n' % (len(data), data))
 
+    def set_source(self, source: response_buffer.ResponseSource) -> None:
+        """Pause the source of the body while the caller reads too slowly."""
+        if not self.disconnected and not self.response_ended:
+            self._channel.output.set_source(source)
+
+    def clear_source(self, source: response_buffer.ResponseSource) -> None:
+        """Let go of a source that sends nothing more."""
+        self._channel.output.clear_source(source)
+
     def finish(self) -> None:
         """End a response that was sent in chunks."""
         if self.disconnected or self.response_ended:
@@ -136,7 +150,12 @@
 
 
 class ServerChannel(protocol.Protocol):
-    """Server side of a caller's connection."""
+    """Server side of a caller's connection.
+
+    :ivar output: writes the responses.
+    """
+
+    output: response_buffer.ResponseBuffer
 
     def __init__(self, site: 'ServerSite') -> None:
         self.site = site
@@ -153,6 +172,9 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        self.output = response_buffer.ResponseBuffer(
+            self.transport, self.site.unread, self._cut_off
+        )
         self.site.channels.add(self)
         self._start_timer(self.site.limits().idle_s)
 
@@ -161,6 +183,7 @@
         self._closing = True
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
+        self.output.discard()
         pipelined, self._pipelined = self._pipelined, []
         for request in pipelined:
             request.mark_disconnected()
@@ -219,7 +242,7 @@
 
     def write_response(self, data: bytes) -> None:
         """Write a part of a response."""
-        self.transport.write(data)
+        self.output.write(data)
 
     def response_finished(self, keep_alive: bool) -> None:
         """Handle the end of the response to the active request.
@@ -297,7 +320,7 @@
             return
         expects = (self._first_value(b'expect') or b'').lower()
         if expects == b'100-continue' and self.active is None:
-            self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+            self.output.write(b'HTTP/1.1 100 Continue\r\n\r\n')
         self._wait_for_body()
 
     def on_body(self, data: bytes) -> None:
@@ -348,7 +371,7 @@
             # cannot be parsed, so the channel closes after that response.
             self._closing = True
             return
-        self.transport.write(
+        self.output.write(
             messages.encode_response_head(
                 status,
                 [(b'content-length', b'0'), (b'connection', b'close')],
@@ -358,8 +381,22 @@
 
     def _close(self) -> None:
         self._closing = True
+        self._abort_later()
+        self.output.when_drained(self.transport.loseConnection)
+
+    def _abort_later(self) -> None:
+        """Limit the time that the caller has to read what was written."""
         self._cancel_timer()
-        self.transport.loseConnection()
+        self._timer = self.site.reactor.callLater(
+            self.site.limits().idle_s, self.transport.abortConnection
+        )
+
+    def _cut_off(self, kept_bytes: int) -> None:
+        """End the connection, as the caller does not read."""
+        self.site.on_unread(kept_bytes)
+        self._closing = True
+        self.output.discard()
+        self.transport.abortConnection()
 
     def _close_unannounced(self) -> None:
         """Close after a response that has announced no close.
@@ -368,11 +405,15 @@
         data would reset the connection, so that it could lose the response.
         """
         self._closing = True
-        self._cancel_timer()
+        self._abort_later()
+        self.output.when_drained(self._notify_written)
+
+    def _notify_written(self) -> None:
         write_notice.notify_written(self.transport, self._half_close)
 
     def _half_close(self) -> None:
         """Close for writing; what the caller still sends is read away."""
+        self._cancel_timer()
         self.transport.loseWriteConnection()
         self._timer = self.site.reactor.callLater(
             LINGER_S, self.transport.loseConnection
@@ -386,7 +427,7 @@
         """
         self._closing = True
         self._cancel_timer()
-        self.transport.loseWriteConnection()
+        self.output.when_drained(self.transport.loseWriteConnection)
         self._timer = self.site.reactor.callLater(
             LINGER_S, self.transport.abortConnection
         )
@@ -429,6 +470,9 @@
     :param handler: called with each request.
     :param limits: returns the limits in force.
     :param on_rejected: called with the status of each rejected request.
+    :param unread: bytes that callers have not read yet, which sites may share.
+    :param on_unread: called with the bytes that a caller has not read when it
+        is cut off.
     """
 
     noisy = False
@@ -439,11 +483,15 @@
         handler: Callable[[ServerRequest], None],
         limits: Callable[[], routes.RequestLimits],
         on_rejected: Callable[[int], None] = lambda status: None,
+        unread: response_buffer.UnreadBytes | None = None,
+        on_unread: Callable[[int], None] = lambda kept_bytes: None,
     ) -> None:
         self.reactor = reactor
         self.handler = handler
         self.limits = limits
         self.on_rejected = on_rejected
+        self.unread = unread or response_buffer.UnreadBytes()
+        self.on_unread = on_unread
         self.channels: set[ServerChannel] = set()
         # While set, each response carries ``Connection: close``.
         self.closing = False
--- a/walnutport/platform/store.py
+++ b/walnutport/platform/store.py
@@ -62,6 +62,8 @@
 
     :param on_era_problem: called with a description when a response names no
         valid era.
+    :param max_kept_bytes: bytes of unfinished responses to keep, at least
+        those of one response.
     """
 
     def __init__(
@@ -69,11 +71,16 @@
         reactor,
         address: client_channel.Address,
         on_era_problem: Callable[[str], None],
+        max_kept_bytes: int = channel_pool.MAX_KEPT_BYTES,
     ) -> None:
         self._reactor = reactor
         self._address = address
         self._on_era_problem = on_era_problem
-        self._pool = channel_pool.ChannelPool(reactor, max_idle=2)
+        self._pool = channel_pool.ChannelPool(
+            reactor,
+            max_idle=2,
+            max_kept_bytes=max(max_kept_bytes, MAX_BODY_BYTES),
+        )
         self.call_count = 0
         self._era = 0
 
