Give callers a fixed time to read on a closed connection

The idle time of the operator's limits says how long a caller may stay idle; set to a second, it would cut off a caller that reads its last response slowly. A connection that the host closes is aborted after 15 s now.

--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -263,3 +263,13 @@
     caller.send(b'st: h\r\n\r\n')
     caller.requests[1].respond(200, [], b'two')
     assert caller.transport.disconnecting
+
+
+def test_caller_that_does_not_read_is_not_waited_for_after_a_close():
+    """Guards against connections that stay, as their data is never read."""
+    caller = Caller()
+    caller.send(b'GET /a HTTP/1.0\r\nHost: h\r\n\r\n')
+    caller.requests[0].respond(200, [], b'ok')
+    assert not caller.transport.aborted
+    caller.clock.advance(server.UNREAD_LIMIT_S)
+    assert caller.transport.aborted
--- a/walnutport/http1/server.py
+++ b/walnutport/http1/server.py
@@ -25,6 +25,9 @@
 # Time for a caller to read the response to a rejected request before the
 # connection is reset.
 LINGER_S = 1.0
+# Time for a caller to read the responses on a connection that is closed after
+# them.
+UNREAD_LIMIT_S = 15.0
 _UNIQUE_HEADERS = frozenset((b'host', b'content-length', b'transfer-encoding'))
 
 
@@ -388,7 +391,7 @@
         """Limit the time that the caller has to read what was written."""
         self._cancel_timer()
         self._timer = self.site.reactor.callLater(
-            self.site.limits().idle_s, self.transport.abortConnection
+            UNREAD_LIMIT_S, self.transport.abortConnection
         )
 
     def _cut_off(self, kept_bytes: int) -> None:
