Do not forward what peers read themselves

During an outage of the store all hosts become readers of the targets. At its return the first ones forwarded all that had changed to all their peers, and the others stopped to read. With 148 entries that lapsed and 65 hosts that is 2.8 MB from each first reader: 4.4 s on a link of 5 Mbit/s (test, on the code before), in which heartbeats and the desired state wait.

Now a host whose read has failed reads on until one succeeds, heartbeats tell who reads, and these are not sent the changes. Hosts with much smaller links or processors than the largest one read for others last, as for cells; the hosts to link with are chosen in the same order.

test_entries_that_lapse_in_an_outage_do_not_fill_links: longest queue 4.4 s before (bound 0.3 s, a heartbeat), passes now. Builds side by side may choose other readers; each host has two fresh ones among its links or reads itself.

--- a/tests/gateway/state/partial_mesh.py
+++ b/tests/gateway/state/partial_mesh.py
@@ -25,7 +25,8 @@
 STEP_S = 1 / 64
 TICK_S = 0.1
 RENEWAL_S = 1.25
-# Every message but a desired state.
+ENTRY_BYTES = 300
+# Every message but a desired state, and a list of targets without entries.
 SMALL_MESSAGE_BYTES = 300
 
 
@@ -75,7 +76,7 @@
         super().__init__(name)
         self._fleet = fleet
         self.is_partial = True
-        self._free_at = 0.0
+        self.free_at = 0.0
         self.bytes_sent = 0
 
     def send(self, name: str, message) -> bool:
@@ -84,13 +85,15 @@
         size = SMALL_MESSAGE_BYTES
         if isinstance(message, fleet_messages.DesiredStateUpdate):
             size += len(message.record.value)
+        elif isinstance(message, fleet_messages.TargetUpdate):
+            size += ENTRY_BYTES * len(message.records)
         self.bytes_sent += size
         now = self._fleet.clock.seconds()
-        self._free_at = max(now, self._free_at) + (
+        self.free_at = max(now, self.free_at) + (
             8 * size / self._fleet.link_bits_per_s
         )
         self._fleet.clock.callLater(
-            self._free_at - now + STEP_S,
+            self.free_at - now + STEP_S,
             self._fleet.deliver,
             self.own_record.name,
             name,
@@ -98,8 +101,8 @@
         )
         return True
 
-    def broadcast(self, message) -> None:
-        for name in list(self.peer_by_name):
+    def broadcast(self, message, except_names=()) -> None:
+        for name in self.peer_by_name.keys() - set(except_names):
             self.send(name, message)
 
     def send_heartbeat(self) -> None:
@@ -204,6 +207,7 @@
             peers.PARTIAL_MESH_HEARTBEAT_INTERVAL_S,
             evacuations_end=follower.evacuations.state.end,
             desired_age_s=min(999.0, follower.desired_read_age_s()),
+            reads_targets=follower.reads_targets,
         )
 
     def deliver(self, sender: str, receiver: str, message) -> None:
@@ -244,6 +248,11 @@
             if follower.desired_version < self.version
         ]
 
+    def longest_queue_s(self) -> float:
+        """Return how long the link of a host takes for what waits there."""
+        now = self.clock.seconds()
+        return max(mesh.free_at - now for mesh in self.mesh_by_name.values())
+
     def lose_held_reads(self) -> None:
         """Let the reads that the store holds now never be answered."""
         self.store.lose_held_reads()
--- a/tests/gateway/state/test_convergence.py
+++ b/tests/gateway/state/test_convergence.py
@@ -297,6 +297,7 @@
                 False,
                 evacuations_end=follower.evacuations.state.end,
                 desired_age_s=min(999.0, follower.desired_read_age_s()),
+                reads_targets=follower.reads_targets,
             )
             for other in HOSTS:
                 if other == name:
--- a/tests/gateway/state/test_feed_follower.py
+++ b/tests/gateway/state/test_feed_follower.py
@@ -25,7 +25,7 @@
         self.sent.append((name, message))
         return True
 
-    def broadcast(self, message) -> None:
+    def broadcast(self, message, except_names=()) -> None:
         self.sent.append(('all', message))
 
     def send_heartbeat(self) -> None:
--- a/tests/gateway/state/test_lagging_hosts.py
+++ b/tests/gateway/state/test_lagging_hosts.py
@@ -6,6 +6,7 @@
 from tests.gateway.state import partial_mesh
 from tests.gateway.state import test_feed_follower
 from tests.gateway.state import test_store_era
+from walnutport.gateway.peers import peers
 from walnutport.peer import fleet_messages
 from walnutport.world import feeds
 
@@ -18,6 +19,7 @@
 # links.
 HOST_COUNT = 65
 LINK_RATES = (5e6, 100e6)
+TARGET_COUNT = 148
 
 
 @pytest.mark.parametrize('link_bits_per_s', LINK_RATES)
@@ -98,13 +100,15 @@
         test_feed_follower.feed_follower.time, 'monotonic', lambda: now
     )
     mesh = test_feed_follower.FakeMesh()
-    peers = {name: test_feed_follower.FakePeer() for name in 'ab'}
-    peers['a'].heartbeat = test_feed_follower.heartbeat(0, targets_end=9)
-    peers['b'].heartbeat = test_feed_follower.heartbeat(2)
-    mesh.peer_by_name = peers
+    peer_by_name = {name: test_feed_follower.FakePeer() for name in 'ab'}
+    peer_by_name['a'].heartbeat = test_feed_follower.heartbeat(
+        0, targets_end=9
+    )
+    peer_by_name['b'].heartbeat = test_feed_follower.heartbeat(2)
+    mesh.peer_by_name = peer_by_name
     follower = test_feed_follower.make_follower(mesh)
     for _ in range(round(CONFIG_APPLY_S / 0.6)):
-        for name, peer in peers.items():
+        for name, peer in peer_by_name.items():
             follower.handle_message(name, peer.heartbeat)
             now += 0.05
             follower.tick()
@@ -115,12 +119,12 @@
 def test_reads_of_peers_whose_desired_state_is_old(monkeypatch):
     """Guards against hosts that rely on peers that read the targets only."""
     fixture = test_store_era.Fixture(monkeypatch)
-    peers = {name: test_feed_follower.FakePeer() for name in 'abcdefgh'}
-    for peer in peers.values():
+    readers = {name: test_feed_follower.FakePeer() for name in 'abcdefgh'}
+    for peer in readers.values():
         peer.heartbeat = msgspec.structs.replace(
             test_feed_follower.heartbeat(1), desired_age_s=10.0
         )
-    fixture.mesh.peer_by_name = peers
+    fixture.mesh.peer_by_name = readers
     fixture.write_desired(1)
     fixture.start()
     fixture.store.lose_held_reads()
@@ -184,3 +188,28 @@
         assert len(mesh.sent) == 1
         asked.add(mesh.sent[0][0])
     assert asked == set('abcd')
+
+
+def test_entries_that_lapse_in_an_outage_do_not_fill_links(monkeypatch):
+    """Guards against all changes of an outage from each host to all others.
+
+    Heartbeats and the desired state would wait behind them for seconds.
+    """
+    fleet = partial_mesh.PartialMeshFleet(
+        monkeypatch, HOST_COUNT, link_bits_per_s=LINK_RATES[0]
+    )
+    names = [f'target-{number}' for number in range(TARGET_COUNT)]
+    for name in names:
+        fleet.store.write(feeds.Feed.TARGETS, name, b'1')
+    fleet.advance(5.0)
+    fleet.silent_feeds = set(feeds.Feed)
+    fleet.lose_held_reads()
+    fleet.advance(4.5)
+    for name in names:
+        fleet.store.write(feeds.Feed.TARGETS, name, None)
+    fleet.write_desired()
+    fleet.silent_feeds = set()
+    for _ in range(round(STABLE_WINDOW_S / 0.25)):
+        fleet.advance(0.25)
+        assert fleet.longest_queue_s() < peers.HEARTBEAT_INTERVAL_S
+    assert not fleet.lagging_names()
--- a/tests/membership/test_ranking.py
+++ b/tests/membership/test_ranking.py
@@ -80,3 +80,12 @@
         assert ranking.cell_targets_left(
             ids, set(), cell, 3
         ) == ranking.cell_targets(ids, cell, 3)
+
+
+def test_small_hosts_read_the_store_for_others_last():
+    """Guards against changes for all hosts that leave over a slow link."""
+    shares = {f'small-{number}': 0.1 for number in range(20)}
+    shares |= {f'large-{number}': 1.0 for number in range(3)}
+    ranked = ranking.rank_readers(shares)
+    assert all(name.startswith('large') for name in ranked[:3])
+    assert sorted(ranked) == sorted(shares)
--- a/walnutport/gateway/host.py
+++ b/walnutport/gateway/host.py
@@ -672,6 +672,7 @@
                 MAX_REPORTED_STORE_AGE_S,
                 round(self._follower.desired_read_age_s(), 2),
             ),
+            self._follower.reads_targets,
         )
 
     def _handle_peer_message(
--- a/walnutport/gateway/peers/peers.py
+++ b/walnutport/gateway/peers/peers.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 import time
 
 from twisted.internet import abstract
@@ -256,14 +257,21 @@
             return False
         return peer.link.send(message)
 
-    def broadcast(self, message: fleet_messages.FleetMessage) -> None:
-        """Send a message to every linked peer that understands it."""
+    def broadcast(
+        self,
+        message: fleet_messages.FleetMessage,
+        except_names: Collection[str] = (),
+    ) -> None:
+        """Send a message to every linked peer that understands it.
+
+        :param except_names: names of peers that do not need it.
+        """
         data = self.encoder.encode(message)
         if data is None:
             return
         capability = fleet_messages.required_capability(message)
-        for peer in self.peer_by_name.values():
-            if peer.link is None:
+        for name, peer in self.peer_by_name.items():
+            if peer.link is None or name in except_names:
                 continue
             if peer.supports(capability):
                 peer.link.send_encoded(data)
--- a/walnutport/gateway/state/feed_follower.py
+++ b/walnutport/gateway/state/feed_follower.py
@@ -129,6 +129,9 @@
         self._must_list = False
         self._targets_known = False
         self._is_reader = False
+        # Whether the last read for the peers has failed. This host reads until
+        # one succeeds, whoever else reads then.
+        self._has_failed = False
         self._next_desired_check_at = 0.0
         self._next_notice_at = 0.0
         # Version that each peer was sent last, and when.
@@ -169,6 +172,11 @@
             and self.store_age_s() < READER_TIMEOUT_S
         )
 
+    @property
+    def reads_targets(self) -> bool:
+        """Whether this host reads the targets from the store."""
+        return self._is_reader or self._has_failed
+
     def store_age_s(self) -> float:
         """Return the seconds since this host read targets from the store."""
         return time.monotonic() - self._targets_read_at
@@ -320,7 +328,11 @@
             self._is_reader = self._is_among_readers(
                 lambda heartbeat: heartbeat.store_age_s
             )
-            if self._targets_known and not self._is_reader:
+            if (
+                self._targets_known
+                and not self._is_reader
+                and not self._has_failed
+            ):
                 await self._pause(TARGETS_POLL_INTERVAL_S / 2)
                 continue
             try:
@@ -338,6 +350,7 @@
                 await self._pause(EXPIRED_RETRY_DELAY_S)
                 continue
             except exceptions.LogServiceError as problem:
+                self._has_failed = True
                 self._contact.failed(problem)
             except Exception as problem:
                 # What was read is applied in part, or not at all.
@@ -413,10 +426,25 @@
         else:
             applied = self.registry.apply(page, now)
         self._target_log.log_changes(*applied, source='store')
+        self._has_failed = False
         if self.registry.changes_end_offset != before:
-            self._mesh.broadcast(self._target_update(before))
+            self._mesh.broadcast(
+                self._target_update(before), self._readers_of_targets()
+            )
         return page
 
+    def _readers_of_targets(self) -> set[str]:
+        """Return the peers that read the targets themselves.
+
+        After an outage of the store all hosts do, and what has changed
+        meanwhile would fill the links between them.
+        """
+        return {
+            name
+            for name, peer in self._mesh.peer_by_name.items()
+            if peer.heartbeat is not None and peer.heartbeat.reads_targets
+        }
+
     def _enter_era(self, era: int, source: str) -> None:
         """Follow the store into a new era, after it returned from a copy.
 
@@ -448,7 +476,8 @@
         :param age_s: returns the seconds since the sender of a heartbeat read
             the feed.
         """
-        shares = {self._mesh.own_record.name: 1.0}
+        own = self._mesh.own_record
+        shares = {own.name: own.work_share}
         for name, peer in self._mesh.peer_by_name.items():
             heartbeat = peer.heartbeat
             if (
@@ -457,9 +486,8 @@
                 and not heartbeat.draining
                 and age_s(heartbeat) < READER_TIMEOUT_S
             ):
-                shares[name] = 1.0
-        ranked = ranking.rank_hosts(ranking.TARGETS_READER, shares)
-        return self._mesh.own_record.name in ranked[:READER_COUNT]
+                shares[name] = peer.record.work_share
+        return own.name in ranking.rank_readers(shares)[:READER_COUNT]
 
     def _apply_desired(self, record: feeds.FeedRecord, source: str) -> None:
         if self._desired.apply(
--- a/walnutport/membership/ranking.py
+++ b/walnutport/membership/ranking.py
@@ -19,6 +19,7 @@
     'cell_targets',
     'cell_targets_left',
     'rank_hosts',
+    'rank_readers',
     'hosts_to_link',
     'origin_keepers',
     'origin_shard',
@@ -53,7 +54,7 @@
     """Return the hosts that are not much smaller than the largest one.
 
     An owner's link carries the calls of its whole cell, which would saturate
-    the link of a small host.
+    the link of a small host, and a reader's what has changed to all others.
     """
     largest = max(shares_by_name.values(), default=0.0)
     return {
@@ -79,6 +80,18 @@
     )
 
 
+def rank_readers(shares_by_name: dict[str, float]) -> list[str]:
+    """Return the hosts in their order of precedence as readers of the store.
+
+    Those that are much smaller than the largest one come last.
+    """
+    eligible = eligible_hosts(shares_by_name)
+    return sorted(
+        rank_hosts(TARGETS_READER, dict.fromkeys(shares_by_name, 1.0)),
+        key=lambda name: name not in eligible,
+    )
+
+
 @functools.lru_cache(maxsize=MAX_CACHED_SCORES)
 def _unit_score(key: str, name: str) -> float:
     """Return the rendezvous hashing score of a host with a share of one."""
@@ -153,8 +166,7 @@
     eligible = eligible_hosts(shares_by_name)
     for cell in range(cells):
         linked.update(rank_hosts(cell_key(cell), eligible)[:LINKED_OWNERS])
-    equal_shares = dict.fromkeys(shares_by_name, 1.0)
-    linked.update(rank_hosts(TARGETS_READER, equal_shares)[:LINKED_OWNERS])
+    linked.update(rank_readers(shares_by_name)[:LINKED_OWNERS])
     names = sorted(shares_by_name)
     position = names.index(own)
     for step in range(1, LINKED_NEIGHBOURS + 1):
--- a/walnutport/peer/fleet_messages.py
+++ b/walnutport/peer/fleet_messages.py
@@ -123,6 +123,7 @@
         it knows, in the same era.
     :param desired_age_s: seconds since it last read the desired state from the
         store, which may answer after a wait; None from earlier builds.
+    :param reads_targets: whether it reads the targets from the store itself.
     """
 
     desired_version: json_input.Position
@@ -135,6 +136,7 @@
     reaches_targets: bool = True
     evacuations_end: _End = 0
     desired_age_s: _Age | None = None
+    reads_targets: bool = False
 
 
 class UpdateRequest(msgspec.Struct, frozen=True, tag='ask'):
