Tell a reader of targets of changes while the store refuses it

Found on reading: heartbeats of a host whose reads fail say that it reads the targets, so that its peers did not forward changes to it. If the store refuses this host alone, it learnt of them by requests only, some 1.2 s later. Peers whose last read is old are now left out only by a host that had no answer itself.

test_peer_that_the_store_refuses_is_told_of_changes guards this; the queue of test_entries_that_lapse_in_an_outage_do_not_fill_links stays below its bound.

--- a/tests/gateway/state/test_feed_follower.py
+++ b/tests/gateway/state/test_feed_follower.py
@@ -17,6 +17,7 @@
     def __init__(self) -> None:
         self.sent: list = []
         self.heartbeat_count = 0
+        self.except_names: set[str] = set()
         self.peer_by_name: dict = {}
         self.awaits_peers = False
         self.is_partial = False
@@ -27,6 +28,7 @@
 
     def broadcast(self, message, except_names=()) -> None:
         self.sent.append(('all', message))
+        self.except_names = set(except_names)
 
     def send_heartbeat(self) -> None:
         self.heartbeat_count += 1
--- a/tests/gateway/state/test_lagging_hosts.py
+++ b/tests/gateway/state/test_lagging_hosts.py
@@ -213,3 +213,22 @@
         fleet.advance(0.25)
         assert fleet.longest_queue_s() < peers.HEARTBEAT_INTERVAL_S
     assert not fleet.lagging_names()
+
+
+def test_peer_that_the_store_refuses_is_told_of_changes(monkeypatch):
+    """Guards against a reader that is refused alone and learns nothing."""
+    fixture = test_store_era.Fixture(monkeypatch)
+    ages = {'reads': 0.5, 'refused': 5.0}
+    for name, age_s in ages.items():
+        peer = test_feed_follower.FakePeer()
+        peer.heartbeat = msgspec.structs.replace(
+            test_feed_follower.heartbeat(1),
+            store_age_s=age_s,
+            reads_targets=True,
+        )
+        fixture.mesh.peer_by_name[name] = peer
+    fixture.write_desired(1)
+    fixture.start()
+    fixture.write_target('t', b'1')
+    fixture.advance(1.0)
+    assert fixture.mesh.except_names == {'reads'}
--- a/walnutport/gateway/state/feed_follower.py
+++ b/walnutport/gateway/state/feed_follower.py
@@ -426,23 +426,29 @@
         else:
             applied = self.registry.apply(page, now)
         self._target_log.log_changes(*applied, source='store')
-        self._has_failed = False
+        was_away, self._has_failed = self._has_failed, False
         if self.registry.changes_end_offset != before:
             self._mesh.broadcast(
-                self._target_update(before), self._readers_of_targets()
+                self._target_update(before),
+                self._readers_of_targets(was_away),
             )
         return page
 
-    def _readers_of_targets(self) -> set[str]:
+    def _readers_of_targets(self, was_away: bool) -> set[str]:
         """Return the peers that read the targets themselves.
 
         After an outage of the store all hosts do, and what has changed
-        meanwhile would fill the links between them.
+        meanwhile would fill the links between them. At other times, a peer
+        whose reads fail is refused by the store alone.
+
+        :param was_away: whether the store did not answer this host before.
         """
         return {
             name
             for name, peer in self._mesh.peer_by_name.items()
-            if peer.heartbeat is not None and peer.heartbeat.reads_targets
+            if peer.heartbeat is not None
+            and peer.heartbeat.reads_targets
+            and (was_away or peer.heartbeat.store_age_s < READER_TIMEOUT_S)
         }
 
     def _enter_era(self, era: int, source: str) -> None:
