review: a machine cut off from the workers goes back to an older state

Claim: a machine without a path to the workers passes requests to peers whatever desired state they have, so that it regresses (CONFIG).

--- a/review/standin_2/stand_ins.py
+++ b/review/standin_2/stand_ins.py
@@ -164,13 +164,18 @@
     def __init__(self, ip: str) -> None:
         self.ip = ip
         self.port = free_port(ip)
-        self.mode_of = lambda writer: 'ok'
+        # Ports at which calls are not answered.
+        self.silent_ports: set[int] = set()
         self._logs: dict[tuple[str, int], list[tuple[str, bytes]]] = {}
         self._grown = asyncio.Condition()
 
     async def start(self) -> None:
         """Listen."""
-        await asyncio.start_server(self._serve, self.ip, self.port)
+        await self.listen(self.port)
+
+    async def listen(self, port: int) -> None:
+        """Listen at a further port, for some machines."""
+        await asyncio.start_server(self._serve, self.ip, port)
 
     async def append(self, topic: str, key: str, value: object) -> int:
         """Append a keyed record and return its offset; None has no value."""
@@ -188,9 +193,10 @@
             while True:
                 request = await read_head(reader)
                 await read_body(reader, request)
-                if self.mode_of(writer) == 'silent':
-                    await asyncio.sleep(3600)
+                port = writer.get_extra_info('sockname')[1]
                 status, body = await self._answer(request)
+                while port in self.silent_ports:
+                    await asyncio.sleep(0.05)
                 writer.write(
                     encode(f'HTTP/1.1 {status} X', [('Store-Era', '1')], body)
                 )
@@ -281,6 +287,9 @@
         self.active = 0
         # Ids of the requests that it has begun to run.
         self.runs: list[str] = []
+        self.ran_at: dict[str, float] = {}
+        # Port in its entry.
+        self.announced_port = self.port
 
     async def start(self) -> None:
         """Listen and register."""
@@ -296,7 +305,7 @@
             self.worker_id,
             {
                 'service': self.service,
-                'address': f'{self.store.ip}:{self.port}',
+                'address': f'{self.store.ip}:{self.announced_port}',
                 'zone': 'a',
                 'version': 'v1',
                 'slots': self.slots,
@@ -359,6 +368,7 @@
             writer.write(encode('HTTP/1.1 400 X', [NOT_EXECUTED], b''))
             return True
         self.runs.append(request_id)
+        self.ran_at[request_id] = time.monotonic()
         self.record.write(f'worker {self.worker_id} runs {request_id}')
         self.active += 1
         try:
